Add design, shared types and the test runner

Cause: an empty repository. Six equal daemons must schedule one fleet without a coordination service.

Ruled out (docs/design.md, section 3): worker ownership through claims in the log, since nobody could take over while the log is away; optimistic placement, since it needs admission control in the workers; limits divided among daemons, since a lost holder strands its part.

Change: the design page, the error hierarchy, the clock, numbered events, the data model, the messages between daemons, and a nose2 plugin that counts verdicts and keeps known failures apart.

Before: nothing.

Conclusion: parts can be built in parallel against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test lint demo soak bench bench-quick
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --no-deps --editable .
+	touch $(STAMP)
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/flake8
+
+test: setup
+	$(PYTHON) -m nose2
--- /dev/null
+++ b/basilspindle/events/event.py
@@ -0,0 +1,32 @@
+"""Define a numbered log event."""
+
+import enum
+
+
+class Level(enum.StrEnum):
+    """Name the severity of an event as loguru does."""
+
+    DEBUG = 'DEBUG'
+    INFO = 'INFO'
+    WARNING = 'WARNING'
+    ERROR = 'ERROR'
+
+
+class Event:
+    """Identify one kind of log line by number, name and severity."""
+
+    __slots__ = ('number', 'name', 'level', 'text', 'remedy')
+
+    catalogue: dict[int, 'Event'] = {}
+
+    def __init__(
+        self, number: int, name: str, level: Level, text: str, remedy: str
+    ) -> None:
+        if number in self.catalogue:
+            raise ValueError(f'event {number} is defined twice')
+        self.number = number
+        self.name = name
+        self.level = level
+        self.text = text
+        self.remedy = remedy
+        self.catalogue[number] = self
--- /dev/null
+++ b/basilspindle/model/running_task.py
@@ -0,0 +1,21 @@
+"""Describe a task found on a worker."""
+
+import msgspec
+
+from basilspindle.model import resources as resources_module
+
+
+class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry of a worker's inventory that has not ended."""
+
+    task_id: str
+    attempt: int
+    job_id: str
+    index: int
+    team: str
+    kind: str
+    partition: int
+    worker_id: str
+    failure_domain: str
+    rack: str
+    resources: resources_module.Resources
--- /dev/null
+++ b/basilspindle/model/task_end.py
@@ -0,0 +1,26 @@
+"""Report the end of one attempt of a task."""
+
+import msgspec
+
+from basilspindle.model import state as state_module
+
+
+class TaskEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of one attempt.
+
+    ``state`` is SUCCEEDED, FAILED, CANCELLED (stopped on request), QUEUED
+    (certainly not run or certainly over without a result: may be started
+    again if idempotent) or UNKNOWN. ``started`` tells whether the attempt
+    may have run. ``result`` is JSON.
+    """
+
+    task_id: str
+    attempt: int
+    team: str
+    partition: int
+    worker_id: str
+    state: state_module.State
+    started: bool = True
+    result: bytes = b''
+    error: str = ''
+    run_time_ms: int = 0
--- /dev/null
+++ b/basilspindle/model/task_order.py
@@ -0,0 +1,33 @@
+"""Order one attempt of a task from a worker."""
+
+import msgspec
+
+from basilspindle.model import priority as priority_module
+from basilspindle.model import resources as resources_module
+
+
+class TaskOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """All that the holder of a lease and the worker need for one attempt.
+
+    ``partition`` and ``partition_epoch`` name the owner that ordered it;
+    ``siblings`` counts running tasks of the same job by failure domain and
+    by rack, so that a service can be spread; ``avoid`` lists workers where
+    this task failed before.
+    """
+
+    task_id: str
+    attempt: int
+    job_id: str
+    index: int
+    team: str
+    kind: str
+    priority: priority_module.Priority
+    resources: resources_module.Resources
+    run_time_ms: int
+    idempotent: bool
+    service: bool
+    input: bytes
+    partition: int
+    partition_epoch: int
+    siblings: dict[str, int] = {}
+    avoid: list[str] = []
--- /dev/null
+++ b/basilspindle/peer/messages/report.py
@@ -0,0 +1,17 @@
+"""Report ends of tasks to the owner of their partition."""
+
+import msgspec
+
+from basilspindle import model
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """Ends of tasks, and tasks found on newly leased workers."""
+
+    partition: int
+    ends: list[model.TaskEnd]
+    found: list[model.RunningTask] = []
+
+
+class Reported(msgspec.Struct, frozen=True, kw_only=True):
+    """Confirm that the ends are recorded and may be released."""
--- /dev/null
+++ b/basilspindle/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform; they record breaches, never prevent them."""
