Bound the age of a placement by the receiver's own clock

Cause: a Place request that waited in a buffer could start a task after its sender had given it up and started it elsewhere. Ruled out: a deadline in the sender's clock, since the clocks of two VMs are not compared; a lease generation alone, since the holder may keep its leases while only the link to the sender is cut. Change: heartbeats carry the sender's monotonic time, Place returns it. Conclusion: the receiver can refuse by its own clock.

--- a/basilspindle/peer/messages/place.py
+++ b/basilspindle/peer/messages/place.py
@@ -9,10 +9,16 @@
     """Ask to start each of a batch of tasks somewhere.
 
     With ``hold`` the tasks are only given capacity, for ``hold_ms``, and
-    started by ``Commit``.
+    started by ``Commit``. The receiver refuses a request that is too old
+    by its own clock: ``receiver_time_ms`` is the ``sent_at_ms`` of its
+    last heartbeat that the sender has seen, ``receiver_incarnation`` its
+    incarnation there. This refuses a request that waited in a buffer
+    while the sender gave it up.
     """
 
     member_id: str
+    receiver_incarnation: str
+    receiver_time_ms: int
     orders: list[model.TaskOrder]
     hold: bool = False
     hold_ms: int = 0
