--- a/basilspindle/peer/messages/heartbeat.py
+++ b/basilspindle/peer/messages/heartbeat.py
@@ -12,8 +12,9 @@
     ``config_age_ms`` and ``log_age_ms`` are the ages of the sender's
     assurance for the configuration and of its last answered log read; -1
     means never. ``waiting_shares`` is the lowest normalised share among
-    waiting teams, by priority class; -1.0 means none waits. ``sent_at_ms`` is the sender's monotonic time, returned to
-    it in ``Place``.
+    waiting teams, by priority class; -1.0 means none waits.
+    ``sent_at_ms`` is the sender's monotonic time, returned to it in
+    ``Place``.
     """
 
     member_id: str
--- a/basilspindle/peer/messages/place.py
+++ b/basilspindle/peer/messages/place.py
@@ -17,11 +17,11 @@
     """
 
     member_id: str
-    receiver_incarnation: str
-    receiver_time_ms: int
     orders: list[model.TaskOrder]
     hold: bool = False
     hold_ms: int = 0
+    receiver_incarnation: str = ''
+    receiver_time_ms: int = 0
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
