--- /dev/null
+++ b/basilspindle/api/admission.py
@@ -0,0 +1,238 @@
+"""Decide whether a caller may submit, and build the job."""
+
+import hashlib
+import secrets
+
+import msgspec
+
+from basilspindle.api import submission as submission_module
+from basilspindle import clock as clock_module
+from basilspindle import config
+from basilspindle import errors
+from basilspindle import model
+
+MAX_INPUT_BYTES = 64 * 1024
+MAX_TASKS = 10_000
+_MAX_MS = 366 * 24 * 3_600_000
+_MAX_KEY_CHARS = 200
+_DIGEST_BYTES = 16
+_BEARER = 'Bearer '
+
+_decoder = msgspec.json.Decoder(submission_module.Submission)
+
+
+class Admission:
+    """Check keys, teams, queues and bounds against one configuration.
+
+    A configuration is used only while ``store`` is assured that it is the
+    latest one.
+    """
+
+    __slots__ = ('_clock', '_store')
+
+    def __init__(
+        self, clock: clock_module.Clock, store: config.ConfigStore
+    ) -> None:
+        self._clock = clock
+        self._store = store
+
+    def identify(self, authorization: str) -> config.Identity:
+        """Return whom a key speaks for.
+
+        Raises ``ConfigurationStale`` and ``KeyInvalid``.
+        """
+        self._store.check_assured()
+        return self._store.check_key(_key(authorization))
+
+    def identify_operator(self, authorization: str) -> config.Identity:
+        """Return the operator that a key speaks for.
+
+        Operators are served also while the configuration is not assured,
+        so that they can see and mend what is wrong. Raises ``KeyInvalid``
+        and ``Forbidden``.
+        """
+        identity = self._store.check_key(_key(authorization))
+        if identity.role != 'operator':
+            raise errors.Forbidden(
+                "the key is a caller's; use an operator key"
+            )
+        return identity
+
+    def team_of(self, authorization: str, queue: str) -> tuple[str, str]:
+        """Return (team, key id) for work on a queue.
+
+        The key id is '' on an open queue without a key. Raises
+        ``KeyInvalid``, ``Forbidden`` and ``ConfigurationStale``.
+        """
+        self._store.check_assured()
+        settings = self._store.current.document.queues.get(queue)
+        if settings is not None and settings.open and not authorization:
+            return settings.team or '', ''
+        identity = self.identify(authorization)
+        if not identity.team:
+            raise errors.Forbidden(
+                'an operator key does not submit work; use a key of the team'
+            )
+        if settings is None or settings.open or not settings.team:
+            return identity.team, identity.key_id
+        if settings.team != identity.team:
+            raise errors.Forbidden(
+                f'queue {queue!r} is not open to team {identity.team!r}; '
+                'use another queue'
+            )
+        return identity.team, identity.key_id
+
+    def build(
+        self,
+        body: bytes,
+        authorization: str,
+        idempotency_key: str,
+        *,
+        waits: bool,
+    ) -> model.Job:
+        """Build the job of a submission.
+
+        ``waits`` tells whether the caller holds the connection. Raises
+        ``BadRequest``, ``TooLarge``, ``NotFound`` and the errors of
+        ``team_of``.
+        """
+        request = _decode(body)
+        team, key_id = self.team_of(authorization, request.queue)
+        kind = self._kind(request, team)
+        idempotent = kind.idempotent and request.idempotent is not False
+        _check(request, kind, idempotency_key)
+        durable = not waits or not idempotent or bool(idempotency_key)
+        return model.Job(
+            job_id=_job_id(team, key_id, request.queue, idempotency_key),
+            team=team,
+            queue=request.queue,
+            kind=request.kind,
+            priority=kind.rank(),
+            tasks=request.tasks,
+            resources=_resources(request.resources, kind.need()),
+            run_time_ms=_first(request.run_time_ms, kind.run_time_ms),
+            deadline_ms=_first(request.deadline_ms, kind.deadline_ms),
+            gang=kind.gang and request.tasks > 1,
+            service=kind.service,
+            idempotent=idempotent,
+            durable=durable,
+            max_attempts=kind.max_attempts if idempotent else 1,
+            input=bytes(request.input),
+            key_id=key_id,
+            body_hash=hashlib.blake2b(
+                body, digest_size=_DIGEST_BYTES
+            ).hexdigest(),
+            submitted_wall_ms=self._clock.wall_ms(),
+        )
+
+    def _kind(
+        self, request: submission_module.Submission, team: str
+    ) -> config.Kind:
+        document = self._store.current.document
+        kind = document.kinds.get(request.kind)
+        if kind is None:
+            raise errors.NotFound(
+                f'there is no kind {request.kind!r}; known are '
+                f'{", ".join(sorted(document.kinds))}'
+            )
+        settings = document.teams.get(team)
+        if settings is None or request.kind not in settings.kinds:
+            raise errors.Forbidden(
+                f'team {team!r} may not submit kind {request.kind!r}; ask '
+                'an operator to add it to the team'
+            )
+        queue = document.queues.get(request.queue)
+        if queue is None and request.queue != _DEFAULT_QUEUE:
+            raise errors.NotFound(
+                f'there is no queue {request.queue!r}; use one of '
+                f'{", ".join(sorted(document.queues))}'
+            )
+        kinds = queue.kinds if queue is not None else None
+        if kinds is not None and request.kind not in kinds:
+            raise errors.Forbidden(
+                f'queue {request.queue!r} does not take kind '
+                f'{request.kind!r}; use another queue'
+            )
+        return kind
+
+
+_DEFAULT_QUEUE = 'default'
+
+
+def _key(authorization: str) -> str:
+    if not authorization.startswith(_BEARER):
+        raise errors.KeyInvalid(
+            'the request has no key; send the header '
+            '"Authorization: Bearer <key>"'
+        )
+    return authorization.removeprefix(_BEARER).strip()
+
+
+def _decode(body: bytes) -> submission_module.Submission:
+    try:
+        return _decoder.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.BadRequest(
+            f'the body is not a valid submission: {error}; see '
+            'docs/callers.md for its fields'
+        ) from None
+
+
+def _check(
+    request: submission_module.Submission,
+    kind: config.Kind,
+    idempotency_key: str,
+) -> None:
+    if not 1 <= request.tasks <= MAX_TASKS:
+        raise errors.BadRequest(f'tasks must be from 1 to {MAX_TASKS}')
+    if len(request.input) > MAX_INPUT_BYTES:
+        raise errors.TooLarge(
+            f'input has {len(request.input)} bytes; the most is '
+            f'{MAX_INPUT_BYTES}'
+        )
+    if len(idempotency_key) > _MAX_KEY_CHARS:
+        raise errors.BadRequest(
+            f'the idempotency key is longer than {_MAX_KEY_CHARS} characters'
+        )
+    if request.idempotent and not kind.idempotent:
+        raise errors.BadRequest(
+            f'kind {request.kind!r} is not idempotent and a request cannot '
+            'make it so; leave "idempotent" out'
+        )
+    for name in ('run_time_ms', 'deadline_ms'):
+        value = getattr(request, name)
+        if value is not None and not 0 <= value <= _MAX_MS:
+            raise errors.BadRequest(f'{name} must be from 0 to {_MAX_MS}')
+    for name in request.resources.__struct_fields__:
+        value = getattr(request.resources, name)
+        if value is not None and value < 0:
+            raise errors.BadRequest(f'resources.{name} must be 0 or more')
+
+
+def _resources(
+    request: submission_module.ResourceRequest, need: model.Resources
+) -> model.Resources:
+    return model.Resources(
+        _first(request.cpu_millicores, need.cpu_millicores),
+        _first(request.memory_mb, need.memory_mb),
+        _first(request.accelerators, need.accelerators),
+        need.slots,
+    )
+
+
+def _first(value: int | None, default: int) -> int:
+    return default if value is None else value
+
+
+def _job_id(team: str, key_id: str, queue: str, idempotency_key: str) -> str:
+    """Return the same id for the same idempotency key of a team.
+
+    Without a key the id is random. On an open queue the callers are not
+    told apart, so their keys are kept apart from those of the team.
+    """
+    if not idempotency_key:
+        return f'r{secrets.token_hex(_DIGEST_BYTES)}'
+    scope = team if key_id else f'{team}/{queue}/open'
+    text = f'{scope}\0{idempotency_key}'.encode()
+    digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES)
+    return f'k{digest.hexdigest()}'
--- /dev/null
+++ b/basilspindle/api/callers.py
@@ -0,0 +1,172 @@
+"""Serve callers: submit, wait, look up, list and cancel."""
+
+import asyncio
+
+import litestar
+import msgspec
+
+from basilspindle.api import job_body
+from basilspindle.api import services as services_module
+from basilspindle.api import waiting
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+
+_SUBMIT_MS = 8_000
+_LOOKUP_MS = 3_000
+_MAX_WAIT_MS = 15_000
+_MAX_PAGE = 1_000
+
+
+class SubmittedBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Confirm an accepted job; ``repeated`` if it was accepted before."""
+
+    job_id: str
+    team: str
+    repeated: bool
+
+
+class JobListBody(msgspec.Struct, frozen=True, kw_only=True):
+    """One page of jobs; pass the last id as ``after`` for the next."""
+
+    jobs: list[job_body.JobBody]
+    more: bool
+
+
+def _authorization(request: litestar.Request) -> str:
+    return request.headers.get('authorization', '')
+
+
+def _wait(value: int) -> int:
+    if not 0 <= value <= _MAX_WAIT_MS:
+        raise errors.BadRequest(f'wait_ms must be from 0 to {_MAX_WAIT_MS}')
+    return value
+
+
+def routes(services: services_module.Services) -> list[object]:
+    """Return the routes for callers."""
+
+    @litestar.post('/v1/requests', status_code=200)
+    async def run_request(request: litestar.Request) -> job_body.JobBody:
+        """Run work and return its result on the same connection."""
+        job = services.admission.build(
+            await request.body(),
+            _authorization(request),
+            request.headers.get('idempotency-key', ''),
+            waits=True,
+        )
+        timing = services.store.current.document.timing
+        work = waiting.Waiting(
+            services.clock, services.router, job, timing.request_max_ms
+        )
+        return job_body.make(await _watch(request, work))
+
+    @litestar.post('/v1/jobs', status_code=201)
+    async def submit_job(request: litestar.Request) -> SubmittedBody:
+        """Accept work that is asked for later."""
+        job = services.admission.build(
+            await request.body(),
+            _authorization(request),
+            request.headers.get('idempotency-key', ''),
+            waits=False,
+        )
+        work = waiting.Waiting(
+            services.clock, services.router, job, _SUBMIT_MS
+        )
+        reply = await work.submit()
+        return SubmittedBody(
+            job_id=reply.job_id, team=job.team, repeated=reply.repeated
+        )
+
+    @litestar.get('/v1/jobs')
+    async def list_jobs(
+        request: litestar.Request, after: str = '', limit: int = 100
+    ) -> JobListBody:
+        """List the jobs of the key's team."""
+        team = _team(services, request)
+        if not 1 <= limit <= _MAX_PAGE:
+            raise errors.BadRequest(f'limit must be from 1 to {_MAX_PAGE}')
+        reply = await services.router.call(
+            messages.ListJobs(
+                partition=services.router.partition_of(team),
+                team=team,
+                after=after,
+                limit=limit,
+            ),
+            _LOOKUP_MS,
+        )
+        return JobListBody(
+            jobs=[job_body.make(view) for view in reply.views],
+            more=reply.more,
+        )
+
+    @litestar.get('/v1/jobs/{job_id:str}')
+    async def show_job(
+        request: litestar.Request,
+        job_id: str,
+        wait_ms: int = 0,
+        queue: str = 'default',
+    ) -> job_body.JobBody:
+        """Show a job, waiting up to ``wait_ms`` for its end."""
+        team, _ = services.admission.team_of(_authorization(request), queue)
+        reply = await services.router.call(
+            messages.View(
+                partition=services.router.partition_of(team),
+                team=team,
+                job_id=job_id,
+                wait_ms=_wait(wait_ms),
+            ),
+            wait_ms + _LOOKUP_MS,
+        )
+        return job_body.make(reply.view)
+
+    @litestar.delete('/v1/jobs/{job_id:str}', status_code=200)
+    async def cancel_job(
+        request: litestar.Request, job_id: str
+    ) -> job_body.JobBody:
+        """Cancel a job; ended tasks keep their outcome."""
+        team = _team(services, request)
+        reply = await services.router.call(
+            messages.Cancel(
+                partition=services.router.partition_of(team),
+                team=team,
+                job_id=job_id,
+            ),
+            _SUBMIT_MS,
+        )
+        return job_body.make(reply.view)
+
+    return [run_request, submit_job, list_jobs, show_job, cancel_job]
+
+
+async def _watch(
+    request: litestar.Request, work: waiting.Waiting
+) -> model.JobView:
+    """Wait for the result, and give up when the caller disconnects."""
+    result = asyncio.ensure_future(work.result())
+    gone = asyncio.ensure_future(_disconnected(request))
+    try:
+        await asyncio.wait({result, gone}, return_when=asyncio.FIRST_COMPLETED)
+        if not result.done():
+            result.cancel()
+        return await result
+    finally:
+        gone.cancel()
+        result.cancel()
+
+
+async def _disconnected(request: litestar.Request) -> None:
+    # The body was read before, so the next message is the disconnect.
+    while (await request.receive())['type'] != 'http.disconnect':
+        pass
+
+
+def _team(
+    services: services_module.Services, request: litestar.Request
+) -> str:
+    identity = services.admission.identify(_authorization(request))
+    if not identity.team:
+        raise errors.Forbidden(
+            'an operator key has no jobs; use a key of the team'
+        )
+    return identity.team
--- /dev/null
+++ b/basilspindle/api/job_body.py
@@ -0,0 +1,58 @@
+"""Show a job in JSON."""
+
+import msgspec
+
+from basilspindle import model
+
+
+class ResultBody(msgspec.Struct, frozen=True, kw_only=True):
+    """One ended task; ``result`` is the JSON that it gave."""
+
+    index: int
+    state: model.State
+    attempts: int
+    worker_id: str
+    result: msgspec.Raw
+    error: str
+
+
+class JobBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A job as its team sees it."""
+
+    job_id: str
+    team: str
+    queue: str
+    kind: str
+    state: model.State
+    tasks: int
+    counts: dict[str, int]
+    submitted_wall_ms: int
+    results: list[ResultBody]
+    reason: str
+
+
+def make(view: model.JobView) -> JobBody:
+    """Return the body for a job."""
+    results = [
+        ResultBody(
+            index=result.index,
+            state=result.state,
+            attempts=result.attempts,
+            worker_id=result.worker_id,
+            result=msgspec.Raw(result.result or b'null'),
+            error=result.error,
+        )
+        for result in view.results
+    ]
+    return JobBody(
+        job_id=view.job_id,
+        team=view.team,
+        queue=view.queue,
+        kind=view.kind,
+        state=view.state,
+        tasks=view.tasks,
+        counts=view.counts,
+        submitted_wall_ms=view.submitted_wall_ms,
+        results=results,
+        reason=view.reason,
+    )
--- /dev/null
+++ b/basilspindle/api/operators.py
@@ -0,0 +1,100 @@
+"""Serve operators: configuration, daemons, workers and state."""
+
+import typing
+
+import litestar
+import msgspec
+
+from basilspindle.api import member_body
+from basilspindle.api import services as services_module
+from basilspindle.api import worker_body
+from basilspindle import errors
+
+
+class ConfigurationBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The accepted documents and their version."""
+
+    version: int
+    base: msgspec.Raw
+    overlay: msgspec.Raw
+
+
+class PublishBody(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Body of a publish; ``from_version`` is what it was made from."""
+
+    base: msgspec.Raw
+    overlay: msgspec.Raw = msgspec.Raw(b'{}')
+    from_version: int = 0
+
+
+class VersionBody(msgspec.Struct, frozen=True):
+    """The version that a publish was accepted as."""
+
+    version: int
+
+
+def _check(
+    services: services_module.Services, request: litestar.Request
+) -> str:
+    """Return the id of an operator key or raise."""
+    identity = services.admission.identify_operator(
+        request.headers.get('authorization', '')
+    )
+    return identity.key_id
+
+
+def routes(services: services_module.Services) -> list[object]:
+    """Return the routes for operators."""
+
+    @litestar.get('/v1/configuration')
+    async def show_configuration(
+        request: litestar.Request,
+    ) -> ConfigurationBody:
+        """Show the configuration in force at this daemon."""
+        _check(services, request)
+        accepted = services.store.current
+        return ConfigurationBody(
+            version=accepted.version,
+            base=msgspec.Raw(accepted.publication.base),
+            overlay=msgspec.Raw(accepted.publication.overlay),
+        )
+
+    @litestar.post('/v1/configuration', status_code=200)
+    async def publish(request: litestar.Request) -> VersionBody:
+        """Publish a base and an overlay document."""
+        author = _check(services, request)
+        try:
+            body = msgspec.json.decode(await request.body(), type=PublishBody)
+        except msgspec.DecodeError as error:
+            raise errors.BadRequest(
+                f'the body is not a valid publish: {error}; send base, '
+                'overlay and from_version'
+            ) from None
+        version = await services.store.publish(
+            bytes(body.base), bytes(body.overlay), body.from_version, author
+        )
+        return VersionBody(version)
+
+    @litestar.get('/v1/configuration/in-force')
+    async def in_force(request: litestar.Request) -> member_body.MembersBody:
+        """Show the version in force at each daemon."""
+        _check(services, request)
+        return member_body.MembersBody(services.members())
+
+    @litestar.get('/v1/workers')
+    async def list_workers(
+        request: litestar.Request,
+    ) -> worker_body.WorkersBody:
+        """List the workers of the cell."""
+        _check(services, request)
+        return worker_body.WorkersBody(services.workers())
+
+    @litestar.get('/v1/state')
+    async def dump(request: litestar.Request) -> dict[str, typing.Any]:
+        """Dump the state of this daemon."""
+        _check(services, request)
+        return services.dump()
+
+    return [show_configuration, publish, in_force, list_workers, dump]
--- /dev/null
+++ b/basilspindle/api/waiting.py
@@ -0,0 +1,110 @@
+"""Follow one request from its submission to its result."""
+
+import contextlib
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+from basilspindle import routing
+
+_POLL_MS = 5_000
+_MIN_CALL_MS = 500
+_CANCEL_MS = 1_000
+
+
+class Waiting:
+    """Submit a job and wait for its end on behalf of one caller."""
+
+    __slots__ = ('_clock', '_router', '_partition', '_job', '_due_ms')
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        router: routing.Router,
+        job: model.Job,
+        timeout_ms: int,
+    ) -> None:
+        self._clock = clock
+        self._router = router
+        self._partition = router.partition_of(job.team)
+        self._job = job
+        self._due_ms = clock.now_ms() + timeout_ms
+
+    async def submit(self) -> messages.Submitted:
+        """Hand the job to the owner of its team."""
+        return await self._router.call(
+            messages.Submit(partition=self._partition, job=self._job),
+            max(_MIN_CALL_MS, self._left_ms()),
+        )
+
+    async def result(self) -> model.JobView:
+        """Submit and wait for the end.
+
+        Raises ``DeadlineExceeded`` at the timeout; its ``ran`` is ``no``
+        only if the job was cancelled before any of its tasks started.
+        """
+        await self.submit()
+        try:
+            while self._left_ms() > 0:
+                view = await self._view()
+                if view is not None and view.state.final:
+                    return view
+        except BaseException:
+            await self._cancel()
+            raise
+        raise await self._timeout()
+
+    def _left_ms(self) -> int:
+        return self._due_ms - self._clock.now_ms()
+
+    async def _view(self) -> model.JobView | None:
+        wait_ms = min(_POLL_MS, self._left_ms())
+        request = messages.View(
+            partition=self._partition,
+            team=self._job.team,
+            job_id=self._job.job_id,
+            wait_ms=wait_ms,
+        )
+        try:
+            reply = await self._router.call(request, wait_ms + _MIN_CALL_MS)
+        except errors.NotFound:
+            # A new owner does not know a job that was never in the log;
+            # the same job id makes this the same job.
+            await self.submit()
+            return None
+        except (errors.OutcomeUnknown, errors.NotReady):
+            return None
+        return reply.view
+
+    async def _cancel(self) -> model.JobView | None:
+        """Cancel a job that nobody can ask for after its connection."""
+        if self._job.durable:
+            return None
+        request = messages.Cancel(
+            partition=self._partition,
+            team=self._job.team,
+            job_id=self._job.job_id,
+        )
+        with contextlib.suppress(errors.BasilspindleError):
+            reply = await self._router.call(request, _CANCEL_MS)
+            return reply.view
+        return None
+
+    async def _timeout(self) -> errors.BasilspindleError:
+        view = await self._cancel()
+        if view is not None and view.state.final:
+            attempts = sum(result.attempts for result in view.results)
+            ran = errors.Ran.UNKNOWN if attempts else errors.Ran.NO
+        else:
+            ran = errors.Ran.UNKNOWN
+        advice = (
+            'ask for the job by its id'
+            if self._job.durable
+            else 'submit it again'
+        )
+        return errors.DeadlineExceeded(
+            f'the request did not end in time; {advice}',
+            ran=ran,
+            job_id=self._job.job_id,
+        )
--- a/basilspindle/coordinator/__init__.py
+++ b/basilspindle/coordinator/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder."""
+"""Own the jobs of claimed partitions: queue, place, end, recover."""
+
+from basilspindle.coordinator.coordinator import Coordinator
+from basilspindle.coordinator.holder import Holders
+from basilspindle.coordinator.timing import Timing
+
+__all__ = ['Coordinator', 'Holders', 'Timing']
--- /dev/null
+++ b/basilspindle/coordinator/dispatcher.py
@@ -0,0 +1,490 @@
+"""Send queued tasks to the holders that have room for them."""
+
+import asyncio
+import collections
+import collections.abc
+
+from basilspindle import clock as clock_module
+from basilspindle.coordinator import events as coordinator_events
+from basilspindle.coordinator import holder
+from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import room_book
+from basilspindle.coordinator import timing as timing_module
+from basilspindle.coordinator import tracked_job
+from basilspindle.coordinator import tracked_task
+from basilspindle import errors
+from basilspindle import events
+from basilspindle import journal as journal_package
+from basilspindle import model
+from basilspindle.peer import messages
+from basilspindle import policy
+
+_MAX_BATCH = 256
+_REPEAT_PAUSE_MS = 200
+_FULL_PERCENT = 95
+
+# A task that is being placed, with its job.
+_Started = tuple[tracked_job.TrackedJob, tracked_task.TrackedTask]
+
+
+class Dispatcher:
+    """Place tasks of active partitions; every started task stays counted.
+
+    Orders leave only while ``may_start`` is true for their partition,
+    checked in the same loop pass as the send.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_queue',
+        '_holders',
+        '_rooms',
+        '_timing',
+        '_partitions',
+        '_may_start',
+        '_on_end',
+        '_sends',
+        '_gangs',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        queue: policy.FairQueue,
+        holders: holder.Holders,
+        timing: timing_module.Timing,
+        partitions: dict[int, owned_partition.OwnedPartition],
+        may_start: collections.abc.Callable[[int], bool],
+        on_end: collections.abc.Callable[
+            [tracked_job.TrackedJob, int, model.TaskEnd], None
+        ],
+    ) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._holders = holders
+        self._rooms = room_book.RoomBook()
+        self._timing = timing
+        self._partitions = partitions
+        self._may_start = may_start
+        self._on_end = on_end
+        self._sends: set[asyncio.Task[None]] = set()
+        self._gangs: set[str] = set()
+
+    @property
+    def rooms(self) -> room_book.RoomBook:
+        """Return the estimate of free capacity."""
+        return self._rooms
+
+    async def close(self) -> None:
+        """Cancel what is being sent."""
+        for task in self._sends:
+            task.cancel()
+        await asyncio.gather(*self._sends, return_exceptions=True)
+
+    def run_pass(self) -> int:
+        """Send what fits now and return the number of tasks taken."""
+        self._refresh()
+        picks = self._queue.pop(
+            self._clock.now_ms(),
+            _MAX_BATCH,
+            blocked=self._rooms.blocked,
+            floors=self._floors(),
+        )
+        batches: dict[tuple[str, int, bool], list[_Started]] = (
+            collections.defaultdict(list)
+        )
+        taken = 0
+        for pick in picks:
+            taken += self._sort(pick, batches)
+        for (holder_id, number, once), started in batches.items():
+            partition = self._partitions[number]
+            if once:
+                self._spawn(self._send_once(partition, holder_id, started))
+            else:
+                self._spawn(self._send(partition, holder_id, started))
+        return taken
+
+    def _refresh(self) -> None:
+        present = set()
+        for holder_id, room, stamp in self._holders.rooms():
+            present.add(holder_id)
+            self._rooms.update(holder_id, room, stamp)
+        self._rooms.retain(present)
+        self._queue.set_total(self._rooms.total())
+
+    def _floors(self) -> list[float] | None:
+        """Return the shares to yield to, or None while there is room."""
+        total = self._rooms.total().slots
+        free = sum(
+            room.free.slots for room in self._rooms.free_slots().values()
+        )
+        if free * 100 > total * (100 - _FULL_PERCENT):
+            return None
+        return self._holders.floors()
+
+    def _sort(
+        self,
+        pick: policy.Pick,
+        batches: dict[tuple[str, int, bool], list[_Started]],
+    ) -> int:
+        found = self._find(pick.job_id)
+        if found is None:
+            return 0
+        partition, tracked = found
+        if not self._may_start(partition.number):
+            self._queue.give_back(
+                pick.job_id, pick.count, self._clock.now_ms()
+            )
+            return 0
+        if pick.gang:
+            self._start_gang(partition, tracked, pick.count)
+            return pick.count
+        for taken in range(pick.count):
+            holder_id = self._rooms.choose(tracked.job.resources)
+            if not holder_id:
+                self._queue.give_back(
+                    pick.job_id, pick.count - taken, self._clock.now_ms()
+                )
+                return taken
+            task = self._take(partition, tracked, holder_id)
+            key = (holder_id, partition.number, not tracked.job.idempotent)
+            batches[key].append((tracked, task))
+        return pick.count
+
+    def _find(
+        self, job_id: str
+    ) -> tuple[owned_partition.OwnedPartition, tracked_job.TrackedJob] | None:
+        for partition in self._partitions.values():
+            tracked = partition.jobs.get(job_id)
+            if tracked is not None:
+                return partition, tracked
+        return None
+
+    def _take(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+        holder_id: str,
+    ) -> tracked_task.TrackedTask:
+        task = tracked.take(partition.epoch)
+        task.holder_id = holder_id
+        self._rooms.take(holder_id, tracked.job.resources)
+        return task
+
+    def _spawn(
+        self, work: collections.abc.Coroutine[None, None, None]
+    ) -> None:
+        task = asyncio.ensure_future(work)
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
+
+    def _order(
+        self,
+        partition: owned_partition.OwnedPartition,
+        started: _Started,
+    ) -> model.TaskOrder:
+        tracked, task = started
+        job = tracked.job
+        siblings: dict[str, int] = collections.Counter()
+        if job.service:
+            for sibling in tracked.started.values():
+                if sibling.worker_id:
+                    siblings[sibling.failure_domain] += 1
+                    siblings[sibling.rack] += 1
+        return model.TaskOrder(
+            task_id=job.task_id(task.index),
+            attempt=task.attempt,
+            job_id=job.job_id,
+            index=task.index,
+            team=job.team,
+            kind=job.kind,
+            priority=job.priority,
+            resources=job.resources,
+            run_time_ms=job.run_time_ms,
+            idempotent=job.idempotent,
+            service=job.service,
+            input=job.input,
+            partition=partition.number,
+            partition_epoch=partition.epoch,
+            siblings=dict(siblings),
+            avoid=tracked.failed_workers.get(task.index, []),
+        )
+
+    async def _send(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        started: list[_Started],
+    ) -> None:
+        request = messages.Place(
+            member_id=holder_id,
+            orders=[self._order(partition, one) for one in started],
+        )
+        placed = await self._place(partition, holder_id, request)
+        if placed is None:
+            return
+        for one, placement in zip(started, placed, strict=True):
+            self._apply(holder_id, one, placement)
+
+    async def _place(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        request: messages.Place,
+    ) -> list[messages.Placement] | None:
+        """Return the placements, or None if the holder was lost.
+
+        A request that was not answered is repeated with the same
+        attempts, so that the holder gives the answer it gave before.
+        """
+        unanswered = False
+        while True:
+            if not unanswered and not self._may_start(partition.number):
+                return _unplaced(request.orders, 'not_assured')
+            try:
+                placed = await self._holders.place(holder_id, request)
+            except errors.PeerOutcomeUnknown:
+                unanswered = True
+            except errors.BasilspindleError as error:
+                if not unanswered:
+                    return _unplaced(request.orders, error.kind)
+            else:
+                return placed.placements
+            events.emit(
+                coordinator_events.PLACE_UNANSWERED,
+                holder_id=holder_id,
+                tasks=len(request.orders),
+            )
+            # The sweep declares the tasks lost when the leases of a lost
+            # holder have expired.
+            if self._holders.lost(holder_id):
+                return None
+            await self._clock.sleep_ms(_REPEAT_PAUSE_MS)
+
+    def _apply(
+        self,
+        holder_id: str,
+        started: _Started,
+        placement: messages.Placement,
+    ) -> None:
+        tracked, task = started
+        if tracked.started.get(task.index) is not task:
+            return
+        if placement.worker_id:
+            task.state = model.State.RUNNING
+            task.worker_id = placement.worker_id
+            task.failure_domain = placement.failure_domain
+            task.rack = placement.rack
+            tracked.settle(self._clock.now_ms())
+            return
+        self._return(holder_id, started, placement.reason)
+
+    def _return(self, holder_id: str, started: _Started, reason: str) -> None:
+        tracked, task = started
+        if tracked.started.get(task.index) is not task:
+            return
+        need = tracked.job.resources
+        self._rooms.give(holder_id, need)
+        self._rooms.refuse(holder_id, need)
+        self._on_end(
+            tracked,
+            task.index,
+            model.TaskEnd(
+                task_id=tracked.job.task_id(task.index),
+                attempt=task.attempt,
+                team=tracked.job.team,
+                partition=tracked.partition,
+                worker_id='',
+                state=model.State.QUEUED,
+                started=False,
+                error=reason,
+            ),
+        )
+
+    async def _send_once(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        started: list[_Started],
+    ) -> None:
+        """Start non-idempotent tasks: hold, record the intent, commit."""
+        held = await self._hold(partition, holder_id, started)
+        if not held:
+            return
+        if not await self._record_intents(partition, held):
+            await self._drop(partition, holder_id, held)
+            return
+        await self._commit(partition, holder_id, held)
+
+    async def _hold(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        started: list[_Started],
+    ) -> list[tuple[_Started, messages.Placement]]:
+        request = messages.Place(
+            member_id=holder_id,
+            orders=[self._order(partition, one) for one in started],
+            hold=True,
+            hold_ms=self._timing.hold_ms,
+        )
+        try:
+            reply = await self._holders.place(holder_id, request)
+            placed = reply.placements
+        except errors.BasilspindleError as error:
+            # A hold is never started by itself, so a lost answer is safe.
+            placed = _unplaced(request.orders, error.kind)
+        held = []
+        for one, placement in zip(started, placed, strict=True):
+            if placement.worker_id:
+                held.append((one, placement))
+            else:
+                self._return(holder_id, one, placement.reason)
+        return held
+
+    async def _record_intents(
+        self,
+        partition: owned_partition.OwnedPartition,
+        held: list[tuple[_Started, messages.Placement]],
+    ) -> bool:
+        records = [
+            journal_package.StartIntent(
+                job_id=tracked.job.job_id,
+                index=task.index,
+                attempt=task.attempt,
+                worker_id=placement.worker_id,
+            )
+            for (tracked, task), placement in held
+        ]
+        try:
+            await partition.journal.append(
+                *records, timeout_ms=self._timing.hold_ms
+            )
+        except errors.BasilspindleError:
+            return False
+        return self._may_start(partition.number)
+
+    async def _drop(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        held: list[tuple[_Started, messages.Placement]],
+    ) -> None:
+        tasks = [_name(one) for one, _ in held]
+        try:
+            await self._holders.drop(holder_id, messages.Drop(tasks=tasks))
+        except errors.BasilspindleError:
+            # The holds expire at the holder.
+            pass
+        for one, _ in held:
+            self._return(holder_id, one, 'not_recorded')
+
+    async def _commit(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        held: list[tuple[_Started, messages.Placement]],
+    ) -> None:
+        request = messages.Commit(
+            partition=partition.number,
+            partition_epoch=partition.epoch,
+            tasks=[_name(one) for one, _ in held],
+        )
+        unanswered = False
+        while True:
+            try:
+                reply = await self._holders.commit(holder_id, request)
+            except errors.PeerOutcomeUnknown:
+                unanswered = True
+            except errors.BasilspindleError as error:
+                if not unanswered:
+                    for one, _ in held:
+                        self._return(holder_id, one, error.kind)
+                    return
+            else:
+                for (one, _), placement in zip(
+                    held, reply.placements, strict=True
+                ):
+                    self._apply(holder_id, one, placement)
+                return
+            if self._holders.lost(holder_id):
+                return
+            await self._clock.sleep_ms(_REPEAT_PAUSE_MS)
+
+    def _start_gang(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+        count: int,
+    ) -> None:
+        plan = policy.GangPlan.make(
+            tracked.job.resources, count, self._rooms.free_slots()
+        )
+        if plan is None or self._gangs:
+            self._queue.give_back(
+                tracked.job.job_id, count, self._clock.now_ms()
+            )
+            return
+        parts: dict[str, list[_Started]] = {}
+        for holder_id, amount in plan.asks.items():
+            parts[holder_id] = [
+                (tracked, self._take(partition, tracked, holder_id))
+                for _ in range(amount)
+            ]
+        self._gangs.add(tracked.job.job_id)
+        self._spawn(self._send_gang(partition, tracked, parts))
+
+    async def _send_gang(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+        parts: dict[str, list[_Started]],
+    ) -> None:
+        """Hold all tasks of a gang, then start all or none."""
+        try:
+            held = dict(
+                zip(
+                    parts,
+                    await asyncio.gather(
+                        *(
+                            self._hold(partition, holder_id, started)
+                            for holder_id, started in parts.items()
+                        )
+                    ),
+                    strict=True,
+                )
+            )
+            whole = all(
+                len(held[holder_id]) == len(started)
+                for holder_id, started in parts.items()
+            )
+            if whole and not tracked.job.idempotent:
+                everything = [one for part in held.values() for one in part]
+                whole = await self._record_intents(partition, everything)
+            whole = whole and self._may_start(partition.number)
+            finish = self._commit if whole else self._drop
+            await asyncio.gather(
+                *(
+                    finish(partition, holder_id, part)
+                    for holder_id, part in held.items()
+                    if part
+                )
+            )
+        finally:
+            self._gangs.discard(tracked.job.job_id)
+
+
+def _name(started: _Started) -> tuple[str, int]:
+    tracked, task = started
+    return tracked.job.task_id(task.index), task.attempt
+
+
+def _unplaced(
+    orders: list[model.TaskOrder], reason: str
+) -> list[messages.Placement]:
+    return [
+        messages.Placement(
+            task_id=order.task_id, attempt=order.attempt, reason=reason
+        )
+        for order in orders
+    ]
--- /dev/null
+++ b/basilspindle/coordinator/recovery.py
@@ -0,0 +1,192 @@
+"""Rebuild the jobs of a partition from its journal and inventories."""
+
+import collections.abc
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import task_name
+from basilspindle.coordinator import tracked_job
+from basilspindle.coordinator import tracked_task
+from basilspindle import model
+from basilspindle import policy
+
+
+def recover(
+    partition: owned_partition.OwnedPartition,
+    queue: policy.FairQueue,
+    running: collections.abc.Iterable[model.RunningTask],
+    clock: clock_module.Clock,
+) -> None:
+    """Load the journal's jobs and count what runs."""
+    for job_id, entry in partition.journal.state.jobs.items():
+        tracked = tracked_job.TrackedJob(entry.job, partition.number)
+        tracked.cancelled = entry.cancelled
+        tracked.next_index = entry.job.tasks
+        for result in entry.ended.values():
+            tracked.end(result)
+        if entry.state.final:
+            _end_rest(tracked, entry.state, entry.reason)
+            tracked.settle(clock.now_ms())
+        partition.jobs[job_id] = tracked
+    for task in running:
+        adopt(partition, task, task.holder_id, queue)
+
+
+def _end_rest(
+    tracked: tracked_job.TrackedJob, state: model.State, reason: str
+) -> None:
+    for index in range(tracked.job.tasks):
+        if index not in tracked.ended:
+            tracked.ended[index] = model.TaskResult(
+                index=index, state=state, error=reason
+            )
+    tracked.reason = reason
+
+
+def find_lost_intents(
+    partition: owned_partition.OwnedPartition,
+) -> list[tuple[tracked_job.TrackedJob, int, model.TaskEnd]]:
+    """Return ends of non-idempotent tasks that may have run unseen.
+
+    Counts them as started, so that ending them is like ending any other.
+    """
+    lost = []
+    for job_id, entry in partition.journal.state.jobs.items():
+        tracked = partition.jobs[job_id]
+        if tracked.state.final or tracked.job.idempotent:
+            continue
+        for index, intent in entry.intents.items():
+            if index in tracked.started or index in tracked.ended:
+                continue
+            task = tracked_task.TrackedTask(index, intent.attempt)
+            task.worker_id = intent.worker_id
+            tracked.adopt(task)
+            end = model.TaskEnd(
+                task_id=tracked.job.task_id(index),
+                attempt=intent.attempt,
+                team=tracked.job.team,
+                partition=partition.number,
+                worker_id=intent.worker_id,
+                state=model.State.UNKNOWN,
+                error='the daemon that started the task was lost',
+            )
+            lost.append((tracked, index, end))
+    return lost
+
+
+def enqueue(
+    partition: owned_partition.OwnedPartition,
+    queue: policy.FairQueue,
+    clock: clock_module.Clock,
+) -> None:
+    """Queue what neither runs nor ended."""
+    for tracked in partition.jobs.values():
+        if not tracked.state.final:
+            tracked.retries.extend(
+                index
+                for index in range(tracked.job.tasks)
+                if index not in tracked.started and index not in tracked.ended
+            )
+            if tracked.cancelled:
+                tracked.end_queued(model.State.CANCELLED, 'cancelled')
+            enqueue_job(tracked, queue, clock)
+
+
+def enqueue_job(
+    tracked: tracked_job.TrackedJob,
+    queue: policy.FairQueue,
+    clock: clock_module.Clock,
+) -> None:
+    """Queue the queued tasks of an accepted job; never refuses."""
+    job = tracked.job
+    if tracked.queued == 0:
+        return
+    deadline_at_ms = 0
+    if job.deadline_ms:
+        # Wall time is the only one that outlasts a change of owner.
+        age_ms = max(0, clock.wall_ms() - job.submitted_wall_ms)
+        left_ms = max(1, job.deadline_ms - age_ms)
+        deadline_at_ms = clock.now_ms() + left_ms
+    queue.push(
+        job.job_id,
+        job.team,
+        job.priority,
+        job.resources,
+        tracked.queued,
+        job.gang,
+        clock.now_ms(),
+        deadline_at_ms,
+        run_time_ms=job.run_time_ms,
+        accepted=True,
+    )
+
+
+def adopt(
+    partition: owned_partition.OwnedPartition,
+    task: model.RunningTask,
+    holder_id: str,
+    queue: policy.FairQueue,
+) -> None:
+    """Count a task that a holder found, and note who holds it."""
+    job_id, index = task_name.split(task.task_id)
+    tracked = partition.jobs.get(job_id)
+    if tracked is None:
+        if task.task_id not in partition.orphans:
+            queue.add_running(task.team, task.resources)
+        partition.orphans[task.task_id] = msgspec.structs.replace(
+            task, holder_id=holder_id
+        )
+        return
+    known = tracked.started.get(index)
+    if known is not None:
+        if known.attempt == task.attempt:
+            _locate(known, task, holder_id)
+        return
+    if index in tracked.ended:
+        return
+    _count_found(tracked, task, holder_id)
+    queue.add_running(task.team, task.resources)
+
+
+def adopt_orphans(
+    partition: owned_partition.OwnedPartition,
+    tracked: tracked_job.TrackedJob,
+) -> None:
+    """Give a submitted job the tasks of it that already run."""
+    job_id = tracked.job.job_id
+    for task_id, task in list(partition.orphans.items()):
+        if task_name.split(task_id)[0] == job_id:
+            del partition.orphans[task_id]
+            if tracked.next_index < tracked.job.tasks:
+                tracked.retries.extend(
+                    range(tracked.next_index, tracked.job.tasks)
+                )
+                tracked.next_index = tracked.job.tasks
+            tracked.retries.remove(task.index)
+            _count_found(tracked, task, task.holder_id)
+
+
+def _count_found(
+    tracked: tracked_job.TrackedJob,
+    task: model.RunningTask,
+    holder_id: str,
+) -> None:
+    found = tracked_task.TrackedTask(task.index, task.attempt)
+    found.state = model.State.RUNNING
+    _locate(found, task, holder_id)
+    tracked.adopt(found)
+
+
+def _locate(
+    known: tracked_task.TrackedTask,
+    task: model.RunningTask,
+    holder_id: str,
+) -> None:
+    known.state = model.State.RUNNING
+    known.worker_id = task.worker_id
+    known.failure_domain = task.failure_domain
+    known.rack = task.rack
+    if holder_id:
+        known.holder_id = holder_id
--- /dev/null
+++ b/basilspindle/coordinator/room_book.py
@@ -0,0 +1,106 @@
+"""Estimate the free capacity of each holder between its heartbeats."""
+
+import collections.abc
+
+from basilspindle import model
+from basilspindle.peer import messages
+
+
+class RoomBook:
+    """Free capacity by member, less what was sent since it was told.
+
+    A member that refused a shape is not asked for it again before it
+    tells its capacity anew.
+    """
+
+    __slots__ = ('_rooms', '_sources', '_refused', '_largest')
+
+    def __init__(self) -> None:
+        self._rooms: dict[str, messages.Room] = {}
+        self._sources: dict[str, int] = {}
+        self._refused: dict[str, set[model.Resources]] = {}
+        self._largest = model.Resources()
+
+    def update(self, holder_id: str, room: messages.Room, stamp: int) -> None:
+        """Take a member's own figures; ``stamp`` tells new from known."""
+        if self._sources.get(holder_id) == stamp:
+            return
+        self._sources[holder_id] = stamp
+        self._rooms[holder_id] = room
+        self._largest = self._largest.largest(room.largest_total)
+        self._refused.pop(holder_id, None)
+
+    def retain(self, holder_ids: collections.abc.Collection[str]) -> None:
+        """Forget members that must not get work."""
+        for holder_id in [m for m in self._rooms if m not in holder_ids]:
+            del self._rooms[holder_id]
+            self._sources.pop(holder_id, None)
+            self._refused.pop(holder_id, None)
+
+    def choose(self, need: model.Resources) -> str:
+        """Return the fitting member with the most free slots, or ''."""
+        best = ''
+        most = 0
+        for holder_id, room in self._rooms.items():
+            if self._fits(holder_id, need) and room.free.slots > most:
+                best = holder_id
+                most = room.free.slots
+        return best
+
+    def take(self, holder_id: str, need: model.Resources) -> None:
+        """Count a task that is being sent to a member."""
+        self._change_free(holder_id, model.Resources().subtract(need))
+
+    def give(self, holder_id: str, need: model.Resources) -> None:
+        """Count a task that ended or was not placed at a member."""
+        self._change_free(holder_id, need)
+        refused = self._refused.get(holder_id)
+        if refused:
+            refused.discard(need)
+
+    def refuse(self, holder_id: str, need: model.Resources) -> None:
+        """Note that a member has no worker for a shape."""
+        self._refused.setdefault(holder_id, set()).add(need)
+
+    def blocked(self, need: model.Resources) -> bool:
+        """Tell whether no member has room for a shape."""
+        return not any(self._fits(m, need) for m in self._rooms)
+
+    def total(self) -> model.Resources:
+        """Return the sum of all workers held."""
+        total = model.Resources()
+        for room in self._rooms.values():
+            total = total.add(room.total)
+        return total
+
+    def largest(self) -> model.Resources:
+        """Return the largest amounts that any one worker has had.
+
+        A worker whose holder is being replaced is not told for a while,
+        so the figure never falls.
+        """
+        return self._largest
+
+    def free_slots(self) -> dict[str, messages.Room]:
+        """Return the estimated room by member."""
+        return dict(self._rooms)
+
+    def _fits(self, holder_id: str, need: model.Resources) -> bool:
+        room = self._rooms[holder_id]
+        return (
+            need.fits(room.free)
+            and need.fits(room.largest)
+            and need not in self._refused.get(holder_id, ())
+        )
+
+    def _change_free(self, holder_id: str, change: model.Resources) -> None:
+        room = self._rooms.get(holder_id)
+        if room is None:
+            return
+        self._rooms[holder_id] = messages.Room(
+            workers=room.workers,
+            free=room.free.add(change),
+            largest=room.largest,
+            total=room.total,
+            largest_total=room.largest_total,
+        )
--- /dev/null
+++ b/basilspindle/coordinator/sweeper.py
@@ -0,0 +1,129 @@
+"""Find tasks whose holder was lost and tasks that must be stopped."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+
+from basilspindle import clock as clock_module
+from basilspindle.coordinator import holder
+from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import timing as timing_module
+from basilspindle.coordinator import tracked_job
+from basilspindle.coordinator import tracked_task
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+
+_PERIOD_MS = 500
+
+
+class Sweeper:
+    """Look over the started tasks at a steady pace."""
+
+    __slots__ = (
+        '_clock',
+        '_holders',
+        '_timing',
+        '_partitions',
+        '_on_end',
+        '_lost_since_ms',
+        '_wake',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        holders: holder.Holders,
+        timing: timing_module.Timing,
+        partitions: dict[int, owned_partition.OwnedPartition],
+        on_end: collections.abc.Callable[
+            [tracked_job.TrackedJob, int, model.TaskEnd], None
+        ],
+    ) -> None:
+        self._clock = clock
+        self._holders = holders
+        self._timing = timing
+        self._partitions = partitions
+        self._on_end = on_end
+        self._lost_since_ms: dict[str, int] = {}
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Look soon, for instance after a cancellation."""
+        self._wake.set()
+
+    async def run(
+        self,
+        also: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    ) -> None:
+        """Sweep until cancelled; ``also`` runs in each round."""
+        while True:
+            with contextlib.suppress(errors.DeadlineExceeded):
+                await self._clock.wait_ms(self._wake.wait(), _PERIOD_MS)
+            self._wake.clear()
+            await also()
+            self._end_lost()
+            await self._stop_cancelled()
+
+    def _started(
+        self,
+    ) -> collections.abc.Iterator[
+        tuple[tracked_job.TrackedJob, tracked_task.TrackedTask]
+    ]:
+        for partition in list(self._partitions.values()):
+            for tracked in list(partition.jobs.values()):
+                for task in list(tracked.started.values()):
+                    yield tracked, task
+
+    def _end_lost(self) -> None:
+        """End the tasks of holders that were lost long enough ago."""
+        now_ms = self._clock.now_ms()
+        seen = set()
+        for tracked, task in self._started():
+            # An adopted task has no holder until one reports it.
+            name = task.holder_id
+            if name and not self._holders.lost(name):
+                continue
+            seen.add(name)
+            since_ms = self._lost_since_ms.setdefault(name, now_ms)
+            if name and now_ms - since_ms > self._timing.lost_after_ms:
+                self._on_end(tracked, task.index, _lost(tracked, task))
+        for name in [n for n in self._lost_since_ms if n not in seen]:
+            del self._lost_since_ms[name]
+
+    async def _stop_cancelled(self) -> None:
+        """Ask the holders again until cancelled tasks have ended."""
+        wanted: dict[tuple[str, int], list[tuple[str, int]]] = (
+            collections.defaultdict(list)
+        )
+        for tracked, task in self._started():
+            if tracked.cancelled and task.holder_id and task.worker_id:
+                key = (task.holder_id, tracked.partition)
+                name = tracked.job.task_id(task.index)
+                wanted[key].append((name, task.attempt))
+        for (holder_id, number), tasks in wanted.items():
+            partition = self._partitions.get(number)
+            if partition is None:
+                continue
+            request = messages.Stop(
+                partition=number,
+                partition_epoch=partition.epoch,
+                tasks=tasks,
+            )
+            with contextlib.suppress(errors.BasilspindleError):
+                await self._holders.stop(holder_id, request)
+
+
+def _lost(
+    tracked: tracked_job.TrackedJob, task: tracked_task.TrackedTask
+) -> model.TaskEnd:
+    return model.TaskEnd(
+        task_id=tracked.job.task_id(task.index),
+        attempt=task.attempt,
+        team=tracked.job.team,
+        partition=tracked.partition,
+        worker_id=task.worker_id,
+        state=model.State.UNKNOWN,
+        error='the holder of its worker was lost',
+    )
--- /dev/null
+++ b/basilspindle/coordinator/tracked_job.py
@@ -0,0 +1,175 @@
+"""Track one job of an owned partition."""
+
+import asyncio
+import collections
+
+from basilspindle.coordinator import tracked_task
+from basilspindle import model
+
+
+class TrackedJob:
+    """A job with its queued, started and ended tasks.
+
+    Queued tasks are those from ``next_index`` on and those in ``retries``;
+    started ones are in ``started`` and ended ones in ``ended``, both by
+    index. Every task is in exactly one of these places.
+    """
+
+    __slots__ = (
+        'job',
+        'partition',
+        'next_index',
+        'retries',
+        'started',
+        'ended',
+        'attempts',
+        'failed_workers',
+        'cancelled',
+        'state',
+        'reason',
+        'ended_at_ms',
+        '_changed',
+        '_next_attempt',
+    )
+
+    def __init__(self, job: model.Job, partition: int) -> None:
+        self.job = job
+        self.partition = partition
+        self.next_index = 0
+        self.retries: collections.deque[int] = collections.deque()
+        self.started: dict[int, tracked_task.TrackedTask] = {}
+        self.ended: dict[int, model.TaskResult] = {}
+        self.attempts: dict[int, int] = {}
+        self.failed_workers: dict[int, list[str]] = {}
+        self.cancelled = False
+        self.state = model.State.QUEUED
+        self.reason = ''
+        self.ended_at_ms = 0
+        self._changed = asyncio.Event()
+        self._next_attempt = 0
+
+    @property
+    def queued(self) -> int:
+        """Count the tasks that were never started or wait for a retry."""
+        return self.job.tasks - self.next_index + len(self.retries)
+
+    def take(self, epoch: int) -> tracked_task.TrackedTask:
+        """Move the next queued task to the started ones.
+
+        Attempt numbers hold the epoch of the owner, so that no two owners
+        ever use the same one.
+        """
+        if self.retries:
+            index = self.retries.popleft()
+        else:
+            index = self.next_index
+            self.next_index += 1
+        count = self.attempts.get(index, 0) + 1
+        self.attempts[index] = count
+        attempt = epoch * _ATTEMPTS_PER_EPOCH + self._next_attempt
+        self._next_attempt += 1
+        task = tracked_task.TrackedTask(index, attempt)
+        self.started[index] = task
+        return task
+
+    def give_back(self, index: int, *, counted: bool) -> None:
+        """Move a started task back to the queue.
+
+        ``counted`` tells whether the attempt counts; an attempt that was
+        certainly not run does not.
+        """
+        del self.started[index]
+        self.retries.append(index)
+        if not counted:
+            self.attempts[index] -= 1
+
+    def adopt(self, task: tracked_task.TrackedTask) -> None:
+        """Count a task that was found running."""
+        self.started[task.index] = task
+        self.attempts.setdefault(task.index, 1)
+
+    def end(self, result: model.TaskResult) -> None:
+        """Record the outcome of a started or queued task."""
+        self.started.pop(result.index, None)
+        self.ended[result.index] = result
+
+    def end_queued(self, state: model.State, reason: str) -> None:
+        """End every queued task without starting it."""
+        indexes = [*self.retries, *range(self.next_index, self.job.tasks)]
+        self.retries.clear()
+        self.next_index = self.job.tasks
+        for index in indexes:
+            self.ended[index] = model.TaskResult(
+                index=index,
+                state=state,
+                attempts=self.attempts.get(index, 0),
+                error=reason,
+            )
+        self.reason = self.reason or reason
+
+    def settle(self, now_ms: int) -> bool:
+        """Derive the job's state; tell whether it has just ended."""
+        if self.state.final:
+            return False
+        self._derive()
+        if self.state.final:
+            self.ended_at_ms = now_ms
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        return self.state.final
+
+    def _derive(self) -> None:
+        if len(self.ended) < self.job.tasks:
+            running = bool(self.started or self.ended)
+            self.state = model.State.RUNNING if running else model.State.QUEUED
+            return
+        states = {result.state for result in self.ended.values()}
+        for state in _SEVERITY:
+            if state in states:
+                self.state = state
+                return
+
+    @property
+    def changed(self) -> asyncio.Event:
+        """Return an event that is set at the next change."""
+        return self._changed
+
+    def view(self, *, with_results: bool) -> model.JobView:
+        """Show the job to its team."""
+        counts = collections.Counter(
+            result.state.value for result in self.ended.values()
+        )
+        counts.update(task.state.value for task in self.started.values())
+        if self.queued:
+            counts[model.State.QUEUED.value] += self.queued
+        results = sorted(self.ended.values(), key=_by_index)
+        return model.JobView(
+            job_id=self.job.job_id,
+            team=self.job.team,
+            queue=self.job.queue,
+            kind=self.job.kind,
+            state=self.state,
+            tasks=self.job.tasks,
+            counts=dict(counts),
+            submitted_wall_ms=self.job.submitted_wall_ms,
+            results=results[:_MAX_RESULTS] if with_results else [],
+            reason=self.reason,
+        )
+
+
+# The state of an ended job is the first of these that one of its tasks has.
+_SEVERITY = (
+    model.State.UNKNOWN,
+    model.State.FAILED,
+    model.State.UNSCHEDULABLE,
+    model.State.EXPIRED,
+    model.State.CANCELLED,
+    model.State.SUCCEEDED,
+)
+_MAX_RESULTS = 1000
+# A job of 10,000 tasks may use 100 attempts for each under one owner.
+_ATTEMPTS_PER_EPOCH = 1_000_000
+
+
+def _by_index(result: model.TaskResult) -> int:
+    return result.index
--- a/basilspindle/model/running_task.py
+++ b/basilspindle/model/running_task.py
@@ -6,7 +6,11 @@
 
 
 class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
-    """One entry of a worker's inventory that has not ended."""
+    """One entry of a worker's inventory that has not ended.
+
+    ``holder_id`` names the incarnation of the daemon that holds the worker,
+    as ``member id@incarnation``.
+    """
 
     task_id: str
     attempt: int
@@ -19,3 +23,4 @@
     failure_domain: str
     rack: str
     resources: resources_module.Resources
+    holder_id: str = ''
--- a/basilspindle/routing/__init__.py
+++ b/basilspindle/routing/__init__.py
@@ -1,1 +1,8 @@
-"""Placeholder."""
+"""Route calls to the daemon that owns the team."""
+
+from basilspindle.routing.retry_budget import RetryBudget
+from basilspindle.routing.router import Caller
+from basilspindle.routing.router import Owners
+from basilspindle.routing.router import Router
+
+__all__ = ['Caller', 'Owners', 'RetryBudget', 'Router']
--- /dev/null
+++ b/basilspindle/routing/retry_budget.py
@@ -0,0 +1,43 @@
+"""Bound the repeated calls to a share of the first ones."""
+
+from basilspindle import clock as clock_module
+
+_WINDOW_MS = 10_000
+_PERCENT = 10
+_FREE_RETRIES = 10
+
+
+class RetryBudget:
+    """Allow 10% of the calls plus 10 retries in each 10 s.
+
+    Unbounded retries multiply the load in the moment in which owners are
+    already slow.
+    """
+
+    __slots__ = ('_clock', '_window_start_ms', '_calls', '_retries')
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._window_start_ms = clock.now_ms()
+        self._calls = 0
+        self._retries = 0
+
+    def count_call(self) -> None:
+        """Count a first call."""
+        self._roll()
+        self._calls += 1
+
+    def spend(self) -> bool:
+        """Take one retry; return False when none is left."""
+        self._roll()
+        if self._retries >= _FREE_RETRIES + self._calls * _PERCENT // 100:
+            return False
+        self._retries += 1
+        return True
+
+    def _roll(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._window_start_ms >= _WINDOW_MS:
+            self._window_start_ms = now_ms
+            self._calls = 0
+            self._retries = 0
--- /dev/null
+++ b/basilspindle/routing/router.py
@@ -0,0 +1,131 @@
+"""Find the owner of a team's partition and pass calls on to it."""
+
+import collections.abc
+import typing
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.peer import messages
+from basilspindle.routing import events as routing_events
+from basilspindle.routing import retry_budget
+
+_OWNER_POLL_MS = 50
+_RETRY_PAUSE_MS = 100
+_RETRY_AFTER_MS = 1_000
+
+Handler = collections.abc.Callable[
+    [typing.Any], collections.abc.Awaitable[typing.Any]
+]
+
+
+class Owners(typing.Protocol):
+    """Know which daemon owns a partition."""
+
+    def partition_of(self, team: str) -> int:
+        """Return the partition of a team."""
+
+    def owner_address(self, partition: int) -> str | None:
+        """Return the peer address of the active owner.
+
+        Returns '' if it is this daemon and None if there is none.
+        """
+
+
+class Caller(typing.Protocol):
+    """Call another daemon."""
+
+    async def call(
+        self, address: str, request: msgspec.Struct, timeout_ms: int
+    ) -> typing.Any:
+        """Return the reply or raise the other side's error."""
+
+
+class Router:
+    """Pass calls to owners, again if the owner changes, until a deadline.
+
+    Every call that it passes on may be repeated: a submission carries its
+    job id, and the owner accepts a job id once.
+    """
+
+    __slots__ = ('_clock', '_owners', '_caller', '_handlers', '_budget')
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        owners: Owners,
+        caller: Caller,
+        handlers: collections.abc.Mapping[type, Handler],
+    ) -> None:
+        self._clock = clock
+        self._owners = owners
+        self._caller = caller
+        self._handlers = handlers
+        self._budget = retry_budget.RetryBudget(clock)
+
+    def partition_of(self, team: str) -> int:
+        """Return the partition of a team."""
+        return self._owners.partition_of(team)
+
+    async def call(self, request: typing.Any, timeout_ms: int) -> typing.Any:
+        """Return the owner's reply to a request with a ``partition``.
+
+        Raises the owner's error, ``NotReady`` if no owner was found and
+        the request was never sent, and ``OutcomeUnknown`` if it was sent
+        and not answered within ``timeout_ms``.
+        """
+        due_ms = self._clock.now_ms() + timeout_ms
+        sent = False
+        self._budget.count_call()
+        while True:
+            address = await self._find(request, due_ms, sent)
+            left_ms = due_ms - self._clock.now_ms()
+            try:
+                return await self._call_one(address, request, left_ms)
+            except (errors.PeerUnavailable, errors.NotOwner, errors.Deposed):
+                pass
+            except (errors.PeerOutcomeUnknown, errors.DeadlineExceeded):
+                sent = True
+            if not self._budget.spend():
+                events.emit(routing_events.RETRY_BUDGET_SPENT)
+                raise _give_up(request, sent)
+            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+
+    async def _find(
+        self,
+        request: typing.Any,
+        due_ms: int,
+        sent: bool,
+    ) -> str:
+        while True:
+            address = self._owners.owner_address(request.partition)
+            if self._clock.now_ms() >= due_ms:
+                raise _give_up(request, sent)
+            if address is not None:
+                return address
+            await self._clock.sleep_ms(_OWNER_POLL_MS)
+
+    async def _call_one(
+        self, address: str, request: typing.Any, left_ms: int
+    ) -> typing.Any:
+        if address:
+            return await self._caller.call(address, request, left_ms)
+        handler = self._handlers[type(request)]
+        return await self._clock.wait_ms(handler(request), left_ms)
+
+
+def _give_up(request: typing.Any, sent: bool) -> errors.BasilspindleError:
+    job = request.job if isinstance(request, messages.Submit) else None
+    job_id = job.job_id if job else getattr(request, 'job_id', '')
+    if sent:
+        return errors.OutcomeUnknown(
+            'the owner of the team was called and did not answer in time; '
+            'ask for the job by its id before submitting it again',
+            job_id=job_id,
+        )
+    return errors.NotReady(
+        'no daemon owns the team at the moment; try again',
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
