--- /dev/null
+++ b/basilspindle/journal/append_item.py
@@ -0,0 +1,47 @@
+"""Hold records that wait to be appended together."""
+
+import asyncio
+import collections.abc
+
+from basilspindle.journal import batch as batch_module
+from basilspindle.journal import records
+
+
+class AppendItem:
+    """Records of one caller.
+
+    ``confirmed`` gets the offset of the batch; a caller that gives up
+    cancels it. ``sent`` is True while the records may have had an effect.
+    """
+
+    __slots__ = ('records', 'encoded', 'size', 'confirmed', 'sent')
+
+    def __init__(
+        self, entries: collections.abc.Sequence[records.Record]
+    ) -> None:
+        self.records = entries
+        self.encoded = [batch_module.encode_record(one) for one in entries]
+        self.size = sum(len(data) for data in self.encoded)
+        self.confirmed: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.sent = False
+
+    @property
+    def is_claim(self) -> bool:
+        """Tell whether this claims the partition."""
+        return isinstance(self.records[0], records.Claim)
+
+    def confirm(self, offset: int) -> bool:
+        """Answer the caller; return False if it has given up."""
+        if self.confirmed.done():
+            return False
+        self.confirmed.set_result(offset)
+        return True
+
+    def fail(self, error: Exception) -> None:
+        """Refuse the caller."""
+        if not self.confirmed.done():
+            self.confirmed.set_exception(error)
+            # A caller that goes away at the same time reads no result.
+            self.confirmed.exception()
--- /dev/null
+++ b/basilspindle/journal/chunk.py
@@ -0,0 +1,17 @@
+"""Show the answer to one read of a stream."""
+
+import msgspec
+
+from basilspindle.journal import log_record
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """Consecutive records of a stream.
+
+    ``first`` is the lowest offset that the log keeps and ``next`` the
+    offset to read from next.
+    """
+
+    first: int
+    next: int
+    records: list[log_record.LogRecord]
--- /dev/null
+++ b/basilspindle/journal/flight.py
@@ -0,0 +1,47 @@
+"""Hold the one batch that is being appended."""
+
+import asyncio
+
+from basilspindle.journal import append_item
+from basilspindle.journal import batch as batch_module
+
+
+class Flight:
+    """A batch from its first append until its outcome is known."""
+
+    __slots__ = ('batch', 'data', 'items', 'settled')
+
+    def __init__(
+        self,
+        batch: batch_module.Batch,
+        items: list[append_item.AppendItem],
+    ) -> None:
+        self.batch = batch
+        self.items = items
+        encoded = [data for item in items for data in item.encoded]
+        self.data = batch_module.join(batch, encoded)
+        self.settled: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        for item in items:
+            item.sent = True
+
+    @property
+    def is_claim(self) -> bool:
+        """Tell whether this claims the partition."""
+        return self.items[0].is_claim
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the outcome is known."""
+        return self.settled.done()
+
+    @property
+    def is_abandoned(self) -> bool:
+        """Tell whether all callers have given up."""
+        return all(item.confirmed.cancelled() for item in self.items)
+
+    def settle(self) -> None:
+        """Note that the outcome is known."""
+        if not self.settled.done():
+            self.settled.set_result(None)
--- /dev/null
+++ b/basilspindle/journal/job_entry.py
@@ -0,0 +1,102 @@
+"""Keep the recorded state of one job."""
+
+import collections.abc
+
+from basilspindle.journal import records
+from basilspindle import model
+
+# The worst outcome of a task decides the state of its job.
+_BY_WEIGHT = (
+    model.State.UNKNOWN,
+    model.State.FAILED,
+    model.State.UNSCHEDULABLE,
+    model.State.EXPIRED,
+    model.State.CANCELLED,
+)
+
+
+class JobEntry:
+    """A job with what the stream says of it.
+
+    ``state`` is QUEUED until the job ended; which tasks run is not
+    recorded. ``ended`` and ``intents`` are by task index.
+    ``ended_wall_ms`` is 0 until the job ended.
+    """
+
+    __slots__ = (
+        'job',
+        'ended',
+        'intents',
+        'cancelled',
+        'state',
+        'reason',
+        'ended_wall_ms',
+    )
+
+    def __init__(self, job: model.Job) -> None:
+        self.job = job
+        self.ended: dict[int, model.TaskResult] = {}
+        self.intents: dict[int, records.StartIntent] = {}
+        self.cancelled = False
+        self.state = model.State.QUEUED
+        self.reason = ''
+        self.ended_wall_ms = 0
+
+    @property
+    def final(self) -> bool:
+        """Tell whether the job ended."""
+        return self.state.final
+
+    @property
+    def open_tasks(self) -> int:
+        """Return the number of tasks that have not ended."""
+        return self.job.tasks - len(self.ended)
+
+    def open_indexes(self) -> collections.abc.Iterator[int]:
+        """Yield the indexes of the tasks that have not ended."""
+        return (
+            index for index in range(self.job.tasks) if index not in self.ended
+        )
+
+    def counts(self, starting: int = 0, running: int = 0) -> dict[str, int]:
+        """Return tasks by state name, given how many start and run.
+
+        The tasks of an ended job that never ended themselves count under
+        the state of the job.
+        """
+        found: dict[str, int] = {}
+        for result in self.ended.values():
+            name = result.state.value
+            found[name] = found.get(name, 0) + 1
+        rest = self.open_tasks - starting - running
+        for state, count in (
+            (model.State.STARTING, starting),
+            (model.State.RUNNING, running),
+            (self.state if self.final else model.State.QUEUED, rest),
+        ):
+            if count > 0:
+                found[state.value] = found.get(state.value, 0) + count
+        return found
+
+    def outcome(self) -> model.State:
+        """Return the state that follows from the ended tasks."""
+        states = {result.state for result in self.ended.values()}
+        for state in _BY_WEIGHT:
+            if state in states:
+                return state
+        return model.State.SUCCEEDED
+
+    def dump(self) -> dict:
+        """Return the entry without inputs and results, for diagnosis."""
+        return {
+            'job_id': self.job.job_id,
+            'team': self.job.team,
+            'kind': self.job.kind,
+            'tasks': self.job.tasks,
+            'state': self.state.value,
+            'reason': self.reason,
+            'cancelled': self.cancelled,
+            'ended': len(self.ended),
+            'intents': sorted(self.intents),
+            'ended_wall_ms': self.ended_wall_ms,
+        }
--- /dev/null
+++ b/basilspindle/journal/log_client.py
@@ -0,0 +1,236 @@
+"""Talk to the log service over HTTP."""
+
+import types
+import typing
+
+import httpx
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.journal import chunk as chunk_module
+from basilspindle.journal import events as journal_events
+
+_MAX_CONNECTIONS = 64
+_MAX_IDLE_CONNECTIONS = 16
+_RETRY_AFTER_MS = 1_000
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+# A 4xx answer is a refusal; the log took nothing.
+_REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 422, 429, 503})
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    offset: int
+
+
+class _Trimmed(msgspec.Struct, frozen=True):
+    first: int
+
+
+class LogClient:
+    """Append to and read from streams; share one in a process.
+
+    ``down_since_ms`` is the monotonic send time of the first request of
+    the current series of failures, None while the log answers.
+    """
+
+    __slots__ = (
+        'down_since_ms',
+        '_base_url',
+        '_clock',
+        '_log_down_ms',
+        '_request_timeout_ms',
+        '_http',
+        '_reported_down',
+        '_timeouts',
+    )
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        transport: httpx.AsyncBaseTransport | None = None,
+        request_timeout_ms: int = 2_000,
+        clock: clock_module.Clock | None = None,
+        log_down_ms: int = 1_000,
+    ) -> None:
+        self.down_since_ms: int | None = None
+        self._base_url = base_url.rstrip('/')
+        self._clock = clock or clock_module.Clock()
+        self._log_down_ms = log_down_ms
+        self._request_timeout_ms = request_timeout_ms
+        self._reported_down = False
+        self._http = httpx.AsyncClient(
+            transport=transport or _make_transport(), trust_env=False
+        )
+        connect_s = request_timeout_ms / 2_000
+        self._timeouts = {
+            'connect': connect_s,
+            'pool': connect_s,
+            'read': None,
+            'write': None,
+        }
+
+    async def __aenter__(self) -> typing.Self:
+        await self._http.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        await self._http.__aexit__(kind, error, trace)
+
+    @property
+    def request_timeout_ms(self) -> int:
+        """Return the time that one request may take beyond its wait."""
+        return self._request_timeout_ms
+
+    @property
+    def is_down(self) -> bool:
+        """Tell whether requests have failed for over ``log_down_ms``."""
+        if self.down_since_ms is None:
+            return False
+        return self._clock.now_ms() - self.down_since_ms > self._log_down_ms
+
+    def unavailable(self, reason: str) -> errors.LogUnavailable:
+        """Build the error of an append that had no effect."""
+        return errors.LogUnavailable(
+            f'the log took nothing: {reason}; try again later',
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append one record and return its offset.
+
+        Raises ``LogUnavailable`` if the append certainly had no effect and
+        ``LogOutcomeUnknown`` if it was sent and not answered.
+        """
+        sent_ms = self._clock.now_ms()
+        try:
+            response = await self._request(
+                'POST', f'/v1/streams/{stream}/records', data, 0
+            )
+            if response.status_code == 200:
+                appended = msgspec.json.decode(
+                    response.content, type=_Appended
+                )
+                self._note_answer()
+                return appended.offset
+        except _NOT_SENT as error:
+            self._note_failure(sent_ms)
+            raise self.unavailable(_describe(error)) from error
+        except (
+            httpx.HTTPError,
+            errors.DeadlineExceeded,
+            msgspec.MsgspecError,
+        ) as error:
+            self._note_failure(sent_ms)
+            raise _unknown(_describe(error)) from error
+        self._note_failure(sent_ms)
+        status = response.status_code
+        if status in _REFUSALS:
+            raise self.unavailable(f'status {status}')
+        raise _unknown(f'status {status}')
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_ms: int
+    ) -> chunk_module.Chunk:
+        """Read records from an offset, waiting for the first of them.
+
+        Returns an empty chunk if none came within ``wait_ms``. Raises
+        ``LogTrimmed`` below the first offset kept and ``LogUnavailable``
+        if there is no answer.
+        """
+        path = (
+            f'/v1/streams/{stream}/records'
+            f'?from={from_offset}&limit={limit}&wait_ms={wait_ms}'
+        )
+        sent_ms = self._clock.now_ms()
+        try:
+            response = await self._request('GET', path, None, wait_ms)
+            found = _decode_read(response, stream, from_offset)
+        except (
+            httpx.HTTPError,
+            errors.DeadlineExceeded,
+            msgspec.MsgspecError,
+        ) as error:
+            self._note_failure(sent_ms)
+            raise self.unavailable(_describe(error)) from error
+        except errors.LogTrimmed:
+            self._note_answer()
+            raise
+        if found is None:
+            self._note_failure(sent_ms)
+            raise self.unavailable(f'status {response.status_code}')
+        self._note_answer()
+        return found
+
+    async def _request(
+        self, method: str, path: str, data: bytes | None, wait_ms: int
+    ) -> httpx.Response:
+        # Requests are built by hand since the default headers of httpx
+        # cost about 110 B each. Cancelling at the timeout closes the
+        # connection, so that a silent one is never used again.
+        request = httpx.Request(
+            method,
+            self._base_url + path,
+            content=data,
+            extensions={'timeout': self._timeouts},
+        )
+        return await self._clock.wait_ms(
+            self._http.send(request), wait_ms + self._request_timeout_ms
+        )
+
+    def _note_answer(self) -> None:
+        if self._reported_down:
+            self._reported_down = False
+            events.emit(journal_events.LOG_UP)
+        self.down_since_ms = None
+
+    def _note_failure(self, sent_ms: int) -> None:
+        if self.down_since_ms is None:
+            self.down_since_ms = sent_ms
+        if self.is_down and not self._reported_down:
+            self._reported_down = True
+            events.emit(journal_events.LOG_DOWN)
+
+
+def _make_transport() -> httpx.AsyncBaseTransport:
+    return httpx.AsyncHTTPTransport(
+        limits=httpx.Limits(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
+        ),
+        retries=0,
+        trust_env=False,
+    )
+
+
+def _decode_read(
+    response: httpx.Response, stream: str, from_offset: int
+) -> chunk_module.Chunk | None:
+    if response.status_code == 410:
+        first = msgspec.json.decode(response.content, type=_Trimmed).first
+        raise errors.LogTrimmed(
+            f'stream {stream!r} no longer holds offset {from_offset}; '
+            f'read from {first}',
+            first=first,
+        )
+    if response.status_code != 200:
+        return None
+    return msgspec.json.decode(response.content, type=chunk_module.Chunk)
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
+
+
+def _unknown(reason: str) -> errors.LogOutcomeUnknown:
+    return errors.LogOutcomeUnknown(
+        f'the answer to an append was lost: {reason}; read the stream to '
+        'learn whether it took effect'
+    )
--- /dev/null
+++ b/basilspindle/journal/records/job_ended.py
@@ -0,0 +1,13 @@
+"""End a job as a whole."""
+
+import msgspec
+
+from basilspindle import model
+
+
+class JobEnded(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Set the final state of a job whose tasks did not all end."""
+
+    job_id: str
+    state: model.State
+    reason: str
--- /dev/null
+++ b/basilspindle/journal/stream_reader.py
@@ -0,0 +1,167 @@
+"""Follow a stream record by record."""
+
+import asyncio
+import types
+import typing
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.journal import chunk as chunk_module
+from basilspindle.journal import events as journal_events
+from basilspindle.journal import log_client
+from basilspindle.journal import log_record
+
+_NEVER_MS = -(1 << 62)
+_SLACK_MS = 500
+_MAX_READS = 4
+_LIMIT = 500
+_BACKOFF_MS = 50
+_MAX_BACKOFF_MS = 1_000
+
+
+class StreamReader:
+    """Yield the records of a stream in order, forever.
+
+    ``assured_at_ms`` is the monotonic send time of the last answered read
+    that returned nothing: all records up to then have been yielded.
+    ``gaps`` counts the times that records were trimmed before they were
+    read; the reader goes on at the first one kept.
+    """
+
+    __slots__ = (
+        'stream',
+        'assured_at_ms',
+        'gaps',
+        '_client',
+        '_clock',
+        '_wait_ms',
+        '_next',
+        '_ready',
+        '_reads',
+        '_at_tail',
+        '_backoff_ms',
+        '_tail_reached',
+    )
+
+    def __init__(
+        self,
+        client: log_client.LogClient,
+        clock: clock_module.Clock,
+        stream: str,
+        *,
+        from_offset: int = 1,
+        wait_ms: int = 800,
+    ) -> None:
+        self.stream = stream
+        self.assured_at_ms = _NEVER_MS
+        self.gaps = 0
+        self._client = client
+        self._clock = clock
+        self._wait_ms = wait_ms
+        self._next = from_offset
+        self._ready: list[log_record.LogRecord] = []
+        self._reads: dict[asyncio.Task[chunk_module.Chunk], int] = {}
+        self._at_tail = False
+        self._backoff_ms = _BACKOFF_MS
+        self._tail_reached = asyncio.Event()
+
+    async def __aenter__(self) -> typing.Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        reads = list(self._reads)
+        for read in reads:
+            read.cancel()
+        await asyncio.gather(*reads, return_exceptions=True)
+        self._reads.clear()
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset after the last record yielded."""
+        return self._ready[0].offset if self._ready else self._next
+
+    async def wait_tail(self) -> None:
+        """Wait until the tail was reached once, while another iterates."""
+        await self._tail_reached.wait()
+
+    def __aiter__(self) -> typing.Self:
+        return self
+
+    async def __anext__(self) -> log_record.LogRecord:
+        while not self._ready:
+            await self._fill()
+        return self._ready.pop(0)
+
+    async def _fill(self) -> None:
+        wait_ms = self._wait_ms if self._at_tail else 0
+        self._start(wait_ms)
+        timer = asyncio.ensure_future(
+            self._clock.sleep_ms(wait_ms + _SLACK_MS)
+        )
+        try:
+            # A read that is overdue may be slow or on a silent
+            # connection: it is kept, and another one is started.
+            await asyncio.wait(
+                {*self._reads, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+        done = [read for read in self._reads if read.done()]
+        for read in done:
+            await self._take(read)
+        if not done:
+            self._at_tail = False
+
+    def _start(self, wait_ms: int) -> None:
+        if len(self._reads) >= _MAX_READS:
+            return
+        read = asyncio.create_task(
+            self._client.read(self.stream, self._next, _LIMIT, wait_ms)
+        )
+        self._reads[read] = self._clock.now_ms()
+
+    async def _take(self, read: asyncio.Task[chunk_module.Chunk]) -> None:
+        sent_ms = self._reads.pop(read)
+        try:
+            chunk = read.result()
+        except errors.LogTrimmed as error:
+            self._skip(error.first)
+            return
+        except errors.LogError:
+            self._at_tail = False
+            await self._clock.sleep_ms(self._backoff_ms)
+            self._backoff_ms = min(2 * self._backoff_ms, _MAX_BACKOFF_MS)
+            return
+        self._backoff_ms = _BACKOFF_MS
+        self._absorb(chunk, sent_ms)
+
+    def _skip(self, first: int) -> None:
+        if first <= self._next:
+            return
+        self.gaps += 1
+        self._at_tail = False
+        events.emit(
+            journal_events.STREAM_TRIMMED,
+            stream=self.stream,
+            next=self._next,
+            first=first,
+        )
+        self._next = first
+
+    def _absorb(self, chunk: chunk_module.Chunk, sent_ms: int) -> None:
+        fresh = [
+            record for record in chunk.records if record.offset >= self._next
+        ]
+        self._ready.extend(fresh)
+        if fresh:
+            self._next = fresh[-1].offset + 1
+        self._at_tail = not chunk.records and chunk.next == self._next
+        if self._at_tail and not self._ready:
+            self.assured_at_ms = max(self.assured_at_ms, sent_ms)
+            self._tail_reached.set()
--- /dev/null
+++ b/basilspindle/journal/timing.py
@@ -0,0 +1,27 @@
+"""Collect the times and sizes of a journal."""
+
+import msgspec
+
+
+class Timing(msgspec.Struct, frozen=True, kw_only=True):
+    """Durations in ms and bounds of a journal and its client."""
+
+    assurance_ms: int = 1_500
+    linger_ms: int = 40
+    log_down_ms: int = 1_000
+    log_retention_ms: int = 3_600_000
+    result_keep_ms: int = 900_000
+    append_timeout_ms: int = 5_000
+    snapshot_records: int = 5_000
+    batch_bytes: int = 262_144
+    read_limit: int = 500
+
+    @property
+    def poll_ms(self) -> int:
+        """Return the time between two reads of the tail by an owner."""
+        return self.assurance_ms // 3
+
+    @property
+    def snapshot_ms(self) -> int:
+        """Return the age at which a snapshot is renewed."""
+        return self.log_retention_ms // 3
--- /dev/null
+++ b/tests/standins/log_service.py
@@ -0,0 +1,291 @@
+"""Stand in for the log service, in a test or as a process."""
+
+import asyncio
+import collections.abc
+import json
+import typing
+import urllib.parse
+
+import click
+import httpx
+import msgspec
+import uvicorn
+from uvicorn.protocols.http import h11_impl
+
+from basilspindle import clock as clock_module
+from tests.standins import log_faults
+from tests.standins import log_stream
+
+_MAX_WAIT_MS = 30_000
+_MAX_LIMIT = 1_000
+_ABORT = 'basilspindle.abort'
+
+_Scope = collections.abc.MutableMapping[str, typing.Any]
+_Receive = collections.abc.Callable[[], collections.abc.Awaitable[typing.Any]]
+_Send = collections.abc.Callable[[typing.Any], collections.abc.Awaitable[None]]
+
+
+class ConnectionDropped(Exception):
+    """End a request without an answer."""
+
+
+class _BodyIncomplete(Exception):
+    """End a request whose client went away while it sent the body."""
+
+
+class LogService:
+    """Serve the log interface as an ASGI application.
+
+    ``appends`` counts the effects, ``requests`` all calls by method,
+    ``bytes_in`` and ``bytes_out`` the bodies.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock | None = None,
+        retention_ms: int = 3_600_000,
+    ) -> None:
+        self.clock = clock or clock_module.Clock()
+        self.retention_ms = retention_ms
+        self.faults = log_faults.LogFaults()
+        self.streams: dict[str, log_stream.LogStream] = {}
+        self.appends = 0
+        self.append_starts: dict[str, list[int]] = {}
+        self.requests = {'GET': 0, 'POST': 0}
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.on_faults: collections.abc.Callable[[], None] = lambda: None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def stream(self, name: str) -> log_stream.LogStream:
+        """Return a stream after dropping what is over the retention."""
+        stream = self.streams.setdefault(name, log_stream.LogStream())
+        stream.expire(self.clock.now_ms() - self.retention_ms)
+        return stream
+
+    def trim(self, name: str, first: int) -> None:
+        """Drop the records of a stream below an offset."""
+        self.stream(name).trim(first)
+
+    def transport(self) -> httpx.AsyncBaseTransport:
+        """Return a transport that calls this service in the process."""
+        return InProcessTransport(self)
+
+    async def __call__(
+        self, scope: _Scope, receive: _Receive, send: _Send
+    ) -> None:
+        """Answer one request."""
+        if scope['type'] == 'lifespan':
+            return await _run_lifespan(receive, send)
+        try:
+            status, body = await self._answer(scope, receive)
+        except ConnectionDropped:
+            abort = scope.get('extensions', {}).get(_ABORT)
+            if abort is None:
+                raise
+            return abort()
+        except _BodyIncomplete:
+            return
+        await self._reply(send, status, body)
+
+    async def _reply(self, send: _Send, status: int, body: dict) -> None:
+        data = json.dumps(body, separators=(',', ':')).encode()
+        self.bytes_out += len(data)
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', str(len(data)).encode()),
+        ]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': data})
+
+    async def _answer(
+        self, scope: _Scope, receive: _Receive
+    ) -> tuple[int, dict]:
+        body = await _read_body(receive)
+        parts = scope['path'].strip('/').split('/')
+        if parts == ['faults']:
+            return self._set_faults(scope['method'], body)
+        if parts == ['counts']:
+            return 200, self._counts()
+        if parts[:2] != ['v1', 'streams'] or len(parts) != 4:
+            return 404, {'error': 'no such path'}
+        if scope['method'] == 'POST' and parts[3] == 'trim':
+            self.trim(parts[2], json.loads(body)['first'])
+            return 200, {'first': self.stream(parts[2]).first}
+        return await self._serve(scope, parts[2], body)
+
+    async def _serve(
+        self, scope: _Scope, name: str, body: bytes
+    ) -> tuple[int, dict]:
+        method = scope['method']
+        self.requests[method] = self.requests.get(method, 0) + 1
+        if method == 'POST':
+            self.append_starts.setdefault(name, []).append(self.clock.now_ms())
+        if self.faults.hang:
+            await asyncio.get_running_loop().create_future()
+        if self.faults.down:
+            return 503, {'error': 'down'}
+        if method == 'POST':
+            return await self._append(name, body)
+        query = urllib.parse.parse_qs(scope['query_string'].decode())
+        return await self._read(name, query)
+
+    async def _append(self, name: str, body: bytes) -> tuple[int, dict]:
+        faults = self.faults
+        if faults.lose_requests > 0:
+            faults.lose_requests -= 1
+            raise ConnectionDropped
+        if faults.late_effects > 0:
+            faults.late_effects -= 1
+            self._spawn_late(name, body, faults.late_effect_ms)
+            await asyncio.get_running_loop().create_future()
+        if faults.delay_ms:
+            await self.clock.sleep_ms(faults.delay_ms)
+        offset = self._take(name, body)
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            raise ConnectionDropped
+        return 200, {'offset': offset}
+
+    def _take(self, name: str, body: bytes) -> int:
+        self.appends += 1
+        self.bytes_in += len(body)
+        return self.stream(name).append(body, self.clock.now_ms())
+
+    def _spawn_late(self, name: str, body: bytes, delay_ms: int) -> None:
+        task = asyncio.ensure_future(self._take_late(name, body, delay_ms))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _take_late(self, name: str, body: bytes, delay_ms: int) -> None:
+        await self.clock.sleep_ms(delay_ms)
+        self._take(name, body)
+
+    async def _read(
+        self, name: str, query: dict[str, list[str]]
+    ) -> tuple[int, dict]:
+        from_offset = int(query['from'][0])
+        limit = min(int(query.get('limit', ['100'])[0]), _MAX_LIMIT)
+        wait_ms = min(int(query.get('wait_ms', ['0'])[0]), _MAX_WAIT_MS)
+        if self.faults.delay_ms:
+            await self.clock.sleep_ms(self.faults.delay_ms)
+        stream = self.stream(name)
+        if stream.next <= from_offset and wait_ms > 0:
+            await self._wait(stream, wait_ms)
+        stream = self.stream(name)
+        if from_offset < stream.first:
+            return 410, {'first': stream.first}
+        return 200, stream.read(from_offset, limit, self.clock.now_ms())
+
+    async def _wait(self, stream: log_stream.LogStream, wait_ms: int) -> None:
+        changed = asyncio.ensure_future(stream.changed.wait())
+        timer = asyncio.ensure_future(self.clock.sleep_ms(wait_ms))
+        try:
+            await asyncio.wait(
+                {changed, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            changed.cancel()
+            timer.cancel()
+
+    def _set_faults(self, method: str, body: bytes) -> tuple[int, dict]:
+        if method == 'POST':
+            merged = msgspec.to_builtins(self.faults) | json.loads(body)
+            self.faults = msgspec.convert(merged, log_faults.LogFaults)
+            self.on_faults()
+        return 200, msgspec.to_builtins(self.faults)
+
+    def _counts(self) -> dict:
+        return {
+            'appends': self.appends,
+            'requests': self.requests,
+            'bytes_in': self.bytes_in,
+            'bytes_out': self.bytes_out,
+        }
+
+
+class InProcessTransport(httpx.AsyncBaseTransport):
+    """Call the service without a network, with its connection faults."""
+
+    def __init__(self, service: LogService) -> None:
+        self._service = service
+        self._inner = httpx.ASGITransport(service)
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Answer a request or fail as a connection would."""
+        if self._service.faults.refuse:
+            raise httpx.ConnectError('connection refused', request=request)
+        try:
+            return await self._inner.handle_async_request(request)
+        except ConnectionDropped:
+            raise httpx.RemoteProtocolError(
+                'connection closed without an answer', request=request
+            ) from None
+
+
+class _Protocol(h11_impl.H11Protocol):
+    """Let the application abort its connection."""
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        inner = self.app
+
+        async def app(scope: _Scope, receive: _Receive, send: _Send) -> None:
+            extensions = scope.setdefault('extensions', {})
+            extensions[_ABORT] = self.transport.abort
+            await inner(scope, receive, send)
+
+        self.app = app
+
+
+async def _run_lifespan(receive: _Receive, send: _Send) -> None:
+    while True:
+        message = await receive()
+        await send({'type': message['type'] + '.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
+
+
+async def _read_body(receive: _Receive) -> bytes:
+    body = b''
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise _BodyIncomplete
+        body += message.get('body', b'')
+        if not message.get('more_body', False):
+            return body
+
+
+def configure(service: LogService, port: int) -> uvicorn.Config:
+    """Return the configuration of a server on a loopback port."""
+    return uvicorn.Config(
+        service,
+        host='127.0.0.1',
+        port=port,
+        http=_Protocol,
+        log_level='warning',
+        access_log=False,
+    )
+
+
+@click.command()
+@click.option('--port', type=int, required=True)
+@click.option('--retention-ms', type=int, default=3_600_000)
+def main(port: int, retention_ms: int) -> None:
+    """Run the stand-in as a process until it is interrupted."""
+    service = LogService(retention_ms=retention_ms)
+    uvicorn.Server(configure(service, port)).run()
+
+
+if __name__ == '__main__':
+    main()
