Add worker leases, placement on workers and the stand-in worker

Cause: daemons need one accounting authority per worker, and tests need a worker that records violations instead of preventing them. Ruled out: resolving a lost start answer by repeating the start; a refusal of the repetition would not prove that the first one had no effect.

--- /dev/null
+++ b/basilspindle/fleet/ledger.py
@@ -0,0 +1,187 @@
+"""Account for the capacity of all workers held by this daemon."""
+
+import collections
+import collections.abc
+
+from basilspindle.fleet import choice
+from basilspindle.fleet import entry as entry_module
+from basilspindle.fleet import health as health_module
+from basilspindle.fleet import leased_worker
+from basilspindle.fleet import settings as settings_module
+from basilspindle.fleet import view as view_module
+from basilspindle import model
+from basilspindle.peer import messages
+
+# The list of candidates is built again at the latest after this time.
+_LONGEST_FRESH_MS = 1_000
+
+
+class Ledger:
+    """Reserve and free capacity; every change is a single step.
+
+    Does no I/O and never awaits, so that concurrent orders cannot take
+    the same capacity.
+    """
+
+    __slots__ = (
+        'workers',
+        'health',
+        'on_room',
+        '_settings',
+        '_choose',
+        '_entries',
+        '_past',
+        '_candidates',
+        '_fresh_until_ms',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.FleetSettings,
+        choose: choice.Choose,
+    ) -> None:
+        self.workers: dict[str, leased_worker.LeasedWorker] = {}
+        self.health = health_module.Health()
+        self.on_room: collections.abc.Callable[[], None] | None = None
+        self._settings = settings
+        self._choose = choose
+        self._entries: dict[str, entry_module.TaskEntry] = {}
+        self._past: collections.OrderedDict[
+            entry_module.Key, tuple[int, messages.Placement]
+        ] = collections.OrderedDict()
+        self._candidates: list[view_module.WorkerView] = []
+        self._fresh_until_ms = 0
+
+    def entry(self, task_id: str) -> entry_module.TaskEntry | None:
+        """Return the attempt of a task that is counted."""
+        return self._entries.get(task_id)
+
+    def entries(self) -> list[entry_module.TaskEntry]:
+        """Return all attempts that are counted."""
+        return list(self._entries.values())
+
+    def worker_of(
+        self, entry: entry_module.TaskEntry
+    ) -> leased_worker.LeasedWorker:
+        """Return the worker on which an attempt is counted."""
+        return self.workers[entry.running.worker_id]
+
+    def past(
+        self, key: entry_module.Key, now_ms: int
+    ) -> messages.Placement | None:
+        """Return the placement of an attempt that ended lately."""
+        found = self._past.get(key)
+        if found is None or found[0] <= now_ms:
+            return None
+        return found[1]
+
+    def remember(self, placement: messages.Placement, now_ms: int) -> None:
+        """Keep the answer for orders that are repeated late."""
+        key = placement.task_id, placement.attempt
+        until_ms = now_ms + self._settings.remember_ms
+        self._past[key] = until_ms, placement
+        self._past.move_to_end(key)
+        while next(iter(self._past.values()))[0] <= now_ms:
+            self._past.popitem(last=False)
+
+    def refresh(self) -> None:
+        """Build the candidates again at the next order."""
+        self._fresh_until_ms = 0
+
+    def candidates(self, now_ms: int) -> list[view_module.WorkerView]:
+        """Return the workers that may get a task now."""
+        if now_ms >= self._fresh_until_ms:
+            self._rebuild(now_ms)
+        return self._candidates
+
+    def reserve(
+        self,
+        order: model.TaskOrder,
+        now_ms: int,
+        tried: collections.abc.Collection[str] = (),
+    ) -> entry_module.TaskEntry | None:
+        """Choose a worker and reserve; None if there is no room."""
+        views = self.candidates(now_ms)
+        if tried:
+            views = [v for v in views if v.worker_id not in tried]
+        view = self._choose(order, views)
+        if view is None or not order.resources.fits(view.free):
+            return None
+        entry = entry_module.TaskEntry(
+            model.RunningTask(
+                task_id=order.task_id,
+                attempt=order.attempt,
+                job_id=order.job_id,
+                index=order.index,
+                team=order.team,
+                kind=order.kind,
+                partition=order.partition,
+                worker_id=view.worker_id,
+                failure_domain=view.failure_domain,
+                rack=view.rack,
+                resources=order.resources,
+            ),
+            order.idempotent,
+            order,
+        )
+        self.add(entry)
+        return entry
+
+    def add(self, entry: entry_module.TaskEntry) -> None:
+        """Count an attempt on its worker."""
+        worker = self.worker_of(entry)
+        worker.add(entry)
+        self._entries[entry.running.task_id] = entry
+        self._limit(worker)
+
+    def free(self, entry: entry_module.TaskEntry) -> None:
+        """Give the capacity of an attempt back."""
+        if entry.over:
+            return
+        worker = self.worker_of(entry)
+        worker.remove(entry)
+        if self._entries.get(entry.running.task_id) is entry:
+            del self._entries[entry.running.task_id]
+        self._limit(worker)
+        self.notify()
+
+    def notify(self) -> None:
+        """Tell the owner of the fleet that capacity was freed."""
+        if self.on_room is not None:
+            self.on_room()
+
+    def room(self, now_ms: int) -> messages.Room:
+        """Sum up the free capacity of all candidates."""
+        views = self.candidates(now_ms)
+        zero = model.Resources()
+        free = largest = total = zero
+        for view in views:
+            positive = view.free.largest(zero)
+            free = free.add(positive)
+            largest = largest.largest(positive)
+            total = total.add(view.total)
+        return messages.Room(len(views), free, largest, total)
+
+    def _limit(self, worker: leased_worker.LeasedWorker) -> None:
+        # A worker that is being readmitted has a limit on its tasks.
+        if self.health.limited(worker.info.worker_id):
+            self.refresh()
+
+    def _rebuild(self, now_ms: int) -> None:
+        send_ms = self._settings.send_ms
+        fresh_until_ms = now_ms + _LONGEST_FRESH_MS
+        candidates = []
+        for worker in self.workers.values():
+            if not worker.accepting or not worker.leased(now_ms + send_ms):
+                continue
+            worker_id = worker.info.worker_id
+            allowance = self.health.allowance(worker_id, now_ms)
+            if allowance is not None and len(worker.tasks) >= allowance:
+                continue
+            worker.view.penalty = self.health.penalty(worker_id)
+            candidates.append(worker.view)
+            fresh_until_ms = min(
+                fresh_until_ms, worker.valid_until_ms() - send_ms
+            )
+        self._candidates = candidates
+        self._fresh_until_ms = fresh_until_ms
--- /dev/null
+++ b/basilspindle/fleet/starter.py
@@ -0,0 +1,183 @@
+"""Start reserved tasks on their workers."""
+
+import collections.abc
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.fleet import entry as entry_module
+from basilspindle.fleet import events as fleet_events
+from basilspindle.fleet import leased_worker
+from basilspindle.fleet import ledger as ledger_module
+from basilspindle.fleet import settings as settings_module
+from basilspindle.peer import messages
+
+CheckFence = collections.abc.Callable[[int, int], None]
+
+
+class Starter:
+    """Send starts; a refused one is tried on other workers."""
+
+    __slots__ = ('_clock', '_settings', '_ledger', '_check_fence')
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        settings: settings_module.FleetSettings,
+        ledger: ledger_module.Ledger,
+        check_fence: CheckFence,
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._ledger = ledger
+        self._check_fence = check_fence
+
+    async def run(
+        self, entry: entry_module.TaskEntry, tries: int
+    ) -> messages.Placement:
+        """Start a reserved task on at most ``tries`` workers."""
+        tried: list[str] = []
+        while True:
+            order = entry.order
+            fault = await self._start(entry)
+            if fault is None:
+                return placement(entry)
+            if isinstance(fault, errors.WorkerOutcomeUnknown):
+                return placement(entry, unknown=True)
+            tried.append(entry.running.worker_id)
+            self._ledger.free(entry)
+            following = None
+            if isinstance(fault, errors.WorkerError) and not entry.stop_wanted:
+                if len(tried) < tries:
+                    following = self._ledger.reserve(
+                        order, self._clock.now_ms(), tried
+                    )
+            if following is None:
+                return refusal(entry.key, fault.kind)
+            following.placed = entry.placed
+            entry = following
+
+    async def _start(
+        self, entry: entry_module.TaskEntry
+    ) -> errors.BasilspindleError | None:
+        """Return None if the task runs or ran, else the fault."""
+        worker = self._ledger.worker_of(entry)
+        order = entry.order
+        entry.phase = entry_module.Phase.STARTING
+        entry.epoch = worker.epoch
+        entry.incarnation = worker.incarnation
+        entry.sent_ms = self._clock.now_ms()
+        try:
+            await worker.client.start(
+                entry.epoch, order, lambda: self._guard(worker, entry)
+            )
+        except (errors.Fenced, errors.WorkerUnavailable) as fault:
+            return fault
+        except errors.WorkerRefused as fault:
+            self._refused(worker, entry, fault)
+            return fault
+        except errors.WorkerOutcomeUnknown as fault:
+            return self._doubt(worker, entry, fault)
+        except Exception as fault:
+            # The start may have been sent before the defect showed.
+            unknown = errors.WorkerOutcomeUnknown(repr(fault))
+            return self._doubt(worker, entry, unknown)
+        self._confirm(worker, entry)
+        return None
+
+    def _guard(
+        self,
+        worker: leased_worker.LeasedWorker,
+        entry: entry_module.TaskEntry,
+    ) -> None:
+        """Refuse immediately before the send if anything has changed."""
+        order = entry.order
+        self._check_fence(order.partition, order.partition_epoch)
+        now_ms = self._clock.now_ms()
+        if worker.epoch != entry.epoch or not worker.leased(
+            now_ms + self._settings.send_ms
+        ):
+            raise errors.StaleEpoch(
+                f'the lease of {worker.info.worker_id} has lapsed; place the '
+                'task again'
+            )
+        if entry.stop_wanted:
+            raise errors.WorkerRefused(
+                f'task {order.task_id} was stopped before its start'
+            )
+        entry.sent_ms = now_ms
+
+    def _refused(
+        self,
+        worker: leased_worker.LeasedWorker,
+        entry: entry_module.TaskEntry,
+        fault: errors.WorkerRefused,
+    ) -> None:
+        if worker.epoch != entry.epoch:
+            return
+        if isinstance(fault, errors.StaleEpoch):
+            if worker.leased(self._clock.now_ms() + self._settings.send_ms):
+                worker.lapse()
+        elif not entry.stop_wanted:
+            # The worker accounts differently, so its inventory is read.
+            worker.stale = True
+        self._ledger.refresh()
+        worker.wake.set()
+
+    def _doubt(
+        self,
+        worker: leased_worker.LeasedWorker,
+        entry: entry_module.TaskEntry,
+        fault: errors.WorkerOutcomeUnknown,
+    ) -> errors.WorkerOutcomeUnknown | None:
+        if entry.over:
+            return None
+        if entry.phase is entry_module.Phase.RUNNING:
+            return None
+        entry.phase = entry_module.Phase.UNCERTAIN
+        events.emit(
+            fleet_events.START_UNCERTAIN,
+            task_id=entry.running.task_id,
+            attempt=entry.running.attempt,
+            worker_id=worker.info.worker_id,
+        )
+        worker.resolve_at_ms = 0
+        worker.wake.set()
+        return fault
+
+    def _confirm(
+        self,
+        worker: leased_worker.LeasedWorker,
+        entry: entry_module.TaskEntry,
+    ) -> None:
+        entry.order = None
+        if entry.over:
+            return
+        if entry.incarnation != worker.incarnation:
+            # The worker restarted after it had answered.
+            entry.phase = entry_module.Phase.UNCERTAIN
+            worker.resolve_at_ms = 0
+            worker.wake.set()
+            return
+        entry.phase = entry_module.Phase.RUNNING
+
+
+def placement(
+    entry: entry_module.TaskEntry, *, unknown: bool = False
+) -> messages.Placement:
+    """Say where an attempt went."""
+    running = entry.running
+    return messages.Placement(
+        task_id=running.task_id,
+        attempt=running.attempt,
+        worker_id=running.worker_id,
+        failure_domain=running.failure_domain,
+        rack=running.rack,
+        reason=errors.WorkerOutcomeUnknown.kind if unknown else '',
+        unknown=unknown,
+    )
+
+
+def refusal(key: entry_module.Key, reason: str) -> messages.Placement:
+    """Say that an attempt was not placed."""
+    return messages.Placement(task_id=key[0], attempt=key[1], reason=reason)
--- /dev/null
+++ b/basilspindle/fleet/task_spec.py
@@ -0,0 +1,47 @@
+"""Describe a task in the worker's JSON."""
+
+import msgspec
+
+from basilspindle.fleet import amounts
+from basilspindle import model
+
+_NO_INPUT = msgspec.Raw(b'null')
+
+
+class TaskSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """One attempt of a task as a worker starts and lists it.
+
+    A new holder of the lease rebuilds its state from these fields alone.
+    Inventories omit ``input``.
+    """
+
+    task_id: str
+    attempt: int
+    job_id: str
+    index: int
+    team: str
+    kind: str
+    partition: int
+    resources: amounts.Amounts
+    run_time_ms: int = 0
+    idempotent: bool = True
+    service: bool = False
+    input: msgspec.Raw = _NO_INPUT
+
+    @classmethod
+    def of(cls, order: model.TaskOrder) -> 'TaskSpec':
+        """Convert the order of a coordinator."""
+        return cls(
+            task_id=order.task_id,
+            attempt=order.attempt,
+            job_id=order.job_id,
+            index=order.index,
+            team=order.team,
+            kind=order.kind,
+            partition=order.partition,
+            resources=amounts.Amounts.of(order.resources),
+            run_time_ms=order.run_time_ms,
+            idempotent=order.idempotent,
+            service=order.service,
+            input=msgspec.Raw(order.input) if order.input else _NO_INPUT,
+        )
--- a/basilspindle/model/running_task.py
+++ b/basilspindle/model/running_task.py
@@ -6,7 +6,11 @@
 
 
 class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
-    """One entry of a worker's inventory that has not ended."""
+    """One entry of a worker's inventory that has not ended.
+
+    ``worker_epoch`` is the epoch of the placement lease under which the
+    reporter knows the task.
+    """
 
     task_id: str
     attempt: int
@@ -19,3 +23,4 @@
     failure_domain: str
     rack: str
     resources: resources_module.Resources
+    worker_epoch: int = 0
--- /dev/null
+++ b/tests/fleet_case.py
@@ -0,0 +1,127 @@
+"""Set up fleets and stand-in workers on the manual clock."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from basilspindle import errors
+from basilspindle import fleet
+from basilspindle import model
+from basilspindle.peer import messages
+from tests.standins import fleet_record
+from tests.standins import manual_clock
+from tests.standins import worker as worker_module
+
+CAPACITY = model.Resources(4_000, 8_000, 0, 4)
+NEED = model.Resources(1_000, 1_000, 0, 1)
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Give each test a clock, workers and a record of reports."""
+
+    async def asyncSetUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.settings = fleet.FleetSettings()
+        self.workers = {}
+        self.ends = []
+        self.found = []
+        self.fences = {}
+        self.confirm = True
+
+    async def asyncTearDown(self):
+        for worker in self.workers.values():
+            await worker.close()
+
+    def add_workers(self, count, capacity=CAPACITY, failure_domain='fd1'):
+        for _ in range(count):
+            worker_id = f'w{len(self.workers)}'
+            self.workers[worker_id] = worker_module.StandinWorker(
+                worker_id,
+                self.clock,
+                capacity,
+                failure_domain=failure_domain,
+            )
+        return list(self.workers.values())
+
+    def client(self, address):
+        worker = self.workers[address.partition(':')[0]]
+        return fleet.WorkerClient(
+            address, self.clock, transport=worker.transport
+        )
+
+    async def open_fleet(self, member_id='d1', choose=None):
+        opened = fleet.Fleet(
+            self.clock,
+            member_id,
+            settings=self.settings,
+            check_fence=self.check_fence,
+            choose=choose or fleet.choose_best_fit,
+            report=self.report,
+            client_factory=self.client,
+        )
+        return await self.enterAsyncContext(opened)
+
+    async def start_fleet(self, workers=1, **options):
+        self.add_workers(workers)
+        opened = await self.open_fleet(**options)
+        await self.assign(opened)
+        return opened
+
+    async def assign(self, opened, **changes):
+        await opened.assign([w.info(**changes) for w in self.workers.values()])
+        await self.clock.settle()
+
+    def check_fence(self, partition, epoch):
+        if epoch < self.fences.get(partition, 0):
+            raise errors.Fenced(f'partition {partition} has a new owner')
+
+    async def report(self, partition, ends, found):
+        if not self.confirm:
+            return False
+        self.ends.extend(ends)
+        self.found.extend(found)
+        return True
+
+    def order(self, name, attempt=1, idempotent=True, **changes):
+        given = {'run_ms': changes.pop('run_ms', 10_000)}
+        given.update(changes.pop('given', {}))
+        job_id, _, index = name.partition('/')
+        fields = {
+            'task_id': name,
+            'attempt': attempt,
+            'job_id': job_id,
+            'index': int(index or 0),
+            'team': 'team1',
+            'kind': 'kind1',
+            'priority': model.Priority.BATCH,
+            'resources': NEED,
+            'run_time_ms': 0,
+            'idempotent': idempotent,
+            'service': False,
+            'input': msgspec.json.encode(given),
+            'partition': 0,
+            'partition_epoch': 1,
+        }
+        return model.TaskOrder(**(fields | changes))
+
+    async def place(self, opened, *orders, advance_ms=0, **options):
+        """Place orders, letting time pass until the answer is there."""
+        message = messages.Place(
+            member_id='c1', orders=list(orders), **options
+        )
+        work = asyncio.ensure_future(opened.place(message))
+        await self.clock.settle()
+        if advance_ms:
+            await self.clock.advance_ms(advance_ms)
+        return (await work).placements
+
+    def end_of(self, name, attempt=1):
+        found = [
+            e for e in self.ends if (e.task_id, e.attempt) == (name, attempt)
+        ]
+        return found[-1] if found else None
+
+    def check_record(self):
+        record = fleet_record.FleetRecord(list(self.workers.values()))
+        self.assertEqual([], record.breaches())
--- /dev/null
+++ b/tests/standins/fleet_record.py
@@ -0,0 +1,38 @@
+"""Find violations in the merged records of several workers."""
+
+import collections
+
+from tests.standins import worker as worker_module
+from tests.standins import worker_run
+
+
+class FleetRecord:
+    """Merge the records of stand-in workers that share a clock."""
+
+    def __init__(self, workers: list['worker_module.StandinWorker']) -> None:
+        self._workers = workers
+
+    def breaches(self) -> list[str]:
+        """Return what any worker recorded, and what shows across them."""
+        found = [b for worker in self._workers for b in worker.breaches]
+        by_task = collections.defaultdict(list)
+        for worker in self._workers:
+            for run in worker.runs:
+                by_task[run.task.task_id].append(run)
+        for task_id, runs in by_task.items():
+            if _overlap(runs):
+                found.append(f'{task_id} ran in two places at once')
+            if len(runs) > 1 and not runs[0].task.idempotent:
+                found.append(f'{task_id} is non-idempotent and ran twice')
+        return found
+
+
+def _overlap(runs: list[worker_run.WorkerRun]) -> bool:
+    # Services may run in two places; the invariant is for batch tasks.
+    ordered = sorted(runs, key=lambda run: run.start_ms)
+    for earlier, later in zip(ordered, ordered[1:]):
+        if earlier.task.service:
+            continue
+        if earlier.end_ms < 0 or later.start_ms < earlier.end_ms:
+            return True
+    return False
--- /dev/null
+++ b/tests/standins/worker.py
@@ -0,0 +1,557 @@
+"""Stand in for a worker: its HTTP interface, faults and a record.
+
+Accepts whatever breaks an invariant and records it as a breach. The only
+refusal is that of a stale or lapsed epoch, which the platform promises.
+"""
+
+import argparse
+import asyncio
+import typing
+import urllib.parse
+
+import httpx
+import msgspec
+import uvicorn
+
+from basilspindle import clock as clock_module
+from basilspindle import fleet
+from basilspindle import model
+from tests.standins import worker_faults
+from tests.standins import worker_run
+
+_DEFAULT_RUN_MS = 10
+_DEFAULT_TASK_LEASE_MS = 30_000
+_FOREVER_MS = 1 << 60
+_RESULT_KEEP_MS = 600_000
+
+_Answer = tuple[int, typing.Any]
+
+
+class _Input(msgspec.Struct):
+    run_ms: int = _DEFAULT_RUN_MS
+    echo: msgspec.Raw = msgspec.Raw(b'null')
+    fail: bool = False
+    use: dict[str, int] = {}
+
+
+class StandinWorker:
+    """Run tasks for whoever holds the placement lease.
+
+    ``transport`` makes in-process connections; the object itself is an
+    ASGI application.
+    """
+
+    def __init__(
+        self,
+        worker_id: str,
+        clock: clock_module.Clock,
+        capacity: model.Resources,
+        *,
+        failure_domain: str = 'fd1',
+        rack: str = 'rack1',
+        address: str = '',
+    ) -> None:
+        self.worker_id = worker_id
+        self.capacity = capacity
+        self.failure_domain = failure_domain
+        self.rack = rack
+        self.address = address or f'{worker_id}:80'
+        self.faults = worker_faults.WorkerFaults()
+        self.breaches: list[str] = []
+        self.runs: list[worker_run.WorkerRun] = []
+        self.epoch = 0
+        self.starts = 0
+        self._clock = clock
+        self._boots = 1
+        self._holder = ''
+        self._lease_until_ms = 0
+        self._lease_ttl_ms = 0
+        self._task_lease_ms = _DEFAULT_TASK_LEASE_MS
+        self._active: dict[tuple[str, int], worker_run.WorkerRun] = {}
+        self._inputs: dict[tuple[str, int], _Input] = {}
+        self._ended: dict[int, tuple[int, dict[str, typing.Any]]] = {}
+        self._seq = 0
+        self._changed = asyncio.Event()
+        self._jobs: set[asyncio.Task[None]] = set()
+        self._connections = 0
+        self._old_connections: set[typing.Any] = set()
+        self._seen_connections: set[typing.Any] = set()
+
+    # Set-up and faults
+
+    @property
+    def incarnation(self) -> str:
+        return f'{self.worker_id}-boot{self._boots}'
+
+    def info(self, **changes: typing.Any) -> fleet.WorkerInfo:
+        """Describe this worker as the VM list does."""
+        return fleet.WorkerInfo(
+            worker_id=self.worker_id,
+            address=self.address,
+            failure_domain=self.failure_domain,
+            rack=self.rack,
+            **changes,
+        )
+
+    def transport(self) -> httpx.AsyncBaseTransport:
+        """Open an in-process connection."""
+        self._connections += 1
+        return _InProcess(self, ('127.0.0.1', self._connections))
+
+    def silence(self, which: str) -> None:
+        """Go silent on ``old`` or ``all`` connections; '' ends it."""
+        self.faults.silent = which
+        self._old_connections = set(self._seen_connections)
+
+    def restart(self) -> None:
+        """Lose all state under the same address."""
+        now_ms = self._clock.now_ms()
+        for run in self._active.values():
+            run.end_ms, run.outcome = now_ms, 'restarted'
+        self._active.clear()
+        self._inputs.clear()
+        self._ended.clear()
+        self._seq = 0
+        self._boots += 1
+        self._holder = ''
+        self._lease_until_ms = 0
+        self.epoch += 1
+        self._notify()
+
+    async def close(self) -> None:
+        """End the timers of running tasks."""
+        for job in list(self._jobs):
+            job.cancel()
+        await asyncio.gather(*self._jobs, return_exceptions=True)
+
+    # Operations
+
+    def lease(self, holder: str, ttl_ms: int, epoch: int) -> _Answer:
+        """Grant (epoch 0) or renew the placement lease."""
+        now_ms = self._clock.now_ms()
+        live = now_ms < self._lease_until_ms
+        if epoch == 0:
+            if live and holder != self._holder:
+                left_ms = self._lease_until_ms - now_ms
+                return 409, {
+                    'kind': 'lease_held',
+                    'holder': self._holder,
+                    'remaining_ms': left_ms,
+                }
+            self.epoch += 1
+            self._holder = holder
+        elif not live or epoch != self.epoch:
+            return self._stale()
+        self._lease_until_ms = now_ms + ttl_ms
+        self._lease_ttl_ms = ttl_ms
+        return 200, {
+            'epoch': self.epoch,
+            'incarnation': self.incarnation,
+            'capacity': _amounts(self.capacity),
+            'ttl_ms': ttl_ms,
+        }
+
+    def start(self, epoch: int, task: fleet.TaskSpec) -> _Answer:
+        """Start a task; the same attempt is answered as before."""
+        if not self._live(epoch):
+            return self._stale()
+        if self.faults.refuse:
+            return 409, {'kind': self.faults.refuse}
+        key = task.task_id, task.attempt
+        if key in self._active or self._kept(key):
+            return 202, {}
+        self._check_start(task)
+        self.starts += 1
+        given = _decode_input(task.input)
+        now_ms = self._clock.now_ms()
+        run = worker_run.WorkerRun(
+            worker_id=self.worker_id,
+            incarnation=self.incarnation,
+            task=msgspec.structs.replace(task, input=msgspec.Raw(b'null')),
+            start_ms=now_ms,
+            due_ms=_FOREVER_MS if task.service else now_ms + given.run_ms,
+            lease_until_ms=now_ms + self._task_lease_ms,
+        )
+        self.runs.append(run)
+        self._active[key] = run
+        self._inputs[key] = given
+        self._spawn(self._run(run))
+        return 202, {}
+
+    def act(self, epoch: int, task_id: str, verb: str) -> _Answer:
+        """Stop, checkpoint or throttle a running task."""
+        if not self._live(epoch):
+            return self._stale()
+        found = [r for k, r in self._active.items() if k[0] == task_id]
+        if not found:
+            return 404, {'kind': 'not_found'}
+        if verb == 'stop':
+            for run in found:
+                self._end(run, 'stopped')
+        return 200, {}
+
+    def release(self, epoch: int, through: int) -> _Answer:
+        """Discard results up to an event."""
+        if not self._live(epoch):
+            return self._stale()
+        for seq in [seq for seq in self._ended if seq <= through]:
+            del self._ended[seq]
+        return 200, {}
+
+    def unlease(self, epoch: int) -> _Answer:
+        """Release the placement lease."""
+        if not self._live(epoch):
+            return self._stale()
+        self._lease_until_ms = 0
+        self._holder = ''
+        return 200, {}
+
+    def inventory(self) -> _Answer:
+        """List running and ended tasks."""
+        self._discard()
+        return 200, {
+            'incarnation': self.incarnation,
+            'epoch': self.epoch,
+            'next': self._seq,
+            'running': [run.task for run in self._active.values()],
+            'ended': [entry for _, entry in self._ended.values()],
+        }
+
+    async def events(
+        self, epoch: int, after: int, wait_ms: int, task_lease_ms: int
+    ) -> _Answer:
+        """Renew the leases and wait for ends."""
+        if not self._live(epoch):
+            return self._stale()
+        now_ms = self._clock.now_ms()
+        self._lease_until_ms = now_ms + self._lease_ttl_ms
+        self._task_lease_ms = task_lease_ms
+        for run in self._active.values():
+            run.lease_until_ms = now_ms + task_lease_ms
+        if self._seq <= after and wait_ms > 0:
+            self._changed.clear()
+            try:
+                await self._clock.wait_ms(self._changed.wait(), wait_ms)
+            except Exception:
+                # The wait time is over without an event.
+                pass
+        if self.epoch != epoch:
+            return self._stale()
+        return 200, {
+            'incarnation': self.incarnation,
+            'epoch': self.epoch,
+            'next': self._seq,
+            'events': [
+                entry['end']
+                for seq, (_, entry) in self._ended.items()
+                if seq > after
+            ],
+            'usage': self._usage(),
+        }
+
+    # State
+
+    def _live(self, epoch: int) -> bool:
+        live = self._clock.now_ms() < self._lease_until_ms
+        return live and epoch == self.epoch
+
+    def _stale(self) -> _Answer:
+        return 409, {'kind': 'stale_epoch', 'epoch': self.epoch}
+
+    def _check_start(self, task: fleet.TaskSpec) -> None:
+        used = task.resources.resources()
+        for run in self._active.values():
+            used = used.add(run.task.resources.resources())
+        if not used.fits(self.capacity):
+            self.breaches.append(
+                f'{self.worker_id} overcommitted by {task.task_id}: {used}'
+            )
+        if any(key[0] == task.task_id for key in self._active):
+            self.breaches.append(f'{task.task_id} runs twice at once')
+        again = any(run.task.task_id == task.task_id for run in self.runs)
+        if again and not task.idempotent:
+            self.breaches.append(f'{task.task_id} ran a second time')
+
+    def _kept(self, key: tuple[str, int]) -> bool:
+        self._discard()
+        return any(
+            (entry['end']['task_id'], entry['end']['attempt']) == key
+            for _, entry in self._ended.values()
+        )
+
+    def _discard(self) -> None:
+        oldest_ms = self._clock.now_ms() - _RESULT_KEEP_MS
+        for seq, (ended_ms, _) in list(self._ended.items()):
+            if ended_ms < oldest_ms:
+                del self._ended[seq]
+
+    async def _run(self, run: worker_run.WorkerRun) -> None:
+        while run.end_ms < 0:
+            now_ms = self._clock.now_ms()
+            if now_ms >= run.due_ms:
+                failed = self.faults.fail_all or self._input(run).fail
+                self._end(run, 'failed' if failed else 'succeeded')
+            elif now_ms >= run.lease_until_ms:
+                self._end(run, 'expired')
+            else:
+                until_ms = min(run.due_ms, run.lease_until_ms)
+                await self._clock.sleep_ms(until_ms - now_ms)
+
+    def _input(self, run: worker_run.WorkerRun) -> _Input:
+        return self._inputs[run.task.task_id, run.task.attempt]
+
+    def _end(self, run: worker_run.WorkerRun, outcome: str) -> None:
+        key = run.task.task_id, run.task.attempt
+        run.end_ms, run.outcome = self._clock.now_ms(), outcome
+        given = self._inputs.pop(key)
+        del self._active[key]
+        self._seq += 1
+        end = {
+            'seq': self._seq,
+            'task_id': run.task.task_id,
+            'attempt': run.task.attempt,
+            'outcome': outcome,
+            'run_time_ms': run.end_ms - run.start_ms,
+        }
+        if outcome == 'succeeded':
+            end['result'] = {
+                'echo': given.echo,
+                'index': run.task.index,
+                'worker_id': self.worker_id,
+            }
+        elif outcome == 'failed':
+            end['error'] = 'task failed'
+        self._ended[self._seq] = run.end_ms, {'task': run.task, 'end': end}
+        self._notify()
+
+    def _usage(self) -> dict[str, typing.Any]:
+        oldest_ms = self._clock.now_ms() - self.faults.usage_delay_ms
+        return {
+            key[0]: self._inputs[key].use
+            for key, run in self._active.items()
+            if self._inputs[key].use and run.start_ms <= oldest_ms
+        }
+
+    def _notify(self) -> None:
+        self._changed.set()
+
+    def _spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        job = asyncio.ensure_future(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+    # HTTP
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serve one HTTP request."""
+        if scope['type'] != 'http':
+            return
+        body = await _read(receive)
+        path = scope['raw_path'].decode().partition('?')[0]
+        connection = scope.get('client')
+        self._seen_connections.add(connection)
+        query = dict(urllib.parse.parse_qsl(scope['query_string'].decode()))
+        if await self._is_silent(scope, path, connection):
+            await _wait_disconnect(receive)
+            return
+        answer = await self._route(scope['method'], path, query, body)
+        if answer is None:
+            await _wait_disconnect(receive)
+            return
+        await _reply(send, *answer)
+
+    async def _is_silent(
+        self, scope: typing.Any, path: str, connection: typing.Any
+    ) -> bool:
+        if not path.startswith('/v1/'):
+            return False
+        if self.faults.slow_ms:
+            await self._clock.sleep_ms(self.faults.slow_ms)
+        if self.faults.silent == 'all':
+            return True
+        return (
+            self.faults.silent == 'old' and connection in self._old_connections
+        )
+
+    async def _route(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> _Answer | None:
+        """Return the answer, or None where it is lost."""
+        if path == '/v1/events':
+            return await self.events(
+                int(query['epoch']),
+                int(query['after']),
+                int(query['wait_ms']),
+                int(query['task_lease_ms']),
+            )
+        if method == 'GET':
+            return self._read_route(path)
+        data = msgspec.json.decode(body) if body else {}
+        if path == '/faults':
+            return self._set_faults(data)
+        if path == '/v1/lease':
+            answer = self.lease(data['holder'], data['ttl_ms'], data['epoch'])
+            if self.faults.lose_leases:
+                self.faults.lose_leases -= 1
+                return None
+            return answer
+        if path == '/v1/tasks':
+            return self._start_route(body)
+        if path == '/v1/release':
+            return self.release(data['epoch'], data['through'])
+        if path == '/v1/unlease':
+            return self.unlease(data['epoch'])
+        parts = path.split('/')
+        if path.startswith('/v1/tasks/') and len(parts) == 5:
+            task_id = urllib.parse.unquote(parts[3])
+            return self.act(data['epoch'], task_id, parts[4])
+        return 404, {'kind': 'not_found'}
+
+    def _read_route(self, path: str) -> _Answer:
+        if path == '/v1/tasks':
+            return self.inventory()
+        if path == '/breaches':
+            return 200, self.breaches
+        if path == '/runs':
+            return 200, self.runs
+        if path == '/faults':
+            return 200, self.faults
+        return 404, {'kind': 'not_found'}
+
+    def _set_faults(self, data: dict[str, typing.Any]) -> _Answer:
+        if data.pop('restart', False):
+            self.restart()
+        silent = data.pop('silent', None)
+        merged = msgspec.structs.asdict(self.faults) | data
+        self.faults = msgspec.convert(merged, worker_faults.WorkerFaults)
+        if silent is not None:
+            self.silence(silent)
+        return 200, self.faults
+
+    def _start_route(self, body: bytes) -> _Answer | None:
+        asked = msgspec.json.decode(body, type=_Start)
+        if self.faults.late_starts:
+            self.faults.late_starts -= 1
+            self._spawn(self._start_late(asked))
+            return None
+        answer = self.start(asked.epoch, asked.task)
+        if self.faults.lose_starts:
+            self.faults.lose_starts -= 1
+            return None
+        return answer
+
+    async def _start_late(self, asked: '_Start') -> None:
+        await self._clock.sleep_ms(self.faults.late_ms)
+        self.start(asked.epoch, asked.task)
+
+
+class _Start(msgspec.Struct):
+    epoch: int
+    task: fleet.TaskSpec
+
+
+class _InProcess(httpx.ASGITransport):
+    """Reach a stand-in without TCP."""
+
+    def __init__(self, worker: StandinWorker, client: tuple[str, int]) -> None:
+        super().__init__(app=worker, client=client)
+        self._worker = worker
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        if self._worker.faults.down:
+            raise httpx.ConnectError('connection refused')
+        return await super().handle_async_request(request)
+
+
+def _decode_input(data: msgspec.Raw) -> _Input:
+    try:
+        return msgspec.json.decode(data, type=_Input)
+    except msgspec.MsgspecError:
+        # Any other JSON is a task with the default run time.
+        return _Input()
+
+
+def _amounts(resources: model.Resources) -> dict[str, int]:
+    return {
+        'cpu_millicores': resources.cpu_millicores,
+        'memory_mb': resources.memory_mb,
+        'accelerators': resources.accelerators,
+        'slots': resources.slots,
+    }
+
+
+async def _read(receive: typing.Any) -> bytes:
+    body = b''
+    while True:
+        message = await receive()
+        body += message.get('body', b'')
+        if not message.get('more_body'):
+            return body
+
+
+async def _wait_disconnect(receive: typing.Any) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+
+
+async def _reply(send: typing.Any, status: int, value: typing.Any) -> None:
+    body = msgspec.json.encode(value)
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--id', required=True)
+    parser.add_argument('--failure-domain', default='fd1')
+    parser.add_argument('--rack', default='rack1')
+    parser.add_argument('--cpu-millicores', type=int, default=16_000)
+    parser.add_argument('--memory-mb', type=int, default=32_768)
+    parser.add_argument('--accelerators', type=int, default=0)
+    parser.add_argument('--slots', type=int, default=8)
+    return parser.parse_args()
+
+
+async def _serve(options: argparse.Namespace) -> None:
+    worker = StandinWorker(
+        options.id,
+        clock_module.Clock(),
+        model.Resources(
+            options.cpu_millicores,
+            options.memory_mb,
+            options.accelerators,
+            options.slots,
+        ),
+        failure_domain=options.failure_domain,
+        rack=options.rack,
+        address=f'{options.host}:{options.port}',
+    )
+    server = uvicorn.Server(
+        uvicorn.Config(
+            worker,
+            host=options.host,
+            port=options.port,
+            lifespan='off',
+            access_log=False,
+            log_level='warning',
+        )
+    )
+    await server.serve()
+
+
+if __name__ == '__main__':
+    asyncio.run(_serve(_parse()))
