--- a/basilspindle/model/running_task.py
+++ b/basilspindle/model/running_task.py
@@ -9,7 +9,8 @@
     """One entry of a worker's inventory that has not ended.
 
     ``holder_id`` names the incarnation of the daemon that holds the worker,
-    as ``member id@incarnation``.
+    as ``member id@incarnation``. ``worker_epoch`` is the epoch of
+    the placement lease under which the reporter knows the task.
     """
 
     task_id: str
@@ -24,3 +25,4 @@
     rack: str
     resources: resources_module.Resources
     holder_id: str = ''
+    worker_epoch: int = 0
