Add configuration documents, store and settings

The configuration, its keys and the settings of a daemon had no code.

A reader that takes the first retained record as its base can take the loser of a race whose winner was trimmed. A mark on losers was ruled out, since their publisher may die before it writes one. A publish therefore names the offset of its base, and a refresh the offset at which its configuration was accepted.

- document: collects every fault of a JSON document against a struct
- config: documents, overlay merge, rules, publications, keys, store
- settings: the settings file, with every fault at once

--- a/basilspindle/config/__init__.py
+++ b/basilspindle/config/__init__.py
@@ -1,1 +1,53 @@
-"""Placeholder."""
+"""Validate, publish and follow the configuration; check keys."""
+
+from basilspindle.config.accepted import Accepted
+from basilspindle.config.amounts import Amounts
+from basilspindle.config.document import Document
+from basilspindle.config.history import Head
+from basilspindle.config.history import History
+from basilspindle.config.identity import Identity
+from basilspindle.config.key import Key
+from basilspindle.config.keyring import digest_key
+from basilspindle.config.keyring import Keyring
+from basilspindle.config.kind import Kind
+from basilspindle.config.limit import Limit
+from basilspindle.config.overlay import merge
+from basilspindle.config.ports import ControlLog
+from basilspindle.config.ports import Peers
+from basilspindle.config.publication import decode
+from basilspindle.config.publication import encode
+from basilspindle.config.publication import Publication
+from basilspindle.config.queue import Queue
+from basilspindle.config.store import ConfigStore
+from basilspindle.config.team import Team
+from basilspindle.config.timing import Timing
+from basilspindle.config.validate import read
+from basilspindle.config.validate import validate
+from basilspindle.config.workers import Workers
+
+__all__ = [
+    'Accepted',
+    'Amounts',
+    'ConfigStore',
+    'ControlLog',
+    'Document',
+    'Head',
+    'History',
+    'Identity',
+    'Key',
+    'Keyring',
+    'Kind',
+    'Limit',
+    'Peers',
+    'Publication',
+    'Queue',
+    'Team',
+    'Timing',
+    'Workers',
+    'decode',
+    'digest_key',
+    'encode',
+    'merge',
+    'read',
+    'validate',
+]
--- /dev/null
+++ b/basilspindle/config/accepted.py
@@ -0,0 +1,14 @@
+"""Hold a configuration in force."""
+
+import msgspec
+
+from basilspindle.config import document as document_module
+from basilspindle.config import publication as publication_module
+
+
+class Accepted(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted publication and its merged document."""
+
+    version: int
+    publication: publication_module.Publication
+    document: document_module.Document
--- /dev/null
+++ b/basilspindle/config/identity.py
@@ -0,0 +1,11 @@
+"""Name whom a key speaks for."""
+
+import msgspec
+
+
+class Identity(msgspec.Struct, frozen=True, kw_only=True):
+    """Key id, role (``caller`` or ``operator``) and team of a key."""
+
+    key_id: str
+    role: str
+    team: str | None = None
--- /dev/null
+++ b/basilspindle/config/store.py
@@ -0,0 +1,453 @@
+"""Keep the configuration in force on this daemon."""
+
+import asyncio
+import collections.abc
+import hmac
+import typing
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle.config import accepted as accepted_module
+from basilspindle.config import document as document_module
+from basilspindle.config import events as config_events
+from basilspindle.config import follower as follower_module
+from basilspindle.config import history as history_module
+from basilspindle.config import identity as identity_module
+from basilspindle.config import keyring as keyring_module
+from basilspindle.config import ports
+from basilspindle.config import publication as publication_module
+from basilspindle.config import publisher as publisher_module
+from basilspindle.config import timing as timing_module
+from basilspindle.config import validate
+from basilspindle import errors
+from basilspindle import events
+
+_RETRY_MS = 250
+_REFRESHES_PER_RETENTION = 3
+_NO_TIMING = timing_module.Timing()
+
+Callback = collections.abc.Callable[[accepted_module.Accepted], None]
+
+
+class ConfigStore:
+    """Follow ``control``, honour keys and publish; an async context.
+
+    Times are monotonic ms of the clock.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_log',
+        '_member_id',
+        '_peers',
+        '_bootstrap_sha256',
+        '_follower',
+        '_publisher',
+        '_head',
+        '_head_at_ms',
+        '_accepted',
+        '_keyring',
+        '_peer_assured_at_ms',
+        '_callbacks',
+        '_log_answers',
+        '_task',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        log: ports.ControlLog,
+        *,
+        member_id: str,
+        peers: ports.Peers,
+        bootstrap_operator_sha256: str = '',
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._member_id = member_id
+        self._peers = peers
+        self._bootstrap_sha256 = bootstrap_operator_sha256
+        self._follower = follower_module.Follower(clock, log, self._take_log)
+        self._publisher = publisher_module.Publisher(
+            clock, log, self._follower
+        )
+        self._head: history_module.Head | None = None
+        self._head_at_ms = 0
+        self._accepted: accepted_module.Accepted | None = None
+        self._keyring = keyring_module.Keyring({})
+        self._peer_assured_at_ms: int | None = None
+        self._callbacks: list[Callback] = []
+        self._log_answers = True
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> typing.Self:
+        """Start following the log."""
+        self._task = asyncio.create_task(self._follow())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop following the log."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here, 0 if there is none."""
+        return self._head.version if self._head else 0
+
+    @property
+    def current(self) -> accepted_module.Accepted:
+        """Return the configuration in force; raises ``NotReady``."""
+        if self._accepted is not None:
+            return self._accepted
+        if self._head is not None:
+            raise errors.NotReady(
+                f'this daemon cannot read configuration {self.version}; '
+                'update the daemon or publish a corrected configuration'
+            )
+        raise errors.NotReady(
+            'no configuration is known yet; wait for the log service, or '
+            'publish the first one with the bootstrap key',
+            retry_after_ms=_RETRY_MS,
+        )
+
+    @property
+    def timing(self) -> timing_module.Timing:
+        """Return the times in force, the defaults without any."""
+        return self._accepted.document.timing if self._accepted else _NO_TIMING
+
+    @property
+    def assured_at_ms(self) -> int | None:
+        """Return when the configuration was last known to be the newest."""
+        times = (self._follower.tail_at_ms, self._peer_assured_at_ms)
+        return max((time for time in times if time is not None), default=None)
+
+    def note_peer_assurance(self, at_ms: int) -> None:
+        """Note that all other members confirmed this version at a time.
+
+        ``at_ms`` is when the oldest of their answers was requested.
+        """
+        known = self._peer_assured_at_ms
+        self._peer_assured_at_ms = max(at_ms, known or at_ms)
+
+    def check_assured(self) -> None:
+        """Raise ``ConfigurationStale`` if a newer one may be in force.
+
+        Raises ``NotReady`` without any configuration.
+        """
+        max_age_ms = self.current.document.timing.config_max_age_ms
+        if not self._assured(max_age_ms):
+            raise errors.ConfigurationStale(
+                'this daemon has not been able to confirm its configuration '
+                f'within {max_age_ms} ms; try another daemon or later, and '
+                'check the log service',
+                retry_after_ms=_RETRY_MS,
+            )
+
+    def identify(self, key: str) -> identity_module.Identity:
+        """Return whom a key speaks for.
+
+        Raises ``KeyInvalid``, ``ConfigurationStale`` and ``NotReady``.
+        While no configuration exists, the bootstrap key is an operator.
+        """
+        if self._head is None and self._proven_empty():
+            return self._check_bootstrap(key)
+        self.check_assured()
+        return self._keyring.check(key)
+
+    def honours(self, key_id: str, team: str) -> bool:
+        """Tell whether a key id speaks for a team, assured or not.
+
+        For queued work before its first start. Raises ``NotReady``.
+        """
+        key = self.current.document.keys.get(key_id)
+        return key is not None and key.team == team
+
+    def subscribe(
+        self, callback: Callback
+    ) -> collections.abc.Callable[[], None]:
+        """Call back on each new configuration; return how to stop that.
+
+        Calls at once if there is a configuration.
+        """
+        self._callbacks.append(callback)
+        if self._accepted is not None:
+            self._call(callback, self._accepted)
+        return lambda: self._callbacks.remove(callback)
+
+    async def publish(
+        self, base: bytes, overlay: bytes, from_version: int, author: str
+    ) -> int:
+        """Publish two JSON documents; return the version once in force.
+
+        ``author`` is a key id. A repeated publish whose first one took
+        effect returns its version. Raises ``ConfigurationInvalid``,
+        ``VersionConflict``, ``LogUnavailable`` and ``OutcomeUnknown``.
+        """
+        document = self._accepted.document if self._accepted else None
+        validate.validate(base, overlay, current=document)
+        await self._follower.catch_up()
+        await self._ask_peers_if_empty()
+        await self._restore()
+        publication = publication_module.Publication(
+            version=from_version + 1,
+            from_version=from_version,
+            from_offset=self._head.offset if self._head else 0,
+            author=author,
+            wall_ms=self._clock.wall_ms(),
+            base=base,
+            overlay=overlay,
+        )
+        if from_version == self.version:
+            return await self._publisher.append(publication)
+        version = self._publisher.judge(publication)
+        if not version:
+            raise self._publisher.conflict(from_version)
+        return version
+
+    def offer(self, record: bytes) -> bool:
+        """Take an accepted configuration of a peer; tell if it is newer.
+
+        ``record`` is what ``record_for`` of the peer returned.
+        """
+        try:
+            publication = publication_module.decode(record)
+        except errors.RecordUnreadable as error:
+            events.emit(config_events.RECORD_SKIPPED, error=error.message)
+            return False
+        if not publication.refresh or publication.version <= self.version:
+            return False
+        head = history_module.Head(
+            offset=publication.accepted_offset,
+            publication=msgspec.structs.replace(
+                publication, refresh=False, accepted_offset=0
+            ),
+        )
+        self._expose(head)
+        return True
+
+    def record_for(self, above_version: int) -> bytes:
+        """Return the configuration for a peer, b'' if it has as new a one."""
+        if self._head is None or self.version <= above_version:
+            return b''
+        return publication_module.encode(self._head.refresh())
+
+    async def maybe_refresh(self, is_lowest_live: bool) -> bool:
+        """Append the configuration again before the log drops it.
+
+        Tell whether a record was appended. A fault of the log is left to
+        the next call.
+        """
+        if not is_lowest_live or not self._refresh_due():
+            return False
+        try:
+            await self._refresh()
+        except errors.LogError:
+            return False
+        return True
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state for operators, without hashes of keys."""
+        now_ms = self._clock.now_ms()
+        assured_at_ms = self.assured_at_ms
+        return {
+            'member_id': self._member_id,
+            'version': self.version,
+            'history_version': self._follower.history.version,
+            'history_settled': self._follower.history.settled,
+            'history_proven': self._follower.history.proven,
+            'next_offset': self._follower.next_offset,
+            'skips': self._follower.skips,
+            'log_answers': self._log_answers,
+            'assured_age_ms': (
+                -1 if assured_at_ms is None else now_ms - assured_at_ms
+            ),
+            'publication': self._dump_publication(),
+            'document': self._dump_document(),
+        }
+
+    async def _follow(self) -> None:
+        wait_ms = 0
+        while True:
+            try:
+                at_tail = await self._follower.read(wait_ms)
+                self._note_log(None)
+                if at_tail:
+                    await self._ask_peers_if_empty()
+                wait_ms = self.timing.config_poll_ms if at_tail else 0
+            except Exception as error:
+                self._note_log(error)
+                await self._ask_peers()
+                await self._clock.sleep_ms(_RETRY_MS)
+                wait_ms = 0
+
+    def _note_log(self, error: Exception | None) -> None:
+        answers = error is None
+        if answers == self._log_answers:
+            return
+        self._log_answers = answers
+        if answers:
+            events.emit(config_events.LOG_ANSWERS)
+        else:
+            events.emit(config_events.LOG_SILENT, error=repr(error))
+
+    async def _ask_peers_if_empty(self) -> None:
+        # A trimmed stream without a configuration does not show that none
+        # was ever published; a peer may have it.
+        if self._follower.next_offset > follower_module.FIRST_OFFSET:
+            await self._ask_peers()
+
+    async def _ask_peers(self) -> None:
+        if self._head is not None:
+            return
+        try:
+            record = await self._peers.fetch_configuration(0)
+        except errors.BasilspindleError:
+            return
+        if record:
+            self.offer(record)
+
+    def _take_log(self) -> None:
+        history = self._follower.history
+        head = history.head
+        if head is None or not history.settled:
+            return
+        if head.version > self.version:
+            self._expose(head)
+        elif head.version == self.version and history.proven:
+            self._correct(head)
+
+    def _correct(self, head: history_module.Head) -> None:
+        if self._head is not None and head.offset != self._head.offset:
+            events.emit(config_events.DIVERGED, version=head.version)
+            self._expose(head)
+
+    def _expose(self, head: history_module.Head) -> None:
+        self._head = head
+        self._head_at_ms = self._clock.now_ms()
+        self._accepted = None
+        self._keyring = keyring_module.Keyring({})
+        publication = head.publication
+        try:
+            document = validate.read(publication.base, publication.overlay)
+        except errors.ConfigurationInvalid as error:
+            events.emit(
+                config_events.UNREADABLE,
+                version=head.version,
+                error=error.message,
+            )
+            return
+        self._put_in_force(publication, document)
+
+    def _put_in_force(
+        self,
+        publication: publication_module.Publication,
+        document: document_module.Document,
+    ) -> None:
+        self._keyring = keyring_module.Keyring(document.keys)
+        accepted = accepted_module.Accepted(
+            version=publication.version,
+            publication=publication,
+            document=document,
+        )
+        self._accepted = accepted
+        events.emit(
+            config_events.APPLIED,
+            version=accepted.version,
+            author=publication.author,
+        )
+        for callback in tuple(self._callbacks):
+            self._call(callback, accepted)
+
+    def _call(
+        self, callback: Callback, accepted: accepted_module.Accepted
+    ) -> None:
+        try:
+            callback(accepted)
+        except Exception as error:
+            events.emit(
+                config_events.CALLBACK_FAILED,
+                version=accepted.version,
+                error=repr(error),
+            )
+
+    def _assured(self, max_age_ms: int) -> bool:
+        at_ms = self.assured_at_ms
+        return at_ms is not None and self._clock.now_ms() - at_ms <= max_age_ms
+
+    def _proven_empty(self) -> bool:
+        tail_at_ms = self._follower.tail_at_ms
+        if tail_at_ms is None or self._follower.history.head is not None:
+            return False
+        age_ms = self._clock.now_ms() - tail_at_ms
+        return age_ms <= _NO_TIMING.config_max_age_ms
+
+    def _check_bootstrap(self, key: str) -> identity_module.Identity:
+        found = keyring_module.digest_key(key)
+        if not self._bootstrap_sha256 or not hmac.compare_digest(
+            found, self._bootstrap_sha256
+        ):
+            raise errors.KeyInvalid(
+                'no configuration exists and this is not the bootstrap key; '
+                'use the key whose hash is bootstrap_operator_sha256 in the '
+                'settings'
+            )
+        return identity_module.Identity(
+            key_id=keyring_module.parse_key_id(key) or 'bootstrap',
+            role='operator',
+        )
+
+    async def _restore(self) -> None:
+        # A publish names the offset of its base, which readers of a log
+        # that has lost that record can only learn from a refresh.
+        if self._follower.history.version >= self.version:
+            return
+        try:
+            await self._refresh()
+        except errors.LogOutcomeUnknown as error:
+            raise errors.LogUnavailable(
+                'the log does not confirm the configuration that this '
+                'publish is based on; nothing was published, try again'
+            ) from error
+        await self._follower.catch_up()
+
+    def _refresh_due(self) -> bool:
+        tail_at_ms = self._follower.tail_at_ms
+        if self._head is None or tail_at_ms is None:
+            return False
+        if self._follower.history.version < self.version:
+            return tail_at_ms > self._head_at_ms
+        carried_at_ms = self._follower.carried_at_ms
+        if carried_at_ms is None:
+            return True
+        age_ms = self._clock.now_ms() - carried_at_ms
+        limit_ms = self.timing.log_retention_ms // _REFRESHES_PER_RETENTION
+        return age_ms > limit_ms
+
+    async def _refresh(self) -> None:
+        record = publication_module.encode(self._head.refresh())
+        await self._log.append(follower_module.STREAM, record)
+        events.emit(config_events.REFRESHED, version=self.version)
+
+    def _dump_publication(self) -> dict[str, typing.Any]:
+        if self._head is None:
+            return {}
+        publication = self._head.publication
+        return {
+            'offset': self._head.offset,
+            'from_version': publication.from_version,
+            'from_offset': publication.from_offset,
+            'author': publication.author,
+            'wall_ms': publication.wall_ms,
+            'base_bytes': len(publication.base),
+            'overlay_bytes': len(publication.overlay),
+        }
+
+    def _dump_document(self) -> dict[str, typing.Any]:
+        if self._accepted is None:
+            return {}
+        document = msgspec.to_builtins(self._accepted.document)
+        for key in document['keys'].values():
+            del key['sha256']
+        return document
--- /dev/null
+++ b/basilspindle/config/team.py
@@ -0,0 +1,37 @@
+"""Describe a team."""
+
+import typing
+
+import msgspec
+
+from basilspindle.config import limit as limit_module
+from basilspindle import document
+
+_MOST_QUEUED = 1_000_000
+_MOST_SHARE = 1_000_000
+
+Share = typing.Annotated[
+    float,
+    msgspec.Meta(
+        gt=0,
+        le=_MOST_SHARE,
+        description=f'a number above 0 and up to {_MOST_SHARE}',
+    ),
+]
+QueuedTasks = typing.Annotated[
+    int,
+    msgspec.Meta(
+        ge=0,
+        le=_MOST_QUEUED,
+        description=f'a whole number of tasks from 0 to {_MOST_QUEUED}',
+    ),
+]
+
+
+class Team(msgspec.Struct, frozen=True, kw_only=True):
+    """Share (relative weight), upper limit and kinds of one team."""
+
+    share: Share
+    kinds: list[document.Name]
+    limit: limit_module.Limit = limit_module.Limit()
+    max_queued_tasks: QueuedTasks = 10_000
--- /dev/null
+++ b/basilspindle/document/fault.py
@@ -0,0 +1,23 @@
+"""Describe one fault in a document."""
+
+import collections.abc
+
+import msgspec
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True):
+    """A fault at a JSON pointer of a file, and how to remedy it."""
+
+    file: str
+    pointer: str
+    fault: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = self.pointer or '(whole document)'
+        return f'{self.file} {place}: {self.fault}; {self.remedy}'
+
+
+def describe(faults: collections.abc.Iterable[Fault]) -> str:
+    """Return one line for each fault."""
+    return '\n'.join(str(fault) for fault in faults)
--- /dev/null
+++ b/basilspindle/document/pointer.py
@@ -0,0 +1,27 @@
+"""Read and write JSON pointers (RFC 6901)."""
+
+import collections.abc
+
+
+def join(steps: collections.abc.Iterable[str | int]) -> str:
+    """Return the pointer of a path; '' is the whole document."""
+    return ''.join(f'/{_escape(str(step))}' for step in steps)
+
+
+def split(pointer: str) -> tuple[str, ...]:
+    """Return the steps of a pointer; raises ``ValueError``."""
+    if not pointer:
+        return ()
+    if not pointer.startswith('/'):
+        raise ValueError('a JSON pointer starts with "/"')
+    return tuple(_unescape(step) for step in pointer[1:].split('/'))
+
+
+def _escape(step: str) -> str:
+    return step.replace('~', '~0').replace('/', '~1')
+
+
+def _unescape(step: str) -> str:
+    if '~' in step.replace('~0', '').replace('~1', ''):
+        raise ValueError('"~" is written "~0" and "/" in a name "~1"')
+    return step.replace('~1', '/').replace('~0', '~')
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -1,6 +1,7 @@
 """Define the one error hierarchy of the project."""
 
 import enum
+import typing
 
 
 class Ran(enum.StrEnum):
@@ -39,14 +40,30 @@
             self.ran = ran
 
 
-class SettingsInvalid(BasilspindleError):
-    """Report a fault in a settings file."""
+class DocumentInvalid(BasilspindleError):
+    """Base of the reports of all faults found in JSON documents.
+
+    ``faults`` are ``document.Fault``; empty for an error that another
+    process reported, whose message names them all.
+    """
+
+    faults: tuple[typing.Any, ...] = ()
+
+    def __init__(
+        self, message: str, *, faults: tuple[typing.Any, ...] = ()
+    ) -> None:
+        super().__init__(message)
+        self.faults = faults
+
+
+class SettingsInvalid(DocumentInvalid):
+    """Report the faults of a settings file."""
 
     kind = 'settings_invalid'
 
 
-class ConfigurationInvalid(BasilspindleError):
-    """Report a fault in a base or overlay document."""
+class ConfigurationInvalid(DocumentInvalid):
+    """Report the faults of a base and an overlay document."""
 
     kind = 'configuration_invalid'
     status = 400
@@ -60,10 +77,31 @@
 
 
 class VersionConflict(BasilspindleError):
-    """Refuse a publish made from a version that is not the current one."""
+    """Refuse a publish made from a version that is not the current one.
+
+    ``version``, ``author`` (key id) and ``wall_ms`` are those of the
+    publish that won; 0 and '' where they are not known.
+    """
 
     kind = 'version_conflict'
     status = 409
+    version = 0
+    author = ''
+    wall_ms = 0
+
+    def __init__(
+        self, message: str, *, version: int, author: str, wall_ms: int
+    ) -> None:
+        super().__init__(message)
+        self.version = version
+        self.author = author
+        self.wall_ms = wall_ms
+
+
+class RecordUnreadable(BasilspindleError):
+    """Report a record that does not decode; readers skip it."""
+
+    kind = 'record_unreadable'
 
 
 class NotReady(BasilspindleError):
--- /dev/null
+++ b/tests/test_config_store.py
@@ -0,0 +1,444 @@
+"""Guard against daemons that disagree on the configuration in force."""
+
+import asyncio
+import json
+import pathlib
+import types
+import unittest
+
+from basilspindle import config
+from basilspindle import errors
+from tests.standins import manual_clock
+
+_EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / 'examples'
+_BASE = json.loads((_EXAMPLES / 'base.json').read_text())
+_OVERLAY = b'{}'
+_RETENTION_MS = 60_000
+_BASE['timing'] = {'log_retention_ms': _RETENTION_MS}
+
+
+def make_base(drained=(), **members):
+    """Return a valid base document that differs by its drained workers."""
+    value = {**_BASE, 'workers': {'drained': list(drained)}, **members}
+    return json.dumps(value).encode()
+
+
+class MemoryLog:
+    """Hold one stream; faults are set by the test."""
+
+    def __init__(self, clock):
+        self.records = []
+        self.first = 1
+        self.down = False
+        self.silent = False
+        self.lost = []
+        self._clock = clock
+        self._appended = asyncio.Event()
+
+    @property
+    def next(self):
+        return self.first + len(self.records)
+
+    def put(self, data):
+        """Append without a fault."""
+        self.records.append((data, self._clock.now_ms()))
+        self._appended.set()
+        self._appended = asyncio.Event()
+        return self.next - 1
+
+    def trim(self, first):
+        """Drop the records below an offset."""
+        del self.records[: first - self.first]
+        self.first = first
+
+    async def append(self, stream, data):
+        """Append, or lose the answer with or without an effect."""
+        if self.down:
+            raise errors.LogUnavailable('down')
+        if self.lost:
+            if self.lost.pop(0):
+                self.put(data)
+            raise errors.LogOutcomeUnknown('lost')
+        return self.put(data)
+
+    async def read(self, stream, from_offset, limit, wait_ms):
+        """Return the records from an offset, waiting if there is none."""
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.down:
+            raise errors.LogUnavailable('down')
+        if from_offset < self.first:
+            raise errors.LogTrimmed('trimmed', first=self.first)
+        if from_offset >= self.next and wait_ms:
+            try:
+                await self._clock.wait_ms(self._appended.wait(), wait_ms)
+            except errors.DeadlineExceeded:
+                pass
+        return self.chunk(from_offset, limit)
+
+    def chunk(self, from_offset, limit):
+        """Return the records that there are now."""
+        start = from_offset - self.first
+        found = [
+            types.SimpleNamespace(
+                offset=from_offset + index,
+                data=data,
+                age_ms=self._clock.now_ms() - at_ms,
+            )
+            for index, (data, at_ms) in enumerate(
+                self.records[start : start + limit]
+            )
+        ]
+        after = from_offset + len(found)
+        return types.SimpleNamespace(
+            first=self.first, next=after, records=found
+        )
+
+
+class NoPeers:
+    """Know of no configuration unless the test sets one."""
+
+    def __init__(self):
+        self.record = b''
+        self.asked = 0
+
+    async def fetch_configuration(self, above_version):
+        self.asked += 1
+        return self.record
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Run stores on one log and one clock."""
+
+    async def asyncSetUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.log = MemoryLog(self.clock)
+        self.peers = NoPeers()
+        self.count = 0
+
+    async def start(self, log=None, **options):
+        """Return a running store that has read the log."""
+        self.count += 1
+        store = config.ConfigStore(
+            self.clock,
+            log or self.log,
+            member_id=f'entry-{self.count}',
+            peers=self.peers,
+            **options,
+        )
+        await self.enterAsyncContext(store)
+        await self.clock.settle()
+        return store
+
+    async def finish(self, awaitable):
+        """Advance the time until a call has ended."""
+        task = asyncio.ensure_future(awaitable)
+        for _ in range(200):
+            await self.clock.advance_ms(100)
+            if task.done():
+                return task.result()
+        raise AssertionError('the call does not end')
+
+    async def test_publish_reaches_every_store(self):
+        """Guard against a change that some daemon never learns."""
+        one, two = await self.start(), await self.start()
+        seen = []
+        two.subscribe(lambda accepted: seen.append(accepted.version))
+        version = await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        await self.clock.settle()
+        self.assertEqual((1, 1, 1), (version, one.version, two.version))
+        self.assertEqual([], two.current.document.workers.drained)
+        await two.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
+        await self.clock.settle()
+        self.assertEqual(['w1'], one.current.document.workers.drained)
+        self.assertEqual([1, 2], seen)
+
+    async def test_loser_of_a_race_is_told_the_winner(self):
+        """Guard against two publishes from one version that both count."""
+        one, two = await self.start(), await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        await self.clock.settle()
+        results = await asyncio.gather(
+            one.publish(make_base(['w1']), _OVERLAY, 1, 'ann'),
+            two.publish(make_base(['w2']), _OVERLAY, 1, 'bob'),
+            return_exceptions=True,
+        )
+        await self.clock.settle()
+        self.assertEqual(2, results[0])
+        self.assertIsInstance(results[1], errors.VersionConflict)
+        self.assertEqual((2, 'ann'), (results[1].version, results[1].author))
+        self.assertEqual(self.clock.wall_ms(), results[1].wall_ms)
+        self.assertEqual(['w1'], two.current.document.workers.drained)
+        self.assertEqual(2, two.version)
+
+    async def test_publish_from_another_version_is_refused(self):
+        """Guard against a publish that drops changes it never saw."""
+        store = await self.start()
+        await store.publish(make_base(), _OVERLAY, 0, 'ops')
+        before = self.log.next
+        for from_version in (0, 2):
+            with self.assertRaises(errors.VersionConflict) as caught:
+                await store.publish(
+                    make_base(['w1']), _OVERLAY, from_version, 'ann'
+                )
+            self.assertEqual('ops', caught.exception.author)
+        with self.assertRaises(errors.ConfigurationInvalid):
+            await store.publish(b'{}', _OVERLAY, 1, 'ann')
+        self.assertEqual(before, self.log.next)
+
+    async def test_lost_answers(self):
+        """Guard against a lost answer that doubles or drops a publish."""
+        cases = [[True], [False], [False, True], [True, True, False]]
+        store = await self.start()
+        for version, lost in enumerate(cases):
+            self.log.lost = list(lost)
+            base = make_base([f'w{version}'])
+            found = await self.finish(
+                store.publish(base, _OVERLAY, version, 'ops')
+            )
+            self.assertEqual(version + 1, found)
+            self.assertEqual(version + 1, store.version)
+
+    async def test_repeated_publish_counts_as_success(self):
+        """Guard against a conflict with the caller's own lost publish."""
+        one, two = await self.start(), await self.start()
+        await one.publish(make_base(['w1']), _OVERLAY, 0, 'ops')
+        again = await two.publish(make_base(['w1']), b' {} ', 0, 'ops')
+        self.assertEqual(1, again)
+        with self.assertRaises(errors.VersionConflict):
+            await two.publish(make_base(['w1']), _OVERLAY, 0, 'ann')
+        await one.publish(make_base(['w2']), _OVERLAY, 1, 'ops')
+        late = await two.publish(make_base(['w1']), _OVERLAY, 0, 'ops')
+        self.assertEqual((1, 2), (late, two.version))
+
+    async def test_publish_without_the_log(self):
+        """Guard against "not published" for what may take effect later."""
+        store = await self.start()
+        await store.publish(make_base(), _OVERLAY, 0, 'ops')
+        self.log.down = True
+        with self.assertRaises(errors.LogUnavailable) as caught:
+            await store.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        self.log.down = False
+        self.log.lost = [False] * 1000
+        with self.assertRaises(errors.OutcomeUnknown) as caught:
+            await self.finish(
+                store.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
+            )
+        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+
+    async def test_late_reader_of_a_trimmed_log(self):
+        """Guard against a reader that takes the loser of a race."""
+        one, two = await self.start(), await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        await self.clock.settle()
+        await asyncio.gather(
+            one.publish(make_base(['won']), _OVERLAY, 1, 'ann'),
+            two.publish(make_base(['lost']), _OVERLAY, 1, 'bob'),
+            return_exceptions=True,
+        )
+        self.log.trim(3)
+        lost = config.decode(self.log.records[0][0])
+        self.assertEqual('bob', lost.author)
+        await one.publish(make_base(['next']), _OVERLAY, 2, 'ops')
+        late = await self.start()
+        self.assertEqual(3, late.version)
+        self.assertEqual(['next'], late.current.document.workers.drained)
+
+    async def test_refresh_corrects_a_late_reader(self):
+        """Guard against the same without a later publish."""
+        one, two = await self.start(), await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        await self.clock.settle()
+        await asyncio.gather(
+            one.publish(make_base(['won']), _OVERLAY, 1, 'ann'),
+            two.publish(make_base(['lost']), _OVERLAY, 1, 'bob'),
+            return_exceptions=True,
+        )
+        self.assertFalse(await two.maybe_refresh(True))
+        await self.clock.advance_ms(_RETENTION_MS // 3 + 1)
+        self.assertFalse(await one.maybe_refresh(False))
+        self.assertTrue(await two.maybe_refresh(True))
+        self.assertTrue(await one.maybe_refresh(True))
+        await self.clock.settle()
+        self.assertFalse(await two.maybe_refresh(True))
+        self.log.trim(3)
+        late = await self.start()
+        self.assertEqual((2, 2, 2), (late.version, one.version, two.version))
+        self.assertEqual(['won'], late.current.document.workers.drained)
+        await late.publish(make_base(), _OVERLAY, 2, 'ops')
+        await self.clock.settle()
+        self.assertEqual((3, 3), (one.version, two.version))
+
+    async def test_reader_behind_the_trim(self):
+        """Guard against a reader that stops or goes back after a gap."""
+        one = await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        other = MemoryLog(self.clock)
+        other.records = list(self.log.records)
+        behind = await self.start(other)
+        self.assertEqual(1, behind.version)
+        for version in (1, 2, 3):
+            await one.publish(
+                make_base([f'w{version}']), _OVERLAY, version, 'x'
+            )
+        other.records = list(self.log.records)
+        other.trim(4)
+        await self.clock.advance_ms(2000)
+        self.assertEqual(4, behind.version)
+        self.assertEqual(one.current.publication, behind.current.publication)
+
+    async def test_offers_only_raise_the_version(self):
+        """Guard against a peer that takes a daemon back."""
+        one = await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        old = one.record_for(0)
+        await one.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
+        new = one.record_for(1)
+        self.assertEqual(b'', one.record_for(2))
+        apart = await self.start(MemoryLog(self.clock))
+        self.assertFalse(apart.offer(b'x'))
+        self.assertFalse(apart.offer(self.log.records[0][0]))
+        self.assertTrue(apart.offer(new))
+        self.assertFalse(apart.offer(old))
+        self.assertEqual(2, apart.version)
+        self.assertEqual(one.current.publication, apart.current.publication)
+        apart_log = apart._log
+        apart_log.put(self.log.records[0][0])
+        await self.clock.advance_ms(2000)
+        self.assertEqual(2, apart.version)
+
+    async def test_publish_from_an_offered_configuration(self):
+        """Guard against a publish that readers of an emptied log ignore."""
+        one = await self.start()
+        await one.publish(make_base(['w1']), _OVERLAY, 0, 'ops')
+        emptied = MemoryLog(self.clock)
+        two = await self.start(emptied)
+        two.offer(one.record_for(0))
+        await two.publish(make_base(['w2']), _OVERLAY, 1, 'ops')
+        late = await self.start(emptied)
+        self.assertEqual((2, 2), (two.version, late.version))
+
+    async def test_start_without_the_log_asks_the_peers(self):
+        """Guard against a daemon that waits for the log needlessly."""
+        one = await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        down = MemoryLog(self.clock)
+        down.down = True
+        late = await self.start(down)
+        with self.assertRaises(errors.NotReady):
+            late.check_assured()
+        self.peers.record = one.record_for(0)
+        await self.clock.advance_ms(1000)
+        self.assertEqual(1, late.version)
+        with self.assertRaises(errors.ConfigurationStale):
+            late.check_assured()
+        late.note_peer_assurance(self.clock.now_ms())
+        late.check_assured()
+
+    async def test_trimmed_empty_log_asks_the_peers(self):
+        """Guard against a second first version."""
+        one = await self.start()
+        await one.publish(make_base(), _OVERLAY, 0, 'ops')
+        self.peers.record = one.record_for(0)
+        self.log.trim(2)
+        late = await self.start()
+        self.assertEqual(1, late.version)
+        await self.clock.advance_ms(2_000)
+        self.assertTrue(await late.maybe_refresh(True))
+        self.peers.record = b''
+        later = await self.start()
+        self.assertEqual(1, later.version)
+
+    async def test_stale_configuration_refuses_keys(self):
+        """Guard against a withdrawn key that is still honoured."""
+        text, sha256 = config.Keyring.generate('web-1')
+        keys = {'web-1': {'role': 'caller', 'team': 'web', 'sha256': sha256}}
+        store = await self.start()
+        await store.publish(make_base(keys=keys), _OVERLAY, 0, 'ops')
+        await self.clock.advance_ms(60_000)
+        self.assertEqual('web', store.identify(text).team)
+        self.log.down = True
+        await self.clock.advance_ms(1_600)
+        self.assertEqual('web', store.identify(text).team)
+        await self.clock.advance_ms(2_000)
+        with self.assertRaises(errors.ConfigurationStale):
+            store.identify(text)
+        self.assertTrue(store.honours('web-1', 'web'))
+        self.log.down = False
+        await self.clock.advance_ms(500)
+        self.assertEqual('web', store.identify(text).team)
+        await store.publish(make_base(keys={}), _OVERLAY, 1, 'ops')
+        with self.assertRaises(errors.KeyInvalid):
+            store.identify(text)
+        self.assertFalse(store.honours('web-1', 'web'))
+
+    async def test_silent_read_is_given_up(self):
+        """Guard against a follower that waits for a silent log forever."""
+        store = await self.start()
+        await store.publish(make_base(), _OVERLAY, 0, 'ops')
+        self.log.silent = True
+        await self.clock.advance_ms(3_000)
+        with self.assertRaises(errors.ConfigurationStale):
+            store.check_assured()
+        self.log.silent = False
+        await self.clock.advance_ms(6_000)
+        store.check_assured()
+
+    async def test_bootstrap_key_ends_with_the_first_configuration(self):
+        """Guard against a bootstrap key that stays an operator."""
+        text, sha256 = config.Keyring.generate('first')
+        store = await self.start(bootstrap_operator_sha256=sha256)
+        found = store.identify(text)
+        self.assertEqual(('first', 'operator'), (found.key_id, found.role))
+        with self.assertRaises(errors.KeyInvalid):
+            store.identify(config.Keyring.generate('first')[0])
+        plain = await self.start()
+        with self.assertRaises(errors.KeyInvalid):
+            plain.identify('')
+        self.log.down = True
+        await self.clock.advance_ms(5_000)
+        with self.assertRaises(errors.NotReady):
+            store.identify(text)
+        self.log.down = False
+        await self.clock.advance_ms(1_000)
+        await store.publish(make_base(), _OVERLAY, 0, 'first')
+        with self.assertRaises(errors.KeyInvalid):
+            store.identify(text)
+
+    async def test_foreign_records_are_skipped(self):
+        """Guard against one bad record that stops every daemon."""
+        store = await self.start()
+        self.log.put(b'garbage')
+        await store.publish(make_base(), _OVERLAY, 0, 'ops')
+        unreadable = config.Publication(
+            version=2,
+            from_version=1,
+            from_offset=2,
+            author='newer',
+            wall_ms=0,
+            base=b'{"cell": 5}',
+            overlay=b'{}',
+        )
+        self.log.put(config.encode(unreadable))
+        await self.clock.settle()
+        self.assertEqual(2, store.version)
+        with self.assertRaisesRegex(errors.NotReady, 'update the daemon'):
+            store.check_assured()
+        await store.publish(make_base(), _OVERLAY, 2, 'ops')
+        self.assertEqual(3, store.current.version)
+
+    async def test_dump_and_failing_callback(self):
+        """Guard against hashes in a dump and a callback that stops all."""
+        store = await self.start()
+        seen = []
+        store.subscribe(lambda accepted: 1 / 0)
+        stop = store.subscribe(lambda accepted: seen.append(accepted.version))
+        await store.publish(make_base(), _OVERLAY, 0, 'ops')
+        stop()
+        await store.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
+        self.assertEqual([1], seen)
+        text = json.dumps(store.dump())
+        self.assertIn('"ops-1"', text)
+        for key in _BASE['keys'].values():
+            self.assertNotIn(key['sha256'], text)
