Add the command-line tool

Operators and callers had no tool. A request whose answer was lost must not be sent to a second daemon, unless an idempotency key or the version that it names makes the repeat harmless; repeating every request was ruled out for that reason. Job submissions get a key of their own.

- cli: config, key, team, worker, job, run, state; exit codes 0 to 6
- config: Draft changes one member where the overlay permit says
- errors: DaemonUnreachable

--- a/basilspindle/cli/__init__.py
+++ b/basilspindle/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Offer the command-line tool ``basilspindle``."""
--- /dev/null
+++ b/basilspindle/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one command, or group of commands, in each module."""
--- /dev/null
+++ b/basilspindle/cli/main.py
@@ -0,0 +1,60 @@
+"""Start the command-line tool."""
+
+import os
+import typing
+
+import click
+
+import basilspindle
+from basilspindle.cli import program
+from basilspindle.cli import session
+
+_DEFAULT_URL = 'http://127.0.0.1:8080'
+# Above the time for which a daemon holds a waiting request.
+_TIMEOUT_MS = 20_000
+
+
+@click.group(cls=program.Program)
+@click.option(
+    '--url',
+    'urls',
+    multiple=True,
+    envvar='BASILSPINDLE_URL',
+    help='API of a daemon; repeat it to name others to try.',
+)
+@click.option(
+    '--key-file',
+    type=click.Path(dir_okay=False),
+    help='File with the key; otherwise BASILSPINDLE_KEY is used.',
+)
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+@click.option(
+    '--timeout-ms',
+    type=click.IntRange(min=1),
+    default=_TIMEOUT_MS,
+    show_default=True,
+    help='Time for the answer of a daemon.',
+)
+@click.version_option(basilspindle.__version__, prog_name='basilspindle')
+@click.pass_context
+def main(
+    ctx: click.Context,
+    urls: tuple[str, ...],
+    key_file: str | None,
+    as_json: bool,
+    timeout_ms: int,
+) -> None:
+    """Submit work to a basilspindle cell and operate it.
+
+    Exit codes: 0 success, 1 the work failed, 2 wrong usage, 3 refused and
+    not run, 4 outcome unknown, 5 no daemon reachable, 6 conflict.
+    """
+    transport: typing.Any = ctx.obj
+    ctx.obj = session.Session(
+        urls=urls or (_DEFAULT_URL,),
+        key=os.environ.get('BASILSPINDLE_KEY', ''),
+        key_file=key_file,
+        as_json=as_json,
+        timeout_ms=timeout_ms,
+        transport=transport,
+    )
--- a/basilspindle/config/__init__.py
+++ b/basilspindle/config/__init__.py
@@ -1,6 +1,7 @@
 """Validate, publish and follow the configuration; check keys."""
 
 from basilspindle.config.accepted import Accepted
+from basilspindle.config.amend import Draft
 from basilspindle.config.amounts import Amounts
 from basilspindle.config.document import Document
 from basilspindle.config.history import Head
@@ -31,6 +32,7 @@
     'ConfigStore',
     'ControlLog',
     'Document',
+    'Draft',
     'Head',
     'History',
     'Identity',
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -258,6 +258,13 @@
     kind = 'fenced'
 
 
+class DaemonUnreachable(BasilspindleError):
+    """Report that no daemon could be connected to: nothing was sent."""
+
+    kind = 'daemon_unreachable'
+    status = 503
+
+
 class WorkerError(BasilspindleError):
     """Base of the faults of a worker."""
 
