Add the decision core: fair queue, placer, estimates

Coordinator and fleet need one pure module that orders waiting work and chooses workers.

Change: FairQueue, Placer, choose, TeamPolicy, Pick, WorkerView, UsageEstimate, can_ever_fit, GangPlan. Gang reservations and estimates are not tested yet.

--- a/basilspindle/policy/__init__.py
+++ b/basilspindle/policy/__init__.py
@@ -1,1 +1,31 @@
-"""Placeholder."""
+"""Decide what starts next and where; no I/O, time is passed in."""
+
+from basilspindle.policy.choose import choose
+from basilspindle.policy.fair_queue import FairQueue
+from basilspindle.policy.fit import can_ever_fit
+from basilspindle.policy.gang_plan import GangPlan
+from basilspindle.policy.pack import Pack
+from basilspindle.policy.pick import Pick
+from basilspindle.policy.placer import Placer
+from basilspindle.policy.quick import Quick
+from basilspindle.policy.rank import policy_for
+from basilspindle.policy.spread import Spread
+from basilspindle.policy.team_policy import TeamPolicy
+from basilspindle.policy.usage_estimate import UsageEstimate
+from basilspindle.policy.worker_view import WorkerView
+
+__all__ = [
+    'FairQueue',
+    'GangPlan',
+    'Pack',
+    'Pick',
+    'Placer',
+    'Quick',
+    'Spread',
+    'TeamPolicy',
+    'UsageEstimate',
+    'WorkerView',
+    'can_ever_fit',
+    'choose',
+    'policy_for',
+]
--- /dev/null
+++ b/basilspindle/policy/entry.py
@@ -0,0 +1,65 @@
+"""Hold the waiting tasks of one job."""
+
+from basilspindle import model
+from basilspindle.policy import amounts as amounts_module
+
+
+class Entry:
+    """Waiting tasks of one job; kept while tasks may be given back.
+
+    ``count`` is tasks waiting, ``in_flight`` tasks popped and neither
+    confirmed nor given back. ``gang_tasks`` is the size of a gang, else 0.
+    ``expires_ms`` 0 means no deadline; ``not_before_ms`` delays a job that
+    found no room.
+    """
+
+    __slots__ = (
+        'job_id',
+        'team',
+        'resources',
+        'amounts',
+        'priority',
+        'sequence',
+        'count',
+        'gang_tasks',
+        'in_flight',
+        'run_time_ms',
+        'pushed_ms',
+        'popped_ms',
+        'expires_ms',
+        'not_before_ms',
+        'removed',
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        team: str,
+        resources: model.Resources,
+        priority: model.Priority,
+        sequence: int,
+        now_ms: int,
+    ) -> None:
+        self.job_id = job_id
+        self.team = team
+        self.resources = resources
+        self.amounts = amounts_module.split(resources)
+        self.priority = priority
+        self.sequence = sequence
+        self.run_time_ms = 0
+        self.pushed_ms = now_ms
+        self.popped_ms = now_ms
+        self.count = 0
+        self.gang_tasks = 0
+        self.in_flight = 0
+        self.expires_ms = 0
+        self.not_before_ms = 0
+        self.removed = False
+
+    @property
+    def key(self) -> tuple[model.Resources, int]:
+        """Return the key of the lane: shape and size of the gang."""
+        return self.resources, self.gang_tasks
+
+    def __lt__(self, other: 'Entry') -> bool:
+        return self.sequence < other.sequence
--- /dev/null
+++ b/basilspindle/policy/gang_plan.py
@@ -0,0 +1,70 @@
+"""Decide which members to ask to hold tasks of a gang."""
+
+import collections.abc
+
+from basilspindle import model
+from basilspindle.peer.messages import room as room_module
+from basilspindle.policy import amounts as amounts_module
+
+
+class GangPlan:
+    """Holds of one gang: what is held, and whom to ask for the rest.
+
+    ``room`` is the advertised room by member id. Members are asked for as
+    much as they may have, those with the most room first, so that few are
+    involved; one that held less than asked is not asked again.
+    """
+
+    __slots__ = ('_count', '_may_have', 'held')
+
+    def __init__(
+        self,
+        resources: model.Resources,
+        count: int,
+        room: collections.abc.Mapping[str, room_module.Room],
+    ) -> None:
+        self._count = count
+        self._may_have = {
+            member_id: _tasks(resources, offered)
+            for member_id, offered in room.items()
+        }
+        self.held: dict[str, int] = {}
+
+    @property
+    def missing(self) -> int:
+        """Return the number of tasks not held yet."""
+        return self._count - sum(self.held.values())
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every task is held."""
+        return self.missing <= 0
+
+    def ask(self) -> dict[str, int]:
+        """Return tasks to ask for by member id; {} if hopeless or done."""
+        asks = {}
+        left = self.missing
+        order = sorted(
+            self._may_have, key=lambda name: (-self._may_have[name], name)
+        )
+        for member_id in order:
+            count = min(left, self._may_have[member_id])
+            if count > 0:
+                asks[member_id] = count
+                left -= count
+        return asks if left <= 0 else {}
+
+    def note(self, member_id: str, asked: int, held: int) -> None:
+        """Take in how many of the tasks asked for a member holds now."""
+        if held:
+            self.held[member_id] = self.held.get(member_id, 0) + held
+        may_have = self._may_have.get(member_id, 0) - held
+        self._may_have[member_id] = may_have if held >= asked else 0
+
+
+def _tasks(resources: model.Resources, room: room_module.Room) -> int:
+    if not resources.fits(room.largest):
+        return 0
+    return amounts_module.multiple(
+        amounts_module.split(resources), amounts_module.split(room.free)
+    )
--- /dev/null
+++ b/basilspindle/policy/lazy_heap.py
@@ -0,0 +1,64 @@
+"""Order entries in a heap whose removals cost constant time."""
+
+import heapq
+import typing
+
+from basilspindle.policy import entry as entry_module
+from basilspindle.policy import step_count
+
+# Below this length a compaction saves no memory worth its cost.
+_MIN_COMPACTION = 32
+
+
+class LazyHeap:
+    """Heap of entries; dead ones leave when they surface or by compaction.
+
+    ``alive`` tells whether an entry still counts under the key with which
+    it was added.
+    """
+
+    __slots__ = ('_heap', '_alive', '_dead', '_steps')
+
+    def __init__(
+        self,
+        alive: typing.Callable[[int, entry_module.Entry], bool],
+        steps: step_count.StepCount,
+    ) -> None:
+        self._heap: list[tuple[int, int, entry_module.Entry]] = []
+        self._alive = alive
+        self._dead = 0
+        self._steps = steps
+
+    def __len__(self) -> int:
+        return len(self._heap) - self._dead
+
+    def add(self, key: int, entry: entry_module.Entry) -> None:
+        """Add an entry under a key."""
+        self._steps.count += 1
+        heapq.heappush(self._heap, (key, entry.sequence, entry))
+
+    def first(self) -> tuple[int, entry_module.Entry] | None:
+        """Return the lowest key and its live entry, or None."""
+        while self._heap:
+            key, _, entry = self._heap[0]
+            if self._alive(key, entry):
+                return key, entry
+            self._steps.count += 1
+            heapq.heappop(self._heap)
+            self._dead = max(0, self._dead - 1)
+        return None
+
+    def mark_dead(self) -> None:
+        """Count one entry as dead; compact when most are."""
+        self._dead += 1
+        length = len(self._heap)
+        if length >= _MIN_COMPACTION and 2 * self._dead > length:
+            self._compact()
+
+    def _compact(self) -> None:
+        self._steps.count += len(self._heap)
+        self._heap = [
+            item for item in self._heap if self._alive(item[0], item[2])
+        ]
+        heapq.heapify(self._heap)
+        self._dead = 0
--- /dev/null
+++ b/basilspindle/policy/team_state.py
@@ -0,0 +1,132 @@
+"""Account for one team: what waits, what runs, what it may use."""
+
+from basilspindle import model
+from basilspindle.policy import amounts as amounts_module
+from basilspindle.policy import entry as entry_module
+from basilspindle.policy import lane as lane_module
+from basilspindle.policy import step_count
+from basilspindle.policy import team_policy
+
+_CLASSES = len(model.Priority)
+_RATE_WINDOW_MS = 1_000
+
+
+class TeamState:
+    """Counts of one team; ``share`` is kept up to date by the queue.
+
+    ``turn`` orders teams of equal share. A team without a policy may
+    queue work, but starts none.
+    """
+
+    __slots__ = (
+        'name',
+        'policy',
+        'weight',
+        'running',
+        'running_tasks',
+        'share',
+        'turn',
+        'lanes',
+        'waiting',
+        '_limit',
+        '_window_ms',
+        '_window_tasks',
+        '_rate',
+        '_steps',
+    )
+
+    def __init__(
+        self, name: str, turn: int, steps: step_count.StepCount
+    ) -> None:
+        self.name = name
+        self.policy: team_policy.TeamPolicy | None = None
+        self.weight = 1.0
+        self.running = [0, 0, 0, 0]
+        self.running_tasks = 0
+        self.share = 0.0
+        self.turn = turn
+        self.lanes: list[
+            dict[tuple[model.Resources, int], lane_module.Lane]
+        ] = [{} for _ in range(_CLASSES)]
+        self.waiting = [0] * _CLASSES
+        self._limit: amounts_module.Amounts | None = None
+        self._window_ms = 0
+        self._window_tasks = 0
+        self._rate = 0.0
+        self._steps = steps
+
+    def set_policy(self, policy: team_policy.TeamPolicy) -> None:
+        """Replace the policy."""
+        self.policy = policy
+        limit = policy.limit
+        self._limit = None if limit is None else amounts_module.split(limit)
+
+    def allows(self, amounts: amounts_module.Amounts, count: int) -> bool:
+        """Tell whether so many more tasks stay within every upper limit."""
+        if self.policy is None:
+            return False
+        limit_tasks = self.policy.limit_tasks
+        if limit_tasks >= 0 and self.running_tasks + count > limit_tasks:
+            return False
+        if self._limit is None:
+            return True
+        return all(
+            amount == 0 or limit < 0 or running + amount * count <= limit
+            for amount, limit, running in zip(
+                amounts, self._limit, self.running, strict=True
+            )
+        )
+
+    def run(self, amounts: amounts_module.Amounts, count: int) -> None:
+        """Count tasks as running; a negative count takes them back."""
+        tasks = self.running_tasks + count
+        running = [
+            total + amount * count
+            for total, amount in zip(self.running, amounts, strict=True)
+        ]
+        if tasks < 0 or min(running) < 0:
+            raise ValueError(
+                f'team {self.name!r} has fewer tasks running than ended; '
+                'end a task once, with the resources it was started with'
+            )
+        self.running_tasks = tasks
+        self.running = running
+
+    def queue(self, entry: entry_module.Entry, count: int) -> None:
+        """Add waiting tasks to an entry and to its lane."""
+        if entry.count == 0:
+            lanes = self.lanes[entry.priority]
+            lane = lanes.get(entry.key)
+            if lane is None:
+                lane = lanes[entry.key] = lane_module.Lane(self._steps)
+            lane.put(entry)
+        entry.count += count
+        self.waiting[entry.priority] += count
+
+    def unqueue(self, entry: entry_module.Entry, count: int) -> None:
+        """Take waiting tasks off an entry, anywhere in its lane."""
+        if not count:
+            return
+        entry.count -= count
+        if not entry.count:
+            self.lanes[entry.priority][entry.key].mark_dead()
+        self._shrink(entry.priority, count)
+
+    def _shrink(self, priority: int, count: int) -> None:
+        self.waiting[priority] -= count
+        if not self.waiting[priority]:
+            # What is left in the lanes is dead.
+            self.lanes[priority].clear()
+
+    def drained(self, count: int, now_ms: int) -> None:
+        """Measure how fast the queue of the team moves."""
+        self._window_tasks += count
+        elapsed_ms = now_ms - self._window_ms
+        if elapsed_ms >= _RATE_WINDOW_MS:
+            self._rate = self._window_tasks / elapsed_ms
+            self._window_ms = now_ms
+            self._window_tasks = 0
+
+    def drain_ms(self, count: int) -> int:
+        """Estimate the ms until so many tasks have left; 0 if unknown."""
+        return int(count / self._rate) if self._rate > 0 else 0
--- /dev/null
+++ b/basilspindle/policy/usage_estimate.py
@@ -0,0 +1,91 @@
+"""Correct declared sizes and run times by what was observed."""
+
+from basilspindle import model
+from basilspindle.policy import decaying_histogram
+
+# Fewer observations than this say too little to replace a declaration.
+MIN_OBSERVATIONS = 20
+HALF_LIFE = 500
+# A task short of processor time is slower, one short of memory fails.
+CPU_QUANTILE = 0.95
+MEMORY_QUANTILE = 0.99
+RUN_TIME_QUANTILE = 0.9
+# Least part of a declared amount that an estimate may go down to.
+FLOOR = 0.5
+
+
+class UsageEstimate:
+    """Usage of one kind of work of one team, from lagging reports."""
+
+    __slots__ = ('_cpu', '_memory', '_run_time', '_floor', '_least')
+
+    def __init__(
+        self,
+        *,
+        floor: float = FLOOR,
+        half_life: int = HALF_LIFE,
+        min_observations: int = MIN_OBSERVATIONS,
+    ) -> None:
+        self._cpu = decaying_histogram.DecayingHistogram(half_life)
+        self._memory = decaying_histogram.DecayingHistogram(half_life)
+        self._run_time = decaying_histogram.DecayingHistogram(half_life)
+        self._floor = floor
+        self._least = min_observations
+
+    def observe(
+        self, used: model.Resources | None = None, run_time_ms: int = 0
+    ) -> None:
+        """Take in the usage of a task, its run time after its end, or both.
+
+        ``run_time_ms`` 0 means that the task has not ended.
+        """
+        if used is not None:
+            self._cpu.add(used.cpu_millicores)
+            self._memory.add(used.memory_mb)
+        if run_time_ms > 0:
+            self._run_time.add(run_time_ms)
+
+    def resources(
+        self,
+        declared: model.Resources,
+        largest: model.Resources | None = None,
+    ) -> model.Resources:
+        """Return what to count for a task.
+
+        ``largest`` is the size of the largest worker; a task that fits it
+        as declared still fits it as estimated. Slots and accelerators are
+        as declared.
+        """
+        cpu = self._correct(self._cpu, CPU_QUANTILE, declared.cpu_millicores)
+        memory = self._correct(
+            self._memory, MEMORY_QUANTILE, declared.memory_mb
+        )
+        if largest is not None:
+            cpu = _within(cpu, declared.cpu_millicores, largest.cpu_millicores)
+            memory = _within(memory, declared.memory_mb, largest.memory_mb)
+        return model.Resources(
+            cpu, memory, declared.accelerators, declared.slots
+        )
+
+    def _correct(
+        self,
+        seen: decaying_histogram.DecayingHistogram,
+        quantile: float,
+        declared: int,
+    ) -> int:
+        if seen.count < self._least:
+            return declared
+        return max(seen.quantile(quantile), round(declared * self._floor))
+
+    def run_time_ms(
+        self, declared: int, quantile: float = RUN_TIME_QUANTILE
+    ) -> int:
+        """Return a quantile of the run time in ms."""
+        if self._run_time.count < self._least:
+            return declared
+        return self._run_time.quantile(quantile)
+
+
+def _within(estimate: int, declared: int, largest: int) -> int:
+    # A declaration above the largest worker stays visible as such.
+    return min(estimate, max(declared, largest))
--- /dev/null
+++ b/tests/test_policy_queue.py
@@ -0,0 +1,181 @@
+"""Guard the order in which waiting work starts."""
+
+import unittest
+
+from basilspindle import errors
+from basilspindle import model
+from basilspindle import policy
+
+_ONE = model.Resources(1_000, 1_000, 0, 1)
+_TOTAL = model.Resources(100_000, 100_000, 0, 100)
+_BATCH = model.Priority.BATCH
+_URGENT = model.Priority.URGENT
+
+
+def _queue(teams=None, **options):
+    queue = policy.FairQueue(**options)
+    queue.set_total(_TOTAL)
+    queue.set_teams(
+        teams or {'blue': policy.TeamPolicy(), 'red': policy.TeamPolicy()}
+    )
+    return queue
+
+
+def _push(queue, job_id, team='blue', count=1, **fields):
+    values = {
+        'priority': _BATCH,
+        'resources': _ONE,
+        'gang': False,
+        'now_ms': 0,
+        'deadline_ms': 0,
+    }
+    queue.push(job_id, team, count=count, **(values | fields))
+
+
+def _jobs(picks):
+    return [pick.job_id for pick in picks for _ in range(pick.count)]
+
+
+class FairnessTest(unittest.TestCase):
+    """Guard shares, classes and limits."""
+
+    def test_equal_shares_alternate(self):
+        """Guard against a flood that delays another team."""
+        queue = _queue()
+        _push(queue, 'flood', 'blue', 1_000)
+        _push(queue, 'small', 'red', 5)
+        first = _jobs(queue.pop(0, 10))
+        self.assertEqual(5, first.count('small'))
+
+    def test_weights(self):
+        """Guard against shares that ignore the weight."""
+        queue = _queue(
+            {
+                'blue': policy.TeamPolicy(share=3.0),
+                'red': policy.TeamPolicy(share=1.0),
+            }
+        )
+        _push(queue, 'a', 'blue', 100)
+        _push(queue, 'b', 'red', 100)
+        queue.pop(0, 40)
+        self.assertEqual(30, queue.running_tasks('blue'))
+        self.assertAlmostEqual(queue.share('red'), queue.share('blue'))
+
+    def test_classes_are_strict(self):
+        """Guard against urgent work behind batch of a lower share."""
+        queue = _queue()
+        queue.add_running('blue', _ONE, 50)
+        _push(queue, 'batch', 'red', 5)
+        _push(queue, 'urgent', 'blue', 5, priority=_URGENT)
+        self.assertEqual(['urgent'] * 5, _jobs(queue.pop(0, 5)))
+
+    def test_upper_limit_passes_over(self):
+        """Guard against a limit exceeded and one that stops others."""
+        limits = [
+            policy.TeamPolicy(limit_tasks=3),
+            policy.TeamPolicy(limit=model.Resources(3_000, -1, -1, -1)),
+        ]
+        for limit in limits:
+            queue = _queue({'blue': limit, 'red': policy.TeamPolicy()})
+            _push(queue, 'a', 'blue', 10)
+            _push(queue, 'b', 'red', 10)
+            with self.subTest(limit=limit):
+                self.assertEqual(13, len(_jobs(queue.pop(0, 99))))
+                self.assertEqual(3, queue.running_tasks('blue'))
+                queue.end_running('blue', _ONE)
+                self.assertEqual(['a'], _jobs(queue.pop(0, 99)))
+
+    def test_lowered_limit_starts_nothing(self):
+        """Guard against starts above a limit that was lowered."""
+        queue = _queue()
+        queue.add_running('blue', _ONE, 5)
+        queue.set_teams({'blue': policy.TeamPolicy(limit_tasks=3)})
+        _push(queue, 'a', 'blue', 5)
+        for expected in (0, 0, 1):
+            queue.end_running('blue', _ONE)
+            self.assertEqual(expected, len(_jobs(queue.pop(0, 9))))
+
+    def test_floors_hold_back(self):
+        """Guard against a team ahead of a waiting team elsewhere."""
+        queue = _queue()
+        _push(queue, 'a', 'blue', 100)
+        queue.pop(0, 99, floors=[-1.0, -1.0, 0.2])
+        # Held back once above 0.2 plus the margin of 0.05 of its part.
+        self.assertEqual(13, queue.running_tasks('blue'))
+
+    def test_queue_full_is_a_refusal(self):
+        """Guard against an unbounded queue and a refusal without a time."""
+        queue = _queue({'blue': policy.TeamPolicy(max_queued_tasks=5)})
+        _push(queue, 'a', 'blue', 4)
+        with self.assertRaises(errors.QueueFull) as caught:
+            _push(queue, 'b', 'blue', 2)
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+        _push(queue, 'c', 'blue', 2, accepted=True)
+        self.assertEqual(6, queue.waiting('blue'))
+
+
+class BlockingTest(unittest.TestCase):
+    """Guard against head-of-line blocking."""
+
+    def test_blocked_shape_blocks_nothing_else(self):
+        large = model.Resources(50_000, 1_000, 0, 1)
+        queue = _queue()
+        _push(queue, 'large', 'blue', resources=large)
+        _push(queue, 'small', 'blue')
+        _push(queue, 'other', 'red')
+        picks = queue.pop(0, 9, blocked=lambda shape: shape == large)
+        self.assertEqual({'small', 'other'}, set(_jobs(picks)))
+        self.assertEqual(['large'], _jobs(queue.pop(0, 9)))
+
+    def test_fifo_within_a_shape(self):
+        """Guard against a later job that overtakes, also after give_back."""
+        queue = _queue()
+        for job_id in 'abcd':
+            _push(queue, job_id)
+        self.assertEqual(['a', 'b'], _jobs(queue.pop(0, 2)))
+        queue.give_back('b', 1, 0)
+        queue.give_back('a', 1, 0)
+        self.assertEqual(0, queue.running_tasks('blue'))
+        self.assertEqual(['a', 'b', 'c', 'd'], _jobs(queue.pop(0, 9)))
+
+
+class RemovalTest(unittest.TestCase):
+    """Guard cancellation and deadlines."""
+
+    def _steps_of_wave(self, jobs, waiting):
+        queue = _queue()
+        for number in range(waiting):
+            _push(queue, f'j{number}', deadline_ms=1_000)
+        before = queue.steps
+        for number in range(0, 2 * jobs, 2):
+            queue.remove(f'j{number}')
+        queue.pop(0, 1)
+        return queue.steps - before
+
+    def test_wave_costs_its_size(self):
+        """Guard against cancellation that searches the queue."""
+        steps = self._steps_of_wave(1_000, 2_000)
+        self.assertLessEqual(steps, 8 * 1_000)
+        self.assertLessEqual(self._steps_of_wave(100, 20_000), 8 * 100)
+
+    def test_cancel_in_flight(self):
+        """Guard against a cancelled task that is queued again."""
+        queue = _queue()
+        _push(queue, 'a', count=3)
+        queue.pop(0, 2)
+        self.assertEqual(1, queue.remove('a'))
+        self.assertEqual(0, queue.give_back('a', 2, 0))
+        self.assertEqual(0, queue.running_tasks('blue'))
+        self.assertEqual([], queue.pop(0, 9))
+        with self.assertRaises(errors.NotFound):
+            queue.give_back('a', 1, 0)
+
+    def test_expired(self):
+        """Guard against work that starts after its deadline."""
+        queue = _queue()
+        _push(queue, 'a', count=2, deadline_ms=100)
+        _push(queue, 'b')
+        self.assertEqual([], queue.expired(99))
+        self.assertEqual([('a', 2)], queue.expired(100))
+        self.assertEqual(['b'], _jobs(queue.pop(100, 9)))
