Add peer calls, membership and partition ownership

Cause: daemons need calls to one another, a view of who answers, and one owner for each partition. Change: peer server and client over grpclib with msgpack, VM list, membership, fences, ownership, configuration assurance, and the stand-in VM list. Ruled out: one connection per call, since a call over a shared one needs no handshake. Conclusion: the interfaces are usable, not yet proven.

--- /dev/null
+++ b/basilspindle/cluster/events.py
@@ -0,0 +1,68 @@
+"""Define the log events of this package."""
+
+from basilspindle import events
+
+VM_LIST_SILENT = events.Event(
+    401,
+    'vm_list_silent',
+    events.Level.WARNING,
+    'the VM list did not answer; the last known list stays in use',
+    'check the VM list; no member can become gone until it answers',
+)
+MEMBER_STATE = events.Event(
+    402,
+    'member_state',
+    events.Level.INFO,
+    'a member changed its state',
+    'none; a member that stays suspect keeps the others unassured '
+    'while the log does not answer',
+)
+HEARTBEAT_REFUSED = events.Event(
+    403,
+    'heartbeat_refused',
+    events.Level.WARNING,
+    'a heartbeat of a replaced process was refused',
+    'check that one daemon runs at the address',
+)
+CLAIMED = events.Event(
+    404,
+    'partition_claimed',
+    events.Level.INFO,
+    'this daemon claimed a partition',
+    'none',
+)
+CLAIM_FAILED = events.Event(
+    405,
+    'partition_claim_failed',
+    events.Level.WARNING,
+    'a partition could not be claimed or recovered; it is tried again',
+    'check the log service',
+)
+ACTIVE = events.Event(
+    406,
+    'partition_active',
+    events.Level.INFO,
+    'this daemon recovered a partition and starts its tasks',
+    'none',
+)
+DEPOSED = events.Event(
+    407,
+    'partition_deposed',
+    events.Level.WARNING,
+    'another daemon claimed a partition of this one',
+    'none; if it repeats, check the network between the two daemons',
+)
+RELEASED = events.Event(
+    408,
+    'partition_released',
+    events.Level.INFO,
+    'this daemon handed a partition over',
+    'none',
+)
+HOST_FAILED = events.Event(
+    409,
+    'partition_host_failed',
+    events.Level.ERROR,
+    'the coordinator failed to start or stop a partition',
+    'report the exception as a fault of the program',
+)
--- /dev/null
+++ b/basilspindle/cluster/fence_table.py
@@ -0,0 +1,49 @@
+"""Refuse starts under superseded epochs of partitions."""
+
+import collections.abc
+
+from basilspindle import errors
+from basilspindle.peer import messages
+
+
+class FenceTable:
+    """Keep the highest epoch known of each partition."""
+
+    __slots__ = ('_epochs',)
+
+    def __init__(self) -> None:
+        self._epochs: dict[int, int] = {}
+
+    def epoch(self, partition: int) -> int:
+        """Return the highest known epoch, 0 if none."""
+        return self._epochs.get(partition, 0)
+
+    def check(self, partition: int, epoch: int) -> None:
+        """Raise ``Fenced`` if a higher epoch is known."""
+        highest = self.epoch(partition)
+        if epoch < highest:
+            raise errors.Fenced(
+                f'partition {partition} is owned under epoch {highest}, '
+                f'not {epoch}; the present owner starts its tasks'
+            )
+
+    def raise_to(self, partition: int, epoch: int) -> int:
+        """Note an epoch and return the highest known one."""
+        highest = max(epoch, self.epoch(partition))
+        self._epochs[partition] = highest
+        return highest
+
+    def learn(self, claims: collections.abc.Iterable[messages.Claim]) -> None:
+        """Note the epochs of claims that another member states."""
+        for claim in claims:
+            self.raise_to(claim.partition, claim.epoch)
+
+    def above(
+        self, claims: collections.abc.Iterable[messages.Claim]
+    ) -> list[messages.Claim]:
+        """Return the fences above those of the claims that are fenced."""
+        return [
+            messages.Claim(claim.partition, self.epoch(claim.partition), False)
+            for claim in claims
+            if claim.epoch < self.epoch(claim.partition)
+        ]
--- /dev/null
+++ b/basilspindle/cluster/fencing.py
@@ -0,0 +1,145 @@
+"""Fence the former owners of a partition after a claim."""
+
+import asyncio
+
+from basilspindle import clock as clock_module
+from basilspindle.cluster import member as member_module
+from basilspindle.cluster import membership as membership_module
+from basilspindle.cluster import tenure as tenure_module
+from basilspindle.cluster import timing as timing_module
+from basilspindle import errors
+from basilspindle.peer import messages
+
+# 5% for the drift between two clocks.
+_DRIFT_PERCENT = 105
+_STEP_MS = 20
+
+
+def with_drift(duration_ms: int) -> int:
+    """Return a duration that is over on every clock of the cluster."""
+    return -(-duration_ms * _DRIFT_PERCENT // 100)
+
+
+class Fencing:
+    """Ask every member to refuse the starts of lower epochs.
+
+    ``former`` is the id of the member that claimed before, '' if none.
+    With ``released`` the former owner has stopped by itself.
+    """
+
+    __slots__ = (
+        '_acked',
+        '_client',
+        '_clock',
+        '_former',
+        '_membership',
+        '_pending',
+        '_released',
+        '_tenure',
+        '_timing',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        timing: timing_module.Timing,
+        client: membership_module.Caller,
+        membership: membership_module.Membership,
+        tenure: tenure_module.Tenure,
+        former: str,
+        released: bool,
+    ) -> None:
+        self._clock = clock
+        self._timing = timing
+        self._client = client
+        self._membership = membership
+        self._tenure = tenure
+        self._former = former
+        self._released = released
+        self._acked: dict[str, str] = {}
+        self._pending: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Return once no former owner can start a task any more.
+
+        Returns earlier if the tenure was lost or is not wanted.
+        """
+        try:
+            while not self._over():
+                self._send()
+                await self._clock.sleep_ms(_STEP_MS)
+        finally:
+            for task in self._pending.values():
+                task.cancel()
+            await asyncio.gather(
+                *self._pending.values(), return_exceptions=True
+            )
+
+    def _over(self) -> bool:
+        if self._tenure.lost or not self._tenure.wanted:
+            return True
+        waited_ms = self._clock.now_ms() - self._tenure.confirmed_ms
+        lapse_ms = self._timing.assurance_ms + self._timing.worker_lease_ms
+        if waited_ms >= with_drift(lapse_ms):
+            return True
+        if not self._tried_all():
+            return False
+        if self._released:
+            return True
+        if self._silent():
+            return False
+        return self._former_ended(waited_ms)
+
+    def _tried_all(self) -> bool:
+        return all(
+            member.address in self._pending
+            for member in self._membership.must_reply()
+        )
+
+    def _silent(self) -> list[member_module.Member]:
+        return [
+            member
+            for member in self._membership.must_reply()
+            if self._acked.get(member.address) != member.incarnation
+        ]
+
+    def _former_ended(self, waited_ms: int) -> bool:
+        if not self._former or self._former_acked():
+            return True
+        known = self._membership.get(self._former)
+        gone = self._membership.gone(self._former)
+        if known is None and not gone:
+            # An owner that this daemon does not know may be live.
+            return False
+        return waited_ms >= self._timing.settle_ms
+
+    def _former_acked(self) -> bool:
+        former = self._membership.get(self._former)
+        return former is not None and former.address in self._acked
+
+    def _send(self) -> None:
+        for member in self._silent():
+            task = self._pending.get(member.address)
+            if task is None or task.done():
+                self._pending[member.address] = asyncio.ensure_future(
+                    self._fence(member)
+                )
+
+    async def _fence(self, member: member_module.Member) -> None:
+        tenure = self._tenure
+        incarnation = member.incarnation
+        fence = messages.Fence(
+            partition=tenure.partition,
+            epoch=tenure.epoch,
+            member_id=self._membership.own.member_id,
+        )
+        try:
+            reply = await self._client.call(
+                member.address, fence, self._timing.heartbeat_ms
+            )
+        except errors.BasilspindleError:
+            await self._clock.sleep_ms(self._timing.heartbeat_ms // 2)
+            return
+        if reply.epoch > tenure.epoch:
+            tenure.lose()
+        self._acked[member.address] = incarnation
--- /dev/null
+++ b/basilspindle/cluster/host.py
@@ -0,0 +1,27 @@
+"""Name what ownership asks of the coordinator."""
+
+import typing
+
+from basilspindle.cluster import journal as journal_module
+from basilspindle import model
+
+
+class Host(typing.Protocol):
+    """Run the jobs of owned partitions."""
+
+    async def activate(
+        self,
+        partition: int,
+        journal: journal_module.Journal,
+        running: list[model.RunningTask],
+        ends: list[model.TaskEnd],
+        unseen_until_ms: int,
+    ) -> None:
+        """Take up a partition.
+
+        Until ``unseen_until_ms`` (monotonic) tasks on workers that no
+        replying holder covered may still run.
+        """
+
+    async def deactivate(self, partition: int, handover: bool) -> None:
+        """Stop starting tasks; return once no start is being sent."""
--- /dev/null
+++ b/basilspindle/cluster/membership.py
@@ -0,0 +1,432 @@
+"""Know the other daemons and whether they answer."""
+
+import asyncio
+import collections.abc
+import contextlib
+import types
+import typing
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle.cluster import events as cluster_events
+from basilspindle.cluster import fence_table
+from basilspindle.cluster import member as member_module
+from basilspindle.cluster import member_state
+from basilspindle.cluster import timing as timing_module
+from basilspindle.cluster import vm_list as vm_list_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.peer import messages
+
+_State = member_state.MemberState
+Accept = collections.abc.Callable[[messages.Heartbeat], bool]
+# States are reviewed at this interval between heartbeats.
+_REVIEW_MS = 100
+# Least time between two heartbeats to one member.
+_REST_MS = 20
+
+
+class Caller(typing.Protocol):
+    """Call other daemons, as ``peer.PeerClient`` does."""
+
+    async def call(
+        self, address: str, request: msgspec.Struct, timeout_ms: int
+    ) -> typing.Any:
+        """Return the reply; raises ``PeerError`` and handlers' errors."""
+
+    def refused(self, address: str) -> bool:
+        """Tell whether the last connection to an address was refused."""
+
+    def drop(self, address: str) -> None:
+        """Forget an address."""
+
+
+class Membership:
+    """Exchange heartbeats with every other daemon and keep their states.
+
+    ``own`` returns this daemon's heartbeat. ``seeds`` are addresses from
+    the settings. The server that answers heartbeats must listen before
+    this is entered and until after it is left: refused connections tell
+    the others that no process runs here.
+    """
+
+    __slots__ = (
+        '_beats',
+        '_client',
+        '_clock',
+        '_fences',
+        '_gone',
+        '_listeners',
+        '_members',
+        '_own',
+        '_quiet_from_ms',
+        '_reviewed_ms',
+        '_reviewer',
+        '_seeds',
+        '_self',
+        '_started_ms',
+        '_timing',
+        '_vm_list',
+        '_wakes',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        timing: timing_module.Timing,
+        client: Caller,
+        vm_list: vm_list_module.VmList,
+        own: collections.abc.Callable[[], messages.Heartbeat],
+        *,
+        seeds: collections.abc.Iterable[str] = (),
+        fences: fence_table.FenceTable | None = None,
+    ) -> None:
+        self._clock = clock
+        self._timing = timing
+        self._client = client
+        self._vm_list = vm_list
+        self._own = own
+        self._seeds = tuple(seeds)
+        self._fences = fences or fence_table.FenceTable()
+        self._members: dict[str, member_module.Member] = {}
+        self._beats: dict[str, asyncio.Task[None]] = {}
+        self._wakes: dict[str, asyncio.Event] = {}
+        self._gone: dict[str, str] = {}
+        self._listeners: list[collections.abc.Callable[[], None]] = []
+        self._reviewer: asyncio.Task[None] | None = None
+        self._self = member_module.Member('')
+        self._started_ms = 0
+        self._reviewed_ms = 0
+        self._quiet_from_ms = 0
+
+    async def __aenter__(self) -> 'Membership':
+        now_ms = self._clock.now_ms()
+        self._started_ms = now_ms
+        self._reviewed_ms = now_ms
+        self._quiet_from_ms = now_ms
+        self._speak()
+        self._vm_list.on_change(self._follow_list)
+        for address in self._seeds:
+            self._learn(address)
+        self._follow_list()
+        self._reviewer = asyncio.ensure_future(self._keep_reviewing())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        tasks = list(self._beats.values())
+        if self._reviewer is not None:
+            tasks.append(self._reviewer)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._beats.clear()
+
+    @property
+    def own(self) -> member_module.Member:
+        """Return this daemon as a member."""
+        return self._self
+
+    def settled(self) -> bool:
+        """Tell whether every member had suspect_ms to be heard.
+
+        Counts from the start, and again after this process was paused.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._reviewed_ms > self._pause_ms():
+            return False
+        return now_ms - self._quiet_from_ms >= self._timing.suspect_ms
+
+    def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Call a function after a change of members, states or claims."""
+        self._listeners.append(listener)
+
+    def members(self) -> list[member_module.Member]:
+        """Return all known members but this one."""
+        return list(self._members.values())
+
+    def live(self) -> list[member_module.Member]:
+        """Return the live members, including this one, without leaving."""
+        found = [
+            member
+            for member in self._members.values()
+            if member.state is _State.LIVE
+        ]
+        if self._self.state is _State.LIVE:
+            found.append(self._self)
+        return found
+
+    def get(self, member_id: str) -> member_module.Member | None:
+        """Return a member by id; the newest incarnation if several."""
+        if member_id == self._self.member_id:
+            return self._self
+        found = [
+            member
+            for member in self._members.values()
+            if member.member_id == member_id
+        ]
+        return max(found, key=lambda m: m.incarnation, default=None)
+
+    def gone(self, member_id: str) -> bool:
+        """Tell whether a process of the member is known to be gone."""
+        return member_id in self._gone
+
+    def must_reply(self) -> list[member_module.Member]:
+        """Return the other members that count for assurance and fences."""
+        return [
+            member
+            for member in self._members.values()
+            if self._state_of(member).must_reply
+        ]
+
+    def replied_at_ms(self, member_id: str) -> int | None:
+        """Return when the last answered heartbeat was sent, if any was."""
+        member = self.get(member_id)
+        return None if member is None else member.replied_ms
+
+    def all_replied_at_ms(
+        self, region: str | None = None, accept: Accept | None = None
+    ) -> int | None:
+        """Return the oldest of the last answered sends, in ms.
+
+        Takes the members of a region (or of an unknown one) that must
+        reply; None if one never replied, ``accept`` rejects its reply or
+        this daemon is not settled. Without any such member it is the
+        present time.
+        """
+        if not self.settled():
+            return None
+        oldest_ms = self._clock.now_ms()
+        for member in self.must_reply():
+            if region and member.region and member.region != region:
+                continue
+            if member.replied_ms is None or member.reply is None:
+                return None
+            if accept is not None and not accept(member.reply):
+                return None
+            oldest_ms = min(oldest_ms, member.replied_ms)
+        return oldest_ms
+
+    def hurry(self) -> None:
+        """Send the next heartbeat to every member now."""
+        for wake in self._wakes.values():
+            wake.set()
+
+    async def handle(
+        self, heartbeat: messages.Heartbeat
+    ) -> messages.Heartbeat:
+        """Answer a heartbeat; raises ``StaleIncarnation``."""
+        if heartbeat.address != self._self.address:
+            self._refuse_stale(heartbeat)
+            self._hear(heartbeat)
+        reply = self._speak()
+        fenced = self._fences.above(heartbeat.claims)
+        if fenced:
+            return msgspec.structs.replace(reply, fenced=fenced)
+        return reply
+
+    def _speak(self) -> messages.Heartbeat:
+        heartbeat = self._own()
+        self._self.address = heartbeat.address
+        self._self.hear(heartbeat, self._clock.now_ms())
+        leaving = heartbeat.leaving
+        self._self.state = _State.LEAVING if leaving else _State.LIVE
+        return heartbeat
+
+    def _refuse_stale(self, heartbeat: messages.Heartbeat) -> None:
+        known = self._members.get(heartbeat.address)
+        newest = self._gone.get(heartbeat.member_id, '')
+        gone = bool(newest) and heartbeat.incarnation <= newest
+        replaced = known is not None and (
+            heartbeat.incarnation < known.incarnation
+        )
+        same = self.get(heartbeat.member_id)
+        older = same is not None and heartbeat.incarnation < same.incarnation
+        if gone or replaced or older:
+            self._refuse(heartbeat)
+
+    def _refuse(self, heartbeat: messages.Heartbeat) -> None:
+        events.emit(
+            cluster_events.HEARTBEAT_REFUSED,
+            member_id=heartbeat.member_id,
+            address=heartbeat.address,
+            incarnation=heartbeat.incarnation,
+        )
+        raise errors.StaleIncarnation(
+            f'{heartbeat.incarnation} of {heartbeat.member_id} at '
+            f'{heartbeat.address} was replaced; stop that process'
+        )
+
+    def _hear(
+        self, heartbeat: messages.Heartbeat, sent_ms: int | None = None
+    ) -> None:
+        member = self._learn(heartbeat.address)
+        if member.incarnation and member.incarnation < heartbeat.incarnation:
+            self._bury(member)
+            member = self._learn(heartbeat.address)
+        before = (member.claims, member.configured)
+        member.hear(heartbeat, self._clock.now_ms())
+        if sent_ms is not None:
+            member.accept_reply(heartbeat, sent_ms)
+        self._fences.learn(heartbeat.claims)
+        changed = before != (member.claims, member.configured)
+        if self._review(member) or changed or heartbeat.fenced:
+            self._tell()
+
+    def _learn(self, address: str) -> member_module.Member:
+        member = self._members.get(address)
+        if member is None:
+            member = member_module.Member(address)
+            self._members[address] = member
+        if address not in self._beats:
+            self._wakes[address] = asyncio.Event()
+            self._beats[address] = asyncio.ensure_future(self._beat(address))
+        return member
+
+    def _bury(self, member: member_module.Member) -> None:
+        # The id stays in _gone so that a late heartbeat is refused.
+        if member.incarnation:
+            self._gone[member.member_id] = member.incarnation
+        del self._members[member.address]
+        self._set_state(member, _State.GONE)
+        self._tell()
+
+    def _forget(self, member: member_module.Member) -> None:
+        self._bury(member)
+        beat = self._beats.pop(member.address, None)
+        if beat is not None:
+            beat.cancel()
+        self._wakes.pop(member.address, None)
+        self._client.drop(member.address)
+
+    def _follow_list(self) -> None:
+        entries = {vm.address: vm for vm in self._vm_list.entries()}
+        listed = {vm.id for vm in entries.values()}
+        for member in self.members():
+            if member.vm is not None and member.vm.id not in listed:
+                self._forget(member)
+        for address, vm in entries.items():
+            if address != self._self.address:
+                member = self._learn(address)
+                member.list_as(vm)
+                if self._review(member):
+                    self._tell()
+
+    async def _beat(self, address: str) -> None:
+        wake = self._wakes[address]
+        while True:
+            wake.clear()
+            began_ms = self._clock.now_ms()
+            await self._exchange(address)
+            spent_ms = self._clock.now_ms() - began_ms
+            left_ms = max(_REST_MS, self._timing.heartbeat_ms - spent_ms)
+            with contextlib.suppress(errors.DeadlineExceeded):
+                await self._clock.wait_ms(wake.wait(), left_ms)
+
+    async def _exchange(self, address: str) -> None:
+        sent_ms = self._clock.now_ms()
+        try:
+            reply = await self._client.call(
+                address, self._speak(), self._reply_ms()
+            )
+        except errors.PeerUnavailable:
+            self._miss(address, self._client.refused(address))
+        except errors.BasilspindleError:
+            self._miss(address, False)
+        else:
+            self._accept(address, reply, sent_ms)
+
+    def _reply_ms(self) -> int:
+        # One missed reply and its repetition over a new connection fit
+        # into suspect_ms.
+        timing = self._timing
+        half_ms = (timing.suspect_ms - timing.heartbeat_ms) // 2
+        return max(timing.heartbeat_ms // 2, half_ms)
+
+    def _miss(self, address: str, refused: bool) -> None:
+        member = self._members.get(address)
+        if member is None:
+            return
+        if refused:
+            member.refuse(self._clock.now_ms(), self._timing.suspect_ms)
+        else:
+            member.fall_silent()
+        if self._review(member):
+            self._tell()
+
+    def _accept(
+        self, address: str, reply: messages.Heartbeat, sent_ms: int
+    ) -> None:
+        if reply.address == self._self.address:
+            # A seed or a list entry that is this daemon itself.
+            self._forget_self(address)
+            return
+        if reply.address != address:
+            self._miss(address, False)
+            return
+        try:
+            self._refuse_stale(reply)
+        except errors.StaleIncarnation:
+            self._miss(address, False)
+            return
+        self._hear(reply, sent_ms)
+
+    def _forget_self(self, address: str) -> None:
+        member = self._members.pop(address, None)
+        beat = self._beats.pop(address, None)
+        if member is not None and beat is not None:
+            beat.cancel()
+        self._tell()
+
+    async def _keep_reviewing(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_REVIEW_MS)
+            now_ms = self._clock.now_ms()
+            if now_ms - self._reviewed_ms > self._pause_ms():
+                # This process was paused. What it has not heard in the
+                # meantime says nothing about the others.
+                self._quiet_from_ms = now_ms
+            self._reviewed_ms = now_ms
+            changed = [self._review(member) for member in self.members()]
+            if any(changed):
+                self._tell()
+
+    def _pause_ms(self) -> int:
+        return self._timing.suspect_ms // 2
+
+    def _review(self, member: member_module.Member) -> bool:
+        return self._set_state(member, self._state_of(member))
+
+    def _set_state(self, member: member_module.Member, state: _State) -> bool:
+        if member.state is state:
+            return False
+        events.emit(
+            cluster_events.MEMBER_STATE,
+            member_id=member.member_id,
+            address=member.address,
+            before=member.state,
+            state=state,
+        )
+        member.state = state
+        return True
+
+    def _state_of(self, member: member_module.Member) -> _State:
+        now_ms = self._clock.now_ms()
+        suspect_ms = self._timing.suspect_ms
+        if member.refused_for_ms(now_ms, suspect_ms) >= suspect_ms:
+            return _State.DOWN
+        if member.heard_ms is None:
+            return _State.SUSPECT
+        since_ms = max(member.heard_ms, self._quiet_from_ms)
+        if now_ms - since_ms > suspect_ms:
+            return _State.SUSPECT
+        return _State.LEAVING if member.leaving else _State.LIVE
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/basilspindle/cluster/recovery.py
@@ -0,0 +1,120 @@
+"""Collect what runs of a partition from the holders of workers."""
+
+import asyncio
+import collections.abc
+
+from basilspindle import clock as clock_module
+from basilspindle.cluster import fencing
+from basilspindle.cluster import member as member_module
+from basilspindle.cluster import membership as membership_module
+from basilspindle.cluster import tenure as tenure_module
+from basilspindle.cluster import timing as timing_module
+from basilspindle.cluster import vm_list as vm_list_module
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+
+# Attempts to get the inventory of one live member.
+_TRIES = 2
+LocalInventory = collections.abc.Callable[
+    [messages.Inventory], collections.abc.Awaitable[messages.Inventoried]
+]
+
+
+class Found:
+    """What the holders reported.
+
+    ``unseen_until_ms`` is the monotonic time until which tasks on workers
+    that no holder reported may still run.
+    """
+
+    __slots__ = ('ends', 'running', 'unseen_until_ms')
+
+    def __init__(
+        self,
+        running: list[model.RunningTask],
+        ends: list[model.TaskEnd],
+        unseen_until_ms: int,
+    ) -> None:
+        self.running = running
+        self.ends = ends
+        self.unseen_until_ms = unseen_until_ms
+
+
+class Recovery:
+    """Ask this daemon and every live member for their inventories."""
+
+    __slots__ = (
+        '_client',
+        '_clock',
+        '_local',
+        '_membership',
+        '_tenure',
+        '_timing',
+        '_vm_list',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        timing: timing_module.Timing,
+        client: membership_module.Caller,
+        membership: membership_module.Membership,
+        vm_list: vm_list_module.VmList,
+        tenure: tenure_module.Tenure,
+        local: LocalInventory,
+    ) -> None:
+        self._clock = clock
+        self._timing = timing
+        self._client = client
+        self._membership = membership
+        self._vm_list = vm_list
+        self._tenure = tenure
+        self._local = local
+
+    async def run(self) -> Found:
+        """Return the tasks and ends, each once."""
+        request = messages.Inventory(
+            partition=self._tenure.partition,
+            partition_epoch=self._tenure.epoch,
+            member_id=self._membership.own.member_id,
+        )
+        talking = [m for m in self._membership.members() if m.state.talks]
+        listed, *replies = await asyncio.gather(
+            self._vm_list.refresh(),
+            self._local(request),
+            *(self._ask(member, request) for member in talking),
+        )
+        return self._merge(listed, [r for r in replies if r is not None])
+
+    async def _ask(
+        self, member: member_module.Member, request: messages.Inventory
+    ) -> messages.Inventoried | None:
+        for _ in range(_TRIES):
+            try:
+                return await self._client.call(
+                    member.address, request, self._timing.suspect_ms
+                )
+            except errors.BasilspindleError:
+                continue
+        return None
+
+    def _merge(
+        self, listed: bool, replies: list[messages.Inventoried]
+    ) -> Found:
+        running = {
+            (task.task_id, task.attempt, task.worker_id): task
+            for reply in replies
+            for task in reply.running
+        }
+        ends = {
+            (end.task_id, end.attempt, end.worker_id): end
+            for reply in replies
+            for end in reply.ends
+        }
+        seen = {worker for reply in replies for worker in reply.workers}
+        workers = {vm.id for vm in self._vm_list.workers()}
+        until_ms = self._clock.now_ms()
+        if not listed or not workers <= seen:
+            until_ms += fencing.with_drift(self._timing.task_lease_ms)
+        return Found(list(running.values()), list(ends.values()), until_ms)
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -220,6 +220,19 @@
     kind = 'fenced'
 
 
+class StaleIncarnation(PeerError):
+    """Refuse a heartbeat of a process that was replaced."""
+
+    kind = 'stale_incarnation'
+
+
+class VmListUnavailable(BasilspindleError):
+    """Report that the VM list did not answer."""
+
+    kind = 'vm_list_unavailable'
+    status = 503
+
+
 class WorkerError(BasilspindleError):
     """Base of the faults of a worker."""
 
--- /dev/null
+++ b/basilspindle/peer/codec.py
@@ -0,0 +1,44 @@
+"""Encode messages between daemons as MessagePack."""
+
+import typing
+
+from grpclib.encoding import base
+import msgspec
+
+from basilspindle.peer.messages import fault
+
+# The first byte of a message tells a fault from the expected type.
+_MESSAGE = b'\x00'
+_FAULT = b'\x01'
+_Decoder = msgspec.msgpack.Decoder
+
+
+class Codec(base.CodecBase):
+    """Encode and decode message structs for grpclib."""
+
+    __content_subtype__ = 'msgpack'
+    __slots__ = ('_decoders', '_encoder')
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoders: dict[type, _Decoder[typing.Any]] = {}
+
+    def encode(self, message: typing.Any, message_type: typing.Any) -> bytes:
+        """Return the bytes of a message or of a fault in its place."""
+        mark = _FAULT if isinstance(message, fault.Fault) else _MESSAGE
+        return mark + self._encoder.encode(message)
+
+    def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
+        """Return the message or the fault; raises msgspec errors."""
+        if not data:
+            raise msgspec.DecodeError('the message is empty')
+        if data[:1] == _FAULT:
+            message_type = fault.Fault
+        return self._decoder(message_type).decode(memoryview(data)[1:])
+
+    def _decoder(self, message_type: type) -> '_Decoder[typing.Any]':
+        decoder = self._decoders.get(message_type)
+        if decoder is None:
+            decoder = _Decoder(message_type)
+            self._decoders[message_type] = decoder
+        return decoder
--- /dev/null
+++ b/basilspindle/peer/grpc_server.py
@@ -0,0 +1,62 @@
+"""Serve HTTP/2 connections for peer calls."""
+
+import collections.abc
+
+from grpclib import const
+from grpclib import protocol
+from grpclib import server
+import msgspec
+
+from basilspindle.peer import codec
+from basilspindle.peer import messages
+from basilspindle.peer import protocol as protocol_module
+from basilspindle.peer import service
+
+Answer = collections.abc.Callable[
+    [type[msgspec.Struct], server.Stream],
+    collections.abc.Awaitable[None],
+]
+
+
+class _Service:
+    """Map the path of each call to one answering function."""
+
+    __slots__ = ('_answer',)
+
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+
+    def __mapping__(self) -> dict[str, const.Handler]:
+        return {
+            service.path_of(request_type): self._handler(request_type)
+            for request_type in messages.REPLIES
+        }
+
+    def _handler(self, request_type: type[msgspec.Struct]) -> const.Handler:
+        async def run(stream: server.Stream) -> None:
+            await self._answer(request_type, stream)
+
+        return const.Handler(
+            run,
+            const.Cardinality.UNARY_UNARY,
+            request_type,
+            messages.REPLIES[request_type],
+        )
+
+
+class GrpcServer(server.Server):
+    """Serve every request type through one answering function."""
+
+    def __init__(self, answer: Answer) -> None:
+        super().__init__([_Service(answer)], codec=codec.Codec())
+
+    def _protocol_factory(self) -> protocol.H2Protocol:
+        made = super()._protocol_factory()
+        return protocol_module.WideProtocol(
+            made.handler, made.config, made.h2_config
+        )
+
+    def bound_port(self) -> int:
+        """Return the port that the started server listens on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
--- /dev/null
+++ b/basilspindle/peer/link.py
@@ -0,0 +1,65 @@
+"""Hold one HTTP/2 connection to another daemon."""
+
+import ssl as ssl_module
+
+from grpclib import client
+import msgspec
+
+from basilspindle.peer import codec
+from basilspindle.peer import messages
+from basilspindle.peer import service
+
+
+class Link:
+    """Share one connection between calls; closed when retired and idle."""
+
+    __slots__ = ('_calls', '_channel', '_methods', 'retired')
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        shared_codec: codec.Codec,
+        ssl: ssl_module.SSLContext | None,
+    ) -> None:
+        self._channel = client.Channel(host, port, codec=shared_codec, ssl=ssl)
+        self._methods: dict[type, client.UnaryUnaryMethod] = {}
+        self._calls = 0
+        self.retired = False
+
+    async def connect(self) -> None:
+        """Open the connection if it is not open; raises ``OSError``."""
+        await self._channel.__connect__()
+
+    async def exchange(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Send a request and return the reply or the fault."""
+        self._calls += 1
+        try:
+            return await self._method(type(request))(request)
+        finally:
+            self._calls -= 1
+            if self.retired and not self._calls:
+                self._channel.close()
+
+    def retire(self) -> None:
+        """Close the connection once no call uses it."""
+        self.retired = True
+        if not self._calls:
+            self._channel.close()
+
+    def close(self) -> None:
+        """Close the connection and end its calls."""
+        self.retired = True
+        self._channel.close()
+
+    def _method(self, request_type: type) -> client.UnaryUnaryMethod:
+        method = self._methods.get(request_type)
+        if method is None:
+            method = client.UnaryUnaryMethod(
+                self._channel,
+                service.path_of(request_type),
+                request_type,
+                messages.REPLIES[request_type],
+            )
+            self._methods[request_type] = method
+        return method
--- a/basilspindle/peer/messages/heartbeat.py
+++ b/basilspindle/peer/messages/heartbeat.py
@@ -6,13 +6,15 @@
 from basilspindle.peer.messages import room as room_module
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """State that a daemon shares with every other; also the reply.
 
     ``config_age_ms`` and ``log_age_ms`` are the ages of the sender's
     assurance for the configuration and of its last answered log read; -1
     means never. ``waiting_shares`` is the lowest normalised share among
-    waiting teams, by priority class; -1.0 means none waits.
+    waiting teams, by priority class; -1.0 means none waits. ``fenced`` is
+    set in replies only: the fences above claims of the receiver, so that a
+    superseded owner learns of it from any member.
     """
 
     member_id: str
@@ -30,3 +32,4 @@
     waiting_shares: list[float] = msgspec.field(
         default_factory=lambda: [-1.0, -1.0, -1.0]
     )
+    fenced: list[claim.Claim] = []
--- /dev/null
+++ b/basilspindle/peer/protocol.py
@@ -0,0 +1,23 @@
+"""Adjust the HTTP/2 connection of a peer server."""
+
+import typing
+
+from grpclib import protocol
+from h2 import settings
+
+# h2 announces 100 by default. Calls that wait for the end of a job would
+# then keep heartbeats on the same connection waiting.
+_MAX_STREAMS = 10_000
+
+
+class WideProtocol(protocol.H2Protocol):
+    """Accept more concurrent calls on one connection."""
+
+    def connection_made(self, transport: typing.Any) -> None:
+        """Announce the limit right after the connection is made."""
+        super().connection_made(transport)
+        h2_connection = self.connection._connection
+        h2_connection.update_settings(
+            {settings.SettingCodes.MAX_CONCURRENT_STREAMS: _MAX_STREAMS}
+        )
+        self.connection.flush()
