--- a/basilspindle/peer/messages/heartbeat.py
+++ b/basilspindle/peer/messages/heartbeat.py
@@ -6,15 +6,16 @@
 from basilspindle.peer.messages import room as room_module
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """State that a daemon shares with every other; also the reply.
 
     ``config_age_ms`` and ``log_age_ms`` are the ages of the sender's
     assurance for the configuration and of its last answered log read; -1
     means never. ``waiting_shares`` is the lowest normalised share among
-    waiting teams, by priority class; -1.0 means none waits.
-    ``sent_at_ms`` is the sender's monotonic time, returned to it in
-    ``Place``.
+    waiting teams, by priority class; -1.0 means none waits. ``fenced`` is
+    set in replies only: the fences above claims of the receiver, so that a
+    superseded owner learns of it from any member. ``sent_at_ms`` is the
+    sender's monotonic time, returned to it in ``Place``.
     """
 
     member_id: str
@@ -33,3 +34,4 @@
     waiting_shares: list[float] = msgspec.field(
         default_factory=lambda: [-1.0, -1.0, -1.0]
     )
+    fenced: list[claim.Claim] = []
