Wire the daemon and add the demo of the whole path

Cause: the parts existed without a process that runs them.

Change: package daemon with basilspindled, LocalCluster in tests/standins, make demo.

Before: nothing ran.

Conclusion: a request is served from a caller through two daemons to a worker and back.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,6 @@
 
 test: setup
 	$(PYTHON) -m nose2
+
+demo: setup
+	$(PYTHON) -m demo
--- a/basilspindle/api/admission.py
+++ b/basilspindle/api/admission.py
@@ -41,17 +41,14 @@
 
         Raises ``ConfigurationStale`` and ``KeyInvalid``.
         """
-        self._store.check_assured()
-        return self._store.check_key(_key(authorization))
+        return self._store.identify(_key(authorization))
 
     def identify_operator(self, authorization: str) -> config.Identity:
         """Return the operator that a key speaks for.
 
-        Operators are served also while the configuration is not assured,
-        so that they can see and mend what is wrong. Raises ``KeyInvalid``
-        and ``Forbidden``.
+        Raises ``KeyInvalid``, ``Forbidden`` and ``ConfigurationStale``.
         """
-        identity = self._store.check_key(_key(authorization))
+        identity = self.identify(authorization)
         if identity.role != 'operator':
             raise errors.Forbidden(
                 "the key is a caller's; use an operator key"
--- a/basilspindle/api/app.py
+++ b/basilspindle/api/app.py
@@ -19,10 +19,8 @@
 def make(services: services_module.Services) -> litestar.Litestar:
     """Return the application; every error has the documented form."""
 
-    def count(
-        scope_type: litestar_types.ASGIApp,
-    ) -> litestar_types.ASGIApp:
-        return _count(scope_type, services)
+    def count(app: litestar_types.ASGIApp) -> litestar_types.ASGIApp:
+        return _count(app, services)
 
     return litestar.Litestar(
         route_handlers=[
--- a/basilspindle/api/operators.py
+++ b/basilspindle/api/operators.py
@@ -12,7 +12,7 @@
 
 
 class ConfigurationBody(msgspec.Struct, frozen=True, kw_only=True):
-    """The accepted documents and their version."""
+    """The accepted documents and their version; 0 if there are none."""
 
     version: int
     base: msgspec.Raw
@@ -54,6 +54,10 @@
     ) -> ConfigurationBody:
         """Show the configuration in force at this daemon."""
         _check(services, request)
+        if not services.store.version:
+            # The operator key was the bootstrap key: nothing is published.
+            empty = msgspec.Raw(b'{}')
+            return ConfigurationBody(version=0, base=empty, overlay=empty)
         accepted = services.store.current
         return ConfigurationBody(
             version=accepted.version,
--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -28,7 +28,8 @@
 # The journal goes on with an append that its caller no longer waits for.
 _APPEND_TIMEOUT_MS = 24 * 3_600_000
 _SUBMIT_TIMEOUT_MS = 5_000
-_RETRY_FULL_MS = 1_000
+_SEND_MS = 3_000
+_NEVER_MS = 1 << 62
 
 
 class Coordinator:
@@ -36,7 +37,7 @@
 
     One queue serves all partitions of the daemon. ``may_start`` tells
     whether this daemon is assured to own a partition, ``key_valid`` whether
-    a key id still stands for its team.
+    the key that a job came with still stands for its team.
     """
 
     __slots__ = (
@@ -59,7 +60,7 @@
         holders: holder.Holders,
         timing: timing_module.Timing,
         may_start: collections.abc.Callable[[int], bool],
-        key_valid: collections.abc.Callable[[str], bool],
+        key_valid: collections.abc.Callable[[model.Job], bool],
     ) -> None:
         self._clock = clock
         self._queue = policy.FairQueue()
@@ -107,50 +108,86 @@
         """Start a dispatch pass soon."""
         self._wake.set()
 
+    def waiting(self) -> int:
+        """Return the number of waiting tasks."""
+        return self._queue.waiting()
+
     def waiting_shares(self) -> list[float]:
         """Return the lowest normalised share that waits, by class."""
         return self._queue.waiting_shares()
 
-    async def activate(
+    def activate(
         self,
         number: int,
         journal: typing.Any,
         running: collections.abc.Iterable[model.RunningTask],
         ends: collections.abc.Iterable[model.TaskEnd],
-        unseen_until_ms: int,
+        opens_at_ms: int,
     ) -> None:
         """Recover the jobs of a partition and take new ones.
 
-        Starts nothing of the partition before ``unseen_until_ms``, since
-        until then tasks may run that nobody has reported.
+        Starts nothing of the partition before ``opens_at_ms`` unless
+        ``see_all`` is called, since until then tasks may run that nobody
+        has reported.
         """
         partition = owned_partition.OwnedPartition(number, journal)
+        partition.opens_at_ms = opens_at_ms
         recovery.recover(partition, self._queue, running, self._clock)
-        wait_ms = unseen_until_ms - self._clock.now_ms()
-        if wait_ms > 0:
-            await self._clock.sleep_ms(wait_ms)
-        lost = recovery.find_lost_intents(partition)
         self._partitions[number] = partition
+        for end in ends:
+            self._apply_end(partition, end)
+        for tracked in partition.jobs.values():
+            tracked.settle(self._clock.now_ms())
+        if opens_at_ms <= self._clock.now_ms():
+            self._open(partition)
+
+    def see_all(
+        self,
+        number: int,
+        running: collections.abc.Iterable[model.RunningTask],
+        ends: collections.abc.Iterable[model.TaskEnd],
+    ) -> None:
+        """Take the inventories of all workers, and start from now on."""
+        partition = self._partitions.get(number)
+        if partition is None or partition.open:
+            return
+        for task in running:
+            recovery.adopt(partition, task, task.holder_id, self._queue)
+        for end in ends:
+            self._apply_end(partition, end)
+        self._open(partition)
+
+    def _open(self, partition: owned_partition.OwnedPartition) -> None:
+        lost = recovery.find_lost_intents(partition)
         for tracked, index, end in lost:
+            self._queue.add_running(tracked.job.team, tracked.job.resources)
             self._end_attempt(tracked, index, end)
         recovery.enqueue(partition, self._queue, self._clock)
+        partition.open = True
         for tracked in partition.jobs.values():
             tracked.settle(self._clock.now_ms())
         events.emit(
             coordinator_events.PARTITION_ACTIVE,
-            partition=number,
+            partition=partition.number,
             epoch=partition.epoch,
             jobs=len(partition.jobs),
+            unknown_tasks=len(lost),
         )
-        for end in ends:
-            self._apply_end(partition, end)
         self.wake()
 
     async def deactivate(self, number: int, handover: bool) -> None:
-        """Give up the jobs of a partition; its waiters are told."""
-        partition = self._partitions.pop(number, None)
+        """Give up the jobs of a partition; its waiters are told.
+
+        Returns once nothing is being sent. At a handover what is being
+        sent may end first.
+        """
+        partition = self._partitions.get(number)
         if partition is None:
             return
+        partition.open = False
+        partition.opens_at_ms = _NEVER_MS
+        await self._dispatcher.finish(number, _SEND_MS if handover else 0)
+        del self._partitions[number]
         for tracked in partition.jobs.values():
             self._queue.remove(tracked.job.job_id)
             for _ in tracked.started:
@@ -196,17 +233,22 @@
         return messages.Submitted(job_id=job.job_id, repeated=repeated)
 
     def _check_room(self, job: model.Job) -> None:
-        largest = self._dispatcher.rooms.largest()
-        if largest != model.Resources():
-            reason = policy.can_ever_fit(job.resources, [largest])
-            if reason:
-                raise errors.Unschedulable(
-                    f'{reason}; ask for less or add larger workers'
-                )
+        reason = self._misfit(job)
+        if reason:
+            raise errors.Unschedulable(
+                f'{reason}; ask for less or add larger workers'
+            )
         self._queue.check_room(
             job.team, job.tasks + self._pending.get(job.team, 0)
         )
 
+    def _misfit(self, job: model.Job) -> str:
+        """Return why no worker can hold a task, '' if one may."""
+        largest = self._dispatcher.rooms.largest()
+        if largest == model.Resources():
+            return ''
+        return policy.can_ever_fit(job.resources, [largest])
+
     async def _accept_durable(
         self, partition: owned_partition.OwnedPartition, job: model.Job
     ) -> None:
@@ -385,8 +427,9 @@
             outcome.Verdict.RETRY_UNCOUNTED,
         ):
             counted = verdict is outcome.Verdict.RETRY
+            placed = bool(task.worker_id)
             tracked.give_back(index, counted=counted)
-            self._queue.give_back(job.job_id, 1, self._clock.now_ms())
+            self._requeue(tracked, placed)
         else:
             state = _FINAL_STATES.get(verdict, end.state)
             tracked.end(
@@ -412,6 +455,16 @@
         tracked.settle(self._clock.now_ms())
         self.wake()
 
+    def _requeue(self, tracked: tracked_job.TrackedJob, placed: bool) -> None:
+        """Queue one task again; one that was never placed keeps its turn."""
+        job = tracked.job
+        if not placed:
+            with contextlib.suppress(errors.NotFound):
+                self._queue.give_back(job.job_id, 1, self._clock.now_ms())
+                return
+        self._queue.end_running(job.team, job.resources)
+        recovery.push(tracked, 1, self._queue, self._clock)
+
     def _partition(self, number: int) -> owned_partition.OwnedPartition:
         partition = self._partitions.get(number)
         if partition is None:
@@ -453,6 +506,8 @@
         for job_id, _ in self._queue.expired(now_ms):
             await self._close(job_id, model.State.EXPIRED, 'deadline passed')
         for partition in list(self._partitions.values()):
+            if not partition.open and now_ms >= partition.opens_at_ms:
+                self._open(partition)
             for tracked in list(partition.jobs.values()):
                 await self._sweep_job(partition, tracked, now_ms)
             for task_id, (since_ms, _) in list(partition.orphan_ends.items()):
@@ -469,8 +524,14 @@
             if now_ms - tracked.ended_at_ms > self._timing.result_keep_ms:
                 partition.jobs.pop(tracked.job.job_id, None)
             return
-        never_started = not tracked.started and not tracked.ended
-        if never_started and not self._key_valid(tracked.job.key_id):
+        if tracked.started or tracked.ended:
+            return
+        reason = self._misfit(tracked.job)
+        if reason:
+            await self._close(
+                tracked.job.job_id, model.State.UNSCHEDULABLE, reason
+            )
+        elif not self._key_valid(tracked.job):
             await self._close(
                 tracked.job.job_id,
                 model.State.CANCELLED,
@@ -511,6 +572,7 @@
                     ),
                     'orphans': len(partition.orphans),
                     'accepting': len(partition.accepting),
+                    'open': partition.open,
                 }
                 for number, partition in self._partitions.items()
             },
--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 
 from basilspindle import clock as clock_module
 from basilspindle.coordinator import events as coordinator_events
@@ -21,7 +22,10 @@
 
 _MAX_BATCH = 256
 _REPEAT_PAUSE_MS = 200
+_GANG_RETRY_MS = 200
 _FULL_PERCENT = 95
+# Tasks that may not start yet are not picked again for this long.
+_NOT_ASSURED_MS = 200
 
 # A task that is being placed, with its job.
 _Started = tuple[tracked_job.TrackedJob, tracked_task.TrackedTask]
@@ -67,7 +71,7 @@
         self._partitions = partitions
         self._may_start = may_start
         self._on_end = on_end
-        self._sends: set[asyncio.Task[None]] = set()
+        self._sends: dict[asyncio.Task[None], int] = {}
         self._gangs: set[str] = set()
 
     @property
@@ -77,9 +81,14 @@
 
     async def close(self) -> None:
         """Cancel what is being sent."""
-        for task in self._sends:
-            task.cancel()
-        await asyncio.gather(*self._sends, return_exceptions=True)
+        await _cancel(list(self._sends))
+
+    async def finish(self, number: int, limit_ms: int) -> None:
+        """Let the sends of a partition end, and cancel them at a limit."""
+        sends = [task for task, of in self._sends.items() if of == number]
+        if sends and limit_ms:
+            await asyncio.wait(sends, timeout=limit_ms / 1000)
+        await _cancel(sends)
 
     def run_pass(self) -> int:
         """Send what fits now and return the number of tasks taken."""
@@ -89,6 +98,7 @@
             _MAX_BATCH,
             blocked=self._rooms.blocked,
             floors=self._floors(),
+            room_for=self._rooms.count,
         )
         batches: dict[tuple[str, int, bool], list[_Started]] = (
             collections.defaultdict(list)
@@ -98,10 +108,8 @@
             taken += self._sort(pick, batches)
         for (holder_id, number, once), started in batches.items():
             partition = self._partitions[number]
-            if once:
-                self._spawn(self._send_once(partition, holder_id, started))
-            else:
-                self._spawn(self._send(partition, holder_id, started))
+            send = self._send_once if once else self._send
+            self._spawn(partition, send(partition, holder_id, started))
         return taken
 
     def _refresh(self) -> None:
@@ -115,9 +123,7 @@
     def _floors(self) -> list[float] | None:
         """Return the shares to yield to, or None while there is room."""
         total = self._rooms.total().slots
-        free = sum(
-            room.free.slots for room in self._rooms.free_slots().values()
-        )
+        free = sum(room.free.slots for room in self._rooms.rooms().values())
         if free * 100 > total * (100 - _FULL_PERCENT):
             return None
         return self._holders.floors()
@@ -131,9 +137,12 @@
         if found is None:
             return 0
         partition, tracked = found
-        if not self._may_start(partition.number):
+        if not self._starts(partition):
             self._queue.give_back(
-                pick.job_id, pick.count, self._clock.now_ms()
+                pick.job_id,
+                pick.count,
+                self._clock.now_ms(),
+                wait_ms=_NOT_ASSURED_MS,
             )
             return 0
         if pick.gang:
@@ -151,6 +160,9 @@
             batches[key].append((tracked, task))
         return pick.count
 
+    def _starts(self, partition: owned_partition.OwnedPartition) -> bool:
+        return partition.open and self._may_start(partition.number)
+
     def _find(
         self, job_id: str
     ) -> tuple[owned_partition.OwnedPartition, tracked_job.TrackedJob] | None:
@@ -172,11 +184,21 @@
         return task
 
     def _spawn(
-        self, work: collections.abc.Coroutine[None, None, None]
+        self,
+        partition: owned_partition.OwnedPartition,
+        work: collections.abc.Coroutine[None, None, None],
     ) -> None:
         task = asyncio.ensure_future(work)
-        self._sends.add(task)
-        task.add_done_callback(self._sends.discard)
+        self._sends[task] = partition.number
+        task.add_done_callback(self._sent)
+
+    def _sent(self, task: asyncio.Task[None]) -> None:
+        del self._sends[task]
+        if not task.cancelled() and task.exception() is not None:
+            events.emit(
+                coordinator_events.DISPATCH_FAILED,
+                error=repr(task.exception()),
+            )
 
     def _order(
         self,
@@ -322,6 +344,7 @@
         holder_id: str,
         started: list[_Started],
     ) -> list[tuple[_Started, messages.Placement]]:
+        """Hold capacity and return what is held; the rest is not run."""
         request = messages.Place(
             member_id=holder_id,
             orders=[self._order(partition, one) for one in started],
@@ -338,6 +361,8 @@
         for one, placement in zip(started, placed, strict=True):
             if placement.worker_id:
                 held.append((one, placement))
+            elif one[0].job.gang:
+                self._rooms.refuse(holder_id, one[0].job.resources)
             else:
                 self._return(holder_id, one, placement.reason)
         return held
@@ -370,15 +395,20 @@
         holder_id: str,
         held: list[tuple[_Started, messages.Placement]],
     ) -> None:
-        tasks = [_name(one) for one, _ in held]
-        try:
-            await self._holders.drop(holder_id, messages.Drop(tasks=tasks))
-        except errors.BasilspindleError:
-            # The holds expire at the holder.
-            pass
+        await self._drop_holds(holder_id, held)
         for one, _ in held:
             self._return(holder_id, one, 'not_recorded')
 
+    async def _drop_holds(
+        self,
+        holder_id: str,
+        held: list[tuple[_Started, messages.Placement]],
+    ) -> None:
+        tasks = [_name(one) for one, _ in held]
+        # Holds that the holder is not told of expire there.
+        with contextlib.suppress(errors.BasilspindleError):
+            await self._holders.drop(holder_id, messages.Drop(tasks=tasks))
+
     async def _commit(
         self,
         partition: owned_partition.OwnedPartition,
@@ -417,22 +447,26 @@
         tracked: tracked_job.TrackedJob,
         count: int,
     ) -> None:
-        plan = policy.GangPlan.make(
-            tracked.job.resources, count, self._rooms.free_slots()
+        plan = policy.GangPlan(
+            tracked.job.resources, count, self._rooms.rooms()
         )
-        if plan is None or self._gangs:
+        asks = {} if self._gangs else plan.ask()
+        if not asks:
             self._queue.give_back(
-                tracked.job.job_id, count, self._clock.now_ms()
+                tracked.job.job_id,
+                count,
+                self._clock.now_ms(),
+                wait_ms=_GANG_RETRY_MS,
             )
             return
         parts: dict[str, list[_Started]] = {}
-        for holder_id, amount in plan.asks.items():
+        for holder_id, amount in asks.items():
             parts[holder_id] = [
                 (tracked, self._take(partition, tracked, holder_id))
                 for _ in range(amount)
             ]
         self._gangs.add(tracked.job.job_id)
-        self._spawn(self._send_gang(partition, tracked, parts))
+        self._spawn(partition, self._send_gang(partition, tracked, parts))
 
     async def _send_gang(
         self,
@@ -462,17 +496,57 @@
                 everything = [one for part in held.values() for one in part]
                 whole = await self._record_intents(partition, everything)
             whole = whole and self._may_start(partition.number)
-            finish = self._commit if whole else self._drop
+            if whole:
+                await asyncio.gather(
+                    *(
+                        self._commit(partition, holder_id, part)
+                        for holder_id, part in held.items()
+                    )
+                )
+                return
             await asyncio.gather(
                 *(
-                    finish(partition, holder_id, part)
+                    self._drop_holds(holder_id, part)
                     for holder_id, part in held.items()
                     if part
                 )
             )
+            self._return_gang(tracked, parts)
         finally:
             self._gangs.discard(tracked.job.job_id)
 
+    def _return_gang(
+        self,
+        tracked: tracked_job.TrackedJob,
+        parts: dict[str, list[_Started]],
+    ) -> None:
+        """Queue a gang again as a whole."""
+        tasks = [task for part in parts.values() for _, task in part]
+        for holder_id, part in parts.items():
+            for _ in part:
+                self._rooms.give(holder_id, tracked.job.resources)
+        if tracked.cancelled:
+            for holder_id, part in parts.items():
+                for one in part:
+                    self._return(holder_id, one, 'cancelled')
+            return
+        for task in tasks:
+            tracked.give_back(task.index, counted=False)
+        with contextlib.suppress(errors.NotFound):
+            self._queue.give_back(
+                tracked.job.job_id,
+                len(tasks),
+                self._clock.now_ms(),
+                wait_ms=_GANG_RETRY_MS,
+            )
+            tracked.settle(self._clock.now_ms())
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
 
 def _name(started: _Started) -> tuple[str, int]:
     tracked, task = started
--- a/basilspindle/coordinator/owned_partition.py
+++ b/basilspindle/coordinator/owned_partition.py
@@ -10,10 +10,13 @@
 class OwnedPartition:
     """Jobs of a partition, with what was found of jobs not known here.
 
-    ``orphans`` are running tasks and ``orphan_ends`` ended ones of
+    Nothing is started before it is ``open``: until ``opens_at_ms`` tasks
+    may run that no holder has reported. ``recovered`` are the jobs that
+    are queued when it opens. ``orphans`` are running tasks and
+    ``orphan_ends`` ended ones, with the time of their report, of
     connection-held jobs that an earlier owner took; their entry daemons
     submit the jobs again. ``accepting`` are submissions on their way into
-    the log, by job id. ``orphan_since_ms`` is when an orphan was found.
+    the log, by job id.
     """
 
     __slots__ = (
@@ -24,6 +27,9 @@
         'orphans',
         'orphan_ends',
         'accepting',
+        'open',
+        'opens_at_ms',
+        'recovered',
     )
 
     def __init__(self, number: int, journal: typing.Any) -> None:
@@ -34,3 +40,6 @@
         self.orphans: dict[str, model.RunningTask] = {}
         self.orphan_ends: dict[str, tuple[int, model.TaskEnd]] = {}
         self.accepting: dict[str, asyncio.Task[bool]] = {}
+        self.open = False
+        self.opens_at_ms = 0
+        self.recovered: list[tracked_job.TrackedJob] = []
--- a/basilspindle/coordinator/recovery.py
+++ b/basilspindle/coordinator/recovery.py
@@ -29,6 +29,8 @@
         if entry.state.final:
             _end_rest(tracked, entry.state, entry.reason)
             tracked.settle(clock.now_ms())
+        else:
+            partition.recovered.append(tracked)
         partition.jobs[job_id] = tracked
     for task in running:
         adopt(partition, task, task.holder_id, queue)
@@ -53,9 +55,10 @@
     Counts them as started, so that ending them is like ending any other.
     """
     lost = []
-    for job_id, entry in partition.journal.state.jobs.items():
-        tracked = partition.jobs[job_id]
-        if tracked.state.final or tracked.job.idempotent:
+    entries = partition.journal.state.jobs
+    for tracked in partition.recovered:
+        entry = entries.get(tracked.job.job_id)
+        if entry is None or tracked.state.final or tracked.job.idempotent:
             continue
         for index, intent in entry.intents.items():
             if index in tracked.started or index in tracked.ended:
@@ -81,8 +84,8 @@
     queue: policy.FairQueue,
     clock: clock_module.Clock,
 ) -> None:
-    """Queue what neither runs nor ended."""
-    for tracked in partition.jobs.values():
+    """Queue what of the recovered jobs neither runs nor ended."""
+    for tracked in partition.recovered:
         if not tracked.state.final:
             tracked.retries.extend(
                 index
@@ -92,6 +95,7 @@
             if tracked.cancelled:
                 tracked.end_queued(model.State.CANCELLED, 'cancelled')
             enqueue_job(tracked, queue, clock)
+    partition.recovered.clear()
 
 
 def enqueue_job(
@@ -100,24 +104,32 @@
     clock: clock_module.Clock,
 ) -> None:
     """Queue the queued tasks of an accepted job; never refuses."""
+    if tracked.queued:
+        push(tracked, tracked.queued, queue, clock)
+
+
+def push(
+    tracked: tracked_job.TrackedJob,
+    count: int,
+    queue: policy.FairQueue,
+    clock: clock_module.Clock,
+) -> None:
+    """Queue some tasks of an accepted job."""
     job = tracked.job
-    if tracked.queued == 0:
-        return
-    deadline_at_ms = 0
+    left_ms = 0
     if job.deadline_ms:
         # Wall time is the only one that outlasts a change of owner.
         age_ms = max(0, clock.wall_ms() - job.submitted_wall_ms)
         left_ms = max(1, job.deadline_ms - age_ms)
-        deadline_at_ms = clock.now_ms() + left_ms
     queue.push(
         job.job_id,
         job.team,
         job.priority,
         job.resources,
-        tracked.queued,
-        job.gang,
+        count,
+        job.gang and count == job.tasks,
         clock.now_ms(),
-        deadline_at_ms,
+        left_ms,
         run_time_ms=job.run_time_ms,
         accepted=True,
     )
--- a/basilspindle/coordinator/room_book.py
+++ b/basilspindle/coordinator/room_book.py
@@ -66,6 +66,14 @@
         """Tell whether no member has room for a shape."""
         return not any(self._fits(m, need) for m in self._rooms)
 
+    def count(self, need: model.Resources) -> int:
+        """Return how many tasks of a shape fit all members together."""
+        return sum(
+            _multiple(need, room.free)
+            for holder_id, room in self._rooms.items()
+            if self._fits(holder_id, need)
+        )
+
     def total(self) -> model.Resources:
         """Return the sum of all workers held."""
         total = model.Resources()
@@ -81,7 +89,7 @@
         """
         return self._largest
 
-    def free_slots(self) -> dict[str, messages.Room]:
+    def rooms(self) -> dict[str, messages.Room]:
         """Return the estimated room by member."""
         return dict(self._rooms)
 
@@ -104,3 +112,13 @@
             total=room.total,
             largest_total=room.largest_total,
         )
+
+
+def _multiple(need: model.Resources, free: model.Resources) -> int:
+    pairs = (
+        (need.cpu_millicores, free.cpu_millicores),
+        (need.memory_mb, free.memory_mb),
+        (need.accelerators, free.accelerators),
+        (need.slots, free.slots),
+    )
+    return min((have // want for want, have in pairs if want), default=0)
--- /dev/null
+++ b/basilspindle/daemon/api_server.py
@@ -0,0 +1,69 @@
+"""Serve the HTTP application with uvicorn in the daemon's loop."""
+
+import asyncio
+import contextlib
+import typing
+
+import uvicorn
+
+_BACKLOG = 2_048
+_START_POLL_S = 0.01
+
+
+class _Server(uvicorn.Server):
+    """Leave signals to the daemon, which stops in its own order."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        yield
+
+
+class ApiServer:
+    """Listen on an address; leaving ends after the requests in flight.
+
+    ``stop_ms`` bounds how long leaving waits for them.
+    """
+
+    __slots__ = ('_server', '_task')
+
+    def __init__(
+        self,
+        app: typing.Any,
+        address: str,
+        stop_ms: int,
+        *,
+        cert_file: str | None = None,
+        key_file: str | None = None,
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self._server = _Server(
+            uvicorn.Config(
+                app,
+                host=host.strip('[]'),
+                port=int(port),
+                log_config=None,
+                access_log=False,
+                lifespan='off',
+                backlog=_BACKLOG,
+                timeout_graceful_shutdown=stop_ms // 1000,
+                ssl_certfile=cert_file,
+                ssl_keyfile=key_file,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> typing.Self:
+        self._task = asyncio.ensure_future(self._server.serve())
+        while not self._server.started:
+            if self._task.done():
+                # uvicorn exits the process when it cannot bind; the error
+                # is raised here instead.
+                await self._task
+                raise OSError('the API address cannot be bound')
+            await asyncio.sleep(_START_POLL_S)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/basilspindle/daemon/holder_directory.py
@@ -0,0 +1,143 @@
+"""Reach the holders of worker leases for the coordinator."""
+
+import collections.abc
+import typing
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle import cluster
+from basilspindle import errors
+from basilspindle import fleet as fleet_package
+from basilspindle.peer import messages
+
+_CALL_MS = 2_000
+_NOBODY = -1.0
+
+
+def holder_id(member: cluster.Member) -> str:
+    """Return the id of one incarnation of a daemon."""
+    return f'{member.member_id}@{member.incarnation}'
+
+
+class HolderDirectory:
+    """Know the members that hold workers, this daemon included."""
+
+    __slots__ = (
+        '_clock',
+        '_membership',
+        '_client',
+        '_fleet',
+        '_own_room',
+        '_own_stamp',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        membership: cluster.Membership,
+        client: cluster.membership.Caller,
+        fleet: fleet_package.Fleet,
+    ) -> None:
+        self._clock = clock
+        self._membership = membership
+        self._client = client
+        self._fleet = fleet
+        self._own_room = messages.Room()
+        self._own_stamp = 0
+
+    def rooms(
+        self,
+    ) -> collections.abc.Iterator[tuple[str, messages.Room, int]]:
+        """Yield (holder id, room, stamp) of live members."""
+        own_room = self._fleet.room()
+        if own_room != self._own_room:
+            self._own_room = own_room
+            self._own_stamp += 1
+        own = self._membership.own
+        for member in self._membership.live():
+            if member is own:
+                yield holder_id(own), own_room, self._own_stamp
+            elif member.heartbeat is not None:
+                heartbeat = member.heartbeat
+                stamp = heartbeat.sent_at_ms
+                yield holder_id(member), heartbeat.room, stamp
+
+    def lost(self, name: str) -> bool:
+        """Tell whether an incarnation of a daemon is known to be over."""
+        member = self._find(name)
+        if member is self._membership.own:
+            return False
+        return member is None or not member.state.must_reply
+
+    def floors(self) -> list[float]:
+        """Return the lowest waiting shares at other live daemons."""
+        own = self._membership.own
+        waiting = [
+            member.heartbeat.waiting_shares
+            for member in self._membership.live()
+            if member is not own and member.heartbeat is not None
+        ]
+        return [
+            min((share for share in shares if share >= 0), default=_NOBODY)
+            for shares in zip(*waiting, strict=True)
+        ] or [_NOBODY] * 3
+
+    async def place(
+        self, name: str, request: messages.Place
+    ) -> messages.Placed:
+        """Ask a holder to place; refused there if it waited too long."""
+        member = self._get(name)
+        if member is self._membership.own:
+            return await self._fleet.place(request)
+        heartbeat = member.heartbeat
+        request = msgspec.structs.replace(
+            request,
+            member_id=self._membership.own.member_id,
+            receiver_incarnation=member.incarnation,
+            receiver_time_ms=heartbeat.sent_at_ms if heartbeat else 0,
+        )
+        return await self._client.call(member.address, request, _CALL_MS)
+
+    async def commit(
+        self, name: str, request: messages.Commit
+    ) -> messages.Committed:
+        """Ask a holder to start held tasks."""
+        return await self._call(name, request, self._fleet.commit)
+
+    async def drop(self, name: str, request: messages.Drop) -> None:
+        """Ask a holder to give up holds."""
+        await self._call(name, request, self._fleet.drop)
+
+    async def stop(
+        self, name: str, request: messages.Stop
+    ) -> messages.Stopping:
+        """Ask a holder to stop tasks."""
+        return await self._call(name, request, self._fleet.stop)
+
+    async def _call(
+        self,
+        name: str,
+        request: msgspec.Struct,
+        local: collections.abc.Callable[
+            [typing.Any], collections.abc.Awaitable[typing.Any]
+        ],
+    ) -> typing.Any:
+        member = self._get(name)
+        if member is self._membership.own:
+            return await local(request)
+        return await self._client.call(member.address, request, _CALL_MS)
+
+    def _find(self, name: str) -> cluster.Member | None:
+        member = self._membership.get(name.partition('@')[0])
+        if member is None or holder_id(member) != name:
+            return None
+        return member
+
+    def _get(self, name: str) -> cluster.Member:
+        member = self._find(name)
+        if member is None:
+            raise errors.PeerUnavailable(
+                f'{name} is not a known daemon any more; place elsewhere'
+            )
+        return member
--- /dev/null
+++ b/basilspindle/daemon/owner_directory.py
@@ -0,0 +1,30 @@
+"""Find the owners of partitions for routing."""
+
+from basilspindle import cluster
+
+
+class OwnerDirectory:
+    """Tell where the owner of a team is."""
+
+    __slots__ = ('_ownership', '_membership', '_partitions')
+
+    def __init__(
+        self,
+        ownership: cluster.Ownership,
+        membership: cluster.Membership,
+        partitions: int,
+    ) -> None:
+        self._ownership = ownership
+        self._membership = membership
+        self._partitions = partitions
+
+    def partition_of(self, team: str) -> int:
+        """Return the partition of a team."""
+        return cluster.partition_of(team, self._partitions)
+
+    def owner_address(self, partition: int) -> str | None:
+        """Return '' for this daemon, None while there is no owner."""
+        owner = self._ownership.owner_of(partition)
+        if owner is None:
+            return None
+        return '' if owner is self._membership.own else owner.address
--- /dev/null
+++ b/basilspindle/daemon/peers_with_configuration.py
@@ -0,0 +1,44 @@
+"""Fetch the configuration from other daemons."""
+
+from basilspindle import cluster
+from basilspindle import errors
+from basilspindle.peer import messages
+
+_CALL_MS = 1_500
+
+
+class PeersWithConfiguration:
+    """Ask members for a configuration newer than a version."""
+
+    __slots__ = ('_client', '_membership')
+
+    def __init__(self, client: cluster.membership.Caller) -> None:
+        self._client = client
+        self._membership: cluster.Membership | None = None
+
+    def join(self, membership: cluster.Membership) -> None:
+        """Set the members to ask."""
+        self._membership = membership
+
+    async def fetch_configuration(self, above_version: int) -> bytes:
+        """Return the record of a newer version, b'' if nobody has one."""
+        if self._membership is None:
+            return b''
+        members = sorted(
+            self._membership.members(),
+            key=lambda member: -member.heartbeat_version,
+        )
+        for member in members:
+            if member.heartbeat_version <= above_version:
+                break
+            try:
+                reply = await self._client.call(
+                    member.address,
+                    messages.GetConfiguration(above_version=above_version),
+                    _CALL_MS,
+                )
+            except errors.BasilspindleError:
+                continue
+            if reply.record:
+                return reply.record
+        return b''
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -265,6 +265,12 @@
     status = 503
 
 
+class PlacementExpired(PeerError):
+    """Refuse a placement that waited too long before it was received."""
+
+    kind = 'placement_expired'
+
+
 class StaleIncarnation(PeerError):
     """Refuse a heartbeat of a process that was replaced."""
 
--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -66,7 +66,7 @@
         self._member_id = member_id
         self._writer = writer
         self._timing = timing or timing_module.Timing()
-        self._on_deposed = on_deposed
+        self.on_deposed = on_deposed
         self._on_late = on_late
         self._following = following
         self._state = self._make_state(complete=True)
@@ -601,8 +601,8 @@
             latest_epoch=self.latest_epoch,
             claimant=self.latest_claimant,
         )
-        if claimed and self._on_deposed is not None:
-            self._on_deposed()
+        if claimed and self.on_deposed is not None:
+            self.on_deposed()
 
     def _fail_all(self, waiting: Exception, in_flight: Exception) -> None:
         flight = self._flight
--- a/basilspindle/policy/fair_queue.py
+++ b/basilspindle/policy/fair_queue.py
@@ -164,6 +164,10 @@
             entry.expires_ms = now_ms + deadline_ms
         self._queue(state, entry, count)
 
+    def check_room(self, team: str, count: int) -> None:
+        """Raise ``QueueFull`` if so many more tasks may not wait."""
+        self._check_bound(self._team(team), count)
+
     def give_back(
         self,
         job_id: str,
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Show the whole path on one machine."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,130 @@
+"""Run a small cell on loopback and submit work of two teams.
+
+Exits with 1 if any answer is missing or any worker recorded a breach.
+"""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+
+from tests.standins import local_cluster
+
+_TOOL = pathlib.Path(sys.executable).with_name('basilspindle')
+_TIMEOUT_S = 60
+
+
+class DemoFailed(Exception):
+    """Report that an answer was missing or wrong."""
+
+
+class Demo:
+    """Drive a cell through the command-line tool."""
+
+    def __init__(self, cluster: local_cluster.LocalCluster) -> None:
+        self._cluster = cluster
+
+    def call(self, key: str, *arguments: str) -> typing.Any:
+        """Run the tool, show the call, and return its JSON."""
+        print(f'$ basilspindle {" ".join(arguments)}', flush=True)
+        urls: list[str] = []
+        for daemon_id in self._cluster.daemon_ids:
+            urls += ['--url', self._cluster.url(daemon_id)]
+        done = subprocess.run(
+            [str(_TOOL), *urls, '--json', *arguments],
+            env={**os.environ, 'BASILSPINDLE_KEY': key},
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_S,
+        )
+        if done.returncode:
+            raise DemoFailed(
+                f'exit status {done.returncode}: {done.stdout}{done.stderr}'
+            )
+        return json.loads(done.stdout)
+
+    def publish(self) -> None:
+        """Publish the first configuration from a file."""
+        path = self._cluster.folder / 'base.json'
+        path.write_text(json.dumps(local_cluster.base_document(), indent=2))
+        operator = local_cluster.OPERATOR_KEY
+        self.call(operator, 'config', 'check', '--base', str(path))
+        answer = self.call(operator, 'config', 'publish', '--base', str(path))
+        print(f'  version {answer["version"]} is in force')
+
+    def run_requests(self) -> None:
+        """Send one request of each team and wait for its answer."""
+        for team, key in local_cluster.CALLER_KEYS.items():
+            text = json.dumps({'echo': f'hello from {team}'})
+            job = self.call(key, 'run', '--kind', 'query', '--input', text)
+            (result,) = job['results']
+            if result['result']['echo'] != f'hello from {team}':
+                raise DemoFailed(f'{team} got another answer: {job}')
+            print(f'  {result["result"]}')
+
+    def run_jobs(self) -> None:
+        """Submit a batch, a payment and a gang, and wait for each."""
+        key = local_cluster.CALLER_KEYS['red']
+        for kind, tasks in (('report', 12), ('payment', 4), ('training', 6)):
+            submitted = self.call(
+                key, 'job', 'submit', '--kind', kind, '--tasks', str(tasks)
+            )
+            job = self.call(key, 'job', 'wait', submitted['job_id'])
+            if job['counts'] != {'succeeded': tasks}:
+                raise DemoFailed(f'not all tasks of {kind} succeeded: {job}')
+            workers = {result['worker_id'] for result in job['results']}
+            print(f'  {tasks} tasks succeeded on {sorted(workers)}')
+
+    def show_isolation(self) -> None:
+        """Show that a team sees only its own jobs."""
+        for team, key in local_cluster.CALLER_KEYS.items():
+            jobs = self.call(key, 'job', 'list')['jobs']
+            if any(job['team'] != team for job in jobs):
+                raise DemoFailed(f'{team} sees jobs of another team')
+            print(f'  {team} sees {len(jobs)} jobs, all its own')
+
+    def show_state(self) -> None:
+        """Show daemons, workers and the state of one daemon."""
+        operator = local_cluster.OPERATOR_KEY
+        for member in self.call(operator, 'config', 'in-force')['members']:
+            print(f'  {member}')
+        for worker in self.call(operator, 'worker', 'list')['workers']:
+            print(f'  {worker}')
+        state = self.call(operator, 'state')
+        print(f'  {state["ownership"]}')
+        print(f'  {state["coordinator"]}')
+
+
+def main() -> int:
+    """Run the demo and return the exit status."""
+    with local_cluster.LocalCluster(daemons=2, workers=3) as cluster:
+        demo = Demo(cluster)
+        try:
+            for daemon_id in cluster.daemon_ids:
+                cluster.wait_listening(daemon_id)
+            demo.publish()
+            cluster.wait_ready()
+            demo.run_requests()
+            demo.run_jobs()
+            demo.show_isolation()
+            demo.show_state()
+            breaches = cluster.breaches()
+            if breaches:
+                raise DemoFailed(f'workers recorded breaches: {breaches}')
+            statuses = {
+                daemon_id: cluster.processes[daemon_id].stop()
+                for daemon_id in cluster.daemon_ids
+            }
+            if any(statuses.values()):
+                raise DemoFailed(f'exit status of the daemons: {statuses}')
+        except Exception as error:
+            print(f'FAILED: {error}\n{cluster.tails()}', file=sys.stderr)
+            return 1
+    print('every answer arrived; the daemons stopped with status 0')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/local_cluster.py
@@ -0,0 +1,380 @@
+"""Run stand-ins, workers and daemons as processes on loopback."""
+
+import collections.abc
+import contextlib
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import httpx
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_START_S = 20.0
+_STOP_S = 30.0
+_POLL_S = 0.05
+OPERATOR_KEY = 'bsk_ops_' + 'a' * 64
+CALLER_KEYS = {
+    'red': 'bsk_red_' + 'b' * 64,
+    'blue': 'bsk_blue_' + 'c' * 64,
+}
+
+
+def free_port() -> int:
+    """Return a loopback port that is free at the moment."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+def sha256(key: str) -> str:
+    """Return the hash of a key as the configuration has it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def base_document() -> dict[str, typing.Any]:
+    """Return a configuration with two teams and one kind of each sort."""
+    resources = {'cpu_millicores': 500, 'memory_mb': 256}
+    kinds = {
+        'query': {'priority': 'urgent', 'idempotent': True},
+        'payment': {'priority': 'batch', 'idempotent': False},
+        'report': {'priority': 'batch', 'idempotent': True},
+        'training': {'priority': 'batch', 'idempotent': True, 'gang': True},
+        'site': {'priority': 'service', 'idempotent': True, 'service': True},
+    }
+    common = {'resources': resources, 'run_time_ms': 1_000}
+    keys: dict[str, typing.Any] = {
+        'ops': {'role': 'operator', 'sha256': sha256(OPERATOR_KEY)}
+    }
+    for team, key in CALLER_KEYS.items():
+        keys[team] = {'role': 'caller', 'team': team, 'sha256': sha256(key)}
+    return {
+        'cell': 'demo',
+        'regions': ['local'],
+        'partitions': 4,
+        'overlay_may_set': ['/teams/*/share', '/teams/*/limit', '/timing'],
+        'teams': {
+            team: {'share': 1, 'limit': {'tasks': 20}, 'kinds': list(kinds)}
+            for team in CALLER_KEYS
+        },
+        'keys': keys,
+        'queues': {'default': {'open': False}},
+        'kinds': {name: {**common, **kind} for name, kind in kinds.items()},
+        'workers': {'drained': []},
+        'timing': {},
+    }
+
+
+class Process:
+    """A child process and the file with its output."""
+
+    def __init__(
+        self, name: str, arguments: list[str], folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.output = folder / f'{name}.log'
+        self._file = self.output.open('ab')
+        self._child = subprocess.Popen(
+            [sys.executable, '-m', *arguments],
+            cwd=_ROOT,
+            stdout=self._file,
+            stderr=subprocess.STDOUT,
+            start_new_session=True,
+        )
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the process."""
+        return self._child.pid
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._child.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.running:
+            os.kill(self.pid, number)
+
+    def stop(self) -> int:
+        """End with SIGTERM and return the exit status."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            return self._child.wait(_STOP_S)
+        except subprocess.TimeoutExpired:
+            return self.kill()
+        finally:
+            self._file.close()
+
+    def kill(self) -> int:
+        """End with SIGKILL."""
+        self.send(signal.SIGKILL)
+        self._file.close()
+        return self._child.wait(_STOP_S)
+
+
+class LocalCluster:
+    """A small cell on loopback; leaving ends every process."""
+
+    def __init__(
+        self, *, daemons: int = 2, workers: int = 3, slots: int = 8
+    ) -> None:
+        self._stack = contextlib.ExitStack()
+        self._slots = slots
+        self.folder = pathlib.Path()
+        self.processes: dict[str, Process] = {}
+        self.log_url = ''
+        self.vm_list_url = ''
+        self.worker_ids = [f'worker-{n}' for n in range(1, workers + 1)]
+        self.daemon_ids = [f'entry-{n}' for n in range(1, daemons + 1)]
+        self._ports: dict[str, int] = {}
+        self._api_ports: dict[str, int] = {}
+
+    def __enter__(self) -> typing.Self:
+        folder = self._stack.enter_context(
+            tempfile.TemporaryDirectory(prefix='basilspindle-')
+        )
+        self.folder = pathlib.Path(folder)
+        self._stack.callback(self._end_all)
+        try:
+            self._start_platform()
+            for daemon_id in self.daemon_ids:
+                self.start_daemon(daemon_id)
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+
+    def url(self, daemon_id: str) -> str:
+        """Return the API address of a daemon."""
+        return f'http://127.0.0.1:{self._api_ports[daemon_id]}'
+
+    def worker_url(self, worker_id: str) -> str:
+        """Return the address of a worker."""
+        return f'http://127.0.0.1:{self._ports[worker_id]}'
+
+    def start(self, name: str, arguments: list[str]) -> Process:
+        """Start a process of this project under a name."""
+        process = Process(name, arguments, self.folder)
+        self.processes[name] = process
+        return process
+
+    def start_daemon(self, daemon_id: str) -> Process:
+        """Start a daemon, or start it anew under the same address."""
+        return self.start(
+            daemon_id,
+            [
+                'basilspindle.daemon.main',
+                '--settings',
+                str(self._write_settings(daemon_id)),
+            ],
+        )
+
+    def start_worker(self, worker_id: str) -> Process:
+        """Start a stand-in worker."""
+        number = self.worker_ids.index(worker_id)
+        return self.start(
+            worker_id,
+            [
+                'tests.standins.worker',
+                '--port',
+                str(self._ports[worker_id]),
+                '--id',
+                worker_id,
+                '--failure-domain',
+                f'domain-{number % 4 + 1}',
+                '--rack',
+                f'rack-{number // 6 + 1}',
+                '--slots',
+                str(self._slots),
+            ],
+        )
+
+    def publish(self, base: dict[str, typing.Any], from_version: int) -> int:
+        """Publish a configuration without an overlay."""
+        answer = httpx.post(
+            f'{self.url(self.daemon_ids[0])}/v1/configuration',
+            json={'base': base, 'overlay': {}, 'from_version': from_version},
+            headers={'Authorization': f'Bearer {OPERATOR_KEY}'},
+            timeout=10,
+        )
+        answer.raise_for_status()
+        return answer.json()['version']
+
+    def state(self, daemon_id: str) -> dict[str, typing.Any]:
+        """Return the state dump of a daemon."""
+        answer = httpx.get(
+            f'{self.url(daemon_id)}/v1/state',
+            headers={'Authorization': f'Bearer {OPERATOR_KEY}'},
+            timeout=5,
+        )
+        answer.raise_for_status()
+        return answer.json()
+
+    def wait_listening(self, daemon_id: str) -> None:
+        """Wait until a daemon answers at all."""
+        url = f'{self.url(daemon_id)}/healthz'
+        self.wait_for(
+            f'{daemon_id} listens',
+            lambda: httpx.get(url, timeout=2).status_code == 200,
+        )
+
+    def wait_ready(
+        self, daemon_ids: collections.abc.Iterable[str] = ()
+    ) -> None:
+        """Wait until daemons serve and every partition has an owner."""
+        names = list(daemon_ids) or self.daemon_ids
+        for name in names:
+            self.wait_for(f'{name} is ready', lambda n=name: self._ready(n))
+        self.wait_for('every partition has an owner', self._owned)
+
+    def wait_for(
+        self,
+        what: str,
+        condition: collections.abc.Callable[[], bool],
+        limit_s: float = _START_S,
+    ) -> float:
+        """Wait for a condition; return the seconds it took.
+
+        Raises ``TimeoutError`` after ``limit_s``.
+        """
+        start = time.monotonic()
+        while time.monotonic() - start < limit_s:
+            with contextlib.suppress(httpx.HTTPError):
+                if condition():
+                    return time.monotonic() - start
+            time.sleep(_POLL_S)
+        raise TimeoutError(f'not within {limit_s} s: {what}\n{self.tails()}')
+
+    def breaches(self) -> list[typing.Any]:
+        """Return every breach that a live worker has recorded."""
+        found = []
+        for worker_id in self.worker_ids:
+            if self.processes[worker_id].running:
+                answer = httpx.get(f'{self.worker_url(worker_id)}/breaches')
+                body = answer.json()
+                found += body['breaches'] if isinstance(body, dict) else body
+        return found
+
+    def tails(self) -> str:
+        """Return the last lines of every process."""
+        parts = []
+        for name, process in self.processes.items():
+            lines = process.output.read_text(errors='replace').splitlines()
+            parts += [f'--- {name}', *lines[-15:]]
+        return '\n'.join(parts)
+
+    def _start_platform(self) -> None:
+        log_port = free_port()
+        vms_port = free_port()
+        self.log_url = f'http://127.0.0.1:{log_port}'
+        self.vm_list_url = f'http://127.0.0.1:{vms_port}'
+        for name in [*self.worker_ids, *self.daemon_ids]:
+            self._ports[name] = free_port()
+        for name in self.daemon_ids:
+            self._api_ports[name] = free_port()
+        path = self.folder / 'vms.json'
+        path.write_text(json.dumps({'vms': self.vms()}))
+        self.start(
+            'log', ['tests.standins.log_service', '--port', str(log_port)]
+        )
+        self.start(
+            'vms',
+            [
+                'tests.standins.vm_list',
+                '--port',
+                str(vms_port),
+                '--file',
+                str(path),
+            ],
+        )
+        for worker_id in self.worker_ids:
+            self.start_worker(worker_id)
+        urls = [
+            f'{self.log_url}/v1/streams/control/records?from=1&limit=1'
+            '&wait_ms=0',
+            f'{self.vm_list_url}/v1/vms',
+            *(f'{self.worker_url(w)}/v1/tasks' for w in self.worker_ids),
+        ]
+        for url in urls:
+            self.wait_for(
+                f'{url} answers',
+                lambda u=url: httpx.get(u).status_code < 500,
+            )
+
+    def vms(self) -> list[dict[str, typing.Any]]:
+        """Return the entries of the VM list."""
+        entries = [
+            {
+                'id': name,
+                'address': f'127.0.0.1:{self._ports[name]}',
+                'role': 'entry',
+                'state': 'live',
+                'failure_domain': f'domain-{number % 4 + 1}',
+                'rack': '',
+                'region': 'local',
+            }
+            for number, name in enumerate(self.daemon_ids)
+        ]
+        workers = [
+            {
+                'id': name,
+                'address': f'127.0.0.1:{self._ports[name]}',
+                'role': 'worker',
+                'state': 'live',
+                'failure_domain': f'domain-{number % 4 + 1}',
+                'rack': f'rack-{number // 6 + 1}',
+                'region': 'local',
+            }
+            for number, name in enumerate(self.worker_ids)
+        ]
+        return entries + workers
+
+    def _write_settings(self, daemon_id: str) -> pathlib.Path:
+        number = self.daemon_ids.index(daemon_id)
+        path = self.folder / f'{daemon_id}.json'
+        path.write_text(
+            json.dumps(
+                {
+                    'member_id': daemon_id,
+                    'region': 'local',
+                    'failure_domain': f'domain-{number % 4 + 1}',
+                    'api_address': f'127.0.0.1:{self._api_ports[daemon_id]}',
+                    'peer_address': f'127.0.0.1:{self._ports[daemon_id]}',
+                    'log_url': self.log_url,
+                    'vm_list_url': self.vm_list_url,
+                    'bootstrap_operator_sha256': sha256(OPERATOR_KEY),
+                }
+            )
+        )
+        return path
+
+    def _ready(self, daemon_id: str) -> bool:
+        url = f'{self.url(daemon_id)}/readyz'
+        return httpx.get(url, timeout=2).status_code == 200
+
+    def _owned(self) -> bool:
+        owned = set()
+        for daemon_id in self.daemon_ids:
+            if self.processes[daemon_id].running:
+                state = self.state(daemon_id)
+                partitions = state.get('coordinator', {}).get('partitions', {})
+                owned |= {n for n, p in partitions.items() if p['open']}
+        return len(owned) == base_document()['partitions']
+
+    def _end_all(self) -> None:
+        for process in self.processes.values():
+            if process.running:
+                process.kill()
