Follow the owner during a call and catalogue the events

Cause: a request that had been passed to a paused owner waited for its whole time although another daemon owned the team by then (measured: 8.2 s, then outcome_unknown). After a kill, lookups failed at once with retry_budget_spent since refused connections used up the retries. Ruled out: a shorter timeout for each attempt, since a long poll of a live owner would be cut off too. Before: 8.2 s and outcome_unknown while the owner is paused.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint demo soak bench bench-quick
+.PHONY: setup test lint demo soak bench bench-quick events
 
 setup: $(STAMP)
 
@@ -21,3 +21,6 @@
 
 demo: setup
 	$(PYTHON) -m demo
+
+events: setup
+	$(PYTHON) -m basilspindle.events.catalogue > docs/events.md
--- a/basilspindle/api/callers.py
+++ b/basilspindle/api/callers.py
@@ -13,7 +13,8 @@
 from basilspindle.peer import messages
 
 _SUBMIT_MS = 8_000
-_LOOKUP_MS = 3_000
+# Longer than a takeover after the death of an owner.
+_LOOKUP_MS = 8_000
 _MAX_WAIT_MS = 15_000
 _MAX_PAGE = 1_000
 
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -38,6 +38,9 @@
 
 _TICK_MS = 200
 _REPORT_MS = 3_000
+# A report that found no owner is repeated soon, since the tasks of the
+# team wait for the capacity that the owner still counts.
+_RETRY_MAX_MS = 500
 _RANDOM_BYTES = 4
 # Requests that arrive while the balancer has not yet seen that this daemon
 # is not ready are still served.
@@ -308,6 +311,7 @@
                 worker_poll_ms=timing.worker_poll_ms,
                 task_lease_ms=timing.task_lease_ms,
                 silent_ms=timing.silent_ms,
+                retry_max_ms=_RETRY_MAX_MS,
             ),
             check_fence=self._fences.check,
             choose=policy.choose,
--- a/basilspindle/routing/router.py
+++ b/basilspindle/routing/router.py
@@ -1,6 +1,8 @@
 """Find the owner of a team's partition and pass calls on to it."""
 
+import asyncio
 import collections.abc
+import contextlib
 import typing
 
 import msgspec
@@ -14,6 +16,8 @@
 
 _OWNER_POLL_MS = 50
 _RETRY_PAUSE_MS = 100
+# A paused owner does not answer; its successor is asked instead.
+_OWNER_CHECK_MS = 200
 _RETRY_AFTER_MS = 1_000
 
 Handler = collections.abc.Callable[
@@ -84,15 +88,23 @@
             left_ms = due_ms - self._clock.now_ms()
             try:
                 return await self._call_one(address, request, left_ms)
-            except (errors.PeerUnavailable, errors.NotOwner, errors.Deposed):
-                pass
+            except (
+                errors.PeerUnavailable,
+                errors.NotOwner,
+                errors.Deposed,
+            ) as error:
+                # An owner that did nothing gets no extra work.
+                sent = sent or error.ran is not errors.Ran.NO
             except (errors.PeerOutcomeUnknown, errors.DeadlineExceeded):
                 sent = True
-            if not self._budget.spend():
-                events.emit(routing_events.RETRY_BUDGET_SPENT)
-                raise _give_up(request, sent)
+                self._spend(request)
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
 
+    def _spend(self, request: typing.Any) -> None:
+        if not self._budget.spend():
+            events.emit(routing_events.RETRY_BUDGET_SPENT)
+            raise _give_up(request, True)
+
     async def _find(
         self,
         request: typing.Any,
@@ -110,10 +122,29 @@
     async def _call_one(
         self, address: str, request: typing.Any, left_ms: int
     ) -> typing.Any:
-        if address:
-            return await self._caller.call(address, request, left_ms)
-        handler = self._handlers[type(request)]
-        return await self._clock.wait_ms(handler(request), left_ms)
+        if not address:
+            handler = self._handlers[type(request)]
+            return await self._clock.wait_ms(handler(request), left_ms)
+        call = asyncio.ensure_future(
+            self._caller.call(address, request, left_ms)
+        )
+        try:
+            while not await self._ended(call):
+                owner = self._owners.owner_address(request.partition)
+                if owner != address:
+                    raise errors.NotOwner(
+                        'the partition moved during the call; call the new '
+                        'owner',
+                        ran=errors.Ran.UNKNOWN,
+                    )
+            return call.result()
+        finally:
+            call.cancel()
+
+    async def _ended(self, call: asyncio.Future[typing.Any]) -> bool:
+        with contextlib.suppress(errors.DeadlineExceeded):
+            await self._clock.wait_ms(asyncio.wait({call}), _OWNER_CHECK_MS)
+        return call.done()
 
 
 def _give_up(request: typing.Any, sent: bool) -> errors.BasilspindleError:
