Test the coordinator; let refusals of a holder lapse

Cause: a holder that refused for another reason than room was not asked again until its capacity changed, so the work of an idle fleet stood still (found by test_intent_that_is_not_recorded_starts_nothing). Ruled out: asking at once, which loops as fast as the holder refuses. Change: a refusal lapses after 300 ms; 29 tests of the coordinator. Conclusion: work goes on after the log has failed for a while.

--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -114,6 +114,7 @@
 
     def _refresh(self) -> None:
         present = set()
+        self._rooms.set_time(self._clock.now_ms())
         for holder_id, room, stamp in self._holders.rooms():
             present.add(holder_id)
             self._rooms.update(holder_id, room, stamp)
--- a/basilspindle/coordinator/room_book.py
+++ b/basilspindle/coordinator/room_book.py
@@ -5,6 +5,8 @@
 from basilspindle import model
 from basilspindle.peer import messages
 
+REFUSED_MS = 300
+
 
 class RoomBook:
     """Free capacity by member, less what was sent since it was told.
@@ -13,14 +15,19 @@
     tells its capacity anew.
     """
 
-    __slots__ = ('_rooms', '_sources', '_refused', '_largest')
+    __slots__ = ('_rooms', '_sources', '_refused', '_largest', '_now_ms')
 
     def __init__(self) -> None:
         self._rooms: dict[str, messages.Room] = {}
         self._sources: dict[str, int] = {}
-        self._refused: dict[str, set[model.Resources]] = {}
+        self._refused: dict[str, dict[model.Resources, int]] = {}
+        self._now_ms = 0
         self._largest = model.Resources()
 
+    def set_time(self, now_ms: int) -> None:
+        """Set the time by which refusals lapse."""
+        self._now_ms = now_ms
+
     def update(self, holder_id: str, room: messages.Room, stamp: int) -> None:
         """Take a member's own figures; ``stamp`` tells new from known."""
         if self._sources.get(holder_id) == stamp:
@@ -56,11 +63,17 @@
         self._change_free(holder_id, need)
         refused = self._refused.get(holder_id)
         if refused:
-            refused.discard(need)
+            refused.pop(need, None)
 
     def refuse(self, holder_id: str, need: model.Resources) -> None:
-        """Note that a member has no worker for a shape."""
-        self._refused.setdefault(holder_id, set()).add(need)
+        """Do not ask a holder for a shape for a while.
+
+        It is asked again when it tells its capacity anew, since a refusal
+        for lack of room stands until then, or after ``REFUSED_MS``, since
+        other reasons pass without a change of its capacity.
+        """
+        refused = self._refused.setdefault(holder_id, {})
+        refused[need] = self._now_ms + REFUSED_MS
 
     def blocked(self, need: model.Resources) -> bool:
         """Tell whether no member has room for a shape."""
@@ -98,9 +111,13 @@
         return (
             need.fits(room.free)
             and need.fits(room.largest)
-            and need not in self._refused.get(holder_id, ())
+            and not self._is_refused(holder_id, need)
         )
 
+    def _is_refused(self, holder_id: str, need: model.Resources) -> bool:
+        until_ms = self._refused.get(holder_id, {}).get(need, 0)
+        return self._now_ms < until_ms
+
     def _change_free(self, holder_id: str, change: model.Resources) -> None:
         room = self._rooms.get(holder_id)
         if room is None:
--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,398 @@
+"""Guard acceptance, limits, at-most-once, retries and recovery of jobs."""
+
+import asyncio
+
+from basilspindle import errors
+from basilspindle import journal
+from basilspindle import model
+from basilspindle.peer import messages
+from tests import coordinator_case
+
+_State = model.State
+
+
+class LimitTest(coordinator_case.CoordinatorCase):
+    """Guard against a team with more running than its limit."""
+
+    async def test_limit_bounds_running_tasks_at_all_times(self):
+        self.set_limit(2)
+        self.activate()
+        await self.submit(self.job(tasks=5))
+        most = 0
+        while self.holders.running:
+            most = max(most, len(self.holders.running))
+            await self.end(next(iter(self.holders.running)))
+        self.assertEqual(2, most)
+        self.assertEqual(_State.SUCCEEDED, (await self.view()).state)
+
+    async def test_limit_lowered_below_running_starts_and_stops_nothing(self):
+        self.activate()
+        await self.submit(self.job(tasks=6))
+        self.set_limit(2)
+        await self.submit(self.job('j2', tasks=1))
+        for _ in range(4):
+            await self.end(next(iter(self.holders.running)))
+            self.assertNotIn('j2/0', [key[0] for key in self.holders.running])
+        await self.end(next(iter(self.holders.running)))
+        self.assertIn('j2/0', [key[0] for key in self.holders.running])
+        self.assertEqual([], self.holders.stopped)
+
+    async def test_found_tasks_of_an_earlier_owner_count(self):
+        self.set_limit(2)
+        self.activate(running=[self.found('old/0'), self.found('old/1')])
+        await self.submit(self.job())
+        self.assertEqual([], self.holders.started)
+
+    def found(self, task_id):
+        return model.RunningTask(
+            task_id=task_id,
+            attempt=7,
+            job_id=task_id.split('/')[0],
+            index=int(task_id.split('/')[1]),
+            team='red',
+            kind='report',
+            partition=0,
+            worker_id='worker-9',
+            failure_domain='fd1',
+            rack='r1',
+            resources=coordinator_case.NEED,
+            holder_id=coordinator_case.HOLDER,
+        )
+
+
+class AcceptTest(coordinator_case.CoordinatorCase):
+    """Guard against lost, doubled and falsely refused submissions."""
+
+    async def test_same_job_id_is_one_job(self):
+        self.activate()
+        first = await self.submit(self.job(durable=True))
+        second = await self.submit(self.job(durable=True))
+        self.assertFalse(first.repeated)
+        self.assertTrue(second.repeated)
+        self.assertEqual(1, self.journal.count(journal.JobAccepted))
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_same_job_id_at_the_same_moment_is_one_job(self):
+        self.activate()
+        self.journal.gate = asyncio.Event()
+        request = messages.Submit(partition=0, job=self.job(durable=True))
+        both = [
+            asyncio.ensure_future(self.coordinator.submit(request))
+            for _ in range(2)
+        ]
+        await self.clock.settle()
+        self.journal.gate.set()
+        replies = await asyncio.gather(*both)
+        await self.step()
+        self.assertEqual({False, True}, {r.repeated for r in replies})
+        self.assertEqual(1, self.journal.count(journal.JobAccepted))
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_other_body_under_the_same_key_is_refused(self):
+        self.activate()
+        await self.submit(self.job(durable=True))
+        with self.assertRaises(errors.KeyReused):
+            await self.submit(self.job(durable=True, body_hash='h2'))
+
+    async def test_log_that_took_nothing_refuses_truthfully(self):
+        self.activate()
+        self.journal.error = errors.LogUnavailable('down')
+        with self.assertRaises(errors.LogUnavailable) as caught:
+            await self.submit(self.job(durable=True))
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        self.journal.error = None
+        await self.step(60_000)
+        self.assertEqual([], self.holders.started)
+        with self.assertRaises(errors.NotFound):
+            await self.view()
+
+    async def test_late_confirmation_is_unknown_and_runs_once(self):
+        self.activate()
+        self.journal.gate = asyncio.Event()
+        submit = asyncio.ensure_future(
+            self.coordinator.submit(
+                messages.Submit(partition=0, job=self.job(durable=True))
+            )
+        )
+        await self.step(6_000)
+        with self.assertRaises(errors.OutcomeUnknown) as caught:
+            await submit
+        self.assertEqual('j1', caught.exception.job_id)
+        self.journal.gate.set()
+        await self.step()
+        reply = await self.submit(self.job(durable=True))
+        self.assertTrue(reply.repeated)
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_full_queue_refuses_at_once_with_a_time(self):
+        self.set_limit(0, queued=3)
+        self.activate()
+        await self.submit(self.job(tasks=3))
+        with self.assertRaises(errors.QueueFull) as caught:
+            await self.submit(self.job('j2'))
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+
+    async def test_size_above_every_worker_is_unschedulable(self):
+        self.activate()
+        await self.step()
+        with self.assertRaises(errors.Unschedulable):
+            await self.submit(
+                self.job(resources=model.Resources(9000, 1, 0, 1))
+            )
+
+    async def test_other_team_sees_no_job(self):
+        self.activate()
+        await self.submit(self.job())
+        with self.assertRaises(errors.NotFound):
+            await self.view(team='blue')
+        with self.assertRaises(errors.NotFound):
+            await self.coordinator.cancel(
+                messages.Cancel(partition=0, team='blue', job_id='j1')
+            )
+        reply = await self.coordinator.list_jobs(
+            messages.ListJobs(partition=0, team='blue')
+        )
+        self.assertEqual([], reply.views)
+
+
+class AtMostOnceTest(coordinator_case.CoordinatorCase):
+    """Guard against a second run of a non-idempotent task."""
+
+    def once(self, **changes):
+        return self.job(
+            idempotent=False, durable=True, max_attempts=1, **changes
+        )
+
+    async def test_intent_is_recorded_before_the_start(self):
+        self.activate()
+        self.journal.gate = asyncio.Event()
+        self.journal.gate.set()
+        await self.submit(self.once())
+        self.assertEqual(1, self.journal.count(journal.StartIntent))
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_intent_that_is_not_recorded_starts_nothing(self):
+        self.activate()
+        self.assured = False
+        await self.submit(self.once())
+        self.journal.error = errors.LogOutcomeUnknown('lost')
+        self.assured = True
+        await self.step(5_000)
+        self.assertEqual([], self.holders.started)
+        self.journal.error = None
+        await self.step(5_000)
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_lost_commit_answer_of_a_lost_holder_is_unknown(self):
+        self.activate()
+        self.holders.commit_error = errors.PeerOutcomeUnknown('lost')
+        await self.submit(self.once())
+        self.holders.gone = True
+        await self.step(self.timing.lost_after_ms + 2_000)
+        view = await self.view()
+        self.assertEqual(_State.UNKNOWN, view.state)
+        self.holders.gone = False
+        self.holders.commit_error = None
+        await self.step(60_000)
+        self.assertEqual([], self.holders.started)
+
+    async def test_end_that_may_have_run_is_never_repeated(self):
+        cases = [
+            (_State.FAILED, True, _State.FAILED),
+            (_State.QUEUED, True, _State.UNKNOWN),
+            (_State.UNKNOWN, True, _State.UNKNOWN),
+            (_State.CANCELLED, True, _State.UNKNOWN),
+        ]
+        self.activate()
+        for number, (state, started, expected) in enumerate(cases):
+            with self.subTest(state=state):
+                job_id = f'case{number}'
+                await self.submit(self.once(job_id=job_id))
+                key = self.holders.started[-1]
+                await self.end(key, state, started=started)
+                view = await self.view(job_id)
+                self.assertEqual(expected, view.state)
+        self.assertEqual(len(cases), len(self.holders.started))
+
+    async def test_refusal_before_the_start_is_repeated(self):
+        self.activate()
+        await self.submit(self.once())
+        key = self.holders.started[-1]
+        await self.end(key, _State.QUEUED, started=False)
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_new_owner_does_not_repeat_a_recorded_intent(self):
+        state = self.journal.state
+        batch = journal.Batch(
+            writer='w',
+            counter=1,
+            epoch=1,
+            wall_ms=0,
+            records=[
+                journal.JobAccepted(job=self.once(tasks=2)),
+                journal.StartIntent(
+                    job_id='j1', index=0, attempt=1, worker_id='worker-1'
+                ),
+            ],
+        )
+        claim = journal.Batch(
+            writer='w0',
+            counter=1,
+            epoch=0,
+            wall_ms=0,
+            records=[journal.Claim(member_id='entry-0', incarnation='1')],
+        )
+        state.apply(1, claim)
+        state.apply(2, batch)
+        self.activate()
+        await self.step(1_000)
+        self.assertEqual(
+            ['j1/1'], [task_id for task_id, _ in self.holders.started]
+        )
+        await self.end(self.holders.started[0])
+        self.assertEqual(_State.UNKNOWN, (await self.view()).state)
+
+
+class RetryTest(coordinator_case.CoordinatorCase):
+    """Guard against double runs and lost tasks after failures."""
+
+    async def test_lost_place_answer_is_repeated_with_the_same_attempt(self):
+        self.activate()
+        self.holders.lose_answer = True
+        await self.submit(self.job())
+        await self.step(1_000)
+        orders = [request.orders[0] for request in self.holders.requests]
+        self.assertEqual(2, len(orders))
+        self.assertEqual(orders[0].attempt, orders[1].attempt)
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_task_of_a_lost_holder_waits_for_all_leases(self):
+        self.activate()
+        await self.submit(self.job())
+        self.holders.gone = True
+        await self.step(self.timing.lost_after_ms - 1_000)
+        self.holders.running.clear()
+        self.assertEqual(1, len(self.holders.started))
+        self.holders.gone = False
+        self.holders.gone = True
+        await self.step(2_000)
+        self.holders.gone = False
+        await self.step(1_000)
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_failed_task_is_repeated_elsewhere_up_to_its_bound(self):
+        self.activate()
+        await self.submit(self.job(max_attempts=2))
+        await self.end(self.holders.started[0], _State.FAILED, error='x')
+        order = self.holders.requests[-1].orders[0]
+        self.assertEqual(['worker-1'], order.avoid)
+        await self.end(self.holders.started[1], _State.FAILED, error='x')
+        self.assertEqual(_State.FAILED, (await self.view()).state)
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_late_end_of_an_earlier_attempt_changes_nothing(self):
+        self.activate()
+        await self.submit(self.job())
+        first = self.holders.started[0]
+        await self.end(first, _State.QUEUED)
+        self.assertEqual(2, len(self.holders.started))
+        await self.end(first, _State.SUCCEEDED, result=b'"late"')
+        self.assertEqual(_State.RUNNING, (await self.view()).state)
+        await self.end(self.holders.started[1], result=b'"own"')
+        view = await self.view()
+        self.assertEqual(b'"own"', view.results[0].result)
+
+    async def test_nothing_starts_without_assurance(self):
+        self.assured = False
+        self.activate()
+        await self.submit(self.job(tasks=3))
+        await self.step(5_000)
+        self.assertEqual([], self.holders.requests)
+        self.assured = True
+        await self.step(1_000)
+        self.assertEqual(3, len(self.holders.started))
+
+    async def test_nothing_starts_before_all_workers_were_seen(self):
+        self.activate(opens_in_ms=30_000)
+        await self.submit(self.job())
+        await self.step(20_000)
+        self.assertEqual([], self.holders.started)
+        self.coordinator.see_all(0, [], [])
+        await self.step()
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_service_is_started_again_when_it_ends(self):
+        self.activate()
+        await self.submit(self.job(service=True))
+        await self.end(self.holders.started[0], _State.SUCCEEDED)
+        self.assertEqual(2, len(self.holders.started))
+
+
+class CancelTest(coordinator_case.CoordinatorCase):
+    """Guard against cancelled or unauthorised work that goes on."""
+
+    async def test_cancel_ends_queued_and_stops_started_tasks(self):
+        self.set_limit(2)
+        self.activate()
+        await self.submit(self.job(tasks=5))
+        await self.coordinator.cancel(
+            messages.Cancel(partition=0, team='red', job_id='j1')
+        )
+        await self.step(1_000)
+        self.assertEqual(set(self.holders.running), set(self.holders.stopped))
+        for key in list(self.holders.running):
+            await self.end(key, _State.CANCELLED)
+        view = await self.view()
+        self.assertEqual(_State.CANCELLED, view.state)
+        self.assertEqual({'cancelled': 5}, view.counts)
+
+    async def test_withdrawn_key_cancels_what_has_not_started(self):
+        self.set_limit(1)
+        self.activate()
+        await self.submit(self.job('j1'))
+        await self.submit(self.job('j2'))
+        self.key_valid = False
+        await self.step(2_000)
+        self.assertEqual(_State.RUNNING, (await self.view('j1')).state)
+        self.assertEqual(_State.CANCELLED, (await self.view('j2')).state)
+
+    async def test_deadline_expires_queued_tasks(self):
+        self.set_limit(0)
+        self.activate()
+        await self.submit(self.job(deadline_ms=3_000))
+        await self.step(4_000)
+        self.assertEqual(_State.EXPIRED, (await self.view()).state)
+
+    async def test_deactivation_tells_waiters_and_stops_starts(self):
+        self.activate()
+        await self.submit(self.job())
+        waiting = asyncio.ensure_future(
+            self.coordinator.view(
+                messages.View(
+                    partition=0, team='red', job_id='j1', wait_ms=10_000
+                )
+            )
+        )
+        await self.clock.settle()
+        await self.coordinator.deactivate(0, False)
+        await self.step()
+        with self.assertRaises(errors.NotOwner):
+            await waiting
+
+
+class GangTest(coordinator_case.CoordinatorCase):
+    """Guard against a gang that starts in part."""
+
+    async def test_gang_waits_until_all_tasks_fit(self):
+        self.activate()
+        await self.submit(self.job('small', tasks=5))
+        await self.submit(self.job('gang', tasks=6, gang=True))
+        await self.step(2_000)
+        names = [task_id for task_id, _ in self.holders.started]
+        self.assertFalse([n for n in names if n.startswith('gang')])
+        for key in list(self.holders.running):
+            await self.end(key)
+        await self.step(2_000)
+        names = [task_id for task_id, _ in self.holders.started]
+        self.assertEqual(6, sum(n.startswith('gang') for n in names))
