Test leases, takeover and faults of workers

Ruled out: counting only silent event polls towards the suspicion; with a lease of 3 s the lease lapses after one, and lease calls follow. Change: any call that a worker leaves unanswered counts as a miss, a loss is reported at the expiry of the task lease and not after a back-off, and a poll of a suspect worker does not wait. Conclusion: single faults behave as the design says.

--- a/basilspindle/fleet/keeper.py
+++ b/basilspindle/fleet/keeper.py
@@ -1,6 +1,7 @@
 """Hold the lease of one worker and follow its tasks."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -28,6 +29,10 @@
 _COUNTED_OUTCOMES = frozenset(
     {worker_event.Outcome.SUCCEEDED, worker_event.Outcome.FAILED}
 )
+# Their outcome is concluded by whoever starts or commits them.
+_UNSENT_PHASES = frozenset(
+    {entry_module.Phase.HELD, entry_module.Phase.STARTING}
+)
 
 
 class Keeper:
@@ -71,7 +76,10 @@
                 await self._step()
             except errors.StaleEpoch:
                 self._lapse()
+            except errors.WorkerRefused:
+                await self._back_off()
             except errors.WorkerError:
+                self._miss()
                 await self._back_off()
             except Exception as fault:
                 events.emit(
@@ -232,10 +240,6 @@
             page = await self._wait_events()
         except errors.WorkerUnavailable:
             worker.task_renewal_ms = renewal_ms
-            self._miss()
-            raise
-        except errors.WorkerOutcomeUnknown:
-            self._miss()
             raise
         if page is None:
             return
@@ -252,7 +256,10 @@
         """Poll until events, the wait time, or a wake-up (None)."""
         worker = self._worker
         wait_ms = self._settings.poll_wait_ms
-        if not worker.wanted or self._uncertain():
+        if worker.silent_polls:
+            # Any answer ends the suspicion, so none is delayed.
+            wait_ms = 0
+        elif not worker.wanted or self._uncertain():
             wait_ms = min(wait_ms, self._settings.retry_ms)
         poll = asyncio.ensure_future(
             worker.client.events(
@@ -540,21 +547,21 @@
             self._emit_lost(error, lost)
 
     def _expire_tasks(self, now_ms: int) -> None:
-        worker = self._worker
         lost = 0
-        for entry in list(worker.tasks.values()):
-            if entry.phase in (
-                entry_module.Phase.HELD,
-                entry_module.Phase.STARTING,
-            ):
-                continue
-            renewed_ms = max(worker.task_renewal_ms, entry.sent_ms)
-            if now_ms >= renewed_ms + self._settings.task_expiry_ms:
+        for entry in list(self._worker.tasks.values()):
+            if now_ms >= self._expiry_ms(entry):
                 self._lose_task(entry, 'task lease expired')
                 lost += 1
         if lost:
             self._emit_lost('task lease expired', lost)
 
+    def _expiry_ms(self, entry: entry_module.TaskEntry) -> float:
+        """Return when a task that is not renewed has certainly stopped."""
+        if entry.phase in _UNSENT_PHASES:
+            return math.inf
+        renewed_ms = max(self._worker.task_renewal_ms, entry.sent_ms)
+        return renewed_ms + self._settings.task_expiry_ms
+
     def _emit_lost(self, error: str, lost: int) -> None:
         events.emit(
             fleet_events.WORKER_LOST,
@@ -575,7 +582,11 @@
         )
 
     async def _pause(self, duration_ms: int) -> None:
-        """Wait; a wake-up ends the wait early."""
+        """Wait; a wake-up or the expiry of a task ends it early."""
+        now_ms = self._clock.now_ms()
+        expiries = map(self._expiry_ms, self._worker.tasks.values())
+        left_ms = min(expiries, default=math.inf) - now_ms
+        duration_ms = max(0, min(duration_ms, left_ms))
         try:
             await self._clock.wait_ms(self._worker.wake.wait(), duration_ms)
         except errors.DeadlineExceeded:
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import httpx
+import loguru
 import msgspec
 
 from basilspindle import errors
@@ -17,9 +19,55 @@
 NEED = model.Resources(1_000, 1_000, 0, 1)
 
 
+def build_order(name, attempt=1, idempotent=True, **changes):
+    """Build an order; the id of a job is the part before the slash."""
+    given = {'run_ms': changes.pop('run_ms', 10_000)}
+    given.update(changes.pop('given', {}))
+    job_id, _, index = name.partition('/')
+    fields = {
+        'task_id': name,
+        'attempt': attempt,
+        'job_id': job_id,
+        'index': int(index or 0),
+        'team': 'team1',
+        'kind': 'kind1',
+        'priority': model.Priority.BATCH,
+        'resources': NEED,
+        'run_time_ms': 0,
+        'idempotent': idempotent,
+        'service': False,
+        'input': msgspec.json.encode(given),
+        'partition': 0,
+        'partition_epoch': 1,
+    }
+    return model.TaskOrder(**(fields | changes))
+
+
+class _Cuttable(httpx.AsyncBaseTransport):
+    """Refuse connections while a member is cut off."""
+
+    def __init__(self, inner, cut, member_id):
+        self._inner = inner
+        self._cut = cut
+        self._member_id = member_id
+
+    async def handle_async_request(self, request):
+        if self._member_id in self._cut:
+            raise httpx.ConnectError('cut off')
+        return await self._inner.handle_async_request(request)
+
+
 class FleetCase(unittest.IsolatedAsyncioTestCase):
     """Give each test a clock, workers and a record of reports."""
 
+    @classmethod
+    def setUpClass(cls):
+        loguru.logger.disable('basilspindle')
+
+    @classmethod
+    def tearDownClass(cls):
+        loguru.logger.enable('basilspindle')
+
     async def asyncSetUp(self):
         self.clock = manual_clock.ManualClock()
         self.settings = fleet.FleetSettings()
@@ -28,6 +76,8 @@
         self.found = []
         self.fences = {}
         self.confirm = True
+        # Members that cannot reach any worker.
+        self.cut = set()
 
     async def asyncTearDown(self):
         for worker in self.workers.values():
@@ -44,10 +94,14 @@
             )
         return list(self.workers.values())
 
-    def client(self, address):
+    def client(self, address, member_id=''):
         worker = self.workers[address.partition(':')[0]]
         return fleet.WorkerClient(
-            address, self.clock, transport=worker.transport
+            address,
+            self.clock,
+            transport=lambda: _Cuttable(
+                worker.transport(), self.cut, member_id
+            ),
         )
 
     async def open_fleet(self, member_id='d1', choose=None):
@@ -58,7 +112,7 @@
             check_fence=self.check_fence,
             choose=choose or fleet.choose_best_fit,
             report=self.report,
-            client_factory=self.client,
+            client_factory=lambda address: self.client(address, member_id),
         )
         return await self.enterAsyncContext(opened)
 
@@ -83,27 +137,8 @@
         self.found.extend(found)
         return True
 
-    def order(self, name, attempt=1, idempotent=True, **changes):
-        given = {'run_ms': changes.pop('run_ms', 10_000)}
-        given.update(changes.pop('given', {}))
-        job_id, _, index = name.partition('/')
-        fields = {
-            'task_id': name,
-            'attempt': attempt,
-            'job_id': job_id,
-            'index': int(index or 0),
-            'team': 'team1',
-            'kind': 'kind1',
-            'priority': model.Priority.BATCH,
-            'resources': NEED,
-            'run_time_ms': 0,
-            'idempotent': idempotent,
-            'service': False,
-            'input': msgspec.json.encode(given),
-            'partition': 0,
-            'partition_epoch': 1,
-        }
-        return model.TaskOrder(**(fields | changes))
+    def order(self, name, **changes):
+        return build_order(name, **changes)
 
     async def place(self, opened, *orders, advance_ms=0, **options):
         """Place orders, letting time pass until the answer is there."""
--- /dev/null
+++ b/tests/test_fleet_leases.py
@@ -0,0 +1,327 @@
+"""Guard leases, takeover and the fate of tasks when parts fail."""
+
+import asyncio
+
+from basilspindle import fleet
+from basilspindle import model
+from basilspindle.peer import messages
+from tests import fleet_case
+
+_LOST_AFTER_MS = 33_000
+
+
+class TakeoverTest(fleet_case.FleetCase):
+    """Guard against two holders of one worker."""
+
+    async def test_second_holder_adopts_after_expiry(self):
+        """Guard against a takeover that forgets what runs."""
+        first = await self.start_fleet()
+        second = await self.open_fleet('d2')
+        await self.place(
+            first, self.order('a/0'), self.order('b/0', run_ms=2_500)
+        )
+        await self.assign(second)
+        await self.clock.advance_ms(500)
+        self.assertEqual(0, second.room().workers)
+        self.cut.add('d1')
+        await self.clock.advance_ms(5_000)
+        self.assertEqual(3, second.room().free.slots)
+        found = [(t.task_id, t.worker_epoch) for t in self.found]
+        self.assertEqual([('a/0', 2)], found)
+        self.assertIs(model.State.SUCCEEDED, self.end_of('b/0').state)
+        self.cut.clear()
+        await self.clock.advance_ms(40_000)
+        # The first holder must not report the passed on task as lost.
+        ends = [(e.task_id, e.state) for e in self.ends]
+        self.assertEqual(
+            [
+                ('b/0', model.State.SUCCEEDED),
+                ('a/0', model.State.SUCCEEDED),
+            ],
+            ends,
+        )
+        self.assertEqual(0, first.room().workers)
+        self.check_record()
+
+    async def test_late_start_of_the_first_holder_is_refused(self):
+        """Guard against a start that arrives after a takeover."""
+        first = await self.start_fleet()
+        second = await self.open_fleet('d2')
+        worker = self.workers['w0']
+        worker.faults.late_starts = 1
+        order = self.order('a/0', idempotent=False)
+        (placed,) = await self.place(first, order, advance_ms=1_000)
+        self.assertTrue(placed.unknown)
+        self.cut.add('d1')
+        await self.assign(second)
+        await self.clock.advance_ms(10_000)
+        self.assertEqual(1, second.room().workers)
+        self.assertEqual([], worker.runs)
+        self.cut.clear()
+        await self.clock.advance_ms(5_000)
+        end = self.end_of('a/0')
+        self.assertIs(model.State.QUEUED, end.state)
+        self.assertFalse(end.started)
+        self.check_record()
+
+    async def test_paused_holder_starts_nothing(self):
+        """Guard against a start after a pause longer than the lease."""
+        opened = await self.start_fleet()
+        self.clock._now_ms += 2_900
+        (placed,) = await self.place(opened, self.order('a/0'))
+        self.assertEqual('no_room', placed.reason)
+        await self.clock.advance_ms(2_000)
+        (placed,) = await self.place(opened, self.order('a/0'))
+        self.assertEqual('w0', placed.worker_id)
+
+    async def test_pause_between_decision_and_send(self):
+        """Guard against checking the lease only before the decision."""
+
+        def choose(order, views):
+            self.clock._now_ms += 2_900
+            return fleet.choose_best_fit(order, views)
+
+        opened = await self.start_fleet(choose=choose)
+        (placed,) = await self.place(opened, self.order('a/0'))
+        self.assertEqual('stale_epoch', placed.reason)
+        self.assertEqual([], self.workers['w0'].runs)
+
+    async def test_hand_back_waits_for_holds_and_reports(self):
+        """Guard against a hand-back that loses holds or results."""
+        opened = await self.start_fleet()
+        other = await self.open_fleet('d2')
+        self.confirm = False
+        await self.place(opened, self.order('a/0', run_ms=10))
+        await self.place(opened, self.order('b/0'))
+        await self.place(opened, self.order('h/0'), hold=True, hold_ms=2_000)
+        await self.clock.advance_ms(100)
+        await opened.assign([])
+        await self.assign(other)
+        self.assertEqual(0, opened.room().workers)
+        await self.clock.advance_ms(1_000)
+        self.assertEqual(1, len(opened.workers()))
+        self.confirm = True
+        await self.clock.advance_ms(3_000)
+        self.assertEqual([], opened.workers())
+        self.assertIs(model.State.SUCCEEDED, self.end_of('a/0').state)
+        await self.clock.advance_ms(1_000)
+        self.assertEqual(['b/0'], [t.task_id for t in self.found])
+        self.assertEqual(3, other.room().free.slots)
+
+    async def test_release_all_is_bounded(self):
+        """Guard against a planned stop that waits without limit."""
+        opened = await self.start_fleet(workers=2)
+        self.confirm = False
+        await self.place(opened, self.order('a/0', run_ms=10))
+        await self.clock.advance_ms(100)
+        work = asyncio.ensure_future(opened.release_all())
+        await self.clock.advance_ms(8_000)
+        self.assertTrue(work.done())
+        self.assertEqual([], opened.workers())
+        # The result stays at the worker for the next holder.
+        self.assertEqual(1, len(self.workers['w0'].inventory()[1]['ended']))
+        self.assertEqual([], self.workers['w1'].inventory()[1]['ended'])
+
+    async def test_lost_answer_to_a_lease_call(self):
+        """Guard against a holder that locks itself out."""
+        self.add_workers(1)
+        self.workers['w0'].faults.lose_leases = 1
+        opened = await self.open_fleet()
+        await self.assign(opened)
+        await self.clock.advance_ms(6_000)
+        self.assertEqual(1, opened.room().workers)
+
+
+class LostStartTest(fleet_case.FleetCase):
+    """Guard against a wrong conclusion from a lost start answer."""
+
+    async def lose(self, fault, idempotent=False):
+        opened = await self.start_fleet()
+        setattr(self.workers['w0'].faults, fault, 1)
+        order = self.order('a/0', idempotent=idempotent, run_ms=20_000)
+        (placed,) = await self.place(opened, order, advance_ms=1_000)
+        self.assertTrue(placed.unknown)
+        return opened
+
+    async def test_start_took_effect(self):
+        """Guard against a second run of a task that runs."""
+        opened = await self.lose('lose_starts')
+        await self.clock.advance_ms(1_000)
+        self.assertEqual(['a/0'], [t.task_id for t in self.found])
+        self.assertEqual(3, opened.room().free.slots)
+        await self.clock.advance_ms(20_000)
+        self.assertIs(model.State.SUCCEEDED, self.end_of('a/0').state)
+        self.check_record()
+
+    async def test_start_is_still_on_its_way(self):
+        """Guard against 'not run' while the start may still arrive."""
+        opened = await self.lose('late_starts')
+        await self.clock.advance_ms(10_000)
+        end = self.end_of('a/0')
+        self.assertIs(model.State.QUEUED, end.state)
+        self.assertFalse(end.started)
+        self.assertEqual([], self.workers['w0'].runs)
+        self.assertEqual(4, opened.room().free.slots)
+
+    async def test_capacity_stays_reserved_until_resolved(self):
+        """Guard against reusing capacity of a task that may run."""
+        opened = await self.start_fleet()
+        self.workers['w0'].faults.lose_starts = 1
+        work = asyncio.ensure_future(
+            self.place(opened, self.order('a/0'), advance_ms=3_000)
+        )
+        await self.clock.settle()
+        self.cut.add('d1')
+        await work
+        (status,) = opened.workers()
+        self.assertEqual(3, status.free.slots)
+        self.assertEqual({'uncertain': 1}, status.tasks)
+        self.assertIsNone(self.end_of('a/0'))
+
+    async def test_worker_restarted_before_the_answer(self):
+        """Guard against 'not run' for a task that may have run."""
+        for idempotent, state in (
+            (True, model.State.QUEUED),
+            (False, model.State.UNKNOWN),
+        ):
+            with self.subTest(idempotent=idempotent):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                opened = await self.start_fleet()
+                worker = self.workers['w0']
+                worker.faults.lose_starts = 1
+                order = self.order('a/0', idempotent=idempotent)
+                work = asyncio.ensure_future(
+                    self.place(opened, order, advance_ms=1_000)
+                )
+                await self.clock.settle()
+                worker.restart()
+                await work
+                await self.clock.advance_ms(2_000)
+                end = self.end_of('a/0')
+                self.assertIs(state, end.state)
+                self.assertTrue(end.started)
+                self.assertEqual(4, opened.room().free.slots)
+
+
+class WorkerFaultTest(fleet_case.FleetCase):
+    """Guard against losing, or repeating, work of a failed worker."""
+
+    async def test_restart_ends_its_tasks_at_once(self):
+        """Guard against waiting for tasks that are certainly over."""
+        opened = await self.start_fleet()
+        await self.place(
+            opened, self.order('a/0'), self.order('b/0', idempotent=False)
+        )
+        self.workers['w0'].restart()
+        await self.clock.advance_ms(1_000)
+        self.assertIs(model.State.QUEUED, self.end_of('a/0').state)
+        self.assertIs(model.State.UNKNOWN, self.end_of('b/0').state)
+        self.assertEqual(4, opened.room().free.slots)
+
+    async def test_dead_worker_counts_until_the_task_lease_is_over(self):
+        """Guard against a second run while the first may go on."""
+        opened = await self.start_fleet(workers=1)
+        worker = self.workers['w0']
+        await self.place(opened, self.order('a/0', run_ms=90_000))
+        await self.clock.advance_ms(1_500)
+        self.cut.add('d1')
+        await self.clock.advance_ms(29_000)
+        self.assertIsNone(self.end_of('a/0'))
+        listed = await opened.inventory(
+            messages.Inventory(partition=0, partition_epoch=1, member_id='c1')
+        )
+        self.assertEqual(['a/0'], [t.task_id for t in listed.running])
+        self.assertEqual([], listed.workers)
+        await self.clock.advance_ms(_LOST_AFTER_MS - 29_000)
+        self.assertIs(model.State.QUEUED, self.end_of('a/0').state)
+        self.assertEqual('expired', worker.runs[0].outcome)
+        self.cut.clear()
+        await self.clock.advance_ms(10_000)
+        self.assertEqual(4, opened.room().free.slots)
+
+    async def test_silent_worker_renews_no_task_lease_for_ever(self):
+        """Guard against tasks that count as running without end."""
+        opened = await self.start_fleet()
+        await self.place(opened, self.order('a/0', run_ms=90_000))
+        self.workers['w0'].silence('all')
+        await self.clock.advance_ms(5_000)
+        self.assertTrue(opened.workers()[0].suspect)
+        await self.clock.advance_ms(40_000)
+        self.assertIs(model.State.QUEUED, self.end_of('a/0').state)
+
+    async def test_old_connections_silent(self):
+        """Guard against losing a worker whose new connections work."""
+        opened = await self.start_fleet()
+        await self.place(opened, self.order('a/0', run_ms=20_000))
+        await self.clock.advance_ms(500)
+        self.workers['w0'].silence('old')
+        await self.clock.advance_ms(4_000)
+        (placed,) = await self.place(opened, self.order('b/0'))
+        self.assertEqual('w0', placed.worker_id)
+        await self.clock.advance_ms(20_000)
+        self.assertIs(model.State.SUCCEEDED, self.end_of('a/0').state)
+        self.check_record()
+
+    async def test_suspect_worker_gets_nothing(self):
+        """Guard against starts on a worker that does not answer."""
+        self.settings = fleet.FleetSettings(
+            worker_lease_ms=20_000, worker_poll_ms=1_000
+        )
+        opened = await self.start_fleet(workers=2)
+        self.workers['w0'].silence('all')
+        await self.clock.advance_ms(6_000)
+        self.assertEqual(1, opened.room().workers)
+        self.workers['w0'].silence('')
+        await self.clock.advance_ms(3_000)
+        self.assertEqual(2, opened.room().workers)
+
+    async def test_leaving_and_drained_workers_get_nothing(self):
+        """Guard I8; what runs there goes on."""
+        opened = await self.start_fleet()
+        await self.place(opened, self.order('a/0', run_ms=5_000))
+        for change in ('leaving', 'drained'):
+            with self.subTest(change=change):
+                await self.assign(opened, **{change: True})
+                placed = await self.place(opened, self.order(change))
+                self.assertEqual('no_room', placed[0].reason)
+                await self.assign(opened)
+                self.assertEqual(1, opened.room().workers)
+        await self.clock.advance_ms(5_000)
+        self.assertIs(model.State.SUCCEEDED, self.end_of('a/0').state)
+
+    async def test_worker_that_fails_everything_is_quarantined(self):
+        """Guard against a worker that drains the queue by failing."""
+        opened = await self.start_fleet(workers=3)
+        self.workers['w1'].faults.fail_all = True
+        for number in range(6):
+            orders = [
+                self.order(f'{number}-{i}/0', run_ms=10) for i in range(12)
+            ]
+            await self.place(opened, *orders)
+            await self.clock.advance_ms(50)
+        failed = self.workers['w1'].starts
+        self.assertLessEqual(failed, 12)
+        self.assertEqual(2, opened.room().workers)
+        self.workers['w1'].faults.fail_all = False
+        await self.clock.advance_ms(30_000)
+        for number in range(12):
+            orders = [
+                self.order(f'z{number}-{i}/0', run_ms=10) for i in range(12)
+            ]
+            await self.place(opened, *orders)
+            await self.clock.advance_ms(50)
+        self.assertEqual(-1, opened.workers()[1].allowance)
+        self.check_record()
+
+    async def test_moved_worker_keeps_or_loses_its_tasks(self):
+        """Guard against a client that stays at the old address."""
+        opened = await self.start_fleet()
+        await self.place(opened, self.order('a/0', run_ms=4_000))
+        worker = self.workers['w0']
+        worker.address = 'w0:81'
+        await self.assign(opened)
+        await self.clock.advance_ms(6_000)
+        self.assertIs(model.State.SUCCEEDED, self.end_of('a/0').state)
+        self.assertEqual('w0:81', opened.workers()[0].info.address)
+        self.assertIn('w0', str(opened.dump()))
