Separate holding a claim from owning a partition

A claim whose caller gave up can take effect late; treating that as ownership would let appends run before the takeover finished. The stand-in gains refused and silent connections.

--- a/basilspindle/journal/append_item.py
+++ b/basilspindle/journal/append_item.py
@@ -32,6 +32,12 @@
         """Tell whether this claims the partition."""
         return isinstance(self.records[0], records.Claim)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Tell whether the offset is known."""
+        done = self.confirmed.done() and not self.confirmed.cancelled()
+        return done and self.confirmed.exception() is None
+
     def confirm(self, offset: int) -> bool:
         """Answer the caller; return False if it has given up."""
         if self.confirmed.done():
--- a/basilspindle/journal/log_client.py
+++ b/basilspindle/journal/log_client.py
@@ -32,7 +32,8 @@
     """Append to and read from streams; share one in a process.
 
     ``down_since_ms`` is the monotonic send time of the first request of
-    the current series of failures, None while the log answers.
+    the current series of failures, or the time of the last answer if that
+    is later; None while the log answers.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         '_log_down_ms',
         '_request_timeout_ms',
         '_http',
+        '_answered_ms',
         '_reported_down',
         '_timeouts',
     )
@@ -61,6 +63,7 @@
         self._log_down_ms = log_down_ms
         self._request_timeout_ms = request_timeout_ms
         self._reported_down = False
+        self._answered_ms = -(1 << 62)
         self._http = httpx.AsyncClient(
             transport=transport or _make_transport(), trust_env=False
         )
@@ -190,10 +193,13 @@
             self._reported_down = False
             events.emit(journal_events.LOG_UP)
         self.down_since_ms = None
+        self._answered_ms = self._clock.now_ms()
 
     def _note_failure(self, sent_ms: int) -> None:
         if self.down_since_ms is None:
-            self.down_since_ms = sent_ms
+            # A request on a silent connection fails long after it was
+            # sent, while others are answered.
+            self.down_since_ms = max(sent_ms, self._answered_ms)
         if self.is_down and not self._reported_down:
             self._reported_down = True
             events.emit(journal_events.LOG_DOWN)
--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -75,6 +75,7 @@
         self._claimed = False
         self._deposed = False
         self._closing = False
+        self._broken = False
         self._counter = 0
         self._outbox = outbox_module.Outbox()
         self._flight: flight_module.Flight | None = None
@@ -107,13 +108,8 @@
         await asyncio.gather(*running, return_exceptions=True)
         self._tasks.clear()
         self._end_ownership()
-        self._fail_all(
-            self._client.unavailable('the journal was closed'),
-            errors.LogOutcomeUnknown(
-                'the journal was closed while an append was in flight; '
-                'query the job'
-            ),
-        )
+        self._fail_flight(_unknown('the journal was closed'))
+        self._fail_waiting(self._client.unavailable('the journal was closed'))
 
     @property
     def state(self) -> partition_state.PartitionState:
@@ -137,7 +133,11 @@
 
     @property
     def is_owner(self) -> bool:
-        """Tell whether the latest claim read is that of this object."""
+        """Tell whether ``claim`` returned and no foreign claim was read."""
+        return self._claimed and self._holds
+
+    @property
+    def _holds(self) -> bool:
         return self._epoch > 0 and self._epoch == self._state.epoch
 
     @property
@@ -183,20 +183,26 @@
     # Ownership
 
     async def claim(self, timeout_ms: int | None = None) -> int:
-        """Claim the partition and return the epoch.
+        """Claim the partition and return the epoch, a log offset.
 
+        Returns the present epoch if the claim is already in force.
         Raises ``Deposed`` if another claim came later, ``LogUnavailable``
         if nothing was claimed and ``LogOutcomeUnknown`` if the claim may
         still take effect.
         """
+        if self._broken:
+            raise errors.NotReady('the journal failed; restart this daemon')
         if timeout_ms is None:
             timeout_ms = self._timing.append_timeout_ms
         deadline_ms = self._clock.now_ms() + timeout_ms
         await self._read_tail_within(timeout_ms)
-        claim = records.Claim(self._member_id, self._writer)
-        rest_ms = max(1, deadline_ms - self._clock.now_ms())
-        offset = await self._submit([claim], rest_ms)
-        await self._confirm_claim(offset, deadline_ms)
+        # An earlier claim whose caller gave up may have taken effect.
+        offset = self._epoch if self._holds else 0
+        if not offset:
+            claim = records.Claim(self._member_id, self._writer)
+            rest_ms = max(1, deadline_ms - self._clock.now_ms())
+            offset = await self._submit([claim], rest_ms)
+            await self._confirm_claim(offset, deadline_ms)
         self._claimed = True
         self._changed.set()
         events.emit(
@@ -263,15 +269,14 @@
         try:
             return await self._clock.wait_ms(item.confirmed, timeout_ms)
         except errors.DeadlineExceeded:
+            if item.is_confirmed:
+                return item.confirmed.result()
             item.confirmed.cancel()
             if not item.sent:
                 raise self._client.unavailable(
                     f'nothing was sent within {timeout_ms} ms'
                 ) from None
-            raise errors.LogOutcomeUnknown(
-                f'the append was not confirmed within {timeout_ms} ms; '
-                'query the job'
-            ) from None
+            raise _unknown(f'no answer within {timeout_ms} ms') from None
 
     async def snapshot(self, timeout_ms: int = _SNAPSHOT_TIMEOUT_MS) -> None:
         """Write a snapshot of the state and wait until it is complete.
@@ -311,7 +316,7 @@
         now_ms = self._clock.now_ms()
         if self._snapshot_done is not None or self._client.is_down:
             return False
-        if now_ms < self._snapshot_retry_ms or not self._claimed:
+        if now_ms < self._snapshot_retry_ms or not self.is_owner:
             return False
         if not self._state.complete:
             return True
@@ -338,6 +343,8 @@
                 partition=self.partition,
                 error=repr(error),
             )
+            self._broken = True
+            self._fail_flight(_unknown('the journal failed'))
             self._depose()
             raise
 
@@ -345,7 +352,7 @@
         backoff_ms = _BACKOFF_MS
         while True:
             self._changed.clear()
-            if self.is_owner:
+            if self._holds:
                 await self._poll_as_owner()
             elif self._following:
                 if await self._poll_as_reader():
@@ -360,15 +367,15 @@
         # Reads without a wait give a younger assurance than long polls
         # for the same number of requests, and don't return the owner's
         # own appends.
+        if self._is_snapshot_due():
+            self._begin_snapshot()
         poll_ms = self._timing.poll_ms
         age_ms = self._clock.now_ms() - self.assured_at_ms
         if age_ms < poll_ms:
             await self._pause(poll_ms - age_ms)
             return
-        if self._is_snapshot_due():
-            self._begin_snapshot()
         if len(self._polls) < _MAX_POLLS:
-            task = asyncio.create_task(self._poll_once())
+            task = asyncio.create_task(self._guard(self._poll_once))
             self._polls.add(task)
             task.add_done_callback(self._polls.discard)
         await self._pause(poll_ms)
@@ -434,7 +441,7 @@
         self._assure(sent_ms)
 
     def _assure(self, sent_ms: int) -> None:
-        if self.is_owner:
+        if self._holds:
             self.assured_at_ms = max(self.assured_at_ms, sent_ms)
 
     def _decode(self, offset: int, data: bytes) -> batch_module.Batch | None:
@@ -510,12 +517,13 @@
         async with self._rebuild_lock:
             if self._next >= first:
                 return
-            events.emit(
-                journal_events.STREAM_TRIMMED,
-                partition=self.partition,
-                next=self._next,
-                first=first,
-            )
+            if self.replayed:
+                events.emit(
+                    journal_events.STREAM_TRIMMED,
+                    partition=self.partition,
+                    next=self._next,
+                    first=first,
+                )
             fresh = self._make_state(complete=False)
             next_offset = await self._replay(fresh, first)
             self._replace(fresh, next_offset)
@@ -594,7 +602,10 @@
         self._deposed = True
         self._end_ownership()
         error = self._deposed_error()
-        self._fail_all(error, error)
+        if self._flight is not None and not self._flight.is_claim:
+            # It was not read before the claim, so that it has no effect.
+            self._fail_flight(error)
+        self._fail_waiting(error)
         events.emit(
             journal_events.DEPOSED,
             partition=self.partition,
@@ -604,15 +615,18 @@
         if claimed and self._on_deposed is not None:
             self._on_deposed()
 
-    def _fail_all(self, waiting: Exception, in_flight: Exception) -> None:
+    def _fail_flight(self, error: Exception) -> None:
         flight = self._flight
-        if flight is not None and not flight.is_claim:
-            self._flight = None
-            flight.settle()
-            for item in flight.items:
-                item.fail(in_flight)
-        self._outbox.fail(waiting)
-        self._end_snapshot(waiting)
+        if flight is None:
+            return
+        self._flight = None
+        flight.settle()
+        for item in flight.items:
+            item.fail(error)
+
+    def _fail_waiting(self, error: Exception) -> None:
+        self._outbox.fail(error)
+        self._end_snapshot(error)
 
     def _deposed_error(self) -> errors.Deposed:
         return errors.Deposed(
@@ -653,15 +667,13 @@
             await self._clock.sleep_ms(rest_ms)
 
     def _take_flight(self) -> flight_module.Flight | None:
-        if self._outbox.snapshot_wanted and self.is_owner:
-            # Nothing is in flight here, so that the state is that of all
-            # records before the snapshot.
-            self._outbox.put_snapshot(snapshot_module.write(self._state))
+        if self._outbox.snapshot_wanted:
+            self._put_snapshot()
         items = self._outbox.take(self._timing.batch_bytes)
         if not items:
             return None
         claims = items[0].is_claim
-        if not claims and not self.is_owner:
+        if not claims and not self._holds:
             for item in items:
                 item.fail(self._not_owner_error())
             return None
@@ -676,6 +688,15 @@
         self._flight = flight_module.Flight(batch, items)
         return self._flight
 
+    def _put_snapshot(self) -> None:
+        # Nothing is in flight here, so that the state is that of all
+        # records before the snapshot.
+        if self._holds:
+            self._outbox.put_snapshot(snapshot_module.write(self._state))
+            return
+        self._outbox.put_snapshot([])
+        self._end_snapshot(self._not_owner_error())
+
     def _return(
         self, flight: flight_module.Flight, error: errors.LogUnavailable
     ) -> None:
@@ -688,13 +709,12 @@
         if self._client.is_down:
             self._refuse_waiting(error)
 
-    def _refuse_waiting(self, error: errors.LogUnavailable) -> None:
-        self._outbox.fail(error)
+    def _refuse_waiting(self, error: errors.LogError) -> None:
         if self._snapshot_done is not None:
             events.emit(
                 journal_events.SNAPSHOT_FAILED, partition=self.partition
             )
-            self._end_snapshot(error)
+        self._fail_waiting(self._client.unavailable(error.message))
 
     async def _deliver(self, flight: flight_module.Flight) -> None:
         """Append a batch until its outcome is known.
@@ -784,3 +804,9 @@
             )
         finally:
             timer.cancel()
+
+
+def _unknown(reason: str) -> errors.LogOutcomeUnknown:
+    return errors.LogOutcomeUnknown(
+        f'an append was sent and not confirmed: {reason}; query the job'
+    )
--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import json
+import socket
 import typing
 import urllib.parse
 
@@ -57,6 +59,8 @@
         self.bytes_out = 0
         self.on_faults: collections.abc.Callable[[], None] = lambda: None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._clients: set[tuple[str, int]] = set()
+        self._silent: set[tuple[str, int]] = set()
 
     def stream(self, name: str) -> log_stream.LogStream:
         """Return a stream after dropping what is over the retention."""
@@ -80,6 +84,8 @@
             return await _run_lifespan(receive, send)
         try:
             status, body = await self._answer(scope, receive)
+            if tuple(scope['client']) in self._silent:
+                await _hang(receive)
         except ConnectionDropped:
             abort = scope.get('extensions', {}).get(_ABORT)
             if abort is None:
@@ -119,25 +125,34 @@
         if scope['method'] == 'POST' and parts[3] == 'trim':
             self.trim(parts[2], json.loads(body)['first'])
             return 200, {'first': self.stream(parts[2]).first}
-        return await self._serve(scope, parts[2], body)
+        return await self._serve(scope, receive, parts[2], body)
 
     async def _serve(
-        self, scope: _Scope, name: str, body: bytes
+        self, scope: _Scope, receive: _Receive, name: str, body: bytes
     ) -> tuple[int, dict]:
         method = scope['method']
+        self._clients.add(tuple(scope['client']))
         self.requests[method] = self.requests.get(method, 0) + 1
         if method == 'POST':
             self.append_starts.setdefault(name, []).append(self.clock.now_ms())
-        if self.faults.hang:
-            await asyncio.get_running_loop().create_future()
+        if self._is_hanging(scope):
+            await _hang(receive)
         if self.faults.down:
             return 503, {'error': 'down'}
         if method == 'POST':
-            return await self._append(name, body)
+            return await self._append(receive, name, body)
         query = urllib.parse.parse_qs(scope['query_string'].decode())
         return await self._read(name, query)
 
-    async def _append(self, name: str, body: bytes) -> tuple[int, dict]:
+    def _is_hanging(self, scope: _Scope) -> bool:
+        if self.faults.hang_requests > 0:
+            self.faults.hang_requests -= 1
+            return True
+        return self.faults.hang or tuple(scope['client']) in self._silent
+
+    async def _append(
+        self, receive: _Receive, name: str, body: bytes
+    ) -> tuple[int, dict]:
         faults = self.faults
         if faults.lose_requests > 0:
             faults.lose_requests -= 1
@@ -145,7 +160,7 @@
         if faults.late_effects > 0:
             faults.late_effects -= 1
             self._spawn_late(name, body, faults.late_effect_ms)
-            await asyncio.get_running_loop().create_future()
+            await _hang(receive)
         if faults.delay_ms:
             await self.clock.sleep_ms(faults.delay_ms)
         offset = self._take(name, body)
@@ -199,6 +214,9 @@
         if method == 'POST':
             merged = msgspec.to_builtins(self.faults) | json.loads(body)
             self.faults = msgspec.convert(merged, log_faults.LogFaults)
+            if self.faults.silence:
+                self.faults.silence = False
+                self._silent |= self._clients
             self.on_faults()
         return 200, msgspec.to_builtins(self.faults)
 
@@ -247,6 +265,12 @@
         self.app = app
 
 
+async def _hang(receive: _Receive) -> typing.NoReturn:
+    # The next message after the body is that the client went away.
+    await receive()
+    raise ConnectionDropped
+
+
 async def _run_lifespan(receive: _Receive, send: _Send) -> None:
     while True:
         message = await receive()
@@ -266,25 +290,100 @@
             return body
 
 
-def configure(service: LogService, port: int) -> uvicorn.Config:
-    """Return the configuration of a server on a loopback port."""
-    return uvicorn.Config(
-        service,
-        host='127.0.0.1',
-        port=port,
-        http=_Protocol,
-        log_level='warning',
-        access_log=False,
-    )
+class LogServer(uvicorn.Server):
+    """Serve a log service on loopback, with refused connections."""
+
+    def __init__(self, service: LogService, port: int = 0) -> None:
+        super().__init__(
+            uvicorn.Config(
+                service,
+                host='127.0.0.1',
+                port=port,
+                http=_Protocol,
+                lifespan='off',
+                log_level='critical',
+                access_log=False,
+                timeout_graceful_shutdown=0,
+            )
+        )
+        self.port = port
+        self._refusing = False
+        self._service = service
+        service.on_faults = self._apply_faults
+
+    async def startup(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Listen, and learn the port if it was 0."""
+        await super().startup(sockets)
+        self.port = self.servers[0].sockets[0].getsockname()[1]
+
+    def _apply_faults(self) -> None:
+        refuse = self._service.faults.refuse
+        if refuse and not self._refusing:
+            self._refuse()
+        elif self._refusing and not refuse:
+            asyncio.ensure_future(self._listen())
+        self._refusing = refuse
+
+    def _refuse(self) -> None:
+        for server in self.servers:
+            server.close()
+        for connection in list(self.server_state.connections):
+            connection.transport.abort()
+
+    async def _listen(self) -> None:
+        server = await asyncio.get_running_loop().create_server(
+            lambda: _Protocol(
+                config=self.config,
+                server_state=self.server_state,
+                app_state={},
+            ),
+            '127.0.0.1',
+            self.port,
+        )
+        self.servers = [server]
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    service: LogService, port: int = 0
+) -> collections.abc.AsyncIterator[str]:
+    """Serve on loopback within this process and yield the base URL."""
+    server = LogServer(service, port)
+    server.config.load()
+    server.lifespan = server.config.lifespan_class(server.config)
+    await server.startup()
+    try:
+        yield f'http://127.0.0.1:{server.port}'
+    finally:
+        for one in server.servers:
+            one.close()
+        for connection in list(server.server_state.connections):
+            connection.transport.abort()
+
+
+async def run(port: int, control_port: int, retention_ms: int) -> None:
+    """Serve until cancelled.
+
+    The control port answers also while the port refuses connections.
+    """
+    service = LogService(retention_ms=retention_ms)
+    async with contextlib.AsyncExitStack() as stack:
+        if control_port:
+            await stack.enter_async_context(serve(service, control_port))
+        await stack.enter_async_context(serve(service, port))
+        await asyncio.get_running_loop().create_future()
 
 
 @click.command()
 @click.option('--port', type=int, required=True)
+@click.option('--control-port', type=int, default=0)
 @click.option('--retention-ms', type=int, default=3_600_000)
-def main(port: int, retention_ms: int) -> None:
+def main(port: int, control_port: int, retention_ms: int) -> None:
     """Run the stand-in as a process until it is interrupted."""
-    service = LogService(retention_ms=retention_ms)
-    uvicorn.Server(configure(service, port)).run()
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(run(port, control_port, retention_ms))
 
 
 if __name__ == '__main__':
