--- a/basilspindle/policy/expected_ends.py
+++ b/basilspindle/policy/expected_ends.py
@@ -42,15 +42,25 @@
         if not ends:
             del self._ends[amounts]
 
-    def when(self, shape: amounts_module.Amounts, missing: int) -> int:
-        """Return when the ends leave room for so many tasks, or 0."""
+    def when(
+        self, shape: amounts_module.Amounts, missing: int
+    ) -> tuple[int, int]:
+        """Return when the ends leave room for so many tasks, and for how many.
+
+        Returns (0, 0) if they never do.
+        """
         left = [0, 0, 0, 0]
+        reached_ms = freed = 0
         streams = [
             [(end_ms, amounts) for end_ms in ends]
             for amounts, ends in self._ends.items()
         ]
         for end_ms, amounts in heapq.merge(*streams):
+            if reached_ms and end_ms > reached_ms:
+                break
             left = [a + b for a, b in zip(left, amounts, strict=True)]
-            if amounts_module.multiple(shape, tuple(left)) >= missing:
-                return end_ms
-        return 0
+            units = amounts_module.multiple(shape, tuple(left))
+            if units >= missing:
+                reached_ms = end_ms
+                freed = units
+        return reached_ms, freed
--- a/basilspindle/policy/reservation.py
+++ b/basilspindle/policy/reservation.py
@@ -10,8 +10,8 @@
 class Reservation:
     """Room kept for one waiting gang, counted in tasks of its shape.
 
-    ``spare`` is room beside the gang; ``start_ms`` is when the running
-    tasks are expected to have left enough, 0 if they never do.
+    ``start_ms`` is when the running tasks are expected to have left
+    enough, 0 if they never do; ``spare`` is the room beside the gang then.
     """
 
     __slots__ = ('entry', 'since_ms', 'spare', 'start_ms', 'ready')
@@ -25,10 +25,12 @@
 
     def update(self, room: int, ends: expected_ends.ExpectedEnds) -> None:
         """Take in how many tasks of the gang's shape fit now."""
-        self.spare = max(0, room - self.entry.gang_tasks)
-        self.ready = room >= self.entry.gang_tasks
         missing = self.entry.gang_tasks - room
-        self.start_ms = ends.when(self.entry.amounts, missing)
+        self.ready = missing <= 0
+        self.start_ms = freed = 0
+        if not self.ready:
+            self.start_ms, freed = ends.when(self.entry.amounts, missing)
+        self.spare = max(0, freed - missing)
 
     def admits(self, entry: entry_module.Entry, now_ms: int) -> bool:
         """Tell whether a smaller task delays the gang by nothing.
--- /dev/null
+++ b/tests/test_policy_estimate.py
@@ -0,0 +1,81 @@
+"""Guard the estimates that correct declared sizes."""
+
+import random
+import unittest
+
+from basilspindle import model
+from basilspindle import policy
+
+_DECLARED = model.Resources(8_000, 16_000, 1, 1)
+
+
+class EstimateTest(unittest.TestCase):
+    """Guard against estimates that are unsafe or never move."""
+
+    def test_declared_until_enough_seen(self):
+        """Guard against a size taken from a handful of reports."""
+        estimate = policy.UsageEstimate(min_observations=5)
+        for _ in range(4):
+            estimate.observe(model.Resources(100, 100), 100)
+        self.assertEqual(_DECLARED, estimate.resources(_DECLARED))
+        self.assertEqual(7, estimate.run_time_ms(7))
+
+    def test_floor_and_unchanged_amounts(self):
+        """Guard against a size far below the declared one."""
+        estimate = policy.UsageEstimate(floor=0.5)
+        for _ in range(50):
+            estimate.observe(model.Resources(100, 100))
+        expected = model.Resources(4_000, 8_000, 1, 1)
+        self.assertEqual(expected, estimate.resources(_DECLARED))
+
+    def test_larger_than_declared_within_worker(self):
+        """Guard against tasks that outgrow their declaration unnoticed."""
+        estimate = policy.UsageEstimate()
+        for _ in range(50):
+            estimate.observe(model.Resources(12_000, 60_000))
+        free = estimate.resources(_DECLARED)
+        self.assertGreaterEqual(free.cpu_millicores, 12_000)
+        self.assertLessEqual(free.cpu_millicores, 13_200)
+        largest = model.Resources(64_000, 32_000, 4, 8)
+        held = estimate.resources(_DECLARED, largest)
+        self.assertEqual(32_000, held.memory_mb)
+
+    def test_declaration_above_every_worker_stays(self):
+        """Guard against an unschedulable task made to look schedulable."""
+        estimate = policy.UsageEstimate()
+        for _ in range(50):
+            estimate.observe(model.Resources(1_000, 20_000))
+        largest = model.Resources(4_000, 8_000, 1, 8)
+        held = estimate.resources(_DECLARED, largest)
+        self.assertGreater(held.memory_mb, largest.memory_mb)
+
+    def test_high_quantile(self):
+        """Guard against a size that half of the tasks exceed."""
+        rng = random.Random(5)
+        estimate = policy.UsageEstimate(floor=0.0)
+        seen = [rng.randint(1_000, 6_000) for _ in range(2_000)]
+        for memory_mb in seen:
+            estimate.observe(model.Resources(memory_mb, memory_mb))
+        size = estimate.resources(_DECLARED).memory_mb
+        over = sum(memory_mb > size for memory_mb in seen)
+        self.assertLess(over, 0.02 * len(seen))
+        self.assertLess(size, 6_600)
+
+    def test_decay(self):
+        """Guard against an estimate that old behaviour holds for ever."""
+        estimate = policy.UsageEstimate(floor=0.0, half_life=50)
+        for _ in range(1_000):
+            estimate.observe(model.Resources(8_000, 8_000), 60_000)
+        for _ in range(500):
+            estimate.observe(model.Resources(1_000, 1_000), 1_000)
+        self.assertLess(estimate.resources(_DECLARED).memory_mb, 1_200)
+        self.assertLess(estimate.run_time_ms(60_000), 1_200)
+
+    def test_long_use_keeps_numbers_finite(self):
+        """Guard against weights that overflow after many reports."""
+        estimate = policy.UsageEstimate(half_life=1)
+        for _ in range(5_000):
+            estimate.observe(model.Resources(6_000, 12_000), 500)
+        size = estimate.resources(_DECLARED)
+        self.assertGreaterEqual(size.memory_mb, 12_000)
+        self.assertLess(size.memory_mb, 13_300)
