--- /dev/null
+++ b/tests/standins/cluster_rig.py
@@ -0,0 +1,251 @@
+"""Run the membership and ownership of several daemons in one process."""
+
+import contextlib
+import types
+
+import loguru
+import msgspec
+
+from basilspindle import cluster
+from basilspindle import errors
+from basilspindle.peer import messages
+from tests.standins import manual_clock
+from tests.standins import memory_log
+from tests.standins import pausable_clock
+from tests.standins import peer_network
+
+
+class Timing(msgspec.Struct, frozen=True, kw_only=True):
+    """Today's durations of the design, in ms."""
+
+    heartbeat_ms: int = 500
+    suspect_ms: int = 1_500
+    settle_ms: int = 500
+    assurance_ms: int = 1_500
+    worker_lease_ms: int = 3_000
+    task_lease_ms: int = 30_000
+
+
+class ListSource:
+    """Answer fetches of the VM list from memory."""
+
+    __slots__ = ('silent', 'vms')
+
+    def __init__(self) -> None:
+        self.vms: dict[str, cluster.VirtualMachine] = {}
+        self.silent = False
+
+    async def fetch(self) -> list[cluster.VirtualMachine]:
+        """Return the list; raises ``VmListUnavailable`` if silent."""
+        if self.silent:
+            raise errors.VmListUnavailable('silent; try again')
+        return list(self.vms.values())
+
+
+class Daemon:
+    """One daemon, reduced to what decides who owns a partition."""
+
+    __slots__ = (
+        '_stack',
+        'active',
+        'clock',
+        'config_age_ms',
+        'config_version',
+        'fences',
+        'incarnation',
+        'leaving',
+        'lost_inventory',
+        'member_id',
+        'membership',
+        'node',
+        'ownership',
+        'region',
+        'rig',
+        'unseen',
+        'workers',
+    )
+
+    def __init__(
+        self, rig: 'ClusterRig', member_id: str, serial: int, region: str
+    ) -> None:
+        self.rig = rig
+        self.member_id = member_id
+        self.region = region
+        self.incarnation = f'{1_700_000_000_000 + serial}-{member_id}'
+        self.node = rig.network.add(member_id + ':1')
+        self.clock = pausable_clock.PausableClock(rig.clock, self.node)
+        self.leaving = False
+        self.config_version = 1
+        self.config_age_ms = -1
+        self.active: dict[int, int] = {}
+        self.unseen: dict[int, int] = {}
+        self.workers: list[str] = []
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Join the cluster."""
+        client = peer_network.NetworkClient(
+            self.rig.network, self.node, self.clock
+        )
+        vm_list = cluster.VmList(self.rig.source, self.clock)
+        self.fences = cluster.FenceTable()
+        self.ownership: cluster.Ownership | None = None
+        self.membership = cluster.Membership(
+            self.clock,
+            self.rig.timing,
+            client,
+            vm_list,
+            self.speak,
+            fences=self.fences,
+        )
+        ownership = cluster.Ownership(
+            self.clock,
+            self.rig.timing,
+            client,
+            self.membership,
+            vm_list,
+            self.fences,
+            self,
+            self.open_journal,
+            self.inventory,
+            partitions=self.rig.partitions,
+            regions=self.rig.regions,
+        )
+        self.ownership = ownership
+        self.node.handlers = {
+            messages.Heartbeat: self.membership.handle,
+            messages.Fence: ownership.handle_fence,
+            messages.Inventory: self.inventory,
+        }
+        await self._stack.enter_async_context(vm_list)
+        await self._stack.enter_async_context(self.membership)
+        await self._stack.enter_async_context(ownership)
+
+    async def kill(self) -> None:
+        """End the process; its address refuses connections."""
+        self.node.listening = False
+        self.node.resumed.set()
+        await self._stack.aclose()
+
+    def pause(self) -> None:
+        """Stop the process without its knowledge."""
+        self.node.resumed.clear()
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        self.node.resumed.set()
+
+    def speak(self) -> messages.Heartbeat:
+        """Return the own heartbeat."""
+        claims = self.ownership.claims() if self.ownership else []
+        return messages.Heartbeat(
+            member_id=self.member_id,
+            incarnation=self.incarnation,
+            address=self.node.address,
+            api_address=self.member_id + ':2',
+            failure_domain='fd',
+            region=self.region,
+            leaving=self.leaving,
+            config_version=self.config_version,
+            config_age_ms=self.config_age_ms,
+            claims=claims,
+        )
+
+    def open_journal(self, partition: int) -> memory_log.MemoryJournal:
+        """Open the journal of a partition."""
+        return memory_log.MemoryJournal(
+            self.rig.log,
+            self.clock,
+            self.member_id,
+            partition,
+            self.rig.timing.assurance_ms,
+        )
+
+    async def inventory(
+        self, request: messages.Inventory
+    ) -> messages.Inventoried:
+        """Report the workers without tasks."""
+        return messages.Inventoried(running=[], ends=[], workers=self.workers)
+
+    async def activate(
+        self, partition, journal, running, ends, unseen_until_ms
+    ) -> None:
+        """Note the activation."""
+        self.active[partition] = journal.epoch
+        self.unseen[partition] = unseen_until_ms
+
+    async def deactivate(self, partition: int, handover: bool) -> None:
+        """Note the end of an activation."""
+        self.active.pop(partition, None)
+
+    def starts(self, partition: int) -> bool:
+        """Tell whether the daemon would start a task now."""
+        return self.ownership.may_start(partition)
+
+
+class ClusterRig:
+    """Daemons on one network, one log and one VM list."""
+
+    def __init__(self, partitions: int = 1, regions=('r1',)) -> None:
+        self.clock = manual_clock.ManualClock()
+        self.network = peer_network.PeerNetwork(self.clock)
+        self.log = memory_log.MemoryLog()
+        self.source = ListSource()
+        self.timing = Timing()
+        self.partitions = partitions
+        self.regions = regions
+        self.daemons: dict[str, Daemon] = {}
+        self._serial = 0
+        self._all: list[Daemon] = []
+
+    async def __aenter__(self) -> 'ClusterRig':
+        loguru.logger.disable('basilspindle')
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for daemon in self._all:
+            await daemon.kill()
+        loguru.logger.enable('basilspindle')
+
+    async def add(self, member_id: str, region: str = 'r1') -> Daemon:
+        """Start a daemon on a VM of its name."""
+        self._serial += 1
+        daemon = Daemon(self, member_id, self._serial, region)
+        self._all.append(daemon)
+        self.daemons[member_id] = daemon
+        self.source.vms[member_id] = cluster.VirtualMachine(
+            id=member_id,
+            address=daemon.node.address,
+            role=cluster.Role.ENTRY,
+            region=region,
+        )
+        await daemon.start()
+        return daemon
+
+    async def run_ms(self, duration_ms: int) -> None:
+        """Let time pass."""
+        await self.clock.advance_ms(duration_ms)
+
+    async def until(self, condition, limit_ms: int = 60_000) -> int:
+        """Let time pass until a condition holds; return the ms."""
+        for spent_ms in range(0, limit_ms, 20):
+            if condition():
+                return spent_ms
+            await self.clock.advance_ms(20)
+        raise AssertionError(f'not so within {limit_ms} ms')
+
+    def starters(self, partition: int, holder: Daemon) -> list[Daemon]:
+        """Return the daemons whose starts the holder would take now."""
+        found = []
+        for daemon in self.daemons.values():
+            if not daemon.starts(partition):
+                continue
+            with contextlib.suppress(errors.Fenced):
+                holder.fences.check(partition, daemon.active[partition])
+                found.append(daemon)
+        return found
--- /dev/null
+++ b/tests/standins/memory_log.py
@@ -0,0 +1,179 @@
+"""Keep claims of partitions in memory, in one order for all readers."""
+
+import asyncio
+import types
+import typing
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+
+_DELAY_MS = 5
+_NEVER_MS = -(1 << 62)
+
+
+class Entry(typing.NamedTuple):
+    """A claim or a release; ``epoch`` is that of the writer."""
+
+    claim: bool
+    member_id: str
+    epoch: int
+
+
+class MemoryLog:
+    """Hold one list of entries for each partition.
+
+    ``lost_answers`` is the number of appends that take effect although
+    their writer hears nothing.
+    """
+
+    __slots__ = ('down', 'lost_answers', 'streams')
+
+    def __init__(self) -> None:
+        self.streams: dict[int, list[Entry]] = {}
+        self.down = False
+        self.lost_answers = 0
+
+    def append(self, partition: int, entry: Entry) -> int:
+        """Append an entry and return its offset."""
+        stream = self.streams.setdefault(partition, [])
+        stream.append(entry)
+        return len(stream)
+
+    def claims(self) -> int:
+        """Return the number of claims in all streams."""
+        return sum(
+            entry.claim for stream in self.streams.values() for entry in stream
+        )
+
+    def read(self, partition: int) -> list[Entry]:
+        """Return all entries of a partition."""
+        return list(self.streams.get(partition, []))
+
+
+class _State:
+    __slots__ = ('released',)
+
+    def __init__(self) -> None:
+        self.released = False
+
+
+class MemoryJournal:
+    """Claim, poll and release one partition in a memory log."""
+
+    __slots__ = (
+        '_clock',
+        '_log',
+        '_member_id',
+        '_partition',
+        '_poll_ms',
+        '_replayed',
+        '_task',
+        'assured_at_ms',
+        'epoch',
+        'latest_claimant',
+        'latest_epoch',
+        'on_deposed',
+        'state',
+    )
+
+    def __init__(
+        self,
+        log: MemoryLog,
+        clock: clock_module.Clock,
+        member_id: str,
+        partition: int,
+        assurance_ms: int,
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._member_id = member_id
+        self._partition = partition
+        self._poll_ms = assurance_ms // 3
+        self._replayed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self.assured_at_ms = _NEVER_MS
+        self.epoch = 0
+        self.latest_epoch = 0
+        self.latest_claimant = ''
+        self.on_deposed: typing.Callable[[], None] | None = None
+        self.state = _State()
+
+    async def __aenter__(self) -> 'MemoryJournal':
+        self._task = asyncio.ensure_future(self._poll())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        assert self._task is not None
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    @property
+    def is_owner(self) -> bool:
+        """Tell whether the latest claim read is the own one."""
+        return 0 < self.epoch == self.latest_epoch
+
+    def follow(self, on: bool) -> None:
+        """Do nothing: the stand-in always reads."""
+
+    async def wait_replayed(self) -> None:
+        """Wait for the first answered read."""
+        await self._replayed.wait()
+
+    async def claim(self) -> int:
+        """Append a claim and read up to it."""
+        offset = await self._append(Entry(True, self._member_id, 0))
+        self.epoch = offset
+        await self._read()
+        if self.latest_epoch != offset:
+            raise errors.Deposed('claimed by another; send it there')
+        return offset
+
+    async def release(self) -> None:
+        """Append a release."""
+        await self._append(Entry(False, self._member_id, self.epoch))
+        self.epoch = 0
+
+    async def _append(self, entry: Entry) -> int:
+        await self._clock.sleep_ms(_DELAY_MS)
+        if self._log.down:
+            raise errors.LogUnavailable('the log is down; try again')
+        offset = self._log.append(self._partition, entry)
+        await self._clock.sleep_ms(_DELAY_MS)
+        if self._log.lost_answers:
+            self._log.lost_answers -= 1
+            raise errors.LogOutcomeUnknown('no answer; read the stream')
+        return offset
+
+    async def _poll(self) -> None:
+        while True:
+            await self._read()
+            await self._clock.sleep_ms(self._poll_ms)
+
+    async def _read(self) -> None:
+        sent_ms = self._clock.now_ms()
+        await self._clock.sleep_ms(_DELAY_MS)
+        if self._log.down:
+            return
+        entries = self._log.read(self._partition)
+        await self._clock.sleep_ms(_DELAY_MS)
+        self._replayed.set()
+        self._apply(entries)
+        if self.is_owner:
+            self.assured_at_ms = max(self.assured_at_ms, sent_ms)
+
+    def _apply(self, entries: list[Entry]) -> None:
+        owned = self.is_owner
+        for offset, entry in enumerate(entries, 1):
+            if entry.claim and offset > self.latest_epoch:
+                self.latest_epoch = offset
+                self.latest_claimant = entry.member_id
+                self.state.released = False
+            elif not entry.claim and entry.epoch == self.latest_epoch:
+                self.state.released = True
+        if owned and not self.is_owner and self.on_deposed is not None:
+            self.on_deposed()
--- /dev/null
+++ b/tests/standins/peer_network.py
@@ -0,0 +1,145 @@
+"""Route peer calls in one process, with cuts, pauses and lost replies."""
+
+import asyncio
+import typing
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+
+
+class Node:
+    """One process on the network.
+
+    ``resumed`` is cleared while the process is paused.
+    """
+
+    __slots__ = ('address', 'handlers', 'listening', 'resumed')
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.handlers: dict[type, typing.Callable] = {}
+        self.listening = True
+        self.resumed = asyncio.Event()
+        self.resumed.set()
+
+
+class PeerNetwork:
+    """Deliver calls between nodes unless a fault prevents it.
+
+    ``cuts`` holds (from, to) pairs of addresses whose packets are lost;
+    ``lost_replies`` holds pairs whose next reply is lost, seen from the
+    caller.
+    """
+
+    __slots__ = ('clock', 'cuts', 'lost_replies', 'nodes')
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self.clock = clock
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.lost_replies: set[tuple[str, str]] = set()
+
+    def add(self, address: str) -> Node:
+        """Attach a new process; it replaces the one at the address."""
+        self.nodes[address] = Node(address)
+        return self.nodes[address]
+
+    def cut(self, one: str, two: str, both: bool = True) -> None:
+        """Lose packets from one address to another, or both ways."""
+        self.cuts.add((one, two))
+        if both:
+            self.cuts.add((two, one))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
+
+    def isolate(self, address: str) -> None:
+        """Cut a node from all others."""
+        for other in self.nodes:
+            if other != address:
+                self.cut(address, other)
+
+    async def deliver(
+        self, source: Node, target: str, request: msgspec.Struct
+    ) -> msgspec.Struct:
+        """Carry a request to its handler and the reply back."""
+        await source.resumed.wait()
+        node = self.nodes.get(target)
+        if (source.address, target) in self.cuts or node is None:
+            await _never()
+        assert node is not None
+        if not node.listening:
+            raise ConnectionRefusedError
+        await node.resumed.wait()
+        if not node.listening:
+            raise ConnectionRefusedError
+        reply = await self._answer(node, request)
+        await node.resumed.wait()
+        if (target, source.address) in self.cuts:
+            await _never()
+        if (source.address, target) in self.lost_replies:
+            self.lost_replies.discard((source.address, target))
+            await _never()
+        await source.resumed.wait()
+        return reply
+
+    async def _answer(
+        self, node: Node, request: msgspec.Struct
+    ) -> msgspec.Struct:
+        handler = node.handlers.get(type(request))
+        if handler is None:
+            raise errors.NotReady('no handler; try again')
+        return await asyncio.shield(
+            asyncio.ensure_future(handler(_copy(request)))
+        )
+
+
+class NetworkClient:
+    """Call through the network as ``peer.PeerClient`` does."""
+
+    __slots__ = ('_clock', '_network', '_node', '_refused')
+
+    def __init__(
+        self, network: PeerNetwork, node: Node, clock: clock_module.Clock
+    ) -> None:
+        self._network = network
+        self._node = node
+        self._clock = clock
+        self._refused: set[str] = set()
+
+    async def call(
+        self, address: str, request: msgspec.Struct, timeout_ms: int
+    ) -> typing.Any:
+        """Return the reply; raises as ``peer.PeerClient`` does."""
+        self._refused.discard(address)
+        try:
+            return await self._clock.wait_ms(
+                self._network.deliver(self._node, address, request),
+                timeout_ms,
+            )
+        except ConnectionRefusedError:
+            self._refused.add(address)
+            raise errors.PeerUnavailable('refused; try again') from None
+        except errors.DeadlineExceeded:
+            raise errors.PeerOutcomeUnknown('silent; try again') from None
+
+    def refused(self, address: str) -> bool:
+        """Tell whether the last call was refused."""
+        return address in self._refused
+
+    def drop(self, address: str) -> None:
+        """Forget an address."""
+        self._refused.discard(address)
+
+
+def _copy(message: msgspec.Struct) -> msgspec.Struct:
+    # The handler must not share objects with the caller.
+    data = msgspec.msgpack.encode(message)
+    return msgspec.msgpack.decode(data, type=type(message))
+
+
+async def _never() -> None:
+    await asyncio.get_running_loop().create_future()
