--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -208,7 +208,6 @@
                     self.call(d, 'GET', '/v1/jobs', key=blue).status_code
                     == 401
                 ),
-                3,
             )
 
     def test_racing_operators_get_one_winner(self):
