--- a/basilspindle/peer/client.py
+++ b/basilspindle/peer/client.py
@@ -5,6 +5,7 @@
 import typing
 
 from grpclib import exceptions
+from h2 import exceptions as h2_exceptions
 import msgspec
 
 from basilspindle import clock as clock_module
@@ -15,7 +16,10 @@
 from basilspindle.peer import link as link_module
 from basilspindle.peer import messages
 
+# A call on a connection that closes under it ends in any of these; grpclib
+# drops its attributes at the close, hence the last two.
 _LOST = (
+    h2_exceptions.H2Error,
     exceptions.GRPCError,
     exceptions.StreamTerminatedError,
     exceptions.ProtocolError,
--- a/basilspindle/peer/grpc_server.py
+++ b/basilspindle/peer/grpc_server.py
@@ -1,6 +1,7 @@
 """Serve HTTP/2 connections for peer calls."""
 
 import collections.abc
+import weakref
 
 from grpclib import const
 from grpclib import protocol
@@ -49,12 +50,23 @@
 
     def __init__(self, answer: Answer) -> None:
         super().__init__([_Service(answer)], codec=codec.Codec())
+        self._protocols: weakref.WeakSet[protocol_module.WideProtocol] = (
+            weakref.WeakSet()
+        )
 
     def _protocol_factory(self) -> protocol.H2Protocol:
         made = super()._protocol_factory()
-        return protocol_module.WideProtocol(
+        wide = protocol_module.WideProtocol(
             made.handler, made.config, made.h2_config
         )
+        self._protocols.add(wide)
+        return wide
+
+    def close(self) -> None:
+        """Stop listening and close every connection."""
+        super().close()
+        for wide in list(self._protocols):
+            wide.close()
 
     def bound_port(self) -> int:
         """Return the port that the started server listens on."""
--- a/basilspindle/peer/protocol.py
+++ b/basilspindle/peer/protocol.py
@@ -21,3 +21,8 @@
             {settings.SettingCodes.MAX_CONCURRENT_STREAMS: _MAX_STREAMS}
         )
         self.connection.flush()
+
+    def close(self) -> None:
+        """Close the connection; grpclib leaves it open at a stop."""
+        if hasattr(self, 'processor'):
+            self.processor.close('the server stops')
--- a/basilspindle/peer/server.py
+++ b/basilspindle/peer/server.py
@@ -84,6 +84,13 @@
         await self._server.start(host, port, ssl=self._ssl)
         self._port = self._server.bound_port()
 
+    async def drain(self, timeout_ms: int) -> bool:
+        """Wait until no handler runs; return whether that was in time."""
+        if not self._running:
+            return True
+        _, late = await asyncio.wait(self._running, timeout=timeout_ms / 1000)
+        return not late
+
     def handle(self, request_type: type, handler: Handler) -> None:
         """Set the handler of a request type, also while serving."""
         self._handlers[request_type] = handler
--- a/tests/standins/cluster_rig.py
+++ b/tests/standins/cluster_rig.py
@@ -1,5 +1,6 @@
 """Run the membership and ownership of several daemons in one process."""
 
+import asyncio
 import contextlib
 import types
 
@@ -200,6 +201,8 @@
 
     async def __aenter__(self) -> 'ClusterRig':
         loguru.logger.disable('basilspindle')
+        # The debug mode of the test case makes each step ten times slower.
+        asyncio.get_running_loop().set_debug(False)
         return self
 
     async def __aexit__(
