--- a/basilspindle/cluster/ownership.py
+++ b/basilspindle/cluster/ownership.py
@@ -224,6 +224,10 @@
     def _note(
         self, member: member_module.Member, claim: messages.Claim
     ) -> None:
+        if member.state.talks:
+            # Only a claimant that is not heard is a reason to hold back.
+            self._backoffs.pop(claim.partition, None)
+            self._losses.pop(claim.partition, None)
         known = self._owners.get(claim.partition)
         if known is None or claim.epoch > known[0]:
             self._owners[claim.partition] = (
@@ -404,7 +408,6 @@
             return
         tenure.changed.clear()
         tenure.step(_Phase.ACTIVE)
-        self._losses.pop(tenure.partition, None)
         self._membership.hurry()
         events.emit(
             cluster_events.ACTIVE,
--- a/basilspindle/peer/messages/heartbeat.py
+++ b/basilspindle/peer/messages/heartbeat.py
@@ -6,7 +6,7 @@
 from basilspindle.peer.messages import room as room_module
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """State that a daemon shares with every other; also the reply.
 
     ``config_age_ms`` and ``log_age_ms`` are the ages of the sender's
@@ -14,7 +14,8 @@
     means never. ``waiting_shares`` is the lowest normalised share among
     waiting teams, by priority class; -1.0 means none waits. ``fenced`` is
     set in replies only: the fences above claims of the receiver, so that a
-    superseded owner learns of it from any member.
+    superseded owner learns of it from any member. New fields go to the
+    end, with a default, since the wire format names no fields.
     """
 
     member_id: str
--- a/tests/standins/cluster_rig.py
+++ b/tests/standins/cluster_rig.py
@@ -242,6 +242,12 @@
             await self.clock.advance_ms(20)
         raise AssertionError(f'not so within {limit_ms} ms')
 
+    async def finish(self, coroutine):
+        """Let time pass until a coroutine ends; return its result."""
+        task = asyncio.ensure_future(coroutine)
+        await self.until(task.done)
+        return task.result()
+
     def starters(self, partition: int, holder: Daemon) -> list[Daemon]:
         """Return the daemons whose starts the holder would take now."""
         found = []
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,262 @@
+"""Guard the claim, takeover, handover and loss of partitions."""
+
+import unittest
+
+from basilspindle import cluster
+from basilspindle import errors
+from basilspindle.peer import messages
+from tests.standins import cluster_rig
+from tests.standins import memory_log
+
+_LAPSE_MS = 4_725  # (1,500 + 3,000) * 1.05
+
+
+class OwnershipTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a partition with two starters, or with none."""
+
+    async def asyncSetUp(self):
+        self.rig = await self.enterAsyncContext(cluster_rig.ClusterRig())
+        for member_id in 'abc':
+            await self.rig.add(member_id)
+        await self.rig.until(self.owner)
+        await self.rig.run_ms(2_000)
+        self.old = self.owner()
+        self.rest = [
+            daemon
+            for daemon in self.rig.daemons.values()
+            if daemon is not self.old
+        ]
+
+    def owner(self):
+        found = [d for d in self.rig.daemons.values() if d.starts(0)]
+        self.assertLessEqual(len(found), 1)
+        return found[0] if found else None
+
+    def successor(self):
+        return next((d for d in self.rest if d.starts(0)), None)
+
+    async def test_every_member_routes_to_the_owner(self):
+        """Guard against requests sent to a member that is not the owner."""
+        await self.rig.run_ms(1_000)
+        for daemon in self.rig.daemons.values():
+            owner = daemon.ownership.owner_of(0)
+            self.assertEqual(self.old.member_id, owner.member_id)
+        claim = messages.Claim(0, 1, True)
+        self.assertEqual([claim], self.old.ownership.claims())
+
+    async def test_killed_owner_is_replaced_at_once(self):
+        """Guard against the long wait although the owner is dead."""
+        await self.old.kill()
+        spent_ms = await self.rig.until(self.successor)
+        timing = self.rig.timing
+        limit_ms = timing.suspect_ms + timing.heartbeat_ms + timing.settle_ms
+        self.assertLessEqual(spent_ms, limit_ms)
+
+    async def test_silent_owner_is_replaced_after_the_lapse(self):
+        """Guard against a takeover while the old owner may start."""
+        self.old.pause()
+        spent_ms = await self.rig.until(self.successor)
+        suspect_ms = self.rig.timing.suspect_ms
+        self.assertGreaterEqual(spent_ms, suspect_ms - 500 + _LAPSE_MS)
+        self.assertLessEqual(spent_ms, suspect_ms + 200 + _LAPSE_MS)
+
+    async def test_resumed_owner_starts_nothing_and_learns(self):
+        """Guard against a paused owner that goes on after its loss."""
+        self.old.pause()
+        await self.rig.until(self.successor)
+        self.assertFalse(self.old.starts(0))
+        for daemon in self.rest:
+            with self.assertRaises(errors.Fenced):
+                daemon.fences.check(0, 1)
+        self.old.resume()
+        await self.rig.run_ms(1_000)
+        self.assertEqual({}, self.old.active)
+        self.assertEqual([], self.old.ownership.claims())
+
+    async def test_resumed_owner_learns_while_the_log_is_down(self):
+        """Guard against a loss that only the log would tell."""
+        self.old.pause()
+        await self.rig.until(self.successor)
+        successor = self.successor()
+        other = next(d for d in self.rest if d is not successor)
+        self.rig.log.down = True
+        self.rig.network.cut(self.old.node.address, successor.node.address)
+        del other.rig.source.vms[successor.member_id]
+        self.old.resume()
+        await self.rig.run_ms(300)
+        self.assertEqual({}, self.old.active)
+
+    async def test_log_outage_keeps_owners_that_all_answer(self):
+        """Guard against an outage of the log that stops all starts."""
+        self.rig.log.down = True
+        for _ in range(100):
+            await self.rig.run_ms(200)
+            self.assertTrue(self.old.starts(0))
+
+    async def test_log_outage_and_a_silent_member_end_assurance(self):
+        """Guard against starts while a silent member may have claimed."""
+        self.rig.log.down = True
+        self.rest[0].pause()
+        await self.rig.run_ms(2_500)
+        self.assertFalse(self.old.starts(0))
+        self.assertIn(0, self.old.active)
+        self.rest[0].resume()
+        await self.rig.run_ms(1_000)
+        self.assertTrue(self.old.starts(0))
+
+    async def test_log_outage_and_a_dead_member_end_it_only_shortly(self):
+        """Guard against a dead member that keeps the others unassured."""
+        self.rig.log.down = True
+        await self.rest[0].kill()
+        await self.rig.run_ms(3_000)
+        self.assertTrue(self.old.starts(0))
+
+    async def test_planned_stop_hands_over_without_a_wait(self):
+        """Guard against a planned stop that costs the lapse."""
+        self.old.leaving = True
+        stop = self.old.ownership.hand_over_all()
+        self.assertTrue(await self.rig.finish(stop))
+        self.assertEqual({}, self.old.active)
+        spent_ms = await self.rig.until(self.successor)
+        self.assertLessEqual(spent_ms, 700)
+
+    async def test_planned_stop_and_exit_hand_over_without_a_wait(self):
+        """Guard against a wait for an owner that released and exited."""
+        self.old.leaving = True
+        await self.rig.finish(self.old.ownership.hand_over_all())
+        await self.old.kill()
+        spent_ms = await self.rig.until(self.successor)
+        self.assertLessEqual(spent_ms, 2_500)
+
+    async def test_stop_in_an_outage_of_the_log_ends(self):
+        """Guard against a planned stop that waits for the log for ever."""
+        self.rig.log.down = True
+        self.old.leaving = True
+        stop = self.old.ownership.hand_over_all(within_ms=5_000)
+        self.assertFalse(await self.rig.finish(stop))
+        self.assertEqual({}, self.old.active)
+
+    async def test_better_owner_gets_the_partition_after_a_join(self):
+        """Guard against partitions that stay where they are."""
+        joined = 0
+        while not joined:
+            member_id = f'n{self.rig._serial}'
+            ids = [*self.rig.daemons, member_id]
+            joined = cluster.rendezvous('partition-0', ids) == member_id
+            new = await self.rig.add(member_id)
+        gap_ms = []
+
+        def moved():
+            if not new.starts(0) and not self.old.starts(0):
+                gap_ms.append(20)
+            return new.starts(0)
+
+        await self.rig.until(moved)
+        self.assertLessEqual(sum(gap_ms), 700)
+        self.assertEqual({}, self.old.active)
+
+    async def test_handover_that_the_log_refuses_goes_on(self):
+        """Guard against a partition without owner after a failed move."""
+        self.old.ownership._tenures[0].hand_over()
+        self.rig.log.down = True
+        await self.rig.until(lambda: self.old.starts(0))
+        self.assertEqual({0: 1}, self.old.active)
+
+    async def test_claim_whose_answer_is_lost_is_repeated(self):
+        """Guard against a partition lost with the answer to its claim."""
+        self.rig.log.lost_answers = 1
+        await self.old.kill()
+        await self.rig.until(self.successor)
+        self.assertEqual(3, len(self.rig.log.read(0)))
+
+    async def test_fence_deposes_the_owner(self):
+        """Guard against an owner that confirms a fence and goes on."""
+        fence = messages.Fence(partition=0, epoch=9, member_id='x')
+        reply = await self.old.ownership.handle_fence(fence)
+        self.assertEqual(9, reply.epoch)
+        self.assertFalse(self.old.starts(0))
+        await self.rig.run_ms(100)
+        self.assertEqual({}, self.old.active)
+
+    async def test_owner_unknown_to_the_claimant_is_waited_for(self):
+        """Guard against a lagging list that hides the present owner."""
+        self.rig.log.append(0, memory_log.Entry(True, 'hidden', 0))
+        await self.rig.until(lambda: self.owner() is None)
+        spent_ms = await self.rig.until(self.owner)
+        self.assertGreaterEqual(spent_ms, _LAPSE_MS)
+
+    async def test_members_cut_from_each_other_do_not_flap(self):
+        """Guard against two claimants that depose each other for ever."""
+        self.rig.network.cut(self.old.node.address, self.rest[0].node.address)
+        started = 0
+        for _ in range(600):
+            await self.rig.run_ms(200)
+            started += self.owner() is not None
+        self.assertGreater(started, 360)
+        self.assertLess(len(self.rig.log.read(0)), 12)
+
+    async def test_member_without_configuration_claims_nothing(self):
+        """Guard against a daemon that owns before it can serve."""
+        for daemon in self.rest:
+            daemon.config_version = 0
+        await self.rig.run_ms(1_000)
+        await self.old.kill()
+        await self.rig.run_ms(10_000)
+        self.assertIsNone(self.successor())
+
+    async def test_uncovered_workers_are_counted_as_running(self):
+        """Guard against a task started twice behind a lost holder."""
+        self.rig.source.vms['w'] = cluster.VirtualMachine(
+            id='w', address='w:1', role=cluster.Role.WORKER
+        )
+        await self.old.kill()
+        await self.rig.until(self.successor)
+        now_ms = self.rig.clock.now_ms()
+        until_ms = self.successor().unseen[0]
+        self.assertAlmostEqual(now_ms + 31_500, until_ms, delta=50)
+        first = self.successor()
+        second = next(d for d in self.rest if d is not first)
+        second.workers = ['w']
+        await first.kill()
+        await self.rig.until(lambda: second.starts(0))
+        self.assertLessEqual(second.unseen[0], self.rig.clock.now_ms())
+
+
+class RegionTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against regions that take partitions from each other."""
+
+    async def test_cut_regions_keep_their_partitions(self):
+        """Guard against a cut between regions that moves partitions."""
+        rig = cluster_rig.ClusterRig(partitions=2, regions=('r1', 'r2'))
+        async with rig:
+            a = await rig.add('a', 'r1')
+            b = await rig.add('b', 'r2')
+            await rig.until(lambda: a.active and b.active)
+            rig.network.cut('a:1', 'b:1')
+            await rig.run_ms(5_000)
+            rig.log.down = True
+            await rig.run_ms(5_000)
+            self.assertTrue(a.starts(0))
+            self.assertTrue(b.starts(1))
+            self.assertEqual(({0: 1}, {1: 1}), (a.active, b.active))
+
+
+class HashingTest(unittest.TestCase):
+    """Guard against hashes that differ between processes or versions."""
+
+    def test_choices_are_stable(self):
+        ids = ['a', 'b', 'c', 'd']
+        keys = [f'partition-{n}' for n in range(200)]
+        chosen = {key: cluster.rendezvous(key, ids) for key in keys}
+        self.assertEqual(set(ids), set(chosen.values()))
+        fewer = {key: cluster.rendezvous(key, ids[:3]) for key in keys}
+        moved = {key for key in keys if fewer[key] != chosen[key]}
+        self.assertEqual({k for k in keys if chosen[k] == 'd'}, moved)
+        self.assertEqual('', cluster.rendezvous('k', []))
+        self.assertEqual('a', cluster.rendezvous('worker-1', 'abc'))
+
+    def test_partitions_and_homes_are_stable(self):
+        self.assertEqual(0, cluster.partition_of('team-1', 12))
+        found = {cluster.partition_of(f't{n}', 12) for n in range(300)}
+        self.assertEqual(set(range(12)), found)
+        self.assertEqual('r2', cluster.home_region(3, ['r2', 'r1']))
