--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,101 +1,306 @@
-"""Guard the journal of a partition against the faults of the log."""
+"""Guard the journal of a partition against races and faults of the log."""
 
-import contextlib
-import unittest
+import asyncio
 
 from basilspindle import errors
 from basilspindle import journal
 from basilspindle import model
-from tests.standins import log_service
-from tests.standins import manual_clock
-
-
-def make_job(job_id: str, tasks: int = 1) -> model.Job:
-    """Return a small durable job."""
-    return model.Job(
-        job_id=job_id,
-        team='team-1',
-        queue='queue-1',
-        kind='kind-1',
-        priority=model.Priority.BATCH,
-        tasks=tasks,
-        resources=model.Resources(1000, 100, 0, 1),
-        run_time_ms=1000,
-        deadline_ms=0,
-        gang=False,
-        service=False,
-        idempotent=False,
-        durable=True,
-        max_attempts=1,
-        input=b'{}',
-        key_id='k1',
-        body_hash='h',
-        submitted_wall_ms=1,
-    )
-
-
-class JournalCase(unittest.IsolatedAsyncioTestCase):
-    """Open journals on one stand-in under a manual clock."""
-
-    timing = journal.Timing()
-
-    async def asyncSetUp(self):
-        self.clock = manual_clock.ManualClock()
-        self.service = log_service.LogService(clock=self.clock)
-        self.stack = contextlib.AsyncExitStack()
-        self.addAsyncCleanup(self.stack.aclose)
-
-    async def open(self, name: str, **options) -> journal.PartitionJournal:
-        client = await self.stack.enter_async_context(
-            journal.LogClient(
-                'http://log',
-                transport=self.service.transport(),
-                clock=self.clock,
-            )
-        )
-        opened = await self.stack.enter_async_context(
-            journal.PartitionJournal(
-                client,
-                self.clock,
-                3,
-                member_id=name,
-                writer=f'{name}-1',
-                timing=self.timing,
-                **options,
-            )
+from tests import journal_case
+
+accept = journal_case.accept
+
+
+class OwnershipTest(journal_case.JournalCase):
+    """Guard against two owners of one history."""
+
+    async def test_race_has_one_winner(self):
+        """Guard against two claims that both believe they won."""
+        one = await self.open('a')
+        two = await self.open('b')
+        results = await self.run_ms(
+            asyncio.gather(one.claim(), two.claim(), return_exceptions=True)
         )
-        opened.client = client
-        return opened
+        await self.clock.advance_ms(1_000)
+        owners = [j.is_owner for j in (one, two)]
+        self.assertEqual([False, True], owners, results)
+        self.assertEqual('b', one.latest_claimant)
+        with self.assertRaises(errors.Deposed):
+            await one.append(accept('j1'))
+
+    async def test_batch_of_deposed_writer_is_ignored(self):
+        """Guard against a superseded owner that writes to the history."""
+        deposals = []
+        old = await self.open_owner('a', on_deposed=lambda: deposals.append(1))
+        new = await self.open_owner('b')
+        # The old owner has not read since, and sends its batch.
+        with self.assertRaises(errors.Deposed):
+            await self.run_ms(old.append(accept('j1')))
+        self.assertEqual(3, self.service.appends)
+        await self.run_ms(new.append(accept('j2')))
+        reader = await self.replay()
+        for one in (old, new, reader):
+            with self.subTest(member=one.dump()):
+                await self.clock.advance_ms(600)
+                self.assertNotIn('j1', one.state.jobs)
+        self.assertEqual([1], deposals)
+        self.assertEqual(journal.NEVER_MS, old.assured_at_ms)
+
+    async def test_release_ends_ownership(self):
+        """Guard against records of an owner that handed over."""
+        old = await self.open_owner('a')
+        new = await self.open('b')
+        await self.run_ms(old.append(accept('j1')))
+        await self.run_ms(old.release())
+        with self.assertRaises(errors.NotOwner):
+            await old.append(accept('j2'))
+        await self.clock.settle()
+        self.assertTrue(new.state.released)
+        await self.run_ms(new.claim())
+        self.assertEqual(['j1'], list(new.state.jobs))
+        self.assertFalse(new.state.released)
+
+    async def test_claim_is_not_repeated_after_its_caller_gave_up(self):
+        """Guard against a late claim that deposes a live owner."""
+        late = await self.open('a')
+        await self.run_ms(late.wait_replayed())
+        claim = asyncio.ensure_future(late.claim(timeout_ms=5_000))
+        self.service.faults.lose_requests = 1_000
+        with self.assertRaises(errors.LogOutcomeUnknown):
+            await self.run_ms(claim)
+        owner = await self.open('b')
+        self.service.faults.lose_requests = 0
+        await self.run_ms(owner.claim())
+        await self.clock.advance_ms(20_000)
+        self.assertTrue(owner.is_owner)
+
+    async def test_claim_with_lost_answer(self):
+        """Guard against an epoch that differs between readers."""
+        for fault in ('lose_requests', 'lose_answers', 'late_effects'):
+            with self.subTest(fault=fault):
+                setattr(self.service.faults, fault, 1)
+                owner = await self.open_owner('a')
+                await self.clock.advance_ms(10_000)
+                reader = await self.replay()
+                self.assertTrue(owner.is_owner)
+                self.assertEqual(owner.epoch, reader.latest_epoch)
+
+    async def test_other_members_do_not_read(self):
+        """Guard against the cost of streams that a member has no use for."""
+        idle = await self.open('a', following=False)
+        await self.clock.advance_ms(10_000)
+        self.assertEqual(0, self.service.requests['GET'])
+        idle.follow(True)
+        await self.run_ms(idle.wait_replayed())
+        idle.follow(False)
+        await self.clock.advance_ms(5_000)
+        seen = self.service.requests['GET']
+        await self.clock.advance_ms(10_000)
+        self.assertEqual(seen, self.service.requests['GET'])
 
-    async def run_ms(self, awaitable, limit_ms: int = 30_000, step_ms=10):
-        """Advance time until a result is there."""
-        import asyncio
 
-        task = asyncio.ensure_future(awaitable)
-        for _ in range(limit_ms // step_ms):
-            await self.clock.settle()
-            if task.done():
-                break
-            await self.clock.advance_ms(step_ms)
-        self.assertTrue(task.done(), f'no result within {limit_ms} ms')
-        return task.result()
+class AssuranceTest(journal_case.JournalCase):
+    """Guard against starts by an owner that may be superseded."""
 
+    async def watch(self, owner, duration_ms: int) -> int:
+        """Return the greatest age of the assurance in a time."""
+        oldest_ms = 0
+        for _ in range(duration_ms // 50):
+            await self.clock.advance_ms(50)
+            age_ms = self.clock.now_ms() - owner.assured_at_ms
+            oldest_ms = max(oldest_ms, age_ms)
+        return oldest_ms
 
-class AppendTest(JournalCase):
+    async def test_stays_young_while_the_log_answers(self):
+        """Guard against a pause of starts by a slow log or connection."""
+        owner = await self.open_owner('a')
+        for faults, limit_ms in [
+            ({}, 550),
+            ({'hang_requests': 1}, 1_100),
+            ({'delay_ms': 900}, 1_500),
+        ]:
+            with self.subTest(faults=faults):
+                for name, value in faults.items():
+                    setattr(self.service.faults, name, value)
+                await self.clock.advance_ms(3_000)
+                self.service.faults.hang_requests = faults.get(
+                    'hang_requests', 0
+                )
+                self.assertLess(await self.watch(owner, 5_000), limit_ms)
+
+    async def test_ages_without_answers(self):
+        """Guard against an assurance that no read stands behind."""
+        owner = await self.open_owner('a')
+        self.service.faults.hang = True
+        before_ms = self.clock.now_ms()
+        await self.clock.advance_ms(10_000)
+        self.assertLessEqual(owner.assured_at_ms, before_ms)
+
+
+class AppendTest(journal_case.JournalCase):
     """Guard against a record that is lost, doubled or wrongly refused."""
 
-    async def test_append_is_in_state_of_writer_and_reader(self):
-        """Guard against a reader that derives another state."""
-        owner = await self.open('a')
-        reader = await self.open('b')
-        await self.run_ms(owner.claim())
-        await self.run_ms(owner.append(journal.JobAccepted(make_job('j1'))))
-        self.assertIn('j1', owner.state.jobs)
-        await self.clock.advance_ms(2000)
-        self.assertEqual(owner.state.dump(), reader.state.dump())
+    async def test_lost_answers_count_once(self):
+        """Guard against a record that is applied twice or not at all."""
+        for fault in (
+            'lose_answers',
+            'lose_requests',
+            'late_effects',
+            'hang_requests',
+        ):
+            with self.subTest(fault=fault):
+                owner = await self.open_owner('a')
+                before = owner.state.records_since_snapshot
+                setattr(self.service.faults, fault, 1)
+                await self.run_ms(owner.append(accept(fault)))
+                await self.run_ms(owner.append(accept(fault + '-2')))
+                # The late effect comes after 5 s, behind its repetition.
+                await self.clock.advance_ms(10_000)
+                reader = await self.replay()
+                count = owner.state.records_since_snapshot - before
+                self.assertEqual(2, count)
+                self.assertEqual(owner.state.dump(), reader.state.dump())
+                self.assertIn(fault, reader.state.jobs)
 
-    async def test_refused_without_claim(self):
-        """Guard against a write by a member that owns nothing."""
-        other = await self.open('a')
-        with self.assertRaises(errors.NotOwner):
-            await other.append(journal.JobCancelled('j1'))
+    async def test_outage_refuses_what_was_never_sent(self):
+        """Guard against a refused record that appears, and against waits."""
+        for fault in ('down', 'refuse'):
+            with self.subTest(fault=fault):
+                owner = await self.open_owner('a')
+                setattr(self.service.faults, fault, True)
+                start_ms = self.clock.now_ms()
+                with self.assertRaises(errors.LogUnavailable):
+                    await self.run_ms(owner.append(accept('refused')))
+                self.assertLess(self.clock.now_ms() - start_ms, 2_500)
+                with self.assertRaises(errors.LogUnavailable):
+                    await owner.append(accept('refused'))
+                setattr(self.service.faults, fault, False)
+                await self.clock.advance_ms(1_000)
+                await self.run_ms(owner.append(accept('taken')))
+                self.assertEqual(['taken'], list(owner.state.jobs))
+
+    async def test_unknown_is_resolved_later(self):
+        """Guard against an unknown batch that stops the journal."""
+        late = []
+        owner = await self.open_owner('a', on_late=late.extend)
+        await self.clock.advance_ms(self.timing.linger_ms)
+        self.service.faults.hang = True
+        sent = asyncio.ensure_future(owner.append(accept('sent')))
+        await self.clock.settle()
+        waiting = asyncio.ensure_future(owner.append(accept('waiting')))
+        with self.assertRaises(errors.LogOutcomeUnknown) as caught:
+            await self.run_ms(sent)
+        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+        with self.assertRaises(errors.LogUnavailable):
+            await self.run_ms(waiting)
+        self.service.faults.hang = False
+        await self.clock.advance_ms(5_000)
+        await self.run_ms(owner.append(accept('next')))
+        self.assertEqual(['sent', 'next'], list(owner.state.jobs))
+        self.assertEqual([accept('sent')], late)
+
+    async def test_batches_are_spaced(self):
+        """Guard against an append per record under load."""
+        owner = await self.open_owner('a')
+        await self.clock.advance_ms(1_000)
+        starts = self.service.append_starts[owner.stream]
+        starts.clear()
+        start_ms = self.clock.now_ms()
+        appends = []
+        for number in range(30):
+            task = asyncio.ensure_future(owner.append(accept(f'j{number}')))
+            appends.append(task)
+            await self.clock.advance_ms(5)
+        await self.run_ms(asyncio.gather(*appends))
+        self.assertEqual(start_ms, starts[0])
+        gaps = [b - a for a, b in zip(starts, starts[1:], strict=False)]
+        self.assertGreaterEqual(min(gaps), self.timing.linger_ms)
+        self.assertLessEqual(len(starts), 5)
+        self.assertEqual(30, len(owner.state.jobs))
+
+    async def test_no_confirming_read_at_the_next_offset(self):
+        """Guard against a read per append."""
+        owner = await self.open_owner('a')
+        reads = self.service.requests['GET']
+        for number in range(10):
+            await self.run_ms(owner.append(accept(f'j{number}')))
+        self.assertLessEqual(self.service.requests['GET'] - reads, 1)
+
+
+class RetentionTest(journal_case.JournalCase):
+    """Guard against live work that is lost with old records."""
+
+    timing = journal.Timing(log_retention_ms=9_000, result_keep_ms=2_000)
+
+    async def test_snapshot_renews_live_jobs(self):
+        """Guard against jobs, epochs or owners lost with the retention."""
+        owner = await self.open_owner('a')
+        follower = await self.open('b')
+        await self.run_ms(owner.append(accept('live', tasks=2)))
+        await self.run_ms(owner.append(journal_case.end_task('live')))
+        await self.run_ms(
+            owner.append(accept('old'), journal_case.end_task('old'))
+        )
+        await self.clock.advance_ms(30_000)
+        reader = await self.replay()
+        await self.run_ms(owner.append(accept('later')))
+        await self.clock.advance_ms(2_000)
+        self.assertGreater(self.service.stream(owner.stream).first, 4)
+        self.assertEqual(['live', 'later'], list(owner.state.jobs))
+        self.assertEqual(b'1', reader.state.jobs['live'].ended[0].result)
+        self.assertTrue(reader.state.complete)
+        for one in (follower, reader):
+            self.assertEqual(owner.state.dump(), one.state.dump())
+
+    async def test_new_owner_continues_after_a_gap(self):
+        """Guard against a member that resumes behind trimmed records."""
+        owner = await self.open_owner('a')
+        paused = await self.open('b')
+        await self.run_ms(paused.wait_replayed())
+        paused.follow(False)
+        await self.run_ms(owner.append(accept('j1')))
+        await self.clock.advance_ms(30_000)
+        await self.run_ms(paused.claim())
+        self.assertEqual(['j1'], list(paused.state.jobs))
+        await self.clock.advance_ms(1_000)
+        self.assertFalse(owner.is_owner)
+
+    async def test_half_written_snapshot_is_ignored(self):
+        """Guard against jobs lost to a snapshot that was interrupted."""
+        timing = journal.Timing(batch_bytes=70_000, linger_ms=100)
+        owner = await self.open_owner('a', timing=timing)
+        names = [f'j{number}' for number in range(6)]
+        for name in names:
+            record = accept(name, input=b'x' * 60_000)
+            await self.run_ms(owner.append(record))
+        snapshot = asyncio.ensure_future(owner.snapshot())
+        await self.clock.advance_ms(250)
+        self.assertFalse(snapshot.done())
+        other = await self.open_owner('b')
+        with self.assertRaises(errors.Deposed):
+            await self.run_ms(snapshot)
+        reader = await self.replay()
+        self.assertEqual(0, reader.state.snapshots)
+        for one in (other, reader):
+            self.assertEqual(names, list(one.state.jobs))
+
+    async def test_records_between_snapshot_parts(self):
+        """Guard against records that a snapshot overwrites, and waits."""
+        timing = journal.Timing(batch_bytes=70_000, linger_ms=100)
+        owner = await self.open_owner('a', timing=timing)
+        for number in range(6):
+            record = accept(f'j{number}', input=b'x' * 60_000)
+            await self.run_ms(owner.append(record))
+        snapshot = asyncio.ensure_future(owner.snapshot())
+        await self.clock.advance_ms(150)
+        await self.run_ms(owner.append(accept('between')), 300)
+        await self.run_ms(owner.append(journal.JobCancelled('j0')), 300)
+        self.assertFalse(snapshot.done())
+        await self.run_ms(snapshot)
+        # Without the records before the snapshot only it can hold the jobs.
+        self.service.trim(owner.stream, 8)
+        reader = await self.replay()
+        self.assertTrue(reader.state.complete)
+        self.assertEqual(owner.state.dump(), reader.state.dump())
+        self.assertEqual(
+            model.State.QUEUED, reader.state.jobs['between'].state
+        )
--- /dev/null
+++ b/tests/test_log_client.py
@@ -0,0 +1,155 @@
+"""Guard the contract of the log client with the log service."""
+
+import asyncio
+import contextlib
+import unittest
+
+from basilspindle import clock
+from basilspindle import errors
+from basilspindle import journal
+from tests.standins import log_faults
+from tests.standins import log_service
+from tests.standins import manual_clock
+
+_TIMEOUT_MS = 150
+# fault, error of an append under it, records in the stream afterwards
+_FAULTS = [
+    ({'down': True}, errors.LogUnavailable, 0),
+    ({'refuse': True}, errors.LogUnavailable, 0),
+    ({'hang': True}, errors.LogOutcomeUnknown, 0),
+    ({'silence': True}, errors.LogOutcomeUnknown, 0),
+    ({'lose_requests': 1}, errors.LogOutcomeUnknown, 0),
+    ({'lose_answers': 1}, errors.LogOutcomeUnknown, 1),
+    ({'late_effects': 1, 'late_effect_ms': 0}, errors.LogOutcomeUnknown, 1),
+    ({'delay_ms': 5}, None, 1),
+]
+
+
+class SocketTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a wrong promise over real connections."""
+
+    async def asyncSetUp(self):
+        self.service = log_service.LogService()
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        url = await self.stack.enter_async_context(
+            log_service.serve(self.service)
+        )
+        self.client = await self.stack.enter_async_context(
+            journal.LogClient(url, request_timeout_ms=_TIMEOUT_MS)
+        )
+
+    async def set_faults(self, **faults):
+        """Replace the faults as a request to the stand-in does."""
+        self.service.faults = log_faults.LogFaults(**faults)
+        if faults.get('silence'):
+            self.service._silent |= self.service._clients
+        self.service.on_faults()
+        # Lets aborted connections close before they could be used again.
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def append_error(self) -> type | None:
+        """Append once and return the type of the error."""
+        try:
+            await self.client.append('s', b'data')
+        except errors.LogError as error:
+            return type(error)
+        return None
+
+    async def test_each_fault(self):
+        """Guard against "took nothing" where the append took effect."""
+        await self.client.append('warm', b'')
+        for faults, expected, records in _FAULTS:
+            with self.subTest(faults=faults):
+                self.service.streams.pop('s', None)
+                await self.set_faults(**faults)
+                self.assertIs(expected, await self.append_error())
+                await self.set_faults()
+                chunk = await self.read_after_recovery()
+                self.assertEqual(records, len(chunk.records))
+                self.assertIsNone(self.client.down_since_ms)
+
+    async def read_after_recovery(self) -> journal.Chunk:
+        """Read once the stand-in listens again."""
+        while True:
+            try:
+                return await self.client.read('s', 1, 10, 0)
+            except errors.LogUnavailable:
+                await clock.Clock().sleep_ms(1)
+
+    async def test_long_poll_returns_with_the_record(self):
+        """Guard against a read that misses an append while it waits."""
+        read = asyncio.create_task(self.client.read('s', 1, 10, 20_000))
+        while not self.service.requests['GET']:
+            await asyncio.sleep(0)
+        await self.client.append('s', b'\x00\xff')
+        chunk = await read
+        self.assertEqual([b'\x00\xff'], [r.data for r in chunk.records])
+        self.assertEqual(2, chunk.next)
+
+
+class InProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Guard the rules on time, under a manual clock."""
+
+    async def asyncSetUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.service = log_service.LogService(
+            clock=self.clock, retention_ms=10_000
+        )
+        self.client = journal.LogClient(
+            'http://log',
+            transport=self.service.transport(),
+            clock=self.clock,
+        )
+        await self.client.__aenter__()
+        self.addAsyncCleanup(self.client.__aexit__, None, None, None)
+
+    async def test_offsets_pages_and_empty_read(self):
+        """Guard against a skipped or repeated record between pages."""
+        for number in range(5):
+            offset = await self.client.append('s', b'%d' % number)
+            self.assertEqual(number + 1, offset)
+        first = await self.client.read('s', 1, 3, 0)
+        second = await self.client.read('s', first.next, 3, 0)
+        offsets = [r.offset for r in first.records + second.records]
+        self.assertEqual([1, 2, 3, 4, 5], offsets)
+        last = await self.client.read('s', second.next, 3, 0)
+        self.assertEqual((6, []), (last.next, last.records))
+
+    async def test_trimmed_by_age_and_by_hand(self):
+        """Guard against a gap that a reader does not notice."""
+        await self.client.append('s', b'1')
+        await self.clock.advance_ms(6_000)
+        await self.client.append('s', b'2')
+        await self.client.append('s', b'3')
+        await self.clock.advance_ms(6_000)
+        with self.assertRaises(errors.LogTrimmed) as caught:
+            await self.client.read('s', 1, 10, 0)
+        self.assertEqual(2, caught.exception.first)
+        self.service.trim('s', 3)
+        chunk = await self.client.read('s', 3, 10, 0)
+        self.assertEqual([6_000], [r.age_ms for r in chunk.records])
+
+    async def test_down_only_after_a_series_of_failures(self):
+        """Guard against a refusal of work after a single failure."""
+        self.service.faults.down = True
+        for elapsed_ms, expected in [(0, False), (1_000, False), (1, True)]:
+            await self.clock.advance_ms(elapsed_ms)
+            with self.assertRaises(errors.LogUnavailable):
+                await self.client.append('s', b'')
+            self.assertIs(expected, self.client.is_down)
+        self.service.faults.down = False
+        await self.client.read('s', 1, 1, 0)
+        self.assertFalse(self.client.is_down)
+
+    async def test_overdue_request_is_no_outage(self):
+        """Guard against an outage seen in one silent connection."""
+        self.service.faults.hang_requests = 1
+        overdue = asyncio.create_task(self.client.append('s', b''))
+        await self.clock.advance_ms(1_900)
+        await self.client.read('s', 1, 1, 0)
+        await self.clock.advance_ms(100)
+        with self.assertRaises(errors.LogOutcomeUnknown):
+            await overdue
+        self.assertFalse(self.client.is_down)
