--- a/basilspindle/fleet/connection.py
+++ b/basilspindle/fleet/connection.py
@@ -26,7 +26,15 @@
     TCP connections in tests.
     """
 
-    __slots__ = ('_address', '_clock', '_limit', '_factory', '_transport')
+    __slots__ = (
+        '_address',
+        '_clock',
+        '_limit',
+        '_factory',
+        '_transport',
+        '_path',
+        '_url',
+    )
 
     def __init__(
         self,
@@ -40,6 +48,9 @@
         self._limit = limit
         self._factory = transport
         self._transport: httpx.AsyncBaseTransport | None = None
+        # Parsing a URL takes a tenth of a request, and idle polls repeat it.
+        self._path = ''
+        self._url = httpx.URL()
 
     async def close(self) -> None:
         """Close all connections; the next call opens new ones."""
@@ -81,10 +92,13 @@
         headers = {'Host': self._address}
         if body:
             headers['Content-Type'] = 'application/json'
+        if path != self._path:
+            self._path = path
+            self._url = httpx.URL(f'http://{self._address}{path}')
         timeout_s = timeout_ms / 1000
         return httpx.Request(
             method,
-            f'http://{self._address}{path}',
+            self._url,
             headers=headers,
             content=body if method == 'POST' else None,
             extensions={
--- a/basilspindle/fleet/entry.py
+++ b/basilspindle/fleet/entry.py
@@ -41,6 +41,7 @@
         'hold_until_ms',
         'stop_wanted',
         'avoided',
+        'announced',
         'over',
         'placed',
     )
@@ -63,6 +64,9 @@
         self.hold_until_ms = 0
         self.stop_wanted = False
         self.avoided = len(order.avoid) if order else 0
+        # Set once an owner has been told that the attempt may run, so that
+        # a failed start has to be reported as well.
+        self.announced = False
         # Set once the entry has left its worker's account.
         self.over = False
         # The answer to the order, for repeated orders.
--- a/basilspindle/fleet/fleet.py
+++ b/basilspindle/fleet/fleet.py
@@ -77,7 +77,7 @@
             clock, report, settings, self._confirmed
         )
         self._starter = starter_module.Starter(
-            clock, settings, self._ledger, check_fence
+            clock, settings, self._ledger, self._reporter, check_fence
         )
         self._jobs: set[asyncio.Task[typing.Any]] = set()
 
@@ -315,6 +315,7 @@
             if entry.running.partition != message.partition:
                 continue
             if entry.phase is not entry_module.Phase.HELD:
+                entry.announced = True
                 running.append(entry.listed())
             elif entry.order.partition_epoch < message.partition_epoch:
                 self._ledger.free(entry)
--- a/basilspindle/fleet/keeper.py
+++ b/basilspindle/fleet/keeper.py
@@ -254,7 +254,7 @@
     async def _wait_events(self) -> event_page.EventPage | None:
         """Poll until events, the wait time, or a wake-up (None)."""
         worker = self._worker
-        wait_ms = self._settings.poll_wait_ms
+        wait_ms = self._settings.poll_wait_ms(worker.lease_ms)
         if worker.silent_polls:
             # Any answer ends the suspicion, so none is delayed.
             wait_ms = 0
@@ -504,7 +504,8 @@
         open_starts = worker.in_phase(entry_module.Phase.UNCERTAIN)
         if worker.epoch and open_starts:
             epoch = worker.epoch
-            worker.resolve_at_ms = 0
+            # The next inventory resolves them unless the epoch stays.
+            worker.resolve_at_ms = now_ms + self._settings.retry_max_ms
             self._lapse()
             await worker.client.unlease(epoch)
 
--- a/basilspindle/fleet/settings.py
+++ b/basilspindle/fleet/settings.py
@@ -4,6 +4,8 @@
 
 # Clocks of two machines differ by at most this part of a duration.
 CLOCK_DRIFT = 0.05
+# Time for the answers of two polls and for a busy event loop.
+_POLL_SPARE_MS = 500
 
 
 class FleetSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,16 +30,14 @@
     hand_back_ms: int = 5_000
     place_tries: int = 3
 
-    @property
-    def poll_wait_ms(self) -> int:
-        """Return how long a poll may wait without gaps in the lease.
+    def poll_wait_ms(self, lease_ms: int) -> int:
+        """Return how long a poll may wait without gaps in a lease.
 
         The lease counts from the send of the last answered poll, so two
         polls and a send have to fit into it.
         """
-        usable_ms = int(self.worker_lease_ms * (1 - CLOCK_DRIFT))
-        spare_ms = usable_ms // 10
-        fitting_ms = (usable_ms - spare_ms - self.send_ms) // 2
+        usable_ms = int(lease_ms * (1 - CLOCK_DRIFT))
+        fitting_ms = (usable_ms - _POLL_SPARE_MS - self.send_ms) // 2
         return max(0, min(self.worker_poll_ms, fitting_ms))
 
     @property
--- a/basilspindle/fleet/starter.py
+++ b/basilspindle/fleet/starter.py
@@ -9,7 +9,9 @@
 from basilspindle.fleet import events as fleet_events
 from basilspindle.fleet import leased_worker
 from basilspindle.fleet import ledger as ledger_module
+from basilspindle.fleet import reporter as reporter_module
 from basilspindle.fleet import settings as settings_module
+from basilspindle import model
 from basilspindle.peer import messages
 
 CheckFence = collections.abc.Callable[[int, int], None]
@@ -18,18 +20,20 @@
 class Starter:
     """Send starts; a refused one is tried on other workers."""
 
-    __slots__ = ('_clock', '_settings', '_ledger', '_check_fence')
+    __slots__ = ('_clock', '_settings', '_ledger', '_reporter', '_check_fence')
 
     def __init__(
         self,
         clock: clock_module.Clock,
         settings: settings_module.FleetSettings,
         ledger: ledger_module.Ledger,
+        reporter: reporter_module.Reporter,
         check_fence: CheckFence,
     ) -> None:
         self._clock = clock
         self._settings = settings
         self._ledger = ledger
+        self._reporter = reporter
         self._check_fence = check_fence
 
     async def run(
@@ -47,16 +51,38 @@
             tried.append(entry.running.worker_id)
             self._ledger.free(entry)
             following = None
-            if isinstance(fault, errors.WorkerError) and not entry.stop_wanted:
-                if len(tried) < tries:
-                    following = self._ledger.reserve(
-                        order, self._clock.now_ms(), tried
-                    )
+            if len(tried) < tries and self._may_move(entry, fault):
+                following = self._ledger.reserve(
+                    order, self._clock.now_ms(), tried
+                )
             if following is None:
+                self._report_refusal(entry, fault)
                 return refusal(entry.key, fault.kind)
             following.placed = entry.placed
             entry = following
 
+    def _may_move(
+        self, entry: entry_module.TaskEntry, fault: errors.BasilspindleError
+    ) -> bool:
+        return (
+            isinstance(fault, errors.WorkerError)
+            and not entry.stop_wanted
+            and not entry.announced
+        )
+
+    def _report_refusal(
+        self, entry: entry_module.TaskEntry, fault: errors.BasilspindleError
+    ) -> None:
+        if entry.announced:
+            self._reporter.end(
+                entry.end(
+                    model.State.QUEUED,
+                    started=False,
+                    error=fault.message,
+                    worker_epoch=entry.epoch,
+                )
+            )
+
     async def _start(
         self, entry: entry_module.TaskEntry
     ) -> errors.BasilspindleError | None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -220,6 +220,23 @@
         with self.assertRaises(errors.Fenced):
             await self.fleet.inventory(_inventory(epoch=1))
 
+    async def test_listed_start_that_fails_is_reported(self):
+        """Guard against a new owner that waits for a task for ever."""
+        worker = self.workers['w0']
+        worker.faults.slow_ms = 500
+        message = messages.Place(member_id='c', orders=[self.order('a/0')])
+        work = asyncio.ensure_future(self.fleet.place(message))
+        await self.clock.settle()
+        self.fences[0] = 2
+        listed = await self.fleet.inventory(_inventory(epoch=2))
+        self.assertEqual(['a/0'], [t.task_id for t in listed.running])
+        worker.faults.refuse = 'full'
+        await self.clock.advance_ms(600)
+        placed = (await work).placements
+        self.assertEqual(['worker_refused'], _reasons(placed))
+        self.assertIs(model.State.QUEUED, self.end_of('a/0').state)
+        self.assertFalse(self.end_of('a/0').started)
+
 
 class StopTest(fleet_case.FleetCase):
     """Guard against a stop that is lost."""
