--- a/basilspindle/fleet/entry.py
+++ b/basilspindle/fleet/entry.py
@@ -3,6 +3,8 @@
 import asyncio
 import enum
 
+import msgspec
+
 from basilspindle import model
 from basilspindle.peer import messages
 
@@ -39,6 +41,7 @@
         'hold_until_ms',
         'stop_wanted',
         'avoided',
+        'announced',
         'over',
         'placed',
     )
@@ -61,6 +64,9 @@
         self.hold_until_ms = 0
         self.stop_wanted = False
         self.avoided = len(order.avoid) if order else 0
+        # Set once an owner has been told that the attempt may run, so that
+        # a failed start has to be reported as well.
+        self.announced = False
         # Set once the entry has left its worker's account.
         self.over = False
         # The answer to the order, for repeated orders.
@@ -71,6 +77,10 @@
         """Return task id and attempt."""
         return self.running.task_id, self.running.attempt
 
+    def listed(self) -> model.RunningTask:
+        """Return the task with the latest epoch under which it is known."""
+        return msgspec.structs.replace(self.running, worker_epoch=self.epoch)
+
     def end(
         self,
         state: model.State,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -220,6 +220,23 @@
         with self.assertRaises(errors.Fenced):
             await self.fleet.inventory(_inventory(epoch=1))
 
+    async def test_listed_start_that_fails_is_reported(self):
+        """Guard against a new owner that waits for a task for ever."""
+        worker = self.workers['w0']
+        worker.faults.slow_ms = 500
+        message = messages.Place(member_id='c', orders=[self.order('a/0')])
+        work = asyncio.ensure_future(self.fleet.place(message))
+        await self.clock.settle()
+        self.fences[0] = 2
+        listed = await self.fleet.inventory(_inventory(epoch=2))
+        self.assertEqual(['a/0'], [t.task_id for t in listed.running])
+        worker.faults.refuse = 'full'
+        await self.clock.advance_ms(600)
+        placed = (await work).placements
+        self.assertEqual(['worker_refused'], _reasons(placed))
+        self.assertIs(model.State.QUEUED, self.end_of('a/0').state)
+        self.assertFalse(self.end_of('a/0').started)
+
 
 class StopTest(fleet_case.FleetCase):
     """Guard against a stop that is lost."""
@@ -231,11 +248,11 @@
         """Guard against a stop whose answer was lost."""
         opened = await self.start_fleet()
         await self.place(opened, self.order('a/0'))
-        self.cut.add('d1')
+        self.cut_off.add('d1')
         stopping = await opened.stop(self.message(('a/0', 1), ('b/0', 1)))
         self.assertEqual([('b/0', 1)], stopping.unknown_tasks)
         await self.clock.settle()
-        self.cut.clear()
+        self.cut_off.clear()
         await self.clock.advance_ms(1_000)
         self.assertIs(model.State.CANCELLED, self.end_of('a/0').state)
 
