--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -56,7 +56,10 @@
         if self.down:
             raise errors.LogUnavailable('down')
         if self.lost:
-            if self.lost.pop(0):
+            effect = self.lost.pop(0)
+            if effect is None:
+                raise errors.LogUnavailable('refused')
+            if effect:
                 self.put(data)
             raise errors.LogOutcomeUnknown('lost')
         return self.put(data)
@@ -220,12 +223,13 @@
             await store.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
         self.assertEqual(errors.Ran.NO, caught.exception.ran)
         self.log.down = False
-        self.log.lost = [False] * 1000
-        with self.assertRaises(errors.OutcomeUnknown) as caught:
-            await self.finish(
-                store.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
-            )
-        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+        for later in (False, None):
+            self.log.lost = [False] + [later] * 1000
+            with self.assertRaises(errors.OutcomeUnknown) as caught:
+                await self.finish(
+                    store.publish(make_base(['w1']), _OVERLAY, 1, 'ops')
+                )
+            self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
 
     async def test_late_reader_of_a_trimmed_log(self):
         """Guard against a reader that takes the loser of a race."""
@@ -270,6 +274,20 @@
         await self.clock.settle()
         self.assertEqual((3, 3), (one.version, two.version))
 
+    async def test_late_refresh_of_an_old_version(self):
+        """Guard against a slow daemon whose refresh takes all back."""
+        one = await self.start()
+        await one.publish(make_base(['w1']), _OVERLAY, 0, 'ops')
+        old = one.record_for(0)
+        await one.publish(make_base(['w2']), _OVERLAY, 1, 'ops')
+        self.log.put(old)
+        late = await self.start()
+        for store in (one, late):
+            self.assertEqual(['w2'], store.current.document.workers.drained)
+        await late.publish(make_base(['w3']), _OVERLAY, 2, 'ops')
+        await self.clock.settle()
+        self.assertEqual((3, 3), (one.version, late.version))
+
     async def test_reader_behind_the_trim(self):
         """Guard against a reader that stops or goes back after a gap."""
         one = await self.start()
