--- a/basilspindle/config/overlay.py
+++ b/basilspindle/config/overlay.py
@@ -36,6 +36,19 @@
             for pattern in self._patterns
         )
 
+    def adds(self, steps: _Steps) -> bool:
+        """Tell whether an object above a listed path may be added.
+
+        A path that is listed by name may be set where the base leaves out
+        its objects. A "*" stands for the members that the base has.
+        """
+        return any(
+            len(pattern) > len(steps)
+            and _matches(pattern, steps)
+            and pattern[len(steps) - 1] != _ANY
+            for pattern in self._patterns
+        )
+
 
 def merge(base: typing.Any, overlay: typing.Any) -> typing.Any:
     """Return the base with an overlay's members; null removes one."""
@@ -77,9 +90,10 @@
         below = base.get(name)
         if not permit.leads(path) or not isinstance(value, dict):
             faults.append(_not_listed(file, path))
-        elif not isinstance(below, dict):
+        elif name not in base and not permit.adds(path):
             faults.append(_not_in_base(file, path))
         else:
+            below = below if isinstance(below, dict) else {}
             _walk(permit, below, value, path, file, faults)
 
 
--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -219,6 +219,16 @@
                 self.assertTrue(faults)
                 self.assertIn('the base', faults[0].remedy)
 
+    def test_listed_path_below_an_object_that_the_base_lacks(self):
+        """Guard against a drain that the base must be prepared for."""
+        base = change(_BASE, '/workers', _GONE)
+        overlay = {'workers': {'drained': ['w']}}
+        self.assertEqual([], find_faults(base, overlay))
+        draft = config.Draft(json.dumps(base).encode(), b'{}')
+        draft.put('/workers/drained', ['w'])
+        self.assertEqual(overlay, json.loads(draft.overlay))
+        self.assertEqual([], find_faults(json.loads(draft.base), overlay))
+
     def test_overlay_faults_name_the_overlay(self):
         """Guard against a search in the wrong file."""
         overlay = {'teams': {'web': {'share': -1}}, 'regions': ['UP']}
