Validate faster, keep a new key and new teams

A key generated by "key add" was lost with the answer of the publish; it is printed now. "team set" put the share of a new team into an overlay that may not add teams; it goes to the base now.

--- a/basilspindle/cli/commands/key.py
+++ b/basilspindle/cli/commands/key.py
@@ -54,15 +54,21 @@
         raise click.UsageError('a caller key needs --team, an operator none')
     from basilspindle.cli import publish
     from basilspindle import config
+    from basilspindle import errors
 
     text, hashed = config.Keyring.generate(key_id)
     entry = {'role': role, 'sha256': sha256 or hashed}
     if team is not None:
         entry['team'] = team
-    with session.open() as client:
-        version = publish.change(
-            client, lambda draft: _add(draft, key_id, entry)
-        )
+    try:
+        with session.open() as client:
+            version = publish.change(
+                client, lambda draft: _add(draft, key_id, entry)
+            )
+    except errors.OutcomeUnknown:
+        if sha256 is None:
+            click.echo(f'if it was added, the key is {text}', err=True)
+        raise
     shown = {'key_id': key_id, 'version': version, **entry}
     lines = f'key {key_id} is valid from version {version}'
     if sha256 is None:
--- a/basilspindle/config/amend.py
+++ b/basilspindle/config/amend.py
@@ -15,7 +15,8 @@
     """Hold a base and an overlay while they are changed.
 
     A member is set in the overlay if the overlay may set its path, in the
-    base otherwise. Paths are JSON pointers.
+    base otherwise: also where the overlay may not add what is above it,
+    such as a new team. Paths are JSON pointers.
     """
 
     __slots__ = ('_base', '_overlay')
@@ -46,8 +47,7 @@
     def put(self, pointer: str, value: typing.Any) -> None:
         """Set a member, adding the objects above it."""
         steps = document.split(pointer)
-        permit = overlay_module.Permit(self._base)
-        target = self._overlay if permit.allows(steps) else self._base
+        target = self._overlay if self._permits(steps) else self._base
         for step in steps[:-1]:
             below = target.get(step)
             if not isinstance(below, dict):
@@ -60,6 +60,18 @@
         for place in (self._base, self._overlay):
             _remove(place, document.split(pointer))
 
+    def _permits(self, steps: tuple[str, ...]) -> bool:
+        permit = overlay_module.Permit(self._base)
+        below: typing.Any = self._base
+        for depth in range(1, len(steps) + 1):
+            path = steps[:depth]
+            if permit.allows(path):
+                return True
+            below = below.get(path[-1]) if isinstance(below, dict) else None
+            if below is None and not permit.adds(path):
+                return False
+        return False
+
 
 def _remove(place: _Object, steps: tuple[str, ...]) -> None:
     for step in steps[:-1]:
--- a/basilspindle/config/keyring.py
+++ b/basilspindle/config/keyring.py
@@ -63,7 +63,7 @@
 
 def digest_key(text: str) -> str:
     """Return the SHA-256 of a key in hexadecimal."""
-    return hashlib.sha256(text.encode()).hexdigest()
+    return hashlib.sha256(text.encode(errors='replace')).hexdigest()
 
 
 def parse_key_id(text: str) -> str:
--- a/basilspindle/document/parse.py
+++ b/basilspindle/document/parse.py
@@ -1,5 +1,6 @@
 """Read JSON strictly."""
 
+import collections.abc
 import json
 import typing
 
@@ -9,6 +10,21 @@
 _MAX_DEPTH = 32
 
 
+class _Reader:
+    """Build objects; keep note of any name given twice."""
+
+    __slots__ = ('twice',)
+
+    def __init__(self) -> None:
+        self.twice = False
+
+    def build(self, pairs: list[tuple[str, typing.Any]]) -> typing.Any:
+        """Return the object of a list of members."""
+        value = dict(pairs)
+        self.twice = self.twice or len(value) != len(pairs)
+        return value
+
+
 class _Pairs(list[tuple[str, typing.Any]]):
     """Hold the members of an object in order, with duplicates."""
 
@@ -23,17 +39,41 @@
     A name given twice in one object is a fault, since most readers would
     drop one of the two without a word.
     """
+    reader = _Reader()
     try:
-        value = json.loads(
-            raw, object_pairs_hook=_Pairs, parse_constant=_refuse_constant
-        )
+        value = _load(raw, reader.build)
+        deep = _is_deep(value, 0)
     except (ValueError, RecursionError) as error:
         return {}, [_syntax(file, str(error))]
-    faults: list[fault_module.Fault] = []
-    plain = _plain(value, (), file, faults)
-    if not isinstance(plain, dict):
+    if not isinstance(value, dict):
         return {}, [_syntax(file, 'the document is not an object')]
-    return plain, faults
+    if not reader.twice and not deep:
+        return value, []
+    faults: list[fault_module.Fault] = []
+    value = _plain(_load(raw, _Pairs), (), file, faults)
+    return value, faults
+
+
+def _load(
+    raw: bytes, build: collections.abc.Callable[[typing.Any], typing.Any]
+) -> typing.Any:
+    return json.loads(
+        raw, object_pairs_hook=build, parse_constant=_refuse_constant
+    )
+
+
+def _is_deep(value: typing.Any, depth: int) -> bool:
+    if isinstance(value, dict):
+        value = value.values()
+    elif not isinstance(value, list):
+        return False
+    if depth > _MAX_DEPTH:
+        return True
+    return any(
+        _is_deep(item, depth + 1)
+        for item in value
+        if isinstance(item, (dict, list))
+    )
 
 
 def _refuse_constant(name: str) -> typing.NoReturn:
--- a/basilspindle/document/shape.py
+++ b/basilspindle/document/shape.py
@@ -4,6 +4,7 @@
 """
 
 import collections.abc
+import functools
 import types
 import typing
 
@@ -31,7 +32,7 @@
 
     ``file`` tells which file a path was written in.
     """
-    walk = _Walk(file)
+    walk = _Walk(file, valid=_converts(value, expected))
     walk.visit(value, expected, ())
     return walk.faults
 
@@ -39,16 +40,23 @@
 class _Walk:
     """Collect the faults of one document."""
 
-    __slots__ = ('faults', '_file')
+    __slots__ = ('faults', '_file', '_valid')
 
-    def __init__(self, file: collections.abc.Callable[[_Steps], str]) -> None:
+    def __init__(
+        self, file: collections.abc.Callable[[_Steps], str], *, valid: bool
+    ) -> None:
         self.faults: list[fault_module.Fault] = []
         self._file = file
+        # A document that converts can only have unknown fields.
+        self._valid = valid
 
     def visit(
         self, value: typing.Any, expected: typing.Any, steps: _Steps
     ) -> None:
         """Check a value and everything below it."""
+        if _is_struct(expected):
+            self._visit_struct(value, expected, steps)
+            return
         plain = _without_none(expected)
         if value is None and plain is not expected:
             return
@@ -71,13 +79,13 @@
         fields = _fields(expected)
         for name in value:
             if name not in fields:
-                known = ', '.join(sorted(fields))
                 self._add(
                     (*steps, name),
                     'unknown field',
-                    f'remove it or use one of: {known}',
+                    f'remove it or use one of: {", ".join(sorted(fields))}',
                 )
-        for name, field in fields.items():
+        known = _nested(expected) if self._valid else fields
+        for name, field in known.items():
             if name in value:
                 self.visit(value[name], field.type, (*steps, name))
             elif field.required:
@@ -94,8 +102,10 @@
             self._add(steps, 'not an object', 'write an object, {...}')
             return
         key_type, item_type = typing.get_args(expected)
+        if self._valid and not _has_struct(item_type):
+            return
         for name, item in value.items():
-            if not _converts(name, key_type):
+            if not self._valid and not _converts(name, key_type):
                 self._add(
                     (*steps, name),
                     f'the name {name!r} is not allowed',
@@ -110,12 +120,16 @@
             self._add(steps, 'not a list', 'write a list, [...]')
             return
         (item_type,) = typing.get_args(expected)
+        if self._valid and not _has_struct(item_type):
+            return
         for index, item in enumerate(value):
             self.visit(item, item_type, (*steps, index))
 
     def _visit_scalar(
         self, value: typing.Any, expected: typing.Any, steps: _Steps
     ) -> None:
+        if self._valid:
+            return
         try:
             msgspec.convert(value, expected)
         except msgspec.ValidationError as error:
@@ -136,16 +150,27 @@
         )
 
 
-_FIELDS: dict[typing.Any, dict[str, msgspec.structs.FieldInfo]] = {}
+@functools.cache
+def _fields(expected: typing.Any) -> dict[str, msgspec.structs.FieldInfo]:
+    return {
+        field.encode_name: field for field in msgspec.structs.fields(expected)
+    }
 
 
-def _fields(expected: typing.Any) -> dict[str, msgspec.structs.FieldInfo]:
-    if expected not in _FIELDS:
-        _FIELDS[expected] = {
-            field.encode_name: field
-            for field in msgspec.structs.fields(expected)
-        }
-    return _FIELDS[expected]
+@functools.cache
+def _nested(expected: typing.Any) -> dict[str, msgspec.structs.FieldInfo]:
+    return {
+        name: field
+        for name, field in _fields(expected).items()
+        if _has_struct(field.type)
+    }
+
+
+@functools.cache
+def _has_struct(expected: typing.Any) -> bool:
+    return _is_struct(expected) or any(
+        _has_struct(argument) for argument in typing.get_args(expected)
+    )
 
 
 def _is_struct(expected: typing.Any) -> bool:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -252,9 +252,24 @@
         )
         self.check(0, 'team', 'set', 'web', '--tasks', 'none')
         self.assertEqual({}, self.daemons.overlay['teams']['web']['limit'])
+        self.check(0, 'team', 'set', 'new', '--share', '1', '--kind', 'site')
+        self.assertEqual(
+            {'share': 1.0, 'kinds': ['site']},
+            self.daemons.base['teams']['new'],
+        )
         result = self.check(0, 'team', 'list')
         self.assertIn('web: share 2.0, limit none', result.output)
 
+    def test_added_key_is_shown_after_a_lost_answer(self):
+        """Guard against a key in force that nobody has."""
+        known = httpx.Response(
+            200, json={'version': 1, 'base': self.daemons.base, 'overlay': {}}
+        )
+        self.daemons.answers[1] = [known, httpx.ReadTimeout('x')]
+        self.daemons.answers[2] = httpx.ReadTimeout('x')
+        result = self.check(4, 'key', 'add', '--id', 'k', '--role', 'operator')
+        self.assertIn('if it was added, the key is bsk_k_', result.output)
+
     def test_publish(self):
         """Guard against a publish from a version other than the named."""
         base = str(_EXAMPLES / 'base.json')
