Show jobs of open queues and daemons without confirmation

The API names the queue of a job that was submitted without a key, which the tool could not pass on, and gives an age of -1 for never, which was printed as a time.

--- a/basilspindle/cli/commands/config.py
+++ b/basilspindle/cli/commands/config.py
@@ -110,9 +110,14 @@
         answer = client.call(
             'GET', '/v1/configuration/in-force', repeatable=True
         )
-    lines = [
-        f'{member["member_id"]}: version {member["version"]}, '
-        f'{member["state"]}, confirmed {member["age_ms"]} ms ago'
-        for member in answer['members']
-    ]
+    lines = [_describe(member) for member in answer['members']]
     session.show(answer, '\n'.join(lines))
+
+
+def _describe(member: dict[str, typing.Any]) -> str:
+    age_ms = member['age_ms']
+    confirmed = f'confirmed {age_ms} ms ago' if age_ms >= 0 else 'unconfirmed'
+    return (
+        f'{member["member_id"]}: version {member["version"]}, '
+        f'{member["state"]}, {confirmed}'
+    )
--- a/basilspindle/cli/commands/job.py
+++ b/basilspindle/cli/commands/job.py
@@ -26,6 +26,13 @@
 _POLL_MS = 10_000
 
 
+_QUEUE = click.option(
+    '--open-queue',
+    metavar='QUEUE',
+    help='Open queue of a job that was submitted without a key.',
+)
+
+
 @click.group()
 def command() -> None:
     """Submit, list, show, wait for and cancel jobs."""
@@ -84,11 +91,14 @@
 
 @command.command()
 @click.argument('job_id')
+@_QUEUE
 @click.pass_obj
-def show(session: session_module.Session, job_id: str) -> None:
+def show(
+    session: session_module.Session, job_id: str, open_queue: str | None
+) -> None:
     """Show a job; succeeds whatever its state."""
-    with session.open() as client:
-        session.show(_get(client, job_id, 0))
+    with session.open(with_key=open_queue is None) as client:
+        session.show(_get(client, job_id, open_queue, 0))
 
 
 @command.command()
@@ -98,6 +108,7 @@
     type=click.IntRange(min=1),
     help='Longest time to wait; by default until the job has ended.',
 )
+@_QUEUE
 @click.pass_obj
 @click.pass_context
 def wait(
@@ -105,6 +116,7 @@
     session: session_module.Session,
     job_id: str,
     wait_ms: int | None,
+    open_queue: str | None,
 ) -> None:
     """Wait for the end of a job; 1 if its work failed.
 
@@ -112,8 +124,8 @@
     """
     from basilspindle.cli import exit_code
 
-    with session.open() as client:
-        view = _wait(client, job_id, wait_ms)
+    with session.open(with_key=open_queue is None) as client:
+        view = _wait(client, job_id, open_queue, wait_ms)
     session.show(view)
     if view['state'] not in _FINAL:
         ctx.exit(exit_code.ExitCode.OUTCOME_UNKNOWN)
@@ -130,22 +142,32 @@
 
 
 def _wait(
-    client: 'client_module.Client', job_id: str, wait_ms: int | None
+    client: 'client_module.Client',
+    job_id: str,
+    open_queue: str | None,
+    wait_ms: int | None,
 ) -> typing.Any:
     end_s = time.monotonic() + wait_ms / 1000 if wait_ms else None
     while True:
         left_ms = _POLL_MS
         if end_s is not None:
             left_ms = min(left_ms, int((end_s - time.monotonic()) * 1000))
-        view = _get(client, job_id, max(0, left_ms))
+        view = _get(client, job_id, open_queue, max(0, left_ms))
         if view['state'] in _FINAL or left_ms <= 0:
             return view
 
 
 def _get(
-    client: 'client_module.Client', job_id: str, wait_ms: int
+    client: 'client_module.Client',
+    job_id: str,
+    open_queue: str | None,
+    wait_ms: int,
 ) -> typing.Any:
-    params = {'wait_ms': wait_ms} if wait_ms else None
+    params: dict[str, typing.Any] = {}
+    if wait_ms:
+        params['wait_ms'] = wait_ms
+    if open_queue is not None:
+        params['queue'] = open_queue
     return client.call('GET', _path(job_id), repeatable=True, params=params)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -200,6 +200,7 @@
             '--no-key',
         )
         self.assertNotIn('Authorization', self.daemons.headers)
+        self.check(0, 'job', 'show', 'j1', '--open-queue', 'q', key='')
         expected = {
             'kind': 'index',
             'queue': 'q',
@@ -305,6 +306,12 @@
         self.assertEqual(
             'entry-2: version 7, live, confirmed 90 ms ago\n', result.output
         )
+        member['age_ms'] = -1
+        self.daemons.answers[1] = httpx.Response(
+            200, json={'members': [member]}
+        )
+        result = self.check(0, 'config', 'in-force')
+        self.assertIn('live, unconfirmed', result.output)
 
     def test_key_generate_matches_its_hash(self):
         """Guard against a printed hash that refuses the printed key."""
