Let the last push of a job set its deadline

Cause: a task queued again without a deadline kept the deadline of the first push and expired at once.

Change: the deadline is replaced; the state test remembers removed jobs, queues ended tasks again and checks overdue work.

--- a/basilspindle/policy/fair_queue.py
+++ b/basilspindle/policy/fair_queue.py
@@ -149,8 +149,8 @@
         ``resources`` are for one task; ``deadline_ms`` counts from
         ``now_ms``, 0 means none; ``run_time_ms`` 0 means unknown. Work
         that was ``accepted`` before is never refused. A known job takes
-        its earlier turn if shape and class are the same. Raises
-        ``QueueFull`` (not run).
+        its earlier turn and the new deadline if shape and class are the
+        same. Raises ``QueueFull`` (not run).
         """
         state = self._team(team)
         if not accepted:
@@ -160,8 +160,7 @@
             entry = self._enter(job_id, team, priority, resources, now_ms)
             entry.gang_tasks = count if gang else 0
         entry.run_time_ms = run_time_ms
-        if deadline_ms > 0:
-            entry.expires_ms = now_ms + deadline_ms
+        entry.expires_ms = now_ms + deadline_ms if deadline_ms > 0 else 0
         self._queue(state, entry, count)
 
     def give_back(
--- a/tests/test_policy_state.py
+++ b/tests/test_policy_state.py
@@ -33,6 +33,7 @@
         self.in_flight = collections.Counter()
         self.running = []
         self.due_ms = {}
+        self.removed = set()
 
     @stateful.rule(
         tasks=strategies.integers(0, 20),
@@ -125,27 +126,32 @@
         if removed:
             self.remove(data, job_id)
         back = self.queue.give_back(job_id, count, self.now_ms)
-        assert back == (0 if removed else count)
+        assert back == (0 if job_id in self.removed else count)
         self.in_flight[job_id] -= count
         self.waiting[job_id] += back
         for _ in range(count):
             self.running.remove((job_id, team, shape))
-        if removed:
-            # Nothing more can be given back to a removed job here.
-            self._confirm(job_id)
 
     def _confirm(self, job_id):
         self.queue.confirm(job_id, self.in_flight[job_id])
         self.in_flight[job_id] = 0
 
     @stateful.precondition(lambda self: self.running)
-    @stateful.rule(data=strategies.data())
-    def end(self, data):
+    @stateful.rule(data=strategies.data(), again=strategies.booleans())
+    def end(self, data, again):
         task = data.draw(strategies.sampled_from(self.running))
         job_id, team, shape = task
         self._confirm(job_id)
         self.running.remove(task)
         self.queue.end_running(team, shape)
+        if again and job_id not in self.removed:
+            priority = model.Priority.BATCH
+            self.queue.push(
+                job_id, team, priority, shape, 1, False, self.now_ms, 0
+            )
+            self.jobs[job_id] = (team, shape, 0)
+            self.due_ms.pop(job_id, None)
+            self.waiting[job_id] += 1
 
     @stateful.precondition(lambda self: self.jobs)
     @stateful.rule(data=strategies.data())
@@ -153,6 +159,7 @@
         job_id = job_id or data.draw(strategies.sampled_from(list(self.jobs)))
         assert self.queue.remove(job_id) == self.waiting[job_id]
         self.waiting[job_id] = 0
+        self.removed.add(job_id)
 
     @stateful.rule(step_ms=strategies.integers(0, 400))
     def expire(self, step_ms):
