--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,86 @@
+"""Collect the figures of one simulated run."""
+
+from hdrh import histogram
+
+_LONGEST_MS = 24 * 3_600_000
+_LONGEST_NS = 60 * 10**9
+
+
+def percentile(values: list[int], part: float, longest: int) -> int:
+    """Return a percentile out of an HDR histogram, 0 without values."""
+    if not values:
+        return 0
+    counts = histogram.HdrHistogram(1, longest, 3)
+    for value in values:
+        counts.record_value(max(1, min(value, longest)))
+    return counts.get_value_at_percentile(part)
+
+
+class Figures:
+    """Waiting times, packing and shares of one run."""
+
+    __slots__ = (
+        'waiting_ms',
+        'by_team_ms',
+        'packing',
+        'share_errors',
+        'overuse',
+        'trace',
+        'decision_ns',
+        'spent_ns',
+        'starts',
+    )
+
+    def __init__(self) -> None:
+        self.waiting_ms: dict[str, list[int]] = {}
+        self.by_team_ms: dict[tuple[str, str], list[int]] = {}
+        self.packing: list[float] = []
+        self.share_errors: list[float] = []
+        self.overuse: list[float] = []
+        self.trace: list[tuple[int, float, int]] = []
+        self.decision_ns: list[int] = []
+        self.spent_ns = 0
+        self.starts = 0
+
+    def waited(self, team: str, kind: str, waited_ms: int) -> None:
+        """Record the waiting time of a task."""
+        self.waiting_ms.setdefault(kind, []).append(waited_ms)
+        self.by_team_ms.setdefault((team, kind), []).append(waited_ms)
+
+    def table(self) -> dict[str, tuple[float, str]]:
+        """Return value and unit of each figure by name."""
+        table = {}
+        for part, label in ((50, 'p50'), (99, 'p99')):
+            spent = percentile(self.decision_ns, part, _LONGEST_NS)
+            table[f'decision_{label}_ms'] = (spent / 1e6, 'ms')
+            for kind, values in sorted(self.waiting_ms.items()):
+                waited = percentile(values, part, _LONGEST_MS)
+                table[f'waiting_{label}_ms.{kind}'] = (waited, 'ms')
+        if self.spent_ns:
+            rate = self.starts * 1e9 / self.spent_ns
+            table['decisions_per_s'] = (rate, '1/s')
+        if self.packing:
+            table['packing_ratio'] = (_mean(self.packing), 'ratio')
+        if self.share_errors:
+            table['share_error'] = (_mean(self.share_errors), 'ratio')
+        if self.overuse:
+            table['memory_overuse_ratio'] = (_mean(self.overuse), 'ratio')
+        urgent = self.waiting_ms.get('urgent')
+        if urgent:
+            waited = percentile(urgent, 99, _LONGEST_MS)
+            table['urgent_start_p99_ms'] = (waited, 'ms')
+        return table
+
+    def neighbours_p99_ms(self, flooding: str) -> int:
+        """Return the urgent waiting p99 of all but one team."""
+        values = [
+            waited_ms
+            for (team, kind), waits in self.by_team_ms.items()
+            if kind == 'urgent' and team != flooding
+            for waited_ms in waits
+        ]
+        return percentile(values, 99, _LONGEST_MS)
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values)
--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,30 @@
+"""Draw the course of the simulated runs."""
+
+import pathlib
+
+import matplotlib
+
+from bench import figures as figures_module
+
+matplotlib.use('Agg')
+
+from matplotlib import pyplot  # noqa: E402
+
+
+def draw(
+    path: pathlib.Path, title: str, runs: dict[str, figures_module.Figures]
+) -> None:
+    """Draw packing and waiting tasks over time into a PNG file."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure, axes = pyplot.subplots(2, 1, sharex=True, figsize=(8, 6))
+    for name, run in runs.items():
+        times_s = [now_ms / 1_000 for now_ms, _, _ in run.trace]
+        axes[0].plot(times_s, [part for _, part, _ in run.trace], label=name)
+        axes[1].plot(times_s, [tasks for _, _, tasks in run.trace])
+    axes[0].set_title(title)
+    axes[0].set_ylabel('used part of the fleet')
+    axes[0].legend()
+    axes[1].set_ylabel('waiting tasks')
+    axes[1].set_xlabel('time in s')
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,147 @@
+"""Drive a scheduler through arrivals, starts and ends of work."""
+
+import collections
+import heapq
+
+from basilspindle.policy import amounts
+from bench import figures as figures_module
+from bench import work as work_module
+
+_REPORT_DELAY_MS = 30_000
+_SAMPLES = 400
+
+
+class Simulation:
+    """One run of one scheduler over one site, in ticks of time."""
+
+    def __init__(self, site: work_module.Site, scheduler) -> None:
+        self._site = site
+        self._scheduler = scheduler
+        self._figures = figures_module.Figures()
+        self._ends = []
+        self._reports = []
+        self._waiting = collections.Counter()
+        self._run_ms = {}
+        self._left = {}
+        self._used = [0, 0, 0, 0]
+        self._by_team = collections.defaultdict(lambda: [0, 0, 0, 0])
+        self._memory = collections.Counter()
+        self._total = amounts.split(site.total())
+        self._sizes = {w[0]: w[3].memory_mb for w in site.workers}
+        self._sequence = 0
+
+    def run(self) -> figures_module.Figures:
+        """Run to the end and return the figures."""
+        site = self._site
+        arrivals = iter(site.work)
+        job = next(arrivals, None)
+        every_ms = max(site.tick_ms, site.end_ms // _SAMPLES)
+        warm = False
+        for now_ms in range(0, site.end_ms, site.tick_ms):
+            if not warm and now_ms >= site.warm_up_ms:
+                warm = True
+                self._scheduler.decision_ns.clear()
+                self._scheduler.spent_ns = 0
+                self._figures.starts = 0
+            self._end(now_ms)
+            while job is not None and job.at_ms <= now_ms:
+                self._submit(job, now_ms)
+                job = next(arrivals, None)
+            for started in self._scheduler.decide(now_ms):
+                self._start(started, now_ms)
+            if warm and now_ms % every_ms < site.tick_ms:
+                self._sample(now_ms)
+        self._censor()
+        self._figures.decision_ns = self._scheduler.decision_ns
+        self._figures.spent_ns = self._scheduler.spent_ns
+        return self._figures
+
+    def _submit(self, job, now_ms):
+        self._left[job.job_id] = job
+        self._run_ms[job.job_id] = list(job.run_ms)
+        self._waiting[job.team] += len(job.run_ms)
+        self._scheduler.submit(job, now_ms)
+
+    def _start(self, started, now_ms):
+        job, worker_id, resources = started
+        runs = self._run_ms[job.job_id]
+        run_ms = runs.pop()
+        if not runs:
+            del self._left[job.job_id]
+        self._waiting[job.team] -= 1
+        self._figures.starts += 1
+        if job.at_ms >= self._site.warm_up_ms:
+            kind = job.priority.name.lower()
+            self._figures.waited(job.team, kind, now_ms - job.at_ms)
+        self._use(job, worker_id, 1)
+        self._sequence += 1
+        item = (now_ms + run_ms, self._sequence, job, worker_id, resources)
+        heapq.heappush(self._ends, item)
+        reported_ms = now_ms + run_ms + _REPORT_DELAY_MS
+        item = (reported_ms, self._sequence, job, run_ms)
+        heapq.heappush(self._reports, item)
+
+    def _end(self, now_ms):
+        while self._ends and self._ends[0][0] <= now_ms:
+            _, _, job, worker_id, resources = heapq.heappop(self._ends)
+            self._use(job, worker_id, -1)
+            self._scheduler.end(job, worker_id, resources)
+        while self._reports and self._reports[0][0] <= now_ms:
+            _, _, job, run_ms = heapq.heappop(self._reports)
+            self._scheduler.report(job, run_ms)
+
+    def _use(self, job, worker_id, sign):
+        team = self._by_team[job.team]
+        for place, amount in enumerate(amounts.split(job.actual)):
+            self._used[place] += sign * amount
+            team[place] += sign * amount
+        self._memory[worker_id] += sign * job.actual.memory_mb
+
+    def _sample(self, now_ms):
+        waiting = sum(self._waiting.values())
+        parts = [
+            used / total if total else 0.0
+            for used, total in zip(self._used, self._total, strict=True)
+        ]
+        self._figures.trace.append((now_ms, max(parts), waiting))
+        over = sum(
+            self._memory[name] > size for name, size in self._sizes.items()
+        )
+        self._figures.overuse.append(over / len(self._sizes))
+        if waiting:
+            self._figures.packing.append(max(parts))
+        competing = [name for name, n in self._waiting.items() if n > 0]
+        if len(competing) > 1:
+            error = self._share_error(competing)
+            self._figures.share_errors.append(error)
+
+    def _share_error(self, competing):
+        # Distance from a weighted division of what the teams that wait
+        # hold together; teams without waiting work have what they want.
+        teams = self._site.teams
+        shares = {name: self._dominant(name) for name in competing}
+        weights = {name: teams[name].share for name in competing}
+        held = sum(shares.values())
+        weight = sum(weights.values())
+        return sum(
+            abs(shares[name] - held * weights[name] / weight)
+            for name in competing
+        ) / len(competing)
+
+    def _dominant(self, name):
+        return max(
+            used / total if total else 0.0
+            for used, total in zip(
+                self._by_team[name], self._total, strict=True
+            )
+        )
+
+    def _censor(self):
+        # Tasks that never started count with the time that they waited.
+        for job_id, job in self._left.items():
+            if job.at_ms < self._site.warm_up_ms:
+                continue
+            kind = job.priority.name.lower()
+            for _ in self._run_ms[job_id]:
+                waited_ms = self._site.end_ms - job.at_ms
+                self._figures.waited(job.team, kind, waited_ms)
--- /dev/null
+++ b/bench/sites.py
@@ -0,0 +1,222 @@
+"""Generate the three sizes that are measured, from a seed."""
+
+import itertools
+import random
+
+from basilspindle import model
+from basilspindle import policy
+from bench import work as work_module
+
+_URGENT = model.Priority.URGENT
+_SERVICE = model.Priority.SERVICE
+_BATCH = model.Priority.BATCH
+_MINUTE_MS = 60_000
+
+
+def _fleet(count, domains, sizes):
+    return [
+        (
+            f'worker-{n}',
+            f'domain-{n // 6 % domains}',
+            f'rack-{n // 6}',
+            sizes[n % len(sizes)],
+        )
+        for n in range(count)
+    ]
+
+
+def _run_times(rng, count, mean_ms, sigma=0.6):
+    scale = mean_ms / 2.718281828 ** (sigma * sigma / 2)
+    return [
+        max(20, int(scale * rng.lognormvariate(0, sigma)))
+        for _ in range(count)
+    ]
+
+
+def site_a(seed: int, quick: bool = False) -> work_module.Site:
+    """Return the nightly batch of large teams with wrong sizes."""
+    rng = random.Random(seed)
+    end_ms = (90 if quick else 150) * _MINUTE_MS
+    shares = [0.3, 0.25, 0.15, 0.1, 0.1, 0.1]
+    demands = [0.45, 0.3, 0.1, 0.06, 0.05, 0.04]
+    kinds = {
+        'scan': (model.Resources(4_000, 8_000, 0, 1), 1),
+        'join': (model.Resources(12_000, 72_000, 0, 1), 1),
+        'train': (model.Resources(24_000, 64_000, 0, 1), 1),
+        'gang': (model.Resources(8_000, 24_000, 0, 1), 16),
+    }
+    wrong = {
+        (team, kind): rng.choice([0.8, 1.0, 1.5, 2.0, 3.0])
+        for team in range(6)
+        for kind in kinds
+    }
+    number = itertools.count()
+    work = []
+    for _ in range(900 if quick else 1_500):
+        team = rng.choices(range(6), demands)[0]
+        kind = rng.choices(list(kinds), [5, 3, 2, 0.4])[0]
+        actual, gang = kinds[kind]
+        factor = wrong[team, kind]
+        declared = model.Resources(
+            min(int(actual.cpu_millicores * factor), 64_000),
+            min(int(actual.memory_mb * factor), 256_000),
+            0,
+            1,
+        )
+        # Two thirds arrive at the start of the night.
+        span_ms = 10 * _MINUTE_MS if rng.random() < 0.66 else end_ms
+        count = gang if gang > 1 else rng.randint(1, 9)
+        mean_ms = 4 * _MINUTE_MS
+        work.append(
+            work_module.Work(
+                f'batch-{next(number)}',
+                rng.randrange(span_ms),
+                f'team-{team}',
+                kind,
+                _BATCH,
+                declared,
+                actual,
+                int(mean_ms * rng.choice([0.5, 1, 1, 2, 4])),
+                _run_times(rng, count, mean_ms),
+                gang > 1,
+            )
+        )
+    for at_ms in range(0, end_ms, 5_000):
+        small = model.Resources(1_000, 2_000, 0, 1)
+        work.append(
+            work_module.Work(
+                f'urgent-{next(number)}',
+                at_ms + rng.randrange(5_000),
+                f'team-{rng.randrange(6)}',
+                'query',
+                _URGENT,
+                small,
+                small,
+                5_000,
+                _run_times(rng, 1, 5_000),
+            )
+        )
+    teams = {
+        f'team-{n}': policy.TeamPolicy(share=share)
+        for n, share in enumerate(shares)
+    }
+    fleet = _fleet(24, 4, [model.Resources(64_000, 256_000, 0, 8)])
+    return work_module.Site(
+        'site_a', fleet, teams, work, 100, 10 * _MINUTE_MS, end_ms
+    )
+
+
+def site_b(
+    seed: int, quick: bool = False, flood: bool = True
+) -> work_module.Site:
+    """Return urgent requests beside booked batch; one team floods."""
+    rng = random.Random(seed)
+    end_ms = 120_000 if quick else 240_000
+    number = itertools.count()
+    work = []
+
+    def request(at_ms, team):
+        size = model.Resources(
+            rng.choice([500, 1_000, 2_000]),
+            rng.choice([500, 1_000, 2_000]),
+            0,
+            1,
+        )
+        return work_module.Work(
+            f'urgent-{next(number)}',
+            int(at_ms),
+            team,
+            'request',
+            _URGENT,
+            size,
+            size,
+            1_500,
+            _run_times(rng, 1, 1_500),
+        )
+
+    for team in range(6):
+        at_ms = 0.0
+        while (at_ms := at_ms + rng.expovariate(6 / 1_000)) < end_ms:
+            work.append(request(at_ms, f'team-{team}'))
+    for booked in range(2):
+        for _ in range(60):
+            size = model.Resources(
+                rng.choice([1_000, 2_000]), rng.choice([2_000, 4_000]), 0, 1
+            )
+            work.append(
+                work_module.Work(
+                    f'batch-{next(number)}',
+                    rng.randrange(end_ms) // 2,
+                    f'booked-{booked}',
+                    'report',
+                    _BATCH,
+                    size,
+                    size,
+                    40_000,
+                    _run_times(rng, rng.randint(5, 20), 40_000),
+                )
+            )
+    if flood:
+        rng = random.Random(seed + 1_000)
+        at_ms = end_ms / 3
+        while (at_ms := at_ms + rng.expovariate(250 / 1_000)) < end_ms * 0.7:
+            work.append(request(at_ms, 'team-0'))
+    teams = {f'team-{n}': policy.TeamPolicy() for n in range(6)}
+    for booked in range(2):
+        teams[f'booked-{booked}'] = policy.TeamPolicy(limit_tasks=40)
+    fleet = _fleet(24, 4, [model.Resources(16_000, 32_000, 0, 8)])
+    return work_module.Site('site_b', fleet, teams, work, 10, 20_000, end_ms)
+
+
+def two_years(seed: int, quick: bool = False) -> work_module.Site:
+    """Return the peak at two years' size: 310 starts a second."""
+    rng = random.Random(seed)
+    end_ms = 40_000 if quick else 80_000
+    number = itertools.count()
+    sizes = [
+        model.Resources(64_000, 256_000, 0, 8),
+        model.Resources(16_000, 32_000, 0, 8),
+    ] * 5
+    sizes[0] = model.Resources(64_000, 256_000, 8, 8)
+
+    def job(at_ms, priority, count, mean_ms):
+        size = model.Resources(
+            rng.choice([500, 1_000, 2_000, 4_000, 8_000]),
+            rng.choice([1_000, 2_000, 4_000, 8_000, 16_000]),
+            1 if priority == _BATCH and rng.random() < 0.02 else 0,
+            1,
+        )
+        return work_module.Work(
+            f'job-{next(number)}',
+            int(at_ms),
+            f'team-{min(rng.randrange(270), rng.randrange(270))}',
+            priority.name.lower(),
+            priority,
+            size,
+            size,
+            mean_ms,
+            _run_times(rng, count, mean_ms),
+        )
+
+    # A fifth of 5,100 running tasks are services.
+    work = [job(0, _SERVICE, 6, 10**7) for _ in range(170)]
+    work += [job(0, _BATCH, 20, 14_000) for _ in range(200)]
+    for priority, per_second, count, mean_ms in (
+        (_BATCH, 210, 20, 18_000),
+        (_URGENT, 97, 1, 3_000),
+        (_SERVICE, 3, 1, 10**7),
+    ):
+        at_ms = 0.0
+        rate = per_second / count / 1_000
+        while (at_ms := at_ms + rng.expovariate(rate)) < end_ms:
+            work.append(job(at_ms, priority, count, mean_ms))
+    teams = {f'team-{n}': policy.TeamPolicy() for n in range(270)}
+    return work_module.Site(
+        'two_years',
+        _fleet(740, 5, sizes),
+        teams,
+        work,
+        10,
+        20_000,
+        end_ms,
+    )
