Remember full shapes, so that a full fleet costs little

A smaller number of candidates was ruled out: the searches that fail examine all workers anyway.

Change: the placer remembers shapes without room and then examines only the workers that gained room; it searches in the dimension with the fewest candidates; room for a gang's shape is asked once per pop.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,9 @@
 
 test: setup
 	$(PYTHON) -m nose2
+
+bench: setup
+	$(PYTHON) -m bench.run
+
+bench-quick: setup
+	$(PYTHON) -m bench.run --quick
--- a/basilspindle/policy/placer.py
+++ b/basilspindle/policy/placer.py
@@ -7,6 +7,7 @@
 from basilspindle import model
 from basilspindle.peer.messages import room as room_module
 from basilspindle.policy import amounts as amounts_module
+from basilspindle.policy import full_shapes
 from basilspindle.policy import rank as rank_module
 from basilspindle.policy import walk as walk_module
 from basilspindle.policy import worker_index
@@ -21,9 +22,9 @@
 class Placer:
     """Views of the workers of one lease holder, ready for choices.
 
-    Free amounts change only through ``take``, ``give`` and ``refresh``;
-    ``penalty`` may be set at any time. Workers with accelerators are
-    apart, for the tasks that need them.
+    Free amounts change only through ``take`` and ``give``, or are followed
+    by ``refresh``; ``penalty`` may be set at any time. Workers with
+    accelerators are apart, for the tasks that need them.
     """
 
     __slots__ = (
@@ -33,7 +34,7 @@
         '_domains',
         '_serial',
         '_candidates',
-        '_largest',
+        '_full',
     )
 
     def __init__(self, *, candidates: int = _CANDIDATES) -> None:
@@ -50,7 +51,7 @@
         ] = ({}, {})
         self._serial = itertools.count()
         self._candidates = candidates
-        self._largest: amounts_module.Amounts = (1, 1, 1, 1)
+        self._full = full_shapes.FullShapes()
 
     def __len__(self) -> int:
         return len(self._views)
@@ -75,9 +76,7 @@
             view.failure_domain, worker_index.WorkerIndex()
         )
         domain.add(serial, view, free)
-        total = amounts_module.split(view.total)
-        pairs = zip(self._largest, total, strict=True)
-        self._largest = tuple(max(pair) for pair in pairs)
+        self._full.gained(view.worker_id)
 
     def remove(self, worker_id: str) -> worker_view.WorkerView | None:
         """Remove a worker and return its view, or None if unknown."""
@@ -103,7 +102,7 @@
         view.free = view.free.subtract(resources)
         running = view.running_by_job
         running[job_id] = running.get(job_id, 0) + 1
-        self.refresh(worker_id)
+        self._move(worker_id, view)
 
     def give(
         self, worker_id: str, resources: model.Resources, job_id: str
@@ -122,7 +121,10 @@
 
     def refresh(self, worker_id: str) -> None:
         """Index a worker again after its free amounts were changed."""
-        view = self._views[worker_id]
+        self._full.gained(worker_id)
+        self._move(worker_id, self._views[worker_id])
+
+    def _move(self, worker_id: str, view: worker_view.WorkerView) -> None:
         serial, kind, old = self._keys[worker_id]
         new = amounts_module.split(view.free)
         self._keys[worker_id] = (serial, kind, new)
@@ -138,40 +140,105 @@
         policy = rank_module.policy_for(order)
         rank = rank_module.ranker(policy, order)
         need = amounts_module.split(order.resources)
-        dimension = self._dominant(need)
-        kinds = (_PLAIN, _ACCELERATED)
-        if order.resources.accelerators:
-            kinds = (_ACCELERATED,)
+        changed = self._full.changed(need)
+        if changed is not None:
+            views = self._known(changed)
+            best, avoided, closed = self._best(order, rank, views)
+            if best is None and avoided is None and not closed:
+                self._full.full(need)
+            return best or avoided
         fallback = None
-        for kind in kinds:
+        closed = False
+        for kind in self._kinds(order.resources):
+            everywhere = self._everywhere[kind]
+            dimension = everywhere.scarcest(need)
             walk = walk_module.walk(
                 policy,
                 order,
                 self._domains[kind],
-                self._everywhere[kind],
+                everywhere,
                 dimension,
                 need[dimension],
             )
-            best, avoided = self._best(order, rank, walk)
+            best, avoided, skipped = self._best(order, rank, walk)
             if best is not None:
                 return best
             fallback = fallback or avoided
+            closed = closed or skipped
+        if fallback is None and not closed:
+            self._full.full(need)
         return fallback
 
+    def fits(self, resources: model.Resources) -> bool:
+        """Tell whether any worker has room for a task."""
+        need = amounts_module.split(resources)
+        closed = False
+        for view in self._may_fit(resources, need):
+            if resources.fits(view.free):
+                if view.penalty != math.inf:
+                    return True
+                closed = True
+        if not closed:
+            self._full.full(need)
+        return False
+
+    def _may_fit(
+        self, resources: model.Resources, need: amounts_module.Amounts
+    ) -> collections.abc.Iterator[worker_view.WorkerView]:
+        changed = self._full.changed(need)
+        if changed is not None:
+            yield from self._known(changed)
+            return
+        for kind in self._kinds(resources):
+            everywhere = self._everywhere[kind]
+            dimension = everywhere.scarcest(need)
+            yield from everywhere.emptiest(dimension, need[dimension])
+
+    def _known(
+        self, worker_ids: list[str]
+    ) -> collections.abc.Iterator[worker_view.WorkerView]:
+        for worker_id in dict.fromkeys(worker_ids):
+            view = self._views.get(worker_id)
+            if view is not None:
+                yield view
+
+    def _kinds(self, resources: model.Resources) -> tuple[int, ...]:
+        if resources.accelerators:
+            return (_ACCELERATED,)
+        return (_PLAIN, _ACCELERATED)
+
     def _best(
         self,
         order: model.TaskOrder,
         rank: rank_module.Rank,
         walk: walk_module.Walk,
-    ) -> tuple[worker_view.WorkerView | None, worker_view.WorkerView | None]:
-        resources = order.resources
+    ) -> tuple[
+        worker_view.WorkerView | None, worker_view.WorkerView | None, bool
+    ]:
+        # The last part of the result tells whether a worker had room, but
+        # takes no new work now; its penalty may end without notice.
         siblings = order.siblings
         avoid = order.avoid
+        need = order.resources
+        cpu = need.cpu_millicores
+        memory = need.memory_mb
+        accelerators = need.accelerators
+        slots = need.slots
         found = []
         avoided = []
+        closed = False
         good = 0
         for view in walk:
-            if not resources.fits(view.free) or view.penalty == math.inf:
+            free = view.free
+            if (
+                cpu > free.cpu_millicores
+                or memory > free.memory_mb
+                or slots > free.slots
+                or accelerators > free.accelerators
+            ):
+                continue
+            if view.penalty == math.inf:
+                closed = True
                 continue
             if avoid and view.worker_id in avoid:
                 avoided.append(view)
@@ -184,15 +251,9 @@
         return (
             min(found, key=rank, default=None),
             min(avoided, key=rank, default=None),
+            closed,
         )
 
-    def _dominant(self, need: amounts_module.Amounts) -> int:
-        parts = [
-            amount / largest
-            for amount, largest in zip(need, self._largest, strict=True)
-        ]
-        return parts.index(max(parts))
-
     def room(self) -> room_module.Room:
         """Return the free capacity of the workers that take new work."""
         workers = 0
--- a/basilspindle/policy/selection.py
+++ b/basilspindle/policy/selection.py
@@ -26,6 +26,7 @@
         '_blocked',
         '_room_for',
         '_full',
+        '_rooms',
     )
 
     def __init__(
@@ -43,6 +44,7 @@
         self._blocked = blocked
         self._room_for = room_for
         self._full: set[model.Resources] = set()
+        self._rooms: dict[model.Resources, int] = {}
 
     def next(
         self, team: team_state.TeamState, priority: int
@@ -88,7 +90,12 @@
             return False
         if not entry.gang_tasks or self._room_for is None:
             return True
-        return self._room_for(entry.resources) >= entry.gang_tasks
+        room = self._rooms.get(entry.resources)
+        if room is None:
+            room = self._rooms[entry.resources] = self._room_for(
+                entry.resources
+            )
+        return room >= entry.gang_tasks
 
     def take(self, entry: entry_module.Entry, count: int) -> None:
         """Add tasks of a job to the picks."""
--- a/basilspindle/policy/worker_index.py
+++ b/basilspindle/policy/worker_index.py
@@ -50,6 +50,19 @@
                 del ordered[bisect.bisect_left(ordered, (before, serial))]
                 bisect.insort(ordered, (after, serial))
 
+    def scarcest(self, need: amounts_module.Amounts) -> int:
+        """Return the dimension in which the fewest workers have enough."""
+        best = 0
+        fewest = len(self._views) + 1
+        for dimension, amount in enumerate(need):
+            if amount:
+                ordered = self._lists[dimension]
+                count = len(ordered) - bisect.bisect_left(ordered, (amount,))
+                if count < fewest:
+                    best = dimension
+                    fewest = count
+        return best
+
     def fullest(
         self, dimension: int, need: int
     ) -> collections.abc.Iterator[worker_view.WorkerView]:
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -1,6 +1,7 @@
 """Guard the choice of workers."""
 
 import math
+import random
 import unittest
 
 from basilspindle import model
@@ -125,6 +126,38 @@
         self.assertEqual(1, placer.room().workers)
 
 
+class FullTest(unittest.TestCase):
+    """Guard the memory of full shapes against missed or imagined room."""
+
+    def test_agrees_with_a_scan(self):
+        rng = random.Random(7)
+        size = model.Resources(8_000, 16_000, 0, 4)
+        placer = policy.Placer()
+        for number in range(12):
+            placer.add(_worker(f'w{number}', size, rack=f'r{number % 3}'))
+        shapes = [
+            model.Resources(cpu, memory, 0, 1)
+            for cpu in (1_000, 3_000, 6_000)
+            for memory in (2_000, 9_000)
+        ]
+        running = []
+        for _ in range(4_000):
+            need = rng.choice(shapes)
+            views = list(placer.views.values())
+            room = policy.choose(_order(need), views) is not None
+            self.assertEqual(room, placer.fits(need))
+            view = placer.choose(_order(need))
+            self.assertEqual(room, view is not None)
+            if view is not None:
+                placer.take(view.worker_id, need, 'job')
+                running.append((view.worker_id, need))
+            if running and rng.random() < 0.6:
+                place = rng.randrange(len(running))
+                placer.give(*running.pop(place), 'job')
+            closed = rng.choice(views)
+            closed.penalty = rng.choice([0.0, 0.0, 0.5, math.inf])
+
+
 class FitTest(unittest.TestCase):
     """Guard against work that waits for a worker that does not exist."""
 
