--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,11 @@
 demo: setup
 	$(PYTHON) -m demo
 
+bench: setup
+	$(PYTHON) -m bench.run
+
+bench-quick: setup
+	$(PYTHON) -m bench.run --quick
+
 events: setup
 	$(PYTHON) -m basilspindle.events.catalogue > docs/events.md
