Drop the stamps of heartbeats

Cause: placement got the same protection with sent_at_ms and receiver_time_ms, so that a second time in the heartbeat is redundant. Change: removes stamp_ms and its check.

--- a/basilspindle/cluster/member.py
+++ b/basilspindle/cluster/member.py
@@ -64,11 +64,6 @@
         """Return the configuration version that the member last stated."""
         return self.heartbeat.config_version if self.heartbeat else 0
 
-    @property
-    def stamp_ms(self) -> int:
-        """Return the member's own time of what it last sent, else 0."""
-        return self.heartbeat.stamp_ms if self.heartbeat else 0
-
     @property
     def claims(self) -> list[messages.Claim]:
         """Return the partitions that the member last said it owns."""
--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -228,15 +228,6 @@
             oldest_ms = min(oldest_ms, member.replied_ms)
         return oldest_ms
 
-    def fresh(self, stamp_ms: int) -> bool:
-        """Tell whether a stamp of this daemon is within worker_lease_ms.
-
-        A start whose stamp is older may come from an owner that was paused
-        between its check and the send, and must be refused.
-        """
-        age_ms = self._clock.now_ms() - stamp_ms
-        return 0 <= age_ms <= self._timing.worker_lease_ms
-
     def demand_replies(self) -> None:
         """Call every member for a while, as without the log."""
         now_ms = self._clock.now_ms()
@@ -265,9 +256,7 @@
         return reply
 
     def _speak(self) -> messages.Heartbeat:
-        heartbeat = msgspec.structs.replace(
-            self._own(), stamp_ms=self._clock.now_ms()
-        )
+        heartbeat = self._own()
         self._self.address = heartbeat.address
         self._self.hear(heartbeat, self._clock.now_ms())
         leaving = heartbeat.leaving
--- a/basilspindle/peer/messages/heartbeat.py
+++ b/basilspindle/peer/messages/heartbeat.py
@@ -14,10 +14,8 @@
     means never. ``waiting_shares`` is the lowest normalised share among
     waiting teams, by priority class; -1.0 means none waits. ``fenced`` is
     set in replies only: the fences above claims of the receiver, so that a
-    superseded owner learns of it from any member. ``stamp_ms`` is the
-    monotonic time of the sender; a start that names it back shows its age
-    on the clock of the holder, however long it was delayed. New fields go
-    to the end, with a default, since the wire format names no fields.
+    superseded owner learns of it from any member. New fields go to the
+    end, with a default, since the wire format names no fields.
     """
 
     member_id: str
@@ -36,4 +34,3 @@
         default_factory=lambda: [-1.0, -1.0, -1.0]
     )
     fenced: list[claim.Claim] = []
-    stamp_ms: int = 0
