--- a/basilspindle/cluster/events.py
+++ b/basilspindle/cluster/events.py
@@ -66,3 +66,10 @@
     'the coordinator failed to start or stop a partition',
     'report the exception as a fault of the program',
 )
+STEP_FAILED = events.Event(
+    410,
+    'cluster_step_failed',
+    events.Level.ERROR,
+    'a step of membership or ownership raised an unexpected exception',
+    'report the exception as a fault of the program',
+)
--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -11,6 +11,7 @@
 from basilspindle import clock as clock_module
 from basilspindle.cluster import events as cluster_events
 from basilspindle.cluster import fence_table
+from basilspindle.cluster import guard
 from basilspindle.cluster import member as member_module
 from basilspindle.cluster import member_state
 from basilspindle.cluster import timing as timing_module
@@ -350,7 +351,8 @@
             rest_ms = self._rest_ms(address)
             if wake.is_set() or not rest_ms:
                 wake.clear()
-                await self._exchange(address)
+                with guard.Guard('heartbeat'):
+                    await self._exchange(address)
                 rest_ms = self._pace_ms(address)
                 rest_ms -= self._clock.now_ms() - began_ms
             with contextlib.suppress(errors.DeadlineExceeded):
@@ -457,8 +459,9 @@
                 # meantime says nothing about the others.
                 self._quiet_from_ms = now_ms
             self._reviewed_ms = now_ms
-            if self._log_silent():
-                self.demand_replies()
+            with guard.Guard('log age'):
+                if self._log_silent():
+                    self.demand_replies()
             changed = [self._review(member) for member in self.members()]
             if any(changed):
                 self._tell()
@@ -495,5 +498,4 @@
         return _State.LEAVING if member.leaving else _State.LIVE
 
     def _tell(self) -> None:
-        for listener in self._listeners:
-            listener()
+        guard.tell(self._listeners)
--- a/basilspindle/cluster/ownership.py
+++ b/basilspindle/cluster/ownership.py
@@ -8,6 +8,7 @@
 from basilspindle.cluster import events as cluster_events
 from basilspindle.cluster import fence_table
 from basilspindle.cluster import fencing
+from basilspindle.cluster import guard
 from basilspindle.cluster import host as host_module
 from basilspindle.cluster import journal as journal_module
 from basilspindle.cluster import member as member_module
@@ -264,7 +265,8 @@
         while True:
             self._wake.clear()
             if self._membership.settled() and not self._stopping:
-                self._review()
+                with guard.Guard('ownership'):
+                    self._review()
             try:
                 await self._clock.wait_ms(self._wake.wait(), _REVIEW_MS)
             except errors.DeadlineExceeded:
--- a/basilspindle/cluster/vm_list.py
+++ b/basilspindle/cluster/vm_list.py
@@ -7,6 +7,7 @@
 
 from basilspindle import clock as clock_module
 from basilspindle.cluster import events as cluster_events
+from basilspindle.cluster import guard
 from basilspindle.cluster import virtual_machine
 from basilspindle import errors
 from basilspindle import events
@@ -110,10 +111,10 @@
         if fresh == self._vms:
             return
         self._vms = fresh
-        for listener in self._listeners:
-            listener()
+        guard.tell(self._listeners)
 
     async def _run(self) -> None:
         while True:
-            await self.refresh()
+            with guard.Guard('VM list'):
+                await self.refresh()
             await self._clock.sleep_ms(self._poll_ms)
--- a/basilspindle/peer/client.py
+++ b/basilspindle/peer/client.py
@@ -32,6 +32,11 @@
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
+    if not host or not port.isdecimal():
+        raise errors.PeerUnavailable(
+            f'"{address}" is no address of the form ip:port; correct the '
+            'settings of that daemon'
+        )
     return host.strip('[]'), int(port)
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -155,6 +155,15 @@
         await self.rig.run_ms(10)
         self.assertLess(self.seen.replied_at_ms('b'), self.rig.clock.now_ms())
 
+    async def test_a_failing_listener_stops_nothing(self):
+        """Guard against heartbeats that end with a fault elsewhere."""
+        self.seen.on_change(lambda: 1 // 0)
+        self.b.leaving = True
+        await self.rig.run_ms(1_000)
+        self.b.leaving = False
+        await self.rig.run_ms(1_000)
+        self.assertIs(_State.LIVE, self.state())
+
     async def test_one_of_a_pair_calls_while_the_log_answers(self):
         """Guard against twice the calls that are needed."""
         calls = []
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -186,6 +186,12 @@
         self.assertEqual(errors.Ran.NO, caught.exception.ran)
         self.assertTrue(self.client.refused(self.address))
 
+    async def test_malformed_address_is_refused(self):
+        """Guard against a heartbeat that ends a task by its address."""
+        for address in ('', 'host', ':1', '1.2.3.4:x'):
+            with self.assertRaises(errors.PeerUnavailable):
+                await self.client.call(address, _FENCE, _LIMIT_MS)
+
     async def test_late_reply_is_unknown_and_the_handler_ends(self):
         """Guard against a handler cut off when its caller gives up."""
         gate, ended = asyncio.Event(), asyncio.Event()
