Keep a proven configuration against a refresh of a loser

A daemon that started on a trimmed log may take the loser of a race and refresh it. A refresh of the same version replaced the head of readers that had read the winner; now it replaces only a head that is not proven. Refusing to refresh an unproven head was ruled out: it may be the only copy. Conflicts show the winner's time in ISO 8601.

--- a/basilspindle/config/history.py
+++ b/basilspindle/config/history.py
@@ -84,8 +84,10 @@
         offset = publication.accepted_offset
         if publication.version < self.version:
             return False
-        if self.head is not None and self.head.offset == offset:
-            return False
+        if publication.version == self.version and self.head is not None:
+            self.proven = self.proven or offset == self.head.offset
+            if self.proven:
+                return False
         accepted = msgspec.structs.replace(
             publication, refresh=False, accepted_offset=0
         )
--- a/basilspindle/config/publication.py
+++ b/basilspindle/config/publication.py
@@ -10,6 +10,8 @@
 
 # Bounds what a damaged or hostile record can make a reader allocate.
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# The end of the year 9999, the last that a message can show.
+_MAX_WALL_MS = 253_402_300_799_999
 
 
 class Publication(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -61,13 +63,14 @@
     except (zlib.error, msgspec.MsgspecError) as error:
         raise _unreadable(str(error)) from error
     if not _consistent(publication):
-        raise _unreadable('version, from_version and refresh disagree')
+        raise _unreadable('its numbers contradict each other')
     return publication
 
 
 def _consistent(publication: Publication) -> bool:
     return (
         publication.from_version >= 0
+        and 0 <= publication.wall_ms <= _MAX_WALL_MS
         and publication.from_offset >= 0
         and publication.version == publication.from_version + 1
         and publication.refresh == (publication.accepted_offset > 0)
--- a/basilspindle/config/publisher.py
+++ b/basilspindle/config/publisher.py
@@ -1,5 +1,7 @@
 """Append a publish and learn its outcome from the log."""
 
+import datetime
+
 from basilspindle import clock as clock_module
 from basilspindle.config import events as config_events
 from basilspindle.config import follower as follower_module
@@ -80,7 +82,7 @@
         )
         return errors.VersionConflict(
             f'version {version} was published by key "{author}" at '
-            f'{wall_ms} ms since 1970, this publish was made from version '
+            f'{_format(wall_ms)}, this publish was made from version '
             f'{from_version}; read version {history.version}, apply the '
             'change to it and publish again',
             version=version,
@@ -115,6 +117,11 @@
         return bool(self.judge(publication))
 
 
+def _format(wall_ms: int) -> str:
+    time = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
+    return time.isoformat(timespec='seconds')
+
+
 def _unknown() -> errors.OutcomeUnknown:
     events.emit(config_events.PUBLISH_UNKNOWN)
     return errors.OutcomeUnknown(
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -110,6 +110,62 @@
         return self.record
 
 
+class HistoryTest(unittest.TestCase):
+    """Guard against a wrong head after records were trimmed unread."""
+
+    def setUp(self):
+        self.history = config.History()
+
+    def apply(self, offset, author, version, from_offset, accepted_offset=0):
+        """Apply a record and return the author of the head."""
+        self.history.apply(
+            offset,
+            config.Publication(
+                version=version,
+                from_version=version - 1,
+                from_offset=from_offset,
+                accepted_offset=accepted_offset,
+                refresh=accepted_offset > 0,
+                author=author,
+                wall_ms=0,
+                base=b'{}',
+                overlay=b'{}',
+            ),
+        )
+        return self.history.head.publication.author
+
+    def test_loser_ahead_of_its_winner(self):
+        """Guard against a loser that stays the head of a late reader."""
+        self.history.skip(range(1, 10))
+        self.assertEqual('lost', self.apply(10, 'lost', 5, 7))
+        self.assertFalse(self.history.proven)
+        self.assertEqual('lost', self.apply(11, 'late', 5, 7))
+        self.assertEqual('lost', self.apply(12, 'old', 4, 6))
+        self.assertEqual('next', self.apply(13, 'next', 6, 9))
+        self.assertEqual('after', self.apply(14, 'after', 7, 13))
+        self.assertTrue(self.history.proven)
+        self.assertEqual('after', self.apply(15, 'late', 6, 9))
+
+    def test_refresh_replaces_only_what_is_not_proven(self):
+        """Guard against a reader that is taken from the right one."""
+        self.history.skip(range(1, 10))
+        self.apply(10, 'lost', 5, 7)
+        self.assertEqual('won', self.apply(11, 'won', 5, 7, 9))
+        self.assertEqual('won', self.apply(12, 'lost', 5, 7, 10))
+        self.assertEqual('won', self.apply(13, 'old', 4, 6, 7))
+        self.assertEqual(9, self.history.head.offset)
+
+    def test_gap_behind_the_head(self):
+        """Guard against a reader that goes back or stays behind."""
+        self.assertEqual('first', self.apply(1, 'first', 1, 0))
+        self.assertTrue(self.history.proven)
+        self.history.skip(range(2, 6))
+        self.assertEqual('first', self.apply(6, 'zero', 1, 0))
+        self.assertEqual('maybe', self.apply(7, 'maybe', 2, 1))
+        self.assertFalse(self.history.proven)
+        self.assertEqual('newer', self.apply(8, 'newer', 4, 5))
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """Run stores on one log and one clock."""
 
