--- a/basilspindle/config/store.py
+++ b/basilspindle/config/store.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import collections.abc
-import hmac
 import typing
 
 import msgspec
 
 from basilspindle import clock as clock_module
 from basilspindle.config import accepted as accepted_module
+from basilspindle.config import bootstrap as bootstrap_module
 from basilspindle.config import document as document_module
+from basilspindle.config import dump as dump_module
 from basilspindle.config import events as config_events
 from basilspindle.config import follower as follower_module
 from basilspindle.config import history as history_module
@@ -41,7 +42,7 @@
         '_log',
         '_member_id',
         '_peers',
-        '_bootstrap_sha256',
+        '_bootstrap',
         '_follower',
         '_publisher',
         '_head',
@@ -67,7 +68,7 @@
         self._log = log
         self._member_id = member_id
         self._peers = peers
-        self._bootstrap_sha256 = bootstrap_operator_sha256
+        self._bootstrap = bootstrap_module.Bootstrap(bootstrap_operator_sha256)
         self._follower = follower_module.Follower(clock, log, self._take_log)
         self._publisher = publisher_module.Publisher(
             clock, log, self._follower
@@ -152,7 +153,7 @@
         While no configuration exists, the bootstrap key is an operator.
         """
         if self._head is None and self._proven_empty():
-            return self._check_bootstrap(key)
+            return self._bootstrap.check(key)
         self.check_assured()
         return self._keyring.check(key)
 
@@ -251,6 +252,7 @@
         """Return the state for operators, without hashes of keys."""
         now_ms = self._clock.now_ms()
         assured_at_ms = self.assured_at_ms
+        document = self._accepted.document if self._accepted else None
         return {
             'member_id': self._member_id,
             'version': self.version,
@@ -263,8 +265,8 @@
             'assured_age_ms': (
                 -1 if assured_at_ms is None else now_ms - assured_at_ms
             ),
-            'publication': self._dump_publication(),
-            'document': self._dump_document(),
+            'publication': dump_module.dump_head(self._head),
+            'document': dump_module.dump_document(document),
         }
 
     async def _follow(self) -> None:
@@ -383,21 +385,6 @@
         age_ms = self._clock.now_ms() - tail_at_ms
         return age_ms <= _NO_TIMING.config_max_age_ms
 
-    def _check_bootstrap(self, key: str) -> identity_module.Identity:
-        found = keyring_module.digest_key(key)
-        if not self._bootstrap_sha256 or not hmac.compare_digest(
-            found, self._bootstrap_sha256
-        ):
-            raise errors.KeyInvalid(
-                'no configuration exists and this is not the bootstrap key; '
-                'use the key whose hash is bootstrap_operator_sha256 in the '
-                'settings'
-            )
-        return identity_module.Identity(
-            key_id=keyring_module.parse_key_id(key) or 'bootstrap',
-            role='operator',
-        )
-
     async def _restore(self) -> None:
         # A publish names the offset of its base, which readers of a log
         # that has lost that record can only learn from a refresh.
@@ -429,25 +416,3 @@
         record = publication_module.encode(self._head.refresh())
         await self._log.append(follower_module.STREAM, record)
         events.emit(config_events.REFRESHED, version=self.version)
-
-    def _dump_publication(self) -> dict[str, typing.Any]:
-        if self._head is None:
-            return {}
-        publication = self._head.publication
-        return {
-            'offset': self._head.offset,
-            'from_version': publication.from_version,
-            'from_offset': publication.from_offset,
-            'author': publication.author,
-            'wall_ms': publication.wall_ms,
-            'base_bytes': len(publication.base),
-            'overlay_bytes': len(publication.overlay),
-        }
-
-    def _dump_document(self) -> dict[str, typing.Any]:
-        if self._accepted is None:
-            return {}
-        document = msgspec.to_builtins(self._accepted.document)
-        for key in document['keys'].values():
-            del key['sha256']
-        return document
