Refuse documents that no reader would unpack

A publish above the bound of readers was appended, skipped by every reader and repeated until its outcome was called unknown. It is refused before the append now.

--- a/basilspindle/config/publication.py
+++ b/basilspindle/config/publication.py
@@ -9,7 +9,9 @@
 from basilspindle import errors
 
 # Bounds what a damaged or hostile record can make a reader allocate.
-MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+_MAX_RECORD_BYTES = 8 * 1024 * 1024
+# Leaves room for the other members of a record.
+MAX_DOCUMENT_BYTES = _MAX_RECORD_BYTES - 4 * 1024
 # The end of the year 9999, the last that a message can show.
 _MAX_WALL_MS = 253_402_300_799_999
 
@@ -48,7 +50,13 @@
 
 
 def encode(publication: Publication) -> bytes:
-    """Return the record of a publication."""
+    """Return the record of a publication; raises ``TooLarge``."""
+    size = len(publication.base) + len(publication.overlay)
+    if size > MAX_DOCUMENT_BYTES:
+        raise errors.TooLarge(
+            f'base and overlay have {size} bytes together; the most is '
+            f'{MAX_DOCUMENT_BYTES}'
+        )
     return zlib.compress(msgspec.msgpack.encode(publication))
 
 
@@ -56,7 +64,7 @@
     """Return the publication of a record; raises ``RecordUnreadable``."""
     unpack = zlib.decompressobj()
     try:
-        data = unpack.decompress(record, MAX_DOCUMENT_BYTES)
+        data = unpack.decompress(record, _MAX_RECORD_BYTES)
         if not unpack.eof or unpack.unused_data:
             raise _unreadable('not one complete record')
         publication = _DECODER.decode(data)
--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -4,6 +4,9 @@
 import json
 import pathlib
 import unittest
+import zlib
+
+import msgspec
 
 from basilspindle import config
 from basilspindle import document
@@ -319,17 +322,15 @@
         )
         record = config.encode(publication)
         self.assertEqual(publication, config.decode(record))
-        huge = config.encode(
-            config.Publication(
-                version=1,
-                from_version=0,
-                author='ops',
-                wall_ms=0,
-                base=b' ' * 9_000_000,
-                overlay=b'',
-            )
-        )
+        huge = zlib.compress(bytes(9_000_000))
         bad = [b'', b'x', record[:-1], record + b'x', record[5:], huge]
         for data in bad:
             with self.assertRaises(errors.RecordUnreadable):
                 config.decode(data)
+        most = config.publication.MAX_DOCUMENT_BYTES - 2
+        large = msgspec.structs.replace(publication, base=b' ' * most)
+        self.assertEqual(large, config.decode(config.encode(large)))
+        with self.assertRaisesRegex(errors.TooLarge, 'the most is'):
+            config.encode(
+                msgspec.structs.replace(large, author='x', overlay=b'{ }')
+            )
