--- a/basilspindle/journal/partition_state.py
+++ b/basilspindle/journal/partition_state.py
@@ -196,6 +196,7 @@
             'released': self.released,
             'complete': self.complete,
             'wall_ms': self.wall_ms,
+            'records_since_snapshot': self.records_since_snapshot,
             'writers': dict(self.writers),
             'jobs': [entry.dump() for entry in self.jobs.values()],
         }
--- a/tests/journal_case.py
+++ b/tests/journal_case.py
@@ -57,7 +57,7 @@
     timing = journal.Timing()
 
     async def asyncSetUp(self):
-        # Debug mode records a stack for each callback: 3 times the time.
+        # Debug mode records a stack for each callback: 18 s instead of 2 s.
         asyncio.get_running_loop().set_debug(False)
         self.clock = manual_clock.ManualClock()
         self.service = log_service.LogService(
--- /dev/null
+++ b/tests/test_journal_interleaving.py
@@ -0,0 +1,210 @@
+"""Guard the agreement of all readers over random interleavings."""
+
+import asyncio
+import contextlib
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from basilspindle import errors
+from basilspindle import journal
+from tests import journal_case
+from tests.standins import log_faults
+from tests.standins import log_service
+from tests.standins import manual_clock
+
+_WRITERS = 3
+# Puts each record of a snapshot into a batch of its own.
+_TIMING = journal.Timing(batch_bytes=200, linger_ms=20)
+_REFUSED = (errors.LogUnavailable, errors.Deposed, errors.NotOwner)
+
+_FAULTS = (
+    'lose_answers',
+    'lose_requests',
+    'late_effects',
+    'hang_requests',
+    'hang',
+    'down',
+)
+# Names are listed once for each time that they come up in 24 operations.
+_NAMES = (
+    *['append'] * 9,
+    *['claim'] * 2,
+    *['snapshot'] * 2,
+    *['release', 'sleep', 'wake'],
+    *['fault'] * 3,
+    *['heal', 'repeat'],
+    *['advance'] * 3,
+    'trim',
+)
+_ADVANCES_MS = (5, 60, 700, 4_000)
+# The last field tells whether the effects come before the next operation.
+_OPERATIONS = strategies.tuples(
+    strategies.sampled_from(_NAMES),
+    strategies.integers(0, 11),
+    strategies.integers(0, 3).map(bool),
+)
+
+
+class World:
+    """Run writers on one stream and remember what they were told."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack) -> None:
+        self.stack = stack
+        self.clock = manual_clock.ManualClock()
+        self.service = log_service.LogService(clock=self.clock)
+        self.history: dict[int, bytes] = {}
+        self.told: dict[str, asyncio.Task] = {}
+        self.tasks: list[asyncio.Task] = []
+        self.writers: list[journal.PartitionJournal] = []
+
+    async def open(self, name: str) -> journal.PartitionJournal:
+        """Open a journal with a client of its own."""
+        client = await self.stack.enter_async_context(
+            journal.LogClient(
+                'http://log',
+                transport=self.service.transport(),
+                clock=self.clock,
+            )
+        )
+        return await self.stack.enter_async_context(
+            journal.PartitionJournal(
+                client,
+                self.clock,
+                0,
+                member_id=name,
+                writer=f'{name}-1',
+                timing=_TIMING,
+            )
+        )
+
+    async def run(self, operations: list[tuple]) -> None:
+        """Do the operations without waiting for any to end."""
+        for number in range(_WRITERS):
+            self.writers.append(await self.open(f'w{number}'))
+        await self.writers[0].claim()
+        for name, number, settle in operations:
+            await getattr(self, f'do_{name}')(number)
+            await (self.clock.settle() if settle else asyncio.sleep(0))
+        await self.do_heal(0)
+        for _ in range(30):
+            await self.clock.advance_ms(1_000)
+        self.keep_history()
+
+    async def do_append(self, number: int) -> None:
+        job_id = f'j{len(self.told)}'
+        record = journal_case.accept(job_id)
+        append = self.pick(number).append(record)
+        self.told[job_id] = asyncio.ensure_future(append)
+
+    async def do_claim(self, number: int) -> None:
+        self.spawn(self.writers[number % _WRITERS].claim())
+
+    async def do_snapshot(self, number: int) -> None:
+        self.spawn(self.pick(number).snapshot())
+
+    async def do_release(self, number: int) -> None:
+        self.spawn(self.pick(number).release())
+
+    async def do_sleep(self, number: int) -> None:
+        self.pick(number).follow(False)
+
+    async def do_wake(self, number: int) -> None:
+        self.pick(number).follow(True)
+
+    def pick(self, number: int) -> journal.PartitionJournal:
+        """Return the owner for most numbers, so that much is appended."""
+        owners = [one for one in self.writers if one.is_owner]
+        if owners and number >= _WRITERS:
+            return owners[0]
+        return self.writers[number % _WRITERS]
+
+    def spawn(self, coroutine) -> None:
+        self.tasks.append(asyncio.ensure_future(coroutine))
+
+    async def do_advance(self, number: int) -> None:
+        duration_ms = _ADVANCES_MS[number % len(_ADVANCES_MS)]
+        await self.clock.advance_ms(duration_ms)
+
+    async def do_fault(self, number: int) -> None:
+        setattr(self.service.faults, _FAULTS[number % len(_FAULTS)], 1)
+
+    async def do_heal(self, _: int) -> None:
+        self.service.faults = log_faults.LogFaults()
+
+    async def do_repeat(self, back: int) -> None:
+        """Let an earlier batch take effect once more, as if delayed."""
+        rows = self.service.stream('work-0').records
+        if back < len(rows):
+            self.service._take('work-0', rows[-1 - back][2])
+
+    async def do_trim(self, _: int) -> None:
+        """Drop everything before the last complete snapshot."""
+        self.keep_history()
+        begun = complete = 1
+        state = journal.PartitionState()
+        for offset in sorted(self.history):
+            batch = journal.decode(self.history[offset])
+            before = state.snapshots
+            took = state.apply(offset, batch)
+            if took and isinstance(batch.records[0], journal.SnapshotBegin):
+                begun = offset
+            if state.snapshots > before:
+                complete = begun
+        self.service.trim('work-0', complete)
+
+    def keep_history(self) -> None:
+        for offset, _, data in self.service.stream('work-0').records:
+            self.history[offset] = data
+
+    def reference(self) -> journal.PartitionState:
+        """Return the state of a reader of the whole history."""
+        state = journal.PartitionState()
+        for offset in sorted(self.history):
+            state.apply(offset, journal.decode(self.history[offset]), True)
+        return state
+
+
+class InterleavingTest(unittest.TestCase):
+    """Guard against readers that disagree and promises that are broken."""
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=120, deadline=None, database=None
+    )
+    @hypothesis.given(strategies.lists(_OPERATIONS, min_size=10, max_size=50))
+    def test_all_readers_agree(self, operations):
+        """Guard against lost, doubled and wrongly refused records."""
+        asyncio.run(self.check(operations))
+
+    async def check(self, operations: list[tuple]) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            world = World(stack)
+            await world.run(operations)
+            for number in range(_WRITERS):
+                world.writers[number].follow(True)
+            reader = await world.open('reader')
+            await world.clock.advance_ms(3_000)
+            states = [one.state for one in (*world.writers, reader)]
+            expected = world.reference()
+            for state in states:
+                self.assertEqual(expected.dump(), state.dump())
+            await self.check_promises(world, expected)
+
+    async def check_promises(self, world, expected) -> None:
+        owners = [one for one in world.writers if one.is_owner]
+        self.assertLessEqual(len(owners), 1)
+        for job_id, task in world.told.items():
+            self.assertTrue(task.done(), job_id)
+            error = task.exception()
+            if error is None:
+                self.assertIn(job_id, expected.jobs)
+            elif isinstance(error, _REFUSED):
+                self.assertNotIn(job_id, expected.jobs, error)
+            else:
+                self.assertIsInstance(error, errors.LogOutcomeUnknown)
+        for task in world.tasks:
+            self.assertTrue(task.done())
+            error = task.exception()
+            if error is not None:
+                self.assertIsInstance(error, errors.BasilspindleError)
--- /dev/null
+++ b/tests/test_partition_state.py
@@ -0,0 +1,176 @@
+"""Guard the rules by which readers derive the state of a partition."""
+
+import unittest
+
+from basilspindle import journal
+from basilspindle.journal import snapshot
+from basilspindle import model
+from tests import journal_case
+
+accept = journal_case.accept
+end_task = journal_case.end_task
+
+
+class History:
+    """Apply batches to a state at consecutive offsets."""
+
+    def __init__(self, **options):
+        self.state = journal.PartitionState(**options)
+        self.offset = 0
+        self.rows: list[bytes] = []
+
+    def add(self, writer, counter, epoch, *records, wall_ms=1) -> bool:
+        """Append a batch; return whether it took effect."""
+        batch = journal.Batch(writer, counter, epoch, wall_ms, list(records))
+        self.rows.append(journal.encode(batch))
+        self.offset += 1
+        return self.state.apply(self.offset, journal.decode(self.rows[-1]))
+
+    def claim(self, writer, counter) -> bool:
+        return self.add(writer, counter, 0, journal.Claim(writer, writer))
+
+    def read_from(self, first: int) -> journal.PartitionState:
+        """Return the state of a reader that starts behind a trim."""
+        state = journal.PartitionState(complete=False)
+        for offset in range(first, self.offset + 1):
+            state.apply(offset, journal.decode(self.rows[offset - 1]))
+        return state
+
+
+class EpochTest(unittest.TestCase):
+    """Guard against records of an owner that was superseded."""
+
+    def test_only_the_latest_epoch_counts(self):
+        """Guard against a stale batch, a repeat and a late claim."""
+        history = History()
+        self.assertTrue(history.claim('a', 1))
+        self.assertTrue(history.add('a', 2, 1, accept('j1')))
+        self.assertFalse(history.add('a', 2, 1, accept('j2')))
+        self.assertTrue(history.claim('b', 1))
+        self.assertFalse(history.add('a', 3, 1, accept('j3')))
+        self.assertFalse(history.claim('a', 1))
+        self.assertTrue(history.add('b', 2, 4, accept('j4')))
+        self.assertEqual(['j1', 'j4'], list(history.state.jobs))
+        self.assertEqual(
+            (4, 'b'), (history.state.epoch, history.state.claimant)
+        )
+
+    def test_nothing_counts_after_a_release(self):
+        """Guard against an append that overtakes the owner's release."""
+        history = History()
+        history.claim('a', 1)
+        history.add('a', 2, 1, journal.Release())
+        self.assertFalse(history.add('a', 3, 1, accept('j1')))
+
+    def test_claim_interrupts_a_snapshot(self):
+        """Guard against a snapshot made of parts of two owners."""
+        history = History()
+        history.claim('a', 1)
+        history.add('a', 2, 1, accept('j1'))
+        begin, part, end = snapshot.write(history.state)
+        history.add('a', 3, 1, begin, part)
+        history.claim('b', 1)
+        history.add('b', 2, 4, accept('j2'))
+        history.add('b', 3, 4, end)
+        self.assertEqual(0, history.state.snapshots)
+        self.assertEqual(['j1', 'j2'], list(history.state.jobs))
+
+    def test_snapshot_carries_the_counters(self):
+        """Guard against a late repeat that only a new reader applies."""
+        history = History()
+        history.claim('a', 1)
+        history.add('a', 2, 1, accept('j1'))
+        history.claim('b', 1)
+        history.add('b', 2, 3, *snapshot.write(history.state))
+        history.claim('a', 1)
+        reader = history.read_from(4)
+        self.assertEqual(history.state.dump(), history.read_from(1).dump())
+        self.assertEqual(
+            {'a': 2, 'b': 2}, reader.writers, 'counters of both writers'
+        )
+
+    def test_trimmed_claim_is_inferred(self):
+        """Guard against a reader that ignores the owner after a trim."""
+        history = History()
+        history.claim('a', 1)
+        history.claim('b', 1)
+        history.add('a', 2, 1, accept('stale'))
+        history.add('b', 2, 2, accept('j1'))
+        history.add('b', 3, 2, *snapshot.write(history.state))
+        reader = history.read_from(3)
+        self.assertTrue(reader.complete)
+        self.assertEqual(history.state.dump(), reader.dump())
+
+
+class JobTest(unittest.TestCase):
+    """Guard against wrong outcomes of jobs."""
+
+    def setUp(self):
+        self.history = History(result_keep_ms=100)
+        self.history.claim('a', 1)
+        self.counter = 1
+
+    def add(self, *records, wall_ms=1):
+        self.counter += 1
+        self.history.add('a', self.counter, 1, *records, wall_ms=wall_ms)
+        return self.history.state.jobs
+
+    def test_worst_task_decides(self):
+        """Guard against a job that reads better than its tasks went."""
+        states = model.State
+        for second, expected in [
+            (states.SUCCEEDED, states.SUCCEEDED),
+            (states.FAILED, states.FAILED),
+            (states.UNKNOWN, states.UNKNOWN),
+            (states.CANCELLED, states.CANCELLED),
+        ]:
+            with self.subTest(second=second):
+                job_id = f'j-{second}'
+                jobs = self.add(accept(job_id, tasks=2), end_task(job_id))
+                self.assertEqual(
+                    {'succeeded': 1, 'running': 1},
+                    jobs[job_id].counts(running=1),
+                )
+                self.add(end_task(job_id, 1, second))
+                self.add(end_task(job_id, 1, states.SUCCEEDED))
+                self.assertEqual(expected, jobs[job_id].state)
+
+    def test_intent_lasts_until_its_attempt_is_over(self):
+        """Guard against a second start of a task that may run."""
+        intent = journal.StartIntent('j1', 0, 2, 'w1')
+        jobs = self.add(accept('j1'), intent)
+        self.add(end_task('j1', 0, model.State.QUEUED))
+        self.assertEqual({0: intent}, jobs['j1'].intents)
+        withdrawn = journal.TaskEnded(
+            'j1', 0, 2, model.State.QUEUED, 'w1', b'', ''
+        )
+        self.add(withdrawn)
+        self.assertEqual({}, jobs['j1'].intents)
+        self.assertEqual({'queued': 1}, jobs['j1'].counts())
+
+    def test_ended_job_is_dropped_after_a_time(self):
+        """Guard against finished jobs that stay or go too early."""
+        jobs = self.add(accept('j1'), accept('j2'))
+        ended = journal.JobEnded('j1', model.State.EXPIRED, 'too late')
+        self.add(ended, wall_ms=10)
+        self.assertEqual({'expired': 1}, jobs['j1'].counts())
+        self.add(journal.JobCancelled('j2'), wall_ms=110)
+        self.assertIn('j1', jobs)
+        self.add(journal.JobCancelled('j2'), wall_ms=111)
+        self.assertEqual(['j2'], list(jobs))
+
+    def test_large_job_is_split_over_parts(self):
+        """Guard against results lost where a job spans parts."""
+        ends = [
+            end_task('j1', index, result=b'x' * 30_000) for index in range(9)
+        ]
+        self.add(accept('j1', tasks=10), *ends)
+        records = snapshot.write(self.history.state)
+        self.assertGreater(len(records), 5)
+        first = self.history.offset + 1
+        for record in records:
+            self.add(record)
+        reader = self.history.read_from(first)
+        self.assertEqual(
+            self.history.state.jobs['j1'].ended, reader.jobs['j1'].ended
+        )
--- /dev/null
+++ b/tests/test_stream_reader.py
@@ -0,0 +1,91 @@
+"""Guard the reader that follows one stream record by record."""
+
+import asyncio
+
+from basilspindle import journal
+from tests import journal_case
+
+
+class StreamReaderTest(journal_case.JournalCase):
+    """Guard against records and assurance lost to faults of the log."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        client = await self.stack.enter_async_context(
+            journal.LogClient(
+                'http://log',
+                transport=self.service.transport(),
+                clock=self.clock,
+            )
+        )
+        self.reader = await self.stack.enter_async_context(
+            journal.StreamReader(client, self.clock, 'control')
+        )
+        self.stream = self.service.stream('control')
+        self.seen: list[bytes] = []
+        self.task = asyncio.ensure_future(self.collect())
+        self.addCleanup(self.task.cancel)
+
+    async def collect(self):
+        """Keep the data of all records."""
+        async for record in self.reader:
+            self.seen.append(record.data)
+
+    def put(self, data: bytes):
+        """Append a record behind the back of the client."""
+        self.stream.append(data, self.clock.now_ms())
+
+    def age_ms(self) -> int:
+        """Return the age of the assurance."""
+        return self.clock.now_ms() - self.reader.assured_at_ms
+
+    async def test_yields_each_record_once_and_at_once(self):
+        """Guard against skipped, repeated and delayed records."""
+        self.put(b'1')
+        await self.run_ms(self.reader.wait_tail())
+        await self.clock.advance_ms(100)
+        self.put(b'2')
+        self.put(b'3')
+        await self.clock.settle()
+        self.assertEqual([b'1', b'2', b'3'], self.seen)
+        self.assertEqual(4, self.reader.next_offset)
+
+    async def test_assurance_under_faults(self):
+        """Guard against refused keys while the log answers."""
+        for fault, value, limit_ms in [
+            ('hang_requests', 0, 1_650),
+            ('hang_requests', 1, 2_500),
+            ('delay_ms', 700, 2_500),
+        ]:
+            with self.subTest(fault=fault, value=value):
+                setattr(self.service.faults, fault, value)
+                await self.clock.advance_ms(3_000)
+                for _ in range(60):
+                    await self.clock.advance_ms(50)
+                    self.assertLess(self.age_ms(), limit_ms)
+
+    async def test_no_assurance_without_answers(self):
+        """Guard against keys honoured by an unproven configuration."""
+        await self.clock.advance_ms(1_000)
+        self.service.faults.down = True
+        before_ms = self.clock.now_ms()
+        await self.clock.advance_ms(20_000)
+        self.assertLessEqual(self.reader.assured_at_ms, before_ms)
+        self.service.faults.down = False
+        self.put(b'1')
+        await self.clock.advance_ms(2_000)
+        self.assertEqual([b'1'], self.seen)
+        self.assertLess(self.age_ms(), 2_000)
+
+    async def test_goes_on_behind_a_trim(self):
+        """Guard against a reader that stops at trimmed records."""
+        await self.clock.advance_ms(1_000)
+        self.service.faults.down = True
+        await self.clock.advance_ms(1_000)
+        for number in range(5):
+            self.put(b'%d' % number)
+        self.stream.trim(4)
+        self.service.faults.down = False
+        await self.clock.advance_ms(2_000)
+        self.assertEqual([b'3', b'4'], self.seen)
+        self.assertEqual(1, self.reader.gaps)
