--- a/basilspindle/journal/log_client.py
+++ b/basilspindle/journal/log_client.py
@@ -14,6 +14,9 @@
 
 _MAX_CONNECTIONS = 64
 _MAX_IDLE_CONNECTIONS = 16
+# Servers commonly close a connection after 5 s without a request; an append
+# sent at that moment would have an unknown outcome.
+_KEEP_ALIVE_S = 3.0
 _RETRY_AFTER_MS = 1_000
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 # A 4xx answer is a refusal; the log took nothing.
@@ -218,6 +221,7 @@
         limits=httpx.Limits(
             max_connections=_MAX_CONNECTIONS,
             max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=_KEEP_ALIVE_S,
         ),
         retries=0,
         trust_env=False,
--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -43,6 +43,41 @@
     at that time; it is ``NEVER_MS`` without ownership.
     """
 
+    __slots__ = (
+        'partition',
+        'stream',
+        'assured_at_ms',
+        '_client',
+        '_clock',
+        '_member_id',
+        '_writer',
+        '_timing',
+        '_on_deposed',
+        '_on_late',
+        '_following',
+        '_state',
+        '_next',
+        '_epoch',
+        '_claimed',
+        '_deposed',
+        '_closing',
+        '_broken',
+        '_counter',
+        '_outbox',
+        '_flight',
+        '_last_append_ms',
+        '_renewed_at_ms',
+        '_begun_at_ms',
+        '_snapshot_done',
+        '_snapshot_retry_ms',
+        '_replayed',
+        '_changed',
+        '_rebuild_lock',
+        '_polls',
+        '_requests',
+        '_tasks',
+    )
+
     def __init__(
         self,
         client: log_client.LogClient,
@@ -176,6 +211,7 @@
             'assured_age_ms': now_ms - self.assured_at_ms if assured else -1,
             'waiting': len(self._outbox),
             'in_flight': self._flight is not None,
+            'failed': self._broken,
             'log_down': self._client.is_down,
             'jobs': len(self._state.jobs),
         }
@@ -346,7 +382,6 @@
             self._broken = True
             self._fail_flight(_unknown('the journal failed'))
             self._depose()
-            raise
 
     async def _run_follower(self) -> None:
         backoff_ms = _BACKOFF_MS
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -84,6 +84,27 @@
                 self.assertTrue(owner.is_owner)
                 self.assertEqual(owner.epoch, reader.latest_epoch)
 
+    async def test_unexpected_error_ends_ownership(self):
+        """Guard against an assured owner whose reading has stopped."""
+        owner = await self.open_owner('a')
+        job = journal.records.SnapshotJob(
+            'j1', None, False, model.State.QUEUED, '', 0, [], []
+        )
+        poison = [
+            journal.SnapshotBegin('a', 'a', 0, {}, 1),
+            journal.SnapshotPart(0, [job]),
+            journal.SnapshotEnd(),
+        ]
+        batch = journal.Batch('x', 1, owner.epoch, 0, poison)
+        self.service.stream(owner.stream).append(
+            journal.encode(batch), self.clock.now_ms()
+        )
+        await self.clock.advance_ms(1_000)
+        self.assertFalse(owner.is_owner)
+        self.assertEqual(journal.NEVER_MS, owner.assured_at_ms)
+        with self.assertRaises(errors.NotReady):
+            await owner.claim()
+
     async def test_other_members_do_not_read(self):
         """Guard against the cost of streams that a member has no use for."""
         idle = await self.open('a', following=False)
