Test that the assurance is as old as the send of its read

A mutant that counted the age from the answer passed all tests; the age decides whether a superseded owner may still start tasks. Refusals during an outage no longer repeat the message of an earlier error.

--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -30,6 +30,7 @@
 _MAX_POLLS = 4
 _SNAPSHOT_RETRY_MS = 5_000
 _SNAPSHOT_TIMEOUT_MS = 20_000
+_DOWN = 'it has failed for some time'
 
 
 class PartitionJournal:
@@ -290,7 +291,7 @@
         if not entries:
             return
         if self._client.is_down:
-            raise self._client.unavailable('it has failed for some time')
+            raise self._client.unavailable(_DOWN)
         if timeout_ms is None:
             timeout_ms = self._timing.append_timeout_ms
         await self._submit(entries, timeout_ms)
@@ -690,8 +691,8 @@
             try:
                 await self._deliver(flight)
                 backoff_ms = _BACKOFF_MS
-            except errors.LogUnavailable as error:
-                self._return(flight, error)
+            except errors.LogUnavailable:
+                self._return(flight)
                 await self._clock.sleep_ms(backoff_ms)
                 backoff_ms = min(2 * backoff_ms, _MAX_BACKOFF_MS)
 
@@ -732,9 +733,7 @@
         self._outbox.put_snapshot([])
         self._end_snapshot(self._not_owner_error())
 
-    def _return(
-        self, flight: flight_module.Flight, error: errors.LogUnavailable
-    ) -> None:
+    def _return(self, flight: flight_module.Flight) -> None:
         """Queue a batch again that certainly had no effect."""
         if flight.is_settled:
             return
@@ -742,14 +741,14 @@
         flight.settle()
         self._outbox.put_back(flight.items)
         if self._client.is_down:
-            self._refuse_waiting(error)
+            self._refuse_waiting()
 
-    def _refuse_waiting(self, error: errors.LogError) -> None:
+    def _refuse_waiting(self) -> None:
         if self._snapshot_done is not None:
             events.emit(
                 journal_events.SNAPSHOT_FAILED, partition=self.partition
             )
-        self._fail_waiting(self._client.unavailable(error.message))
+        self._fail_waiting(self._client.unavailable(_DOWN))
 
     async def _deliver(self, flight: flight_module.Flight) -> None:
         """Append a batch until its outcome is known.
@@ -811,11 +810,11 @@
                     return
                 await self._linger()
                 await self._attempt(flight)
-            except errors.LogError as error:
+            except errors.LogError:
                 if self._abandon(flight):
                     return
                 if self._client.is_down:
-                    self._refuse_waiting(error)
+                    self._refuse_waiting()
                 await self._pause_until(flight, backoff_ms)
                 backoff_ms = min(2 * backoff_ms, _MAX_BACKOFF_MS)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -148,6 +148,18 @@
                 )
                 self.assertLess(await self.watch(owner, 5_000), limit_ms)
 
+    async def test_age_counts_from_the_send(self):
+        """Guard against an assurance that outlasts a foreign claim."""
+        owner = await self.open_owner('a')
+        self.service.faults.delay_ms = 900
+        append = asyncio.ensure_future(owner.append(accept('j1')))
+        await self.clock.advance_ms(1_000)
+        await self.run_ms(append)
+        for _ in range(50):
+            await self.clock.advance_ms(50)
+            age_ms = self.clock.now_ms() - owner.assured_at_ms
+            self.assertGreaterEqual(age_ms, 900)
+
     async def test_ages_without_answers(self):
         """Guard against an assurance that no read stands behind."""
         owner = await self.open_owner('a')
--- a/tests/test_journal_interleaving.py
+++ b/tests/test_journal_interleaving.py
@@ -15,8 +15,11 @@
 from tests.standins import manual_clock
 
 _WRITERS = 3
-# Puts each record of a snapshot into a batch of its own.
-_TIMING = journal.Timing(batch_bytes=200, linger_ms=20)
+# The batch size puts each record of a snapshot into a batch of its own; the
+# timeout is shorter than a request, so that many outcomes are unknown.
+_TIMING = journal.Timing(
+    batch_bytes=200, linger_ms=20, append_timeout_ms=1_500
+)
 _REFUSED = (errors.LogUnavailable, errors.Deposed, errors.NotOwner)
 
 _FAULTS = (
--- a/tests/test_stream_reader.py
+++ b/tests/test_stream_reader.py
@@ -63,6 +63,8 @@
                 for _ in range(60):
                     await self.clock.advance_ms(50)
                     self.assertLess(self.age_ms(), limit_ms)
+                    delay_ms = self.service.faults.delay_ms
+                    self.assertGreaterEqual(self.age_ms(), delay_ms)
 
     async def test_no_assurance_without_answers(self):
         """Guard against keys honoured by an unproven configuration."""
