--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -297,6 +297,20 @@
         await self.clock.advance_ms(1_000)
         self.assertFalse(owner.is_owner)
 
+    async def test_owner_without_history_writes_a_snapshot(self):
+        """Guard against readers that stay without a base after a loss."""
+        lost = await self.open_owner('a', following=False)
+        await self.run_ms(lost.append(accept('lost')))
+        self.service.trim(lost.stream, lost.tail_offset)
+        owner = await self.open_owner('b')
+        await self.run_ms(owner.append(accept('j1')))
+        await self.clock.advance_ms(1_000)
+        self.service.trim(lost.stream, owner.epoch + 1)
+        reader = await self.replay()
+        self.assertTrue(reader.state.complete)
+        self.assertEqual(['j1'], list(reader.state.jobs))
+        self.assertEqual('b', reader.latest_claimant)
+
     async def test_half_written_snapshot_is_ignored(self):
         """Guard against jobs lost to a snapshot that was interrupted."""
         timing = journal.Timing(batch_bytes=70_000, linger_ms=100)
