Resolve an overdue append over another connection

An append on a connection that went silent waited for the whole request timeout of 2 s before it was resolved.

--- a/basilspindle/journal/events.py
+++ b/basilspindle/journal/events.py
@@ -62,7 +62,7 @@
     309,
     'append_unresolved',
     events.Level.WARNING,
-    'the answer to an append was lost; the stream is read again',
+    'the answer to an append is lost or overdue; the stream is read',
     'check the log service if this repeats',
 )
 STREAM_TRIMMED = events.Event(
--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -25,6 +25,7 @@
 NEVER_MS = -(1 << 62)
 _BACKOFF_MS = 50
 _MAX_BACKOFF_MS = 1_000
+_MAX_READ_TIMEOUT_MS = 4_000
 # With a read every third of the assurance, answers that take up to four
 # thirds of it overlap instead of delaying the next read.
 _MAX_POLLS = 4
@@ -771,12 +772,26 @@
         )
         self._requests.add(request)
         request.add_done_callback(self._forget)
-        # A read may confirm the batch before its own answer arrives.
-        await asyncio.wait(
-            {request, flight.settled}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if request.done() and not flight.is_settled:
-            await self._confirm(flight, request.result(), sent_ms)
+        # A read may confirm the batch before its own answer arrives. An
+        # overdue request may be on a silent connection: it is left alone,
+        # and the outcome is found by reading, over another connection.
+        await self._wait_any({request, flight.settled}, self._timing.poll_ms)
+        if flight.is_settled:
+            return
+        if not request.done():
+            raise _unknown(f'no answer within {self._timing.poll_ms} ms')
+        await self._confirm(flight, request.result(), sent_ms)
+
+    async def _wait_any(
+        self, futures: set[asyncio.Future], timeout_ms: int
+    ) -> None:
+        timer = asyncio.ensure_future(self._clock.sleep_ms(timeout_ms))
+        try:
+            await asyncio.wait(
+                {*futures, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
 
     def _forget(self, request: asyncio.Task[int]) -> None:
         self._requests.discard(request)
@@ -803,9 +818,12 @@
     async def _resolve(self, flight: flight_module.Flight) -> None:
         """Read and append again until the outcome is known."""
         backoff_ms = _BACKOFF_MS
+        # A silent connection costs a read its whole timeout, and a slow log
+        # needs a long one; so it grows.
+        timeout_ms = self._timing.poll_ms
         while not flight.is_settled:
             try:
-                await self._read_tail()
+                await self._read_tail_within(timeout_ms)
                 if flight.is_settled or self._abandon(flight):
                     return
                 await self._linger()
@@ -815,7 +833,8 @@
                     return
                 if self._client.is_down:
                     self._refuse_waiting()
-                await self._pause_until(flight, backoff_ms)
+                await self._wait_any({flight.settled}, backoff_ms)
+                timeout_ms = min(2 * timeout_ms, _MAX_READ_TIMEOUT_MS)
                 backoff_ms = min(2 * backoff_ms, _MAX_BACKOFF_MS)
 
     def _abandon(self, flight: flight_module.Flight) -> bool:
@@ -828,17 +847,6 @@
         flight.settle()
         return True
 
-    async def _pause_until(
-        self, flight: flight_module.Flight, duration_ms: int
-    ) -> None:
-        timer = asyncio.ensure_future(self._clock.sleep_ms(duration_ms))
-        try:
-            await asyncio.wait(
-                {timer, flight.settled}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            timer.cancel()
-
 
 def _unknown(reason: str) -> errors.LogOutcomeUnknown:
     return errors.LogOutcomeUnknown(
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -194,6 +194,27 @@
                 self.assertEqual(owner.state.dump(), reader.state.dump())
                 self.assertIn(fault, reader.state.jobs)
 
+    async def test_silent_connection_delays_little(self):
+        """Guard against a whole request timeout per silent connection."""
+        owner = await self.open_owner('a')
+        for silent, limit_ms in [(1, 700), (2, 1_300)]:
+            with self.subTest(silent=silent):
+                await self.clock.advance_ms(1_000)
+                self.service.faults.hang_requests = silent
+                start_ms = self.clock.now_ms()
+                await self.run_ms(owner.append(accept(f'j{silent}')))
+                self.assertLess(self.clock.now_ms() - start_ms, limit_ms)
+
+    async def test_slow_log_takes_each_batch_once(self):
+        """Guard against appends repeated only because the log is slow."""
+        owner = await self.open_owner('a')
+        for delay_ms in (600, 1_900):
+            with self.subTest(delay_ms=delay_ms):
+                self.service.faults.delay_ms = delay_ms
+                appends = self.service.appends
+                await self.run_ms(owner.append(accept(f'j{delay_ms}')))
+                self.assertEqual(appends + 1, self.service.appends)
+
     async def test_outage_refuses_what_was_never_sent(self):
         """Guard against a refused record that appears, and against waits."""
         for fault in ('down', 'refuse'):
