--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -25,11 +25,13 @@
 NEVER_MS = -(1 << 62)
 _BACKOFF_MS = 50
 _MAX_BACKOFF_MS = 1_000
+_MAX_READ_TIMEOUT_MS = 4_000
 # With a read every third of the assurance, answers that take up to four
 # thirds of it overlap instead of delaying the next read.
 _MAX_POLLS = 4
 _SNAPSHOT_RETRY_MS = 5_000
 _SNAPSHOT_TIMEOUT_MS = 20_000
+_DOWN = 'it has failed for some time'
 
 
 class PartitionJournal:
@@ -43,6 +45,41 @@
     at that time; it is ``NEVER_MS`` without ownership.
     """
 
+    __slots__ = (
+        'partition',
+        'stream',
+        'assured_at_ms',
+        '_client',
+        '_clock',
+        '_member_id',
+        '_writer',
+        '_timing',
+        '_on_deposed',
+        '_on_late',
+        '_following',
+        '_state',
+        '_next',
+        '_epoch',
+        '_claimed',
+        '_deposed',
+        '_closing',
+        '_broken',
+        '_counter',
+        '_outbox',
+        '_flight',
+        '_last_append_ms',
+        '_renewed_at_ms',
+        '_begun_at_ms',
+        '_snapshot_done',
+        '_snapshot_retry_ms',
+        '_replayed',
+        '_changed',
+        '_rebuild_lock',
+        '_polls',
+        '_requests',
+        '_tasks',
+    )
+
     def __init__(
         self,
         client: log_client.LogClient,
@@ -176,6 +213,7 @@
             'assured_age_ms': now_ms - self.assured_at_ms if assured else -1,
             'waiting': len(self._outbox),
             'in_flight': self._flight is not None,
+            'failed': self._broken,
             'log_down': self._client.is_down,
             'jobs': len(self._state.jobs),
         }
@@ -254,7 +292,7 @@
         if not entries:
             return
         if self._client.is_down:
-            raise self._client.unavailable('it has failed for some time')
+            raise self._client.unavailable(_DOWN)
         if timeout_ms is None:
             timeout_ms = self._timing.append_timeout_ms
         await self._submit(entries, timeout_ms)
@@ -346,7 +384,6 @@
             self._broken = True
             self._fail_flight(_unknown('the journal failed'))
             self._depose()
-            raise
 
     async def _run_follower(self) -> None:
         backoff_ms = _BACKOFF_MS
@@ -655,8 +692,8 @@
             try:
                 await self._deliver(flight)
                 backoff_ms = _BACKOFF_MS
-            except errors.LogUnavailable as error:
-                self._return(flight, error)
+            except errors.LogUnavailable:
+                self._return(flight)
                 await self._clock.sleep_ms(backoff_ms)
                 backoff_ms = min(2 * backoff_ms, _MAX_BACKOFF_MS)
 
@@ -697,9 +734,7 @@
         self._outbox.put_snapshot([])
         self._end_snapshot(self._not_owner_error())
 
-    def _return(
-        self, flight: flight_module.Flight, error: errors.LogUnavailable
-    ) -> None:
+    def _return(self, flight: flight_module.Flight) -> None:
         """Queue a batch again that certainly had no effect."""
         if flight.is_settled:
             return
@@ -707,14 +742,14 @@
         flight.settle()
         self._outbox.put_back(flight.items)
         if self._client.is_down:
-            self._refuse_waiting(error)
+            self._refuse_waiting()
 
-    def _refuse_waiting(self, error: errors.LogError) -> None:
+    def _refuse_waiting(self) -> None:
         if self._snapshot_done is not None:
             events.emit(
                 journal_events.SNAPSHOT_FAILED, partition=self.partition
             )
-        self._fail_waiting(self._client.unavailable(error.message))
+        self._fail_waiting(self._client.unavailable(_DOWN))
 
     async def _deliver(self, flight: flight_module.Flight) -> None:
         """Append a batch until its outcome is known.
@@ -737,12 +772,26 @@
         )
         self._requests.add(request)
         request.add_done_callback(self._forget)
-        # A read may confirm the batch before its own answer arrives.
-        await asyncio.wait(
-            {request, flight.settled}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if request.done() and not flight.is_settled:
-            await self._confirm(flight, request.result(), sent_ms)
+        # A read may confirm the batch before its own answer arrives. An
+        # overdue request may be on a silent connection: it is left alone,
+        # and the outcome is found by reading, over another connection.
+        await self._wait_any({request, flight.settled}, self._timing.poll_ms)
+        if flight.is_settled:
+            return
+        if not request.done():
+            raise _unknown(f'no answer within {self._timing.poll_ms} ms')
+        await self._confirm(flight, request.result(), sent_ms)
+
+    async def _wait_any(
+        self, futures: set[asyncio.Future], timeout_ms: int
+    ) -> None:
+        timer = asyncio.ensure_future(self._clock.sleep_ms(timeout_ms))
+        try:
+            await asyncio.wait(
+                {*futures, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
 
     def _forget(self, request: asyncio.Task[int]) -> None:
         self._requests.discard(request)
@@ -769,19 +818,23 @@
     async def _resolve(self, flight: flight_module.Flight) -> None:
         """Read and append again until the outcome is known."""
         backoff_ms = _BACKOFF_MS
+        # A silent connection costs a read its whole timeout, and a slow log
+        # needs a long one; so it grows.
+        timeout_ms = self._timing.poll_ms
         while not flight.is_settled:
             try:
-                await self._read_tail()
+                await self._read_tail_within(timeout_ms)
                 if flight.is_settled or self._abandon(flight):
                     return
                 await self._linger()
                 await self._attempt(flight)
-            except errors.LogError as error:
+            except errors.LogError:
                 if self._abandon(flight):
                     return
                 if self._client.is_down:
-                    self._refuse_waiting(error)
-                await self._pause_until(flight, backoff_ms)
+                    self._refuse_waiting()
+                await self._wait_any({flight.settled}, backoff_ms)
+                timeout_ms = min(2 * timeout_ms, _MAX_READ_TIMEOUT_MS)
                 backoff_ms = min(2 * backoff_ms, _MAX_BACKOFF_MS)
 
     def _abandon(self, flight: flight_module.Flight) -> bool:
@@ -794,17 +847,6 @@
         flight.settle()
         return True
 
-    async def _pause_until(
-        self, flight: flight_module.Flight, duration_ms: int
-    ) -> None:
-        timer = asyncio.ensure_future(self._clock.sleep_ms(duration_ms))
-        try:
-            await asyncio.wait(
-                {timer, flight.settled}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            timer.cancel()
-
 
 def _unknown(reason: str) -> errors.LogOutcomeUnknown:
     return errors.LogOutcomeUnknown(
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -84,6 +84,27 @@
                 self.assertTrue(owner.is_owner)
                 self.assertEqual(owner.epoch, reader.latest_epoch)
 
+    async def test_unexpected_error_ends_ownership(self):
+        """Guard against an assured owner whose reading has stopped."""
+        owner = await self.open_owner('a')
+        job = journal.records.SnapshotJob(
+            'j1', None, False, model.State.QUEUED, '', 0, [], []
+        )
+        poison = [
+            journal.SnapshotBegin('a', 'a', 0, {}, 1),
+            journal.SnapshotPart(0, [job]),
+            journal.SnapshotEnd(),
+        ]
+        batch = journal.Batch('x', 1, owner.epoch, 0, poison)
+        self.service.stream(owner.stream).append(
+            journal.encode(batch), self.clock.now_ms()
+        )
+        await self.clock.advance_ms(1_000)
+        self.assertFalse(owner.is_owner)
+        self.assertEqual(journal.NEVER_MS, owner.assured_at_ms)
+        with self.assertRaises(errors.NotReady):
+            await owner.claim()
+
     async def test_other_members_do_not_read(self):
         """Guard against the cost of streams that a member has no use for."""
         idle = await self.open('a', following=False)
@@ -127,6 +148,18 @@
                 )
                 self.assertLess(await self.watch(owner, 5_000), limit_ms)
 
+    async def test_age_counts_from_the_send(self):
+        """Guard against an assurance that outlasts a foreign claim."""
+        owner = await self.open_owner('a')
+        self.service.faults.delay_ms = 900
+        append = asyncio.ensure_future(owner.append(accept('j1')))
+        await self.clock.advance_ms(1_000)
+        await self.run_ms(append)
+        for _ in range(50):
+            await self.clock.advance_ms(50)
+            age_ms = self.clock.now_ms() - owner.assured_at_ms
+            self.assertGreaterEqual(age_ms, 900)
+
     async def test_ages_without_answers(self):
         """Guard against an assurance that no read stands behind."""
         owner = await self.open_owner('a')
@@ -161,6 +194,27 @@
                 self.assertEqual(owner.state.dump(), reader.state.dump())
                 self.assertIn(fault, reader.state.jobs)
 
+    async def test_silent_connection_delays_little(self):
+        """Guard against a whole request timeout per silent connection."""
+        owner = await self.open_owner('a')
+        for silent, limit_ms in [(1, 700), (2, 1_300)]:
+            with self.subTest(silent=silent):
+                await self.clock.advance_ms(1_000)
+                self.service.faults.hang_requests = silent
+                start_ms = self.clock.now_ms()
+                await self.run_ms(owner.append(accept(f'j{silent}')))
+                self.assertLess(self.clock.now_ms() - start_ms, limit_ms)
+
+    async def test_slow_log_takes_each_batch_once(self):
+        """Guard against appends repeated only because the log is slow."""
+        owner = await self.open_owner('a')
+        for delay_ms in (600, 1_900):
+            with self.subTest(delay_ms=delay_ms):
+                self.service.faults.delay_ms = delay_ms
+                appends = self.service.appends
+                await self.run_ms(owner.append(accept(f'j{delay_ms}')))
+                self.assertEqual(appends + 1, self.service.appends)
+
     async def test_outage_refuses_what_was_never_sent(self):
         """Guard against a refused record that appears, and against waits."""
         for fault in ('down', 'refuse'):
@@ -264,6 +318,20 @@
         await self.clock.advance_ms(1_000)
         self.assertFalse(owner.is_owner)
 
+    async def test_owner_without_history_writes_a_snapshot(self):
+        """Guard against readers that stay without a base after a loss."""
+        lost = await self.open_owner('a', following=False)
+        await self.run_ms(lost.append(accept('lost')))
+        self.service.trim(lost.stream, lost.tail_offset)
+        owner = await self.open_owner('b')
+        await self.run_ms(owner.append(accept('j1')))
+        await self.clock.advance_ms(1_000)
+        self.service.trim(lost.stream, owner.epoch + 1)
+        reader = await self.replay()
+        self.assertTrue(reader.state.complete)
+        self.assertEqual(['j1'], list(reader.state.jobs))
+        self.assertEqual('b', reader.latest_claimant)
+
     async def test_half_written_snapshot_is_ignored(self):
         """Guard against jobs lost to a snapshot that was interrupted."""
         timing = journal.Timing(batch_bytes=70_000, linger_ms=100)
