Decide every attempt once, also when it is refused

Cause: a coordinator repeats an unanswered order under the same attempt. A holder that had given the worker back, or had reported the attempt as not run, would have started it again elsewhere; a drop or a stop that overtook its order was forgotten. Ruled out: remembering only ended attempts, since a refused order that arrives twice may be placed under the next attempt in between. Change: the ledger keeps the answer of every attempt that it does not count any more, 60 s and at most 20,000. Conclusion: repeated, late and overtaken orders cannot start a task twice at one holder.

--- a/basilspindle/fleet/entry.py
+++ b/basilspindle/fleet/entry.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from basilspindle import errors
 from basilspindle import model
 from basilspindle.peer import messages
 
@@ -77,6 +78,18 @@
         """Return task id and attempt."""
         return self.running.task_id, self.running.attempt
 
+    def placement(self, *, unknown: bool = False) -> messages.Placement:
+        """Say where the attempt went."""
+        return messages.Placement(
+            task_id=self.running.task_id,
+            attempt=self.running.attempt,
+            worker_id=self.running.worker_id,
+            failure_domain=self.running.failure_domain,
+            rack=self.running.rack,
+            reason=errors.WorkerOutcomeUnknown.kind if unknown else '',
+            unknown=unknown,
+        )
+
     def listed(self) -> model.RunningTask:
         """Return the task with the latest epoch under which it is known."""
         return msgspec.structs.replace(self.running, worker_epoch=self.epoch)
--- a/basilspindle/fleet/fleet.py
+++ b/basilspindle/fleet/fleet.py
@@ -243,8 +243,10 @@
     async def place(self, message: messages.Place) -> messages.Placed:
         """Reserve and start each task, or only reserve with ``hold``.
 
-        The reservations of the whole batch are made before anything is
-        awaited. Starts go on if the caller is cancelled.
+        Each attempt is decided once: a repeated order gets the same
+        answer, also if it was refused. The reservations of the whole
+        batch are made before anything is awaited. Starts go on if the
+        caller is cancelled.
         """
         hold_until_ms = 0
         if message.hold:
@@ -273,11 +275,16 @@
         """
         started = []
         for task_id, attempt in message.tasks:
-            entry = self._find((task_id, attempt))
-            if entry is None:
-                continue
-            if entry.phase is entry_module.Phase.HELD:
-                self._ledger.free(entry)
+            key = (task_id, attempt)
+            entry = self._find(key)
+            past = self._ledger.past(key, self._clock.now_ms())
+            if entry is None and past is None:
+                self._drop(key, None)
+            elif entry is None:
+                # An attempt that ended was started.
+                started.extend([task_id] if past.worker_id else [])
+            elif entry.phase is entry_module.Phase.HELD:
+                self._drop(key, entry)
             else:
                 started.append(task_id)
         if started:
@@ -299,6 +306,8 @@
                 self._stop(entry)
             elif self._ledger.past(key, self._clock.now_ms()) is None:
                 unknown.append(key)
+                # Its order may still be on the way.
+                self._drop(key, None)
         return messages.Stopping(unknown_tasks=unknown)
 
     async def inventory(
@@ -318,7 +327,7 @@
                 entry.announced = True
                 running.append(entry.listed())
             elif entry.order.partition_epoch < message.partition_epoch:
-                self._ledger.free(entry)
+                self._drop(entry.key, entry)
         now_ms = self._clock.now_ms()
         return messages.Inventoried(
             running=running,
@@ -342,7 +351,7 @@
         now_ms = self._clock.now_ms()
         known = self._ledger.entry(order.task_id)
         if known is not None and known.key != key:
-            return starter_module.refusal(key, _OTHER_ATTEMPT)
+            return self._ledger.refuse(key, _OTHER_ATTEMPT, now_ms)
         if known is not None:
             return _known(known)
         past = self._ledger.past(key, now_ms)
@@ -351,14 +360,14 @@
         try:
             self._check_fence(order.partition, order.partition_epoch)
         except errors.Fenced as fault:
-            return starter_module.refusal(key, fault.kind)
+            return self._ledger.refuse(key, fault.kind, now_ms)
         entry = self._ledger.reserve(order, now_ms)
         if entry is None:
-            return starter_module.refusal(key, _NO_ROOM)
+            return self._ledger.refuse(key, _NO_ROOM, now_ms)
         if hold_until_ms:
             entry.phase = entry_module.Phase.HELD
             entry.hold_until_ms = hold_until_ms
-            return starter_module.placement(entry)
+            return entry.placement()
         return self._start(entry, self._settings.place_tries)
 
     def _start(self, entry: entry_module.TaskEntry, tries: int) -> '_Answer':
@@ -373,18 +382,28 @@
         entry = self._find(key)
         if entry is None:
             past = self._ledger.past(key, now_ms)
-            return past or starter_module.refusal(key, _HOLD_GONE)
+            return past or self._ledger.refuse(key, _HOLD_GONE, now_ms)
         if entry.phase is not entry_module.Phase.HELD:
             return _known(entry)
         if now_ms >= entry.hold_until_ms:
-            self._ledger.free(entry)
-            return starter_module.refusal(key, _HOLD_GONE)
+            return self._drop(key, entry)
         try:
             self._check_fence(message.partition, message.partition_epoch)
         except errors.Fenced as fault:
-            return starter_module.refusal(key, fault.kind)
+            return self._drop(key, entry, fault.kind)
         return self._start(entry, 1)
 
+    def _drop(
+        self,
+        key: entry_module.Key,
+        entry: entry_module.TaskEntry | None,
+        reason: str = _HOLD_GONE,
+    ) -> messages.Placement:
+        """Decide that a held task, or one still on its way, never starts."""
+        if entry is not None:
+            self._ledger.free(entry)
+        return self._ledger.refuse(key, reason, self._clock.now_ms())
+
     async def _expire_holds(self, hold_ms: int) -> None:
         await self._clock.sleep_ms(hold_ms)
         now_ms = self._clock.now_ms()
@@ -396,14 +415,14 @@
         ]
         for entry in expired:
             worker = self._ledger.worker_of(entry)
-            self._ledger.free(entry)
+            self._drop(entry.key, entry)
             worker.wake.set()
         if expired:
             events.emit(fleet_events.HOLD_EXPIRED, tasks=len(expired))
 
     def _stop(self, entry: entry_module.TaskEntry) -> None:
         if entry.phase is entry_module.Phase.HELD:
-            self._ledger.free(entry)
+            self._drop(entry.key, entry)
             self._reporter.end(entry.end(model.State.CANCELLED, started=False))
             return
         if not entry.stop_wanted:
@@ -454,7 +473,7 @@
 def _known(entry: entry_module.TaskEntry) -> _Answer:
     """Answer a repeated order as before."""
     if entry.phase is entry_module.Phase.RUNNING or entry.placed is None:
-        return starter_module.placement(entry)
+        return entry.placement()
     return entry.placed
 
 
--- a/basilspindle/fleet/keeper.py
+++ b/basilspindle/fleet/keeper.py
@@ -17,7 +17,6 @@
 from basilspindle.fleet import worker_event
 from basilspindle.fleet import worker_inventory
 from basilspindle import model
-from basilspindle.peer import messages
 
 _STATES = {
     worker_event.Outcome.SUCCEEDED: model.State.SUCCEEDED,
@@ -177,7 +176,18 @@
                     continue
                 if entry.key not in listed:
                     self._not_run(entry)
-            self._ledger.free(entry)
+                    continue
+            self._leave(entry)
+
+    def _leave(self, entry: entry_module.TaskEntry) -> None:
+        if entry.phase is entry_module.Phase.HELD:
+            self._drop_hold(entry)
+        else:
+            self._close(entry)
+
+    def _drop_hold(self, entry: entry_module.TaskEntry) -> None:
+        self._ledger.free(entry)
+        self._ledger.refuse(entry.key, 'hold_gone', self._clock.now_ms())
 
     def _lapse(self) -> None:
         self._worker.lapse()
@@ -207,7 +217,7 @@
         self._lapse()
         await worker.client.unlease(epoch)
         for entry in list(worker.tasks.values()):
-            self._ledger.free(entry)
+            self._leave(entry)
         events.emit(
             fleet_events.LEASE_RETURNED, worker_id=worker.info.worker_id
         )
@@ -355,19 +365,7 @@
             self._ledger.refresh()
 
     def _close(self, entry: entry_module.TaskEntry) -> None:
-        """Free an attempt that may have run; remember its answer."""
-        running = entry.running
-        self._ledger.remember(
-            messages.Placement(
-                task_id=running.task_id,
-                attempt=running.attempt,
-                worker_id=running.worker_id,
-                failure_domain=running.failure_domain,
-                rack=running.rack,
-            ),
-            self._clock.now_ms(),
-        )
-        self._ledger.free(entry)
+        self._ledger.close(entry, self._clock.now_ms())
 
     # Inventory
 
@@ -412,7 +410,7 @@
                 self._miss_task(entry, inventory, before)
         if worker.overdrawn:
             for entry in worker.in_phase(entry_module.Phase.HELD):
-                self._ledger.free(entry)
+                self._drop_hold(entry)
 
     def _take_ended(
         self, spec: task_spec.TaskSpec, event: worker_event.WorkerEvent
@@ -516,6 +514,7 @@
             return
         self._resolved(entry, 'not run')
         self._ledger.free(entry)
+        self._ledger.refuse(entry.key, 'not_run', self._clock.now_ms())
         self._reporter.end(
             entry.end(
                 model.State.QUEUED,
@@ -545,7 +544,7 @@
         lost = 0
         for entry in list(self._worker.tasks.values()):
             if entry.phase is entry_module.Phase.HELD:
-                self._ledger.free(entry)
+                self._drop_hold(entry)
             elif entry.phase is not entry_module.Phase.STARTING:
                 self._lose_task(entry, _RESTARTED, epoch)
                 lost += 1
--- a/basilspindle/fleet/ledger.py
+++ b/basilspindle/fleet/ledger.py
@@ -69,19 +69,38 @@
     def past(
         self, key: entry_module.Key, now_ms: int
     ) -> messages.Placement | None:
-        """Return the placement of an attempt that ended lately."""
+        """Return the answer to an attempt that is not counted any more."""
         found = self._past.get(key)
         if found is None or found[0] <= now_ms:
             return None
         return found[1]
 
-    def remember(self, placement: messages.Placement, now_ms: int) -> None:
-        """Keep the answer for orders that are repeated late."""
+    def refuse(
+        self, key: entry_module.Key, reason: str, now_ms: int
+    ) -> messages.Placement:
+        """Decide that an attempt is not started, now or later."""
+        refusal = messages.Placement(
+            task_id=key[0], attempt=key[1], reason=reason
+        )
+        self._remember(refusal, now_ms)
+        return refusal
+
+    def close(self, entry: entry_module.TaskEntry, now_ms: int) -> None:
+        """Free an attempt that may have run; remember its answer."""
+        self._remember(entry.placement(), now_ms)
+        self.free(entry)
+
+    def _remember(self, placement: messages.Placement, now_ms: int) -> None:
+        # A repetition of an order may arrive after the attempt was
+        # decided and placed elsewhere under the next attempt.
         key = placement.task_id, placement.attempt
         until_ms = now_ms + self._settings.remember_ms
         self._past[key] = until_ms, placement
         self._past.move_to_end(key)
-        while next(iter(self._past.values()))[0] <= now_ms:
+        while (
+            len(self._past) > self._settings.remember_most
+            or next(iter(self._past.values()))[0] <= now_ms
+        ):
             self._past.popitem(last=False)
 
     def refresh(self) -> None:
--- a/basilspindle/fleet/settings.py
+++ b/basilspindle/fleet/settings.py
@@ -13,8 +13,9 @@
 
     ``send_ms`` is the time that a start takes to reach its worker: none
     is sent later than that before the lease expires. ``call_ms`` limits
-    the wait for the answer of a call. ``remember_ms`` is how long an
-    ended attempt answers a repeated order.
+    the wait for the answer of a call. ``remember_ms`` is how long a
+    repeated order is answered as before once its attempt is over, and
+    ``remember_most`` the number of such answers.
     """
 
     worker_lease_ms: int = 3_000
@@ -26,6 +27,7 @@
     retry_ms: int = 250
     retry_max_ms: int = 5_000
     remember_ms: int = 60_000
+    remember_most: int = 20_000
     result_keep_ms: int = 600_000
     hand_back_ms: int = 5_000
     place_tries: int = 3
--- a/basilspindle/fleet/starter.py
+++ b/basilspindle/fleet/starter.py
@@ -45,9 +45,9 @@
             order = entry.order
             fault = await self._start(entry)
             if fault is None:
-                return placement(entry)
+                return entry.placement()
             if isinstance(fault, errors.WorkerOutcomeUnknown):
-                return placement(entry, unknown=True)
+                return entry.placement(unknown=True)
             tried.append(entry.running.worker_id)
             self._ledger.free(entry)
             following = None
@@ -57,7 +57,9 @@
                 )
             if following is None:
                 self._report_refusal(entry, fault)
-                return refusal(entry.key, fault.kind)
+                return self._ledger.refuse(
+                    entry.key, fault.kind, self._clock.now_ms()
+                )
             following.placed = entry.placed
             entry = following
 
@@ -186,24 +188,3 @@
             worker.wake.set()
             return
         entry.phase = entry_module.Phase.RUNNING
-
-
-def placement(
-    entry: entry_module.TaskEntry, *, unknown: bool = False
-) -> messages.Placement:
-    """Say where an attempt went."""
-    running = entry.running
-    return messages.Placement(
-        task_id=running.task_id,
-        attempt=running.attempt,
-        worker_id=running.worker_id,
-        failure_domain=running.failure_domain,
-        rack=running.rack,
-        reason=errors.WorkerOutcomeUnknown.kind if unknown else '',
-        unknown=unknown,
-    )
-
-
-def refusal(key: entry_module.Key, reason: str) -> messages.Placement:
-    """Say that an attempt was not placed."""
-    return messages.Placement(task_id=key[0], attempt=key[1], reason=reason)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,6 +51,8 @@
         refused = [p.reason for r in results for p in r if not p.worker_id]
         self.assertEqual(12, len(placed))
         self.assertEqual({'no_room'}, set(refused))
+        again = await self.place(opened, self.order('e/4'))
+        self.assertEqual([results[4][4]], again)
         self.assertEqual(0, opened.room().free.slots)
         self.check_record()
 
@@ -202,6 +204,17 @@
         self.assertEqual(4, self.fleet.room().free.slots)
         self.assertEqual(['hold_gone'] * 2, _reasons(await self.commit()))
 
+    async def test_drop_and_stop_overtake_their_order(self):
+        """Guard against a task that starts after it was given up."""
+        await self.fleet.drop(messages.Drop(tasks=[('x/0', 1)]))
+        await self.fleet.stop(
+            messages.Stop(partition=0, partition_epoch=1, tasks=[('y/0', 1)])
+        )
+        placed = await self.place(
+            self.fleet, self.order('x/0'), self.order('y/0')
+        )
+        self.assertEqual(['hold_gone'] * 2, _reasons(placed))
+
     async def test_drop_of_started_task_is_no_promise(self):
         """Guard against a confirmed Drop of a task that runs."""
         await self.commit(_KEYS[:1])
