Say 'not run' only if no other daemon held the worker in between

A late repetition of an old attempt overwrote its remembered answer. Ruled out: trusting that the owner ignores the wrong report, since a new owner of the partition may not know of the end. Change: the keeper concludes 'not run' only from an unbroken possession, else a loss; remembered answers come before the check for other attempts.

--- a/basilspindle/fleet/fleet.py
+++ b/basilspindle/fleet/fleet.py
@@ -350,13 +350,13 @@
         key = (order.task_id, order.attempt)
         now_ms = self._clock.now_ms()
         known = self._ledger.entry(order.task_id)
-        if known is not None and known.key != key:
-            return self._ledger.refuse(key, _OTHER_ATTEMPT, now_ms)
-        if known is not None:
+        if known is not None and known.key == key:
             return _known(known)
         past = self._ledger.past(key, now_ms)
         if past is not None:
             return past
+        if known is not None:
+            return self._ledger.refuse(key, _OTHER_ATTEMPT, now_ms)
         try:
             self._check_fence(order.partition, order.partition_epoch)
         except errors.Fenced as fault:
--- a/basilspindle/fleet/keeper.py
+++ b/basilspindle/fleet/keeper.py
@@ -171,13 +171,13 @@
         for entry in list(worker.tasks.values()):
             if entry.phase is entry_module.Phase.STARTING:
                 continue
-            if entry.phase is entry_module.Phase.UNCERTAIN:
-                if entry.key not in listed and entry.epoch >= inventory.epoch:
-                    continue
-                if entry.key not in listed:
-                    self._not_run(entry)
-                    continue
-            self._leave(entry)
+            if (
+                entry.phase is entry_module.Phase.UNCERTAIN
+                and entry.key not in listed
+            ):
+                self._conclude(entry, inventory)
+            else:
+                self._leave(entry)
 
     def _leave(self, entry: entry_module.TaskEntry) -> None:
         if entry.phase is entry_module.Phase.HELD:
@@ -470,15 +470,26 @@
     ) -> None:
         """Conclude for a task that the inventory does not list."""
         if entry.phase is entry_module.Phase.UNCERTAIN:
-            if entry.incarnation != inventory.incarnation:
-                self._lose_task(entry, _RESTARTED, inventory.epoch)
-            elif entry.epoch < inventory.epoch:
-                self._not_run(entry)
+            self._conclude(entry, inventory)
         elif entry.key in before:
             self._lose_task(
                 entry, 'worker does not know the task', inventory.epoch
             )
 
+    def _conclude(
+        self,
+        entry: entry_module.TaskEntry,
+        inventory: worker_inventory.WorkerInventory,
+    ) -> None:
+        """Conclude for a start with a lost answer that is not listed."""
+        if entry.incarnation != inventory.incarnation:
+            self._lose_task(entry, _RESTARTED, inventory.epoch)
+        elif self._worker.never_ran(entry, inventory.epoch):
+            self._not_run(entry)
+        elif entry.epoch < inventory.epoch:
+            # Another holder may have reported and released its result.
+            self._lose_task(entry, 'the lease changed hands', inventory.epoch)
+
     # Fate of tasks
 
     def _uncertain(self) -> bool:
--- a/basilspindle/fleet/leased_worker.py
+++ b/basilspindle/fleet/leased_worker.py
@@ -36,6 +36,8 @@
         'view',
         'wanted',
         'epoch',
+        'last_epoch',
+        'own_since',
         'incarnation',
         'renewed_ms',
         'lease_ms',
@@ -70,6 +72,10 @@
         )
         self.wanted = True
         self.epoch = 0
+        # The latest epoch granted to this daemon, kept when it lapses, and
+        # the first one since which no other daemon held the lease.
+        self.last_epoch = 0
+        self.own_since = 0
         self.incarnation = ''
         self.renewed_ms = 0
         self.lease_ms = 0
@@ -118,16 +124,33 @@
 
     def grant(self, grant: lease_grant.LeaseGrant, sent_ms: int) -> None:
         """Take over what a lease call granted."""
-        self.epoch = grant.epoch
+        same = grant.incarnation == self.incarnation
+        if not same or grant.epoch > self.last_epoch + 1:
+            self.own_since = grant.epoch
+        self.epoch = self.last_epoch = grant.epoch
         self.lease_ms = grant.ttl_ms
         self.renewed_ms = sent_ms
-        if grant.incarnation != self.incarnation:
+        if not same:
             self.incarnation = grant.incarnation
             self.after = 0
             self.released = 0
             self.unconfirmed.clear()
         self.resize(grant.capacity.resources())
 
+    def never_ran(
+        self, entry: entry_module.TaskEntry, inventory_epoch: int
+    ) -> bool:
+        """Tell whether an attempt missing in an inventory was not run.
+
+        The start can no longer arrive, because its epoch is over, and no
+        other holder can have released a result of it.
+        """
+        return (
+            entry.epoch < inventory_epoch
+            and inventory_epoch == self.last_epoch
+            and entry.epoch >= self.own_since
+        )
+
     def lapse(self) -> None:
         """Treat the lease as expired: the worker said so."""
         self.epoch = 0
--- a/tests/test_fleet_interleaving.py
+++ b/tests/test_fleet_interleaving.py
@@ -14,6 +14,8 @@
 from tests.standins import worker_faults
 
 _MEMBERS = ('d1', 'd2')
+# Orders are not repeated for longer than a holder remembers them.
+_LATEST_REPEAT_MS = 30_000
 _STEPS = (
     'place',
     'place',
@@ -170,15 +172,16 @@
         self.clock._now_ms += 200 * number
 
     async def repeat(self, number):
-        for key in self.known(number):
-            if key in self.sent and key not in self.held:
-                fleet, order = self.sent[key]
-                self.send(fleet, [order])
+        # Also orders that are long answered: a network may deliver late.
+        oldest_ms = self.clock.now_ms() - _LATEST_REPEAT_MS
+        for fleet, order, sent_ms in list(self.sent.values())[number % 3 :: 2]:
+            if sent_ms >= oldest_ms:
+                self.send(fleet, [order], sent_ms)
         await self.clock.settle()
 
-    def send(self, fleet, orders):
+    def send(self, fleet, orders, sent_ms):
         for order in orders:
-            self.sent[order.task_id, order.attempt] = fleet, order
+            self.sent[order.task_id, order.attempt] = fleet, order, sent_ms
         work = asyncio.ensure_future(
             fleet.place(messages.Place(member_id='c', orders=orders))
         )
@@ -187,7 +190,7 @@
         )
 
     async def place(self, number):
-        self.send(self.pick(number), self.build(number))
+        self.send(self.pick(number), self.build(number), self.clock.now_ms())
         await self.clock.advance_ms(1_000 if number % 7 == 0 else 0)
 
     async def hold(self, number):
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -64,6 +64,29 @@
         self.assertFalse(end.started)
         self.check_record()
 
+    async def test_result_that_the_next_holder_released(self):
+        """Guard against 'not run' for a task that ran and was released."""
+        first = await self.start_fleet()
+        second = await self.open_fleet('d2')
+        self.workers['w0'].faults.lose_starts = 1
+        order = self.order('a/0', idempotent=False, run_ms=2_000)
+        work = asyncio.ensure_future(
+            self.place(first, order, advance_ms=3_000)
+        )
+        await self.clock.settle()
+        self.cut_off.add('d1')
+        await self.assign(second)
+        await work
+        await self.clock.advance_ms(5_000)
+        self.assertEqual([], self.workers['w0'].inventory()[1]['ended'])
+        self.cut_off.clear()
+        await self.clock.advance_ms(9_000)
+        self.assertEqual(
+            [model.State.SUCCEEDED, model.State.UNKNOWN],
+            [end.state for end in self.ends],
+        )
+        self.assertTrue(all(end.started for end in self.ends))
+
     async def test_paused_holder_starts_nothing(self):
         """Guard against a start after a pause longer than the lease."""
         opened = await self.start_fleet()
