Test the last moment at which a start may be sent

Cause: the limit of 5% and one send before the expiry of a lease was tested only loosely. Change: a test on both sides of the limit. Conclusion: no code changed.

--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -100,6 +100,17 @@
             (placed,) = await self.place(opened, order)
             self.assertEqual(worker_id, placed.worker_id)
 
+    async def test_last_moment_of_a_lease(self):
+        """Guard against a start within 5% and one send of the expiry."""
+        for paused_ms, worker_id in ((2_799, 'w0'), (2_800, '')):
+            with self.subTest(paused_ms=paused_ms):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                opened = await self.start_fleet()
+                self.clock._now_ms += paused_ms
+                (placed,) = await self.place(opened, self.order('a/0'))
+                self.assertEqual(worker_id, placed.worker_id)
+
     async def test_pause_between_decision_and_send(self):
         """Guard against checking the lease only before the decision."""
 
