Place by the slots that a worker loses

Cause: at two years' size 1,200 tasks waited beside 909 free slots: best fit had put large services on small workers, whose other slots then had neither processor nor memory.

Change: the cost is the part of the scarcest free amount that a task takes, in slots of that worker, then best fit; workers are indexed by size and 8 candidates of each size are compared.

--- a/basilspindle/policy/placer.py
+++ b/basilspindle/policy/placer.py
@@ -9,29 +9,28 @@
 from basilspindle.policy import amounts as amounts_module
 from basilspindle.policy import full_shapes
 from basilspindle.policy import rank as rank_module
+from basilspindle.policy import size_class
 from basilspindle.policy import walk as walk_module
-from basilspindle.policy import worker_index
 from basilspindle.policy import worker_view
 
-# Good candidates that are compared before the best of them is taken.
-_CANDIDATES = 24
-_PLAIN = 0
-_ACCELERATED = 1
+# Good candidates of each size that are compared.
+_CANDIDATES = 8
 
 
 class Placer:
     """Views of the workers of one lease holder, ready for choices.
 
     Free amounts change only through ``take`` and ``give``, or are followed
-    by ``refresh``; ``penalty`` may be set at any time. Workers with
-    accelerators are apart, for the tasks that need them.
+    by ``refresh``; ``penalty`` may be set at any time. Workers are indexed
+    by size, since the best of each size differ; those with accelerators
+    come last for tasks that need none.
     """
 
     __slots__ = (
         '_views',
         '_keys',
-        '_everywhere',
-        '_domains',
+        '_plain',
+        '_accelerated',
         '_serial',
         '_candidates',
         '_full',
@@ -39,16 +38,14 @@
 
     def __init__(self, *, candidates: int = _CANDIDATES) -> None:
         self._views: dict[str, worker_view.WorkerView] = {}
-        # Serial, kind and the amounts under which a worker is indexed.
-        self._keys: dict[str, tuple[int, int, amounts_module.Amounts]] = {}
-        self._everywhere = (
-            worker_index.WorkerIndex(),
-            worker_index.WorkerIndex(),
-        )
-        self._domains: tuple[
-            dict[str, worker_index.WorkerIndex],
-            dict[str, worker_index.WorkerIndex],
-        ] = ({}, {})
+        # Serial, size and the amounts under which a worker is indexed.
+        self._keys: dict[
+            str, tuple[int, size_class.SizeClass, amounts_module.Amounts]
+        ] = {}
+        self._plain: dict[amounts_module.Amounts, size_class.SizeClass] = {}
+        self._accelerated: dict[
+            amounts_module.Amounts, size_class.SizeClass
+        ] = {}
         self._serial = itertools.count()
         self._candidates = candidates
         self._full = full_shapes.FullShapes()
@@ -66,16 +63,16 @@
     def add(self, view: worker_view.WorkerView) -> None:
         """Add a worker, or replace the one with the same id."""
         self.remove(view.worker_id)
-        kind = _ACCELERATED if view.total.accelerators else _PLAIN
         serial = next(self._serial)
         free = amounts_module.split(view.free)
+        total = amounts_module.split(view.total)
+        sizes = self._accelerated if view.total.accelerators else self._plain
+        size = sizes.get(total)
+        if size is None:
+            size = sizes[total] = size_class.SizeClass(total)
+        size.add(serial, view, free)
         self._views[view.worker_id] = view
-        self._keys[view.worker_id] = (serial, kind, free)
-        self._everywhere[kind].add(serial, view, free)
-        domain = self._domains[kind].setdefault(
-            view.failure_domain, worker_index.WorkerIndex()
-        )
-        domain.add(serial, view, free)
+        self._keys[view.worker_id] = (serial, size, free)
         self._full.gained(view.worker_id)
 
     def remove(self, worker_id: str) -> worker_view.WorkerView | None:
@@ -83,12 +80,11 @@
         view = self._views.pop(worker_id, None)
         if view is None:
             return None
-        serial, kind, free = self._keys.pop(worker_id)
-        self._everywhere[kind].remove(serial, free)
-        domain = self._domains[kind][view.failure_domain]
-        domain.remove(serial, free)
-        if not len(domain):
-            del self._domains[kind][view.failure_domain]
+        serial, size, free = self._keys.pop(worker_id)
+        size.remove(serial, view.failure_domain, free)
+        if not len(size):
+            self._plain.pop(size.total, None)
+            self._accelerated.pop(size.total, None)
         return view
 
     def take(
@@ -125,11 +121,10 @@
         self._move(worker_id, self._views[worker_id])
 
     def _move(self, worker_id: str, view: worker_view.WorkerView) -> None:
-        serial, kind, old = self._keys[worker_id]
+        serial, size, old = self._keys[worker_id]
         new = amounts_module.split(view.free)
-        self._keys[worker_id] = (serial, kind, new)
-        self._everywhere[kind].move(serial, old, new)
-        self._domains[kind][view.failure_domain].move(serial, old, new)
+        self._keys[worker_id] = (serial, size, new)
+        size.move(serial, view.failure_domain, old, new)
 
     def choose(self, order: model.TaskOrder) -> worker_view.WorkerView | None:
         """Return the best of the first candidates with room, or None.
@@ -142,25 +137,16 @@
         need = amounts_module.split(order.resources)
         changed = self._full.changed(need)
         if changed is not None:
-            views = self._known(changed)
-            best, avoided, closed = self._best(order, rank, views)
-            if best is None and avoided is None and not closed:
-                self._full.full(need)
-            return best or avoided
+            groups = [[self._known(changed)]]
+        else:
+            groups = [
+                [self._walk(policy, order, need, size) for size in sizes]
+                for sizes in self._groups(order.resources)
+            ]
         fallback = None
         closed = False
-        for kind in self._kinds(order.resources):
-            everywhere = self._everywhere[kind]
-            dimension = everywhere.scarcest(need)
-            walk = walk_module.walk(
-                policy,
-                order,
-                self._domains[kind],
-                everywhere,
-                dimension,
-                need[dimension],
-            )
-            best, avoided, skipped = self._best(order, rank, walk)
+        for walks in groups:
+            best, avoided, skipped = self._best(order, rank, walks)
             if best is not None:
                 return best
             fallback = fallback or avoided
@@ -169,6 +155,16 @@
             self._full.full(need)
         return fallback
 
+    def _walk(
+        self,
+        policy: rank_module.Policy,
+        order: model.TaskOrder,
+        need: amounts_module.Amounts,
+        size: size_class.SizeClass,
+    ) -> walk_module.Walk:
+        dimension = size.everywhere.scarcest(need)
+        return walk_module.walk(policy, order, size, dimension, need)
+
     def fits(self, resources: model.Resources) -> bool:
         """Tell whether any worker has room for a task."""
         need = amounts_module.split(resources)
@@ -189,10 +185,10 @@
         if changed is not None:
             yield from self._known(changed)
             return
-        for kind in self._kinds(resources):
-            everywhere = self._everywhere[kind]
-            dimension = everywhere.scarcest(need)
-            yield from everywhere.emptiest(dimension, need[dimension])
+        for sizes in self._groups(resources):
+            for size in sizes:
+                dimension = size.everywhere.scarcest(need)
+                yield from size.everywhere.emptiest(dimension, need[dimension])
 
     def _known(
         self, worker_ids: list[str]
@@ -202,16 +198,18 @@
             if view is not None:
                 yield view
 
-    def _kinds(self, resources: model.Resources) -> tuple[int, ...]:
+    def _groups(
+        self, resources: model.Resources
+    ) -> list[collections.abc.Iterable[size_class.SizeClass]]:
         if resources.accelerators:
-            return (_ACCELERATED,)
-        return (_PLAIN, _ACCELERATED)
+            return [self._accelerated.values()]
+        return [self._plain.values(), self._accelerated.values()]
 
     def _best(
         self,
         order: model.TaskOrder,
         rank: rank_module.Rank,
-        walk: walk_module.Walk,
+        walks: list[walk_module.Walk],
     ) -> tuple[
         worker_view.WorkerView | None, worker_view.WorkerView | None, bool
     ]:
@@ -227,27 +225,28 @@
         found = []
         avoided = []
         closed = False
-        good = 0
-        for view in walk:
-            free = view.free
-            if (
-                cpu > free.cpu_millicores
-                or memory > free.memory_mb
-                or slots > free.slots
-                or accelerators > free.accelerators
-            ):
-                continue
-            if view.penalty == math.inf:
-                closed = True
-                continue
-            if avoid and view.worker_id in avoid:
-                avoided.append(view)
-                continue
-            found.append(view)
-            if not view.penalty and view.rack not in siblings:
-                good += 1
-                if good >= self._candidates:
-                    break
+        for walk in walks:
+            good = 0
+            for view in walk:
+                free = view.free
+                if (
+                    cpu > free.cpu_millicores
+                    or memory > free.memory_mb
+                    or slots > free.slots
+                    or accelerators > free.accelerators
+                ):
+                    continue
+                if view.penalty == math.inf:
+                    closed = True
+                    continue
+                if avoid and view.worker_id in avoid:
+                    avoided.append(view)
+                    continue
+                found.append(view)
+                if not view.penalty and view.rack not in siblings:
+                    good += 1
+                    if good >= self._candidates:
+                        break
         return (
             min(found, key=rank, default=None),
             min(avoided, key=rank, default=None),
--- a/basilspindle/policy/rank.py
+++ b/basilspindle/policy/rank.py
@@ -17,7 +17,9 @@
 _SPREAD = spread.Spread()
 _QUICK = quick.Quick()
 # Keeps workers with accelerators for the tasks that need them.
-_ACCELERATOR_COST = 10.0
+_ACCELERATOR_COST = 1_000.0
+# Decides between workers that lose about the same.
+_FIT_WEIGHT = 0.1
 
 
 def policy_for(order: model.TaskOrder) -> Policy:
@@ -35,24 +37,42 @@
     return view.penalty + _ACCELERATOR_COST
 
 
+def _cost(resources: model.Resources, view: worker_view.WorkerView) -> float:
+    # Slots that the worker loses for typical further work, then best fit
+    # over the dominant remaining amount. A large task costs a small worker
+    # several slots, since the others stay without processor or memory.
+    before, after, most = _parts(resources, view)
+    return (before - after) * (view.total.slots or 1) + _FIT_WEIGHT * most
+
+
 def _parts(
     resources: model.Resources, view: worker_view.WorkerView
-) -> list[float]:
-    # The part of each amount that the task uses which would stay free.
+) -> tuple[float, float, float]:
+    # The scarcest free part before and after, and the largest after.
     free = view.free
     total = view.total
-    parts = []
-    if resources.cpu_millicores:
-        rest = free.cpu_millicores - resources.cpu_millicores
-        parts.append(rest / total.cpu_millicores)
-    if resources.memory_mb:
-        parts.append((free.memory_mb - resources.memory_mb) / total.memory_mb)
-    if resources.accelerators:
-        rest = free.accelerators - resources.accelerators
-        parts.append(rest / total.accelerators)
-    if resources.slots:
-        parts.append((free.slots - resources.slots) / total.slots)
-    return parts or [0.0]
+    before = after = 1.0
+    most = 0.0
+    for have, need, size in (
+        (free.cpu_millicores, resources.cpu_millicores, total.cpu_millicores),
+        (free.memory_mb, resources.memory_mb, total.memory_mb),
+        (free.slots, resources.slots, total.slots),
+        (
+            free.accelerators,
+            resources.accelerators,
+            resources.accelerators and total.accelerators,
+        ),
+    ):
+        if size:
+            part = have / size
+            if part < before:
+                before = part
+            part = (have - need) / size
+            if part < after:
+                after = part
+            if part > most:
+                most = part
+    return before, after, most
 
 
 @functools.singledispatch
@@ -66,7 +86,7 @@
     resources = order.resources
 
     def rank(view: worker_view.WorkerView) -> tuple[float, ...]:
-        return (_kept(order, view) + max(_parts(resources, view)),)
+        return (_kept(order, view) + _cost(resources, view),)
 
     return rank
 
@@ -82,7 +102,7 @@
             siblings.get(view.failure_domain, 0),
             siblings.get(view.rack, 0),
             view.running_by_job.get(job_id, 0),
-            _kept(order, view) + max(_parts(resources, view)),
+            _kept(order, view) + _cost(resources, view),
         )
 
     return rank
@@ -93,6 +113,6 @@
     resources = order.resources
 
     def rank(view: worker_view.WorkerView) -> tuple[float, ...]:
-        return (_kept(order, view) - min(_parts(resources, view)),)
+        return (_kept(order, view) - _parts(resources, view)[1],)
 
     return rank
--- a/basilspindle/policy/walk.py
+++ b/basilspindle/policy/walk.py
@@ -4,11 +4,12 @@
 import functools
 
 from basilspindle import model
+from basilspindle.policy import amounts
 from basilspindle.policy import pack
 from basilspindle.policy import quick
 from basilspindle.policy import rank
+from basilspindle.policy import size_class
 from basilspindle.policy import spread
-from basilspindle.policy import worker_index
 from basilspindle.policy import worker_view
 
 Walk = collections.abc.Iterator[worker_view.WorkerView]
@@ -18,38 +19,33 @@
 def walk(
     policy: rank.Policy,
     order: model.TaskOrder,
-    domains: dict[str, worker_index.WorkerIndex],
-    everywhere: worker_index.WorkerIndex,
+    size: size_class.SizeClass,
     dimension: int,
-    need: int,
+    need: amounts.Amounts,
 ) -> Walk:
-    """Yield workers, the most promising first.
+    """Yield workers of one size, the most promising first.
 
-    ``dimension`` is the dominant amount of the task, ``need`` how much of
-    it the task needs.
+    ``dimension`` is the amount that the fewest workers have enough of.
     """
     raise TypeError(f'no walk for {type(policy).__name__}')
 
 
 @walk.register
-def _(policy: pack.Pack, order, domains, everywhere, dimension, need) -> Walk:
-    return everywhere.fullest(dimension, need)
+def _(policy: pack.Pack, order, size, dimension, need) -> Walk:
+    return size.everywhere.fullest(dimension, need[dimension])
 
 
 @walk.register
-def _(
-    policy: quick.Quick, order, domains, everywhere, dimension, need
-) -> Walk:
-    return everywhere.emptiest(dimension, need)
+def _(policy: quick.Quick, order, size, dimension, need) -> Walk:
+    return size.everywhere.emptiest(dimension, need[dimension])
 
 
 @walk.register
-def _(
-    policy: spread.Spread, order, domains, everywhere, dimension, need
-) -> Walk:
+def _(policy: spread.Spread, order, size, dimension, need) -> Walk:
     siblings = order.siblings
     if not siblings:
-        yield from everywhere.fullest(dimension, need)
+        yield from size.everywhere.fullest(dimension, need[dimension])
         return
+    domains = size.domains
     for name in sorted(domains, key=lambda name: siblings.get(name, 0)):
-        yield from domains[name].fullest(dimension, need)
+        yield from domains[name].fullest(dimension, need[dimension])
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -54,6 +54,26 @@
         order = _order(model.Resources(4_000, 8_000, 0, 1))
         self.assertEqual('fits', self._choose(order, workers))
 
+    def test_large_tasks_leave_small_workers_usable(self):
+        """Guard against slots left without processor or memory."""
+        small = model.Resources(16_000, 32_000, 0, 8)
+        large = model.Resources(64_000, 256_000, 0, 8)
+        for order, expected in (
+            (_order(model.Resources(8_000, 16_000, 0, 1)), 'large'),
+            (_order(model.Resources(500, 1_000, 0, 1)), 'small'),
+        ):
+            with self.subTest(order=order.resources):
+                workers = [_worker('small', small), _worker('large', large)]
+                # One task each, so that neither is empty.
+                for view in workers:
+                    used = model.Resources(1_000, 2_000, 0, 1)
+                    view.free = view.free.subtract(used)
+                workers[1].free = workers[1].free.subtract(
+                    model.Resources(0, 0, 0, 1)
+                )
+                chosen = self._choose(order, workers)
+                self.assertEqual(expected, chosen)
+
     def test_accelerators_are_kept(self):
         """Guard against plain work on the only accelerators."""
         plain = model.Resources(64_000, 256_000, 0, 8)
