--- a/basilspindle/policy/usage_estimate.py
+++ b/basilspindle/policy/usage_estimate.py
@@ -1,6 +1,7 @@
 """Correct declared sizes and run times by what was observed."""
 
 from basilspindle import model
+from basilspindle.policy import amount_estimate
 from basilspindle.policy import decaying_histogram
 
 # Fewer observations than this say too little to replace a declaration.
@@ -10,8 +11,9 @@
 CPU_QUANTILE = 0.95
 MEMORY_QUANTILE = 0.99
 RUN_TIME_QUANTILE = 0.9
-# Least part of a declared amount that an estimate may go down to.
-FLOOR = 0.5
+# Least part of a declared amount that an estimate may go down to: the
+# larger of declared and observed is counted unless configured otherwise.
+FLOOR = 1.0
 
 
 class UsageEstimate:
@@ -26,22 +28,29 @@
         half_life: int = HALF_LIFE,
         min_observations: int = MIN_OBSERVATIONS,
     ) -> None:
-        self._cpu = decaying_histogram.DecayingHistogram(half_life)
-        self._memory = decaying_histogram.DecayingHistogram(half_life)
+        self._cpu = amount_estimate.AmountEstimate(half_life)
+        self._memory = amount_estimate.AmountEstimate(half_life)
         self._run_time = decaying_histogram.DecayingHistogram(half_life)
         self._floor = floor
         self._least = min_observations
 
     def observe(
-        self, used: model.Resources | None = None, run_time_ms: int = 0
+        self,
+        used: model.Resources | None = None,
+        run_time_ms: int = 0,
+        *,
+        declared: model.Resources | None = None,
     ) -> None:
         """Take in the usage of a task, its run time after its end, or both.
 
+        With ``declared`` the part of it that was used is learned, which
+        suits kinds whose jobs declare different sizes.
         ``run_time_ms`` 0 means that the task has not ended.
         """
         if used is not None:
-            self._cpu.add(used.cpu_millicores)
-            self._memory.add(used.memory_mb)
+            sizes = declared or model.Resources()
+            self._cpu.add(used.cpu_millicores, sizes.cpu_millicores)
+            self._memory.add(used.memory_mb, sizes.memory_mb)
         if run_time_ms > 0:
             self._run_time.add(run_time_ms)
 
@@ -69,13 +78,14 @@
 
     def _correct(
         self,
-        seen: decaying_histogram.DecayingHistogram,
+        seen: amount_estimate.AmountEstimate,
         quantile: float,
         declared: int,
     ) -> int:
-        if seen.count < self._least:
+        estimate = seen.quantile(quantile, declared, self._least)
+        if estimate is None:
             return declared
-        return max(seen.quantile(quantile), round(declared * self._floor))
+        return max(estimate, round(declared * self._floor))
 
     def run_time_ms(
         self, declared: int, quantile: float = RUN_TIME_QUANTILE
--- a/bench/schedulers.py
+++ b/bench/schedulers.py
@@ -6,6 +6,7 @@
 
 from basilspindle import model
 from basilspindle import policy
+from basilspindle.policy import usage_estimate
 from bench import work as work_module
 
 _BATCH_SIZE = 16
@@ -40,7 +41,11 @@
     name = 'core'
 
     def __init__(
-        self, site, rng: random.Random, floor: float = 0.5, **options
+        self,
+        site,
+        rng: random.Random,
+        floor: float = usage_estimate.FLOOR,
+        **options,
     ) -> None:
         self._queue = policy.FairQueue(**options)
         self._queue.set_teams(site.teams)
@@ -82,7 +87,7 @@
 
     def report(self, job: work_module.Work, run_ms: int) -> None:
         """Take in a usage report, some time after the task ended."""
-        self._estimate(job).observe(job.actual, run_ms)
+        self._estimate(job).observe(job.actual, run_ms, declared=job.declared)
 
     def end(self, job, worker_id, resources) -> None:
         """Count a task as ended."""
--- a/tests/test_policy_estimate.py
+++ b/tests/test_policy_estimate.py
@@ -20,6 +20,15 @@
         self.assertEqual(_DECLARED, estimate.resources(_DECLARED))
         self.assertEqual(7, estimate.run_time_ms(7))
 
+    def test_default_is_the_larger(self):
+        """Guard against a default that counts less than was declared."""
+        estimate = policy.UsageEstimate()
+        for _ in range(50):
+            estimate.observe(model.Resources(12_000, 100))
+        size = estimate.resources(_DECLARED)
+        self.assertGreaterEqual(size.cpu_millicores, 12_000)
+        self.assertEqual(16_000, size.memory_mb)
+
     def test_floor_and_unchanged_amounts(self):
         """Guard against a size far below the declared one."""
         estimate = policy.UsageEstimate(floor=0.5)
@@ -61,6 +70,19 @@
         self.assertLess(over, 0.02 * len(seen))
         self.assertLess(size, 6_600)
 
+    def test_jobs_of_different_sizes(self):
+        """Guard against small jobs counted as the largest of their kind."""
+        estimate = policy.UsageEstimate(floor=0.5)
+        for factor in list(range(1, 9)) * 5:
+            declared = model.Resources(1_000, 1_000, 0, 1).scale(factor)
+            used = model.Resources(800, 1_000, 0, 1).scale(factor)
+            estimate.observe(used, declared=declared)
+        small = estimate.resources(model.Resources(1_000, 1_000, 0, 1))
+        large = estimate.resources(model.Resources(8_000, 8_000, 0, 1))
+        self.assertLessEqual(small.memory_mb, 1_100)
+        self.assertLessEqual(small.cpu_millicores, 880)
+        self.assertGreaterEqual(large.memory_mb, 8_000)
+
     def test_decay(self):
         """Guard against an estimate that old behaviour holds for ever."""
         estimate = policy.UsageEstimate(floor=0.0, half_life=50)
