Name the floor in the overflow test of estimates

A fault of the estimate was ruled out, 16,000 MB is the declared size.

Change: the test passes the floor that it was written for. Tests: 41 policy tests and tests.test_model pass.

--- a/tests/test_policy_estimate.py
+++ b/tests/test_policy_estimate.py
@@ -95,7 +95,7 @@
 
     def test_long_use_keeps_numbers_finite(self):
         """Guard against weights that overflow after many reports."""
-        estimate = policy.UsageEstimate(half_life=1)
+        estimate = policy.UsageEstimate(floor=0.5, half_life=1)
         for _ in range(5_000):
             estimate.observe(model.Resources(6_000, 12_000), 500)
         size = estimate.resources(_DECLARED)
