Start nothing for a team above any of its limits

Cause: a team above the limit of one amount could still start tasks that need none of it, although a lowered limit must stop all starts (design, section 5).

--- a/basilspindle/policy/team_state.py
+++ b/basilspindle/policy/team_state.py
@@ -62,7 +62,10 @@
         self._limit = None if limit is None else amounts_module.split(limit)
 
     def allows(self, amounts: amounts_module.Amounts, count: int) -> bool:
-        """Tell whether so many more tasks stay within every upper limit."""
+        """Tell whether so many more tasks stay within every upper limit.
+
+        A team above any of its limits starts nothing at all.
+        """
         if self.policy is None:
             return False
         limit_tasks = self.policy.limit_tasks
@@ -71,7 +74,7 @@
         if self._limit is None:
             return True
         return all(
-            amount == 0 or limit < 0 or running + amount * count <= limit
+            limit < 0 or running + amount * count <= limit
             for amount, limit, running in zip(
                 amounts, self._limit, self.running, strict=True
             )
--- a/tests/test_policy_queue.py
+++ b/tests/test_policy_queue.py
@@ -95,6 +95,33 @@
             queue.end_running('blue', _ONE)
             self.assertEqual(expected, len(_jobs(queue.pop(0, 9))))
 
+    def test_above_one_limit_starts_nothing(self):
+        """Guard against starts beside an amount that is above its limit."""
+        queue = _queue()
+        queue.add_running('blue', model.Resources(1_000, 0, 2, 1))
+        limit = model.Resources(-1, -1, 1, -1)
+        queue.set_teams({'blue': policy.TeamPolicy(limit=limit)})
+        self.assertFalse(queue.limits_ok('blue'))
+        _push(queue, 'a')
+        self.assertEqual([], queue.pop(0, 9))
+
+    def test_unknown_team_starts_nothing(self):
+        """Guard against work of a team whose limits are not known."""
+        queue = _queue()
+        _push(queue, 'a', 'green')
+        self.assertEqual([], queue.pop(0, 9))
+        queue.set_teams({'green': policy.TeamPolicy()})
+        self.assertEqual(['a'], _jobs(queue.pop(0, 9)))
+
+    def test_waiting_shares(self):
+        """Guard against a team at its limit that holds back others."""
+        queue = _queue({'blue': policy.TeamPolicy(limit_tasks=1)})
+        self.assertEqual([-1.0] * 3, queue.waiting_shares())
+        _push(queue, 'a', count=2)
+        self.assertEqual([-1.0, -1.0, 0.0], queue.waiting_shares())
+        queue.pop(0, 1)
+        self.assertEqual([-1.0] * 3, queue.waiting_shares())
+
     def test_floors_hold_back(self):
         """Guard against a team ahead of a waiting team elsewhere."""
         queue = _queue()
