Keep correct declarations as they are

Cause: the used part was rounded up to the bound of its bucket, so that a kind that declares exactly what it uses was counted 5% larger.

Change: a part of 1 is the bound of a bucket.

--- a/basilspindle/policy/amount_estimate.py
+++ b/basilspindle/policy/amount_estimate.py
@@ -1,11 +1,10 @@
 """Estimate one amount, as such or as a part of what was declared."""
 
-import math
-
 from basilspindle.policy import decaying_histogram
 
-# Parts are counted in thousandths, far below the width of a bucket.
-_PART_UNIT = 1_000
+# A part of exactly 1 is the bound of a bucket, so that correct declarations
+# are not raised; 150 buckets below it hold parts down to a millionth.
+_PART_UNIT = decaying_histogram.GROWTH**150
 
 
 class AmountEstimate:
@@ -30,7 +29,7 @@
         """Return a quantile, None with fewer observations than ``least``."""
         if self._parts.count >= least:
             part = self._parts.quantile(quantile)
-            return math.ceil(declared * part / _PART_UNIT)
+            return round(declared * part / _PART_UNIT)
         if self._amounts.count >= least:
             return self._amounts.quantile(quantile)
         return None
--- a/basilspindle/policy/decaying_histogram.py
+++ b/basilspindle/policy/decaying_histogram.py
@@ -3,8 +3,8 @@
 import math
 
 # Buckets grow by a tenth, so that a quantile is at most a tenth too high.
-_GROWTH = 1.1
-_LOG_GROWTH = math.log(_GROWTH)
+GROWTH = 1.1
+_LOG_GROWTH = math.log(GROWTH)
 # Weights are rescaled before they exceed the range of a float.
 _RESCALE_AT = 1e100
 
@@ -51,4 +51,4 @@
             seen += self._weights[bucket]
             if seen >= target:
                 break
-        return math.ceil(_GROWTH**bucket) if self._weights else 0
+        return math.ceil(GROWTH**bucket) if self._weights else 0
--- a/tests/test_policy_estimate.py
+++ b/tests/test_policy_estimate.py
@@ -83,6 +83,14 @@
         self.assertLessEqual(small.cpu_millicores, 880)
         self.assertGreaterEqual(large.memory_mb, 8_000)
 
+    def test_correct_declarations_stay(self):
+        """Guard against an estimate that raises what was right."""
+        estimate = policy.UsageEstimate()
+        for memory_mb in range(500, 550):
+            declared = model.Resources(memory_mb, memory_mb)
+            estimate.observe(declared, declared=declared)
+        self.assertEqual(_DECLARED, estimate.resources(_DECLARED))
+
     def test_decay(self):
         """Guard against an estimate that old behaviour holds for ever."""
         estimate = policy.UsageEstimate(floor=0.0, half_life=50)
