Estimate how many tasks fit advertised room

Cause: the fair queue asks its caller how many tasks of a shape fit (room_for), and a coordinator knows only the rooms that members advertise. The free totals alone promise tasks to the sum of small rests.

Change: tasks_in, also used by GangPlan.

--- a/basilspindle/policy/__init__.py
+++ b/basilspindle/policy/__init__.py
@@ -9,6 +9,7 @@
 from basilspindle.policy.placer import Placer
 from basilspindle.policy.quick import Quick
 from basilspindle.policy.rank import policy_for
+from basilspindle.policy.room_estimate import tasks_in
 from basilspindle.policy.spread import Spread
 from basilspindle.policy.team_policy import TeamPolicy
 from basilspindle.policy.usage_estimate import UsageEstimate
@@ -28,4 +29,5 @@
     'can_ever_fit',
     'choose',
     'policy_for',
+    'tasks_in',
 ]
--- a/basilspindle/policy/gang_plan.py
+++ b/basilspindle/policy/gang_plan.py
@@ -4,7 +4,7 @@
 
 from basilspindle import model
 from basilspindle.peer.messages import room as room_module
-from basilspindle.policy import amounts as amounts_module
+from basilspindle.policy import room_estimate
 
 
 class GangPlan:
@@ -25,7 +25,7 @@
     ) -> None:
         self._count = count
         self._may_have = {
-            member_id: _tasks(resources, offered)
+            member_id: room_estimate.tasks_in(resources, offered)
             for member_id, offered in room.items()
         }
         self.held: dict[str, int] = {}
@@ -60,11 +60,3 @@
             self.held[member_id] = self.held.get(member_id, 0) + held
         may_have = self._may_have.get(member_id, 0) - held
         self._may_have[member_id] = may_have if held >= asked else 0
-
-
-def _tasks(resources: model.Resources, room: room_module.Room) -> int:
-    if not resources.fits(room.largest):
-        return 0
-    return amounts_module.multiple(
-        amounts_module.split(resources), amounts_module.split(room.free)
-    )
--- a/tests/test_policy_gang.py
+++ b/tests/test_policy_gang.py
@@ -196,3 +196,15 @@
     def test_hopeless_asks_nobody(self):
         """Guard against holds that cannot become a whole gang."""
         self.assertEqual({}, self._plan(30, a=4, b=12).ask())
+
+    def test_room_of_one_worker_counts(self):
+        """Guard against tasks promised to the sum of small rests."""
+        room = messages.Room(
+            workers=2,
+            free=model.Resources(10_000, 10_000, 0, 10),
+            largest=model.Resources(7_000, 5_000, 0, 5),
+        )
+        cases = [(_ONE, 10), (_ONE.scale(3), 2), (_ONE.scale(6), 0)]
+        for need, expected in cases:
+            with self.subTest(need=need):
+                self.assertEqual(expected, policy.tasks_in(need, room))
