--- a/bench/figures.py
+++ b/bench/figures.py
@@ -35,7 +35,8 @@
         self.waiting_ms: dict[str, list[int]] = {}
         self.by_team_ms: dict[tuple[str, str], list[int]] = {}
         self.packing: list[float] = []
-        self.share_errors: list[float] = []
+        # Mean distance of competing teams, and what they hold together.
+        self.share_errors: list[tuple[float, float]] = []
         self.overuse: list[float] = []
         self.trace: list[tuple[int, float, int]] = []
         self.decision_ns: list[int] = []
@@ -61,8 +62,10 @@
             table['decisions_per_s'] = (rate, '1/s')
         if self.packing:
             table['packing_ratio'] = (_mean(self.packing), 'ratio')
-        if self.share_errors:
-            table['share_error'] = (_mean(self.share_errors), 'ratio')
+        held = sum(held for _, held in self.share_errors)
+        if held:
+            error = sum(error for error, _ in self.share_errors)
+            table['share_error'] = (error / held, 'ratio')
         if self.overuse:
             table['memory_overuse_ratio'] = (_mean(self.overuse), 'ratio')
         urgent = self.waiting_ms.get('urgent')
