--- /dev/null
+++ b/tests/test_bench_policy.py
@@ -0,0 +1,67 @@
+"""Guard the simulated loop behind the figures of the decision core."""
+
+import random
+import unittest
+
+from basilspindle import model
+from basilspindle import policy
+from bench import schedulers
+from bench import simulation
+from bench import work as work_module
+
+_SIZE = model.Resources(4_000, 4_000, 0, 4)
+_ONE = model.Resources(1_000, 1_000, 0, 1)
+
+
+def _site():
+    rng = random.Random(3)
+    jobs = [
+        work_module.Work(
+            f'job-{n}',
+            rng.randrange(5_000),
+            f'team-{n % 2}',
+            'kind',
+            model.Priority(n % 3),
+            _ONE,
+            _ONE,
+            500,
+            [rng.randint(100, 900) for _ in range(4 if n % 7 else 5)],
+            n % 7 == 0,
+        )
+        for n in range(30)
+    ]
+    workers = [(f'w{n}', f'd{n}', f'r{n}', _SIZE) for n in range(2)]
+    teams = {f'team-{n}': policy.TeamPolicy() for n in range(2)}
+    return work_module.Site('tiny', workers, teams, jobs, 10, 0, 60_000)
+
+
+class SimulationTest(unittest.TestCase):
+    """Guard against figures of lost work or of an overfull fleet."""
+
+    def test_every_task_starts_once_and_fits(self):
+        for scheduler in (
+            schedulers.Core,
+            schedulers.FirstFit,
+            schedulers.TwoChoices,
+        ):
+            site = _site()
+            run = simulation.Simulation(
+                site, scheduler(site, random.Random(1))
+            ).run()
+            expected = sum(len(job.run_ms) for job in site.work)
+            waits = [w for kind in run.waiting_ms.values() for w in kind]
+            with self.subTest(scheduler=scheduler.name):
+                self.assertEqual(expected, run.starts)
+                self.assertEqual(expected, len(waits))
+                self.assertLess(max(waits), 50_000)
+                self.assertLessEqual(max(p for _, p, _ in run.trace), 1.0)
+                self.assertEqual(0.0, max(run.overuse))
+
+    def test_same_seed_same_waits(self):
+        """Guard against figures that differ from run to run."""
+        waits = []
+        for _ in range(2):
+            site = _site()
+            core = schedulers.Core(site, random.Random(1))
+            waits.append(simulation.Simulation(site, core).run().waiting_ms)
+        self.assertEqual(*waits)
