Interleave replaced and vanished VMs

Cause: the interleavings knew only processes that come back at their address. Change: VMs that are replaced by another id, with and without refusing connections.

--- a/tests/test_cluster_interleaving.py
+++ b/tests/test_cluster_interleaving.py
@@ -17,7 +17,15 @@
 _FAULT = strategies.one_of(
     strategies.tuples(
         strategies.sampled_from(
-            ('pause', 'resume', 'kill', 'isolate', 'hand_over')
+            (
+                'pause',
+                'resume',
+                'kill',
+                'replace',
+                'vanish',
+                'isolate',
+                'hand_over',
+            )
         ),
         _ONE,
     ),
@@ -41,7 +49,7 @@
 _LOSS = strategies.tuples(
     strategies.just('lose_owner'),
     strategies.tuples(
-        strategies.sampled_from(('isolate', 'pause', 'kill')),
+        strategies.sampled_from(('isolate', 'pause', 'kill', 'vanish')),
         strategies.sampled_from(
             ('heal', 'log_down', 'pause_owner', 'lose_append')
         ),
@@ -74,36 +82,55 @@
         self.starts = 0
         self.armed: list[str] = []
         self.claims = 0
+        # The id of the VM in each place; a replaced VM has another one.
+        self.ids = {place: place for place in _IDS}
+
+    def daemon(self, place):
+        return self.rig.daemons[self.ids[place]]
 
-    def pause(self, member_id):
-        self.rig.daemons[member_id].pause()
+    def address(self, place):
+        return self.ids[place] + ':1'
 
-    def resume(self, member_id):
+    def pause(self, place):
+        self.daemon(place).pause()
+
+    def resume(self, place):
         # A resumed process may act before any of its timers runs.
         self.check()
-        self.rig.daemons[member_id].resume()
+        self.daemon(place).resume()
         self.check()
 
-    async def kill(self, member_id):
-        await self.rig.daemons[member_id].kill()
-        await self.rig.add(member_id)
+    async def kill(self, place):
+        await self.daemon(place).kill()
+        await self.rig.add(self.ids[place])
+
+    async def replace(self, place):
+        old = self.ids[place]
+        await self.rig.daemons.pop(old).kill()
+        del self.rig.source.vms[old]
+        self.ids[place] = f'{place}{len(self.rig.network.nodes)}'
+        await self.rig.add(self.ids[place])
+
+    async def vanish(self, place):
+        # The VM is lost: its address does not even refuse.
+        self.isolate(place)
+        await self.replace(place)
 
-    def isolate(self, member_id):
-        self.rig.network.isolate(member_id + ':1')
+    def isolate(self, place):
+        self.rig.network.isolate(self.address(place))
 
-    async def hand_over(self, member_id):
-        daemon = self.rig.daemons[member_id]
-        for tenure in daemon.ownership._tenures.values():
+    def hand_over(self, place):
+        for tenure in self.daemon(place).ownership._tenures.values():
             tenure.hand_over()
 
     def cut(self, pair):
-        self.rig.network.cut(pair[0] + ':1', pair[1] + ':1')
+        self.rig.network.cut(*map(self.address, pair))
 
     def cut_one_way(self, pair):
-        self.rig.network.cut(pair[0] + ':1', pair[1] + ':1', both=False)
+        self.rig.network.cut(*map(self.address, pair), both=False)
 
     def lose_reply(self, pair):
-        self.rig.network.lost_replies.add((pair[0] + ':1', pair[1] + ':1'))
+        self.rig.network.lost_replies.add(tuple(map(self.address, pair)))
 
     def heal(self, _):
         self.rig.network.heal()
@@ -121,19 +148,19 @@
         self.rig.source.silent = not self.rig.source.silent
 
     def owners(self):
-        return [d for d in self.rig.daemons.values() if d.active]
+        return [place for place in _IDS if self.daemon(place).active]
 
     async def lose_owner(self, faults):
         how, then = faults
         self.armed.append(then)
-        for daemon in self.owners()[:1]:
-            done = getattr(self, how)(daemon.member_id)
+        for place in self.owners()[:1]:
+            done = getattr(self, how)(place)
             if done is not None:
                 await done
 
     def pause_owner(self, _):
-        for daemon in self.owners()[:1]:
-            daemon.pause()
+        for place in self.owners()[:1]:
+            self.pause(place)
 
     def spring(self):
         # Faults right after a claim hit the time before it is known.
