Test the single rules of membership and fencing

Change: tests for a pause between refusals, a resumed owner in an outage, the return of a partition, and the exit after a release; the rule for a former owner that is not known is covered by the one for claims never seen active, and is removed.

--- a/basilspindle/cluster/fencing.py
+++ b/basilspindle/cluster/fencing.py
@@ -117,11 +117,6 @@
             return False
         if self._former_acked():
             return True
-        known = self._membership.get(self._former)
-        gone = self._membership.gone(self._former)
-        if known is None and not gone:
-            # An owner that this daemon does not know may be live.
-            return False
         return waited_ms >= self._timing.settle_ms
 
     def _former_acked(self) -> bool:
--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -188,10 +188,6 @@
         ]
         return max(found, key=lambda m: m.incarnation, default=None)
 
-    def gone(self, member_id: str) -> bool:
-        """Tell whether a process of the member is known to be gone."""
-        return member_id in self._gone
-
     def must_reply(self) -> list[member_module.Member]:
         """Return the other members that count for assurance and fences."""
         return [
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -88,6 +88,16 @@
         await self.rig.run_ms(10_000)
         self.assertEqual(['b'], self.counts())
 
+    async def test_a_pause_between_two_refusals_starts_again(self):
+        """Guard against a long series made of two refusals."""
+        await self.b.kill()
+        await self.rig.until(lambda: self.seen.get('b').refused_ms)
+        self.a.pause()
+        await self.rig.run_ms(10_000)
+        self.a.resume()
+        await self.rig.run_ms(700)
+        self.assertEqual(['b'], self.counts())
+
     async def test_resumed_process_does_not_suspect_the_others(self):
         """Guard against a resumed daemon that claims everything."""
         self.a.pause()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -104,6 +104,33 @@
         await self.rig.run_ms(1_000)
         self.assertTrue(self.old.starts(0))
 
+    async def test_resumed_owner_is_not_assured_before_it_is_settled(self):
+        """Guard against a claimant that a resumed owner has not heard of."""
+        self.rig.log.down = True
+        self.old.pause()
+        await self.rig.run_ms(10_000)
+        self.old.resume()
+        await self.rig.run_ms(1_000)
+        replied_ms = self.old.membership.replied_at_ms(self.rest[0].member_id)
+        self.assertLess(self.rig.clock.now_ms() - replied_ms, 1_000)
+        self.assertFalse(self.old.starts(0))
+        await self.rig.run_ms(1_500)
+        self.assertTrue(self.old.starts(0))
+
+    async def test_resumed_owner_gets_its_partition_back_soon(self):
+        """Guard against a gap while the better owner holds back."""
+        self.old.pause()
+        await self.rig.until(self.successor)
+        self.old.resume()
+        gaps = []
+
+        def back():
+            gaps.append(self.owner() is None)
+            return self.old.starts(0)
+
+        await self.rig.until(back)
+        self.assertLessEqual(20 * sum(gaps), 700)
+
     async def test_log_outage_and_a_dead_member_end_it_only_shortly(self):
         """Guard against a dead member that keeps the others unassured."""
         self.rig.log.down = True
@@ -126,7 +153,7 @@
         await self.rig.finish(self.old.ownership.hand_over_all())
         await self.old.kill()
         spent_ms = await self.rig.until(self.successor)
-        self.assertLessEqual(spent_ms, 2_500)
+        self.assertLessEqual(spent_ms, 700)
 
     async def test_stop_in_an_outage_of_the_log_ends(self):
         """Guard against a planned stop that waits for the log for ever."""
@@ -199,7 +226,8 @@
         self.rig.log.append(0, memory_log.Entry(True, 'hidden', 0))
         await self.rig.until(lambda: self.owner() is None)
         spent_ms = await self.rig.until(self.owner)
-        self.assertGreaterEqual(spent_ms, _LAPSE_MS)
+        # One lapse until the lost claim is repeated, one after it.
+        self.assertGreaterEqual(spent_ms, 2 * _LAPSE_MS - 500)
 
     async def test_members_cut_from_each_other_do_not_flap(self):
         """Guard against two claimants that depose each other for ever."""
