Honour the limits of the settings and keep "ran: no" true

Cause: the API had bounds of its own and used the limit of a configuration for every body. Reading the path of a refusal showed that "ran: no" could be false: a submission whose first reply was lost, or whose job a new owner did not know, was sent again, and the refusal of the repetition was passed on as it was. An anonymous caller could read every job of the team of an open queue, since the id follows from the idempotency key.

Ruled out: deciding in the owner. It does not know of the earlier call.

Change: Services and Admission take settings.Bounds; a publish has its own body limit; a waiting room refuses with overloaded. The router turns a refusal after a lost call into "unknown" and tells of repetitions, so that deadline_exceeded says "no" only if one owner had the job and the view shows every task. The coordinator marks not_owner after acceptance as unknown. A refused request is no longer cancelled at the owner, a View that fails at once is repeated after a pause, not_ready of an owner is retried. A look-up without a key shows only jobs of its queue. Input is validated whole; amounts are bounded; deep JSON in a publish is 400. A disconnect ends in its own error in place of a cancelled handler. A survey that fails is repeated.

--- a/basilspindle/api/admission.py
+++ b/basilspindle/api/admission.py
@@ -10,11 +10,13 @@
 from basilspindle import config
 from basilspindle import errors
 from basilspindle import model
+from basilspindle import settings as settings_package
 
-MAX_INPUT_BYTES = 64 * 1024
-MAX_TASKS = 10_000
 _MAX_MS = 366 * 24 * 3_600_000
 _MAX_KEY_CHARS = 200
+# Larger than any worker, and small enough for every format on the way.
+_MAX_AMOUNT = 1_000_000_000
+_MAX_SHOWN_CHARS = 64
 _DIGEST_BYTES = 16
 _BEARER = 'Bearer '
 
@@ -28,13 +30,17 @@
     latest one.
     """
 
-    __slots__ = ('_clock', '_store')
+    __slots__ = ('_clock', '_limits', '_store')
 
     def __init__(
-        self, clock: clock_module.Clock, store: config.ConfigStore
+        self,
+        clock: clock_module.Clock,
+        store: config.ConfigStore,
+        limits: settings_package.Bounds,
     ) -> None:
         self._clock = clock
         self._store = store
+        self._limits = limits
 
     def identify(self, authorization: str) -> config.Identity:
         """Return whom a key speaks for.
@@ -97,7 +103,8 @@
         team, key_id = self.team_of(authorization, request.queue)
         kind = self._kind(request, team)
         idempotent = kind.idempotent and request.idempotent is not False
-        _check(request, kind, idempotency_key)
+        _check(request, kind, idempotency_key, self._limits)
+        _check_json(request.input)
         durable = not waits or not idempotent or bool(idempotency_key)
         return model.Job(
             job_id=_job_id(team, key_id, request.queue, idempotency_key),
@@ -179,13 +186,14 @@
     request: submission_module.Submission,
     kind: config.Kind,
     idempotency_key: str,
+    limits: settings_package.Bounds,
 ) -> None:
-    if not 1 <= request.tasks <= MAX_TASKS:
-        raise errors.BadRequest(f'tasks must be from 1 to {MAX_TASKS}')
-    if len(request.input) > MAX_INPUT_BYTES:
+    if not 1 <= request.tasks <= limits.max_tasks:
+        raise errors.BadRequest(f'tasks must be from 1 to {limits.max_tasks}')
+    if len(request.input) > limits.max_input_bytes:
         raise errors.TooLarge(
             f'input has {len(request.input)} bytes; the most is '
-            f'{MAX_INPUT_BYTES}'
+            f'{limits.max_input_bytes}'
         )
     if len(idempotency_key) > _MAX_KEY_CHARS:
         raise errors.BadRequest(
@@ -202,8 +210,21 @@
             raise errors.BadRequest(f'{name} must be from 0 to {_MAX_MS}')
     for name in request.resources.__struct_fields__:
         value = getattr(request.resources, name)
-        if value is not None and value < 0:
-            raise errors.BadRequest(f'resources.{name} must be 0 or more')
+        if value is not None and not 0 <= value <= _MAX_AMOUNT:
+            raise errors.BadRequest(
+                f'resources.{name} must be from 0 to {_MAX_AMOUNT}'
+            )
+
+
+def _check_json(value: msgspec.Raw) -> None:
+    # The decoder of the submission only looks for the end of the input.
+    # What a worker cannot decode would count as a failure of the worker.
+    try:
+        msgspec.json.decode(value)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.BadRequest(
+            f'input is not valid JSON: {error}; correct it'
+        ) from None
 
 
 def _resources(
--- a/basilspindle/api/app.py
+++ b/basilspindle/api/app.py
@@ -15,6 +15,8 @@
 from basilspindle import errors
 from basilspindle import events
 
+_MAX_ERROR_CHARS = 300
+
 
 def make(services: services_module.Services) -> litestar.Litestar:
     """Return the application; every error has the documented form."""
@@ -34,7 +36,7 @@
             Exception: _fault,
         },
         middleware=[count],
-        request_max_body_size=services.max_body_bytes,
+        request_max_body_size=services.limits.max_body_bytes,
         openapi_config=None,
         logging_config=None,
     )
@@ -98,11 +100,18 @@
 }
 
 
+def _describe(error: Exception) -> str:
+    # The text of an error may quote the body of a caller.
+    return repr(error)[:_MAX_ERROR_CHARS]
+
+
 def _fault(
     request: litestar.Request, error: Exception
 ) -> litestar.Response[problem.ProblemBody]:
     events.emit(
-        api_events.REQUEST_FAILED, path=request.url.path, error=repr(error)
+        api_events.REQUEST_FAILED,
+        path=request.url.path,
+        error=_describe(error),
     )
     return _answer(
         errors.BasilspindleError(
--- a/basilspindle/api/callers.py
+++ b/basilspindle/api/callers.py
@@ -16,7 +16,7 @@
 # Longer than a takeover after the death of an owner.
 _LOOKUP_MS = 8_000
 _MAX_WAIT_MS = 15_000
-_MAX_PAGE = 1_000
+_PAGE = 100
 
 
 class SubmittedBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,6 +46,10 @@
 
 def routes(services: services_module.Services) -> list[object]:
     """Return the routes for callers."""
+    most = services.limits.max_page_results
+
+    def show(view: model.JobView) -> job_body.JobBody:
+        return job_body.make(view, most)
 
     @litestar.post('/v1/requests', status_code=200)
     async def run_request(request: litestar.Request) -> job_body.JobBody:
@@ -57,10 +61,11 @@
             waits=True,
         )
         timing = services.store.current.document.timing
-        work = waiting.Waiting(
-            services.clock, services.router, job, timing.request_max_ms
-        )
-        return job_body.make(await _watch(request, work))
+        with services.waiting_room.enter():
+            work = waiting.Waiting(
+                services.clock, services.router, job, timing.request_max_ms
+            )
+            return show(await _watch(request, work))
 
     @litestar.post('/v1/jobs', status_code=201)
     async def submit_job(request: litestar.Request) -> SubmittedBody:
@@ -81,12 +86,14 @@
 
     @litestar.get('/v1/jobs')
     async def list_jobs(
-        request: litestar.Request, after: str = '', limit: int = 100
+        request: litestar.Request, after: str = '', limit: int | None = None
     ) -> JobListBody:
         """List the jobs of the key's team."""
         team = _team(services, request)
-        if not 1 <= limit <= _MAX_PAGE:
-            raise errors.BadRequest(f'limit must be from 1 to {_MAX_PAGE}')
+        if limit is None:
+            limit = min(_PAGE, most)
+        if not 1 <= limit <= most:
+            raise errors.BadRequest(f'limit must be from 1 to {most}')
         reply = await services.router.call(
             messages.ListJobs(
                 partition=services.router.partition_of(team),
@@ -97,7 +104,7 @@
             _LOOKUP_MS,
         )
         return JobListBody(
-            jobs=[job_body.make(view) for view in reply.views],
+            jobs=[show(view) for view in reply.views],
             more=reply.more,
         )
 
@@ -109,17 +116,18 @@
         queue: str = 'default',
     ) -> job_body.JobBody:
         """Show a job, waiting up to ``wait_ms`` for its end."""
-        team, _ = services.admission.team_of(_authorization(request), queue)
-        reply = await services.router.call(
-            messages.View(
-                partition=services.router.partition_of(team),
-                team=team,
-                job_id=job_id,
-                wait_ms=_wait(wait_ms),
-            ),
-            wait_ms + _LOOKUP_MS,
+        team, key_id = services.admission.team_of(
+            _authorization(request), queue
+        )
+        look = messages.View(
+            partition=services.router.partition_of(team),
+            team=team,
+            job_id=job_id,
+            wait_ms=_wait(wait_ms),
         )
-        return job_body.make(reply.view)
+        if not key_id:
+            await _check_queue(services, look, queue)
+        return show(await _ask(services, look, wait_ms + _LOOKUP_MS))
 
     @litestar.delete('/v1/jobs/{job_id:str}', status_code=200)
     async def cancel_job(
@@ -127,19 +135,48 @@
     ) -> job_body.JobBody:
         """Cancel a job; ended tasks keep their outcome."""
         team = _team(services, request)
-        reply = await services.router.call(
-            messages.Cancel(
-                partition=services.router.partition_of(team),
-                team=team,
-                job_id=job_id,
-            ),
-            _SUBMIT_MS,
+        cancel = messages.Cancel(
+            partition=services.router.partition_of(team),
+            team=team,
+            job_id=job_id,
         )
-        return job_body.make(reply.view)
+        return show(await _ask(services, cancel, _SUBMIT_MS))
 
     return [run_request, submit_job, list_jobs, show_job, cancel_job]
 
 
+async def _ask(
+    services: services_module.Services,
+    request: messages.View | messages.Cancel,
+    timeout_ms: int,
+) -> model.JobView:
+    """Return a job; a job that is not known any more may have been run."""
+    try:
+        reply = await services.router.call(request, timeout_ms)
+    except errors.NotFound as error:
+        raise errors.NotFound(
+            error.message, ran=errors.Ran.UNKNOWN, job_id=request.job_id
+        ) from None
+    return reply.view
+
+
+async def _check_queue(
+    services: services_module.Services, look: messages.View, queue: str
+) -> None:
+    """Refuse a caller without a key the jobs of other queues.
+
+    The id of a job follows from its idempotency key, which can be guessed.
+    """
+    now = msgspec.structs.replace(look, wait_ms=0)
+    view = await _ask(services, now, _LOOKUP_MS)
+    if view.queue != queue:
+        raise errors.NotFound(
+            f'queue {queue!r} has no such job; check the id',
+            ran=errors.Ran.UNKNOWN,
+            job_id=look.job_id,
+        )
+
+
 async def _watch(
     request: litestar.Request, work: waiting.Waiting
 ) -> model.JobView:
@@ -148,9 +185,14 @@
     gone = asyncio.ensure_future(_disconnected(request))
     try:
         await asyncio.wait({result, gone}, return_when=asyncio.FIRST_COMPLETED)
-        if not result.done():
-            result.cancel()
-        return await result
+        if result.done():
+            return await result
+        result.cancel()
+        await asyncio.wait({result})
+        raise errors.CallerGone(
+            'the caller closed the connection before the end; ask for the '
+            'job if it has an idempotency key'
+        )
     finally:
         gone.cancel()
         result.cancel()
--- a/basilspindle/api/job_body.py
+++ b/basilspindle/api/job_body.py
@@ -31,8 +31,8 @@
     reason: str
 
 
-def make(view: model.JobView) -> JobBody:
-    """Return the body for a job."""
+def make(view: model.JobView, most_results: int) -> JobBody:
+    """Return the body for a job with its first results."""
     results = [
         ResultBody(
             index=result.index,
@@ -42,7 +42,7 @@
             result=msgspec.Raw(result.result or b'null'),
             error=result.error,
         )
-        for result in view.results
+        for result in view.results[:most_results]
     ]
     return JobBody(
         job_id=view.job_id,
--- a/basilspindle/api/operators.py
+++ b/basilspindle/api/operators.py
@@ -19,6 +19,11 @@
     overlay: msgspec.Raw
 
 
+# The largest whole number that every JSON reader keeps exactly.
+_MOST_VERSION = 2**53 - 1
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=_MOST_VERSION)]
+
+
 class PublishBody(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -26,7 +31,7 @@
 
     base: msgspec.Raw
     overlay: msgspec.Raw = msgspec.Raw(b'{}')
-    from_version: int = 0
+    from_version: Version = 0
 
 
 class VersionBody(msgspec.Struct, frozen=True):
@@ -65,13 +70,17 @@
             overlay=msgspec.Raw(accepted.publication.overlay),
         )
 
-    @litestar.post('/v1/configuration', status_code=200)
+    @litestar.post(
+        '/v1/configuration',
+        status_code=200,
+        request_max_body_size=services.limits.max_configuration_bytes,
+    )
     async def publish(request: litestar.Request) -> VersionBody:
         """Publish a base and an overlay document."""
         author = _check(services, request)
         try:
             body = msgspec.json.decode(await request.body(), type=PublishBody)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise errors.BadRequest(
                 f'the body is not a valid publish: {error}; send base, '
                 'overlay and from_version'
--- a/basilspindle/api/services.py
+++ b/basilspindle/api/services.py
@@ -6,10 +6,12 @@
 from basilspindle.api import admission as admission_module
 from basilspindle.api import member_body
 from basilspindle.api import metrics as metrics_module
+from basilspindle.api import waiting_room
 from basilspindle.api import worker_body
 from basilspindle import clock as clock_module
 from basilspindle import config
 from basilspindle import routing
+from basilspindle import settings
 
 
 class Services:
@@ -25,7 +27,8 @@
         'members',
         'workers',
         'dump',
-        'max_body_bytes',
+        'limits',
+        'waiting_room',
     )
 
     def __init__(
@@ -39,15 +42,18 @@
         members: collections.abc.Callable[[], list[member_body.MemberBody]],
         workers: collections.abc.Callable[[], list[worker_body.WorkerBody]],
         dump: collections.abc.Callable[[], dict[str, typing.Any]],
-        max_body_bytes: int,
+        limits: settings.Bounds,
     ) -> None:
         self.clock = clock
         self.store = store
         self.router = router
-        self.admission = admission_module.Admission(clock, store)
+        self.admission = admission_module.Admission(clock, store, limits)
         self.metrics = metrics
         self.ready = ready
         self.members = members
         self.workers = workers
         self.dump = dump
-        self.max_body_bytes = max_body_bytes
+        self.limits = limits
+        self.waiting_room = waiting_room.WaitingRoom(
+            limits.max_waiting_requests
+        )
--- a/basilspindle/api/waiting.py
+++ b/basilspindle/api/waiting.py
@@ -11,12 +11,13 @@
 _POLL_MS = 5_000
 _MIN_CALL_MS = 500
 _CANCEL_MS = 1_000
+_RETRY_PAUSE_MS = 100
 
 
 class Waiting:
     """Submit a job and wait for its end on behalf of one caller."""
 
-    __slots__ = ('_clock', '_router', '_partition', '_job', '_due_ms')
+    __slots__ = ('_clock', '_router', '_partition', '_job', '_due_ms', '_sent')
 
     def __init__(
         self,
@@ -30,6 +31,8 @@
         self._partition = router.partition_of(job.team)
         self._job = job
         self._due_ms = clock.now_ms() + timeout_ms
+        # Whether an owner other than the last one may have run the job.
+        self._sent = False
 
     async def submit(self, wait_ms: int = 0) -> messages.Submitted:
         """Hand the job to the owner of its team; wait there for its end."""
@@ -37,9 +40,12 @@
             partition=self._partition, job=self._job, wait_ms=wait_ms
         )
         return await self._router.call(
-            request, max(_MIN_CALL_MS, self._left_ms())
+            request, max(_MIN_CALL_MS, self._left_ms()), self._note_repeat
         )
 
+    def _note_repeat(self) -> None:
+        self._sent = True
+
     async def result(self) -> model.JobView:
         """Submit and wait for the end.
 
@@ -54,6 +60,14 @@
                 view = await self._view()
             else:
                 return view
+        except errors.BasilspindleError as error:
+            if self._sent:
+                error.ran = errors.Ran.UNKNOWN
+                error.job_id = self._job.job_id
+            # A refused job needs no cancellation.
+            if error.ran is not errors.Ran.NO:
+                await self._cancel()
+            raise
         except BaseException:
             await self._cancel()
             raise
@@ -78,8 +92,11 @@
         except errors.NotFound:
             # A new owner does not know a job that was never in the log;
             # the same job id makes this the same job.
+            self._sent = True
             return (await self.submit(wait_ms)).view
         except (errors.OutcomeUnknown, errors.NotReady):
+            # Either may come at once and again.
+            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
             return None
         return reply.view
 
@@ -99,11 +116,10 @@
 
     async def _timeout(self) -> errors.BasilspindleError:
         view = await self._cancel()
-        if view is not None and view.state.final:
-            attempts = sum(result.attempts for result in view.results)
-            ran = errors.Ran.UNKNOWN if attempts else errors.Ran.NO
-        else:
-            ran = errors.Ran.UNKNOWN
+        untouched = view is not None and _never_started(view)
+        ran = errors.Ran.UNKNOWN
+        if untouched and not self._sent:
+            ran = errors.Ran.NO
         advice = (
             'ask for the job by its id'
             if self._job.durable
@@ -114,3 +130,10 @@
             ran=ran,
             job_id=self._job.job_id,
         )
+
+
+def _never_started(view: model.JobView) -> bool:
+    # A view holds a bounded number of results; those left out may have
+    # been started.
+    complete = len(view.results) == view.tasks
+    return complete and not any(result.attempts for result in view.results)
--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -225,15 +225,25 @@
         repeated = await self._accept(partition, request.job)
         view = None
         if request.wait_ms:
-            view = await self._await_end(
+            view = await self._await_submitted(request)
+        return messages.Submitted(
+            job_id=request.job.job_id, repeated=repeated, view=view
+        )
+
+    async def _await_submitted(
+        self, request: messages.Submit
+    ) -> model.JobView:
+        try:
+            return await self._await_end(
                 request.partition,
                 request.job.team,
                 request.job.job_id,
                 request.wait_ms,
             )
-        return messages.Submitted(
-            job_id=request.job.job_id, repeated=repeated, view=view
-        )
+        except errors.NotOwner as error:
+            # The job was accepted here and may have been started.
+            error.ran = errors.Ran.UNKNOWN
+            raise
 
     async def _accept(
         self, partition: owned_partition.OwnedPartition, job: model.Job
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -164,7 +164,7 @@
             members=self._members,
             workers=self._workers,
             dump=self.dump,
-            max_body_bytes=settings.limits.max_configuration_bytes,
+            limits=settings.limits,
         )
         files = settings.tls.api
         await stack.enter_async_context(
@@ -592,9 +592,14 @@
         """Return the partition of a team."""
         return self._daemon.router.partition_of(team)
 
-    async def call(self, request: typing.Any, timeout_ms: int) -> typing.Any:
+    async def call(
+        self,
+        request: typing.Any,
+        timeout_ms: int,
+        on_repeat: collections.abc.Callable[[], None] | None = None,
+    ) -> typing.Any:
         """Return the owner's reply."""
-        return await self._daemon.router.call(request, timeout_ms)
+        return await self._daemon.router.call(request, timeout_ms, on_repeat)
 
 
 _NO_SHARES = [-1.0, -1.0, -1.0]
--- a/basilspindle/daemon/partition_host.py
+++ b/basilspindle/daemon/partition_host.py
@@ -7,6 +7,8 @@
 from basilspindle import clock as clock_module
 from basilspindle import cluster
 from basilspindle import coordinator as coordinator_package
+from basilspindle.daemon import events as daemon_events
+from basilspindle import events
 from basilspindle import model
 
 _SURVEY_MS = 300
@@ -67,6 +69,9 @@
         self._coordinator.activate(
             partition, journal, running, ends, unseen_until_ms
         )
+        former = self._surveys.pop(partition, None)
+        if former is not None:
+            former.cancel()
         if unseen_until_ms > self._clock.now_ms():
             self._surveys[partition] = asyncio.ensure_future(
                 self._watch(partition, journal.epoch, unseen_until_ms)
@@ -81,8 +86,13 @@
 
     async def _watch(self, partition: int, epoch: int, until_ms: int) -> None:
         while self._clock.now_ms() < until_ms:
-            running, ends, complete = await self._survey(partition, epoch)
-            if complete:
-                self._coordinator.see_all(partition, running, ends)
-                return
+            try:
+                seen = await self._survey(partition, epoch)
+            except Exception as error:
+                events.emit(daemon_events.LOOP_FAILED, error=repr(error))
+            else:
+                running, ends, complete = seen
+                if complete:
+                    self._coordinator.see_all(partition, running, ends)
+                    return
             await self._clock.sleep_ms(_SURVEY_MS)
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -182,6 +182,14 @@
     ran = Ran.UNKNOWN
 
 
+class CallerGone(BasilspindleError):
+    """Report that the caller closed its connection; nobody reads this."""
+
+    kind = 'caller_gone'
+    status = 499
+    ran = Ran.UNKNOWN
+
+
 class OutcomeUnknown(BasilspindleError):
     """Report that the work may or may not have been run."""
 
--- a/basilspindle/routing/router.py
+++ b/basilspindle/routing/router.py
@@ -73,12 +73,19 @@
         """Return the partition of a team."""
         return self._owners.partition_of(team)
 
-    async def call(self, request: typing.Any, timeout_ms: int) -> typing.Any:
+    async def call(
+        self,
+        request: typing.Any,
+        timeout_ms: int,
+        on_repeat: collections.abc.Callable[[], None] | None = None,
+    ) -> typing.Any:
         """Return the owner's reply to a request with a ``partition``.
 
         Raises the owner's error, ``NotReady`` if no owner was found and
         the request was never sent, and ``OutcomeUnknown`` if it was sent
-        and not answered within ``timeout_ms``.
+        and not answered within ``timeout_ms``. A refusal of a request that
+        an earlier owner may have received does not say that it was not
+        run. ``on_repeat`` is called before such a request is sent again.
         """
         due_ms = self._clock.now_ms() + timeout_ms
         sent = False
@@ -86,18 +93,26 @@
         while True:
             address = await self._find(request, due_ms, sent)
             left_ms = due_ms - self._clock.now_ms()
+            if sent and on_repeat is not None:
+                on_repeat()
             try:
                 return await self._call_one(address, request, left_ms)
             except (
                 errors.PeerUnavailable,
                 errors.NotOwner,
                 errors.Deposed,
+                errors.NotReady,
             ) as error:
                 # An owner that did nothing gets no extra work.
                 sent = sent or error.ran is not errors.Ran.NO
             except (errors.PeerOutcomeUnknown, errors.DeadlineExceeded):
                 sent = True
                 self._spend(request)
+            except errors.BasilspindleError as error:
+                if sent and error.ran is errors.Ran.NO:
+                    error.ran = errors.Ran.UNKNOWN
+                    error.job_id = error.job_id or _job_id(request)
+                raise
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
 
     def _spend(self, request: typing.Any) -> None:
@@ -148,15 +163,19 @@
 
 
 def _give_up(request: typing.Any, sent: bool) -> errors.BasilspindleError:
-    job = request.job if isinstance(request, messages.Submit) else None
-    job_id = job.job_id if job else getattr(request, 'job_id', '')
     if sent:
         return errors.OutcomeUnknown(
             'the owner of the team was called and did not answer in time; '
             'ask for the job by its id before submitting it again',
-            job_id=job_id,
+            job_id=_job_id(request),
         )
     return errors.NotReady(
         'no daemon owns the team at the moment; try again',
         retry_after_ms=_RETRY_AFTER_MS,
     )
+
+
+def _job_id(request: typing.Any) -> str:
+    if isinstance(request, messages.Submit):
+        return request.job.job_id
+    return getattr(request, 'job_id', '')
--- /dev/null
+++ b/tests/api_case.py
@@ -0,0 +1,266 @@
+"""Run the HTTP application with a store and a router that tests control."""
+
+import asyncio
+import json
+import types
+import unittest
+
+import httpx
+
+from basilspindle import api
+from basilspindle import config
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+from basilspindle import settings
+from tests.standins import manual_clock
+
+KEYS = {
+    name: config.Keyring.generate(name)
+    for name in ('red-1', 'blue-1', 'ops-1', 'old-1')
+}
+
+
+def make_document():
+    """Return a configuration of two teams and an open queue."""
+    kind = {
+        'priority': 'urgent',
+        'resources': {'cpu_millicores': 100, 'memory_mb': 64},
+        'run_time_ms': 50,
+    }
+    limit = {'tasks': 10}
+    kinds = ['query', 'pay']
+    document = {
+        'cell': 'cell-1',
+        'regions': ['r1'],
+        'teams': {
+            'red': {'share': 1, 'limit': limit, 'kinds': kinds},
+            'blue': {'share': 1, 'limit': limit, 'kinds': ['query']},
+        },
+        'kinds': {
+            'query': {**kind, 'idempotent': True},
+            'pay': kind,
+            'other': kind,
+        },
+        'queues': {
+            'public': {'open': True, 'team': 'red', 'kinds': ['query']},
+            'reds': {'team': 'red'},
+        },
+        'keys': {},
+    }
+    for team in ('red', 'blue'):
+        key_id = f'{team}-1'
+        document['keys'][key_id] = {
+            'role': 'caller',
+            'team': team,
+            'sha256': KEYS[key_id][1],
+        }
+    document['keys']['ops-1'] = {
+        'role': 'operator',
+        'sha256': KEYS['ops-1'][1],
+    }
+    return document
+
+
+class StoreStandIn:
+    """Hold one configuration, assured unless a test says otherwise."""
+
+    def __init__(self):
+        self.version = 1
+        self.stale = False
+        self.published = []
+        self.error = None
+        self.put(make_document())
+
+    def put(self, document):
+        base = json.dumps(document).encode()
+        read = config.read(base, b'{}')
+        self.current = types.SimpleNamespace(
+            version=self.version,
+            document=read,
+            publication=types.SimpleNamespace(base=base, overlay=b'{}'),
+        )
+        self._keys = config.Keyring(read.keys)
+
+    def check_assured(self):
+        if self.stale:
+            raise errors.ConfigurationStale('stale', retry_after_ms=250)
+
+    def identify(self, key):
+        self.check_assured()
+        return self._keys.check(key)
+
+    async def publish(self, base, overlay, from_version, author):
+        if self.error is not None:
+            raise self.error
+        self.published.append((base, overlay, from_version, author))
+        return from_version + 1
+
+
+class RouterStandIn:
+    """Answer calls by functions of the test; keep every request."""
+
+    def __init__(self):
+        self.requests = []
+        self.repeats = False
+        self.answers = {
+            messages.Submit: self.submit,
+            messages.View: self.view,
+            messages.ListJobs: self.list,
+            messages.Cancel: self.cancel,
+        }
+        self.jobs = {}
+
+    def partition_of(self, team):
+        return len(team)
+
+    async def call(self, request, timeout_ms, on_repeat=None):
+        self.requests.append(request)
+        if self.repeats and on_repeat is not None:
+            on_repeat()
+        return await self.answers[type(request)](request)
+
+    def asked(self, kind):
+        return [r for r in self.requests if isinstance(r, kind)]
+
+    async def submit(self, request):
+        job = request.job
+        repeated = job.job_id in self.jobs
+        self.jobs[job.job_id] = job
+        view = self.show(job, model.State.SUCCEEDED)
+        return messages.Submitted(
+            job_id=job.job_id, repeated=repeated, view=view
+        )
+
+    async def view(self, request):
+        job = self.jobs.get(request.job_id)
+        if job is None or job.team != request.team:
+            raise errors.NotFound('no such job; check the id')
+        return messages.Viewed(view=self.show(job, model.State.SUCCEEDED))
+
+    async def list(self, request):
+        return messages.JobList(views=[], more=False)
+
+    async def cancel(self, request):
+        job = self.jobs[request.job_id]
+        return messages.Cancelled(view=self.show(job, model.State.CANCELLED))
+
+    def show(self, job, state, attempts=1):
+        """Return a view whose tasks all have a state and their input."""
+        results = [
+            model.TaskResult(
+                index=index, state=state, attempts=attempts, result=job.input
+            )
+            for index in range(job.tasks)
+            if state.final
+        ]
+        return model.JobView(
+            job_id=job.job_id,
+            team=job.team,
+            queue=job.queue,
+            kind=job.kind,
+            state=state,
+            tasks=job.tasks,
+            counts={state.value: job.tasks},
+            submitted_wall_ms=job.submitted_wall_ms,
+            results=results,
+        )
+
+
+def bearer(name):
+    """Return the header of a key; none for ''."""
+    return {'Authorization': f'Bearer {KEYS[name][0]}'} if name else {}
+
+
+class ApiCase(unittest.IsolatedAsyncioTestCase):
+    """Serve the application to a client in the same process."""
+
+    limits = settings.Bounds()
+
+    async def asyncSetUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.store = StoreStandIn()
+        self.router = RouterStandIn()
+        self.metrics = api.Metrics()
+        self.app = api.make(
+            api.Services(
+                clock=self.clock,
+                store=self.store,
+                router=self.router,
+                metrics=self.metrics,
+                ready=lambda: '',
+                members=list,
+                workers=list,
+                dump=self.dump,
+                limits=self.limits,
+            )
+        )
+        transport = httpx.ASGITransport(self.app, raise_app_exceptions=False)
+        self.http = await self.enterAsyncContext(
+            httpx.AsyncClient(transport=transport, base_url='http://api')
+        )
+
+    def dump(self):
+        return {'member_id': 'entry-1'}
+
+    async def send(self, method, path, body=None, key='red-1', **headers):
+        """Send JSON, or bytes as they are."""
+        content = body if isinstance(body, bytes) else json.dumps(body)
+        sent = {name.replace('_', '-'): v for name, v in headers.items()}
+        return await self.http.request(
+            method,
+            path,
+            content=content if body is not None else None,
+            headers={**bearer(key), **sent},
+        )
+
+    def check(self, answer, status, kind, ran):
+        """Check the documented form of an error."""
+        self.assertEqual(status, answer.status_code, answer.text)
+        self.assertEqual(['error'], list(answer.json()))
+        error = answer.json()['error']
+        self.assertEqual(
+            {'kind', 'message', 'ran', 'retry_after_ms', 'job_id'},
+            set(error),
+        )
+        self.assertEqual((kind, ran), (error['kind'], error['ran']))
+        self.assertTrue(error['message'])
+        return error
+
+    async def start(self, path, body, key='red-1'):
+        """Start a request; return its task and how to disconnect it."""
+        content = json.dumps(body).encode()
+        gone = asyncio.Event()
+        parts = [{'type': 'http.request', 'body': content}]
+        sent = []
+
+        async def receive():
+            if parts:
+                return parts.pop()
+            await gone.wait()
+            return {'type': 'http.disconnect'}
+
+        async def send(message):
+            sent.append(message)
+
+        headers = [
+            (name.lower().encode(), value.encode())
+            for name, value in bearer(key).items()
+        ]
+        scope = {
+            'type': 'http',
+            'asgi': {'version': '3.0'},
+            'http_version': '1.1',
+            'method': 'POST',
+            'scheme': 'http',
+            'path': path,
+            'raw_path': path.encode(),
+            'query_string': b'',
+            'root_path': '',
+            'headers': headers,
+            'client': ('127.0.0.1', 1),
+            'server': ('127.0.0.1', 2),
+        }
+        task = asyncio.ensure_future(self.app(scope, receive, send))
+        await self.clock.settle()
+        return task, gone, sent
