Test the parts that connect a daemon with the others

Cause: the age of placements, the identity of holders, the spread of workers and the opening of a partition rest on small classes that only runs with processes touched.

Change: tables for PeerHandlers, HolderDirectory, WorkerAssignment, OwnerDirectory, PeersWithConfiguration, LiveTiming, PartitionHost and Survey, with stand-ins for membership, client and fleet.

--- /dev/null
+++ b/tests/test_daemon_parts.py
@@ -0,0 +1,500 @@
+"""Guard the parts that connect a daemon with the others."""
+
+import asyncio
+import types
+import unittest
+
+import loguru
+
+from basilspindle import cluster
+from basilspindle import config
+from basilspindle.daemon import holder_directory
+from basilspindle.daemon import live_timing
+from basilspindle.daemon import owner_directory
+from basilspindle.daemon import partition_host
+from basilspindle.daemon import peer_handlers
+from basilspindle.daemon import peers_with_configuration
+from basilspindle.daemon import survey
+from basilspindle.daemon import worker_assignment
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+from tests.standins import manual_clock
+
+_LIVE = cluster.MemberState.LIVE
+
+
+def make_member(name, region='r1', incarnation='1', version=1, **fields):
+    """Return a live member that was heard."""
+    member = cluster.Member(f'{name}:1')
+    member.hear(
+        messages.Heartbeat(
+            member_id=name,
+            incarnation=incarnation,
+            address=f'{name}:1',
+            api_address=f'{name}:2',
+            failure_domain='fd',
+            region=region,
+            config_version=version,
+            **fields,
+        ),
+        0,
+    )
+    member.state = _LIVE
+    return member
+
+
+class MembershipStandIn:
+    """Know the members that a test gives; the first is this daemon."""
+
+    def __init__(self, *members):
+        self.all = list(members)
+
+    @property
+    def own(self):
+        return self.all[0]
+
+    def members(self):
+        return self.all[1:]
+
+    def live(self):
+        return [m for m in self.all if m.state is _LIVE]
+
+    def get(self, member_id):
+        found = [m for m in self.all if m.member_id == member_id]
+        return max(found, key=lambda m: m.incarnation, default=None)
+
+
+class ClientStandIn:
+    """Answer by address; an error is raised."""
+
+    def __init__(self):
+        self.replies = {}
+        self.calls = []
+
+    async def call(self, address, request, timeout_ms):
+        self.calls.append((address, request))
+        reply = self.replies.get(address)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+class FleetStandIn:
+    """Keep the requests that reach the fleet of this daemon."""
+
+    def __init__(self):
+        self.taken = []
+        self.own_room = messages.Room()
+
+    def room(self):
+        return self.own_room
+
+    async def take(self, request):
+        self.taken.append(request)
+        return 'here'
+
+    place = commit = drop = stop = take
+
+    async def inventory(self, request):
+        task = model.RunningTask(
+            task_id='r1/0',
+            attempt=1,
+            job_id='r1',
+            index=0,
+            team='red',
+            kind='query',
+            partition=request.partition,
+            worker_id='w1',
+            failure_domain='fd',
+            rack='rack',
+            resources=model.Resources(),
+        )
+        return messages.Inventoried(running=[task], ends=[], workers=['w1'])
+
+
+class PeerHandlersTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against starts of requests that the sender gave up."""
+
+    def setUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.fleet = FleetStandIn()
+        self.handlers = peer_handlers.PeerHandlers(
+            self.clock,
+            MembershipStandIn(make_member('a', incarnation='7')),
+            None,
+            self.fleet,
+            None,
+            None,
+        )
+
+    async def test_old_or_foreign_placement_is_refused(self):
+        cases = (
+            ('new', '7', 0, True),
+            ('at the limit', '7', peer_handlers.PLACE_MAX_AGE_MS, True),
+            ('too old', '7', peer_handlers.PLACE_MAX_AGE_MS + 1, False),
+            ('for an earlier process', '6', 0, False),
+            ('for no process', '', 0, False),
+        )
+        for name, incarnation, age_ms, taken in cases:
+            request = messages.Place(
+                member_id='b',
+                orders=[],
+                receiver_incarnation=incarnation,
+                receiver_time_ms=self.clock.now_ms() - age_ms,
+            )
+            with self.subTest(name):
+                self.fleet.taken.clear()
+                if taken:
+                    await self.handlers.place(request)
+                else:
+                    with self.assertRaises(errors.PlacementExpired) as got:
+                        await self.handlers.place(request)
+                    self.assertIs(errors.Ran.NO, got.exception.ran)
+                self.assertEqual(taken, bool(self.fleet.taken))
+
+    async def test_inventory_names_this_process_as_holder(self):
+        """Guard against tasks whose stop goes to an earlier process."""
+        request = messages.Inventory(
+            partition=1, partition_epoch=1, member_id='b'
+        )
+        reply = await self.handlers.inventory(request)
+        self.assertEqual('a@7', reply.running[0].holder_id)
+
+
+class HolderDirectoryTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against placements at a process that is not the meant one."""
+
+    def setUp(self):
+        self.own = make_member('a')
+        self.other = make_member('b', incarnation='5', sent_at_ms=42)
+        self.membership = MembershipStandIn(self.own, self.other)
+        self.client = ClientStandIn()
+        self.fleet = FleetStandIn()
+        self.holders = holder_directory.HolderDirectory(
+            manual_clock.ManualClock(),
+            self.membership,
+            self.client,
+            self.fleet,
+        )
+
+    async def test_placement_names_the_receivers_time(self):
+        """Guard against a placement whose age cannot be told."""
+        request = messages.Place(member_id='', orders=[])
+        await self.holders.place('b@5', request)
+        address, sent = self.client.calls[0]
+        self.assertEqual(
+            ('b:1', 'a', '5', 42),
+            (
+                address,
+                sent.member_id,
+                sent.receiver_incarnation,
+                sent.receiver_time_ms,
+            ),
+        )
+
+    async def test_own_requests_stay_here(self):
+        """Guard against calls of a daemon to itself."""
+        for call in ('place', 'commit', 'drop', 'stop'):
+            await getattr(self.holders, call)('a@1', call)
+        self.assertEqual(4, len(self.fleet.taken))
+        self.assertEqual([], self.client.calls)
+
+    async def test_restarted_daemon_is_another_holder(self):
+        """Guard against a new process that is taken for the old one."""
+        self.membership.all[1] = make_member('b', incarnation='6')
+        names = [name for name, _, _ in self.holders.rooms()]
+        self.assertEqual(['a@1', 'b@6'], names)
+        self.assertTrue(self.holders.lost('b@5'))
+        self.assertFalse(self.holders.lost('b@6'))
+        for call in ('place', 'commit', 'drop', 'stop'):
+            with self.assertRaises(errors.PeerUnavailable):
+                await getattr(self.holders, call)('b@5', None)
+        self.assertEqual([], self.client.calls)
+
+    def test_only_ended_members_are_lost(self):
+        """Guard against tasks started again while the holder may run."""
+        for state in cluster.MemberState:
+            self.other.state = state
+            ended = state in ('down', 'gone')
+            self.assertEqual(ended, self.holders.lost('b@5'), state)
+        self.own.state = cluster.MemberState.SUSPECT
+        self.assertFalse(self.holders.lost('a@1'))
+
+    def test_stamp_changes_with_the_own_room(self):
+        """Guard against a room that is counted with old placements."""
+        stamps = []
+        for workers in (0, 0, 2, 2, 0):
+            self.fleet.own_room = messages.Room(workers=workers)
+            stamps.append(next(self.holders.rooms())[2])
+        self.assertEqual([0, 0, 1, 1, 2], stamps)
+
+    def test_floors_are_the_lowest_waiting_shares_elsewhere(self):
+        """Guard against a team that is compared with itself."""
+        self.assertEqual([-1.0] * 3, self.holders.floors())
+        self.own.heartbeat = None
+        for name, shares in (
+            ('c', [0.5, -1.0, 0.0]),
+            ('d', [0.2, -1.0, 0.3]),
+        ):
+            self.membership.all.append(
+                make_member(name, waiting_shares=shares)
+            )
+        self.assertEqual([0.2, -1.0, 0.0], self.holders.floors())
+
+
+class WorkerAssignmentTest(unittest.TestCase):
+    """Guard against workers that nobody or everybody holds."""
+
+    def setUp(self):
+        self.members = [make_member(f'm{n}', f'r{n % 2}') for n in range(6)]
+        self.workers = [
+            cluster.VirtualMachine(
+                id=f'w{n}',
+                address=f'w{n}:1',
+                role=cluster.Role.WORKER,
+                region=f'r{n % 2}',
+            )
+            for n in range(60)
+        ]
+        list_ = types.SimpleNamespace(workers=lambda: self.workers)
+        self.views = [
+            worker_assignment.WorkerAssignment(
+                MembershipStandIn(
+                    member, *(m for m in self.members if m is not member)
+                ),
+                list_,
+            )
+            for member in self.members
+        ]
+
+    def holders(self):
+        """Return the member that holds each worker; each has one."""
+        found = {}
+        for member, view in zip(self.members, self.views, strict=True):
+            if member.state is _LIVE:
+                for info in view.desired(frozenset()):
+                    self.assertNotIn(info.worker_id, found)
+                    found[info.worker_id] = member
+        self.assertEqual(len(self.workers), len(found))
+        return found
+
+    def test_each_worker_has_one_holder_in_its_region(self):
+        for vm in self.workers:
+            self.assertEqual(vm.region, self.holders()[vm.id].region)
+
+    def test_loss_moves_only_the_workers_of_the_lost_member(self):
+        """Guard against a loss that moves workers of live members."""
+        before = self.holders()
+        lost = self.members[2]
+        lost.state = cluster.MemberState.DOWN
+        after = self.holders()
+        for vm in self.workers:
+            self.assertIsNot(lost, after[vm.id])
+            self.assertEqual(vm.region, after[vm.id].region)
+            if before[vm.id] is not lost:
+                self.assertIs(before[vm.id], after[vm.id])
+        lost.state = _LIVE
+        self.assertEqual(before, self.holders())
+
+    def test_region_without_members_is_held_from_elsewhere(self):
+        """Guard against workers that stay idle with their region."""
+        for member in self.members[1::2]:
+            member.state = cluster.MemberState.DOWN
+        regions = {member.region for member in self.holders().values()}
+        self.assertEqual({'r0'}, regions)
+
+    def test_member_without_configuration_holds_nothing(self):
+        """Guard against workers held by a daemon that cannot place."""
+        self.members[0] = make_member('m0', 'r0', version=0)
+        for view in self.views:
+            view._membership.all = [
+                self.members[0] if m.member_id == 'm0' else m
+                for m in view._membership.all
+            ]
+        held = {member.member_id for member in self.holders().values()}
+        self.assertEqual(5, len(held))
+        self.assertNotIn('m0', held)
+
+    def test_state_of_the_list_reaches_the_fleet(self):
+        """Guard against new work on workers that leave or are drained."""
+        leaving = cluster.VirtualMachine(
+            id='x',
+            address='x:1',
+            role=cluster.Role.WORKER,
+            state=cluster.VmState.LEAVING,
+        )
+        cases = ((leaving, frozenset()), (self.workers[0], {'w0'}))
+        infos = [worker_assignment.describe(*case) for case in cases]
+        self.assertEqual(
+            [(True, False), (False, True)],
+            [(info.leaving, info.drained) for info in infos],
+        )
+
+
+class OwnerDirectoryTest(unittest.TestCase):
+    """Guard against calls to a daemon that does not own the team."""
+
+    def test_addresses(self):
+        own, other = make_member('a'), make_member('b')
+        owners = {0: own, 1: other}
+        ownership = types.SimpleNamespace(owner_of=owners.get)
+        directory = owner_directory.OwnerDirectory(
+            ownership, MembershipStandIn(own, other), 12
+        )
+        found = [directory.owner_address(number) for number in range(3)]
+        self.assertEqual(['', 'b:1', None], found)
+        self.assertEqual(
+            cluster.partition_of('red', 12), directory.partition_of('red')
+        )
+
+
+class PeersWithConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a newer configuration that is not fetched."""
+
+    async def test_asks_the_newest_first_and_goes_on(self):
+        client = ClientStandIn()
+        peers = peers_with_configuration.PeersWithConfiguration(client)
+        self.assertEqual(b'', await peers.fetch_configuration(0))
+        members = [
+            make_member(name, version=version)
+            for name, version in (('a', 9), ('b', 3), ('c', 5), ('d', 4))
+        ]
+        peers.join(MembershipStandIn(*members))
+        client.replies = {
+            'c:1': errors.PeerUnavailable('refused'),
+            'd:1': messages.Configuration(version=4, record=b'four'),
+        }
+        self.assertEqual(b'four', await peers.fetch_configuration(3))
+        self.assertEqual(['c:1', 'd:1'], [a for a, _ in client.calls])
+        self.assertEqual(b'', await peers.fetch_configuration(5))
+        self.assertEqual(2, len(client.calls))
+
+
+class LiveTimingTest(unittest.TestCase):
+    """Guard against times that stay as they were at the start."""
+
+    def test_follows_the_store(self):
+        store = types.SimpleNamespace(timing=config.Timing())
+        timing = live_timing.LiveTiming(store)
+        names = [n for n in dir(timing) if n.endswith('_ms')]
+        self.assertEqual(6, len(names))
+        store.timing = config.Timing(**{name: 77 for name in names})
+        self.assertEqual([77] * 6, [getattr(timing, n) for n in names])
+
+
+class PartitionHostTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a partition that opens late or too early."""
+
+    async def asyncSetUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.opened = []
+        self.deactivated = []
+        self.covered = False
+        self.fault = None
+        self.surveys = 0
+        self.host = await self.enterAsyncContext(
+            partition_host.PartitionHost(self.clock, self, self.survey)
+        )
+        self.journal = types.SimpleNamespace(epoch=4)
+
+    def activate(self, *_):
+        pass
+
+    def see_all(self, partition, running, ends):
+        self.opened.append((partition, running, ends))
+
+    async def survey(self, partition, epoch):
+        self.assertEqual(4, epoch)
+        self.surveys += 1
+        if self.fault is not None:
+            raise self.fault
+        return ['task'], ['end'], self.covered
+
+    async def take_up(self, unseen_ms=30_000):
+        until_ms = self.clock.now_ms() + unseen_ms
+        await self.host.activate(2, self.journal, [], [], until_ms)
+        await self.clock.advance_ms(1_000)
+
+    async def test_opens_once_all_workers_are_covered(self):
+        await self.take_up()
+        self.assertEqual([], self.opened)
+        self.covered = True
+        await self.clock.advance_ms(10_000)
+        self.assertEqual([(2, ['task'], ['end'])], self.opened)
+
+    async def test_failed_survey_is_repeated(self):
+        """Guard against a wait for the task leases after one fault."""
+        loguru.logger.disable('basilspindle')
+        self.addCleanup(loguru.logger.enable, 'basilspindle')
+        self.fault = ValueError('fault')
+        await self.take_up()
+        self.fault, self.covered = None, True
+        await self.clock.advance_ms(1_000)
+        self.assertEqual(1, len(self.opened))
+
+    async def test_survey_ends_with_its_reason(self):
+        """Guard against surveys of partitions that are open or lost."""
+        await self.take_up(0)
+        self.assertEqual(0, self.surveys)
+        await self.take_up()
+        await self.host.deactivate(2, False)
+        self.assertEqual([(2, False)], self.deactivated)
+        self.covered = True
+        await self.clock.advance_ms(2_000)
+        self.assertEqual([], self.opened)
+        self.covered = False
+        await self.take_up(2_000)
+        await self.clock.advance_ms(2_000)
+        count = self.surveys
+        await self.clock.advance_ms(5_000)
+        self.assertEqual(count, self.surveys)
+
+    async def test_new_activation_ends_the_survey_of_the_former(self):
+        """Guard against inventories asked for under an old epoch."""
+        await self.take_up()
+        first = asyncio.all_tasks()
+        await self.take_up()
+        self.assertEqual(len(first), len(asyncio.all_tasks()))
+
+    async def deactivate(self, partition, handover):
+        self.deactivated.append((partition, handover))
+
+
+class SurveyTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against starts while a worker of the list is not covered."""
+
+    async def test_complete_only_with_every_worker(self):
+        clock = manual_clock.ManualClock()
+        client = ClientStandIn()
+        silent = make_member('c')
+        silent.state = cluster.MemberState.SUSPECT
+        membership = MembershipStandIn(
+            make_member('a'), make_member('b'), silent
+        )
+        listed = []
+
+        async def refresh():
+            return listed.pop()
+
+        async def local(_):
+            return messages.Inventoried(running=[], ends=[], workers=['w1'])
+
+        vms = [types.SimpleNamespace(id=name) for name in ('w1', 'w2')]
+        vm_list = types.SimpleNamespace(refresh=refresh, workers=lambda: vms)
+        inquiry = survey.Survey(
+            clock, config.Timing(), client, membership, vm_list, local
+        )
+        other = messages.Inventoried(running=[], ends=[], workers=['w2'])
+        cases = (
+            (errors.PeerUnavailable('refused'), True, False),
+            (other, True, True),
+            (other, False, False),
+        )
+        for reply, answered, expected in cases:
+            listed.append(answered)
+            client.replies = {'b:1': reply}
+            _, _, complete = await inquiry(3, 8)
+            self.assertEqual(expected, complete)
+        self.assertEqual({'b:1'}, {a for a, _ in client.calls})
+        self.assertEqual({8}, {r.partition_epoch for _, r in client.calls})
