--- a/basilspindle/api/app.py
+++ b/basilspindle/api/app.py
@@ -1,5 +1,7 @@
 """Build the HTTP application of a daemon."""
 
+import pathlib
+import traceback
 import typing
 
 import litestar
@@ -15,6 +17,8 @@
 from basilspindle import errors
 from basilspindle import events
 
+_FRAMES = 4
+
 
 def make(services: services_module.Services) -> litestar.Litestar:
     """Return the application; every error has the documented form."""
@@ -34,7 +38,7 @@
             Exception: _fault,
         },
         middleware=[count],
-        request_max_body_size=services.max_body_bytes,
+        request_max_body_size=services.limits.max_body_bytes,
         openapi_config=None,
         logging_config=None,
     )
@@ -98,11 +102,26 @@
 }
 
 
+def _describe(error: Exception) -> str:
+    """Name an error and where it was raised.
+
+    Its text is left out, since it may quote the input of a caller.
+    """
+    frames = traceback.extract_tb(error.__traceback__)[-_FRAMES:]
+    places = [
+        f'{pathlib.PurePath(frame.filename).name}:{frame.lineno}'
+        for frame in frames
+    ]
+    return ' '.join([type(error).__name__, 'at', *places])
+
+
 def _fault(
     request: litestar.Request, error: Exception
 ) -> litestar.Response[problem.ProblemBody]:
     events.emit(
-        api_events.REQUEST_FAILED, path=request.url.path, error=repr(error)
+        api_events.REQUEST_FAILED,
+        path=request.url.path,
+        error=_describe(error),
     )
     return _answer(
         errors.BasilspindleError(
