--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -16,6 +16,7 @@
 from basilspindle.coordinator import task_name
 from basilspindle.coordinator import timing as timing_module
 from basilspindle.coordinator import tracked_job
+from basilspindle.coordinator import tracked_task
 from basilspindle import errors
 from basilspindle import events
 from basilspindle import journal as journal_package
@@ -31,6 +32,9 @@
 _SEND_MS = 3_000
 _NEVER_MS = 1 << 62
 _MAX_DUMPED_JOBS = 1_000
+# An inventory may have been taken before a task was placed.
+_NEW_TASK_MS = 10_000
+_MISSES = 2
 # Longer than a request may wait. At 310 starts per second the 15 minutes of
 # durable jobs would be 279,000 jobs.
 _HELD_KEEP_MS = 20_000
@@ -161,6 +165,37 @@
             self._apply_end(partition, end)
         self._open(partition)
 
+    def reconcile(
+        self,
+        number: int,
+        running: collections.abc.Iterable[model.RunningTask],
+        ends: collections.abc.Iterable[model.TaskEnd],
+    ) -> None:
+        """Compare with the complete inventories of all workers.
+
+        A task that two of them in a row lack is lost: if a worker restarts
+        between two holders, neither knows what ran there.
+        """
+        partition = self._partitions.get(number)
+        if partition is None:
+            return
+        present = {(task.task_id, task.attempt) for task in running}
+        present.update((end.task_id, end.attempt) for end in ends)
+        before_ms = self._clock.now_ms() - _NEW_TASK_MS
+        for tracked in list(partition.jobs.values()):
+            for task in list(tracked.started.values()):
+                task_id = tracked.job.task_id(task.index)
+                known = (task_id, task.attempt) in present
+                fresh = task.placed_at_ms > before_ms
+                if known or fresh or not task.worker_id:
+                    task.missed = 0
+                    continue
+                task.missed += 1
+                if task.missed >= _MISSES:
+                    self._end_attempt(
+                        tracked, task.index, sweeper.lost(tracked, task)
+                    )
+
     def _open(self, partition: owned_partition.OwnedPartition) -> None:
         lost = recovery.find_lost_intents(partition)
         for tracked, index, end in lost:
@@ -440,6 +475,8 @@
             return None
         task = tracked.started.get(index)
         if task is not None and task.attempt == end.attempt:
+            if _is_outdated(task, end):
+                return None
             self._end_attempt(tracked, index, end)
         result = tracked.ended.get(index)
         if result is None or not tracked.job.durable:
@@ -556,6 +593,7 @@
         now_ms: int,
     ) -> None:
         if tracked.state.final:
+            await self._record_job_end(partition, tracked)
             keep_ms = self._timing.result_keep_ms
             if not tracked.job.durable:
                 keep_ms = _HELD_KEEP_MS
@@ -576,6 +614,31 @@
                 'the key was withdrawn before the job started',
             )
 
+    async def _record_job_end(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+    ) -> None:
+        """Record the end of a job that its ended tasks do not show.
+
+        Tasks that were cancelled, expired or lost have no record of their
+        own; without this the job would stay in every snapshot.
+        """
+        if not tracked.job.durable:
+            return
+        entry = partition.journal.state.jobs.get(tracked.job.job_id)
+        if entry is None or entry.state.final:
+            return
+        record = journal_package.JobEnded(
+            job_id=tracked.job.job_id,
+            state=tracked.state,
+            reason=tracked.reason,
+        )
+        with contextlib.suppress(errors.BasilspindleError):
+            await partition.journal.append(
+                record, timeout_ms=_SUBMIT_TIMEOUT_MS
+            )
+
     async def _close(
         self, job_id: str, state: model.State, reason: str
     ) -> None:
@@ -586,14 +649,7 @@
             self._queue.remove(job_id)
             tracked.end_queued(state, reason)
             tracked.settle(self._clock.now_ms())
-            if tracked.job.durable:
-                with contextlib.suppress(errors.BasilspindleError):
-                    await partition.journal.append(
-                        journal_package.JobEnded(
-                            job_id=job_id, state=state, reason=reason
-                        ),
-                        timeout_ms=_SUBMIT_TIMEOUT_MS,
-                    )
+            await self._record_job_end(partition, tracked)
             return
 
     def dump(self) -> dict[str, typing.Any]:
@@ -628,6 +684,15 @@
 }
 
 
+def _is_outdated(task: tracked_task.TrackedTask, end: model.TaskEnd) -> bool:
+    """Tell whether a later holder of the worker has found the task.
+
+    An earlier holder may declare a task lost that it can no longer see.
+    """
+    lost = end.state in (model.State.QUEUED, model.State.UNKNOWN)
+    return lost and end.started and end.worker_epoch < task.worker_epoch
+
+
 def _check_same(known: model.Job, job: model.Job) -> None:
     if known.body_hash != job.body_hash:
         raise errors.KeyReused(
--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -298,6 +298,7 @@
             task.worker_id = placement.worker_id
             task.failure_domain = placement.failure_domain
             task.rack = placement.rack
+            task.placed_at_ms = self._clock.now_ms()
             tracked.settle(self._clock.now_ms())
             return
         self._return(holder_id, started, placement.reason)
--- a/basilspindle/coordinator/recovery.py
+++ b/basilspindle/coordinator/recovery.py
@@ -200,5 +200,7 @@
     known.worker_id = task.worker_id
     known.failure_domain = task.failure_domain
     known.rack = task.rack
+    known.worker_epoch = max(known.worker_epoch, task.worker_epoch)
+    known.missed = 0
     if holder_id:
         known.holder_id = holder_id
--- a/basilspindle/coordinator/sweeper.py
+++ b/basilspindle/coordinator/sweeper.py
@@ -88,7 +88,7 @@
             seen.add(name)
             since_ms = self._lost_since_ms.setdefault(name, now_ms)
             if name and now_ms - since_ms > self._timing.lost_after_ms:
-                self._on_end(tracked, task.index, _lost(tracked, task))
+                self._on_end(tracked, task.index, lost(tracked, task))
         for name in [n for n in self._lost_since_ms if n not in seen]:
             del self._lost_since_ms[name]
 
@@ -115,9 +115,10 @@
                 await self._holders.stop(holder_id, request)
 
 
-def _lost(
+def lost(
     tracked: tracked_job.TrackedJob, task: tracked_task.TrackedTask
 ) -> model.TaskEnd:
+    """Return the end of a task that no worker has any more."""
     return model.TaskEnd(
         task_id=tracked.job.task_id(task.index),
         attempt=task.attempt,
@@ -125,5 +126,5 @@
         partition=tracked.partition,
         worker_id=task.worker_id,
         state=model.State.UNKNOWN,
-        error='the holder of its worker was lost',
+        error='the worker or its holder was lost',
     )
--- a/basilspindle/coordinator/tracked_task.py
+++ b/basilspindle/coordinator/tracked_task.py
@@ -4,7 +4,11 @@
 
 
 class TrackedTask:
-    """An attempt that counts as running: from its placement to its end."""
+    """An attempt that counts as running: from its placement to its end.
+
+    ``worker_epoch`` is the epoch under which a holder last reported it.
+    ``missed`` counts the complete inventories in a row that lack it.
+    """
 
     __slots__ = (
         'index',
@@ -14,6 +18,9 @@
         'worker_id',
         'failure_domain',
         'rack',
+        'worker_epoch',
+        'placed_at_ms',
+        'missed',
     )
 
     def __init__(self, index: int, attempt: int) -> None:
@@ -24,3 +31,6 @@
         self.worker_id = ''
         self.failure_domain = ''
         self.rack = ''
+        self.worker_epoch = 0
+        self.placed_at_ms = 0
+        self.missed = 0
--- a/basilspindle/daemon/partition_host.py
+++ b/basilspindle/daemon/partition_host.py
@@ -12,6 +12,8 @@
 from basilspindle import model
 
 _SURVEY_MS = 300
+# 5,100 running tasks are about 1 MB of inventories for all partitions.
+_RECONCILE_MS = 60_000
 
 
 class Survey(typing.Protocol):
@@ -28,7 +30,7 @@
 
     After a takeover some workers have no holder yet. Their inventories
     are asked for until every worker was seen or the task leases of the
-    others have expired.
+    others have expired, and compared with what is known once a minute.
     """
 
     __slots__ = ('_clock', '_coordinator', '_survey', '_surveys')
@@ -72,10 +74,9 @@
         former = self._surveys.pop(partition, None)
         if former is not None:
             former.cancel()
-        if unseen_until_ms > self._clock.now_ms():
-            self._surveys[partition] = asyncio.ensure_future(
-                self._watch(partition, journal.epoch, unseen_until_ms)
-            )
+        self._surveys[partition] = asyncio.ensure_future(
+            self._watch(partition, journal.epoch, unseen_until_ms)
+        )
 
     async def deactivate(self, partition: int, handover: bool) -> None:
         """Stop starting tasks of a partition."""
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -395,3 +395,83 @@
         await self.step(2_000)
         names = [task_id for task_id, _ in self.holders.started]
         self.assertEqual(6, sum(n.startswith('gang') for n in names))
+
+
+class InventoryTest(coordinator_case.CoordinatorCase):
+    """Guard against tasks that no worker has, and those declared lost."""
+
+    def found(self, key, **changes):
+        order = self.holders.running[key]
+        fields = {
+            'task_id': key[0],
+            'attempt': key[1],
+            'job_id': order.job_id,
+            'index': order.index,
+            'team': order.team,
+            'kind': order.kind,
+            'partition': 0,
+            'worker_id': 'worker-1',
+            'failure_domain': 'fd1',
+            'rack': 'r1',
+            'resources': coordinator_case.NEED,
+            'holder_id': 'entry-2@1',
+            'worker_epoch': 5,
+        }
+        return model.RunningTask(**{**fields, **changes})
+
+    async def test_task_missing_in_two_inventories_runs_again(self):
+        self.activate()
+        await self.submit(self.job())
+        await self.step(20_000)
+        key = self.holders.started[0]
+        self.coordinator.reconcile(0, [], [])
+        self.coordinator.reconcile(0, [self.found(key)], [])
+        self.coordinator.reconcile(0, [], [])
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+        self.coordinator.reconcile(0, [], [])
+        await self.step()
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_new_task_is_not_missed(self):
+        self.activate()
+        await self.submit(self.job())
+        for _ in range(3):
+            self.coordinator.reconcile(0, [], [])
+        self.assertEqual(1, len(self.holders.started))
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+
+    async def test_loss_told_by_an_earlier_holder_is_ignored(self):
+        self.activate()
+        await self.submit(self.job())
+        key = self.holders.started[0]
+        found = messages.Report(
+            holder_id='entry-2@1',
+            partition=0,
+            ends=[],
+            found=[self.found(key)],
+        )
+        await self.coordinator.report(found)
+        order = self.holders.running[key]
+        await self.end(key, _State.QUEUED, started=True, worker_epoch=4)
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+        self.holders.running[key] = order
+        await self.end(key, _State.QUEUED, started=True, worker_epoch=5)
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_end_without_ended_tasks_is_recorded(self):
+        self.set_limit(0)
+        self.activate()
+        job = self.job(durable=True)
+        await self.submit(job)
+        entry = journal.JobEntry(job)
+        self.journal.state.jobs['j1'] = entry
+        await self.coordinator.cancel(
+            messages.Cancel(partition=0, team='red', job_id='j1')
+        )
+        await self.step(1_000)
+        ends = [
+            record
+            for record in self.journal.records
+            if isinstance(record, journal.JobEnded)
+        ]
+        self.assertEqual(_State.CANCELLED, ends[0].state)
