Let a failing worker attract no work

Change: from 0.1 on, a penalty outweighs room and spreading; below, it is ignored, since failures of jobs give every worker a little. Without the change the new test fails for urgent work. Tests: 53 passed.

--- a/basilspindle/policy/placer.py
+++ b/basilspindle/policy/placer.py
@@ -243,7 +243,8 @@
                     avoided.append(view)
                     continue
                 found.append(view)
-                if not view.penalty and view.rack not in siblings:
+                healthy = view.penalty < rank_module.TOLERATED_PENALTY
+                if healthy and view.rack not in siblings:
                     good += 1
                     if good >= self._candidates:
                         break
--- a/basilspindle/policy/rank.py
+++ b/basilspindle/policy/rank.py
@@ -17,7 +17,12 @@
 _SPREAD = spread.Spread()
 _QUICK = quick.Quick()
 # Keeps workers with accelerators for the tasks that need them.
-_ACCELERATOR_COST = 1_000.0
+_ACCELERATOR_COST = 10_000.0
+# Failures of jobs give every worker a small penalty.
+TOLERATED_PENALTY = 0.1
+# Above the cost of any task in slots: a worker that fails what it starts is
+# empty, and would attract all work.
+_PENALTY_COST = 1_000.0
 # Decides between workers that lose about the same.
 _FIT_WEIGHT = 0.1
 
@@ -31,10 +36,15 @@
     return _PACK
 
 
+def _sick(view: worker_view.WorkerView) -> float:
+    penalty = view.penalty
+    return penalty * _PENALTY_COST if penalty >= TOLERATED_PENALTY else 0.0
+
+
 def _kept(order: model.TaskOrder, view: worker_view.WorkerView) -> float:
     if order.resources.accelerators or not view.total.accelerators:
-        return view.penalty
-    return view.penalty + _ACCELERATOR_COST
+        return _sick(view)
+    return _sick(view) + _ACCELERATOR_COST
 
 
 def _cost(resources: model.Resources, view: worker_view.WorkerView) -> float:
@@ -99,6 +109,7 @@
 
     def rank(view: worker_view.WorkerView) -> tuple[float, ...]:
         return (
+            _sick(view),
             siblings.get(view.failure_domain, 0),
             siblings.get(view.rack, 0),
             view.running_by_job.get(job_id, 0),
--- a/basilspindle/policy/worker_view.py
+++ b/basilspindle/policy/worker_view.py
@@ -6,8 +6,8 @@
 class WorkerView:
     """State of one worker as its lease holder accounts for it.
 
-    ``running_by_job`` counts tasks by job id. ``penalty`` is added to the
-    score: 0.0 is a healthy worker, ``math.inf`` takes no new work.
+    ``running_by_job`` counts tasks by job id. ``penalty`` 0.0 is a healthy
+    worker; from 0.1 on it outweighs room, ``math.inf`` takes no new work.
     """
 
     __slots__ = (
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -125,6 +125,32 @@
         workers[0].penalty = math.inf
         self.assertIsNone(self._choose(_order(need), workers))
 
+    def test_failing_worker_attracts_nothing(self):
+        """Guard against an empty worker that fails all it starts."""
+        total = model.Resources(16_000, 32_000, 0, 8)
+        busy = model.Resources(2_000, 4_000, 0, 1)
+        need = model.Resources(1_000, 1_000, 0, 1)
+        for priority in model.Priority:
+            workers = [_worker('failing', total), _worker('busy', busy, total)]
+            workers[0].penalty = 0.3
+            workers[1].penalty = 0.05
+            with self.subTest(priority=priority):
+                chosen = self._choose(_order(need, priority), workers)
+                self.assertEqual('busy', chosen)
+
+    def test_spread_avoids_failing_worker(self):
+        """Guard against a service put on a failing worker to spread it."""
+        size = model.Resources(16_000, 32_000, 0, 8)
+        workers = [
+            _worker('failing', size, domain='two', rack='two-1'),
+            _worker('healthy', size),
+        ]
+        workers[0].penalty = 0.6
+        need = model.Resources(1_000, 1_000, 0, 1)
+        siblings = {'one': 1, 'one-1': 1}
+        order = _order(need, model.Priority.SERVICE, siblings=siblings)
+        self.assertEqual('healthy', self._choose(order, workers))
+
     def test_take_and_give_keep_the_index(self):
         """Guard against an index that disagrees with the free amounts."""
         size = model.Resources(4_000, 8_000, 0, 8)
