Count what a kind was seen to use, and queue a late gang again

Cause: declared sizes are far off, and the reports of usage were not used; a gang returned more than a minute after it was picked stayed counted as running. Ruled out: changing the size of an accepted job, since its limit and capacity are counted already. Change: a job is accepted with the larger of its declared sizes and those that its team's kind was seen to use, within the largest worker.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -7,6 +7,7 @@
 
 from basilspindle import clock as clock_module
 from basilspindle.coordinator import dispatcher as dispatcher_module
+from basilspindle.coordinator import estimate_book
 from basilspindle.coordinator import events as coordinator_events
 from basilspindle.coordinator import holder
 from basilspindle.coordinator import outcome
@@ -60,6 +61,7 @@
         '_key_valid',
         '_tasks',
         '_pending',
+        '_estimates',
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         self._wake = asyncio.Event()
         self._key_valid = key_valid
         self._pending: dict[str, int] = {}
+        self._estimates = estimate_book.EstimateBook()
         self._tasks: list[asyncio.Task[None]] = []
         self._dispatcher = dispatcher_module.Dispatcher(
             clock,
@@ -288,12 +291,19 @@
             _check_same(known.job, job)
             return True
         repeated = job.job_id in partition.accepting
+        declared = job.resources
         if not repeated:
             self._check_room(job)
+            job = self._estimates.correct(
+                job, self._dispatcher.rooms.largest()
+            )
         if job.durable:
             await self._accept_durable(partition, job)
         else:
             self._admit(partition, job)
+        known = partition.jobs.get(job.job_id)
+        if known is not None and not repeated:
+            known.declared = declared
         return repeated
 
     def _check_room(self, job: model.Job) -> None:
@@ -491,6 +501,8 @@
     ) -> None:
         job = tracked.job
         task = tracked.started[index]
+        if end.state is model.State.SUCCEEDED and tracked.declared:
+            self._estimates.observe(job, tracked.declared, end)
         verdict = outcome.judge(tracked, index, end)
         if end.state is model.State.FAILED and end.worker_id:
             tracked.failed_workers.setdefault(index, []).append(end.worker_id)
--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -9,6 +9,7 @@
 from basilspindle.coordinator import events as coordinator_events
 from basilspindle.coordinator import holder
 from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import recovery
 from basilspindle.coordinator import room_book
 from basilspindle.coordinator import timing as timing_module
 from basilspindle.coordinator import tracked_job
@@ -534,14 +535,22 @@
             return
         for task in tasks:
             tracked.give_back(task.index, counted=False)
-        with contextlib.suppress(errors.NotFound):
+        self._requeue_gang(tracked, len(tasks))
+        tracked.settle(self._clock.now_ms())
+
+    def _requeue_gang(
+        self, tracked: tracked_job.TrackedJob, count: int
+    ) -> None:
+        job = tracked.job
+        now_ms = self._clock.now_ms()
+        try:
             self._queue.give_back(
-                tracked.job.job_id,
-                len(tasks),
-                self._clock.now_ms(),
-                wait_ms=_GANG_RETRY_MS,
+                job.job_id, count, now_ms, wait_ms=_GANG_RETRY_MS
             )
-            tracked.settle(self._clock.now_ms())
+        except errors.NotFound:
+            # The queue forgets after a minute what it has handed out.
+            self._queue.end_running(job.team, job.resources, count)
+            recovery.push(tracked, count, self._queue, self._clock)
 
 
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
--- a/basilspindle/coordinator/tracked_job.py
+++ b/basilspindle/coordinator/tracked_job.py
@@ -12,7 +12,9 @@
 
     Queued tasks are those from ``next_index`` on and those in ``retries``;
     started ones are in ``started`` and ended ones in ``ended``, both by
-    index. Every task is in exactly one of these places.
+    index. Every task is in exactly one of these places. ``declared`` are
+    the resources as submitted, before they were corrected; None for a job
+    that another daemon accepted.
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         'started',
         'ended',
         'attempts',
+        'declared',
         'failed_workers',
         'cancelled',
         'state',
@@ -40,6 +43,7 @@
         self.started: dict[int, tracked_task.TrackedTask] = {}
         self.ended: dict[int, model.TaskResult] = {}
         self.attempts: dict[int, int] = {}
+        self.declared: model.Resources | None = None
         self.failed_workers: dict[int, list[str]] = {}
         self.cancelled = False
         self.state = model.State.QUEUED
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -328,6 +328,23 @@
         self.assertEqual(2, len(self.holders.started))
 
 
+class EstimateTest(coordinator_case.CoordinatorCase):
+    """Guard against sizes that stay as wrong as they were declared."""
+
+    async def test_later_jobs_count_what_their_kind_was_seen_to_use(self):
+        self.activate()
+        await self.submit(self.job(tasks=24))
+        used = model.Resources(1000, 300, 0, 1)
+        while self.holders.running:
+            key = next(iter(self.holders.running))
+            await self.end(key, used=used, run_time_ms=4_000)
+        await self.submit(self.job('j2'))
+        order = self.holders.requests[-1].orders[0]
+        self.assertGreaterEqual(order.resources.memory_mb, 300)
+        self.assertLessEqual(order.resources.memory_mb, 8000)
+        self.assertEqual(1000, order.resources.cpu_millicores)
+
+
 class CancelTest(coordinator_case.CoordinatorCase):
     """Guard against cancelled or unauthorised work that goes on."""
 
