--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -54,7 +54,7 @@
         '_member_id',
         '_writer',
         '_timing',
-        '_on_deposed',
+        'on_deposed',
         '_on_late',
         '_following',
         '_state',
