Split the coordinator by what it decides

Cause: coordinator.py had grown to 736 lines: acceptance, ends of tasks, clean-up and the life of partitions. Ruled out: closing jobs of an unknown size at once. Change: intake, task_ends and housekeeping are files of their own; ends of jobs are recorded in the background; the key of a job is checked by the dispatcher before its first start; a job is closed as unschedulable after 120 s without a worker that could hold it, and refused at submission only once all workers were seen.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -10,14 +10,15 @@
 from basilspindle.coordinator import estimate_book
 from basilspindle.coordinator import events as coordinator_events
 from basilspindle.coordinator import holder
-from basilspindle.coordinator import outcome
+from basilspindle.coordinator import housekeeping
+from basilspindle.coordinator import intake
 from basilspindle.coordinator import owned_partition
 from basilspindle.coordinator import recovery
+from basilspindle.coordinator import room_book
 from basilspindle.coordinator import sweeper
-from basilspindle.coordinator import task_name
+from basilspindle.coordinator import task_ends
 from basilspindle.coordinator import timing as timing_module
 from basilspindle.coordinator import tracked_job
-from basilspindle.coordinator import tracked_task
 from basilspindle import errors
 from basilspindle import events
 from basilspindle import journal as journal_package
@@ -27,18 +28,10 @@
 
 _IDLE_PASS_MS = 400
 _FAILED_PASS_PAUSE_MS = 1_000
-# The journal goes on with an append that its caller no longer waits for.
-_APPEND_TIMEOUT_MS = 24 * 3_600_000
-_SUBMIT_TIMEOUT_MS = 5_000
+_CANCEL_TIMEOUT_MS = 5_000
 _SEND_MS = 3_000
 _NEVER_MS = 1 << 62
 _MAX_DUMPED_JOBS = 1_000
-# An inventory may have been taken before a task was placed.
-_NEW_TASK_MS = 10_000
-_MISSES = 2
-# Longer than a request may wait. At 310 starts per second the 15 minutes of
-# durable jobs would be 279,000 jobs.
-_HELD_KEEP_MS = 20_000
 
 
 class Coordinator:
@@ -52,16 +45,15 @@
     __slots__ = (
         '_clock',
         '_queue',
-        '_timing',
         '_partitions',
+        '_rooms',
+        '_ends',
+        '_intake',
         '_dispatcher',
         '_sweeper',
-        '_holders',
+        '_housekeeping',
         '_wake',
-        '_key_valid',
         '_tasks',
-        '_pending',
-        '_estimates',
     )
 
     def __init__(
@@ -74,31 +66,45 @@
     ) -> None:
         self._clock = clock
         self._queue = policy.FairQueue()
-        self._timing = timing
         self._partitions: dict[int, owned_partition.OwnedPartition] = {}
-        self._holders = holders
+        self._rooms = room_book.RoomBook()
         self._wake = asyncio.Event()
-        self._key_valid = key_valid
-        self._pending: dict[str, int] = {}
-        self._estimates = estimate_book.EstimateBook()
         self._tasks: list[asyncio.Task[None]] = []
+        estimates = estimate_book.EstimateBook()
+        self._ends = task_ends.TaskEnds(
+            clock, self._queue, self._rooms, estimates, self.wake
+        )
+        self._intake = intake.Intake(
+            clock, self._queue, self._rooms, self._ends, estimates, self.wake
+        )
         self._dispatcher = dispatcher_module.Dispatcher(
             clock,
             self._queue,
             holders,
+            self._rooms,
             timing,
             self._partitions,
             may_start,
-            self._end_attempt,
+            key_valid,
+            self._ends.end,
         )
         self._sweeper = sweeper.Sweeper(
-            clock, holders, timing, self._partitions, self._end_attempt
+            clock, holders, timing, self._partitions, self._ends.end
+        )
+        self._housekeeping = housekeeping.Housekeeping(
+            clock,
+            self._queue,
+            timing,
+            self._partitions,
+            self._ends,
+            self._intake.misfit,
+            key_valid,
         )
 
     async def __aenter__(self) -> typing.Self:
         self._tasks = [
             asyncio.ensure_future(self._run()),
-            asyncio.ensure_future(self._sweeper.run(self._sweep)),
+            asyncio.ensure_future(self._sweeper.run(self._keep_house)),
         ]
         return self
 
@@ -107,6 +113,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._dispatcher.close()
+        await self._housekeeping.close()
 
     def set_teams(
         self, teams: collections.abc.Mapping[str, policy.TeamPolicy]
@@ -146,7 +153,7 @@
         recovery.recover(partition, self._queue, running, self._clock)
         self._partitions[number] = partition
         for end in ends:
-            self._apply_end(partition, end)
+            self._ends.apply(partition, end)
         for tracked in partition.jobs.values():
             tracked.settle(self._clock.now_ms())
         if opens_at_ms <= self._clock.now_ms():
@@ -165,7 +172,7 @@
         for task in running:
             recovery.adopt(partition, task, task.holder_id, self._queue)
         for end in ends:
-            self._apply_end(partition, end)
+            self._ends.apply(partition, end)
         self._open(partition)
 
     def reconcile(
@@ -174,36 +181,14 @@
         running: collections.abc.Iterable[model.RunningTask],
         ends: collections.abc.Iterable[model.TaskEnd],
     ) -> None:
-        """Compare with the complete inventories of all workers.
-
-        A task that two of them in a row lack is lost: if a worker restarts
-        between two holders, neither knows what ran there.
-        """
-        partition = self._partitions.get(number)
-        if partition is None:
-            return
-        present = {(task.task_id, task.attempt) for task in running}
-        present.update((end.task_id, end.attempt) for end in ends)
-        before_ms = self._clock.now_ms() - _NEW_TASK_MS
-        for tracked in list(partition.jobs.values()):
-            for task in list(tracked.started.values()):
-                task_id = tracked.job.task_id(task.index)
-                known = (task_id, task.attempt) in present
-                fresh = task.placed_at_ms > before_ms
-                if known or fresh or not task.worker_id:
-                    task.missed = 0
-                    continue
-                task.missed += 1
-                if task.missed >= _MISSES:
-                    self._end_attempt(
-                        tracked, task.index, sweeper.lost(tracked, task)
-                    )
+        """Compare with the complete inventories of all workers."""
+        self._housekeeping.reconcile(number, running, ends)
 
     def _open(self, partition: owned_partition.OwnedPartition) -> None:
         lost = recovery.find_lost_intents(partition)
         for tracked, index, end in lost:
             self._queue.add_running(tracked.job.team, tracked.job.resources)
-            self._end_attempt(tracked, index, end)
+            self._ends.end(tracked, index, end)
         recovery.enqueue(partition, self._queue, self._clock)
         partition.open = True
         for tracked in partition.jobs.values():
@@ -230,6 +215,7 @@
         partition.opens_at_ms = _NEVER_MS
         await self._dispatcher.finish(number, _SEND_MS if handover else 0)
         del self._partitions[number]
+        partition.closed = True
         for tracked in partition.jobs.values():
             self._queue.remove(tracked.job.job_id)
             for _ in tracked.started:
@@ -260,7 +246,7 @@
         ``OutcomeUnknown`` (may be accepted later).
         """
         partition = self._partition(request.partition)
-        repeated = await self._accept(partition, request.job)
+        repeated = await self._intake.accept(partition, request.job)
         view = None
         if request.wait_ms:
             view = await self._await_submitted(request)
@@ -283,104 +269,6 @@
             error.ran = errors.Ran.UNKNOWN
             raise
 
-    async def _accept(
-        self, partition: owned_partition.OwnedPartition, job: model.Job
-    ) -> bool:
-        known = partition.jobs.get(job.job_id)
-        if known is not None:
-            _check_same(known.job, job)
-            return True
-        repeated = job.job_id in partition.accepting
-        declared = job.resources
-        if not repeated:
-            self._check_room(job)
-            job = self._estimates.correct(
-                job, self._dispatcher.rooms.largest()
-            )
-        if job.durable:
-            await self._accept_durable(partition, job)
-        else:
-            self._admit(partition, job)
-        known = partition.jobs.get(job.job_id)
-        if known is not None and not repeated:
-            known.declared = declared
-        return repeated
-
-    def _check_room(self, job: model.Job) -> None:
-        reason = self._misfit(job)
-        if reason:
-            raise errors.Unschedulable(
-                f'{reason}; ask for less or add larger workers'
-            )
-        self._queue.check_room(
-            job.team, job.tasks + self._pending.get(job.team, 0)
-        )
-
-    def _misfit(self, job: model.Job) -> str:
-        """Return why no worker can hold a task, '' if one may."""
-        largest = self._dispatcher.rooms.largest()
-        if largest == model.Resources():
-            return ''
-        return policy.can_ever_fit(job.resources, [largest])
-
-    async def _accept_durable(
-        self, partition: owned_partition.OwnedPartition, job: model.Job
-    ) -> None:
-        task = partition.accepting.get(job.job_id)
-        if task is None:
-            task = asyncio.ensure_future(self._record(partition, job))
-            partition.accepting[job.job_id] = task
-            task.add_done_callback(_ignore_result)
-        try:
-            await self._clock.wait_ms(asyncio.shield(task), _SUBMIT_TIMEOUT_MS)
-        except errors.DeadlineExceeded:
-            raise errors.OutcomeUnknown(
-                'the log has not confirmed the job yet; ask for the job '
-                'by its id before submitting it again',
-                job_id=job.job_id,
-            ) from None
-        except asyncio.CancelledError:
-            if task.cancelled():
-                raise errors.OutcomeUnknown(
-                    'the partition moved to another daemon; submit again '
-                    'with the same idempotency key',
-                    job_id=job.job_id,
-                ) from None
-            raise
-        known = partition.jobs.get(job.job_id)
-        if known is not None:
-            _check_same(known.job, job)
-
-    async def _record(
-        self, partition: owned_partition.OwnedPartition, job: model.Job
-    ) -> bool:
-        self._pending[job.team] = self._pending.get(job.team, 0) + job.tasks
-        try:
-            await partition.journal.append(
-                journal_package.JobAccepted(job=job),
-                timeout_ms=_APPEND_TIMEOUT_MS,
-            )
-            if self._partitions.get(partition.number) is partition:
-                self._admit(partition, job)
-            return True
-        finally:
-            self._pending[job.team] -= job.tasks
-            partition.accepting.pop(job.job_id, None)
-
-    def _admit(
-        self, partition: owned_partition.OwnedPartition, job: model.Job
-    ) -> None:
-        tracked = tracked_job.TrackedJob(job, partition.number)
-        partition.jobs[job.job_id] = tracked
-        recovery.adopt_orphans(partition, tracked)
-        recovery.enqueue_job(tracked, self._queue, self._clock)
-        for task_id, (_, end) in list(partition.orphan_ends.items()):
-            if task_name.split(task_id)[0] == job.job_id:
-                del partition.orphan_ends[task_id]
-                self._apply_end(partition, end)
-        tracked.settle(self._clock.now_ms())
-        self.wake()
-
     async def view(self, request: messages.View) -> messages.Viewed:
         """Show a job, waiting for its end; raises ``NotFound``."""
         view = await self._await_end(
@@ -427,7 +315,7 @@
             if tracked.job.durable:
                 await partition.journal.append(
                     journal_package.JobCancelled(job_id=request.job_id),
-                    timeout_ms=_SUBMIT_TIMEOUT_MS,
+                    timeout_ms=_CANCEL_TIMEOUT_MS,
                 )
             tracked.cancelled = True
             self._queue.remove(request.job_id)
@@ -445,110 +333,9 @@
         partition = self._partition(request.partition)
         for task in request.found:
             recovery.adopt(partition, task, request.holder_id, self._queue)
-        records = []
-        for end in request.ends:
-            record = self._apply_end(partition, end)
-            if record is not None:
-                records.append(record)
-        if records:
-            await self._record_ends(partition, records)
+        await self._ends.report(partition, request.ends)
         return messages.Reported()
 
-    async def _record_ends(
-        self,
-        partition: owned_partition.OwnedPartition,
-        records: list[journal_package.TaskEnded],
-    ) -> None:
-        try:
-            await partition.journal.append(
-                *records, timeout_ms=_SUBMIT_TIMEOUT_MS
-            )
-        except errors.LogError:
-            events.emit(
-                coordinator_events.END_NOT_RECORDED,
-                partition=partition.number,
-                ends=len(records),
-            )
-            raise
-
-    def _apply_end(
-        self, partition: owned_partition.OwnedPartition, end: model.TaskEnd
-    ) -> journal_package.TaskEnded | None:
-        """Apply an end once; return the record that makes it last."""
-        job_id, index = task_name.split(end.task_id)
-        tracked = partition.jobs.get(job_id)
-        if tracked is None:
-            orphan = partition.orphans.pop(end.task_id, None)
-            if orphan is not None:
-                self._queue.end_running(orphan.team, orphan.resources)
-            partition.orphan_ends[end.task_id] = (self._clock.now_ms(), end)
-            return None
-        task = tracked.started.get(index)
-        if task is not None and task.attempt == end.attempt:
-            if _is_outdated(task, end):
-                return None
-            self._end_attempt(tracked, index, end)
-        result = tracked.ended.get(index)
-        if result is None or not tracked.job.durable:
-            return None
-        return _ended_record(tracked, result, end.attempt)
-
-    def _end_attempt(
-        self,
-        tracked: tracked_job.TrackedJob,
-        index: int,
-        end: model.TaskEnd,
-    ) -> None:
-        job = tracked.job
-        task = tracked.started[index]
-        if end.state is model.State.SUCCEEDED and tracked.declared:
-            self._estimates.observe(job, tracked.declared, end)
-        verdict = outcome.judge(tracked, index, end)
-        if end.state is model.State.FAILED and end.worker_id:
-            tracked.failed_workers.setdefault(index, []).append(end.worker_id)
-        if verdict in (
-            outcome.Verdict.RETRY,
-            outcome.Verdict.RETRY_UNCOUNTED,
-        ):
-            counted = verdict is outcome.Verdict.RETRY
-            placed = bool(task.worker_id)
-            tracked.give_back(index, counted=counted)
-            self._requeue(tracked, placed)
-        else:
-            state = _FINAL_STATES.get(verdict, end.state)
-            tracked.end(
-                model.TaskResult(
-                    index=index,
-                    state=state,
-                    attempts=tracked.attempts.get(index, 0),
-                    worker_id=end.worker_id,
-                    result=end.result,
-                    error=end.error,
-                )
-            )
-            self._queue.end_running(job.team, job.resources)
-            if verdict is outcome.Verdict.UNKNOWN:
-                events.emit(
-                    coordinator_events.OUTCOME_UNKNOWN,
-                    job_id=job.job_id,
-                    index=index,
-                    worker_id=end.worker_id,
-                )
-        if task.holder_id and end.started:
-            self._dispatcher.rooms.give(task.holder_id, job.resources)
-        tracked.settle(self._clock.now_ms())
-        self.wake()
-
-    def _requeue(self, tracked: tracked_job.TrackedJob, placed: bool) -> None:
-        """Queue one task again; one that was never placed keeps its turn."""
-        job = tracked.job
-        if not placed:
-            with contextlib.suppress(errors.NotFound):
-                self._queue.give_back(job.job_id, 1, self._clock.now_ms())
-                return
-        self._queue.end_running(job.team, job.resources)
-        recovery.push(tracked, 1, self._queue, self._clock)
-
     def _partition(self, number: int) -> owned_partition.OwnedPartition:
         partition = self._partitions.get(number)
         if partition is None:
@@ -584,85 +371,12 @@
                 )
                 await self._clock.sleep_ms(_FAILED_PASS_PAUSE_MS)
 
-    async def _sweep(self) -> None:
-        """Expire queued jobs, refuse withdrawn keys, drop old results."""
+    def _keep_house(self) -> None:
         now_ms = self._clock.now_ms()
-        for job_id, _ in self._queue.expired(now_ms):
-            await self._close(job_id, model.State.EXPIRED, 'deadline passed')
         for partition in list(self._partitions.values()):
             if not partition.open and now_ms >= partition.opens_at_ms:
                 self._open(partition)
-            for tracked in list(partition.jobs.values()):
-                await self._sweep_job(partition, tracked, now_ms)
-            for task_id, (since_ms, _) in list(partition.orphan_ends.items()):
-                if now_ms - since_ms > self._timing.lost_after_ms:
-                    del partition.orphan_ends[task_id]
-
-    async def _sweep_job(
-        self,
-        partition: owned_partition.OwnedPartition,
-        tracked: tracked_job.TrackedJob,
-        now_ms: int,
-    ) -> None:
-        if tracked.state.final:
-            await self._record_job_end(partition, tracked)
-            keep_ms = self._timing.result_keep_ms
-            if not tracked.job.durable:
-                keep_ms = _HELD_KEEP_MS
-            if now_ms - tracked.ended_at_ms > keep_ms:
-                partition.jobs.pop(tracked.job.job_id, None)
-            return
-        if tracked.started or tracked.ended:
-            return
-        reason = self._misfit(tracked.job)
-        if reason:
-            await self._close(
-                tracked.job.job_id, model.State.UNSCHEDULABLE, reason
-            )
-        elif not self._key_valid(tracked.job):
-            await self._close(
-                tracked.job.job_id,
-                model.State.CANCELLED,
-                'the key was withdrawn before the job started',
-            )
-
-    async def _record_job_end(
-        self,
-        partition: owned_partition.OwnedPartition,
-        tracked: tracked_job.TrackedJob,
-    ) -> None:
-        """Record the end of a job that its ended tasks do not show.
-
-        Tasks that were cancelled, expired or lost have no record of their
-        own; without this the job would stay in every snapshot.
-        """
-        if not tracked.job.durable:
-            return
-        entry = partition.journal.state.jobs.get(tracked.job.job_id)
-        if entry is None or entry.state.final:
-            return
-        record = journal_package.JobEnded(
-            job_id=tracked.job.job_id,
-            state=tracked.state,
-            reason=tracked.reason,
-        )
-        with contextlib.suppress(errors.BasilspindleError):
-            await partition.journal.append(
-                record, timeout_ms=_SUBMIT_TIMEOUT_MS
-            )
-
-    async def _close(
-        self, job_id: str, state: model.State, reason: str
-    ) -> None:
-        for partition in self._partitions.values():
-            tracked = partition.jobs.get(job_id)
-            if tracked is None or tracked.state.final:
-                continue
-            self._queue.remove(job_id)
-            tracked.end_queued(state, reason)
-            tracked.settle(self._clock.now_ms())
-            await self._record_job_end(partition, tracked)
-            return
+        self._housekeeping.sweep()
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the operators' dump."""
@@ -688,49 +402,3 @@
                 for number, partition in self._partitions.items()
             },
         }
-
-
-_FINAL_STATES = {
-    outcome.Verdict.UNKNOWN: model.State.UNKNOWN,
-    outcome.Verdict.CANCELLED: model.State.CANCELLED,
-}
-
-
-def _is_outdated(task: tracked_task.TrackedTask, end: model.TaskEnd) -> bool:
-    """Tell whether a later holder of the worker has found the task.
-
-    An earlier holder may declare a task lost that it can no longer see.
-    """
-    lost = end.state in (model.State.QUEUED, model.State.UNKNOWN)
-    return lost and end.started and end.worker_epoch < task.worker_epoch
-
-
-def _check_same(known: model.Job, job: model.Job) -> None:
-    if known.body_hash != job.body_hash:
-        raise errors.KeyReused(
-            'the idempotency key was used for another body; use a new key '
-            'for new work',
-            job_id=known.job_id,
-        )
-
-
-def _ended_record(
-    tracked: tracked_job.TrackedJob,
-    result: model.TaskResult,
-    attempt: int,
-) -> journal_package.TaskEnded:
-    return journal_package.TaskEnded(
-        job_id=tracked.job.job_id,
-        index=result.index,
-        attempt=attempt,
-        state=result.state,
-        worker_id=result.worker_id,
-        result=result.result,
-        error=result.error,
-    )
-
-
-def _ignore_result(task: asyncio.Task[bool]) -> None:
-    # The submission that waits reads the error; without one it is dropped.
-    if not task.cancelled():
-        task.exception()
--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -47,6 +47,7 @@
         '_timing',
         '_partitions',
         '_may_start',
+        '_key_valid',
         '_on_end',
         '_sends',
         '_gangs',
@@ -57,9 +58,11 @@
         clock: clock_module.Clock,
         queue: policy.FairQueue,
         holders: holder.Holders,
+        rooms: room_book.RoomBook,
         timing: timing_module.Timing,
         partitions: dict[int, owned_partition.OwnedPartition],
         may_start: collections.abc.Callable[[int], bool],
+        key_valid: collections.abc.Callable[[model.Job], bool],
         on_end: collections.abc.Callable[
             [tracked_job.TrackedJob, int, model.TaskEnd], None
         ],
@@ -67,19 +70,15 @@
         self._clock = clock
         self._queue = queue
         self._holders = holders
-        self._rooms = room_book.RoomBook()
+        self._rooms = rooms
         self._timing = timing
         self._partitions = partitions
         self._may_start = may_start
+        self._key_valid = key_valid
         self._on_end = on_end
         self._sends: dict[asyncio.Task[None], int] = {}
         self._gangs: set[str] = set()
 
-    @property
-    def rooms(self) -> room_book.RoomBook:
-        """Return the estimate of free capacity."""
-        return self._rooms
-
     async def close(self) -> None:
         """Cancel what is being sent."""
         await _cancel(list(self._sends))
@@ -139,7 +138,7 @@
         if found is None:
             return 0
         partition, tracked = found
-        if not self._starts(partition):
+        if not self._starts(partition, tracked):
             self._queue.give_back(
                 pick.job_id,
                 pick.count,
@@ -162,8 +161,16 @@
             batches[key].append((tracked, task))
         return pick.count
 
-    def _starts(self, partition: owned_partition.OwnedPartition) -> bool:
-        return partition.open and self._may_start(partition.number)
+    def _starts(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+    ) -> bool:
+        """Tell whether a job may start; its key is checked the first time."""
+        if not partition.open or not self._may_start(partition.number):
+            return False
+        fresh = not tracked.started and not tracked.ended
+        return not fresh or self._key_valid(tracked.job)
 
     def _find(
         self, job_id: str
--- /dev/null
+++ b/basilspindle/coordinator/housekeeping.py
@@ -0,0 +1,198 @@
+"""Close jobs that cannot go on and forget those that ended."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+from basilspindle import clock as clock_module
+from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import sweeper
+from basilspindle.coordinator import task_ends
+from basilspindle.coordinator import timing as timing_module
+from basilspindle.coordinator import tracked_job
+from basilspindle import errors
+from basilspindle import journal as journal_package
+from basilspindle import model
+from basilspindle import policy
+
+_APPEND_TIMEOUT_MS = 5_000
+# Longer than a request may wait. At 310 starts per second the 15 minutes of
+# durable jobs would be 279,000 jobs.
+_HELD_KEEP_MS = 20_000
+# A worker may be without a holder, and so unknown, during a takeover.
+_MISFIT_MS = 120_000
+# An inventory may have been taken before a task was placed.
+_NEW_TASK_MS = 10_000
+_MISSES = 2
+
+
+class Housekeeping:
+    """Expire, refuse, forget and compare, at a steady pace.
+
+    ``misfit`` returns why no worker can hold a task of a job, ``key_valid``
+    whether the key that a job came with still stands for its team.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_queue',
+        '_timing',
+        '_partitions',
+        '_ends',
+        '_misfit',
+        '_key_valid',
+        '_recording',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        queue: policy.FairQueue,
+        timing: timing_module.Timing,
+        partitions: dict[int, owned_partition.OwnedPartition],
+        ends: task_ends.TaskEnds,
+        misfit: collections.abc.Callable[[model.Job], str],
+        key_valid: collections.abc.Callable[[model.Job], bool],
+    ) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._timing = timing
+        self._partitions = partitions
+        self._ends = ends
+        self._misfit = misfit
+        self._key_valid = key_valid
+        self._recording: dict[str, asyncio.Task[None]] = {}
+
+    async def close(self) -> None:
+        """Cancel what is being recorded."""
+        tasks = list(self._recording.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def sweep(self) -> None:
+        """Look over all jobs once."""
+        now_ms = self._clock.now_ms()
+        for job_id, _ in self._queue.expired(now_ms):
+            self._close(job_id, model.State.EXPIRED, 'deadline passed')
+        for partition in list(self._partitions.values()):
+            for tracked in list(partition.jobs.values()):
+                self._sweep_job(partition, tracked, now_ms)
+            for task_id, (since_ms, _) in list(partition.orphan_ends.items()):
+                if now_ms - since_ms > self._timing.lost_after_ms:
+                    del partition.orphan_ends[task_id]
+
+    def _sweep_job(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+        now_ms: int,
+    ) -> None:
+        if tracked.state.final:
+            self._forget(partition, tracked, now_ms)
+        elif not tracked.started and not tracked.ended:
+            self._sweep_unstarted(tracked, now_ms)
+
+    def _forget(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+        now_ms: int,
+    ) -> None:
+        self._record_end(partition, tracked)
+        keep_ms = self._timing.result_keep_ms
+        if not tracked.job.durable:
+            keep_ms = _HELD_KEEP_MS
+        if now_ms - tracked.ended_at_ms > keep_ms:
+            partition.jobs.pop(tracked.job.job_id, None)
+
+    def _sweep_unstarted(
+        self, tracked: tracked_job.TrackedJob, now_ms: int
+    ) -> None:
+        job = tracked.job
+        if not self._key_valid(job):
+            self._close(
+                job.job_id,
+                model.State.CANCELLED,
+                'the key was withdrawn before the job started',
+            )
+            return
+        tracked.reason = self._misfit(job)
+        if not tracked.reason:
+            tracked.misfit_since_ms = now_ms
+        elif now_ms - tracked.misfit_since_ms > _MISFIT_MS:
+            self._close(job.job_id, model.State.UNSCHEDULABLE, tracked.reason)
+
+    def _close(self, job_id: str, state: model.State, reason: str) -> None:
+        for partition in self._partitions.values():
+            tracked = partition.jobs.get(job_id)
+            if tracked is not None and not tracked.state.final:
+                self._queue.remove(job_id)
+                tracked.end_queued(state, reason)
+                tracked.settle(self._clock.now_ms())
+                self._record_end(partition, tracked)
+
+    def _record_end(
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+    ) -> None:
+        """Record the end of a job that its ended tasks do not show.
+
+        Tasks that were cancelled, expired or lost have no record of their
+        own; without this the job would stay in every snapshot.
+        """
+        job_id = tracked.job.job_id
+        if not tracked.job.durable or job_id in self._recording:
+            return
+        entry = partition.journal.state.jobs.get(job_id)
+        if not tracked.state.final or entry is None or entry.state.final:
+            return
+        record = journal_package.JobEnded(
+            job_id=job_id, state=tracked.state, reason=tracked.reason
+        )
+        task = asyncio.ensure_future(self._append(partition, record))
+        self._recording[job_id] = task
+        task.add_done_callback(lambda _: self._recording.pop(job_id, None))
+
+    async def _append(
+        self,
+        partition: owned_partition.OwnedPartition,
+        record: journal_package.JobEnded,
+    ) -> None:
+        # The next sweep tries again what was not recorded.
+        with contextlib.suppress(errors.BasilspindleError):
+            await partition.journal.append(
+                record, timeout_ms=_APPEND_TIMEOUT_MS
+            )
+
+    def reconcile(
+        self,
+        number: int,
+        running: collections.abc.Iterable[model.RunningTask],
+        ends: collections.abc.Iterable[model.TaskEnd],
+    ) -> None:
+        """Compare with the complete inventories of all workers.
+
+        A task that two of them in a row lack is lost: if a worker restarts
+        between two holders, neither knows what ran there.
+        """
+        partition = self._partitions.get(number)
+        if partition is None:
+            return
+        present = {(task.task_id, task.attempt) for task in running}
+        present.update((end.task_id, end.attempt) for end in ends)
+        before_ms = self._clock.now_ms() - _NEW_TASK_MS
+        for tracked in list(partition.jobs.values()):
+            for task in list(tracked.started.values()):
+                task_id = tracked.job.task_id(task.index)
+                known = (task_id, task.attempt) in present
+                fresh = task.placed_at_ms > before_ms
+                if known or fresh or not task.worker_id:
+                    task.missed = 0
+                    continue
+                task.missed += 1
+                if task.missed >= _MISSES:
+                    self._ends.end(
+                        tracked, task.index, sweeper.lost(tracked, task)
+                    )
--- /dev/null
+++ b/basilspindle/coordinator/intake.py
@@ -0,0 +1,175 @@
+"""Accept jobs once, or refuse them truthfully."""
+
+import asyncio
+import collections.abc
+
+from basilspindle import clock as clock_module
+from basilspindle.coordinator import estimate_book
+from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import recovery
+from basilspindle.coordinator import room_book
+from basilspindle.coordinator import task_ends
+from basilspindle.coordinator import task_name
+from basilspindle.coordinator import tracked_job
+from basilspindle import errors
+from basilspindle import journal as journal_package
+from basilspindle import model
+from basilspindle import policy
+
+# The journal goes on with an append that its caller no longer waits for.
+_APPEND_TIMEOUT_MS = 24 * 3_600_000
+_SUBMIT_TIMEOUT_MS = 5_000
+
+
+class Intake:
+    """Take submissions into the partitions that are owned.
+
+    ``wake`` is called after a job was queued.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_queue',
+        '_rooms',
+        '_ends',
+        '_estimates',
+        '_pending',
+        '_wake',
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        queue: policy.FairQueue,
+        rooms: room_book.RoomBook,
+        ends: task_ends.TaskEnds,
+        estimates: estimate_book.EstimateBook,
+        wake: collections.abc.Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._rooms = rooms
+        self._ends = ends
+        self._estimates = estimates
+        self._wake = wake
+        # Tasks of submissions on their way into the log, by team.
+        self._pending: dict[str, int] = {}
+
+    async def accept(
+        self, partition: owned_partition.OwnedPartition, job: model.Job
+    ) -> bool:
+        """Accept a job; tell whether it was accepted before.
+
+        Raises ``KeyReused``, ``QueueFull``, ``Unschedulable``,
+        ``LogUnavailable`` (not run) and ``OutcomeUnknown``.
+        """
+        known = partition.jobs.get(job.job_id)
+        if known is not None:
+            _check_same(known.job, job)
+            return True
+        repeated = job.job_id in partition.accepting
+        declared = job.resources
+        if not repeated:
+            self._check_room(partition, job)
+            job = self._estimates.correct(job, self._rooms.largest())
+        if job.durable:
+            await self._accept_durable(partition, job)
+        else:
+            self._admit(partition, job)
+        known = partition.jobs.get(job.job_id)
+        if known is not None and not repeated:
+            known.declared = declared
+        return repeated
+
+    def _check_room(
+        self, partition: owned_partition.OwnedPartition, job: model.Job
+    ) -> None:
+        # Before all workers were seen the largest one may be unknown.
+        reason = self.misfit(job) if partition.open else ''
+        if reason:
+            raise errors.Unschedulable(
+                f'{reason}; ask for less or add larger workers'
+            )
+        self._queue.check_room(
+            job.team, job.tasks + self._pending.get(job.team, 0)
+        )
+
+    def misfit(self, job: model.Job) -> str:
+        """Return why no worker can hold a task, '' if one may."""
+        largest = self._rooms.largest()
+        if largest == model.Resources():
+            return ''
+        return policy.can_ever_fit(job.resources, [largest])
+
+    async def _accept_durable(
+        self, partition: owned_partition.OwnedPartition, job: model.Job
+    ) -> None:
+        task = partition.accepting.get(job.job_id)
+        if task is None:
+            task = asyncio.ensure_future(self._record(partition, job))
+            partition.accepting[job.job_id] = task
+            task.add_done_callback(_ignore_result)
+        try:
+            await self._clock.wait_ms(asyncio.shield(task), _SUBMIT_TIMEOUT_MS)
+        except errors.DeadlineExceeded:
+            raise errors.OutcomeUnknown(
+                'the log has not confirmed the job yet; ask for the job '
+                'by its id before submitting it again',
+                job_id=job.job_id,
+            ) from None
+        except asyncio.CancelledError:
+            if task.cancelled():
+                raise errors.OutcomeUnknown(
+                    'the partition moved to another daemon; submit again '
+                    'with the same idempotency key',
+                    job_id=job.job_id,
+                ) from None
+            raise
+        known = partition.jobs.get(job.job_id)
+        if known is not None:
+            _check_same(known.job, job)
+
+    async def _record(
+        self, partition: owned_partition.OwnedPartition, job: model.Job
+    ) -> bool:
+        self._pending[job.team] = self._pending.get(job.team, 0) + job.tasks
+        try:
+            await partition.journal.append(
+                journal_package.JobAccepted(job=job),
+                timeout_ms=_APPEND_TIMEOUT_MS,
+            )
+            if not partition.closed:
+                self._admit(partition, job)
+            return True
+        finally:
+            self._pending[job.team] -= job.tasks
+            partition.accepting.pop(job.job_id, None)
+
+    def _admit(
+        self, partition: owned_partition.OwnedPartition, job: model.Job
+    ) -> None:
+        tracked = tracked_job.TrackedJob(job, partition.number)
+        partition.jobs[job.job_id] = tracked
+        recovery.adopt_orphans(partition, tracked)
+        recovery.enqueue_job(tracked, self._queue, self._clock)
+        for task_id, (_, end) in list(partition.orphan_ends.items()):
+            if task_name.split(task_id)[0] == job.job_id:
+                del partition.orphan_ends[task_id]
+                self._ends.apply(partition, end)
+        tracked.settle(self._clock.now_ms())
+        self._wake()
+
+
+def _check_same(known: model.Job, job: model.Job) -> None:
+    if known.body_hash != job.body_hash:
+        raise errors.KeyReused(
+            'the idempotency key was used for another body; use a new key '
+            'for new work',
+            job_id=known.job_id,
+        )
+
+
+def _ignore_result(task: asyncio.Task[bool]) -> None:
+    # The submission that waits reads the error; without one it is dropped.
+    if not task.cancelled():
+        task.exception()
--- a/basilspindle/coordinator/owned_partition.py
+++ b/basilspindle/coordinator/owned_partition.py
@@ -11,12 +11,12 @@
     """Jobs of a partition, with what was found of jobs not known here.
 
     Nothing is started before it is ``open``: until ``opens_at_ms`` tasks
-    may run that no holder has reported. ``recovered`` are the jobs that
-    are queued when it opens. ``orphans`` are running tasks and
-    ``orphan_ends`` ended ones, with the time of their report, of
-    connection-held jobs that an earlier owner took; their entry daemons
-    submit the jobs again. ``accepting`` are submissions on their way into
-    the log, by job id.
+    may run that no holder has reported. Once ``closed`` it is given up.
+    ``recovered`` are the jobs that are queued when it opens. ``orphans``
+    are running tasks and ``orphan_ends`` ended ones, with the time of their
+    report, of connection-held jobs that an earlier owner took; their entry
+    daemons submit the jobs again. ``accepting`` are submissions on their
+    way into the log, by job id.
     """
 
     __slots__ = (
@@ -28,6 +28,7 @@
         'orphan_ends',
         'accepting',
         'open',
+        'closed',
         'opens_at_ms',
         'recovered',
     )
@@ -41,5 +42,6 @@
         self.orphan_ends: dict[str, tuple[int, model.TaskEnd]] = {}
         self.accepting: dict[str, asyncio.Task[bool]] = {}
         self.open = False
+        self.closed = False
         self.opens_at_ms = 0
         self.recovered: list[tracked_job.TrackedJob] = []
--- a/basilspindle/coordinator/sweeper.py
+++ b/basilspindle/coordinator/sweeper.py
@@ -55,14 +55,14 @@
 
     async def run(
         self,
-        also: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+        also: collections.abc.Callable[[], None],
     ) -> None:
         """Sweep until cancelled; ``also`` runs in each round."""
         while True:
             with contextlib.suppress(errors.DeadlineExceeded):
                 await self._clock.wait_ms(self._wake.wait(), _PERIOD_MS)
             self._wake.clear()
-            await also()
+            also()
             self._end_lost()
             await self._stop_cancelled()
 
--- /dev/null
+++ b/basilspindle/coordinator/task_ends.py
@@ -0,0 +1,198 @@
+"""Apply the ends of attempts: results, retries and unknown outcomes."""
+
+import collections.abc
+import contextlib
+
+from basilspindle import clock as clock_module
+from basilspindle.coordinator import estimate_book
+from basilspindle.coordinator import events as coordinator_events
+from basilspindle.coordinator import outcome
+from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import recovery
+from basilspindle.coordinator import room_book
+from basilspindle.coordinator import task_name
+from basilspindle.coordinator import tracked_job
+from basilspindle.coordinator import tracked_task
+from basilspindle import errors
+from basilspindle import events
+from basilspindle import journal as journal_package
+from basilspindle import model
+from basilspindle import policy
+
+_APPEND_TIMEOUT_MS = 5_000
+
+
+class TaskEnds:
+    """Decide what each end means, once.
+
+    ``wake`` is called when work may be started again.
+    """
+
+    __slots__ = ('_clock', '_queue', '_rooms', '_estimates', '_wake')
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        queue: policy.FairQueue,
+        rooms: room_book.RoomBook,
+        estimates: estimate_book.EstimateBook,
+        wake: collections.abc.Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._rooms = rooms
+        self._estimates = estimates
+        self._wake = wake
+
+    async def report(
+        self,
+        partition: owned_partition.OwnedPartition,
+        ends: collections.abc.Iterable[model.TaskEnd],
+    ) -> None:
+        """Apply ends and record those of durable jobs.
+
+        Raises ``LogError`` while they are not recorded.
+        """
+        records = []
+        for end in ends:
+            record = self.apply(partition, end)
+            if record is not None:
+                records.append(record)
+        if records:
+            await self._record(partition, records)
+
+    async def _record(
+        self,
+        partition: owned_partition.OwnedPartition,
+        records: list[journal_package.TaskEnded],
+    ) -> None:
+        try:
+            await partition.journal.append(
+                *records, timeout_ms=_APPEND_TIMEOUT_MS
+            )
+        except errors.LogError:
+            events.emit(
+                coordinator_events.END_NOT_RECORDED,
+                partition=partition.number,
+                ends=len(records),
+            )
+            raise
+
+    def apply(
+        self, partition: owned_partition.OwnedPartition, end: model.TaskEnd
+    ) -> journal_package.TaskEnded | None:
+        """Apply an end once; return the record that makes it last."""
+        job_id, index = task_name.split(end.task_id)
+        tracked = partition.jobs.get(job_id)
+        if tracked is None:
+            orphan = partition.orphans.pop(end.task_id, None)
+            if orphan is not None:
+                self._queue.end_running(orphan.team, orphan.resources)
+            partition.orphan_ends[end.task_id] = (self._clock.now_ms(), end)
+            return None
+        task = tracked.started.get(index)
+        if task is not None and task.attempt == end.attempt:
+            if _is_outdated(task, end):
+                return None
+            self.end(tracked, index, end)
+        result = tracked.ended.get(index)
+        if result is None or not tracked.job.durable:
+            return None
+        return _ended_record(tracked, result, end.attempt)
+
+    def end(
+        self,
+        tracked: tracked_job.TrackedJob,
+        index: int,
+        end: model.TaskEnd,
+    ) -> None:
+        """End one attempt: finally, or with the task queued again."""
+        job = tracked.job
+        task = tracked.started[index]
+        if end.state is model.State.SUCCEEDED and tracked.declared:
+            self._estimates.observe(job, tracked.declared, end)
+        verdict = outcome.judge(tracked, index, end)
+        if end.state is model.State.FAILED and end.worker_id:
+            tracked.failed_workers.setdefault(index, []).append(end.worker_id)
+        if verdict in (
+            outcome.Verdict.RETRY,
+            outcome.Verdict.RETRY_UNCOUNTED,
+        ):
+            counted = verdict is outcome.Verdict.RETRY
+            placed = bool(task.worker_id)
+            tracked.give_back(index, counted=counted)
+            self._requeue(tracked, placed)
+        else:
+            self._finish(tracked, index, end, verdict)
+        if task.holder_id and end.started:
+            self._rooms.give(task.holder_id, job.resources)
+        tracked.settle(self._clock.now_ms())
+        self._wake()
+
+    def _finish(
+        self,
+        tracked: tracked_job.TrackedJob,
+        index: int,
+        end: model.TaskEnd,
+        verdict: outcome.Verdict,
+    ) -> None:
+        job = tracked.job
+        tracked.end(
+            model.TaskResult(
+                index=index,
+                state=_FINAL_STATES.get(verdict, end.state),
+                attempts=tracked.attempts.get(index, 0),
+                worker_id=end.worker_id,
+                result=end.result,
+                error=end.error,
+            )
+        )
+        self._queue.end_running(job.team, job.resources)
+        if verdict is outcome.Verdict.UNKNOWN:
+            events.emit(
+                coordinator_events.OUTCOME_UNKNOWN,
+                job_id=job.job_id,
+                index=index,
+                worker_id=end.worker_id,
+            )
+
+    def _requeue(self, tracked: tracked_job.TrackedJob, placed: bool) -> None:
+        """Queue one task again; one that was never placed keeps its turn."""
+        job = tracked.job
+        if not placed:
+            with contextlib.suppress(errors.NotFound):
+                self._queue.give_back(job.job_id, 1, self._clock.now_ms())
+                return
+        self._queue.end_running(job.team, job.resources)
+        recovery.push(tracked, 1, self._queue, self._clock)
+
+
+_FINAL_STATES = {
+    outcome.Verdict.UNKNOWN: model.State.UNKNOWN,
+    outcome.Verdict.CANCELLED: model.State.CANCELLED,
+}
+
+
+def _is_outdated(task: tracked_task.TrackedTask, end: model.TaskEnd) -> bool:
+    """Tell whether a later holder of the worker has found the task.
+
+    An earlier holder may declare a task lost that it can no longer see.
+    """
+    lost = end.state in (model.State.QUEUED, model.State.UNKNOWN)
+    return lost and end.started and end.worker_epoch < task.worker_epoch
+
+
+def _ended_record(
+    tracked: tracked_job.TrackedJob,
+    result: model.TaskResult,
+    attempt: int,
+) -> journal_package.TaskEnded:
+    return journal_package.TaskEnded(
+        job_id=tracked.job.job_id,
+        index=result.index,
+        attempt=attempt,
+        state=result.state,
+        worker_id=result.worker_id,
+        result=result.result,
+        error=result.error,
+    )
--- a/basilspindle/coordinator/tracked_job.py
+++ b/basilspindle/coordinator/tracked_job.py
@@ -31,6 +31,7 @@
         'state',
         'reason',
         'ended_at_ms',
+        'misfit_since_ms',
         '_changed',
         '_next_attempt',
     )
@@ -49,6 +50,7 @@
         self.state = model.State.QUEUED
         self.reason = ''
         self.ended_at_ms = 0
+        self.misfit_since_ms = 0
         self._changed = asyncio.Event()
         self._next_attempt = 0
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -7,7 +7,15 @@
 
 import click
 
-_SCRIPTS = ('policy', 'journal', 'fleet', 'config', 'cluster')
+_SCRIPTS = (
+    'policy',
+    'coordinator',
+    'journal',
+    'fleet',
+    'config',
+    'cluster',
+    'path',
+)
 _TIMEOUT_S = 280
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -81,8 +81,8 @@
     Mutant(
         'starts wait for the inventories',
         'coordinator/dispatcher.py',
-        'return partition.open and self._may_start(partition.number)',
-        'return self._may_start(partition.number)',
+        'if not partition.open or not self._may_start(partition.number):',
+        'if not self._may_start(partition.number):',
         'tests.test_coordinator.RetryTest',
     ),
     Mutant(
@@ -108,14 +108,14 @@
     ),
     Mutant(
         'an end belongs to one attempt',
-        'coordinator/coordinator.py',
+        'coordinator/task_ends.py',
         'if task is not None and task.attempt == end.attempt:',
         'if task is not None:',
         'tests.test_coordinator.RetryTest',
     ),
     Mutant(
         'one job for one id',
-        'coordinator/coordinator.py',
+        'coordinator/intake.py',
         'task = partition.accepting.get(job.job_id)',
         'task = None',
         'tests.test_coordinator.AcceptTest',
@@ -136,9 +136,9 @@
     ),
     Mutant(
         'the key of a queued job is checked again',
-        'coordinator/coordinator.py',
-        'elif not self._key_valid(tracked.job):',
-        'elif False:',
+        'coordinator/housekeeping.py',
+        'if not self._key_valid(job):',
+        'if False:',
         'tests.test_coordinator.CancelTest',
     ),
     Mutant(
