Use the policy's view and choice of workers in the fleet

Cause: the fleet had a copy of WorkerView and a best-fit choice of its own from before the policy package was merged. Ruled out: keeping the copy for the fleet's tests, since they would then not test what runs.

--- a/basilspindle/fleet/__init__.py
+++ b/basilspindle/fleet/__init__.py
@@ -1,7 +1,6 @@
 """Hold worker leases and place tasks on the workers held."""
 
 from basilspindle.fleet.choice import Choose
-from basilspindle.fleet.choice import choose_best_fit
 from basilspindle.fleet.client import WorkerClient
 from basilspindle.fleet.connection import TransportFactory
 from basilspindle.fleet.event_page import EventPage
@@ -11,7 +10,6 @@
 from basilspindle.fleet.leased_worker import LeasedWorker
 from basilspindle.fleet.settings import FleetSettings
 from basilspindle.fleet.task_spec import TaskSpec
-from basilspindle.fleet.view import WorkerView
 from basilspindle.fleet.worker_event import Outcome
 from basilspindle.fleet.worker_event import WorkerEvent
 from basilspindle.fleet.worker_info import WorkerInfo
@@ -34,6 +32,4 @@
     'WorkerInfo',
     'WorkerInventory',
     'WorkerStatus',
-    'WorkerView',
-    'choose_best_fit',
 ]
--- a/basilspindle/fleet/leased_worker.py
+++ b/basilspindle/fleet/leased_worker.py
@@ -6,9 +6,9 @@
 from basilspindle.fleet import entry as entry_module
 from basilspindle.fleet import lease_grant
 from basilspindle.fleet import settings as settings_module
-from basilspindle.fleet import view as view_module
 from basilspindle.fleet import worker_info
 from basilspindle import model
+from basilspindle import policy
 
 _NOTHING = model.Resources()
 _OPEN_PHASES = frozenset(
@@ -63,7 +63,7 @@
     ) -> None:
         self.info = info
         self.client = client
-        self.view = view_module.WorkerView(
+        self.view = policy.WorkerView(
             info.worker_id,
             info.failure_domain,
             info.rack,
--- a/basilspindle/fleet/ledger.py
+++ b/basilspindle/fleet/ledger.py
@@ -8,9 +8,9 @@
 from basilspindle.fleet import health as health_module
 from basilspindle.fleet import leased_worker
 from basilspindle.fleet import settings as settings_module
-from basilspindle.fleet import view as view_module
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import policy
 
 # The list of candidates is built again at the latest after this time.
 _LONGEST_FRESH_MS = 1_000
@@ -49,7 +49,7 @@
         self._past: collections.OrderedDict[
             entry_module.Key, tuple[int, messages.Placement]
         ] = collections.OrderedDict()
-        self._candidates: list[view_module.WorkerView] = []
+        self._candidates: list[policy.WorkerView] = []
         self._fresh_until_ms = 0
 
     def entry(self, task_id: str) -> entry_module.TaskEntry | None:
@@ -107,7 +107,7 @@
         """Build the candidates again at the next order."""
         self._fresh_until_ms = 0
 
-    def candidates(self, now_ms: int) -> list[view_module.WorkerView]:
+    def candidates(self, now_ms: int) -> list[policy.WorkerView]:
         """Return the workers that may get a task now."""
         if now_ms >= self._fresh_until_ms:
             self._rebuild(now_ms)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -25,6 +25,7 @@
 from basilspindle.fleet import amounts
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import policy
 
 _SEED = 7
 _SIZES = (24, 123)
@@ -164,7 +165,7 @@
         'd1',
         settings=_LARGE,
         check_fence=lambda partition, epoch: None,
-        choose=fleet.choose_best_fit,
+        choose=policy.choose,
         report=_confirm,
         client_factory=make,
     ) as opened:
@@ -327,7 +328,7 @@
         'd1',
         settings=fleet.FleetSettings(worker_poll_ms=0),
         check_fence=lambda partition, epoch: None,
-        choose=fleet.choose_best_fit,
+        choose=policy.choose,
         report=_confirm,
         client_factory=lambda address: api,
     ) as opened:
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -11,6 +11,7 @@
 from basilspindle import fleet
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import policy
 from tests.standins import fleet_record
 from tests.standins import manual_clock
 from tests.standins import worker as worker_module
@@ -110,7 +111,7 @@
             member_id,
             settings=self.settings,
             check_fence=self.check_fence,
-            choose=choose or fleet.choose_best_fit,
+            choose=choose or policy.choose,
             report=self.report,
             client_factory=lambda address: self.client(address, member_id),
         )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from basilspindle import errors
-from basilspindle import fleet
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import policy
 from tests import fleet_case
 
 _KEYS = [('g/0', 1), ('g/1', 1)]
@@ -115,7 +115,7 @@
 
         def choose(order, views):
             self.fences[0] = 2
-            return fleet.choose_best_fit(order, views)
+            return policy.choose(order, views)
 
         opened = await self.start_fleet(choose=choose)
         placed = await self.place(opened, self.order('a/0'))
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -5,6 +5,7 @@
 from basilspindle import fleet
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import policy
 from tests import fleet_case
 
 _LOST_AFTER_MS = 33_000
@@ -116,7 +117,7 @@
 
         def choose(order, views):
             self.clock._now_ms += 2_900
-            return fleet.choose_best_fit(order, views)
+            return policy.choose(order, views)
 
         opened = await self.start_fleet(choose=choose)
         (placed,) = await self.place(opened, self.order('a/0'))
