Learn from fence answers that the former claim was active

Change: Fenced names the highest epoch seen active. Results: a restarted owner starts again within suspect_ms + settle_ms; the new test fails without the change; ownership, membership, peer and interleaving tests pass.

--- a/basilspindle/cluster/fencing.py
+++ b/basilspindle/cluster/fencing.py
@@ -25,7 +25,8 @@
 
     ``former`` is the id of the member that claimed before, '' if none.
     With ``released`` the former owner has stopped by itself. ``proven``
-    tells whether the former claim is known to have become active.
+    tells whether the former claim, of ``former_epoch``, is known to have
+    become active; the answers of the others can tell it as well.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         '_client',
         '_clock',
         '_former',
+        '_former_epoch',
         '_membership',
         '_pending',
         '_proven',
@@ -49,6 +51,7 @@
         membership: membership_module.Membership,
         tenure: tenure_module.Tenure,
         former: str,
+        former_epoch: int,
         released: bool,
         proven: bool,
     ) -> None:
@@ -58,6 +61,7 @@
         self._membership = membership
         self._tenure = tenure
         self._former = former
+        self._former_epoch = former_epoch
         self._released = released
         self._proven = proven
         self._acked: dict[str, str] = {}
@@ -148,4 +152,6 @@
             return
         if reply.epoch > tenure.epoch:
             tenure.lose()
+        if reply.active_epoch == self._former_epoch:
+            self._proven = True
         self._acked[member.address] = incarnation
--- a/basilspindle/cluster/ownership.py
+++ b/basilspindle/cluster/ownership.py
@@ -182,7 +182,10 @@
         tenure = self._tenures.get(fence.partition)
         if tenure is not None and 0 < tenure.epoch < epoch:
             self._lose(tenure)
-        return messages.Fenced(epoch=epoch)
+        return messages.Fenced(
+            epoch=epoch,
+            active_epoch=self._active_epochs.get(fence.partition, 0),
+        )
 
     async def hand_over_all(self, within_ms: int = _HANDOVER_MS) -> bool:
         """Release every partition; return whether all were in time."""
@@ -409,6 +412,7 @@
             self._membership,
             tenure,
             former,
+            former_epoch,
             released,
             self._active_epochs.get(partition) == former_epoch,
         )
--- a/basilspindle/peer/messages/fence.py
+++ b/basilspindle/peer/messages/fence.py
@@ -12,6 +12,10 @@
 
 
 class Fenced(msgspec.Struct, frozen=True, kw_only=True):
-    """Confirm the fence; ``epoch`` is the highest one known."""
+    """Confirm the fence; ``epoch`` is the highest one known.
+
+    ``active_epoch`` is the highest one that was seen active, 0 if none.
+    """
 
     epoch: int
+    active_epoch: int = 0
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -52,6 +52,15 @@
         limit_ms = timing.suspect_ms + timing.settle_ms
         self.assertLessEqual(spent_ms, limit_ms + 100)
 
+    async def test_restarted_owner_claims_again_at_once(self):
+        """Guard against a restart that costs the lapse."""
+        await self.old.kill()
+        self.rest.append(await self.rig.add(self.old.member_id))
+        spent_ms = await self.rig.until(self.successor)
+        timing = self.rig.timing
+        limit_ms = timing.suspect_ms + timing.settle_ms
+        self.assertLessEqual(spent_ms, limit_ms + 200)
+
     async def test_silent_owner_is_replaced_after_the_lapse(self):
         """Guard against a takeover while the old owner may start."""
         self.old.pause()
