--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 
 mutants: setup
 	$(PYTHON) -m tests.mutants
+
+soak: setup
+	BASILSPINDLE_SOAK=1 $(PYTHON) -m nose2 \
+		tests.test_cluster_interleaving tests.test_config_race \
+		tests.test_fleet_interleaving tests.test_journal_interleaving \
+		tests.test_policy_state
--- a/tests/test_cluster_interleaving.py
+++ b/tests/test_cluster_interleaving.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from tests import soak
 from tests.standins import cluster_rig
 
 _IDS = ('a', 'b', 'c')
@@ -222,9 +223,7 @@
 class InterleavingTest(unittest.TestCase):
     """Guard against two daemons that start tasks of one partition."""
 
-    @hypothesis.settings(
-        derandomize=True, max_examples=60, deadline=None, database=None
-    )
+    @soak.settings(60)
     @hypothesis.given(_STEPS, strategies.booleans())
     @hypothesis.example(_RELEASED_UNFENCED, True)
     def test_at_most_one_daemon_starts_tasks(self, steps, economical):
--- a/tests/test_config_race.py
+++ b/tests/test_config_race.py
@@ -10,6 +10,7 @@
 
 from basilspindle import config
 from basilspindle import errors
+from tests import soak
 from tests.standins import manual_clock
 from tests import test_config_store
 
@@ -218,9 +219,7 @@
 class RaceTest(unittest.TestCase):
     """Guard against schedules that nobody thought of."""
 
-    @hypothesis.settings(
-        max_examples=100, deadline=None, derandomize=True, database=None
-    )
+    @soak.settings(100)
     @hypothesis.given(
         strategies.integers(0, 1_000_000), strategies.integers(50, 400)
     )
--- a/tests/test_fleet_interleaving.py
+++ b/tests/test_fleet_interleaving.py
@@ -11,6 +11,7 @@
 from basilspindle import model
 from basilspindle.peer import messages
 from tests import fleet_case
+from tests import soak
 from tests.standins import worker_faults
 
 _MEMBERS = ('d1', 'd2')
@@ -299,13 +300,9 @@
     setUpClass = fleet_case.FleetCase.setUpClass
     tearDownClass = fleet_case.FleetCase.tearDownClass
 
-    @hypothesis.settings(
-        derandomize=True,
-        deadline=None,
-        max_examples=40,
-        database=None,
-        # Shrinking a scene takes minutes and rarely makes it clearer.
-        phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+    # Shrinking a scene takes minutes and rarely makes it clearer.
+    @soak.settings(
+        40, phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate)
     )
     @hypothesis.given(
         strategies.lists(
--- a/tests/test_journal_interleaving.py
+++ b/tests/test_journal_interleaving.py
@@ -10,6 +10,7 @@
 from basilspindle import errors
 from basilspindle import journal
 from tests import journal_case
+from tests import soak
 from tests.standins import log_faults
 from tests.standins import log_service
 from tests.standins import manual_clock
@@ -172,9 +173,7 @@
 class InterleavingTest(unittest.TestCase):
     """Guard against readers that disagree and promises that are broken."""
 
-    @hypothesis.settings(
-        derandomize=True, max_examples=120, deadline=None, database=None
-    )
+    @soak.settings(120)
     @hypothesis.given(strategies.lists(_OPERATIONS, min_size=10, max_size=50))
     def test_all_readers_agree(self, operations):
         """Guard against lost, doubled and wrongly refused records."""
--- a/tests/test_policy_state.py
+++ b/tests/test_policy_state.py
@@ -2,12 +2,12 @@
 
 import collections
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
 from basilspindle import model
 from basilspindle import policy
+from tests import soak
 
 _TEAMS = ('blue', 'red', 'green')
 _SHAPES = (
@@ -193,9 +193,4 @@
 
 
 QueueTest = QueueMachine.TestCase
-QueueTest.settings = hypothesis.settings(
-    derandomize=True,
-    max_examples=150,
-    stateful_step_count=40,
-    deadline=None,
-)
+QueueTest.settings = soak.settings(150, stateful_step_count=40)
