Restart a service that ends at once ever later

Cause: a service whose task fails at once was started again without a pause, as fast as the holder answered (found by reading). Ruled out: a bound on attempts, since a service has to come back. Change: from the second restart on it waits 500 ms, doubling up to 64 s; a run of 60 s counts as steady. Before: no test.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -114,6 +114,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._dispatcher.close()
         await self._housekeeping.close()
+        await self._ends.close()
 
     def set_teams(
         self, teams: collections.abc.Mapping[str, policy.TeamPolicy]
@@ -217,6 +218,7 @@
         del self._partitions[number]
         partition.closed = True
         for tracked in partition.jobs.values():
+            tracked.closed = True
             self._queue.remove(tracked.job.job_id)
             for _ in tracked.started:
                 self._queue.end_running(
--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -136,6 +136,9 @@
     ) -> int:
         found = self._find(pick.job_id)
         if found is None:
+            now_ms = self._clock.now_ms()
+            self._queue.give_back(pick.job_id, pick.count, now_ms)
+            self._queue.remove(pick.job_id)
             return 0
         partition, tracked = found
         if not self._starts(partition, tracked):
--- a/basilspindle/coordinator/task_ends.py
+++ b/basilspindle/coordinator/task_ends.py
@@ -1,5 +1,6 @@
 """Apply the ends of attempts: results, retries and unknown outcomes."""
 
+import asyncio
 import collections.abc
 import contextlib
 
@@ -20,6 +21,10 @@
 from basilspindle import policy
 
 _APPEND_TIMEOUT_MS = 5_000
+# A service that ends at once would otherwise be restarted without a pause.
+_RESTART_MS = 500
+_MAX_DOUBLINGS = 7
+_STEADY_RUN_MS = 60_000
 
 
 class TaskEnds:
@@ -28,7 +33,14 @@
     ``wake`` is called when work may be started again.
     """
 
-    __slots__ = ('_clock', '_queue', '_rooms', '_estimates', '_wake')
+    __slots__ = (
+        '_clock',
+        '_queue',
+        '_rooms',
+        '_estimates',
+        '_wake',
+        '_delayed',
+    )
 
     def __init__(
         self,
@@ -43,6 +55,13 @@
         self._rooms = rooms
         self._estimates = estimates
         self._wake = wake
+        self._delayed: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Cancel what waits to be queued again."""
+        for task in self._delayed:
+            task.cancel()
+        await asyncio.gather(*self._delayed, return_exceptions=True)
 
     async def report(
         self,
@@ -121,7 +140,11 @@
             counted = verdict is outcome.Verdict.RETRY
             placed = bool(task.worker_id)
             tracked.give_back(index, counted=counted)
-            self._requeue(tracked, placed)
+            delay_ms = _restart_delay_ms(tracked, index, end)
+            if delay_ms:
+                self._delay(tracked, delay_ms)
+            else:
+                self._requeue(tracked, placed)
         else:
             self._finish(tracked, index, end, verdict)
         if task.holder_id and end.started:
@@ -156,6 +179,21 @@
                 worker_id=end.worker_id,
             )
 
+    def _delay(self, tracked: tracked_job.TrackedJob, delay_ms: int) -> None:
+        """Queue one task again after a delay."""
+        self._queue.end_running(tracked.job.team, tracked.job.resources)
+        task = asyncio.ensure_future(self._push_later(tracked, delay_ms))
+        self._delayed.add(task)
+        task.add_done_callback(self._delayed.discard)
+
+    async def _push_later(
+        self, tracked: tracked_job.TrackedJob, delay_ms: int
+    ) -> None:
+        await self._clock.sleep_ms(delay_ms)
+        if not (tracked.closed or tracked.cancelled or tracked.state.final):
+            recovery.push(tracked, 1, self._queue, self._clock)
+            self._wake()
+
     def _requeue(self, tracked: tracked_job.TrackedJob, placed: bool) -> None:
         """Queue one task again; one that was never placed keeps its turn."""
         job = tracked.job
@@ -173,6 +211,20 @@
 }
 
 
+def _restart_delay_ms(
+    tracked: tracked_job.TrackedJob, index: int, end: model.TaskEnd
+) -> int:
+    """Return how long a service that keeps ending waits for its restart."""
+    steady = end.run_time_ms >= _STEADY_RUN_MS
+    if not tracked.job.service or not end.started or steady:
+        return 0
+    restarts = tracked.attempts.get(index, 1) - 1
+    if restarts < 1:
+        return 0
+    doublings = min(restarts - 1, _MAX_DOUBLINGS)
+    return _RESTART_MS << doublings
+
+
 def _is_outdated(task: tracked_task.TrackedTask, end: model.TaskEnd) -> bool:
     """Tell whether a later holder of the worker has found the task.
 
--- a/basilspindle/coordinator/tracked_job.py
+++ b/basilspindle/coordinator/tracked_job.py
@@ -14,7 +14,8 @@
     started ones are in ``started`` and ended ones in ``ended``, both by
     index. Every task is in exactly one of these places. ``declared`` are
     the resources as submitted, before they were corrected; None for a job
-    that another daemon accepted.
+    that another daemon accepted. ``closed`` is set when its partition is
+    given up.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         'declared',
         'failed_workers',
         'cancelled',
+        'closed',
         'state',
         'reason',
         'ended_at_ms',
@@ -47,6 +49,7 @@
         self.declared: model.Resources | None = None
         self.failed_workers: dict[int, list[str]] = {}
         self.cancelled = False
+        self.closed = False
         self.state = model.State.QUEUED
         self.reason = ''
         self.ended_at_ms = 0
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -327,6 +327,19 @@
         await self.end(self.holders.started[0], _State.SUCCEEDED)
         self.assertEqual(2, len(self.holders.started))
 
+    async def test_service_that_ends_at_once_is_restarted_ever_later(self):
+        self.activate()
+        await self.submit(self.job(service=True))
+        await self.end(self.holders.started[-1], _State.FAILED)
+        for number in range(2, 8):
+            self.assertEqual(number, len(self.holders.started))
+            await self.end(self.holders.started[-1], _State.FAILED)
+            self.assertEqual({'queued': 1}, (await self.view()).counts)
+            await self.step(500 << (number - 2))
+        await self.coordinator.cancel(
+            messages.Cancel(partition=0, team='red', job_id='j1')
+        )
+
 
 class EstimateTest(coordinator_case.CoordinatorCase):
     """Guard against sizes that stay as wrong as they were declared."""
