Drop a constant of the admission that nothing uses

Cause: it was left from a bound on quoted names that was not made. Ruled out: making the bound now without a test of it. Result: tests.test_api and tests.test_api_errors pass (22); flake8 is clean.

--- a/basilspindle/api/admission.py
+++ b/basilspindle/api/admission.py
@@ -16,7 +16,6 @@
 _MAX_KEY_CHARS = 200
 # Larger than any worker, and small enough for every format on the way.
 _MAX_AMOUNT = 1_000_000_000
-_MAX_SHOWN_CHARS = 64
 _DIGEST_BYTES = 16
 _BEARER = 'Bearer '
 
