Start nothing beside a holder that may renew leases unseen

Cause: after a takeover the owner waited for the task leases of workers that no answering holder covered. Ruled out: opening only when all workers are covered, since a dead worker on the VM list would then close the partition until the list drops it. Before: test_silent_member_may_renew_the_leases_of_unseen_workers fails by construction of the old code (opens after 30 s); not run against it.

--- a/basilspindle/cluster/recovery.py
+++ b/basilspindle/cluster/recovery.py
@@ -25,17 +25,21 @@
     """What the holders reported.
 
     ``unseen_until_ms`` is the monotonic time until which tasks on workers
-    that no holder reported may still run.
+    that no holder reported may still run, provided that no member is
+    ``silent``: a member that does not answer may renew their task leases
+    for as long as it reaches the workers.
     """
 
-    __slots__ = ('ends', 'running', 'unseen_until_ms')
+    __slots__ = ('ends', 'running', 'silent', 'unseen_until_ms')
 
     def __init__(
         self,
         running: list[model.RunningTask],
         ends: list[model.TaskEnd],
         unseen_until_ms: int,
+        silent: bool,
     ) -> None:
+        self.silent = silent
         self.running = running
         self.ends = ends
         self.unseen_until_ms = unseen_until_ms
@@ -85,7 +89,12 @@
             self._local(request),
             *(self._ask(member, request) for member in talking),
         )
-        return self._merge(listed, [r for r in replies if r is not None])
+        unheard = [
+            m for m in self._membership.must_reply() if not m.state.talks
+        ]
+        silent = bool(unheard) or None in replies
+        found = [reply for reply in replies if reply is not None]
+        return self._merge(listed, found, silent)
 
     async def _ask(
         self, member: member_module.Member, request: messages.Inventory
@@ -100,7 +109,10 @@
         return None
 
     def _merge(
-        self, listed: bool, replies: list[messages.Inventoried]
+        self,
+        listed: bool,
+        replies: list[messages.Inventoried],
+        silent: bool,
     ) -> Found:
         running = {
             (task.task_id, task.attempt, task.worker_id): task
@@ -117,4 +129,6 @@
         until_ms = self._clock.now_ms()
         if not listed or not workers <= seen:
             until_ms += fencing.with_drift(self._timing.task_lease_ms)
-        return Found(list(running.values()), list(ends.values()), until_ms)
+        return Found(
+            list(running.values()), list(ends.values()), until_ms, silent
+        )
--- a/basilspindle/daemon/partition_host.py
+++ b/basilspindle/daemon/partition_host.py
@@ -6,12 +6,14 @@
 
 from basilspindle import clock as clock_module
 from basilspindle import cluster
+from basilspindle.cluster import recovery
 from basilspindle import coordinator as coordinator_package
 from basilspindle.daemon import events as daemon_events
 from basilspindle import events
 from basilspindle import model
 
 _SURVEY_MS = 300
+_NEVER_MS = 1 << 62
 # 5,100 running tasks are about 1 MB of inventories for all partitions.
 _RECONCILE_MS = 60_000
 
@@ -19,10 +21,8 @@
 class Survey(typing.Protocol):
     """Ask all holders for the inventories of a partition."""
 
-    async def __call__(
-        self, partition: int, epoch: int
-    ) -> tuple[list[model.RunningTask], list[model.TaskEnd], bool]:
-        """Return running tasks, ends, and whether no worker is missing."""
+    async def __call__(self, partition: int, epoch: int) -> recovery.Found:
+        """Return what the holders that answer report now."""
 
 
 class PartitionHost:
@@ -68,8 +68,10 @@
         unseen_until_ms: int,
     ) -> None:
         """Take up a partition; starts may have to wait for a survey."""
+        seen = unseen_until_ms <= self._clock.now_ms()
+        opens_at_ms = unseen_until_ms if seen else _NEVER_MS
         self._coordinator.activate(
-            partition, journal, running, ends, unseen_until_ms
+            partition, journal, running, ends, opens_at_ms
         )
         former = self._surveys.pop(partition, None)
         if former is not None:
@@ -86,14 +88,41 @@
         await self._coordinator.deactivate(partition, handover)
 
     async def _watch(self, partition: int, epoch: int, until_ms: int) -> None:
+        await self._await_workers(partition, epoch, until_ms)
+        while True:
+            await self._clock.sleep_ms(_RECONCILE_MS)
+            found = await self._ask(partition, epoch)
+            if found is not None and self._is_complete(found):
+                self._coordinator.reconcile(
+                    partition, found.running, found.ends
+                )
+
+    async def _await_workers(
+        self, partition: int, epoch: int, until_ms: int
+    ) -> None:
+        """Open the partition once no task can run unseen.
+
+        A silent member may renew the task leases of workers that nobody
+        else reaches, so the time counts from when the last one was silent.
+        """
+        wait_ms = until_ms - self._clock.now_ms()
         while self._clock.now_ms() < until_ms:
-            try:
-                seen = await self._survey(partition, epoch)
-            except Exception as error:
-                events.emit(daemon_events.LOOP_FAILED, error=repr(error))
-            else:
-                running, ends, complete = seen
-                if complete:
-                    self._coordinator.see_all(partition, running, ends)
-                    return
+            found = await self._ask(partition, epoch)
+            if found is None or found.silent:
+                until_ms = self._clock.now_ms() + wait_ms
+            if found is not None and self._is_complete(found):
+                self._coordinator.see_all(partition, found.running, found.ends)
+                return
             await self._clock.sleep_ms(_SURVEY_MS)
+        if wait_ms > 0:
+            self._coordinator.see_all(partition, [], [])
+
+    def _is_complete(self, found: recovery.Found) -> bool:
+        return found.unseen_until_ms <= self._clock.now_ms()
+
+    async def _ask(self, partition: int, epoch: int) -> recovery.Found | None:
+        try:
+            return await self._survey(partition, epoch)
+        except Exception as error:
+            events.emit(daemon_events.LOOP_FAILED, error=repr(error))
+            return None
--- a/basilspindle/daemon/survey.py
+++ b/basilspindle/daemon/survey.py
@@ -1,12 +1,9 @@
 """Ask every holder what runs for a partition."""
 
-import collections.abc
-
 from basilspindle import clock as clock_module
 from basilspindle import cluster
 from basilspindle.cluster import recovery
 from basilspindle.cluster import tenure as tenure_module
-from basilspindle import model
 
 
 class Survey:
@@ -37,17 +34,11 @@
         self._vm_list = vm_list
         self._local = local
 
-    async def __call__(
-        self, partition: int, epoch: int
-    ) -> tuple[
-        collections.abc.Sequence[model.RunningTask],
-        collections.abc.Sequence[model.TaskEnd],
-        bool,
-    ]:
-        """Return tasks, ends, and whether every worker was covered."""
+    async def __call__(self, partition: int, epoch: int) -> recovery.Found:
+        """Return what the holders that answer report now."""
         tenure = tenure_module.Tenure(partition)
         tenure.epoch = epoch
-        found = await recovery.Recovery(
+        return await recovery.Recovery(
             self._clock,
             self._timing,
             self._client,
@@ -56,5 +47,3 @@
             tenure,
             self._local,
         ).run()
-        complete = found.unseen_until_ms <= self._clock.now_ms()
-        return found.running, found.ends, complete
--- a/tests/test_daemon_parts.py
+++ b/tests/test_daemon_parts.py
@@ -7,6 +7,7 @@
 import loguru
 
 from basilspindle import cluster
+from basilspindle.cluster import recovery
 from basilspindle import config
 from basilspindle.daemon import holder_directory
 from basilspindle.daemon import live_timing
@@ -54,6 +55,9 @@
     def own(self):
         return self.all[0]
 
+    def must_reply(self):
+        return [m for m in self.members() if m.state.must_reply]
+
     def members(self):
         return self.all[1:]
 
@@ -390,7 +394,9 @@
         self.clock = manual_clock.ManualClock()
         self.opened = []
         self.deactivated = []
+        self.reconciled = []
         self.covered = False
+        self.silent = False
         self.fault = None
         self.surveys = 0
         self.host = await self.enterAsyncContext(
@@ -401,6 +407,9 @@
     def activate(self, *_):
         pass
 
+    def reconcile(self, partition, running, ends):
+        self.reconciled.append((partition, running, ends))
+
     def see_all(self, partition, running, ends):
         self.opened.append((partition, running, ends))
 
@@ -409,7 +418,8 @@
         self.surveys += 1
         if self.fault is not None:
             raise self.fault
-        return ['task'], ['end'], self.covered
+        until_ms = self.clock.now_ms() + (0 if self.covered else 30_000)
+        return recovery.Found(['task'], ['end'], until_ms, self.silent)
 
     async def take_up(self, unseen_ms=30_000):
         until_ms = self.clock.now_ms() + unseen_ms
@@ -433,6 +443,31 @@
         await self.clock.advance_ms(1_000)
         self.assertEqual(1, len(self.opened))
 
+    async def test_opens_after_the_task_leases_of_unseen_workers(self):
+        await self.take_up()
+        await self.clock.advance_ms(28_000)
+        self.assertEqual([], self.opened)
+        await self.clock.advance_ms(2_000)
+        self.assertEqual([(2, [], [])], self.opened)
+
+    async def test_silent_member_may_renew_the_leases_of_unseen_workers(self):
+        """Guard against a second run beside a holder that is cut off."""
+        self.silent = True
+        await self.take_up()
+        await self.clock.advance_ms(120_000)
+        self.assertEqual([], self.opened)
+        self.silent = False
+        await self.clock.advance_ms(29_000)
+        self.assertEqual([], self.opened)
+        await self.clock.advance_ms(2_000)
+        self.assertEqual([(2, [], [])], self.opened)
+
+    async def test_inventories_are_compared_once_open(self):
+        self.covered = True
+        await self.take_up()
+        await self.clock.advance_ms(60_500)
+        self.assertEqual([(2, ['task'], ['end'])], self.reconciled)
+
     async def test_survey_ends_with_its_reason(self):
         """Guard against surveys of partitions that are open or lost."""
         await self.take_up(0)
@@ -494,7 +529,9 @@
         for reply, answered, expected in cases:
             listed.append(answered)
             client.replies = {'b:1': reply}
-            _, _, complete = await inquiry(3, 8)
+            found = await inquiry(3, 8)
+            complete = found.unseen_until_ms <= clock.now_ms()
             self.assertEqual(expected, complete)
+            self.assertTrue(found.silent)
         self.assertEqual({'b:1'}, {a for a, _ in client.calls})
         self.assertEqual({8}, {r.partition_epoch for _, r in client.calls})
