Repeat a call that a silent connection swallowed

Cause: a submission on a connection that had gone silent waited for the whole time of its request; a partition that moved while a job was being recorded ended in outcome_unknown although the new owner takes the same job id; the answer to an unknown kind listed the kinds of all teams. Ruled out: a bound of the heartbeat's length, since an owner may take 5 s while the log is slow. Change: an attempt is bounded by 6 s beyond its wait; a moved partition is repeated at its new owner; only the team's kinds are named; run_time_ms 0 is refused.

--- a/basilspindle/api/admission.py
+++ b/basilspindle/api/admission.py
@@ -132,14 +132,15 @@
         self, request: submission_module.Submission, team: str
     ) -> config.Kind:
         document = self._store.current.document
+        settings = document.teams.get(team)
+        allowed = settings.kinds if settings is not None else []
         kind = document.kinds.get(request.kind)
         if kind is None:
             raise errors.NotFound(
-                f'there is no kind {request.kind!r}; known are '
-                f'{", ".join(sorted(document.kinds))}'
+                f'there is no kind {request.kind!r}; the team may submit '
+                f'{", ".join(sorted(allowed)) or "none"}'
             )
-        settings = document.teams.get(team)
-        if settings is None or request.kind not in settings.kinds:
+        if request.kind not in allowed:
             raise errors.Forbidden(
                 f'team {team!r} may not submit kind {request.kind!r}; ask '
                 'an operator to add it to the team'
@@ -147,8 +148,8 @@
         queue = document.queues.get(request.queue)
         if queue is None and request.queue != _DEFAULT_QUEUE:
             raise errors.NotFound(
-                f'there is no queue {request.queue!r}; use one of '
-                f'{", ".join(sorted(document.queues))}'
+                f'there is no queue {request.queue!r}; use '
+                f'{_DEFAULT_QUEUE!r} or ask an operator for the name'
             )
         kinds = queue.kinds if queue is not None else None
         if kinds is not None and request.kind not in kinds:
@@ -203,6 +204,8 @@
             f'kind {request.kind!r} is not idempotent and a request cannot '
             'make it so; leave "idempotent" out'
         )
+    if request.run_time_ms == 0:
+        raise errors.BadRequest('run_time_ms must be 1 or more')
     for name in ('run_time_ms', 'deadline_ms'):
         value = getattr(request, name)
         if value is not None and not 0 <= value <= _MAX_MS:
--- a/basilspindle/coordinator/intake.py
+++ b/basilspindle/coordinator/intake.py
@@ -119,9 +119,11 @@
             ) from None
         except asyncio.CancelledError:
             if task.cancelled():
-                raise errors.OutcomeUnknown(
+                # The router hands the same job id to the new owner.
+                raise errors.Deposed(
                     'the partition moved to another daemon; submit again '
                     'with the same idempotency key',
+                    ran=errors.Ran.UNKNOWN,
                     job_id=job.job_id,
                 ) from None
             raise
--- a/basilspindle/routing/router.py
+++ b/basilspindle/routing/router.py
@@ -18,6 +18,9 @@
 _RETRY_PAUSE_MS = 100
 # A paused owner does not answer; its successor is asked instead.
 _OWNER_CHECK_MS = 200
+# Longer than an owner takes to answer while the log is slow. A call on a
+# connection that has gone silent is repeated on another one after this.
+_ATTEMPT_MS = 6_000
 _RETRY_AFTER_MS = 1_000
 
 Handler = collections.abc.Callable[
@@ -140,8 +143,9 @@
         if not address:
             handler = self._handlers[type(request)]
             return await self._clock.wait_ms(handler(request), left_ms)
+        attempt_ms = getattr(request, 'wait_ms', 0) + _ATTEMPT_MS
         call = asyncio.ensure_future(
-            self._caller.call(address, request, left_ms)
+            self._caller.call(address, request, min(left_ms, attempt_ms))
         )
         try:
             while not await self._ended(call):
