Split the daemon into its parts and their views

Ruled out: restarting the loop, since the daemon would be half built. Change: parts, overview, gauges and reports are files of their own; a daemon whose loop ends exits with status 1.

--- /dev/null
+++ b/basilspindle/daemon/gauges.py
@@ -0,0 +1,43 @@
+"""Expose the state of a daemon as gauges."""
+
+from basilspindle import api
+from basilspindle.daemon import parts as parts_module
+
+
+def add(metrics: api.Metrics, parts: parts_module.Parts) -> None:
+    """Add the gauges of a daemon; they are read at each scrape."""
+    metrics.gauge(
+        'log_down',
+        '1 while the log is silent.',
+        lambda: float(parts.log.is_down),
+    )
+    metrics.gauge(
+        'config_version',
+        'Version of the configuration in force.',
+        lambda: parts.store.version,
+    )
+    metrics.gauge(
+        'config_age_ms',
+        'Age of the assurance of the configuration; -1 is never.',
+        parts.config_age_ms,
+    )
+    metrics.gauge(
+        'members_live',
+        'Daemons that answer, this one included.',
+        lambda: len(parts.membership.live()),
+    )
+    metrics.gauge(
+        'partitions_owned',
+        'Partitions that this daemon owns.',
+        lambda: len(parts.ownership.claims()) if parts.ownership else 0,
+    )
+    metrics.gauge(
+        'workers_held',
+        'Workers that this daemon holds and that take work.',
+        lambda: parts.fleet.room().workers if parts.fleet else 0,
+    )
+    metrics.gauge(
+        'tasks_waiting',
+        'Tasks that wait in the queues of this daemon.',
+        lambda: parts.coordinator.waiting() if parts.coordinator else 0,
+    )
--- a/basilspindle/daemon/main.py
+++ b/basilspindle/daemon/main.py
@@ -59,10 +59,10 @@
             loop.add_signal_handler(
                 signal.SIGUSR1,
                 lambda: events.emit(
-                    daemon_events.STATE_DUMP, state=daemon.dump()
+                    daemon_events.STATE_DUMP, state=daemon.overview.dump()
                 ),
             )
-            await stop.wait()
+            await daemon.run_until(stop)
             await daemon.stop()
     except OSError as error:
         click.echo(
