Use the field's words for names that were figurative

Cause: read as a newcomer, hurry, speak, bury, tell, hear, doubt and the waiting room do not say what they do. Before and after: the tests of the changed parts pass.

--- a/basilspindle/api/callers.py
+++ b/basilspindle/api/callers.py
@@ -61,7 +61,7 @@
             waits=True,
         )
         timing = services.store.current.document.timing
-        with services.waiting_room.enter():
+        with services.request_limiter.enter():
             work = waiting.Waiting(
                 services.clock, services.router, job, timing.request_max_ms
             )
--- a/basilspindle/api/waiting_room.py
+++ b/basilspindle/api/request_limiter.py
@@ -8,7 +8,7 @@
 _RETRY_AFTER_MS = 1_000
 
 
-class WaitingRoom:
+class RequestLimiter:
     """Admit at most ``most`` requests at a time."""
 
     __slots__ = ('_most', '_inside')
--- a/basilspindle/api/services.py
+++ b/basilspindle/api/services.py
@@ -6,7 +6,7 @@
 from basilspindle.api import admission as admission_module
 from basilspindle.api import member_body
 from basilspindle.api import metrics as metrics_module
-from basilspindle.api import waiting_room
+from basilspindle.api import request_limiter
 from basilspindle.api import worker_body
 from basilspindle import clock as clock_module
 from basilspindle import config
@@ -28,7 +28,7 @@
         'workers',
         'dump',
         'limits',
-        'waiting_room',
+        'request_limiter',
     )
 
     def __init__(
@@ -54,6 +54,6 @@
         self.workers = workers
         self.dump = dump
         self.limits = limits
-        self.waiting_room = waiting_room.WaitingRoom(
+        self.request_limiter = request_limiter.RequestLimiter(
             limits.max_waiting_requests
         )
--- a/basilspindle/cluster/guard.py
+++ b/basilspindle/cluster/guard.py
@@ -31,7 +31,7 @@
         return True
 
 
-def tell(
+def notify(
     listeners: collections.abc.Iterable[collections.abc.Callable[[], None]],
 ) -> None:
     """Call every listener, also if one fails."""
--- a/basilspindle/cluster/member.py
+++ b/basilspindle/cluster/member.py
@@ -76,7 +76,7 @@
             return True
         return bool(self.heartbeat and self.heartbeat.leaving)
 
-    def hear(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
+    def update(self, heartbeat: messages.Heartbeat, now_ms: int) -> None:
         """Take over what the member says of itself."""
         self.member_id = heartbeat.member_id
         self.incarnation = heartbeat.incarnation
@@ -115,7 +115,7 @@
             return 0
         return self.refused_ms - self.refused_since_ms
 
-    def fall_silent(self) -> None:
+    def mark_silent(self) -> None:
         """Note a call without answer, which ends a series of refusals."""
         self.refused_ms = None
         self.refused_since_ms = None
--- a/basilspindle/cluster/member_state.py
+++ b/basilspindle/cluster/member_state.py
@@ -18,7 +18,7 @@
         return self not in _ENDED
 
     @property
-    def talks(self) -> bool:
+    def responsive(self) -> bool:
         """Tell whether the member was heard within suspect_ms."""
         return self in _TALKING
 
--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -121,7 +121,7 @@
         self._started_ms = now_ms
         self._reviewed_ms = now_ms
         self._quiet_from_ms = now_ms
-        self._speak()
+        self._make_heartbeat()
         self._vm_list.on_change(self._follow_list)
         for address in self._seeds:
             self._learn(address)
@@ -232,10 +232,10 @@
         """Call every member for a while, as without the log."""
         now_ms = self._clock.now_ms()
         if now_ms >= self._demand_until_ms:
-            self.hurry()
+            self.send_now()
         self._demand_until_ms = now_ms + _DEMAND_MS
 
-    def hurry(self) -> None:
+    def send_now(self) -> None:
         """Send the next heartbeat to every member now."""
         for wake in self._wakes.values():
             wake.set()
@@ -246,19 +246,19 @@
         """Answer a heartbeat; raises ``StaleIncarnation``."""
         if heartbeat.address != self._self.address:
             self._refuse_stale(heartbeat)
-            self._hear(heartbeat)
+            self._record(heartbeat)
             called = self._members[heartbeat.address]
             called.called_ms = self._clock.now_ms()
-        reply = self._speak()
+        reply = self._make_heartbeat()
         fenced = self._fences.above(heartbeat.claims)
         if fenced:
             return msgspec.structs.replace(reply, fenced=fenced)
         return reply
 
-    def _speak(self) -> messages.Heartbeat:
+    def _make_heartbeat(self) -> messages.Heartbeat:
         heartbeat = self._own()
         self._self.address = heartbeat.address
-        self._self.hear(heartbeat, self._clock.now_ms())
+        self._self.update(heartbeat, self._clock.now_ms())
         leaving = heartbeat.leaving
         self._self.state = _State.LEAVING if leaving else _State.LIVE
         return heartbeat
@@ -287,21 +287,21 @@
             f'{heartbeat.address} was replaced; stop that process'
         )
 
-    def _hear(
+    def _record(
         self, heartbeat: messages.Heartbeat, sent_ms: int | None = None
     ) -> None:
         member = self._learn(heartbeat.address)
         if member.incarnation and member.incarnation < heartbeat.incarnation:
-            self._bury(member)
+            self._mark_gone(member)
             member = self._learn(heartbeat.address)
         before = (member.claims, member.configured)
-        member.hear(heartbeat, self._clock.now_ms())
+        member.update(heartbeat, self._clock.now_ms())
         if sent_ms is not None:
             member.accept_reply(heartbeat, sent_ms)
         self._fences.learn(heartbeat.claims)
         changed = before != (member.claims, member.configured)
         if self._review(member) or changed or heartbeat.fenced:
-            self._tell()
+            self._notify()
 
     def _learn(self, address: str) -> member_module.Member:
         member = self._members.get(address)
@@ -313,16 +313,16 @@
             self._beats[address] = asyncio.ensure_future(self._beat(address))
         return member
 
-    def _bury(self, member: member_module.Member) -> None:
+    def _mark_gone(self, member: member_module.Member) -> None:
         # The id stays in _gone so that a late heartbeat is refused.
         if member.incarnation:
             self._gone[member.member_id] = member.incarnation
         del self._members[member.address]
         self._set_state(member, _State.GONE)
-        self._tell()
+        self._notify()
 
     def _forget(self, member: member_module.Member) -> None:
-        self._bury(member)
+        self._mark_gone(member)
         beat = self._beats.pop(member.address, None)
         if beat is not None:
             beat.cancel()
@@ -340,7 +340,7 @@
                 member = self._learn(address)
                 member.list_as(vm)
                 if self._review(member):
-                    self._tell()
+                    self._notify()
 
     async def _beat(self, address: str) -> None:
         wake = self._wakes[address]
@@ -382,7 +382,7 @@
         age_ms = spoken.log_age_ms + now_ms - (self._self.heard_ms or 0)
         if age_ms <= self._timing.assurance_ms // 2:
             return False
-        age_ms = self._speak().log_age_ms
+        age_ms = self._make_heartbeat().log_age_ms
         return not 0 <= age_ms <= self._timing.assurance_ms // 2
 
     def _pace_ms(self, address: str) -> int:
@@ -398,7 +398,7 @@
         sent_ms = self._clock.now_ms()
         try:
             reply = await self._client.call(
-                address, self._speak(), self._reply_ms()
+                address, self._make_heartbeat(), self._reply_ms()
             )
         except errors.PeerUnavailable:
             self._miss(address, self._client.refused(address))
@@ -421,9 +421,9 @@
         if refused:
             member.refuse(self._clock.now_ms(), self._timing.suspect_ms)
         else:
-            member.fall_silent()
+            member.mark_silent()
         if self._review(member):
-            self._tell()
+            self._notify()
 
     def _accept(
         self, address: str, reply: messages.Heartbeat, sent_ms: int
@@ -440,14 +440,14 @@
         except errors.StaleIncarnation:
             self._miss(address, False)
             return
-        self._hear(reply, sent_ms)
+        self._record(reply, sent_ms)
 
     def _forget_self(self, address: str) -> None:
         member = self._members.pop(address, None)
         beat = self._beats.pop(address, None)
         if member is not None and beat is not None:
             beat.cancel()
-        self._tell()
+        self._notify()
 
     async def _keep_reviewing(self) -> None:
         while True:
@@ -464,13 +464,15 @@
                 self._call_lost()
             changed = [self._review(member) for member in self.members()]
             if any(changed):
-                self._tell()
+                self._notify()
 
     def _call_lost(self) -> None:
         # A process that ends closes its connections. The call tells soon
         # whether its address refuses new ones.
         for member in self.members():
-            known = member.refused_ms is not None or not member.state.talks
+            known = (
+                member.refused_ms is not None or not member.state.responsive
+            )
             if not known and self._client.lost(member.address):
                 self._wakes[member.address].set()
 
@@ -505,5 +507,5 @@
             return _State.SUSPECT
         return _State.LEAVING if member.leaving else _State.LIVE
 
-    def _tell(self) -> None:
-        guard.tell(self._listeners)
+    def _notify(self) -> None:
+        guard.notify(self._listeners)
--- a/basilspindle/cluster/ownership.py
+++ b/basilspindle/cluster/ownership.py
@@ -110,8 +110,8 @@
         self._reviewer: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> 'Ownership':
-        self._membership.on_change(self._hear)
-        self._hear()
+        self._membership.on_change(self._refresh_claims)
+        self._refresh_claims()
         self._reviewer = asyncio.ensure_future(self._keep_reviewing())
         return self
 
@@ -219,7 +219,7 @@
     def _home_of(self, partition: int) -> str:
         return partition_module.home_region(partition, self._regions)
 
-    def _hear(self) -> None:
+    def _refresh_claims(self) -> None:
         self._owners = {}
         for member in self._membership.members():
             for claim in member.claims:
@@ -235,7 +235,7 @@
     def _note(
         self, member: member_module.Member, claim: messages.Claim
     ) -> None:
-        if member.state.talks:
+        if member.state.responsive:
             # Only a claimant that is not heard is a reason to hold back.
             self._backoffs.pop(claim.partition, None)
             self._losses.pop(claim.partition, None)
@@ -312,7 +312,7 @@
         if now_ms < self._backoffs.get(partition, now_ms):
             return False
         known = self._owners.get(partition)
-        return known is None or not known[2].state.talks
+        return known is None or not known[2].state.responsive
 
     def _compare(self, tenure: tenure_module.Tenure, chosen: str) -> None:
         partition = tenure.partition
@@ -365,7 +365,7 @@
             self._better_since.pop(partition, None)
             if tenure.lost:
                 self._back_off(partition)
-            self._membership.hurry()
+            self._membership.send_now()
             self._wake.set()
 
     async def _hold(
@@ -404,7 +404,7 @@
             former=former,
             released=released,
         )
-        self._membership.hurry()
+        self._membership.send_now()
         return fencing.Fencing(
             self._clock,
             self._timing,
@@ -443,7 +443,7 @@
         tenure.changed.clear()
         tenure.step(_Phase.ACTIVE)
         self._see_active(tenure.partition, tenure.epoch)
-        self._membership.hurry()
+        self._membership.send_now()
         events.emit(
             cluster_events.ACTIVE,
             partition=tenure.partition,
@@ -485,7 +485,7 @@
 
     def _finish(self, tenure: tenure_module.Tenure) -> None:
         tenure.step(_Phase.RELEASED)
-        self._membership.hurry()
+        self._membership.send_now()
         events.emit(
             cluster_events.RELEASED,
             partition=tenure.partition,
--- a/basilspindle/cluster/recovery.py
+++ b/basilspindle/cluster/recovery.py
@@ -83,14 +83,16 @@
             partition_epoch=self._tenure.epoch,
             member_id=self._membership.own.member_id,
         )
-        talking = [m for m in self._membership.members() if m.state.talks]
+        responsive = [
+            m for m in self._membership.members() if m.state.responsive
+        ]
         listed, *replies = await asyncio.gather(
             self._vm_list.refresh(),
             self._local(request),
-            *(self._ask(member, request) for member in talking),
+            *(self._ask(member, request) for member in responsive),
         )
         unheard = [
-            m for m in self._membership.must_reply() if not m.state.talks
+            m for m in self._membership.must_reply() if not m.state.responsive
         ]
         silent = bool(unheard) or None in replies
         found = [reply for reply in replies if reply is not None]
--- a/basilspindle/cluster/vm_list.py
+++ b/basilspindle/cluster/vm_list.py
@@ -111,7 +111,7 @@
         if fresh == self._vms:
             return
         self._vms = fresh
-        guard.tell(self._listeners)
+        guard.notify(self._listeners)
 
     async def _run(self) -> None:
         while True:
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -452,7 +452,7 @@
         """Hand everything over; what is in flight is answered on leaving."""
         events.emit(daemon_events.STOPPING)
         self._parts.stopping = True
-        self._parts.membership.hurry()
+        self._parts.membership.send_now()
         await self._parts.clock.sleep_ms(_UNREADY_MS)
         if self._parts.ownership is not None:
             if not await self._parts.ownership.hand_over_all():
--- a/basilspindle/fleet/starter.py
+++ b/basilspindle/fleet/starter.py
@@ -105,11 +105,11 @@
             self._refused(worker, entry, fault)
             return fault
         except errors.WorkerOutcomeUnknown as fault:
-            return self._doubt(worker, entry, fault)
+            return self._resolve_later(worker, entry, fault)
         except Exception as fault:
             # The start may have been sent before the defect showed.
             unknown = errors.WorkerOutcomeUnknown(repr(fault))
-            return self._doubt(worker, entry, unknown)
+            return self._resolve_later(worker, entry, unknown)
         self._confirm(worker, entry)
         return None
 
@@ -152,7 +152,7 @@
         self._ledger.refresh()
         worker.wake.set()
 
-    def _doubt(
+    def _resolve_later(
         self,
         worker: leased_worker.LeasedWorker,
         entry: entry_module.TaskEntry,
