--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,5 +1,6 @@
 """Guard connections against daemons and callers that are not trusted."""
 
+import logging
 import pathlib
 import ssl
 import tempfile
@@ -22,6 +23,9 @@
     """Make two authorities; only the first one is trusted."""
 
     def setUp(self):
+        # asyncio logs every handshake that the tests make fail.
+        logging.disable(logging.ERROR)
+        self.addCleanup(logging.disable, logging.NOTSET)
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.trusted = certificates.Authority(pathlib.Path(folder), 'trusted')
         self.foreign = certificates.Authority(pathlib.Path(folder), 'foreign')
