--- /dev/null
+++ b/basilspindle/cell/ends.py
@@ -0,0 +1,91 @@
+"""Apply the end of a run to its job."""
+
+from basilspindle.cell import report as report_module
+from basilspindle.cell import state as state_module
+from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import job_state
+from basilspindle.workflow import task as task_module
+from basilspindle.workflow import task_state
+
+_Kind = report_module.EndKind
+_State = task_state.TaskState
+# After these ends the other members of a gang may go on waiting.
+_LEAVES_PARTNERS = frozenset(
+    {_Kind.STOPPED, _Kind.LAPSED, _Kind.PARTNER_MISSING}
+)
+
+
+def apply_end(
+    state: state_module.CellState,
+    worker: worker_module.Worker,
+    row: report_module.EndRow,
+    now_ms: int,
+) -> task_module.Task | None:
+    """Apply an end; returns its task, or None for one not known."""
+    worker.foreign.pop(row.name, None)
+    task = state.table.tasks.get(row.name)
+    if task is None:
+        return None
+    current = worker.tasks.get(row.name) is task and task.run == row.run
+    counted = row.run <= task.ended_run
+    task.ended_run = max(task.ended_run, row.run)
+    task.run = max(task.run, row.run)
+    if row.checkpoint and row.run == task.run:
+        task.checkpoint = row.checkpoint
+    if row.kind is _Kind.DONE and not task.step_run.step.service:
+        _mark_done(state, task, now_ms)
+    elif row.kind is _Kind.FAILED and not counted:
+        _count_failure(state, task, row, worker)
+    if current:
+        state.release(task)
+    if task.step_run.step.gang and row.kind in _LEAVES_PARTNERS:
+        state.stop_gang(task.step_run)
+    state.mark_changed(task.step_run.job)
+    return task
+
+
+def _mark_done(
+    state: state_module.CellState, task: task_module.Task, now_ms: int
+) -> None:
+    run = task.step_run
+    # The members of a gang end together; one end stands for all.
+    members = run.tasks if run.step.gang else [task]
+    for member in members:
+        member.checkpoint = ''
+        if member.occupies and member.worker_id != task.worker_id:
+            # Room counts as used until the member's own end is listed.
+            member.started_ms = now_ms
+        run.mark_done(member)
+    job = run.job
+    if not run.waiting:
+        state.table.ready.pop(run.key, None)
+    if not run.is_done:
+        return
+    if job.is_complete:
+        if not job.state.is_final:
+            job.state = job_state.JobState.COMPLETED
+            state.table.close_steps(job)
+    else:
+        state.table.open_steps(job, now_ms)
+
+
+def _count_failure(
+    state: state_module.CellState,
+    task: task_module.Task,
+    row: report_module.EndRow,
+    worker: worker_module.Worker,
+) -> None:
+    run = task.step_run
+    job = run.job
+    task.failures += 1
+    task.avoid.add(worker.worker_id)
+    if run.step.service:
+        return
+    failures = task.failures
+    if run.step.gang:
+        if row.run > run.gang_failed_run:
+            run.gang_failed_run = row.run
+            run.gang_failures += 1
+        failures = run.gang_failures
+    if failures >= job.definition.max_attempts:
+        state.end_job(job, job_state.JobState.FAILED)
--- /dev/null
+++ b/basilspindle/cell/intake.py
@@ -0,0 +1,145 @@
+"""Accept, find and cancel jobs."""
+
+from basilspindle import errors
+from basilspindle.cell import admission
+from basilspindle.cell import state as state_module
+from basilspindle.cell import urgency
+from basilspindle.workflow import definition as definition_module
+from basilspindle.workflow import job as job_module
+from basilspindle.workflow import job_state
+
+
+class Intake:
+    """Take callers' requests on jobs; the leader sends the answers.
+
+    A job is accepted once; whoever repeats its id gets the same job.
+    """
+
+    __slots__ = ('_state',)
+
+    def __init__(self, state: state_module.CellState) -> None:
+        self._state = state
+
+    def find_state(
+        self, job_id: str, workspace: str
+    ) -> job_state.JobState | None:
+        """Return the durable state of a job of a workspace, or None."""
+        job = self._state.table.jobs.get(job_id)
+        if job is not None:
+            if job.definition.workspace != workspace:
+                return None
+            return _visible(job)
+        ended = self._state.table.ended.get(job_id)
+        if ended is None or ended.workspace != workspace:
+            return None
+        return ended.state
+
+    def submit(
+        self, definition: definition_module.JobDefinition, now_ms: int
+    ) -> job_module.Job | None:
+        """Return the job, new or known; None if it has already ended.
+
+        Raises ``Overloaded`` if it cannot be served in time and
+        ``KeyReused`` if the id is that of a job of another workspace.
+        """
+        table = self._state.table
+        job = table.jobs.get(definition.job_id)
+        if job is not None:
+            _check_workspace(job.definition.workspace, definition)
+            return job
+        ended = table.ended.get(definition.job_id)
+        if ended is not None:
+            _check_workspace(ended.workspace, definition)
+            return None
+        self._check_backlog(definition, now_ms)
+        return self.adopt(job_module.Job(definition, now_ms), now_ms)
+
+    def adopt(self, job: job_module.Job, now_ms: int) -> job_module.Job:
+        """Add a job that is accepted, now or by an earlier leader."""
+        state = self._state
+        definition = job.definition
+        advice = state.advice_terms(definition)
+        state.objectives[job.job_id] = job.accepted_ms + urgency.objective_ms(
+            definition, advice
+        )
+        state.table.add(job)
+        state.table.open_steps(job, now_ms)
+        state.mark_changed(job)
+        return job
+
+    def cancel(self, job_id: str, workspace: str) -> job_module.Job | None:
+        """Cancel a live job and return it; None if there is none."""
+        job = self._state.table.jobs.get(job_id)
+        if job is None or job.definition.workspace != workspace:
+            return None
+        self._state.end_job(job, job_state.JobState.CANCELLED)
+        return job
+
+    def _check_backlog(
+        self, definition: definition_module.JobDefinition, now_ms: int
+    ) -> None:
+        state = self._state
+        if definition.max_runs or any(
+            step.service for step in definition.steps
+        ):
+            return
+        advice = state.advice_terms(definition)
+        chain_ms = urgency.chain_ms(definition, advice)
+        objective_ms = urgency.objective_ms(definition, advice)
+        usable_ms = urgency.LATE_FACTOR * objective_ms - chain_ms
+        retry_ms = admission.refusal_ms(
+            self._backlog(definition), usable_ms, definition.job_id
+        )
+        if retry_ms is not None:
+            raise errors.Overloaded(
+                f'the queue {definition.queue!r} cannot end this job in '
+                f'time; come back in {retry_ms} ms',
+                ran=errors.Ran.NO,
+                retry_after_ms=retry_ms,
+                job_id=definition.job_id,
+            )
+
+    def _backlog(
+        self, definition: definition_module.JobDefinition
+    ) -> admission.Backlog:
+        state = self._state
+        waiting = 0.0
+        for run in state.table.ready.values():
+            other = run.job.definition
+            if other.pool != definition.pool:
+                continue
+            if other.priority > definition.priority:
+                continue
+            step = run.step
+            waiting += (
+                len(run.waiting)
+                * step.need.cpu_millicores
+                / 1000
+                * step.estimate_ms
+            )
+        cores = sum(
+            worker.capacity.cpu_millicores / 1000
+            for worker in state.workers.values()
+            if worker.listed and worker.pool == definition.pool
+        )
+        return admission.Backlog(waiting, cores)
+
+
+def _visible(job: job_module.Job) -> job_state.JobState | None:
+    # A job whose record is not confirmed is not accepted yet.
+    durable = job.durable_state
+    if durable is None or durable.is_final:
+        return durable
+    if job.started:
+        return job_state.JobState.RUNNING
+    return job_state.JobState.PENDING
+
+
+def _check_workspace(
+    workspace: str, definition: definition_module.JobDefinition
+) -> None:
+    if workspace != definition.workspace:
+        raise errors.KeyReused(
+            f'the job id {definition.job_id} is taken; choose another',
+            job_id=definition.job_id,
+        )
--- /dev/null
+++ b/basilspindle/cell/job_table.py
@@ -0,0 +1,101 @@
+"""Keep the live jobs of the cell and the states of ended ones."""
+
+import collections.abc
+
+from basilspindle.workflow import job as job_module
+from basilspindle.workflow import job_state
+from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task as task_module
+
+
+class EndedJob:
+    """What remains of a job that ended."""
+
+    __slots__ = ('workspace', 'queue', 'state', 'ended_wall_ms')
+
+    def __init__(
+        self,
+        workspace: str,
+        queue: str,
+        state: job_state.JobState,
+        ended_wall_ms: int,
+    ) -> None:
+        self.workspace = workspace
+        self.queue = queue
+        self.state = state
+        self.ended_wall_ms = ended_wall_ms
+
+
+class JobTable:
+    """Jobs by id, tasks by name and steps that may start tasks."""
+
+    __slots__ = ('jobs', 'ended', 'tasks', 'ready')
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, job_module.Job] = {}
+        self.ended: dict[str, EndedJob] = {}
+        self.tasks: dict[str, task_module.Task] = {}
+        self.ready: dict[str, step_run_module.StepRun] = {}
+
+    def add(self, job: job_module.Job) -> None:
+        """Add a live job with its tasks."""
+        self.jobs[job.job_id] = job
+        self.index(job.runs.values())
+
+    def index(
+        self, runs: collections.abc.Iterable[step_run_module.StepRun]
+    ) -> None:
+        """Make the tasks of step runs known by name."""
+        for run in runs:
+            for task in run.tasks:
+                self.tasks[task.name] = task
+
+    def open_steps(self, job: job_module.Job, now_ms: int) -> None:
+        """Put the steps of a job whose turn has come on the ready list."""
+        if job.state.is_final:
+            return
+        for run in job.runs.values():
+            if run.is_done or run.key in self.ready or not job.is_ready(run):
+                continue
+            if not run.ready_ms:
+                run.ready_ms = now_ms
+            if run.waiting:
+                self.ready[run.key] = run
+
+    def close_steps(self, job: job_module.Job) -> None:
+        """Take the steps of a job off the ready list."""
+        for run in job.runs.values():
+            self.ready.pop(run.key, None)
+
+    def end(self, job: job_module.Job, ended_wall_ms: int) -> None:
+        """Forget an ended job but for its state."""
+        definition = job.definition
+        self.close_steps(job)
+        for run in job.runs.values():
+            for task in run.tasks:
+                self.tasks.pop(task.name, None)
+        self.jobs.pop(job.job_id, None)
+        self.ended[job.job_id] = EndedJob(
+            definition.workspace, definition.queue, job.state, ended_wall_ms
+        )
+
+    def expire(self, before_wall_ms: int) -> list[str]:
+        """Forget jobs that ended before a time and return their ids."""
+        expired = []
+        for job_id, row in self.ended.items():
+            if row.ended_wall_ms >= before_wall_ms:
+                continue
+            expired.append(job_id)
+        for job_id in expired:
+            del self.ended[job_id]
+        return expired
+
+    def waiting_in(self, queue: str) -> int:
+        """Return the jobs of a queue of which no task has started."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.definition.queue == queue
+            and not job.started
+            and not job.state.is_final
+        )
--- /dev/null
+++ b/basilspindle/cell/link.py
@@ -0,0 +1,187 @@
+"""Exchange messages between two daemons over one connection.
+
+One call of a general RPC library costs each side more processor time than
+all else that a forwarded request needs; here frames are msgpack with a
+length before them, and many may be under way in both directions.
+"""
+
+import asyncio
+import collections.abc
+import itertools
+import socket
+
+import msgspec
+
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import messages
+
+Handler = collections.abc.Callable[
+    [messages.Request], collections.abc.Awaitable[messages.Reply]
+]
+
+_LENGTH_BYTES = 4
+# Larger than the largest job with its payload.
+_MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Unacknowledged data for this long means that the connection is dead.
+_TCP_USER_TIMEOUT_MS = 3_000
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(messages.Frame)
+_REQUESTS = (
+    messages.Submit,
+    messages.Find,
+    messages.Cancel,
+    messages.CountWaiting,
+    messages.Ping,
+    messages.Advise,
+)
+
+
+class Link(asyncio.Protocol):
+    """One connection; both ends may send requests.
+
+    ``pending_ms`` is the expected time of the advice calls under way at
+    the other end, kept by whoever spreads them.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        on_open: collections.abc.Callable[['Link'], None] | None = None,
+        on_close: collections.abc.Callable[['Link'], None] | None = None,
+    ) -> None:
+        self._handler = handler
+        self._on_open = on_open
+        self._on_close = on_close
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[messages.Reply]] = {}
+        self._handling: set[asyncio.Task[None]] = set()
+        self.closed = asyncio.Event()
+        self.node = ''
+        self.pending_ms = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Prepare a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        configure_socket(transport)
+        if self._on_open is not None:
+            self._on_open(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what waits for a reply."""
+        self.closed.set()
+        waiting, self._waiting = self._waiting, {}
+        for future in waiting.values():
+            if not future.done():
+                future.set_exception(_lost())
+        for task in self._handling:
+            task.cancel()
+        if self._on_close is not None:
+            self._on_close(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes and handle whole frames."""
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= _LENGTH_BYTES:
+            length = int.from_bytes(
+                buffer[start : start + _LENGTH_BYTES], 'big'
+            )
+            if length > _MAX_FRAME_BYTES:
+                self._abort('frame too long')
+                return
+            end = start + _LENGTH_BYTES + length
+            if len(buffer) < end:
+                break
+            with memoryview(buffer) as view:
+                payload = bytes(view[start + _LENGTH_BYTES : end])
+            start = end
+            try:
+                frame = _DECODER.decode(payload)
+            except msgspec.MsgspecError as error:
+                self._abort(str(error))
+                return
+            self._take(frame)
+        if start:
+            del buffer[:start]
+
+    def close(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def call(
+        self, request: messages.Request, timeout_ms: int
+    ) -> messages.Reply:
+        """Return the reply; raises ``PeerOutcomeUnknown`` without one."""
+        if self.closed.is_set() or self._transport is None:
+            raise _lost()
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        self._send(number, request)
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await future
+        except TimeoutError:
+            raise errors.PeerOutcomeUnknown(
+                f'no reply from {self.node or "a daemon"} within '
+                f'{timeout_ms} ms; ask again',
+                ran=errors.Ran.UNKNOWN,
+            ) from None
+        finally:
+            self._waiting.pop(number, None)
+
+    def _send(
+        self, number: int, message: messages.Request | messages.Reply
+    ) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        payload = _ENCODER.encode(messages.Frame(number, message))
+        self._transport.write(
+            len(payload).to_bytes(_LENGTH_BYTES, 'big') + payload
+        )
+
+    def _take(self, frame: messages.Frame) -> None:
+        if isinstance(frame.message, _REQUESTS):
+            task = asyncio.ensure_future(
+                self._answer(frame.number, frame.message)
+            )
+            self._handling.add(task)
+            task.add_done_callback(self._handling.discard)
+            return
+        future = self._waiting.get(frame.number)
+        if future is not None and not future.done():
+            future.set_result(frame.message)
+
+    async def _answer(self, number: int, request: messages.Request) -> None:
+        if isinstance(request, messages.Ping):
+            self.node = request.node
+        self._send(number, await self._handler(request))
+
+    def _abort(self, reason: str) -> None:
+        events.emit(cell_events.LINK_BROKEN, node=self.node, reason=reason)
+        self.close()
+
+
+def configure_socket(transport: asyncio.BaseTransport) -> None:
+    """Send small writes at once and notice peers that went silent."""
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+    )
+
+
+def _lost() -> errors.PeerOutcomeUnknown:
+    return errors.PeerOutcomeUnknown(
+        'the connection to the leading daemon ended; ask again',
+        ran=errors.Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/basilspindle/cell/messages.py
@@ -0,0 +1,133 @@
+"""Define the messages between the daemons of a cell."""
+
+import msgspec
+
+from basilspindle.workflow import definition as definition_module
+from basilspindle.workflow import job_state
+
+
+class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
+    """Base of all messages; the class name is the tag."""
+
+
+class Submit(_Message):
+    """Ask for a job to be accepted."""
+
+    definition: definition_module.JobDefinition
+
+
+class Find(_Message):
+    """Ask for the state of a job."""
+
+    job_id: str
+    workspace: str
+
+
+class Cancel(_Message):
+    """Ask for a job to be cancelled."""
+
+    job_id: str
+    workspace: str
+
+
+class CountWaiting(_Message):
+    """Ask for the number of jobs of a queue that have not begun."""
+
+    queue: str
+
+
+class Ping(_Message):
+    """Ask whether the daemon leads."""
+
+    node: str
+
+
+class Advise(_Message):
+    """Ask a follower to call the advice service."""
+
+    step_key: str
+    worker_ids: tuple[str, ...]
+    timeout_ms: int
+
+
+class Accepted(_Message):
+    """A job is accepted and recorded."""
+
+
+class Found(_Message):
+    """The state of a job that exists."""
+
+    state: job_state.JobState
+
+
+class Gone(_Message):
+    """No such job exists."""
+
+
+class Counted(_Message):
+    """A number of jobs."""
+
+    count: int
+
+
+class Refused(_Message):
+    """Nothing was done; ``retry_after_ms`` says when to come back."""
+
+    kind: str
+    text: str
+    retry_after_ms: int
+
+
+class NotLeading(_Message):
+    """The daemon does not lead; the request may have taken effect."""
+
+
+class Pong(_Message):
+    """A process lives; ``store_age_ms`` is the age of its last append."""
+
+    incarnation: str
+    leads: bool
+    epoch: int
+    store_age_ms: int
+
+
+class Advised(_Message):
+    """Workers that may run a step, with their tickets."""
+
+    tickets: dict[str, str]
+    valid_ms: int
+
+
+Request = Submit | Find | Cancel | CountWaiting | Ping | Advise
+Reply = (
+    Accepted
+    | Found
+    | Gone
+    | Counted
+    | Refused
+    | NotLeading
+    | Pong
+    | Advised
+)
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True):
+    """One message on a link; replies carry the number of their request."""
+
+    number: int
+    message: (
+        Submit
+        | Find
+        | Cancel
+        | CountWaiting
+        | Ping
+        | Advise
+        | Accepted
+        | Found
+        | Gone
+        | Counted
+        | Refused
+        | NotLeading
+        | Pong
+        | Advised
+    )
--- /dev/null
+++ b/basilspindle/cell/orders.py
@@ -0,0 +1,52 @@
+"""Describe orders of the scheduler to workers and advisers."""
+
+from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task as task_module
+
+
+class StartOrder:
+    """Start one run of a task on a worker."""
+
+    __slots__ = ('worker_id', 'task', 'run', 'ticket')
+
+    def __init__(
+        self, worker_id: str, task: task_module.Task, run: int, ticket: str
+    ) -> None:
+        self.worker_id = worker_id
+        self.task = task
+        self.run = run
+        self.ticket = ticket
+
+
+class StopOrder:
+    """Stop one run, known or not, on a worker."""
+
+    __slots__ = ('worker_id', 'name', 'run')
+
+    def __init__(self, worker_id: str, name: str, run: int) -> None:
+        self.worker_id = worker_id
+        self.name = name
+        self.run = run
+
+
+class AdviceOrder:
+    """Ask which workers may run a step."""
+
+    __slots__ = ('step_run', 'worker_ids')
+
+    def __init__(
+        self, step_run: step_run_module.StepRun, worker_ids: list[str]
+    ) -> None:
+        self.step_run = step_run
+        self.worker_ids = worker_ids
+
+
+class Orders:
+    """Orders that one round of decisions produced."""
+
+    __slots__ = ('starts', 'stops', 'advice')
+
+    def __init__(self) -> None:
+        self.starts: list[StartOrder] = []
+        self.stops: list[StopOrder] = []
+        self.advice: list[AdviceOrder] = []
--- /dev/null
+++ b/basilspindle/cell/plan.py
@@ -0,0 +1,259 @@
+"""Decide which waiting tasks start now, and where."""
+
+from basilspindle.cell import fitting
+from basilspindle.cell import orders as orders_module
+from basilspindle.cell import state as state_module
+from basilspindle.cell import urgency
+from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task_state
+from basilspindle.workflow import ticket as ticket_module
+
+_State = task_state.TaskState
+# A worker that has not answered for this long gets no new work: a renewal
+# is answered within about a second.
+CONTACT_LIMIT_MS = 2_500
+# A ticket that ends sooner may be refused by the time it arrives.
+_TICKET_MARGIN_MS = 100
+# Advice that has not come by then is asked for again.
+_ADVICE_TIMEOUT_MS = 4_000
+# A step that found no room is looked at again at least this often, since
+# suspicion of a worker ends without an event.
+_RECHECK_MS = 250
+# Most workers that one call for advice may name.
+MAX_ADVISED = 100
+
+
+class Planner:
+    """Turn waiting tasks and free room into orders."""
+
+    __slots__ = ('_state',)
+
+    def __init__(self, state: state_module.CellState) -> None:
+        self._state = state
+
+    def plan(self, now_ms: int) -> None:
+        """Add the orders that are possible now to the state's orders."""
+        state = self._state
+        if state.index is None or not state.table.ready:
+            return
+        freed, state.freed = state.freed, set()
+        eased, state.eased = state.eased, set()
+        pools: dict[str, list[worker_module.Worker]] = {}
+        for worker in state.workers.values():
+            if worker.accepts(now_ms, CONTACT_LIMIT_MS):
+                pools.setdefault(worker.pool, []).append(worker)
+        key = urgency.Urgency(now_ms, state.objectives)
+        for run in sorted(state.table.ready.values(), key=key):
+            if self._skips(run, now_ms, freed, eased):
+                continue
+            run.retry_ms = now_ms + _RECHECK_MS
+            self._place(run, pools.get(run.job.definition.pool, []), now_ms)
+            if not run.waiting:
+                state.table.ready.pop(run.key, None)
+
+    def _skips(
+        self,
+        run: step_run_module.StepRun,
+        now_ms: int,
+        freed: set[str],
+        eased: set[str],
+    ) -> bool:
+        if run.job.durable_state is None:
+            return True
+        if run.job.recovered and self._may_run_unseen(now_ms):
+            return True
+        if now_ms >= run.retry_ms:
+            return False
+        if run.job.definition.workspace in eased:
+            return False
+        if run.tickets is None:
+            return not freed
+        return freed.isdisjoint(run.tickets)
+
+    def _may_run_unseen(self, now_ms: int) -> bool:
+        state = self._state
+        return bool(state.unseen) and now_ms < state.unseen_until_ms
+
+    def _place(
+        self,
+        run: step_run_module.StepRun,
+        workers: list[worker_module.Worker],
+        now_ms: int,
+    ) -> None:
+        self._drop_reservation(run, now_ms)
+        step = run.step
+        definition = run.job.definition
+        advice = self._state.advice_terms(definition)
+        candidates = [
+            worker
+            for worker in workers
+            if not step.required_label or step.required_label in worker.labels
+        ]
+        if advice is not None and run.tickets is None:
+            self._ask(run, [worker.worker_id for worker in candidates], now_ms)
+            return
+        if advice is not None and run.tickets is not None:
+            candidates = [
+                worker
+                for worker in candidates
+                if worker.worker_id in run.tickets
+            ]
+        candidates = _without_avoided(run, candidates)
+        count = min(
+            len(run.waiting),
+            self._state.usage.headroom(
+                definition.workspace,
+                step.reserved,
+                self._state.limit_of(definition.workspace),
+            ),
+        )
+        if step.gang and count < step.count:
+            return
+        if not count:
+            return
+        if advice is None:
+            choice = fitting.choose(run, candidates, count)
+            self._start(run, choice, now_ms)
+            return
+        self._place_advised(run, candidates, count, now_ms)
+
+    def _place_advised(
+        self,
+        run: step_run_module.StepRun,
+        candidates: list[worker_module.Worker],
+        count: int,
+        now_ms: int,
+    ) -> None:
+        tickets = run.tickets or {}
+        valid = [
+            worker
+            for worker in candidates
+            if tickets[worker.worker_id].expires_ms
+            > now_ms + _TICKET_MARGIN_MS
+        ]
+        choice = fitting.choose(run, valid, count)
+        if choice:
+            self._start(run, choice, now_ms)
+            count -= sum(choice.values())
+        if not count or run.asked_ms or len(valid) == len(candidates):
+            return
+        if run.step.gang:
+            stale = candidates
+        else:
+            stale = [worker for worker in candidates if worker not in valid]
+        choice = fitting.choose(run, stale, count)
+        if choice:
+            self._reserve(run, choice, now_ms)
+            self._ask(run, list(choice), now_ms)
+
+    def _start(
+        self,
+        run: step_run_module.StepRun,
+        choice: fitting.Choice,
+        now_ms: int,
+    ) -> None:
+        if not choice:
+            return
+        state = self._state
+        self._drop_reservation(run, now_ms, always=True)
+        waiting = list(run.waiting.values())
+        number = 0
+        if run.step.gang:
+            number = max(state.next_run(task) for task in waiting)
+        for worker_id, count in choice.items():
+            ticket = ''
+            if run.tickets is not None:
+                ticket = run.tickets[worker_id].value
+            for _ in range(count):
+                task = waiting.pop()
+                order = orders_module.StartOrder(
+                    worker_id, task, number or state.next_run(task), ticket
+                )
+                task.started_ms = 0
+                state.occupy(
+                    task,
+                    state.workers[worker_id],
+                    order.run,
+                    _State.STARTING,
+                )
+                state.orders.starts.append(order)
+
+    def _ask(
+        self,
+        run: step_run_module.StepRun,
+        worker_ids: list[str],
+        now_ms: int,
+    ) -> None:
+        if run.asked_ms and now_ms - run.asked_ms < _ADVICE_TIMEOUT_MS:
+            return
+        if not worker_ids:
+            return
+        run.asked_ms = now_ms
+        self._state.orders.advice.append(
+            orders_module.AdviceOrder(run, worker_ids[:MAX_ADVISED])
+        )
+
+    def _reserve(
+        self,
+        run: step_run_module.StepRun,
+        choice: fitting.Choice,
+        now_ms: int,
+    ) -> None:
+        run.reserved = dict(choice)
+        run.reserved_until_ms = now_ms + _ADVICE_TIMEOUT_MS
+        for worker_id, count in choice.items():
+            worker = self._state.workers[worker_id]
+            worker.reserved = worker.reserved.plus(run.step.reserved, count)
+
+    def _drop_reservation(
+        self,
+        run: step_run_module.StepRun,
+        now_ms: int,
+        *,
+        always: bool = False,
+    ) -> None:
+        if not run.reserved:
+            return
+        if not always and run.asked_ms and now_ms < run.reserved_until_ms:
+            return
+        self._state.release_reservation(run)
+
+
+def apply_advice(
+    state: state_module.CellState,
+    run: step_run_module.StepRun,
+    asked: list[str],
+    tickets: dict[str, str],
+    expires_ms: int,
+) -> None:
+    """Take in the workers that may run a step, with their tickets."""
+    known = run.tickets if run.tickets is not None else {}
+    for worker_id in asked:
+        known.pop(worker_id, None)
+    for worker_id, value in tickets.items():
+        known[worker_id] = ticket_module.Ticket(value, expires_ms)
+    run.tickets = known
+    run.asked_ms = 0
+    run.retry_ms = 0
+
+
+def advice_failed(
+    state: state_module.CellState, run: step_run_module.StepRun, retry_ms: int
+) -> None:
+    """Ask again later for advice that did not come."""
+    run.asked_ms = 0
+    run.retry_ms = retry_ms
+    state.release_reservation(run)
+
+
+def _without_avoided(
+    run: step_run_module.StepRun, workers: list[worker_module.Worker]
+) -> list[worker_module.Worker]:
+    avoid = set()
+    for task in run.waiting.values():
+        avoid |= task.avoid
+    if not avoid:
+        return workers
+    kept = [worker for worker in workers if worker.worker_id not in avoid]
+    return kept or workers
--- /dev/null
+++ b/basilspindle/cell/ports.py
@@ -0,0 +1,202 @@
+"""Define what the cell asks of its platform; adapters implement it."""
+
+import collections.abc
+import typing
+
+from basilspindle.cell import report as report_module
+from basilspindle.cell import start_outcome
+from basilspindle.cell import terms as terms_module
+from basilspindle.workflow import need as need_module
+
+Records = collections.abc.Sequence[tuple[str, bytes | None]]
+
+
+class StoreChunk:
+    """Records read from a stream and its first and end offsets."""
+
+    __slots__ = ('records', 'first', 'end')
+
+    def __init__(
+        self, records: list[tuple[str, bytes | None]], first: int, end: int
+    ) -> None:
+        self.records = records
+        self.first = first
+        self.end = end
+
+
+class Store(typing.Protocol):
+    """Keyed streams: the newest record of each key is kept for good.
+
+    A record without a value removes its key. Every call raises
+    ``LogUnavailable`` if it certainly had no effect and
+    ``LogOutcomeUnknown`` if it may have had, or may still have one.
+    """
+
+    async def newest(self, stream: str) -> tuple[dict[str, bytes], int]:
+        """Return the newest value of each key and the end offset."""
+        ...
+
+    async def read(
+        self, stream: str, from_offset: int, wait_ms: int
+    ) -> StoreChunk:
+        """Return records from an offset, waiting for the first.
+
+        Raises ``LogTrimmed`` if that offset is gone.
+        """
+        ...
+
+    async def probe_end(self, stream: str) -> int:
+        """Return the end offset of a stream."""
+        ...
+
+    async def append_at(
+        self, stream: str, records: Records, at: int
+    ) -> int | None:
+        """Append if the stream ends at ``at``; None if it does not."""
+        ...
+
+    async def fence(self, stream: str, epoch: int) -> None:
+        """Reject appends of lower epochs; raises ``Deposed`` if late."""
+        ...
+
+    async def append(
+        self,
+        stream: str,
+        records: Records,
+        epoch: int,
+        sequence: int,
+        timeout_ms: int,
+    ) -> None:
+        """Append once per sequence number; raises ``Deposed``."""
+        ...
+
+
+class RegisteredWorker:
+    """One entry of the worker registry."""
+
+    __slots__ = (
+        'worker_id',
+        'address',
+        'pool',
+        'failure_domain',
+        'labels',
+        'capacity',
+        'is_ready',
+        'remaining_ms',
+        'born_wall_ms',
+    )
+
+    def __init__(
+        self,
+        worker_id: str,
+        address: str,
+        pool: str,
+        failure_domain: str,
+        labels: tuple[str, ...],
+        capacity: need_module.Need,
+        is_ready: bool,
+        remaining_ms: int,
+        born_wall_ms: int,
+    ) -> None:
+        self.worker_id = worker_id
+        self.address = address
+        self.pool = pool
+        self.failure_domain = failure_domain
+        self.labels = labels
+        self.capacity = capacity
+        self.is_ready = is_ready
+        self.remaining_ms = remaining_ms
+        self.born_wall_ms = born_wall_ms
+
+    @property
+    def rack(self) -> str:
+        """Return the label that names the rack, or ''."""
+        return self.labels[-1] if len(self.labels) > 1 else ''
+
+
+class WorkerRegistry(typing.Protocol):
+    """The platform's list of workers."""
+
+    async def refresh(self) -> dict[str, RegisteredWorker]:
+        """Return all workers; raises ``LogUnavailable``."""
+        ...
+
+
+class WorkerOrders(typing.Protocol):
+    """Calls to workers; ``token`` fences holders that were replaced.
+
+    Each raises ``WorkerUnavailable`` if nothing was sent,
+    ``WorkerOutcomeUnknown`` without an answer, ``StaleEpoch`` for a token
+    that a later holder replaced and ``WorkerReplaced`` if another worker
+    answers at the address.
+    """
+
+    async def renew(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        deadline_ms: int | None,
+        taken_end: int,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> report_module.Report:
+        """Extend the lease, forget ends up to one, return the report."""
+        ...
+
+    async def start(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        deadline_ms: int,
+        name: str,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        ticket: str,
+        timeout_ms: int,
+    ) -> start_outcome.StartOutcome:
+        """Start a run; a repeat of the same run starts nothing more."""
+        ...
+
+    async def stop(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        name: str,
+        run: int,
+        timeout_ms: int,
+    ) -> None:
+        """Stop a run, or keep one that has not arrived from starting."""
+        ...
+
+
+class AdviceResult(typing.NamedTuple):
+    """Tickets by worker id and how long they hold."""
+
+    tickets: dict[str, str]
+    valid_ms: int
+
+
+class Advice(typing.Protocol):
+    """The service that knows which workers may run a step."""
+
+    async def ask(
+        self, step_key: str, worker_ids: list[str], timeout_ms: int
+    ) -> AdviceResult:
+        """Return the workers that may run the step.
+
+        Raises ``Overloaded`` if too many calls wait, ``WorkerUnavailable``
+        or ``WorkerOutcomeUnknown`` without an answer.
+        """
+        ...
+
+
+class ConfigurationSource(typing.Protocol):
+    """The operators' configuration."""
+
+    async def next_version(self) -> terms_module.Terms:
+        """Wait for a version newer than the last one returned."""
+        ...
--- /dev/null
+++ b/basilspindle/cell/start_outcome.py
@@ -0,0 +1,19 @@
+"""Name the outcomes of an order to a worker."""
+
+import enum
+
+
+class StartOutcome(enum.Enum):
+    """What a worker made of a start."""
+
+    RUNS = 'runs'
+    FENCED = 'fenced'
+    RUN_TOO_LOW = 'run_too_low'
+    DEADLINE_PASSED = 'deadline_passed'
+    NO_ROOM = 'no_room'
+    TICKET_REFUSED = 'ticket_refused'
+    UNHEALTHY = 'unhealthy'
+    OTHER_LIFE = 'other_life'
+    NOT_SENT = 'not_sent'
+    UNKNOWN = 'unknown'
+    INVALID = 'invalid'
--- /dev/null
+++ b/basilspindle/cell/starts.py
@@ -0,0 +1,83 @@
+"""Apply the outcome of an order to start a task."""
+
+from basilspindle.cell import orders as orders_module
+from basilspindle.cell import start_outcome
+from basilspindle.cell import state as state_module
+from basilspindle.workflow import task_state
+
+_Outcome = start_outcome.StartOutcome
+_State = task_state.TaskState
+# A worker that turned a start away gets none for this long.
+_REFUSED_PAUSE_MS = 300
+_NOT_RUN = frozenset(
+    {
+        _Outcome.RUN_TOO_LOW,
+        _Outcome.DEADLINE_PASSED,
+        _Outcome.NO_ROOM,
+        _Outcome.TICKET_REFUSED,
+        _Outcome.UNHEALTHY,
+        _Outcome.OTHER_LIFE,
+        _Outcome.NOT_SENT,
+        _Outcome.INVALID,
+        _Outcome.FENCED,
+    }
+)
+
+
+def apply_outcome(
+    state: state_module.CellState,
+    order: orders_module.StartOrder,
+    outcome: start_outcome.StartOutcome,
+    now_ms: int,
+) -> None:
+    """Take in what became of a start."""
+    task = order.task
+    if task.run != order.run or task.worker_id != order.worker_id:
+        return
+    if outcome is _Outcome.RUNS:
+        if task.state is _State.STARTING:
+            task.state = _State.RUNNING
+        if task.state is _State.RUNNING:
+            task.started_ms = now_ms
+        return
+    run = task.step_run
+    worker = state.workers.get(order.worker_id)
+    if outcome is _Outcome.UNKNOWN:
+        # It may still be carried out; the stop makes that impossible.
+        if task.state is _State.STARTING:
+            state.request_stop(task)
+        if run.step.gang:
+            state.stop_gang(run)
+        if worker is not None:
+            worker.suspect_until_ms = now_ms + _REFUSED_PAUSE_MS
+            worker.strikes += 1
+        return
+    if outcome not in _NOT_RUN:
+        return
+    if outcome is _Outcome.TICKET_REFUSED and run.tickets is not None:
+        ticket = run.tickets.get(order.worker_id)
+        if ticket is not None:
+            ticket.expires_ms = 0
+    elif worker is not None and outcome is not _Outcome.RUN_TOO_LOW:
+        worker.suspect_until_ms = now_ms + _REFUSED_PAUSE_MS
+    stopping = task.state is _State.STOPPING
+    if outcome is not _Outcome.RUN_TOO_LOW and not stopping:
+        # The run never was; its number is used up all the same.
+        task.ended_run = max(task.ended_run, order.run)
+    state.release(task)
+    if run.step.gang:
+        state.stop_gang(run)
+
+
+def apply_stop_answer(
+    state: state_module.CellState,
+    order: orders_module.StopOrder,
+    now_ms: int,
+) -> None:
+    """Note that a worker has taken a stop."""
+    worker = state.workers.get(order.worker_id)
+    if worker is None:
+        return
+    task = worker.tasks.get(order.name)
+    if task is not None and task.run == order.run:
+        task.started_ms = now_ms
--- /dev/null
+++ b/basilspindle/cell/state.py
@@ -0,0 +1,190 @@
+"""Hold what the leader of a cell knows, and change it consistently."""
+
+from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell import job_table
+from basilspindle.cell import orders as orders_module
+from basilspindle.cell import term_index
+from basilspindle.cell import terms as terms_module
+from basilspindle.cell import usage as usage_module
+from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import definition as definition_module
+from basilspindle.workflow import job as job_module
+from basilspindle.workflow import job_state
+from basilspindle.workflow import need as need_module
+from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task as task_module
+from basilspindle.workflow import task_state
+
+_State = task_state.TaskState
+NOTHING = need_module.Need()
+# A run of a later leader never repeats the number of one that an earlier
+# leader started without a record; no leader starts one task this often.
+_RUNS_A_TERM = 100
+
+
+class CellState:
+    """Jobs, workers and usage of the cell, and the orders to be sent.
+
+    ``changed`` are jobs that the log does not hold as they are. ``freed``
+    are workers and ``eased`` workspaces that may take more since the last
+    plan. ``term`` numbers the leaders of the cell, from 0.
+    """
+
+    __slots__ = (
+        'table',
+        'usage',
+        'workers',
+        'index',
+        'bounds',
+        'orders',
+        'changed',
+        'freed',
+        'eased',
+        'term',
+        'unseen',
+        'unseen_until_ms',
+        'objectives',
+    )
+
+    def __init__(self, bounds: bounds_module.Bounds, term: int = 0) -> None:
+        self.table = job_table.JobTable()
+        self.usage = usage_module.Usage()
+        self.workers: dict[str, worker_module.Worker] = {}
+        self.index: term_index.TermIndex | None = None
+        self.bounds = bounds
+        self.orders = orders_module.Orders()
+        self.changed: dict[str, job_module.Job] = {}
+        self.freed: set[str] = set()
+        self.eased: set[str] = set()
+        self.term = term
+        # Workers that may run tasks of an earlier leader and have not
+        # answered this one.
+        self.unseen: set[str] = set()
+        self.unseen_until_ms = 0
+        self.objectives: dict[str, int] = {}
+
+    def take_orders(self) -> orders_module.Orders:
+        """Return the orders collected so far and begin anew."""
+        taken, self.orders = self.orders, orders_module.Orders()
+        return taken
+
+    def advice_terms(
+        self, definition: definition_module.JobDefinition
+    ) -> terms_module.AdviceTerms | None:
+        """Return the terms of advice of a job's queue, if it has any."""
+        if self.index is None:
+            return None
+        queue = self.index.queues.get(definition.queue)
+        return queue.advice if queue is not None else None
+
+    def limit_of(self, workspace: str) -> need_module.Need | None:
+        """Return the upper limit of a workspace, or None for no limit."""
+        if self.index is None:
+            return None
+        row = self.index.workspaces.get(workspace)
+        return row.limit if row is not None else None
+
+    def next_run(self, task: task_module.Task) -> int:
+        """Return the number of a task's next run."""
+        return max(task.run, task.ended_run, self.term * _RUNS_A_TERM) + 1
+
+    def occupy(
+        self,
+        task: task_module.Task,
+        worker: worker_module.Worker,
+        run: int,
+        state: task_state.TaskState,
+    ) -> None:
+        """Put a task on a worker."""
+        job = task.step_run.job
+        task.step_run.waiting.pop(task.index, None)
+        task.state = state
+        task.worker_id = worker.worker_id
+        task.run = run
+        worker.take(task)
+        job.occupied.add(task)
+        job.started = True
+        if job.state is job_state.JobState.PENDING:
+            job.state = job_state.JobState.RUNNING
+        self.usage.add(
+            job.definition.workspace, task.step_run.step.reserved
+        )
+
+    def release(self, task: task_module.Task) -> None:
+        """Take a task off its worker; an unfinished one waits again."""
+        run = task.step_run
+        job = run.job
+        worker = self.workers.get(task.worker_id)
+        if worker is not None and worker.give(task):
+            self.usage.add(
+                job.definition.workspace, run.step.reserved, -1
+            )
+            self.freed.add(worker.worker_id)
+            self.eased.add(job.definition.workspace)
+        job.occupied.discard(task)
+        task.worker_id = ''
+        if task.state is not _State.DONE:
+            run.mark_waiting(task)
+            if not job.state.is_final and job.is_ready(run):
+                self.reopen(run)
+
+    def reopen(self, run: step_run_module.StepRun) -> None:
+        """Let a step be planned again."""
+        run.retry_ms = 0
+        if run.step.gang and any(task.occupies for task in run.tasks):
+            # A gang starts again as a whole.
+            return
+        self.table.ready[run.key] = run
+
+    def request_stop(self, task: task_module.Task) -> None:
+        """Order the stop of a task that occupies a worker."""
+        if task.state is not _State.DONE:
+            task.state = _State.STOPPING
+        task.started_ms = 0
+        self.orders.stops.append(
+            orders_module.StopOrder(task.worker_id, task.name, task.run)
+        )
+
+    def stop_gang(self, run: step_run_module.StepRun) -> None:
+        """Order the stop of every member of a gang that still runs."""
+        for task in run.tasks:
+            if task.occupies and task.state is not _State.STOPPING:
+                self.request_stop(task)
+
+    def end_job(
+        self, job: job_module.Job, state: job_state.JobState
+    ) -> None:
+        """Decide the final state of a job and stop what runs of it."""
+        if job.state.is_final:
+            return
+        job.state = state
+        self.table.close_steps(job)
+        for run in job.runs.values():
+            self.release_reservation(run)
+        for task in list(job.occupied):
+            if task.state is not _State.STOPPING:
+                self.request_stop(task)
+        self.mark_changed(job)
+
+    def release_reservation(self, run: step_run_module.StepRun) -> None:
+        """Give back the room that a step has reserved."""
+        for worker_id, count in run.reserved.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                need = run.step.reserved
+                worker.reserved = worker.reserved.plus(need, -count)
+                self.freed.add(worker_id)
+        run.reserved = {}
+
+    def mark_changed(self, job: job_module.Job) -> None:
+        """Have the log take in a job as it is now."""
+        self.changed[job.job_id] = job
+
+    def lose_worker_tasks(self, worker: worker_module.Worker) -> None:
+        """Let all tasks of a worker wait again: its life or lease is over."""
+        for task in list(worker.tasks.values()):
+            task.ended_run = max(task.ended_run, task.run)
+            self.release(task)
+            if task.step_run.step.gang:
+                self.stop_gang(task.step_run)
+        worker.foreign.clear()
--- /dev/null
+++ b/basilspindle/cell/terms.py
@@ -0,0 +1,66 @@
+"""Describe the configuration in force."""
+
+import msgspec
+
+from basilspindle.workflow import need as need_module
+
+
+class AdviceTerms(msgspec.Struct, frozen=True):
+    """Time that the advice service takes and how long a ticket holds."""
+
+    decide_ms: float
+    each_ms: float
+    valid_ms: float
+
+    def call_ms(self, workers: int) -> float:
+        """Return the time of a call that names so many workers."""
+        return self.decide_ms + self.each_ms * workers
+
+
+class QueueTerms(msgspec.Struct, frozen=True):
+    """Rules of one queue; ``host`` and ``prefix`` select it."""
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_latency_ms: int
+    timeout_ms: int
+    is_open: bool
+    advice: AdviceTerms | None
+
+
+class WorkspaceTerms(msgspec.Struct, frozen=True):
+    """Share, keys and upper limit of a workspace; limit 0 is none."""
+
+    name: str
+    keys: tuple[str, ...]
+    weight: float
+    limit: need_module.Need
+
+
+class PoolTerms(msgspec.Struct, frozen=True):
+    """Rules of one pool of workers."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+class RequestLimits(msgspec.Struct, frozen=True):
+    """Bounds on requests of callers."""
+
+    max_body_bytes: int = 262_144
+
+
+class Terms(msgspec.Struct, frozen=True):
+    """One version of the configuration."""
+
+    version: int
+    queues: tuple[QueueTerms, ...]
+    workspaces: tuple[WorkspaceTerms, ...]
+    pools: tuple[PoolTerms, ...]
+    limits: RequestLimits
--- /dev/null
+++ b/basilspindle/cell/worker.py
@@ -0,0 +1,110 @@
+"""Account for one worker."""
+
+from basilspindle.workflow import need as need_module
+from basilspindle.workflow import task as task_module
+
+
+class Worker:
+    """What the leader knows of a worker.
+
+    ``ready`` is what the registry says, ``reported`` whether the worker
+    answered this leader, ``contact_ms`` when it last did. ``foreign`` are
+    tasks seen there that must not run, by name with their run.
+    ``noted_end`` is the highest end that was applied, ``durable_end`` the
+    highest that the log holds. ``suspect_until_ms`` bounds a time without
+    new work.
+    """
+
+    __slots__ = (
+        'worker_id',
+        'address',
+        'pool',
+        'rack',
+        'failure_domain',
+        'labels',
+        'capacity',
+        'used',
+        'tasks',
+        'ready',
+        'listed',
+        'reported',
+        'contact_ms',
+        'born_wall_ms',
+        'noted_end',
+        'durable_end',
+        'foreign',
+        'suspect_until_ms',
+        'strikes',
+        'reserved',
+        'drain_end_ms',
+    )
+
+    def __init__(
+        self,
+        worker_id: str,
+        address: str,
+        pool: str,
+        rack: str,
+        failure_domain: str,
+        labels: frozenset[str],
+        capacity: need_module.Need,
+    ) -> None:
+        self.worker_id = worker_id
+        self.address = address
+        self.pool = pool
+        self.rack = rack
+        self.failure_domain = failure_domain
+        self.labels = labels
+        self.capacity = capacity
+        self.used = need_module.Need()
+        self.tasks: dict[str, task_module.Task] = {}
+        self.ready = True
+        self.listed = True
+        self.reported = False
+        self.contact_ms = 0
+        self.born_wall_ms = 0
+        self.noted_end = 0
+        self.durable_end = 0
+        self.foreign: dict[str, int] = {}
+        self.suspect_until_ms = 0
+        self.strikes = 0
+        self.reserved = need_module.Need()
+        self.drain_end_ms = 0
+
+    @property
+    def room(self) -> need_module.Need:
+        """Return what is neither used nor reserved; may be negative."""
+        return need_module.Need(
+            self.capacity.cpu_millicores
+            - self.used.cpu_millicores
+            - self.reserved.cpu_millicores,
+            self.capacity.memory_mb
+            - self.used.memory_mb
+            - self.reserved.memory_mb,
+            self.capacity.accelerators
+            - self.used.accelerators
+            - self.reserved.accelerators,
+        )
+
+    def accepts(self, now_ms: int, contact_limit_ms: int) -> bool:
+        """Tell whether new work may start here now."""
+        return (
+            self.ready
+            and self.listed
+            and self.reported
+            and not self.foreign
+            and now_ms >= self.suspect_until_ms
+            and now_ms - self.contact_ms <= contact_limit_ms
+        )
+
+    def take(self, task: task_module.Task) -> None:
+        """Count a task on this worker."""
+        self.tasks[task.name] = task
+        self.used = self.used.plus(task.step_run.step.reserved)
+
+    def give(self, task: task_module.Task) -> bool:
+        """Count a task off; False if it was not counted here."""
+        if self.tasks.pop(task.name, None) is None:
+            return False
+        self.used = self.used.plus(task.step_run.step.reserved, -1)
+        return True
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -322,6 +322,12 @@
         self.remaining_ms = remaining_ms
 
 
+class WorkerReplaced(WorkerError):
+    """Report that another life of a worker answers at its address."""
+
+    kind = 'worker_replaced'
+
+
 class WorkerUnavailable(WorkerError):
     """Report that a call certainly did not reach the worker."""
 
--- /dev/null
+++ b/basilspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the cell and the users' platform; nothing else."""
--- /dev/null
+++ b/basilspindle/platform/body.py
@@ -0,0 +1,122 @@
+"""Decode the body of a submitted job."""
+
+import msgspec
+
+from basilspindle import errors
+from basilspindle.cell import terms as terms_module
+from basilspindle.workflow import definition as definition_module
+from basilspindle.workflow import need as need_module
+from basilspindle.workflow import step as step_module
+
+_MAX_PAYLOAD_BYTES = 4_000
+_MAX_TASKS = 10_000
+
+
+class _Step(msgspec.Struct):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    # A label that the worker must have.
+    requires: str = ''
+    # The rack where the data is.
+    affinity: str = ''
+    # Most tasks of the step on one worker.
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    spec: str = ''
+    steps: list[_Step] = []
+    max_runs: int = 0
+    first_run_ms: int = 0
+    interval_ms: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Job)
+
+
+def decode(
+    body: bytes,
+    job_id: str,
+    workspace: str,
+    queue: terms_module.QueueTerms,
+    accepted_wall_ms: int,
+) -> definition_module.JobDefinition:
+    """Return the job of a body; raises ``BadRequest``."""
+    try:
+        job = _DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.BadRequest(f'the body is no job: {error}') from error
+    _check(job)
+    return definition_module.JobDefinition(
+        job_id,
+        workspace,
+        queue.name,
+        queue.pool,
+        job.spec,
+        tuple(_translate(step) for step in job.steps),
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_latency_ms,
+        accepted_wall_ms,
+        job.max_runs,
+        job.first_run_ms,
+        job.interval_ms,
+    )
+
+
+def _check(job: _Job) -> None:
+    if len(job.spec.encode()) > _MAX_PAYLOAD_BYTES:
+        raise errors.BadRequest(
+            f'spec is longer than {_MAX_PAYLOAD_BYTES} bytes; shorten it'
+        )
+    if not job.steps:
+        raise errors.BadRequest('a job needs one step at least')
+    if sum(step.count for step in job.steps) > _MAX_TASKS:
+        raise errors.BadRequest(f'a job has {_MAX_TASKS} tasks at most')
+    for index, step in enumerate(job.steps):
+        if step.count < 1:
+            raise errors.BadRequest(f'step {index}: count must be positive')
+        amounts = (step.cpu, step.mem_mb, step.gpus, step.estimate_ms)
+        if min(amounts) < 0:
+            raise errors.BadRequest(f'step {index}: negative amount')
+        if any(not 0 <= earlier < index for earlier in step.after):
+            raise errors.BadRequest(
+                f'step {index}: after may only name earlier steps'
+            )
+    if job.max_runs < 0 or job.interval_ms < 0:
+        raise errors.BadRequest('max_runs and interval_ms must be positive')
+
+
+def _translate(step: _Step) -> step_module.Step:
+    return step_module.Step(
+        step.count,
+        need_module.Need(step.cpu, step.mem_mb, step.gpus),
+        int(step.estimate_ms),
+        tuple(step.after),
+        step.checkpointing,
+        step.gang,
+        step.same_rack,
+        step.requires,
+        step.affinity,
+        step.anti_affinity,
+        step.speculative,
+        step.long_running,
+        step.image,
+        int(step.target_ms),
+        step.fills,
+        step.may_miss,
+    )
--- /dev/null
+++ b/basilspindle/platform/configuration.py
@@ -0,0 +1,183 @@
+"""Follow the operators' configuration in the platform's store."""
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import terms as terms_module
+from basilspindle.platform import store as store_module
+from basilspindle.workflow import need as need_module
+
+_STREAM = 'op'
+_KEY = 'config'
+# Shorter than the time in which a version has to be in force, so that a
+# connection that went silent is noticed within it.
+_WAIT_MS = 1_000
+_RETRY_MS = 150
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class _Route(msgspec.Struct):
+    # A route is a queue of jobs; its service is the pool that runs them.
+    name: str
+    host: str
+    path_prefix: str
+    service: str = ''
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: int = 0
+    timeout_ms: int = 3_000
+    public: bool = False
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = '/health'
+    max_conns: int = 64
+
+
+class _Cap(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    cap: _Cap = msgspec.field(default_factory=_Cap)
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 262_144
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class StoreConfiguration:
+    """Wait for versions; a bad one is logged and left out."""
+
+    __slots__ = ('_store', '_clock', '_next', '_version', '_failing')
+
+    def __init__(
+        self, store: store_module.LogStore, clock: clock_module.Clock
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._next: int | None = None
+        self._version = 0
+        self._failing = False
+
+    async def next_version(self) -> terms_module.Terms:
+        """Wait for a version newer than the last one returned."""
+        while True:
+            try:
+                raw = await self._next_record()
+            except errors.LogTrimmed:
+                self._next = None
+                continue
+            except errors.LogError as error:
+                self._note_failure(error)
+                await self._clock.sleep_ms(_RETRY_MS)
+                continue
+            if self._failing:
+                self._failing = False
+                events.emit(
+                    cell_events.STORE_REGAINED, call='configuration'
+                )
+            terms = self._decode(raw) if raw is not None else None
+            if terms is not None and terms.version > self._version:
+                self._version = terms.version
+                return terms
+
+    async def _next_record(self) -> bytes | None:
+        if self._next is None:
+            values, self._next = await self._store.newest(_STREAM)
+            return values.get(_KEY)
+        chunk = await self._store.read(_STREAM, self._next, _WAIT_MS)
+        if chunk.end < self._next:
+            self._next = None
+            return None
+        self._next += len(chunk.records)
+        rows = [raw for key, raw in chunk.records if key == _KEY]
+        return rows[-1] if rows else None
+
+    def _decode(self, raw: bytes) -> terms_module.Terms | None:
+        try:
+            return _translate(msgspec.json.decode(raw, type=_Config))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            events.emit(
+                cell_events.CONFIGURATION_UNREADABLE, error=str(error)
+            )
+            return None
+
+    def _note_failure(self, error: errors.BasilspindleError) -> None:
+        if not self._failing:
+            self._failing = True
+            events.emit(
+                cell_events.STORE_FAILED,
+                call='configuration',
+                error=error.message,
+            )
+
+
+def _translate(config: _Config) -> terms_module.Terms:
+    return terms_module.Terms(
+        config.version,
+        tuple(
+            terms_module.QueueTerms(
+                route.name,
+                route.host,
+                route.path_prefix,
+                route.service,
+                route.priority,
+                route.max_attempts,
+                route.stretch,
+                route.target_latency_ms,
+                route.timeout_ms,
+                route.public,
+                terms_module.AdviceTerms(
+                    route.advice.decide_ms,
+                    route.advice.each_ms,
+                    route.advice.valid_ms,
+                )
+                if route.advice is not None
+                else None,
+            )
+            for route in config.routes
+        ),
+        tuple(
+            terms_module.WorkspaceTerms(
+                tenant.name,
+                tuple(tenant.api_keys),
+                tenant.weight,
+                need_module.Need(
+                    tenant.cap.cpu, tenant.cap.mem_mb, tenant.cap.gpus
+                ),
+            )
+            for tenant in config.tenants
+        ),
+        tuple(
+            terms_module.PoolTerms(
+                service.name, service.health_path, service.max_conns
+            )
+            for service in config.services
+        ),
+        terms_module.RequestLimits(config.limits.max_body_bytes),
+    )
--- /dev/null
+++ b/basilspindle/platform/front.py
@@ -0,0 +1,215 @@
+"""Serve callers and the platform's balancer over HTTP."""
+
+import collections.abc
+import math
+import re
+import typing
+
+import msgspec
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import messages
+from basilspindle.cell import node as node_module
+from basilspindle.cell import terms as terms_module
+from basilspindle.platform import body as body_module
+
+_READY_PATH = '/basilspindle/ready'
+_JOB_ID = re.compile(r'[0-9a-f]{16}')
+# The answer has to reach the caller before it gives up.
+_DEADLINE_MARGIN_MS = 150
+_DEFAULT_DEADLINE_MS = 3_000
+_MAX_DEADLINE_MS = 30_000
+# Refusals that promise that the job is not accepted and never runs.
+_REFUSALS = frozenset({429, 503})
+
+_Scope = dict[str, typing.Any]
+_Receive = collections.abc.Callable[
+    [], collections.abc.Awaitable[dict[str, typing.Any]]
+]
+_Send = collections.abc.Callable[
+    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
+
+
+class Response(typing.NamedTuple):
+    """Status, body and seconds to wait before a retry; 0 for none."""
+
+    status: int
+    body: bytes = b'{}'
+    retry_after_s: int = 0
+
+
+class Front:
+    """The ASGI application towards callers."""
+
+    __slots__ = ('_node', '_clock', 'in_flight')
+
+    def __init__(
+        self, node: node_module.Node, clock: clock_module.Clock
+    ) -> None:
+        self._node = node
+        self._clock = clock
+        self.in_flight = 0
+
+    async def __call__(
+        self, scope: _Scope, receive: _Receive, send: _Send
+    ) -> None:
+        """Answer one request."""
+        if scope['type'] != 'http':
+            return
+        self.in_flight += 1
+        try:
+            if scope['path'] == _READY_PATH:
+                response = Response(200 if self._node.is_ready else 503)
+            else:
+                response = await self._answer(scope, receive)
+            await _respond(send, response, self._node.stopping)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(self, scope: _Scope, receive: _Receive) -> Response:
+        headers = {name: value for name, value in scope['headers']}
+        job_id = ''
+        try:
+            queue, workspace = self._authorize(scope['path'], headers)
+            rest = scope['path'][len(queue.prefix) :]
+            limit_ms = _deadline_ms(headers)
+            if not rest and scope['method'] == 'GET':
+                return await self._count(queue, limit_ms)
+            if not _JOB_ID.fullmatch(rest):
+                return _problem(404, 'no such job')
+            job_id = rest
+            if scope['method'] == 'POST':
+                limit = self._body_limit()
+                body = await _read_body(receive, limit)
+                definition = body_module.decode(
+                    body, job_id, workspace, queue, self._clock.wall_ms()
+                )
+                request: messages.Request = messages.Submit(definition)
+            elif scope['method'] == 'GET':
+                request = messages.Find(job_id, workspace)
+            elif scope['method'] == 'DELETE':
+                request = messages.Cancel(job_id, workspace)
+            else:
+                return _problem(405, 'use POST, GET or DELETE')
+            return _translate(await self._node.request(request, limit_ms))
+        except errors.BasilspindleError as error:
+            events.emit(
+                cell_events.REQUEST_FAILED,
+                job=job_id,
+                method=scope['method'],
+                status=error.status,
+                reason=error.kind,
+            )
+            return _problem(error.status, error.message, error.retry_after_ms)
+
+    def _authorize(
+        self, path: str, headers: dict[bytes, bytes]
+    ) -> tuple[terms_module.QueueTerms, str]:
+        index = self._node.index
+        if index is None:
+            raise errors.NotReady(
+                'no configuration is known yet; come back',
+                retry_after_ms=1_000,
+            )
+        host = headers.get(b'host', b'').decode('latin-1')
+        queue = index.queue_of(host, path)
+        if queue is None:
+            raise errors.NotFound('no such queue; check host and path')
+        if queue.is_open:
+            return queue, ''
+        scheme, _, key = (
+            headers.get(b'authorization', b'').decode('latin-1').partition(' ')
+        )
+        workspace = index.workspace_of(key.strip())
+        if scheme.lower() != 'bearer' or workspace is None:
+            raise errors.KeyInvalid('the key is not known; use a valid one')
+        return queue, workspace
+
+    def _body_limit(self) -> int:
+        index = self._node.index
+        return index.terms.limits.max_body_bytes if index else 0
+
+    async def _count(
+        self, queue: terms_module.QueueTerms, limit_ms: int
+    ) -> Response:
+        reply = await self._node.request(
+            messages.CountWaiting(queue.name), limit_ms
+        )
+        return _translate(reply)
+
+
+def _deadline_ms(headers: dict[bytes, bytes]) -> int:
+    try:
+        given = int(headers.get(b'x-deadline-ms', b'') or b'0')
+    except ValueError:
+        raise errors.BadRequest(
+            'X-Deadline-Ms must be a whole number of milliseconds'
+        ) from None
+    limit_ms = min(given or _DEFAULT_DEADLINE_MS, _MAX_DEADLINE_MS)
+    return max(limit_ms - _DEADLINE_MARGIN_MS, limit_ms // 2)
+
+
+async def _read_body(receive: _Receive, limit: int) -> bytes:
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise errors.CallerGone('the caller left before its body ended')
+        chunk = message.get('body', b'')
+        size += len(chunk)
+        if size > limit:
+            raise errors.TooLarge(
+                f'the body is longer than {limit} bytes; shorten it'
+            )
+        chunks.append(chunk)
+        if not message.get('more_body'):
+            return b''.join(chunks)
+
+
+def _translate(reply: messages.Reply) -> Response:
+    if isinstance(reply, messages.Accepted):
+        return Response(200)
+    if isinstance(reply, messages.Found):
+        return Response(200, msgspec.json.encode({'state': reply.state}))
+    if isinstance(reply, messages.Counted):
+        return Response(200, msgspec.json.encode({'waiting': reply.count}))
+    if isinstance(reply, messages.Gone):
+        return _problem(410, 'no such job')
+    if isinstance(reply, messages.Refused):
+        status = 409 if reply.kind == errors.KeyReused.kind else 429
+        return _problem(status, reply.text, reply.retry_after_ms)
+    return _problem(502, 'the leading daemon gave no answer; ask again')
+
+
+def _problem(status: int, text: str, retry_after_ms: int = 0) -> Response:
+    body = msgspec.json.encode({'error': text})
+    seconds = math.ceil(retry_after_ms / 1000)
+    if status in _REFUSALS:
+        seconds = max(1, seconds)
+    return Response(status, body, seconds)
+
+
+async def _respond(
+    send: _Send, response: Response, closing: bool
+) -> None:
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(response.body)).encode()),
+    ]
+    if response.retry_after_s:
+        headers.append((b'retry-after', str(response.retry_after_s).encode()))
+    if closing:
+        headers.append((b'connection', b'close'))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': response.status,
+            'headers': headers,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': response.body})
--- /dev/null
+++ b/basilspindle/platform/registry.py
@@ -0,0 +1,115 @@
+"""Read the worker registry in the platform's store."""
+
+import msgspec
+
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import ports
+from basilspindle.platform import store as store_module
+from basilspindle.workflow import need as need_module
+
+_STREAM = 'servers'
+_READY = 'ready'
+_DRAINING = 'draining'
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+
+
+class _Entry(msgspec.Struct):
+    # The pool of the worker.
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    # The worker's kind and its rack.
+    labels: list[str] = []
+    remaining_ms: int = 0
+    born: int = 0
+
+
+class StoreRegistry:
+    """Follow the entries; a refresh reads only what changed."""
+
+    __slots__ = ('_store', '_rows', '_next', '_bad')
+
+    def __init__(self, store: store_module.LogStore) -> None:
+        self._store = store
+        self._rows: dict[str, ports.RegisteredWorker] = {}
+        self._next: int | None = None
+        self._bad: set[str] = set()
+
+    async def refresh(self) -> dict[str, ports.RegisteredWorker]:
+        """Return all workers; raises ``LogUnavailable``."""
+        if self._next is None:
+            await self._read_all()
+        else:
+            try:
+                await self._read_changes(self._next)
+            except errors.LogTrimmed:
+                await self._read_all()
+        return self._rows
+
+    def forget(self) -> None:
+        """Read all entries anew at the next refresh."""
+        self._next = None
+
+    async def _read_all(self) -> None:
+        values, end = await self._store.newest(_STREAM)
+        self._rows = {}
+        for key, raw in values.items():
+            self._take(key, raw)
+        self._next = end
+
+    async def _read_changes(self, start: int) -> None:
+        # Repeated until the end, as one answer is bounded in size.
+        while True:
+            chunk = await self._store.read(_STREAM, start, 0)
+            if chunk.end < start:
+                raise errors.LogTrimmed(
+                    'the registry begins anew; read it from its start',
+                    first=chunk.first,
+                )
+            for key, raw in chunk.records:
+                self._take(key, raw)
+            start += len(chunk.records)
+            self._next = start
+            if not chunk.records or start >= chunk.end:
+                return
+
+    def _take(self, key: str, raw: bytes | None) -> None:
+        if raw is None:
+            self._rows.pop(key, None)
+            return
+        try:
+            entry = msgspec.json.decode(raw, type=_Entry)
+            if entry.state not in (_READY, _DRAINING):
+                raise msgspec.ValidationError(f'state {entry.state!r}')
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            # It names no worker to use; the one known under the key holds.
+            if key not in self._bad:
+                self._bad.add(key)
+                events.emit(
+                    cell_events.REGISTRY_ENTRY_UNREADABLE,
+                    key=key,
+                    error=str(error),
+                )
+            return
+        self._rows[key] = ports.RegisteredWorker(
+            key,
+            entry.address,
+            entry.service,
+            entry.zone,
+            tuple(entry.labels),
+            need_module.Need(
+                entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpus
+            ),
+            entry.state == _READY,
+            entry.remaining_ms,
+            entry.born,
+        )
--- /dev/null
+++ b/basilspindle/platform/store.py
@@ -0,0 +1,268 @@
+"""Speak the log of the platform's store."""
+
+import base64
+import collections.abc
+import struct
+import typing
+import urllib.parse
+
+import msgspec
+
+from basilspindle import errors
+from basilspindle.cell import ports
+from basilspindle.platform import client as client_module
+
+_READ_MS = 1_500
+_WRITE_MS = 1_500
+_PRODUCER = 'basilspindle'
+# Topics with this prefix keep the newest record of each key for good.
+_KEYED = 'keyed.'
+_PART = 0
+_RETRY_AFTER_MS = 500
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int = 0
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    end: int
+    more: bool = False
+
+
+class _Appended(msgspec.Struct):
+    offset: int = 0
+
+
+class _Rejected(msgspec.Struct):
+    reason: str = ''
+    # The sequence number that the partition expects next.
+    expected: int | None = None
+    seq: int | None = None
+
+
+class LogStore:
+    """Keyed streams of the platform's log; one partition each."""
+
+    __slots__ = ('_client', '_address')
+
+    def __init__(
+        self, client: client_module.Client, address: str
+    ) -> None:
+        self._client = client
+        self._address = address
+
+    async def newest(self, stream: str) -> tuple[dict[str, bytes], int]:
+        """Return the newest value of each key and the end offset."""
+        values: dict[str, bytes] = {}
+        query = {'topic': _KEYED + stream, 'part': str(_PART)}
+        while True:
+            answer = await self._get('log-newest', query, _READ_MS)
+            if answer.status == 404:
+                return {}, 0
+            self._check_read(answer)
+            page = _decode(answer.body, _Newest)
+            for item in page.items:
+                values[item.key] = base64.b64decode(item.value)
+            if not page.more or not page.items:
+                return values, page.end
+            query['after'] = page.items[-1].key
+
+    async def read(
+        self, stream: str, from_offset: int, wait_ms: int
+    ) -> ports.StoreChunk:
+        """Return records from an offset, waiting for the first."""
+        query = {
+            'topic': _KEYED + stream,
+            'part': str(_PART),
+            'from': str(from_offset),
+        }
+        if wait_ms:
+            query['wait_ms'] = str(wait_ms)
+        answer = await self._get('log-read', query, wait_ms + _READ_MS)
+        if answer.status == 410:
+            first = msgspec.json.decode(answer.body).get('first', 0)
+            raise errors.LogTrimmed(
+                f'stream {stream!r} no longer holds offset {from_offset}; '
+                f'read from {first}',
+                first=first,
+            )
+        if answer.status == 404:
+            return ports.StoreChunk([], 0, 0)
+        self._check_read(answer)
+        return _decode_chunk(answer.body)
+
+    async def probe_end(self, stream: str) -> int:
+        """Return the end offset of a stream."""
+        query = {
+            'topic': _KEYED + stream,
+            'part': str(_PART),
+            'from': '0',
+            'max_kb': '1',
+        }
+        for _ in range(3):
+            answer = await self._get('log-read', query, _READ_MS)
+            if answer.status == 404:
+                return 0
+            if answer.status == 410:
+                first = msgspec.json.decode(answer.body).get('first', 0)
+                query['from'] = str(first)
+                continue
+            self._check_read(answer)
+            return _decode_chunk(answer.body).end
+        raise self._unavailable('its history moves on too fast')
+
+    async def append_at(
+        self, stream: str, records: ports.Records, at: int
+    ) -> int | None:
+        """Append if the stream ends at ``at``; None if it does not."""
+        answer = await self._append(
+            stream, records, {'at': str(at)}, _WRITE_MS
+        )
+        if answer.status == 412:
+            return None
+        self._check_write(answer)
+        return _decode(answer.body, _Appended).offset
+
+    async def fence(self, stream: str, epoch: int) -> None:
+        """Reject appends of lower epochs; raises ``Deposed`` if late."""
+        query = {'producer': _PRODUCER, 'epoch': str(epoch)}
+        answer = await self._append(stream, (), query, _WRITE_MS)
+        self._check_epoch(answer, 0)
+
+    async def append(
+        self,
+        stream: str,
+        records: ports.Records,
+        epoch: int,
+        sequence: int,
+        timeout_ms: int,
+    ) -> None:
+        """Append once per sequence number; raises ``Deposed``."""
+        query = {
+            'producer': _PRODUCER,
+            'epoch': str(epoch),
+            'seq': str(sequence),
+        }
+        answer = await self._append(stream, records, query, timeout_ms)
+        self._check_epoch(answer, sequence)
+
+    async def _append(
+        self,
+        stream: str,
+        records: ports.Records,
+        query: dict[str, str],
+        timeout_ms: int,
+    ) -> client_module.Answer:
+        query = {'topic': _KEYED + stream, 'part': str(_PART), **query}
+        body = b''.join(_encode_record(key, value) for key, value in records)
+        path = f'/basilspindle/log-append?{urllib.parse.urlencode(query)}'
+        try:
+            return await self._client.call(
+                self._address,
+                'POST',
+                path,
+                body,
+                timeout_ms=timeout_ms,
+                content_type='application/octet-stream',
+            )
+        except client_module.CallFailed as error:
+            if not error.sent:
+                raise self._unavailable(error.message) from error
+            raise errors.LogOutcomeUnknown(
+                f'the answer to an append was lost: {error.message}; '
+                'repeat it under the same number'
+            ) from error
+
+    async def _get(
+        self, call: str, query: dict[str, str], timeout_ms: int
+    ) -> client_module.Answer:
+        path = f'/basilspindle/{call}?{urllib.parse.urlencode(query)}'
+        try:
+            return await self._client.call(
+                self._address, 'GET', path, timeout_ms=timeout_ms
+            )
+        except client_module.CallFailed as error:
+            raise self._unavailable(error.message) from error
+
+    def _check_epoch(
+        self, answer: client_module.Answer, sequence: int
+    ) -> None:
+        if answer.status != 409:
+            self._check_write(answer)
+            return
+        rejected = _decode(answer.body, _Rejected)
+        if rejected.reason == 'seq':
+            expected = rejected.expected
+            if expected is None:
+                expected = rejected.seq
+            if expected is not None and expected > sequence:
+                # An earlier try took effect.
+                return
+        raise errors.Deposed(
+            f'the store refuses this leader ({rejected.reason}); another '
+            'one leads'
+        )
+
+    def _check_write(self, answer: client_module.Answer) -> None:
+        if answer.status == 200:
+            return
+        if answer.status >= 500 and answer.status not in (503, 507):
+            raise errors.LogOutcomeUnknown(
+                f'the store answered {answer.status} to an append; repeat it'
+            )
+        raise self._unavailable(f'status {answer.status}')
+
+    def _check_read(self, answer: client_module.Answer) -> None:
+        if answer.status != 200:
+            raise self._unavailable(f'status {answer.status}')
+
+    def _unavailable(self, reason: str) -> errors.LogUnavailable:
+        return errors.LogUnavailable(
+            f'the store did nothing: {reason}; try again later',
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+
+
+def _decode(body: bytes, kind: type[typing.Any]) -> typing.Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise errors.LogOutcomeUnknown(
+            f'the store sent what cannot be read: {error}; ask again'
+        ) from error
+
+
+def _encode_record(key: str, value: bytes | None) -> bytes:
+    raw = key.encode()
+    content = bytes([len(raw)]) + raw + (value if value is not None else b'')
+    if value == b'':
+        # An empty value would remove the key.
+        content += b'\0'
+    return struct.pack('>I', len(content)) + content
+
+
+def _decode_chunk(body: bytes) -> ports.StoreChunk:
+    end, first = struct.unpack_from('>QQ', body, 0)
+    records = list(_decode_records(body))
+    return ports.StoreChunk(records, first, end)
+
+
+def _decode_records(
+    body: bytes,
+) -> collections.abc.Iterator[tuple[str, bytes | None]]:
+    place = 16
+    while place + 4 <= len(body):
+        (length,) = struct.unpack_from('>I', body, place)
+        place += 4
+        content = body[place : place + length]
+        place += length
+        if not content:
+            yield '', None
+            continue
+        size = content[0]
+        key = content[1 : 1 + size].decode(errors='replace')
+        yield key, content[1 + size :] or None
--- /dev/null
+++ b/basilspindle/platform/workers.py
@@ -0,0 +1,203 @@
+"""Speak to the platform's workers."""
+
+import typing
+
+import msgspec
+
+from basilspindle import errors
+from basilspindle.cell import report as report_module
+from basilspindle.cell import start_outcome
+from basilspindle.platform import client as client_module
+
+_Outcome = start_outcome.StartOutcome
+_Kind = report_module.EndKind
+
+_ENDS = {
+    'done': _Kind.DONE,
+    'failed': _Kind.FAILED,
+    'stopped': _Kind.STOPPED,
+    'lapsed': _Kind.LAPSED,
+    # Another member of the gang ended.
+    'broken': _Kind.PARTNER_ENDED,
+    # The other members of the gang did not come in time.
+    'alone': _Kind.PARTNER_MISSING,
+}
+_REASONS = {
+    'fence': _Outcome.FENCED,
+    'old': _Outcome.RUN_TOO_LOW,
+    'late': _Outcome.DEADLINE_PASSED,
+    'room': _Outcome.NO_ROOM,
+    'ticket': _Outcome.TICKET_REFUSED,
+}
+# A page of ends is full at this length; more are to come.
+_END_PAGE = 500
+_ENCODER = msgspec.json.Encoder()
+
+
+class _Rejected(msgspec.Struct):
+    reason: str = ''
+    clock_ms: int = 0
+
+
+class _Lists(msgspec.Struct):
+    # The worker's steady clock.
+    clock_ms: int
+    # Rows of task, run, checkpoint, percent and a load figure.
+    running: list[list[typing.Any]] = []
+    # Rows of number, task, run, how and checkpoint.
+    finished: list[list[typing.Any]] = []
+    # Unix time of the worker's start, which tells its lives apart.
+    born: int = 0
+
+
+class HttpWorkers:
+    """Calls to workers, each at its own address."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, client: client_module.Client) -> None:
+        self._client = client
+
+    async def renew(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        deadline_ms: int | None,
+        taken_end: int,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> report_module.Report:
+        """Extend the lease, forget ends up to one, return the report."""
+        body: dict[str, typing.Any] = {
+            'fencing_token': token,
+            # Ends up to this number are forgotten by the worker.
+            'ack_cursor': taken_end,
+        }
+        if deadline_ms is not None:
+            body['deadline_ms'] = deadline_ms
+        if wait_ms:
+            body['wait_ms'] = wait_ms
+        answer = await self._post(
+            address, worker_id, '/basilspindle/hold', body, timeout_ms
+        )
+        _check(answer, address)
+        try:
+            lists = msgspec.json.decode(answer.body, type=_Lists)
+            return _report(lists)
+        except (msgspec.MsgspecError, IndexError, KeyError) as error:
+            raise errors.WorkerOutcomeUnknown(
+                f'worker at {address} sent lists that cannot be read: '
+                f'{error!r}; ask again'
+            ) from error
+
+    async def start(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        deadline_ms: int,
+        name: str,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        ticket: str,
+        timeout_ms: int,
+    ) -> start_outcome.StartOutcome:
+        """Start a run; a repeat of the same run starts nothing more."""
+        body: dict[str, typing.Any] = {
+            'task': name,
+            'run': run,
+            'spec': payload,
+            'deadline_ms': deadline_ms,
+            'fencing_token': token,
+        }
+        if checkpoint:
+            body['checkpoint'] = checkpoint
+        if ticket:
+            body['ticket'] = ticket
+        answer = await self._post(
+            address, worker_id, '/basilspindle/run-start', body, timeout_ms
+        )
+        if answer.status == 200:
+            return _Outcome.RUNS
+        if answer.status == 409:
+            reason = msgspec.json.decode(answer.body, type=_Rejected).reason
+            return _REASONS.get(reason, _Outcome.INVALID)
+        if answer.status in (429, 503):
+            return _Outcome.UNHEALTHY
+        if answer.status == 421:
+            return _Outcome.OTHER_LIFE
+        if answer.status < 500:
+            return _Outcome.INVALID
+        return _Outcome.UNKNOWN
+
+    async def stop(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        name: str,
+        run: int,
+        timeout_ms: int,
+    ) -> None:
+        """Stop a run, or keep one that has not arrived from starting."""
+        body = {'task': name, 'run': run, 'fencing_token': token}
+        answer = await self._post(
+            address, worker_id, '/basilspindle/run-stop', body, timeout_ms
+        )
+        _check(answer, address)
+
+    async def _post(
+        self,
+        address: str,
+        worker_id: str,
+        path: str,
+        body: dict[str, typing.Any],
+        timeout_ms: int,
+    ) -> client_module.Answer:
+        try:
+            return await self._client.call(
+                address,
+                'POST',
+                path,
+                _ENCODER.encode(body),
+                timeout_ms=timeout_ms,
+                headers=(('X-Expect-Instance', worker_id),),
+            )
+        except client_module.CallFailed as error:
+            if not error.sent:
+                raise errors.WorkerUnavailable(error.message) from error
+            raise errors.WorkerOutcomeUnknown(error.message) from error
+
+
+def _check(answer: client_module.Answer, address: str) -> None:
+    if answer.status == 200:
+        return
+    if answer.status == 421:
+        raise errors.WorkerReplaced(
+            f'another worker answers at {address}; read the registry'
+        )
+    if answer.status == 409:
+        raise errors.StaleEpoch(
+            f'worker at {address} has a later holder; stop leading'
+        )
+    raise errors.WorkerUnavailable(
+        f'worker at {address} answered {answer.status}; try again'
+    )
+
+
+def _report(lists: _Lists) -> report_module.Report:
+    running = tuple(
+        report_module.RunningRow(
+            row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0
+        )
+        for row in lists.running
+    )
+    ends = tuple(
+        report_module.EndRow(row[0], row[1], row[2], _ENDS[row[3]], row[4])
+        for row in lists.finished
+    )
+    return report_module.Report(
+        lists.clock_ms, lists.born, running, ends, len(ends) < _END_PAGE
+    )
--- /dev/null
+++ b/basilspindle/workflow/job.py
@@ -0,0 +1,89 @@
+"""Follow one job."""
+
+from basilspindle.workflow import definition as definition_module
+from basilspindle.workflow import job_state
+from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task as task_module
+
+
+class Job:
+    """Live state of a job.
+
+    ``state`` is what is decided, ``durable_state`` what the log holds and
+    callers may see. ``accepted_ms`` is monotonic. ``recovered`` marks a job
+    accepted under an earlier leader, whose tasks may run unseen.
+    """
+
+    __slots__ = (
+        'definition',
+        'state',
+        'durable_state',
+        'accepted_ms',
+        'runs',
+        'next_occurrence',
+        'recovered',
+        'started',
+        'final_wall_ms',
+        'occupied',
+    )
+
+    def __init__(
+        self, definition: definition_module.JobDefinition, accepted_ms: int
+    ) -> None:
+        self.definition = definition
+        self.state = job_state.JobState.PENDING
+        self.durable_state: job_state.JobState | None = None
+        self.accepted_ms = accepted_ms
+        self.runs: dict[tuple[int, int], step_run_module.StepRun] = {}
+        self.next_occurrence = 0
+        self.recovered = False
+        self.started = False
+        self.final_wall_ms = 0
+        self.occupied: set[task_module.Task] = set()
+        if not definition.max_runs:
+            self.open_occurrence()
+
+    @property
+    def job_id(self) -> str:
+        """Return the id that the caller chose."""
+        return self.definition.job_id
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return self.definition.max_runs or 1
+
+    @property
+    def next_due_wall_ms(self) -> int | None:
+        """Return when the next occurrence is due; None after the last."""
+        if self.next_occurrence >= self.occurrences:
+            return None
+        return (
+            self.definition.first_run_ms
+            + self.next_occurrence * self.definition.interval_ms
+        )
+
+    def open_occurrence(self) -> list[step_run_module.StepRun]:
+        """Create the step runs of the next occurrence and return them."""
+        number = self.next_occurrence
+        self.next_occurrence += 1
+        opened = []
+        for index, step in enumerate(self.definition.steps):
+            run = step_run_module.StepRun(self, number, index, step)
+            self.runs[number, index] = run
+            opened.append(run)
+        return opened
+
+    def is_ready(self, run: step_run_module.StepRun) -> bool:
+        """Tell whether all steps before this one are done."""
+        return all(
+            self.runs[run.occurrence, earlier].is_done
+            for earlier in run.step.after
+        )
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every task of every occurrence is done."""
+        if self.next_occurrence < self.occurrences:
+            return False
+        return all(run.is_done for run in self.runs.values())
--- /dev/null
+++ b/basilspindle/workflow/progress.py
@@ -0,0 +1,107 @@
+"""Encode how far a job is, and restore a job from it."""
+
+import msgspec
+
+from basilspindle.workflow import definition as definition_module
+from basilspindle.workflow import job as job_module
+from basilspindle.workflow import job_state
+from basilspindle.workflow import task_state
+
+
+class TaskProgress(msgspec.Struct, array_like=True, frozen=True):
+    """Progress of a task that is not done and was started."""
+
+    index: int
+    run: int
+    ended_run: int
+    failures: int
+    checkpoint: str
+
+
+class StepProgress(msgspec.Struct, array_like=True, frozen=True):
+    """Progress of a step; ``done`` has one bit a task."""
+
+    occurrence: int
+    index: int
+    done: bytes
+    gang_failures: int
+    gang_failed_run: int
+    tasks: tuple[TaskProgress, ...]
+
+
+class Progress(msgspec.Struct, array_like=True, frozen=True):
+    """Progress of a job as the log holds it."""
+
+    state: job_state.JobState
+    next_occurrence: int
+    steps: tuple[StepProgress, ...]
+
+
+def capture(job: job_module.Job) -> Progress:
+    """Return the progress of a job."""
+    steps = []
+    for (occurrence, index), run in job.runs.items():
+        rows = tuple(
+            TaskProgress(
+                task.index,
+                task.run,
+                task.ended_run,
+                task.failures,
+                task.checkpoint,
+            )
+            for task in run.tasks
+            if task.run and task.state is not task_state.TaskState.DONE
+        )
+        if not rows and not run.done and not run.gang_failures:
+            continue
+        bits = sum(
+            1 << task.index
+            for task in run.tasks
+            if task.state is task_state.TaskState.DONE
+        )
+        done = bits.to_bytes((run.step.count + 7) // 8, 'little')
+        steps.append(
+            StepProgress(
+                occurrence,
+                index,
+                done,
+                run.gang_failures,
+                run.gang_failed_run,
+                rows,
+            )
+        )
+    return Progress(job.state, job.next_occurrence, tuple(steps))
+
+
+def restore(
+    definition: definition_module.JobDefinition,
+    progress: Progress | None,
+    now_ms: int,
+    now_wall_ms: int,
+) -> job_module.Job:
+    """Return the job of an earlier leader, as far as the log knows it."""
+    age_ms = max(0, now_wall_ms - definition.accepted_wall_ms)
+    job = job_module.Job(definition, now_ms - age_ms)
+    job.recovered = True
+    job.durable_state = job_state.JobState.PENDING
+    if progress is None:
+        return job
+    job.state = job.durable_state = progress.state
+    while job.next_occurrence < progress.next_occurrence:
+        job.open_occurrence()
+    for row in progress.steps:
+        run = job.runs[row.occurrence, row.index]
+        run.gang_failures = row.gang_failures
+        run.gang_failed_run = row.gang_failed_run
+        bits = int.from_bytes(row.done, 'little')
+        for task in run.tasks:
+            if bits >> task.index & 1:
+                run.mark_done(task)
+        for saved in row.tasks:
+            task = run.tasks[saved.index]
+            task.run = saved.run
+            task.ended_run = saved.ended_run
+            task.failures = saved.failures
+            task.checkpoint = saved.checkpoint
+    job.started = bool(progress.steps)
+    return job
--- /dev/null
+++ b/basilspindle/workflow/step_run.py
@@ -0,0 +1,85 @@
+"""Follow one step of one occurrence of a job."""
+
+import typing
+
+from basilspindle.workflow import step as step_module
+from basilspindle.workflow import task as task_module
+from basilspindle.workflow import task_state
+from basilspindle.workflow import ticket as ticket_module
+
+if typing.TYPE_CHECKING:
+    from basilspindle.workflow import job as job_module
+
+
+class StepRun:
+    """Live state of a step; ``tickets`` is None before any advice.
+
+    ``waiting`` holds the tasks that may start once the step is ready.
+    ``asked_ms`` is the time of a pending call for advice, 0 for none.
+    ``ready_ms`` is the time at which the earlier steps were done.
+    ``reserved_until_ms`` bounds a reservation of room in ``reserved``.
+    """
+
+    __slots__ = (
+        'key',
+        'job',
+        'occurrence',
+        'index',
+        'step',
+        'tasks',
+        'waiting',
+        'done',
+        'tickets',
+        'asked_ms',
+        'ready_ms',
+        'reserved',
+        'reserved_until_ms',
+        'retry_ms',
+        'gang_failures',
+        'gang_failed_run',
+    )
+
+    def __init__(
+        self,
+        job: 'job_module.Job',
+        occurrence: int,
+        index: int,
+        step: step_module.Step,
+    ) -> None:
+        self.key = f'{job.definition.job_id}.{occurrence}.{index}'
+        self.job = job
+        self.occurrence = occurrence
+        self.index = index
+        self.step = step
+        self.tasks = [
+            task_module.Task(f'{self.key}.{place}', self, place)
+            for place in range(step.count)
+        ]
+        self.waiting: dict[int, task_module.Task] = dict(enumerate(self.tasks))
+        self.done = 0
+        self.tickets: dict[str, ticket_module.Ticket] | None = None
+        self.asked_ms = 0
+        self.ready_ms = 0
+        self.reserved: dict[str, int] = {}
+        self.reserved_until_ms = 0
+        self.retry_ms = 0
+        self.gang_failures = 0
+        self.gang_failed_run = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks are done."""
+        return self.done == self.step.count
+
+    def mark_done(self, task: task_module.Task) -> None:
+        """Count a task as done, once."""
+        if task.state is not task_state.TaskState.DONE:
+            task.state = task_state.TaskState.DONE
+            self.done += 1
+        self.waiting.pop(task.index, None)
+
+    def mark_waiting(self, task: task_module.Task) -> None:
+        """Let a task start again."""
+        task.state = task_state.TaskState.WAITING
+        task.worker_id = ''
+        self.waiting[task.index] = task
--- /dev/null
+++ b/basilspindle/workflow/task.py
@@ -0,0 +1,60 @@
+"""Follow one task of a job."""
+
+import typing
+
+from basilspindle.workflow import task_state
+
+if typing.TYPE_CHECKING:
+    from basilspindle.workflow import step_run
+
+
+class Task:
+    """Live state of a task; ``run`` is the number of its latest start.
+
+    ``worker_id`` is set while the task occupies a worker. ``ended_run`` is
+    the highest run whose end was counted, ``failures`` the number of runs
+    that ended in failure. ``started_ms`` is the monotonic time at which the
+    worker answered the last order for the task; 0 while none is answered.
+    """
+
+    __slots__ = (
+        'name',
+        'step_run',
+        'index',
+        'state',
+        'run',
+        'worker_id',
+        'ended_run',
+        'failures',
+        'checkpoint',
+        'started_ms',
+        'percent',
+        'avoid',
+        'stop_sent_ms',
+    )
+
+    def __init__(
+        self, name: str, step_run: 'step_run.StepRun', index: int
+    ) -> None:
+        self.name = name
+        self.step_run = step_run
+        self.index = index
+        self.state = task_state.TaskState.WAITING
+        self.run = 0
+        self.worker_id = ''
+        self.ended_run = 0
+        self.failures = 0
+        self.checkpoint = ''
+        self.started_ms = 0
+        self.percent = 0
+        self.avoid: set[str] = set()
+        self.stop_sent_ms = 0
+
+    @property
+    def occupies(self) -> bool:
+        """Tell whether the task takes room on a worker."""
+        return (
+            task_state.TaskState.WAITING
+            < self.state
+            < task_state.TaskState.DONE
+        )
