Count failed runs of a task by their numbers

Ruled out: ordering the reports of workers, since one may come late. Change: the numbers of failed runs are kept and recorded, for gangs too.

--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -27,14 +27,13 @@
     if task is None:
         return None
     current = worker.tasks.get(row.name) is task and task.run == row.run
-    counted = row.run <= task.ended_run
     task.ended_run = max(task.ended_run, row.run)
     task.run = max(task.run, row.run)
     if row.checkpoint and row.run == task.run:
         task.checkpoint = row.checkpoint
     if row.kind is _Kind.DONE and not task.step_run.step.service:
         _mark_done(state, task, now_ms)
-    elif row.kind is _Kind.FAILED and not counted:
+    elif row.kind is _Kind.FAILED and row.run not in task.failed_runs:
         _count_failure(state, task, row, worker)
     if current:
         state.release(task)
@@ -77,15 +76,13 @@
 ) -> None:
     run = task.step_run
     job = run.job
-    task.failures += 1
+    task.failed_runs.add(row.run)
     task.avoid.add(worker.worker_id)
     if run.step.service:
         return
-    failures = task.failures
+    failed_runs = task.failed_runs
     if run.step.gang:
-        if row.run > run.gang_failed_run:
-            run.gang_failed_run = row.run
-            run.gang_failures += 1
-        failures = run.gang_failures
-    if failures >= job.definition.max_attempts:
+        run.gang_failed_runs.add(row.run)
+        failed_runs = run.gang_failed_runs
+    if len(failed_runs) >= job.definition.max_attempts:
         state.end_job(job, job_state.JobState.FAILED)
--- a/basilspindle/workflow/progress.py
+++ b/basilspindle/workflow/progress.py
@@ -14,7 +14,7 @@
     index: int
     run: int
     ended_run: int
-    failures: int
+    failed_runs: tuple[int, ...]
     checkpoint: str
 
 
@@ -24,8 +24,7 @@
     occurrence: int
     index: int
     done: bytes
-    gang_failures: int
-    gang_failed_run: int
+    gang_failed_runs: tuple[int, ...]
     tasks: tuple[TaskProgress, ...]
 
 
@@ -46,13 +45,13 @@
                 task.index,
                 task.run,
                 task.ended_run,
-                task.failures,
+                tuple(task.failed_runs),
                 task.checkpoint,
             )
             for task in run.tasks
             if task.run and task.state is not task_state.TaskState.DONE
         )
-        if not rows and not run.done and not run.gang_failures:
+        if not rows and not run.done and not run.gang_failed_runs:
             continue
         bits = sum(
             1 << task.index
@@ -65,8 +64,7 @@
                 occurrence,
                 index,
                 done,
-                run.gang_failures,
-                run.gang_failed_run,
+                tuple(run.gang_failed_runs),
                 rows,
             )
         )
@@ -91,8 +89,7 @@
         job.open_occurrence()
     for row in progress.steps:
         run = job.runs[row.occurrence, row.index]
-        run.gang_failures = row.gang_failures
-        run.gang_failed_run = row.gang_failed_run
+        run.gang_failed_runs = set(row.gang_failed_runs)
         bits = int.from_bytes(row.done, 'little')
         for task in run.tasks:
             if bits >> task.index & 1:
@@ -101,7 +98,7 @@
             task = run.tasks[saved.index]
             task.run = saved.run
             task.ended_run = saved.ended_run
-            task.failures = saved.failures
+            task.failed_runs = set(saved.failed_runs)
             task.checkpoint = saved.checkpoint
     job.started = bool(progress.steps)
     return job
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -35,8 +35,7 @@
         'reserved',
         'reserved_until_ms',
         'retry_ms',
-        'gang_failures',
-        'gang_failed_run',
+        'gang_failed_runs',
     )
 
     def __init__(
@@ -63,8 +62,7 @@
         self.reserved: dict[str, int] = {}
         self.reserved_until_ms = 0
         self.retry_ms = 0
-        self.gang_failures = 0
-        self.gang_failed_run = 0
+        self.gang_failed_runs: set[int] = set()
 
     @property
     def is_done(self) -> bool:
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -12,9 +12,10 @@
     """Live state of a task; ``run`` is the number of its latest start.
 
     ``worker_id`` is set while the task occupies a worker. ``ended_run`` is
-    the highest run whose end was counted, ``failures`` the number of runs
-    that ended in failure. ``started_ms`` is the monotonic time at which the
-    worker answered the last order for the task; 0 while none is answered.
+    the highest run that is known to be over, ``failed_runs`` are those that
+    ended in failure; ends of one task at two workers come in any order.
+    ``started_ms`` is the monotonic time at which the worker answered the
+    last order for the task; 0 while none is answered.
     """
 
     __slots__ = (
@@ -25,7 +26,7 @@
         'run',
         'worker_id',
         'ended_run',
-        'failures',
+        'failed_runs',
         'checkpoint',
         'started_ms',
         'percent',
@@ -43,7 +44,7 @@
         self.run = 0
         self.worker_id = ''
         self.ended_run = 0
-        self.failures = 0
+        self.failed_runs: set[int] = set()
         self.checkpoint = ''
         self.started_ms = 0
         self.percent = 0
--- /dev/null
+++ b/tests/cell_case.py
@@ -0,0 +1,152 @@
+"""Drive the decisions of a leader without input and output."""
+
+import unittest
+
+from basilspindle import workflow
+from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell import ends as ends_module
+from basilspindle.cell import intake as intake_module
+from basilspindle.cell import plan as plan_module
+from basilspindle.cell import reconcile
+from basilspindle.cell import report as report_module
+from basilspindle.cell import start_outcome
+from basilspindle.cell import starts as starts_module
+from basilspindle.cell import state as state_module
+from basilspindle.cell import term_index
+from basilspindle.cell import terms as terms_module
+from basilspindle.cell import worker as worker_module
+
+POOL = 'pool'
+QUEUE = 'queue'
+WORKSPACE = 'alpha'
+BORN_MS = 1_000
+
+
+def make_step(count=1, cpu=1_000, **changes):
+    """Return a step of equal tasks."""
+    values = {'estimate_ms': 1_000, **changes}
+    return workflow.Step(count, workflow.Need(cpu, 100), **values)
+
+
+def make_definition(job_id, *steps, **changes):
+    """Return a job of the default workspace and queue."""
+    values = {
+        'max_attempts': 3,
+        'stretch': 2.0,
+        'target_latency_ms': 1_000,
+        **changes,
+    }
+    workspace = values.pop('workspace', WORKSPACE)
+    queue = values.pop('queue', QUEUE)
+    return workflow.JobDefinition(
+        job_id, workspace, queue, POOL, 'payload', steps, **values
+    )
+
+
+def make_queue(name=QUEUE, **changes):
+    """Return the terms of a queue."""
+    values = {
+        'host': 'h.example',
+        'prefix': f'/{name}/',
+        'pool': POOL,
+        'priority': 0,
+        'max_attempts': 3,
+        'stretch': 2.0,
+        'target_latency_ms': 1_000,
+        'timeout_ms': 3_000,
+        'is_open': False,
+        'advice': None,
+        **changes,
+    }
+    return terms_module.QueueTerms(name, **values)
+
+
+def make_terms(queues=None, limit=workflow.Need(), version=1):
+    """Return a configuration with one workspace."""
+    return terms_module.Terms(
+        version,
+        tuple(queues or [make_queue()]),
+        (terms_module.WorkspaceTerms(WORKSPACE, ('key',), 1.0, limit),),
+        (terms_module.PoolTerms(POOL, '/health', 64),),
+        terms_module.RequestLimits(),
+    )
+
+
+class CellCase(unittest.TestCase):
+    """A leader's state with workers that answer as they are told."""
+
+    def setUp(self):
+        self.now_ms = 100_000
+        self.state = self.make_state()
+        self.numbers = {}
+
+    def make_state(self, term=0, terms=None):
+        state = state_module.CellState(bounds_module.Bounds(), term)
+        state.index = term_index.TermIndex(terms or make_terms())
+        self.intake = intake_module.Intake(state)
+        self.planner = plan_module.Planner(state)
+        self.state = state
+        return state
+
+    def add_worker(self, name, cpu=4_000, rack='r1', reported=True):
+        worker = worker_module.Worker(
+            name,
+            f'{name}:1',
+            POOL,
+            rack,
+            'a',
+            frozenset({'k', rack}),
+            workflow.Need(cpu, 100_000),
+        )
+        self.state.workers[name] = worker
+        if reported:
+            self.report(name)
+        return worker
+
+    def submit(self, definition):
+        job = self.intake.submit(definition, self.now_ms)
+        self.record()
+        return job
+
+    def record(self):
+        """Let the log hold all jobs as they are."""
+        for job in self.state.changed.values():
+            job.durable_state = job.state
+        self.state.changed.clear()
+
+    def plan(self):
+        """Return the starts that are ordered now."""
+        self.planner.plan(self.now_ms)
+        return self.state.take_orders()
+
+    def answer(self, order, outcome=start_outcome.StartOutcome.RUNS):
+        starts_module.apply_outcome(self.state, order, outcome, self.now_ms)
+
+    def run_all(self, orders):
+        for order in orders.starts:
+            self.answer(order)
+        return orders.starts
+
+    def end(self, worker_name, task, run, kind=report_module.EndKind.DONE):
+        """Let a worker list the end of a run."""
+        self.numbers[worker_name] = self.numbers.get(worker_name, 0) + 1
+        row = report_module.EndRow(
+            self.numbers[worker_name], task, run, kind, ''
+        )
+        worker = self.state.workers[worker_name]
+        ends_module.apply_end(self.state, worker, row, self.now_ms)
+        worker.noted_end = row.number
+
+    def report(self, name, running=(), ends=(), sent_ms=None, born=BORN_MS):
+        rows = tuple(
+            report_module.RunningRow(task, run, '', 50, 0)
+            for task, run in running
+        )
+        report = report_module.Report(0, born, rows, tuple(ends))
+        reconcile.apply_report(
+            self.state,
+            self.state.workers[name],
+            report,
+            self.now_ms if sent_ms is None else sent_ms,
+            self.now_ms,
+        )
