Announce claims between daemons and refuse jobs while the store is silent

Ruled out: longer waits for the store, since callers give up at 3 s. Change: daemons record their addresses; a new leader tells them; one without the store asks them. An append is repeated after 400 ms, a leader whose append is unanswered for 900 ms is replaced by one that reaches the store, and jobs that no append has taken up are refused truthfully.

--- a/basilspindle/cell/admission.py
+++ b/basilspindle/cell/admission.py
@@ -33,9 +33,7 @@
         return self.waiting_core_ms / self.cores
 
 
-def refusal_ms(
-    backlog: Backlog, usable_ms: float, job_id: str
-) -> int | None:
+def refusal_ms(backlog: Backlog, usable_ms: float, job_id: str) -> int | None:
     """Return when to come back, or None to accept the job.
 
     ``usable_ms`` is how long the job may wait and still count. The time to
--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -5,9 +5,6 @@
 import enum
 import random
 
-from basilspindle import clock as clock_module
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import identity as identity_module
@@ -15,12 +12,19 @@
 from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
 from basilspindle.cell import ports
+from basilspindle.cell import terms as terms_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
 
 _PING_MS = 300
 _PING_ANSWER_MS = 900
 _CONNECT_MS = 700
-# A leader whose appends fail for this long is replaced if others can append.
-_STORE_SILENT_MS = 1_500
+# A leader whose append is unanswered for this long is replaced if others
+# reach the store.
+_STORE_SILENT_MS = 900
+# A store that answers a read sooner is not slow.
+_STORE_PROMPT_MS = 150
 # A leader appends at least once a second; with none for this long it is
 # taken for dead although nothing refused a connection.
 _QUIET_MS = 1_400
@@ -62,6 +66,11 @@
         '_lead',
         '_handler',
         '_stopping',
+        '_failing',
+        '_version',
+        '_take_terms',
+        '_heard',
+        '_entered',
     )
 
     def __init__(
@@ -71,6 +80,8 @@
         clock: clock_module.Clock,
         lead: Lead,
         handler: link_module.Handler,
+        version: collections.abc.Callable[[], int],
+        take_terms: collections.abc.Callable[[terms_module.Terms], None],
     ) -> None:
         self.link: link_module.Link | None = None
         self.claim: claim_module.Claim | None = None
@@ -82,6 +93,26 @@
         self._lead = lead
         self._handler = handler
         self._stopping = False
+        self._failing = False
+        self._version = version
+        self._take_terms = take_terms
+        self._heard: claim_module.Claim | None = None
+        self._entered = False
+
+    def hear(self, claim: claim_module.Claim) -> None:
+        """Take in a claim that another daemon knows."""
+        known = max(_epoch(self.claim), _epoch(self._heard))
+        if claim.epoch <= known or claim.resigned:
+            return
+        self._heard = claim
+        if self.link is not None:
+            self.link.close()
+
+    def newest(self) -> claim_module.Claim | None:
+        """Return the newest claim known here."""
+        if _epoch(self._heard) > _epoch(self.claim):
+            return self._heard
+        return self.claim
 
     def stop(self) -> None:
         """Make no more claims; following goes on."""
@@ -107,18 +138,100 @@
             # The others find out by its silence.
             events.emit(cell_events.CLAIM_FAILED, error=error.message)
 
+    async def leave(self) -> None:
+        """Remove this daemon from the list of daemons."""
+        try:
+            await self._register.leave(self._identity.node)
+        except errors.LogError as error:
+            # An entry that stays costs one vain connection a claim.
+            events.emit(cell_events.CLAIM_FAILED, error=error.message)
+
     async def run(self) -> None:
         """Follow or lead until cancelled."""
         while True:
             try:
                 await self._turn()
             except errors.LogError as error:
-                events.emit(cell_events.CLAIM_FAILED, error=error.message)
-                await self._clock.sleep_ms(_RETRY_MS)
+                if not self._failing:
+                    self._failing = True
+                    events.emit(cell_events.CLAIM_FAILED, error=error.message)
+                await self._turn_without_store()
+
+    async def _turn_without_store(self) -> None:
+        # The other daemons may have a leader that this one can reach.
+        claim = self._heard
+        if _epoch(claim) <= _epoch(self.claim):
+            claim = await self._ask_members()
+        if claim is not None and not self._is_former_self(claim):
+            self.claim = claim
+            await self._follow(claim)
+            self._set_link(None)
+        await self._clock.sleep_ms(_RETRY_MS)
+
+    async def _ask_members(self) -> claim_module.Claim | None:
+        answers = await asyncio.gather(
+            *(
+                self._ask_member(address)
+                for address in self._register.members.values()
+                if address != self._identity.address
+            )
+        )
+        return max(answers, key=_epoch, default=None)
+
+    async def _ask_member(self, address: str) -> claim_module.Claim | None:
+        try:
+            link = await link_module.connect(
+                address, self._handler, _CONNECT_MS
+            )
+        except (ConnectionRefusedError, errors.PeerError):
+            # One of several to be asked; the others may know.
+            return None
+        try:
+            reply = await link.call(messages.WhoLeads(), _PING_ANSWER_MS)
+        except errors.PeerError:
+            return None
+        finally:
+            link.close()
+        return reply.claim if isinstance(reply, messages.LeaderIs) else None
+
+    async def announce(self, claim: claim_module.Claim) -> None:
+        """Tell all daemons that this one leads."""
+        await asyncio.gather(
+            *(
+                self._tell_member(address, claim)
+                for address in self._register.members.values()
+                if address != self._identity.address
+            )
+        )
+
+    async def _tell_member(
+        self, address: str, claim: claim_module.Claim
+    ) -> None:
+        try:
+            link = await link_module.connect(
+                address, self._handler, _CONNECT_MS
+            )
+        except (ConnectionRefusedError, errors.PeerError):
+            # It finds the claim in the store when it is back.
+            return
+        try:
+            await link.call(messages.Announce(claim), _PING_ANSWER_MS)
+        except errors.PeerError:
+            return
+        finally:
+            link.close()
 
     async def _turn(self) -> None:
         claim, end = await self._register.read()
+        self._failing = False
         self.claim = claim
+        if not self._entered:
+            await self._register.enter(
+                self._identity.node, self._identity.address
+            )
+            self._entered = True
+            claim, end = await self._register.read()
+            self.claim = claim
         if claim is None or claim.resigned or self._is_former_self(claim):
             await self._claim(claim, end)
             return
@@ -165,17 +278,17 @@
         self.notify()
 
     async def _follow(self, claim: claim_module.Claim) -> '_Followed':
-        host, _, port = claim.address.rpartition(':')
         try:
-            async with asyncio.timeout(_CONNECT_MS / 1000):
-                _, link = await asyncio.get_running_loop().create_connection(
-                    lambda: link_module.Link(self._handler), host, int(port)
-                )
+            link = await link_module.connect(
+                claim.address, self._handler, _CONNECT_MS
+            )
         except ConnectionRefusedError:
             return _Followed.GONE
-        except (OSError, TimeoutError) as error:
+        except errors.PeerError as error:
             events.emit(
-                cell_events.LEADER_SILENT, node=claim.node, error=repr(error)
+                cell_events.LEADER_SILENT,
+                node=claim.node,
+                error=error.message,
             )
             return _Followed.SILENT
         link.node = claim.node
@@ -217,8 +330,10 @@
                     node=claim.node,
                     epoch=claim.epoch,
                 )
+            if pong.version > self._version():
+                await self._fetch_terms(link)
             if pong.store_age_ms > _STORE_SILENT_MS:
-                if await self._is_quiet():
+                if await self._reaches_store():
                     return _Followed.GONE
             pause_ms = _PING_MS if self.link is not None else _RETRY_MS
             try:
@@ -227,12 +342,35 @@
                 continue
         return _Followed.CLOSED
 
+    async def _fetch_terms(self, link: link_module.Link) -> None:
+        # The leader has a newer configuration than the store gave here.
+        try:
+            reply = await link.call(messages.GetTerms(), _PING_ANSWER_MS)
+        except errors.PeerError as error:
+            events.emit(
+                cell_events.LEADER_SILENT,
+                node=link.node,
+                error=error.message,
+            )
+            return
+        if isinstance(reply, messages.TermsAre) and reply.terms is not None:
+            self._take_terms(reply.terms)
+
+    async def _reaches_store(self) -> bool:
+        begun_ms = self._clock.now_ms()
+        try:
+            await self._register.read()
+        except errors.LogError:
+            # Nobody here can do better than the leader.
+            return False
+        if self._clock.now_ms() - begun_ms <= _STORE_PROMPT_MS:
+            return True
+        return await self._is_quiet()
+
     async def _is_quiet(self) -> bool:
         # Nothing appended by the leader for a while, seen in the store.
         end = await self._store.probe_end(journal_module.STREAM)
-        chunk = await self._store.read(
-            journal_module.STREAM, end, _QUIET_MS
-        )
+        chunk = await self._store.read(journal_module.STREAM, end, _QUIET_MS)
         return not chunk.records
 
     def _set_link(self, link: link_module.Link | None) -> None:
@@ -244,3 +382,7 @@
         """Wake whoever waits for a change of leader."""
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
+
+
+def _epoch(claim: claim_module.Claim | None) -> int:
+    return claim.epoch if claim is not None else 0
--- a/basilspindle/cell/fitting.py
+++ b/basilspindle/cell/fitting.py
@@ -15,9 +15,7 @@
 _NO_LIMIT = 1 << 30
 
 
-def slots(
-    worker: worker_module.Worker, run: step_run_module.StepRun
-) -> int:
+def slots(worker: worker_module.Worker, run: step_run_module.StepRun) -> int:
     """Return how many waiting tasks of a step a worker has room for."""
     step = run.step
     need = step.reserved
@@ -79,9 +77,7 @@
     ]
     if not fitting:
         return {}
-    tightest = min(
-        fitting, key=lambda rack: sum(found for _, found in rack)
-    )
+    tightest = min(fitting, key=lambda rack: sum(found for _, found in rack))
     return _fill(step, tightest, count)
 
 
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -1,9 +1,9 @@
 """Accept, find and cancel jobs."""
 
-from basilspindle import errors
 from basilspindle.cell import admission
 from basilspindle.cell import state as state_module
 from basilspindle.cell import urgency
+from basilspindle import errors
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
@@ -67,6 +67,16 @@
         state.mark_changed(job)
         return job
 
+    def withdraw(self, job: job_module.Job) -> bool:
+        """Forget a new job that no append has taken up yet."""
+        state = self._state
+        if job.append_begun:
+            return False
+        state.changed.pop(job.job_id, None)
+        state.table.forget(job)
+        state.objectives.pop(job.job_id, None)
+        return True
+
     def cancel(self, job_id: str, workspace: str) -> job_module.Job | None:
         """Cancel a live job and return it; None if there is none."""
         job = self._state.table.jobs.get(job_id)
--- a/basilspindle/cell/job_table.py
+++ b/basilspindle/cell/job_table.py
@@ -50,6 +50,10 @@
             for task in run.tasks:
                 self.tasks[task.name] = task
 
+    def knows(self, job_id: str) -> bool:
+        """Tell whether a job is live or has ended lately."""
+        return job_id in self.jobs or job_id in self.ended
+
     def open_steps(self, job: job_module.Job, now_ms: int) -> None:
         """Put the steps of a job whose turn has come on the ready list."""
         if job.state.is_final:
@@ -67,14 +71,18 @@
         for run in job.runs.values():
             self.ready.pop(run.key, None)
 
-    def end(self, job: job_module.Job, ended_wall_ms: int) -> None:
-        """Forget an ended job but for its state."""
-        definition = job.definition
+    def forget(self, job: job_module.Job) -> None:
+        """Remove a job and its tasks."""
         self.close_steps(job)
         for run in job.runs.values():
             for task in run.tasks:
                 self.tasks.pop(task.name, None)
         self.jobs.pop(job.job_id, None)
+
+    def end(self, job: job_module.Job, ended_wall_ms: int) -> None:
+        """Forget an ended job but for its state."""
+        definition = job.definition
+        self.forget(job)
         self.ended[job.job_id] = EndedJob(
             definition.workspace, definition.queue, job.state, ended_wall_ms
         )
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import ports
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
-from basilspindle.cell import events as cell_events
-from basilspindle.cell import ports
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
@@ -26,7 +26,7 @@
 _PROGRESS = 'p'
 _FINAL = 'f'
 _ROSTER_KEY = 'roster'
-_FIRST_TIMEOUT_MS = 1_000
+_FIRST_TIMEOUT_MS = 400
 _MAX_TIMEOUT_MS = 4_000
 _RETRY_PAUSE_MS = 60
 # The store bounds one call; a batch stays well below it.
@@ -89,6 +89,7 @@
         '_collect',
         '_applied',
         'confirmed_ms',
+        'pending_since_ms',
         '_failing',
     )
 
@@ -108,6 +109,8 @@
         self._collect = collect
         self._applied = applied
         self.confirmed_ms = clock.now_ms()
+        # When the append under way was first sent; None for none.
+        self.pending_since_ms: int | None = None
         self._failing = False
 
     def request(self) -> None:
@@ -151,6 +154,7 @@
 
     async def _append(self, batch: Batch) -> None:
         self._sequence += 1
+        self.pending_since_ms = self._clock.now_ms()
         timeout_ms = _FIRST_TIMEOUT_MS
         while True:
             try:
@@ -167,6 +171,7 @@
                 self._note_failure(error)
                 timeout_ms = min(2 * timeout_ms, _MAX_TIMEOUT_MS)
                 await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+        self.pending_since_ms = None
         self._note_success()
 
     def _note_failure(self, error: errors.BasilspindleError) -> None:
@@ -187,6 +192,7 @@
     """Add the records that make the log hold a job as it is now."""
     job_id = job.job_id
     state = job.state
+    job.append_begun = True
     if state.is_final:
         definition = job.definition
         if job.durable_state is not None:
@@ -198,9 +204,7 @@
         )
         batch.put(_FINAL + job_id, msgspec.msgpack.encode(final))
     elif job.durable_state is None:
-        batch.put(
-            _DEFINITION + job_id, msgspec.msgpack.encode(job.definition)
-        )
+        batch.put(_DEFINITION + job_id, msgspec.msgpack.encode(job.definition))
     else:
         progress = progress_module.capture(job)
         batch.put(_PROGRESS + job_id, msgspec.msgpack.encode(progress))
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -4,9 +4,6 @@
 import collections.abc
 import typing
 
-from basilspindle import clock as clock_module
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import advisers as advisers_module
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
@@ -27,6 +24,9 @@
 from basilspindle.cell import state as state_module
 from basilspindle.cell import term_index
 from basilspindle.cell import worker as worker_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import progress as progress_module
 from basilspindle.workflow import task_state
@@ -41,7 +41,12 @@
 _ADVICE_PAUSE_MS = 150
 _ADVICE_SLACK_MS = 1_500
 _STOP_REPEAT_MS = 2_500
-_SUBMIT_WAIT_MS = 10_000
+# The state of a job is kept this much longer than promised.
+_STATE_SLACK_MS = 10_000
+_RECORD_WAIT_MS = 10_000
+# Jobs are turned away while an append is unanswered for longer.
+_STORE_SILENT_MS = 600
+_STORE_RETRY_MS = 1_000
 
 
 class Leader:
@@ -137,18 +142,20 @@
         if isinstance(request, messages.Cancel):
             return await self._cancel(request)
         if isinstance(request, messages.CountWaiting):
-            return messages.Counted(
-                self.state.table.waiting_in(request.queue)
-            )
+            return messages.Counted(self.state.table.waiting_in(request.queue))
         return messages.NotLeading()
 
     @property
     def store_age_ms(self) -> int:
-        """Return the time since the store confirmed this leader."""
-        return self._clock.now_ms() - self._journal.confirmed_ms
+        """Return how long the append under way has been unanswered."""
+        since_ms = self._journal.pending_since_ms
+        return self._clock.now_ms() - since_ms if since_ms is not None else 0
 
     async def _submit(self, request: messages.Submit) -> messages.Reply:
         definition = request.definition
+        if self.store_age_ms > _STORE_SILENT_MS:
+            if not self.state.table.knows(definition.job_id):
+                return _store_silent()
         try:
             job = self._intake.submit(definition, self._clock.now_ms())
         except errors.BasilspindleError as error:
@@ -164,9 +171,16 @@
         if job is None:
             return messages.Accepted()
         self._schedule_plan()
-        if job.durable_state is None:
-            return await self._when_recorded(job, messages.Accepted())
-        return messages.Accepted()
+        if job.durable_state is not None:
+            return messages.Accepted()
+        reply = await self._when_recorded(
+            job, messages.Accepted(), request.patience_ms
+        )
+        if isinstance(reply, messages.Accepted) or job.durable_state:
+            return messages.Accepted()
+        if self._intake.withdraw(job):
+            return _store_silent()
+        return reply
 
     async def _cancel(self, request: messages.Cancel) -> messages.Reply:
         job = self._intake.cancel(request.job_id, request.workspace)
@@ -179,13 +193,16 @@
         return await self._when_recorded(job, messages.Accepted())
 
     async def _when_recorded(
-        self, job: job_module.Job, reply: messages.Reply
+        self,
+        job: job_module.Job,
+        reply: messages.Reply,
+        patience_ms: int = _RECORD_WAIT_MS,
     ) -> messages.Reply:
         future = asyncio.get_running_loop().create_future()
         self._recording.setdefault(job.job_id, []).append(future)
         self._journal.request()
         try:
-            await self._clock.wait_ms(future, _SUBMIT_WAIT_MS)
+            await self._clock.wait_ms(future, patience_ms)
         except (errors.Deposed, errors.DeadlineExceeded):
             # The record may still take effect; the caller's side asks again
             # or says that the outcome is not known.
@@ -593,7 +610,8 @@
             await self._clock.sleep_ms(_TICK_MS)
             now_ms = self._clock.now_ms()
             wall_ms = self._clock.wall_ms()
-            if self.store_age_ms > STORE_PATIENCE_MS:
+            silent_ms = now_ms - self._journal.confirmed_ms
+            if silent_ms > STORE_PATIENCE_MS:
                 self.lose_leadership('the store does not answer')
                 return
             self._open_due(now_ms, wall_ms)
@@ -661,5 +679,9 @@
             self.lose_leadership('a part failed')
 
 
-# The state of a job is kept this much longer than promised.
-_STATE_SLACK_MS = 10_000
+def _store_silent() -> messages.Refused:
+    return messages.Refused(
+        errors.NotReady.kind,
+        'the store does not answer; the job was not accepted, come back',
+        _STORE_RETRY_MS,
+    )
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import messages
+from basilspindle import errors
+from basilspindle import events
 
 Handler = collections.abc.Callable[
     [messages.Request], collections.abc.Awaitable[messages.Reply]
@@ -35,6 +35,9 @@
     messages.CountWaiting,
     messages.Ping,
     messages.Advise,
+    messages.Announce,
+    messages.WhoLeads,
+    messages.GetTerms,
 )
 
 
@@ -169,6 +172,28 @@
         self.close()
 
 
+async def connect(address: str, handler: Handler, timeout_ms: int) -> Link:
+    """Return a link to a daemon.
+
+    Raises ``ConnectionRefusedError`` if no process listens there and
+    ``PeerUnavailable`` if the daemon cannot be reached.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            _, link = await asyncio.get_running_loop().create_connection(
+                lambda: Link(handler), host, int(port)
+            )
+    except ConnectionRefusedError:
+        raise
+    except (OSError, TimeoutError) as error:
+        raise errors.PeerUnavailable(
+            f'no connection to the daemon at {address}: {error!r}; check '
+            'that it runs and is reachable'
+        ) from error
+    return link
+
+
 def configure_socket(transport: asyncio.BaseTransport) -> None:
     """Send small writes at once and notice peers that went silent."""
     sock = transport.get_extra_info('socket')
--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from basilspindle.cell import claim as claim_module
+from basilspindle.cell import terms as terms_module
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job_state
 
@@ -11,9 +13,10 @@
 
 
 class Submit(_Message):
-    """Ask for a job to be accepted."""
+    """Ask for a job to be accepted within ``patience_ms``."""
 
     definition: definition_module.JobDefinition
+    patience_ms: int
 
 
 class Find(_Message):
@@ -50,6 +53,32 @@
     timeout_ms: int
 
 
+class Announce(_Message):
+    """Tell a daemon which claim to lead is the newest."""
+
+    claim: claim_module.Claim
+
+
+class WhoLeads(_Message):
+    """Ask a daemon which claim to lead is the newest it knows."""
+
+
+class GetTerms(_Message):
+    """Ask for the configuration in force at a daemon."""
+
+
+class LeaderIs(_Message):
+    """The newest claim that a daemon knows, if any."""
+
+    claim: claim_module.Claim | None
+
+
+class TermsAre(_Message):
+    """The configuration in force at a daemon, if any."""
+
+    terms: terms_module.Terms | None
+
+
 class Accepted(_Message):
     """A job is accepted and recorded."""
 
@@ -83,12 +112,17 @@
 
 
 class Pong(_Message):
-    """A process lives; ``store_age_ms`` is the age of its last append."""
+    """A process lives.
+
+    ``store_age_ms`` is how long its current append has been unanswered, 0
+    for none; ``version`` is its version of the configuration.
+    """
 
     incarnation: str
     leads: bool
     epoch: int
     store_age_ms: int
+    version: int
 
 
 class Advised(_Message):
@@ -98,7 +132,17 @@
     valid_ms: int
 
 
-Request = Submit | Find | Cancel | CountWaiting | Ping | Advise
+Request = (
+    Submit
+    | Find
+    | Cancel
+    | CountWaiting
+    | Ping
+    | Advise
+    | Announce
+    | WhoLeads
+    | GetTerms
+)
 Reply = (
     Accepted
     | Found
@@ -108,6 +152,8 @@
     | NotLeading
     | Pong
     | Advised
+    | LeaderIs
+    | TermsAre
 )
 
 
@@ -122,6 +168,9 @@
         | CountWaiting
         | Ping
         | Advise
+        | Announce
+        | WhoLeads
+        | GetTerms
         | Accepted
         | Found
         | Gone
@@ -130,4 +179,6 @@
         | NotLeading
         | Pong
         | Advised
+        | LeaderIs
+        | TermsAre
     )
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -4,9 +4,6 @@
 import collections.abc
 import typing
 
-from basilspindle import clock as clock_module
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import election as election_module
@@ -17,6 +14,10 @@
 from basilspindle.cell import messages
 from basilspindle.cell import ports
 from basilspindle.cell import term_index
+from basilspindle.cell import terms as terms_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
 
 _RETRY_MS = 500
 _RECONNECT_PAUSE_MS = 20
@@ -70,7 +71,13 @@
         self._bounds = bounds
         self._clock = clock
         self._election = election_module.Election(
-            identity, platform.store, clock, self._lead, self.handle
+            identity,
+            platform.store,
+            clock,
+            self._lead,
+            self.handle,
+            self._version,
+            self._take_terms,
         )
         self._links: set[link_module.Link] = set()
         self._server: asyncio.Server | None = None
@@ -172,10 +179,21 @@
             leader = self.leader
             incarnation = self._identity.incarnation
             if leader is None or leader.lost.is_set():
-                return messages.Pong(incarnation, False, 0, 0)
+                return messages.Pong(incarnation, False, 0, 0, 0)
             return messages.Pong(
-                incarnation, True, leader.claim.epoch, leader.store_age_ms
+                incarnation,
+                True,
+                leader.claim.epoch,
+                leader.store_age_ms,
+                self._version(),
             )
+        if isinstance(request, messages.Announce):
+            self._election.hear(request.claim)
+            return messages.Accepted()
+        if isinstance(request, messages.WhoLeads):
+            return messages.LeaderIs(self._election.newest())
+        if isinstance(request, messages.GetTerms):
+            return messages.TermsAre(self.index.terms if self.index else None)
         if isinstance(request, messages.Advise):
             return await self._advise(request)
         if self.leader is not None:
@@ -214,7 +232,11 @@
                 if self.index is not None:
                     leader.configure(self.index)
                 self._election.notify()
+                announcing = asyncio.ensure_future(
+                    self._election.announce(claim)
+                )
                 await leader.lost.wait()
+                announcing.cancel()
         except errors.Deposed as error:
             leader.lose_leadership(error.message)
         finally:
@@ -222,17 +244,24 @@
         if self.stopping:
             await self._election.resign(claim)
 
+    async def leave(self) -> None:
+        """Tell the other daemons that this one will not come back."""
+        await self._election.leave()
+
     async def _follow_configuration(self) -> None:
         while True:
-            terms = await self._platform.configuration.next_version()
-            if self.index and terms.version <= self.index.terms.version:
-                continue
-            self.index = term_index.TermIndex(terms)
-            events.emit(
-                cell_events.CONFIGURATION_IN_FORCE, version=terms.version
-            )
-            if self.leader is not None:
-                self.leader.configure(self.index)
+            self._take_terms(await self._platform.configuration.next_version())
+
+    def _version(self) -> int:
+        return self.index.terms.version if self.index else 0
+
+    def _take_terms(self, terms: terms_module.Terms) -> None:
+        if terms.version <= self._version():
+            return
+        self.index = term_index.TermIndex(terms)
+        events.emit(cell_events.CONFIGURATION_IN_FORCE, version=terms.version)
+        if self.leader is not None:
+            self.leader.configure(self.index)
 
     def _open_link(self, link: link_module.Link) -> None:
         self._links.add(link)
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -49,6 +49,10 @@
         """Return the end offset of a stream."""
         ...
 
+    async def put(self, stream: str, records: Records) -> None:
+        """Append unconditionally."""
+        ...
+
     async def append_at(
         self, stream: str, records: Records, at: int
     ) -> int | None:
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -78,9 +78,7 @@
     worker.foreign = foreign
 
 
-def _may_adopt(
-    task: task_module.Task, row: report_module.RunningRow
-) -> bool:
+def _may_adopt(task: task_module.Task, row: report_module.RunningRow) -> bool:
     return (
         task.state is _State.WAITING
         and task.step_run.job.recovered
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -3,9 +3,6 @@
 import asyncio
 import typing
 
-from basilspindle import clock as clock_module
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import lease_clock
 from basilspindle.cell import orders as orders_module
@@ -13,20 +10,23 @@
 from basilspindle.cell import report as report_module
 from basilspindle.cell import start_outcome
 from basilspindle.cell import worker as worker_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
 
 # Long enough for a change of leader, short enough that the tasks of a
 # worker that was cut off start again soon.
 LEASE_MS = 5_000
 # A renewal waits this long for an end, so that ends need no polling.
 _WAIT_MS = 1_000
-_ANSWER_MS = 1_000
+_ANSWER_MS = 500
 _RETRY_MIN_MS = 100
 _RETRY_MAX_MS = 500
 # Pause before ends that are not recorded yet are asked for again.
 _UNRECORDED_PAUSE_MS = 200
 # A start is repeated for this long before its run is stopped instead.
 _START_PATIENCE_MS = 1_500
-_START_ANSWER_MS = 500
+_START_ANSWER_MS = 350
 _STOP_TRIES = 6
 _STOP_PAUSE_MS = 250
 
@@ -131,7 +131,9 @@
         """Send a stop until it is answered or has failed often."""
         self._spawn(self._stop(order))
 
-    def _spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    def _spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
         task = asyncio.ensure_future(work)
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
@@ -195,7 +197,9 @@
         begun_ms = self._clock.now_ms()
         step = order.task.step_run
         while True:
-            outcome = await self._start_once(order, step.job.definition.payload)
+            outcome = await self._start_once(
+                order, step.job.definition.payload
+            )
             spent_ms = self._clock.now_ms() - begun_ms
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -106,9 +106,7 @@
         job.started = True
         if job.state is job_state.JobState.PENDING:
             job.state = job_state.JobState.RUNNING
-        self.usage.add(
-            job.definition.workspace, task.step_run.step.reserved
-        )
+        self.usage.add(job.definition.workspace, task.step_run.step.reserved)
 
     def release(self, task: task_module.Task) -> None:
         """Take a task off its worker; an unfinished one waits again."""
@@ -116,9 +114,7 @@
         job = run.job
         worker = self.workers.get(task.worker_id)
         if worker is not None and worker.give(task):
-            self.usage.add(
-                job.definition.workspace, run.step.reserved, -1
-            )
+            self.usage.add(job.definition.workspace, run.step.reserved, -1)
             self.freed.add(worker.worker_id)
             self.eased.add(job.definition.workspace)
         job.occupied.discard(task)
@@ -151,9 +147,7 @@
             if task.occupies and task.state is not _State.STOPPING:
                 self.request_stop(task)
 
-    def end_job(
-        self, job: job_module.Job, state: job_state.JobState
-    ) -> None:
+    def end_job(self, job: job_module.Job, state: job_state.JobState) -> None:
         """Decide the final state of a job and stop what runs of it."""
         if job.state.is_final:
             return
--- a/basilspindle/cell/term_index.py
+++ b/basilspindle/cell/term_index.py
@@ -21,9 +21,7 @@
             key: row.name for row in terms.workspaces for key in row.keys
         }
 
-    def queue_of(
-        self, host: str, path: str
-    ) -> terms_module.QueueTerms | None:
+    def queue_of(self, host: str, path: str) -> terms_module.QueueTerms | None:
         """Return the queue with the longest prefix of a path."""
         name = host.partition(':')[0].lower()
         for queue in self._by_host.get(name, ()):
--- a/basilspindle/platform/advice.py
+++ b/basilspindle/platform/advice.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from basilspindle import errors
 from basilspindle.cell import ports
+from basilspindle import errors
 from basilspindle.platform import client as client_module
 
 _ENCODER = msgspec.json.Encoder()
@@ -21,9 +21,7 @@
 
     __slots__ = ('_client', '_address')
 
-    def __init__(
-        self, client: client_module.Client, address: str
-    ) -> None:
+    def __init__(self, client: client_module.Client, address: str) -> None:
         self._client = client
         self._address = address
 
--- a/basilspindle/platform/body.py
+++ b/basilspindle/platform/body.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from basilspindle import errors
 from basilspindle.cell import terms as terms_module
+from basilspindle import errors
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step as step_module
--- a/basilspindle/platform/boot.py
+++ b/basilspindle/platform/boot.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from basilspindle import errors
 from basilspindle.cell import bounds as bounds_module
+from basilspindle import errors
 
 
 class _Listen(msgspec.Struct):
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -6,8 +6,8 @@
 
 import httptools
 
-from basilspindle import errors
 from basilspindle.cell import link as link_module
+from basilspindle import errors
 
 _CONNECT_MS = 800
 # Servers close idle connections; an older one is opened anew instead.
@@ -76,9 +76,7 @@
 
     def on_message_complete(self) -> None:
         """Deliver a whole response."""
-        answer = Answer(
-            self._parser.get_status_code(), b''.join(self._chunks)
-        )
+        answer = Answer(self._parser.get_status_code(), b''.join(self._chunks))
         self._chunks = []
         keep = self._parser.should_keep_alive()
         self._parser = httptools.HttpResponseParser(self)
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import terms as terms_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
-from basilspindle.cell import events as cell_events
-from basilspindle.cell import terms as terms_module
 from basilspindle.platform import store as store_module
 from basilspindle.workflow import need as need_module
 
@@ -98,9 +98,7 @@
                 continue
             if self._failing:
                 self._failing = False
-                events.emit(
-                    cell_events.STORE_REGAINED, call='configuration'
-                )
+                events.emit(cell_events.STORE_REGAINED, call='configuration')
             terms = self._decode(raw) if raw is not None else None
             if terms is not None and terms.version > self._version:
                 self._version = terms.version
@@ -122,9 +120,7 @@
         try:
             return _translate(msgspec.json.decode(raw, type=_Config))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            events.emit(
-                cell_events.CONFIGURATION_UNREADABLE, error=str(error)
-            )
+            events.emit(cell_events.CONFIGURATION_UNREADABLE, error=str(error))
             return None
 
     def _note_failure(self, error: errors.BasilspindleError) -> None:
--- a/basilspindle/platform/front.py
+++ b/basilspindle/platform/front.py
@@ -7,23 +7,29 @@
 
 import msgspec
 
-from basilspindle import clock as clock_module
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import messages
 from basilspindle.cell import node as node_module
 from basilspindle.cell import terms as terms_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
 from basilspindle.platform import body as body_module
 
 _READY_PATH = '/basilspindle/ready'
 _JOB_ID = re.compile(r'[0-9a-f]{16}')
 # The answer has to reach the caller before it gives up.
 _DEADLINE_MARGIN_MS = 150
+# The leader's answer has to reach this daemon before that.
+_PATIENCE_MARGIN_MS = 200
 _DEFAULT_DEADLINE_MS = 3_000
 _MAX_DEADLINE_MS = 30_000
 # Refusals that promise that the job is not accepted and never runs.
 _REFUSALS = frozenset({429, 503})
+_STATUSES = {
+    errors.KeyReused.kind: errors.KeyReused.status,
+    errors.NotReady.kind: errors.NotReady.status,
+}
 
 _Scope = dict[str, typing.Any]
 _Receive = collections.abc.Callable[
@@ -88,7 +94,10 @@
                 definition = body_module.decode(
                     body, job_id, workspace, queue, self._clock.wall_ms()
                 )
-                request: messages.Request = messages.Submit(definition)
+                patience_ms = limit_ms - _PATIENCE_MARGIN_MS
+                request: messages.Request = messages.Submit(
+                    definition, max(patience_ms, limit_ms // 2)
+                )
             elif scope['method'] == 'GET':
                 request = messages.Find(job_id, workspace)
             elif scope['method'] == 'DELETE':
@@ -181,7 +190,7 @@
     if isinstance(reply, messages.Gone):
         return _problem(410, 'no such job')
     if isinstance(reply, messages.Refused):
-        status = 409 if reply.kind == errors.KeyReused.kind else 429
+        status = _STATUSES.get(reply.kind, 429)
         return _problem(status, reply.text, reply.retry_after_ms)
     return _problem(502, 'the leading daemon gave no answer; ask again')
 
@@ -194,9 +203,7 @@
     return Response(status, body, seconds)
 
 
-async def _respond(
-    send: _Send, response: Response, closing: bool
-) -> None:
+async def _respond(send: _Send, response: Response, closing: bool) -> None:
     headers = [
         (b'content-type', b'application/json'),
         (b'content-length', str(len(response.body)).encode()),
--- a/basilspindle/platform/listener.py
+++ b/basilspindle/platform/listener.py
@@ -4,8 +4,8 @@
 import typing
 
 import uvicorn
-from uvicorn import server as uvicorn_server
 from uvicorn.protocols.http import httptools_impl
+from uvicorn import server as uvicorn_server
 
 _BACKLOG = 1_024
 # The balancer and callers end idle connections themselves.
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -5,12 +5,12 @@
 import signal
 import sys
 
-from basilspindle import clock as clock_module
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import identity as identity_module
 from basilspindle.cell import node as node_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
 from basilspindle.platform import advice as advice_module
 from basilspindle.platform import boot as boot_module
 from basilspindle.platform import client as client_module
@@ -80,6 +80,7 @@
             events.emit(cell_events.NODE_STOPPING, node=boot.node)
             await node.stop()
             await _drain(front, clock, boot.bounds.grace_ms)
+            await node.leave()
     events.emit(cell_events.NODE_STOPPED, node=boot.node)
     return 0
 
--- a/basilspindle/platform/registry.py
+++ b/basilspindle/platform/registry.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from basilspindle import errors
-from basilspindle import events
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import ports
+from basilspindle import errors
+from basilspindle import events
 from basilspindle.platform import store as store_module
 from basilspindle.workflow import need as need_module
 
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from basilspindle import errors
 from basilspindle.cell import ports
+from basilspindle import errors
 from basilspindle.platform import client as client_module
 
 _READ_MS = 1_500
@@ -49,9 +49,7 @@
 
     __slots__ = ('_client', '_address')
 
-    def __init__(
-        self, client: client_module.Client, address: str
-    ) -> None:
+    def __init__(self, client: client_module.Client, address: str) -> None:
         self._client = client
         self._address = address
 
@@ -115,6 +113,11 @@
             return _decode_chunk(answer.body).end
         raise self._unavailable('its history moves on too fast')
 
+    async def put(self, stream: str, records: ports.Records) -> None:
+        """Append unconditionally."""
+        answer = await self._append(stream, records, {}, _WRITE_MS)
+        self._check_write(answer)
+
     async def append_at(
         self, stream: str, records: ports.Records, at: int
     ) -> int | None:
--- a/basilspindle/platform/workers.py
+++ b/basilspindle/platform/workers.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from basilspindle import errors
 from basilspindle.cell import report as report_module
 from basilspindle.cell import start_outcome
+from basilspindle import errors
 from basilspindle.platform import client as client_module
 
 _Outcome = start_outcome.StartOutcome
--- a/basilspindle/workflow/job.py
+++ b/basilspindle/workflow/job.py
@@ -10,7 +10,8 @@
     """Live state of a job.
 
     ``state`` is what is decided, ``durable_state`` what the log holds and
-    callers may see. ``accepted_ms`` is monotonic. ``recovered`` marks a job
+    callers may see; ``append_begun`` tells that the log may hold the job.
+    ``accepted_ms`` is monotonic. ``recovered`` marks a job
     accepted under an earlier leader, whose tasks may run unseen.
     """
 
@@ -25,6 +26,7 @@
         'started',
         'final_wall_ms',
         'occupied',
+        'append_begun',
     )
 
     def __init__(
@@ -40,6 +42,7 @@
         self.started = False
         self.final_wall_ms = 0
         self.occupied: set[task_module.Task] = set()
+        self.append_begun = False
         if not definition.max_runs:
             self.open_occurrence()
 
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from basilspindle import workflow
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import ends as ends_module
 from basilspindle.cell import intake as intake_module
@@ -15,6 +14,7 @@
 from basilspindle.cell import term_index
 from basilspindle.cell import terms as terms_module
 from basilspindle.cell import worker as worker_module
+from basilspindle import workflow
 
 POOL = 'pool'
 QUEUE = 'queue'
--- a/tests/test_cell_ends.py
+++ b/tests/test_cell_ends.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from basilspindle import workflow
 from basilspindle.cell import report as report_module
+from basilspindle import workflow
 from basilspindle.workflow import progress
 from tests import cell_case
 
