Let recovered work wait one lease for workers that are gone

Ruled out: starting at once, since a worker that is cut off may still run. Change: a former leader that resigned, answers an announcement or whose port refuses renews nothing more, so one lease is enough; a worker whose port refuses runs nothing. Ends are waited for until their own record stands.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -36,7 +36,8 @@
 _CLAIMING_MS = 1_200
 
 Lead = collections.abc.Callable[
-    [claim_module.Claim], collections.abc.Awaitable[None]
+    [claim_module.Claim, claim_module.Claim | None],
+    collections.abc.Awaitable[None],
 ]
 
 
@@ -198,28 +199,36 @@
         """Tell all daemons that this one leads."""
         await asyncio.gather(
             *(
-                self._tell_member(address, claim)
+                self.tell(address, claim)
                 for address in self._register.members.values()
                 if address != self._identity.address
             )
         )
 
-    async def _tell_member(
-        self, address: str, claim: claim_module.Claim
-    ) -> None:
+    async def tell(self, address: str, claim: claim_module.Claim) -> bool:
+        """Tell one daemon of a claim.
+
+        Returns whether it certainly acts on no older claim any more: it has
+        answered, or no process listens there.
+        """
+        if address == self._identity.address:
+            return True
         try:
             link = await link_module.connect(
                 address, self._handler, _CONNECT_MS
             )
-        except (ConnectionRefusedError, errors.PeerError):
+        except ConnectionRefusedError:
+            return True
+        except errors.PeerError:
             # It finds the claim in the store when it is back.
-            return
+            return False
         try:
             await link.call(messages.Announce(claim), _PING_ANSWER_MS)
         except errors.PeerError:
-            return
+            return False
         finally:
             link.close()
+        return True
 
     async def _turn(self) -> None:
         claim, end = await self._register.read()
@@ -274,7 +283,7 @@
         )
         self.claim = claim
         self.notify()
-        await self._lead(claim)
+        await self._lead(claim, before)
         self.notify()
 
     async def _follow(self, claim: claim_module.Claim) -> '_Followed':
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -38,6 +38,8 @@
 # A leader that cannot reach the store for this long gives up its workers;
 # a later one counts on it before it starts what may still run unseen.
 STORE_PATIENCE_MS = 15_000
+# A lease is over after this time, also on a worker whose clock is slow.
+_LEASE_BOUND_MS = session_module.LEASE_MS * 103 // 100
 _ADVICE_PAUSE_MS = 150
 _ADVICE_SLACK_MS = 1_500
 _STOP_REPEAT_MS = 2_500
@@ -65,8 +67,10 @@
         clock: clock_module.Clock,
         bounds: bounds_module.Bounds,
         index: term_index.TermIndex | None,
+        former_gone: bool,
     ) -> None:
         self.claim = claim
+        self._former_gone = former_gone
         self.lost = asyncio.Event()
         self.ready = False
         self._registry = registry
@@ -228,10 +232,13 @@
             )
         if worker.born_wall_ms and worker.born_wall_ms != report.born_wall_ms:
             session.forget_clock()
+        noted_end = worker.noted_end
         reconcile.apply_report(
             self.state, worker, report, sent_ms, self._clock.now_ms()
         )
         for row in report.ends:
+            if row.number <= noted_end:
+                continue
             events.emit(
                 cell_events.TASK_ENDED,
                 worker=worker.worker_id,
@@ -299,14 +306,19 @@
             )
             self.lost.set()
 
-    async def wait_recorded(self, timeout_ms: int) -> None:
-        """Wait until the next append is confirmed, within a bound."""
+    async def wait_recorded(
+        self, worker: worker_module.Worker, timeout_ms: int
+    ) -> None:
+        """Wait until the log holds all ends of a worker, within a bound."""
         self._journal.request()
-        try:
-            await self._clock.wait_ms(self._recorded.wait(), timeout_ms)
-        except errors.DeadlineExceeded:
-            # The ends are reported again; nothing is lost by going on.
-            return
+        until_ms = self._clock.now_ms() + timeout_ms
+        while worker.noted_end != worker.durable_end:
+            left_ms = until_ms - self._clock.now_ms()
+            try:
+                await self._clock.wait_ms(self._recorded.wait(), left_ms)
+            except errors.DeadlineExceeded:
+                # The ends are reported again; nothing is lost by going on.
+                return
 
     # Links of followers, which call for advice.
 
@@ -318,6 +330,15 @@
         """Forget a follower whose connection ended."""
         self._advisers.pop(link, None)
 
+    def note_former_gone(self) -> None:
+        """Take in that the former leader renews no more leases.
+
+        What may run unseen is then over within one lease from now.
+        """
+        self._former_gone = True
+        until_ms = self._clock.now_ms() + _LEASE_BOUND_MS
+        self.state.unseen_until_ms = min(self.state.unseen_until_ms, until_ms)
+
     def configure(self, index: term_index.TermIndex) -> None:
         """Put a configuration in force."""
         self.state.index = index
@@ -508,9 +529,9 @@
             )
         self._roster = dict(recovered.roster)
         state.unseen = set(recovered.roster)
-        state.unseen_until_ms = (
-            now_ms + STORE_PATIENCE_MS + 2 * session_module.LEASE_MS
-        )
+        state.unseen_until_ms = now_ms + STORE_PATIENCE_MS + _LEASE_BOUND_MS
+        if self._former_gone:
+            self.note_former_gone()
         for worker_id, address in recovered.roster.items():
             self._add_worker(worker_id, address, None)
 
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -189,6 +189,9 @@
             )
         if isinstance(request, messages.Announce):
             self._election.hear(request.claim)
+            if leader := self.leader:
+                if leader.claim.epoch < request.claim.epoch:
+                    leader.lose_leadership('another daemon leads')
             return messages.Accepted()
         if isinstance(request, messages.WhoLeads):
             return messages.LeaderIs(self._election.newest())
@@ -213,7 +216,9 @@
             )
         return messages.Advised(result.tickets, result.valid_ms)
 
-    async def _lead(self, claim: claim_module.Claim) -> None:
+    async def _lead(
+        self, claim: claim_module.Claim, former: claim_module.Claim | None
+    ) -> None:
         leader = leader_module.Leader(
             claim,
             self._platform.store,
@@ -223,6 +228,7 @@
             self._clock,
             self._bounds,
             self.index,
+            former is None or former.resigned,
         )
         self.leader = leader
         try:
@@ -233,7 +239,7 @@
                     leader.configure(self.index)
                 self._election.notify()
                 announcing = asyncio.ensure_future(
-                    self._election.announce(claim)
+                    self._announce(leader, claim, former)
                 )
                 await leader.lost.wait()
                 announcing.cancel()
@@ -244,6 +250,17 @@
         if self.stopping:
             await self._election.resign(claim)
 
+    async def _announce(
+        self,
+        leader: leader_module.Leader,
+        claim: claim_module.Claim,
+        former: claim_module.Claim | None,
+    ) -> None:
+        if former is not None:
+            if await self._election.tell(former.address, claim):
+                leader.note_former_gone()
+        await self._election.announce(claim)
+
     async def leave(self) -> None:
         """Tell the other daemons that this one will not come back."""
         await self._election.leave()
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -63,8 +63,10 @@
         """Stop leading: a worker has seen a later leader."""
         ...
 
-    async def wait_recorded(self, timeout_ms: int) -> None:
-        """Wait until the next append is confirmed."""
+    async def wait_recorded(
+        self, worker: worker_module.Worker, timeout_ms: int
+    ) -> None:
+        """Wait until the log holds all ends of a worker, within a bound."""
         ...
 
 
@@ -179,7 +181,7 @@
         except errors.StaleEpoch as error:
             self._owner.lose_leadership(error.message)
             return error.message
-        except errors.WorkerReplaced as error:
+        except (errors.WorkerReplaced, errors.WorkerStopped) as error:
             self._owner.lose_life(self)
             return error.message
         except errors.WorkerError as error:
@@ -188,7 +190,7 @@
         self._lease.note(report.clock_ms, now_ms)
         self._silent = False
         if self._owner.take_report(self, report, sent_ms):
-            await self._owner.wait_recorded(_UNRECORDED_PAUSE_MS)
+            await self._owner.wait_recorded(worker, _UNRECORDED_PAUSE_MS)
         elif not recorded:
             await self._clock.sleep_ms(_UNRECORDED_PAUSE_MS)
         return None
@@ -232,7 +234,7 @@
             return start_outcome.StartOutcome.FENCED
         except errors.WorkerReplaced:
             return start_outcome.StartOutcome.OTHER_LIFE
-        except errors.WorkerUnavailable:
+        except (errors.WorkerUnavailable, errors.WorkerStopped):
             return start_outcome.StartOutcome.NOT_SENT
         except errors.WorkerOutcomeUnknown:
             return start_outcome.StartOutcome.UNKNOWN
@@ -251,7 +253,7 @@
             except errors.StaleEpoch as error:
                 self._owner.lose_leadership(error.message)
                 return
-            except errors.WorkerReplaced:
+            except (errors.WorkerReplaced, errors.WorkerStopped):
                 return
             except errors.WorkerError:
                 # The leader's tick orders the stop again if all tries fail.
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -22,16 +22,23 @@
 
 
 class CallFailed(errors.BasilspindleError):
-    """Report a call without an answer; ``sent`` if it may have arrived."""
+    """Report a call without an answer.
+
+    ``sent`` tells that it may have arrived, ``refused`` that no process
+    listens at the address.
+    """
 
     kind = 'call_failed'
     status = 503
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(
+        self, message: str, *, sent: bool, refused: bool = False
+    ) -> None:
         super().__init__(
             message, ran=errors.Ran.UNKNOWN if sent else errors.Ran.NO
         )
         self.sent = sent
+        self.refused = refused
 
 
 class _Connection(asyncio.Protocol):
@@ -191,6 +198,7 @@
                 f'no connection to {address}: {error!r}; check that it runs '
                 'and is reachable',
                 sent=False,
+                refused=isinstance(error, ConnectionRefusedError),
             ) from error
         return made
 
