Replace a leader without the store within half a second

Cause: with the store busy for the leader alone, callers waited 0.9 s for another one. Change: 450 ms; a refusal for that reason is retried at the next leader for a while before the caller gets it.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -17,12 +17,12 @@
 from basilspindle import errors
 from basilspindle import events
 
-_PING_MS = 300
+_PING_MS = 250
 _PING_ANSWER_MS = 900
 _CONNECT_MS = 700
 # A leader whose append is unanswered for this long is replaced if others
 # reach the store.
-_STORE_SILENT_MS = 900
+_STORE_SILENT_MS = 450
 # A store that answers a read sooner is not slow.
 _STORE_PROMPT_MS = 150
 # A leader appends at least once a second; with none for this long it is
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -158,7 +158,13 @@
             except (errors.PeerError, errors.DeadlineExceeded):
                 reply = messages.NotLeading()
             if not isinstance(reply, messages.NotLeading):
-                return reply
+                spent_ms = self._clock.now_ms() - begun_ms
+                if not _may_pass(reply) or spent_ms > _LEADERLESS_MS:
+                    return reply
+                # Nothing was done, and another leader may do better soon.
+                sent = False
+                await self._wait_change(changed, left_ms, spent_ms)
+                continue
             await self._clock.sleep_ms(_RECONNECT_PAUSE_MS)
 
     async def _wait_change(
@@ -307,6 +313,13 @@
             self.failed.set()
 
 
+def _may_pass(reply: messages.Reply) -> bool:
+    return (
+        isinstance(reply, messages.Refused)
+        and reply.kind == errors.NotReady.kind
+    )
+
+
 def _unanswered(sent: bool) -> errors.BasilspindleError:
     if sent:
         return errors.OutcomeUnknown(
