Ask for advice on workers that come after the first call

Ruled out: the wait for unseen workers, since the job was accepted after the takeover. Change: a step that still waits asks about workers it was not advised on; a worker without an entry is used for 2 s, as entries come back by then.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -554,6 +554,7 @@
         for worker_id, worker in list(self.state.workers.items()):
             if worker_id not in rows and worker.listed:
                 worker.listed = False
+                worker.unlisted_ms = self._clock.now_ms()
             if worker_id not in rows and not worker.reported:
                 if worker_id not in self.state.unseen and not worker.tasks:
                     self._drop_worker(worker)
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -51,6 +51,8 @@
             self._place(run, pools.get(run.job.definition.pool, []), now_ms)
             if not run.waiting:
                 state.table.ready.pop(run.key, None)
+            elif run.tickets is not None and not run.asked_ms:
+                self._ask_about_others(run, pools, now_ms)
 
     def _skips(
         self,
@@ -69,7 +71,7 @@
             return False
         if run.tickets is None:
             return not freed
-        return freed.isdisjoint(run.tickets)
+        return freed <= run.advised and freed.isdisjoint(run.tickets)
 
     def _may_run_unseen(self, now_ms: int) -> bool:
         state = self._state
@@ -179,6 +181,24 @@
                 )
                 state.orders.starts.append(order)
 
+    def _ask_about_others(
+        self,
+        run: step_run_module.StepRun,
+        pools: dict[str, list[worker_module.Worker]],
+        now_ms: int,
+    ) -> None:
+        # Workers that came or came back after the step was advised.
+        others = [
+            worker.worker_id
+            for worker in pools.get(run.job.definition.pool, [])
+            if worker.worker_id not in run.advised
+            and (
+                not run.step.required_label
+                or run.step.required_label in worker.labels
+            )
+        ]
+        self._ask(run, others, now_ms)
+
     def _ask(
         self,
         run: step_run_module.StepRun,
@@ -229,6 +249,7 @@
 ) -> None:
     """Take in the workers that may run a step, with their tickets."""
     known = run.tickets if run.tickets is not None else {}
+    run.advised.update(asked)
     for worker_id in asked:
         known.pop(worker_id, None)
     for worker_id, value in tickets.items():
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -4,10 +4,16 @@
 from basilspindle.workflow import task as task_module
 
 
+# Entries that lapsed while the registry was away are back within about this
+# time; a worker that still answers is used meanwhile.
+_UNLISTED_MS = 2_000
+
+
 class Worker:
     """What the leader knows of a worker.
 
-    ``ready`` is what the registry says, ``reported`` whether the worker
+    ``ready`` is what the registry says, ``unlisted_ms`` since when it has
+    no entry, ``reported`` whether the worker
     answered this leader, ``contact_ms`` when it last did. ``foreign`` are
     tasks seen there that must not run, by name with their run.
     ``noted_end`` is the highest end that was applied, ``durable_end`` the
@@ -27,6 +33,7 @@
         'tasks',
         'ready',
         'listed',
+        'unlisted_ms',
         'reported',
         'contact_ms',
         'born_wall_ms',
@@ -60,6 +67,7 @@
         self.tasks: dict[str, task_module.Task] = {}
         self.ready = True
         self.listed = True
+        self.unlisted_ms = 0
         self.reported = False
         self.contact_ms = 0
         self.born_wall_ms = 0
@@ -90,7 +98,7 @@
         """Tell whether new work may start here now."""
         return (
             self.ready
-            and self.listed
+            and (self.listed or now_ms - self.unlisted_ms < _UNLISTED_MS)
             and self.reported
             and not self.foreign
             and now_ms >= self.suspect_until_ms
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -14,6 +14,7 @@
 class StepRun:
     """Live state of a step; ``tickets`` is None before any advice.
 
+    ``advised`` are the workers that the advice so far was about.
     ``waiting`` holds the tasks that may start once the step is ready.
     ``asked_ms`` is the time of a pending call for advice, 0 for none.
     ``ready_ms`` is the time at which the earlier steps were done.
@@ -31,6 +32,7 @@
         'done',
         'tickets',
         'asked_ms',
+        'advised',
         'ready_ms',
         'reserved',
         'reserved_until_ms',
@@ -58,6 +60,7 @@
         self.done = 0
         self.tickets: dict[str, ticket_module.Ticket] | None = None
         self.asked_ms = 0
+        self.advised: set[str] = set()
         self.ready_ms = 0
         self.reserved: dict[str, int] = {}
         self.reserved_until_ms = 0
--- /dev/null
+++ b/tests/test_cell_plan.py
@@ -0,0 +1,151 @@
+"""Guard which tasks start, where, and with which advice."""
+
+from basilspindle.cell import plan as plan_module
+from basilspindle.cell import terms as terms_module
+from basilspindle import workflow
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+_OTHER = '00000000000000bb'
+_ADVICE = terms_module.AdviceTerms(10.0, 1.0, 2_000.0)
+
+
+class AdvisedCase(cell_case.CellCase):
+    """A queue whose steps need tickets."""
+
+    def setUp(self):
+        super().setUp()
+        queue = cell_case.make_queue(advice=_ADVICE)
+        self.make_state(terms=cell_case.make_terms([queue]))
+
+    def advise(self, order, *good):
+        plan_module.apply_advice(
+            self.state,
+            order.step_run,
+            order.worker_ids,
+            {name: f't-{name}' for name in good},
+            self.now_ms + 2_000,
+        )
+
+
+class AdviceTest(AdvisedCase):
+    """Guard that steps with advice start, and only where it allows."""
+
+    def test_starts_carry_tickets_of_good_workers(self):
+        """Guard against a start on a worker that advice ruled out."""
+        for name in ('w1', 'w2'):
+            self.add_worker(name)
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step(2)))
+        [order] = self.plan().advice
+        self.assertEqual({'w1', 'w2'}, set(order.worker_ids))
+        self.advise(order, 'w2')
+        starts = self.plan().starts
+        self.assertEqual(
+            [('w2', 't-w2')] * 2,
+            [(start.worker_id, start.ticket) for start in starts],
+        )
+
+    def test_workers_that_come_later_are_asked_about(self):
+        """Guard against a job that never starts after an outage.
+
+        The registry came back entry by entry, so that the first advice was
+        about few workers, none of them good (berceuse-partage, mix with
+        seed 922548845115: LOST at the end).
+        """
+        self.add_worker('w1')
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [order] = self.plan().advice
+        self.advise(order)
+        self.assertEqual([], self.plan().advice)
+        self.add_worker('w2')
+        [order] = self.plan().advice
+        self.assertEqual(['w2'], order.worker_ids)
+        self.advise(order, 'w2')
+        self.assertEqual(1, len(self.plan().starts))
+
+    def test_an_old_ticket_is_renewed_before_the_start(self):
+        """Guard against starts that the worker turns away."""
+        self.add_worker('w1', cpu=1_000)
+        self.submit(cell_case.make_definition(_OTHER, cell_case.make_step()))
+        [order] = self.plan().advice
+        self.advise(order, 'w1')
+        [first] = self.run_all(self.plan())
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [order] = self.plan().advice
+        self.advise(order, 'w1')
+        self.now_ms += 3_000
+        self.report('w1', [(first.task.name, first.run)])
+        self.end('w1', first.task.name, first.run)
+        orders = self.plan()
+        self.assertEqual([], orders.starts)
+        [order] = orders.advice
+        self.advise(order, 'w1')
+        self.assertEqual(1, len(self.plan().starts))
+
+
+class UnseenTest(cell_case.CellCase):
+    """Guard work that may still run unseen after a change of leader."""
+
+    def test_recovered_work_waits_for_workers_not_seen(self):
+        """Guard against two runs of a task at the same time."""
+        self.add_worker('w1')
+        job = self.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step())
+        )
+        job.recovered = True
+        self.state.unseen = {'w9'}
+        self.state.unseen_until_ms = self.now_ms + 5_000
+        self.assertEqual([], self.plan().starts)
+        fresh = cell_case.make_definition(_OTHER, cell_case.make_step())
+        self.submit(fresh)
+        [start] = self.plan().starts
+        self.assertEqual(_OTHER, start.task.step_run.job.job_id)
+        self.now_ms += 5_000
+        self.report('w1', [(start.task.name, start.run)])
+        [start] = self.plan().starts
+        self.assertEqual(_JOB, start.task.step_run.job.job_id)
+
+
+class LimitTest(cell_case.CellCase):
+    """Guard the limits of workers and workspaces."""
+
+    def test_no_worker_gets_more_than_it_has(self):
+        """Guard against an overcommitted worker."""
+        self.add_worker('w1', cpu=4_000)
+        self.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step(10, cpu=1_500))
+        )
+        self.assertEqual(2, len(self.plan().starts))
+
+    def test_a_workspace_stays_within_its_limit(self):
+        """Guard against more running than the upper limit."""
+        limit = workflow.Need(cpu_millicores=3_000)
+        self.make_state(terms=cell_case.make_terms(limit=limit))
+        for name in ('w1', 'w2', 'w3'):
+            self.add_worker(name)
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step(10)))
+        starts = self.run_all(self.plan())
+        self.assertEqual(3, len(starts))
+        self.end(starts[0].worker_id, starts[0].task.name, starts[0].run)
+        self.assertEqual(1, len(self.plan().starts))
+
+    def test_a_worker_without_an_entry_serves_for_a_while(self):
+        """Guard against an idle fleet after an outage of the registry."""
+        worker = self.add_worker('w1')
+        worker.listed = False
+        worker.unlisted_ms = self.now_ms
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        self.assertEqual(1, len(self.plan().starts))
+        self.submit(cell_case.make_definition(_OTHER, cell_case.make_step()))
+        self.now_ms += 2_500
+        self.assertEqual([], self.plan().starts)
+
+    def test_tasks_spread_as_the_step_asks(self):
+        """Guard against too many tasks of a step on one worker."""
+        self.add_worker('w1')
+        self.add_worker('w2')
+        step = cell_case.make_step(4, max_per_worker=1)
+        self.submit(cell_case.make_definition(_JOB, step))
+        starts = self.plan().starts
+        self.assertEqual({'w1', 'w2'}, {each.worker_id for each in starts})
+        self.assertEqual(2, len(starts))
