Let the next report resolve a start whose run is too low

The answer to a start was lost, its repeat came after the run had ended and was refused as too low, and the leader took it for never run. Change: such a task waits for the worker's next report, which lists the end or shows that there was no run.

--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -75,6 +75,8 @@
                 state.table.ready[task.step_run.key] = task.step_run
             continue
         _stop_foreign(state, worker, row, foreign)
+    if worker.foreign and not foreign:
+        state.freed.add(worker.worker_id)
     worker.foreign = foreign
 
 
--- a/basilspindle/cell/starts.py
+++ b/basilspindle/cell/starts.py
@@ -9,9 +9,11 @@
 _State = task_state.TaskState
 # A worker that turned a start away gets none for this long.
 _REFUSED_PAUSE_MS = 300
+# A run that is too low was started or stopped there before: a start whose
+# answer was lost may even have ended. The worker's next report tells.
+_RESOLVED_BY_REPORT = frozenset({_Outcome.RUNS, _Outcome.RUN_TOO_LOW})
 _NOT_RUN = frozenset(
     {
-        _Outcome.RUN_TOO_LOW,
         _Outcome.DEADLINE_PASSED,
         _Outcome.NO_ROOM,
         _Outcome.TICKET_REFUSED,
@@ -34,7 +36,7 @@
     task = order.task
     if task.run != order.run or task.worker_id != order.worker_id:
         return
-    if outcome is _Outcome.RUNS:
+    if outcome in _RESOLVED_BY_REPORT:
         if task.state is _State.STARTING:
             task.state = _State.RUNNING
         if task.state is _State.RUNNING:
@@ -58,12 +60,10 @@
         ticket = run.tickets.get(order.worker_id)
         if ticket is not None:
             ticket.expires_ms = 0
-    elif worker is not None and outcome is not _Outcome.RUN_TOO_LOW:
+    elif worker is not None:
         worker.suspect_until_ms = now_ms + _REFUSED_PAUSE_MS
-    stopping = task.state is _State.STOPPING
-    if outcome is not _Outcome.RUN_TOO_LOW and not stopping:
-        # The run never was; its number is used up all the same.
-        task.ended_run = max(task.ended_run, order.run)
+    # The run never was; its number is used up all the same.
+    task.ended_run = max(task.ended_run, order.run)
     state.release(task)
     if run.step.gang:
         state.stop_gang(run)
