Judge workers by the progress of what they run

Cause: a worker that hangs or turns slow kept its tasks and got more; a third of the workers takes 1.3 times as long, and short tasks landed there as often as elsewhere. A store that came back was followed by two changes of leader, and requests waited for connections that had gone silent. Change: slowness learned from finished siblings orders workers; tasks far behind on a slow worker move if that halves what is left. A leader repeats an append within 1 s and is given 1.5 s after the store is back; connections older than a silence are closed; jobs that no append has taken up are refused as soon as the store is silent; gangs that cannot start whole are stopped before they end alone; a stop ends within its grace time.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -23,6 +23,9 @@
 # A leader whose append is unanswered for this long is replaced if others
 # reach the store.
 _STORE_SILENT_MS = 450
+# A leader repeats an append within a second, so that it notices the return
+# of the store by then.
+_RETURN_MS = 1_500
 # A store that answers a read sooner is not slow.
 _STORE_PROMPT_MS = 150
 # A leader appends at least once a second; with none for this long it is
@@ -70,6 +73,7 @@
         '_handler',
         '_stopping',
         '_failing',
+        '_cut_off_ms',
         '_version',
         '_take_terms',
         '_heard',
@@ -97,6 +101,7 @@
         self._handler = handler
         self._stopping = False
         self._failing = False
+        self._cut_off_ms = -_RETURN_MS
         self._version = version
         self._take_terms = take_terms
         self._heard: claim_module.Claim | None = None
@@ -376,6 +381,10 @@
             await self._register.read()
         except errors.LogError:
             # Nobody here can do better than the leader.
+            self._cut_off_ms = self._clock.now_ms()
+            return False
+        if begun_ms - self._cut_off_ms < _RETURN_MS:
+            # The store is just back; the leader reaches it too by then.
             return False
         if self._clock.now_ms() - begun_ms <= _STORE_PROMPT_MS:
             return True
--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -1,6 +1,7 @@
 """Apply the end of a run to its job."""
 
 from basilspindle.cell import report as report_module
+from basilspindle.cell import speed
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import job_state
@@ -31,6 +32,8 @@
     task.run = max(task.run, row.run)
     if row.checkpoint and row.run == task.run:
         task.checkpoint = row.checkpoint
+    if row.kind is _Kind.DONE and current:
+        speed.note_done(state, worker, task, now_ms)
     if row.kind is _Kind.DONE and not task.step_run.step.service:
         _mark_done(state, task, now_ms)
     elif row.kind is _Kind.FAILED and row.run not in task.failed_runs:
--- a/basilspindle/cell/fitting.py
+++ b/basilspindle/cell/fitting.py
@@ -13,6 +13,8 @@
 
 Choice = dict[str, int]
 _NO_LIMIT = 1 << 30
+# Workers whose slowness differs by less count as equally fast.
+_SLOWNESS_STEP = 0.12
 
 
 def slots(worker: worker_module.Worker, run: step_run_module.StepRun) -> int:
@@ -93,7 +95,8 @@
         placed = min(found, count)
         left = worker.room.cpu_millicores - placed * need_cpu
         far = bool(step.data_rack) and worker.rack != step.data_rack
-        return (far, worker.strikes, left, worker.worker_id)
+        slow = round(worker.slowness / _SLOWNESS_STEP)
+        return (far, worker.strikes, slow, left, worker.worker_id)
 
     choice: Choice = {}
     left = count
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -27,7 +27,7 @@
 _FINAL = 'f'
 _ROSTER_KEY = 'roster'
 _FIRST_TIMEOUT_MS = 400
-_MAX_TIMEOUT_MS = 4_000
+_MAX_TIMEOUT_MS = 1_000
 _RETRY_PAUSE_MS = 60
 # The store bounds one call; a batch stays well below it.
 _MAX_BATCH_BYTES = 1024 * 1024
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -19,6 +19,7 @@
 from basilspindle.cell import reconcile
 from basilspindle.cell import report as report_module
 from basilspindle.cell import session as session_module
+from basilspindle.cell import speed
 from basilspindle.cell import start_outcome
 from basilspindle.cell import starts as starts_module
 from basilspindle.cell import state as state_module
@@ -45,6 +46,8 @@
 _STOP_REPEAT_MS = 2_500
 # The state of a job is kept this much longer than promised.
 _STATE_SLACK_MS = 10_000
+# Stops sent this long before its time is over end a gang in order.
+_GANG_MARGIN_MS = 1_500
 _RECORD_WAIT_MS = 10_000
 # Jobs are turned away while an append is unanswered for longer.
 _STORE_SILENT_MS = 600
@@ -207,6 +210,8 @@
         self._journal.request()
         try:
             await self._clock.wait_ms(future, patience_ms)
+        except errors.NotReady:
+            return _store_silent()
         except (errors.Deposed, errors.DeadlineExceeded):
             # The record may still take effect; the caller's side asks again
             # or says that the outcome is not known.
@@ -236,6 +241,7 @@
         reconcile.apply_report(
             self.state, worker, report, sent_ms, self._clock.now_ms()
         )
+        speed.watch(self.state, worker, self._clock.now_ms())
         for row in report.ends:
             if row.number <= noted_end:
                 continue
@@ -636,8 +642,11 @@
             if silent_ms > STORE_PATIENCE_MS:
                 self.lose_leadership('the store does not answer')
                 return
+            if self.store_age_ms > _STORE_SILENT_MS:
+                self._withdraw_new()
             self._open_due(now_ms, wall_ms)
             self._repeat_stops(now_ms)
+            self._stop_partial_gangs(now_ms)
             kept_ms = self.state.bounds.state_kept_ms + _STATE_SLACK_MS
             self._expired += self.state.table.expire(wall_ms - kept_ms)
             self._forget_ended()
@@ -646,6 +655,18 @@
                 self._journal.request()
             self._schedule_plan()
 
+    def _withdraw_new(self) -> None:
+        # Jobs that no append has taken up need not wait for the store.
+        for job_id in list(self._recording):
+            job = self.state.table.jobs.get(job_id)
+            if job is None or not self._intake.withdraw(job):
+                continue
+            for future in self._recording.pop(job_id):
+                if not future.done():
+                    future.set_exception(
+                        errors.NotReady('the store does not answer')
+                    )
+
     def _open_due(self, now_ms: int, wall_ms: int) -> None:
         for job in self.state.table.jobs.values():
             due_ms = job.next_due_wall_ms
@@ -655,6 +676,20 @@
             self.state.table.open_steps(job, now_ms)
             self.state.mark_changed(job)
 
+    def _stop_partial_gangs(self, now_ms: int) -> None:
+        # Members that started would wait in vain for one that did not.
+        limit_ms = self.state.bounds.gang_ms - _GANG_MARGIN_MS
+        for worker in self.state.workers.values():
+            for task in worker.tasks.values():
+                run = task.step_run
+                if not run.step.gang or not run.started_ms:
+                    continue
+                if task.state is not task_state.TaskState.STARTING:
+                    continue
+                if now_ms - run.started_ms > limit_ms:
+                    run.started_ms = 0
+                    self.state.stop_gang(run)
+
     def _repeat_stops(self, now_ms: int) -> None:
         for worker in self.state.workers.values():
             for task in worker.tasks.values():
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -137,7 +137,7 @@
         while True:
             left_ms = begun_ms + timeout_ms - self._clock.now_ms()
             if left_ms <= 0:
-                raise _unanswered(sent)
+                raise _unanswered(sent and _changes(request))
             changed = self._election.changed
             link = self._election.link
             try:
@@ -152,7 +152,7 @@
                 else:
                     spent_ms = self._clock.now_ms() - begun_ms
                     if not sent and spent_ms > _LEADERLESS_MS:
-                        raise _unanswered(sent)
+                        raise _unanswered(False)
                     await self._wait_change(changed, left_ms, spent_ms)
                     continue
             except (errors.PeerError, errors.DeadlineExceeded):
@@ -313,6 +313,10 @@
             self.failed.set()
 
 
+def _changes(request: messages.Request) -> bool:
+    return isinstance(request, (messages.Submit, messages.Cancel))
+
+
 def _may_pass(reply: messages.Reply) -> bool:
     return (
         isinstance(reply, messages.Refused)
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -160,6 +160,7 @@
         state = self._state
         self._drop_reservation(run, now_ms, always=True)
         waiting = list(run.waiting.values())
+        run.started_ms = now_ms
         number = 0
         if run.step.gang:
             number = max(state.next_run(task) for task in waiting)
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -44,6 +44,7 @@
         'unseen',
         'unseen_until_ms',
         'objectives',
+        'queue_factors',
     )
 
     def __init__(self, bounds: bounds_module.Bounds, term: int = 0) -> None:
@@ -62,12 +63,17 @@
         self.unseen: set[str] = set()
         self.unseen_until_ms = 0
         self.objectives: dict[str, int] = {}
+        self.queue_factors: dict[str, float] = {}
 
     def take_orders(self) -> orders_module.Orders:
         """Return the orders collected so far and begin anew."""
         taken, self.orders = self.orders, orders_module.Orders()
         return taken
 
+    def queue_factor(self, queue: str) -> float:
+        """Return how long tasks of a queue take against their estimates."""
+        return self.queue_factors.get(queue, 1.0)
+
     def advice_terms(
         self, definition: definition_module.JobDefinition
     ) -> terms_module.AdviceTerms | None:
@@ -101,6 +107,7 @@
         task.state = state
         task.worker_id = worker.worker_id
         task.run = run
+        task.percent = task.sampled_ms = task.sampled_percent = 0
         worker.take(task)
         job.occupied.add(task)
         job.started = True
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -13,12 +13,13 @@
     """What the leader knows of a worker.
 
     ``ready`` is what the registry says, ``unlisted_ms`` since when it has
-    no entry, ``reported`` whether the worker
-    answered this leader, ``contact_ms`` when it last did. ``foreign`` are
-    tasks seen there that must not run, by name with their run.
-    ``noted_end`` is the highest end that was applied, ``durable_end`` the
-    highest that the log holds. ``suspect_until_ms`` bounds a time without
-    new work.
+    no entry, ``reported`` whether the worker answered this leader and
+    ``contact_ms`` when it last did. ``foreign`` are tasks seen there that
+    must not run, by name with their run. ``noted_end`` is the highest end
+    that was applied, ``durable_end`` the highest that the log holds.
+    ``slowness`` is the time that tasks take here against elsewhere, ``lag``
+    the same for those that run now, and ``strikes`` counts starts without
+    an answer. ``suspect_until_ms`` bounds a time without new work.
     """
 
     __slots__ = (
@@ -42,6 +43,9 @@
         'foreign',
         'suspect_until_ms',
         'strikes',
+        'slowness',
+        'lag',
+        'slow_samples',
         'reserved',
         'drain_end_ms',
     )
@@ -76,6 +80,9 @@
         self.foreign: dict[str, int] = {}
         self.suspect_until_ms = 0
         self.strikes = 0
+        self.slowness = 1.0
+        self.lag = 1.0
+        self.slow_samples = 0
         self.reserved = need_module.Need()
         self.drain_end_ms = 0
 
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -47,6 +47,7 @@
     __slots__ = (
         'transport',
         'idle_since_s',
+        'made_s',
         'closed',
         '_parser',
         '_waiter',
@@ -56,6 +57,7 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
+        self.made_s = 0.0
         self.closed = False
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[Answer] | None = None
@@ -113,11 +115,13 @@
 class Client:
     """Keep connections to many servers; the one client of the platform."""
 
-    __slots__ = ('_idle', '_loop')
+    __slots__ = ('_idle', '_loop', '_silent_s')
 
     def __init__(self) -> None:
         self._idle: dict[str, collections.deque[_Connection]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
+        # When a server last left a request unanswered.
+        self._silent_s: dict[str, float] = {}
 
     async def __aenter__(self) -> typing.Self:
         self._loop = asyncio.get_running_loop()
@@ -159,11 +163,15 @@
             # Connections that went silent without a reset would each cost
             # another timeout.
             self.forget(address)
+            self._silent_s[address] = self._now_s()
             raise CallFailed(
                 f'no response from {address} within {timeout_ms} ms; check '
                 'that it runs and is reachable',
                 sent=True,
             ) from None
+        if connection.made_s < self._silent_s.get(address, 0.0):
+            # Made before the server went silent: it may be next to do so.
+            connection.close()
         if not connection.closed:
             connection.idle_since_s = self._now_s()
             self._idle.setdefault(address, collections.deque()).append(
@@ -200,6 +208,7 @@
                 sent=False,
                 refused=isinstance(error, ConnectionRefusedError),
             ) from error
+        made.made_s = self._now_s()
         return made
 
 
--- a/basilspindle/platform/front.py
+++ b/basilspindle/platform/front.py
@@ -49,9 +49,12 @@
 
 
 class Front:
-    """The ASGI application towards callers."""
+    """The ASGI application towards callers.
 
-    __slots__ = ('_node', '_clock', 'in_flight')
+    ``in_flight`` counts the requests that wait for an answer.
+    """
+
+    __slots__ = ('_node', '_clock', 'in_flight', 'ends_ms')
 
     def __init__(
         self, node: node_module.Node, clock: clock_module.Clock
@@ -59,6 +62,8 @@
         self._node = node
         self._clock = clock
         self.in_flight = 0
+        # When every request must be answered, once the daemon stops.
+        self.ends_ms: int | None = None
 
     async def __call__(
         self, scope: _Scope, receive: _Receive, send: _Send
@@ -82,7 +87,7 @@
         try:
             queue, workspace = self._authorize(scope['path'], headers)
             rest = scope['path'][len(queue.prefix) :]
-            limit_ms = _deadline_ms(headers)
+            limit_ms = self._limit_ms(headers)
             if not rest and scope['method'] == 'GET':
                 return await self._count(queue, limit_ms)
             if not _JOB_ID.fullmatch(rest):
@@ -138,6 +143,13 @@
             raise errors.KeyInvalid('the key is not known; use a valid one')
         return queue, workspace
 
+    def _limit_ms(self, headers: dict[bytes, bytes]) -> int:
+        limit_ms = _deadline_ms(headers)
+        if self.ends_ms is not None:
+            left_ms = self.ends_ms - self._clock.now_ms()
+            limit_ms = max(1, min(limit_ms, left_ms))
+        return limit_ms
+
     def _body_limit(self) -> int:
         index = self._node.index
         return index.terms.limits.max_body_bytes if index else 0
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -27,7 +27,8 @@
 # The balancer stops sending within two checks a second apart; requests in
 # flight end in the rest of the time that a stop may take.
 _LINGER_MS = 2_600
-_STOP_MARGIN_MS = 700
+_STOP_MARGIN_MS = 1_000
+_ANSWER_MARGIN_MS = 300
 _STOP_POLL_MS = 50
 
 
@@ -81,9 +82,12 @@
             if not stop.is_set():
                 return _EXIT_FAILED
             events.emit(cell_events.NODE_STOPPING, node=boot.node)
+            grace_ms = boot.bounds.grace_ms - _STOP_MARGIN_MS
+            front.ends_ms = clock.now_ms() + grace_ms - _ANSWER_MARGIN_MS
+            leaving = asyncio.ensure_future(node.leave())
             await node.stop()
-            await _drain(front, clock, boot.bounds.grace_ms)
-            await node.leave()
+            await _drain(front, clock, grace_ms)
+            leaving.cancel()
     events.emit(cell_events.NODE_STOPPED, node=boot.node)
     return 0
 
@@ -94,7 +98,7 @@
     begun_ms = clock.now_ms()
     while True:
         spent_ms = clock.now_ms() - begun_ms
-        if spent_ms > grace_ms - _STOP_MARGIN_MS:
+        if spent_ms > grace_ms:
             return
         if spent_ms > _LINGER_MS and not front.in_flight:
             return
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -12,8 +12,8 @@
 from basilspindle import errors
 from basilspindle.platform import client as client_module
 
-_READ_MS = 1_500
-_WRITE_MS = 1_500
+_READ_MS = 1_000
+_WRITE_MS = 700
 _PRODUCER = 'basilspindle'
 # Topics with this prefix keep the newest record of each key for good.
 _KEYED = 'keyed.'
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -17,7 +17,9 @@
     ``advised`` are the workers that the advice so far was about.
     ``waiting`` holds the tasks that may start once the step is ready.
     ``asked_ms`` is the time of a pending call for advice, 0 for none.
-    ``ready_ms`` is the time at which the earlier steps were done.
+    ``started_ms`` is the time of the latest orders to start, and
+    ``ready_ms`` the time at which the earlier steps were done.
+    ``timed`` tasks took ``timed_ms`` together, as on a sound worker.
     ``reserved_until_ms`` bounds a reservation of room in ``reserved``.
     """
 
@@ -34,10 +36,13 @@
         'asked_ms',
         'advised',
         'ready_ms',
+        'started_ms',
         'reserved',
         'reserved_until_ms',
         'retry_ms',
         'gang_failed_runs',
+        'timed',
+        'timed_ms',
     )
 
     def __init__(
@@ -62,10 +67,13 @@
         self.asked_ms = 0
         self.advised: set[str] = set()
         self.ready_ms = 0
+        self.started_ms = 0
         self.reserved: dict[str, int] = {}
         self.reserved_until_ms = 0
         self.retry_ms = 0
         self.gang_failed_runs: set[int] = set()
+        self.timed = 0
+        self.timed_ms = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -15,7 +15,8 @@
     the highest run that is known to be over, ``failed_runs`` are those that
     ended in failure; ends of one task at two workers come in any order.
     ``started_ms`` is the monotonic time at which the worker answered the
-    last order for the task; 0 while none is answered.
+    last order for the task; 0 while none is answered. ``percent`` is the
+    progress in the last report, ``sampled_percent`` that at ``sampled_ms``.
     """
 
     __slots__ = (
@@ -30,6 +31,8 @@
         'checkpoint',
         'started_ms',
         'percent',
+        'sampled_ms',
+        'sampled_percent',
         'avoid',
         'stop_sent_ms',
     )
@@ -48,6 +51,8 @@
         self.checkpoint = ''
         self.started_ms = 0
         self.percent = 0
+        self.sampled_ms = 0
+        self.sampled_percent = 0
         self.avoid: set[str] = set()
         self.stop_sent_ms = 0
 
