Split the leader; bound logs; serve metrics and the state; explain a job

Change: recorder, roster, advice calls and housekeeping are files of their own; log lines are written without waiting, bounded to 400 a second for an event, and counted beyond; counters, histograms and the state are served on the last port of the range; basilspindle explain and settings check.

--- /dev/null
+++ b/basilspindle/cell/advice_calls.py
@@ -0,0 +1,123 @@
+"""Make the calls for advice that the plan asks for."""
+
+import asyncio
+import collections.abc
+
+from basilspindle.cell import advisers as advisers_module
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import link as link_module
+from basilspindle.cell import messages
+from basilspindle.cell import orders as orders_module
+from basilspindle.cell import plan as plan_module
+from basilspindle.cell import ports
+from basilspindle.cell import state as state_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+
+# A daemon whose call failed is left alone for this long.
+_PAUSE_MS = 150
+# A call may take this much longer than the service says.
+_SLACK_MS = 1_500
+
+
+class AdviceCalls:
+    """Spread calls over this daemon and those linked to it."""
+
+    __slots__ = (
+        '_state',
+        '_clock',
+        '_advice',
+        '_on_advice',
+        '_own',
+        '_linked',
+        '_calls',
+    )
+
+    def __init__(
+        self,
+        state: state_module.CellState,
+        clock: clock_module.Clock,
+        advice: ports.Advice,
+        on_advice: collections.abc.Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._advice = advice
+        self._on_advice = on_advice
+        self._own = advisers_module.Adviser(None)
+        self._linked: dict[link_module.Link, advisers_module.Adviser] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+
+    def add_link(self, link: link_module.Link) -> None:
+        """Let a follower make calls."""
+        self._linked.setdefault(link, advisers_module.Adviser(link))
+
+    def remove_link(self, link: link_module.Link) -> None:
+        """Forget a follower whose connection ended."""
+        self._linked.pop(link, None)
+
+    def send(self, order: orders_module.AdviceOrder) -> None:
+        """Begin a call."""
+        task = asyncio.ensure_future(self._ask(order))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    def close(self) -> None:
+        """Give up all calls."""
+        for task in self._calls:
+            task.cancel()
+
+    async def _ask(self, order: orders_module.AdviceOrder) -> None:
+        run = order.step_run
+        terms = self._state.advice_terms(run.job.definition)
+        expected_ms = terms.call_ms(len(order.worker_ids)) if terms else 0.0
+        rows = [self._own, *self._linked.values()]
+        adviser = advisers_module.choose(
+            rows, expected_ms, self._clock.now_ms()
+        )
+        if adviser is None:
+            self._fail(order, 'all daemons pause')
+            return
+        adviser.pending_ms += expected_ms
+        timeout_ms = int(adviser.pending_ms) + _SLACK_MS
+        try:
+            result = await self._call(adviser, order, timeout_ms)
+        except errors.BasilspindleError as error:
+            adviser.paused_until_ms = self._clock.now_ms() + _PAUSE_MS
+            self._fail(order, error.message)
+            return
+        finally:
+            adviser.pending_ms -= expected_ms
+        plan_module.apply_advice(
+            run,
+            order.worker_ids,
+            result.tickets,
+            self._clock.now_ms() + result.valid_ms,
+        )
+        self._on_advice()
+
+    async def _call(
+        self,
+        adviser: advisers_module.Adviser,
+        order: orders_module.AdviceOrder,
+        timeout_ms: int,
+    ) -> ports.AdviceResult:
+        key = order.step_run.key
+        if adviser.link is None:
+            return await self._advice.ask(key, order.worker_ids, timeout_ms)
+        reply = await adviser.link.call(
+            messages.Advise(key, tuple(order.worker_ids), timeout_ms),
+            timeout_ms,
+        )
+        if isinstance(reply, messages.Advised):
+            return ports.AdviceResult(reply.tickets, reply.valid_ms)
+        raise errors.Overloaded('a daemon got no advice; ask another')
+
+    def _fail(self, order: orders_module.AdviceOrder, reason: str) -> None:
+        events.emit(
+            cell_events.ADVICE_FAILED, step=order.step_run.key, error=reason
+        )
+        plan_module.advice_failed(
+            self._state, order.step_run, self._clock.now_ms() + _PAUSE_MS
+        )
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -201,6 +201,13 @@
     'the settings file was read again',
     'nothing to do',
 )
+STATE_DUMPED = _Event(
+    946,
+    'state_dumped',
+    _Level.INFO,
+    'the state of the daemon, on request',
+    'nothing to do',
+)
 REQUEST_FAILED = _Event(
     944,
     'request_failed',
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -4,20 +4,22 @@
 import collections.abc
 import typing
 
-from basilspindle.cell import advisers as advisers_module
+from basilspindle.cell import advice_calls
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import events as cell_events
+from basilspindle.cell import housekeeping
 from basilspindle.cell import intake as intake_module
-from basilspindle.cell import job_table
 from basilspindle.cell import journal as journal_module
-from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
+from basilspindle.cell import metrics
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import plan as plan_module
 from basilspindle.cell import ports
 from basilspindle.cell import reconcile
+from basilspindle.cell import recorder as recorder_module
 from basilspindle.cell import report as report_module
+from basilspindle.cell import roster as roster_module
 from basilspindle.cell import session as session_module
 from basilspindle.cell import speed
 from basilspindle.cell import start_outcome
@@ -29,11 +31,8 @@
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.workflow import job as job_module
-from basilspindle.workflow import progress as progress_module
-from basilspindle.workflow import task_state
 
 _TICK_MS = 100
-_REGISTRY_MS = 700
 # Decisions wait this long for more events, so that one plan serves many.
 _PLAN_PAUSE_MS = 4
 # A leader that cannot reach the store for this long gives up its workers;
@@ -41,13 +40,8 @@
 STORE_PATIENCE_MS = 15_000
 # A lease is over after this time, also on a worker whose clock is slow.
 _LEASE_BOUND_MS = session_module.LEASE_MS * 103 // 100
-_ADVICE_PAUSE_MS = 150
-_ADVICE_SLACK_MS = 1_500
-_STOP_REPEAT_MS = 2_500
 # The state of a job is kept this much longer than promised.
 _STATE_SLACK_MS = 10_000
-# Stops sent this long before its time is over end a gang in order.
-_GANG_MARGIN_MS = 1_500
 _RECORD_WAIT_MS = 10_000
 # Jobs are turned away while an append is unanswered for longer.
 _STORE_SILENT_MS = 600
@@ -73,40 +67,44 @@
         former_gone: bool,
     ) -> None:
         self.claim = claim
-        self._former_gone = former_gone
         self.lost = asyncio.Event()
         self.ready = False
-        self._registry = registry
-        self._worker_orders = worker_orders
-        self._advice = advice
-        self._clock = clock
         self.state = state_module.CellState(bounds, claim.term)
         self.state.index = index
+        self._former_gone = former_gone
+        self._worker_orders = worker_orders
+        self._clock = clock
+        self._begun_ms = clock.now_ms()
         self._intake = intake_module.Intake(self.state)
         self._planner = plan_module.Planner(self.state)
+        self._recorder = recorder_module.Recorder(
+            self.state, clock, self._intake, self._schedule_plan
+        )
         self._journal = journal_module.Journal(
-            store, clock, claim.epoch, self._collect, self._apply_batch
+            store,
+            clock,
+            claim.epoch,
+            self._recorder.collect,
+            self._recorder.apply,
+        )
+        self._roster = roster_module.Roster(
+            self.state, clock, registry, self._recorder, self._make_session
+        )
+        self.advice_calls = advice_calls.AdviceCalls(
+            self.state, clock, advice, self._schedule_plan
         )
-        self._sessions: dict[str, session_module.Session] = {}
-        self._recording: dict[str, list[asyncio.Future[None]]] = {}
-        self._recorded = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._advising: set[asyncio.Task[None]] = set()
-        self._self_adviser = advisers_module.Adviser(None)
-        self._advisers: dict[link_module.Link, advisers_module.Adviser] = {}
         self._plan_handle: asyncio.TimerHandle | None = None
-        self._roster: dict[str, str] = {}
-        self._roster_changed = False
-        self._expired: list[str] = []
-        self._begun_ms = clock.now_ms()
 
     async def __aenter__(self) -> typing.Self:
-        recovered = await self._journal.load()
-        self._recover(recovered)
-        await self._refresh_registry()
-        for work in (self._journal.run, self._tick, self._follow_registry):
+        self._recorder.recover(await self._journal.load())
+        self._guard_unseen()
+        self._roster.recover()
+        await self._roster.refresh()
+        for work in (self._journal.run, self._tick, self._roster.follow):
             self._tasks.append(asyncio.ensure_future(self._guard(work)))
         self.ready = True
+        metrics.LEADER_CHANGES.labels('gained').inc()
         events.emit(
             cell_events.LEADER_READY,
             epoch=self.claim.epoch,
@@ -119,19 +117,39 @@
     async def __aexit__(self, *_: object) -> None:
         self.ready = False
         self.lost.set()
-        for session in self._sessions.values():
-            session.close()
-        for task in (*self._tasks, *self._advising):
+        metrics.LEADER_CHANGES.labels('lost').inc()
+        self._roster.close()
+        self.advice_calls.close()
+        for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._plan_handle is not None:
             self._plan_handle.cancel()
-        for futures in self._recording.values():
-            for future in futures:
-                if not future.done():
-                    future.set_exception(
-                        errors.Deposed('the leader changed; ask again')
-                    )
+        self._recorder.close()
+
+    def _guard_unseen(self) -> None:
+        state = self.state
+        state.unseen = set(self._recorder.roster)
+        state.unseen_until_ms = (
+            self._clock.now_ms() + STORE_PATIENCE_MS + _LEASE_BOUND_MS
+        )
+        if self._former_gone:
+            self.note_former_gone()
+
+    def note_former_gone(self) -> None:
+        """Take in that the former leader renews no more leases.
+
+        What may run unseen is then over within one lease from now.
+        """
+        self._former_gone = True
+        until_ms = self._clock.now_ms() + _LEASE_BOUND_MS
+        self.state.unseen_until_ms = min(self.state.unseen_until_ms, until_ms)
+
+    def configure(self, index: term_index.TermIndex) -> None:
+        """Put a configuration in force."""
+        self.state.index = index
+        self.state.eased.update(index.workspaces)
+        self._schedule_plan()
 
     # Requests of callers, forwarded or direct.
 
@@ -166,6 +184,7 @@
         try:
             job = self._intake.submit(definition, self._clock.now_ms())
         except errors.BasilspindleError as error:
+            metrics.REFUSALS.labels(error.kind).inc()
             events.emit(
                 cell_events.JOB_REFUSED,
                 job=definition.job_id,
@@ -175,18 +194,13 @@
             return messages.Refused(
                 error.kind, error.message, error.retry_after_ms
             )
-        if job is None:
+        if job is None or job.durable_state is not None:
             return messages.Accepted()
         self._schedule_plan()
-        if job.durable_state is not None:
-            return messages.Accepted()
-        reply = await self._when_recorded(
-            job, messages.Accepted(), request.patience_ms
-        )
-        if isinstance(reply, messages.Accepted) or job.durable_state:
-            return messages.Accepted()
-        if self._intake.withdraw(job):
-            return _store_silent()
+        reply = await self._when_recorded(job, request.patience_ms)
+        if isinstance(reply, messages.NotLeading):
+            if self._intake.withdraw(job):
+                return _store_silent()
         return reply
 
     async def _cancel(self, request: messages.Cancel) -> messages.Reply:
@@ -197,26 +211,21 @@
                 return messages.Gone()
             return messages.Accepted()
         self._send_orders()
-        return await self._when_recorded(job, messages.Accepted())
+        return await self._when_recorded(job, _RECORD_WAIT_MS)
 
     async def _when_recorded(
-        self,
-        job: job_module.Job,
-        reply: messages.Reply,
-        patience_ms: int = _RECORD_WAIT_MS,
+        self, job: job_module.Job, patience_ms: int
     ) -> messages.Reply:
-        future = asyncio.get_running_loop().create_future()
-        self._recording.setdefault(job.job_id, []).append(future)
         self._journal.request()
         try:
-            await self._clock.wait_ms(future, patience_ms)
+            await self._recorder.wait_for_job(job, patience_ms)
         except errors.NotReady:
             return _store_silent()
         except (errors.Deposed, errors.DeadlineExceeded):
             # The record may still take effect; the caller's side asks again
             # or says that the outcome is not known.
             return messages.NotLeading()
-        return reply
+        return messages.Accepted()
 
     # Reports of sessions.
 
@@ -228,6 +237,7 @@
     ) -> bool:
         """Apply a worker's report; returns whether ends need recording."""
         worker = session.worker
+        now_ms = self._clock.now_ms()
         if not worker.reported:
             events.emit(
                 cell_events.WORKER_GAINED,
@@ -238,46 +248,54 @@
         if worker.born_wall_ms and worker.born_wall_ms != report.born_wall_ms:
             session.forget_clock()
         noted_end = worker.noted_end
-        reconcile.apply_report(
-            self.state, worker, report, sent_ms, self._clock.now_ms()
-        )
-        speed.watch(self.state, worker, self._clock.now_ms())
-        for row in report.ends:
-            if row.number <= noted_end:
-                continue
-            events.emit(
-                cell_events.TASK_ENDED,
-                worker=worker.worker_id,
-                task=row.name,
-                run=row.run,
-                how=row.kind,
-            )
+        reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
+        speed.watch(self.state, worker, now_ms)
+        self._log_ends(worker, report, noted_end)
         self._send_orders()
         if self.state.changed:
             self._journal.request()
         self._schedule_plan()
         return worker.noted_end != worker.durable_end
 
+    def _log_ends(
+        self,
+        worker: worker_module.Worker,
+        report: report_module.Report,
+        noted_end: int,
+    ) -> None:
+        for row in report.ends:
+            # Ends are listed again until the worker may forget them.
+            if row.number > noted_end:
+                metrics.RUN_ENDS.labels(row.kind.value).inc()
+                events.emit(
+                    cell_events.TASK_ENDED,
+                    worker=worker.worker_id,
+                    task=row.name,
+                    run=row.run,
+                    how=row.kind,
+                )
+
     def take_outcome(
         self,
         order: orders_module.StartOrder,
         outcome: start_outcome.StartOutcome,
     ) -> None:
         """Apply the outcome of a start."""
-        if outcome is not start_outcome.StartOutcome.RUNS:
-            events.emit(
-                cell_events.START_FAILED,
-                worker=order.worker_id,
-                task=order.task.name,
-                run=order.run,
-                outcome=outcome.value,
-            )
+        metrics.STARTS.labels(outcome.value).inc()
         starts_module.apply_outcome(
             self.state, order, outcome, self._clock.now_ms()
         )
-        if outcome is not start_outcome.StartOutcome.RUNS:
-            self._send_orders()
-            self._schedule_plan()
+        if outcome is start_outcome.StartOutcome.RUNS:
+            return
+        events.emit(
+            cell_events.START_FAILED,
+            worker=order.worker_id,
+            task=order.task.name,
+            run=order.run,
+            outcome=outcome.value,
+        )
+        self._send_orders()
+        self._schedule_plan()
 
     def take_stop_answer(self, order: orders_module.StopOrder) -> None:
         """Note that a worker has taken a stop."""
@@ -298,7 +316,7 @@
         self.state.lose_worker_tasks(worker)
         self.state.unseen.discard(worker.worker_id)
         if not worker.listed:
-            self._drop_worker(worker)
+            self._roster.drop(worker)
         self._send_orders()
         self._schedule_plan()
 
@@ -317,39 +335,19 @@
     ) -> None:
         """Wait until the log holds all ends of a worker, within a bound."""
         self._journal.request()
-        until_ms = self._clock.now_ms() + timeout_ms
-        while worker.noted_end != worker.durable_end:
-            left_ms = until_ms - self._clock.now_ms()
-            try:
-                await self._clock.wait_ms(self._recorded.wait(), left_ms)
-            except errors.DeadlineExceeded:
-                # The ends are reported again; nothing is lost by going on.
-                return
-
-    # Links of followers, which call for advice.
-
-    def add_link(self, link: link_module.Link) -> None:
-        """Let a follower call the advice service."""
-        self._advisers.setdefault(link, advisers_module.Adviser(link))
-
-    def remove_link(self, link: link_module.Link) -> None:
-        """Forget a follower whose connection ended."""
-        self._advisers.pop(link, None)
-
-    def note_former_gone(self) -> None:
-        """Take in that the former leader renews no more leases.
+        await self._recorder.wait_for_ends(worker, timeout_ms)
 
-        What may run unseen is then over within one lease from now.
-        """
-        self._former_gone = True
-        until_ms = self._clock.now_ms() + _LEASE_BOUND_MS
-        self.state.unseen_until_ms = min(self.state.unseen_until_ms, until_ms)
-
-    def configure(self, index: term_index.TermIndex) -> None:
-        """Put a configuration in force."""
-        self.state.index = index
-        self.state.eased.update(index.workspaces)
-        self._schedule_plan()
+    def _make_session(
+        self, worker: worker_module.Worker
+    ) -> session_module.Session:
+        return session_module.Session(
+            worker,
+            self._worker_orders,
+            self,
+            self._clock,
+            self.claim.epoch,
+            self.state.bounds.max_lease_ms,
+        )
 
     # Planning.
 
@@ -369,353 +367,58 @@
     def _send_orders(self) -> None:
         orders = self.state.take_orders()
         for start in orders.starts:
-            session = self._sessions.get(start.worker_id)
-            if session is None:
-                starts_module.apply_outcome(
-                    self.state,
-                    start,
-                    start_outcome.StartOutcome.NOT_SENT,
-                    self._clock.now_ms(),
-                )
-                continue
-            events.emit(
-                cell_events.TASK_STARTED,
-                worker=start.worker_id,
-                task=start.task.name,
-                run=start.run,
-            )
-            session.send_start(start)
+            self._send_start(start)
         for stop in orders.stops:
-            session = self._sessions.get(stop.worker_id)
+            session = self._roster.sessions.get(stop.worker_id)
             if session is not None:
                 session.send_stop(stop)
         for advice in orders.advice:
-            task = asyncio.ensure_future(self._ask(advice))
-            self._advising.add(task)
-            task.add_done_callback(self._advising.discard)
-
-    async def _ask(self, order: orders_module.AdviceOrder) -> None:
-        run = order.step_run
-        terms = self.state.advice_terms(run.job.definition)
-        expected_ms = terms.call_ms(len(order.worker_ids)) if terms else 0.0
-        now_ms = self._clock.now_ms()
-        rows = [self._self_adviser, *self._advisers.values()]
-        adviser = advisers_module.choose(rows, expected_ms, now_ms)
-        if adviser is None:
-            plan_module.advice_failed(
-                self.state, run, now_ms + _ADVICE_PAUSE_MS
-            )
-            return
-        adviser.pending_ms += expected_ms
-        timeout_ms = int(adviser.pending_ms) + _ADVICE_SLACK_MS
-        try:
-            result = await self._call_adviser(adviser, order, timeout_ms)
-        except errors.BasilspindleError as error:
-            events.emit(
-                cell_events.ADVICE_FAILED, step=run.key, error=error.message
-            )
-            now_ms = self._clock.now_ms()
-            adviser.paused_until_ms = now_ms + _ADVICE_PAUSE_MS
-            plan_module.advice_failed(
-                self.state, run, now_ms + _ADVICE_PAUSE_MS
-            )
-            return
-        finally:
-            adviser.pending_ms -= expected_ms
-        now_ms = self._clock.now_ms()
-        plan_module.apply_advice(
-            self.state,
-            run,
-            order.worker_ids,
-            result.tickets,
-            now_ms + result.valid_ms,
-        )
-        self._schedule_plan()
-
-    async def _call_adviser(
-        self,
-        adviser: advisers_module.Adviser,
-        order: orders_module.AdviceOrder,
-        timeout_ms: int,
-    ) -> ports.AdviceResult:
-        key = order.step_run.key
-        if adviser.link is None:
-            return await self._advice.ask(key, order.worker_ids, timeout_ms)
-        reply = await adviser.link.call(
-            messages.Advise(key, tuple(order.worker_ids), timeout_ms),
-            timeout_ms,
-        )
-        if isinstance(reply, messages.Advised):
-            return ports.AdviceResult(reply.tickets, reply.valid_ms)
-        raise errors.Overloaded('a daemon got no advice; ask another')
-
-    # Recording.
+            self.advice_calls.send(advice)
 
-    def _collect(self) -> journal_module.Batch:
-        batch = journal_module.Batch()
-        wall_ms = self._clock.wall_ms()
-        for worker in self.state.workers.values():
-            if worker.noted_end != worker.durable_end:
-                batch.ends[worker.worker_id] = (
-                    worker.born_wall_ms,
-                    worker.noted_end,
-                )
-        for job_id in list(self.state.changed):
-            job = self.state.changed.pop(job_id)
-            journal_module.put_job(batch, job, wall_ms)
-            if journal_module.is_full(batch):
-                # Ends of jobs that are left must not be acknowledged.
-                batch.ends.clear()
-                self._journal.request()
-                break
-        for job_id in self._expired:
-            journal_module.put_expired(batch, job_id)
-        self._expired = []
-        if self._roster_changed:
-            self._roster_changed = False
-            journal_module.put_roster(batch, self._roster)
-        return batch
-
-    def _apply_batch(self, batch: journal_module.Batch) -> None:
-        now_ms = self._clock.now_ms()
-        for job, state in batch.jobs:
-            first = job.durable_state is None
-            ended = state.is_final and job.durable_state is not state
-            job.durable_state = state
-            if first:
-                events.emit(
-                    cell_events.JOB_ACCEPTED,
-                    job=job.job_id,
-                    queue=job.definition.queue,
-                    workspace=job.definition.workspace,
-                    took_ms=now_ms - job.accepted_ms,
-                )
-                self._schedule_plan()
-            if ended:
-                events.emit(
-                    cell_events.JOB_ENDED,
-                    job=job.job_id,
-                    state=state,
-                    took_ms=now_ms - job.accepted_ms,
-                )
-            if state.is_final and not job.occupied:
-                self._forget(job)
-            if job.state is state or state.is_final:
-                for future in self._recording.pop(job.job_id, ()):
-                    if not future.done():
-                        future.set_result(None)
-            elif first:
-                for future in self._recording.pop(job.job_id, ()):
-                    if not future.done():
-                        future.set_result(None)
-        for worker_id, (born_wall_ms, number) in batch.ends.items():
-            worker = self.state.workers.get(worker_id)
-            if worker is not None and worker.born_wall_ms == born_wall_ms:
-                worker.durable_end = max(worker.durable_end, number)
-        recorded, self._recorded = self._recorded, asyncio.Event()
-        recorded.set()
-
-    def _forget(self, job: job_module.Job) -> None:
-        self.state.table.end(job, job.final_wall_ms)
-        self.state.objectives.pop(job.job_id, None)
-
-    def _recover(self, recovered: journal_module.Recovered) -> None:
-        now_ms = self._clock.now_ms()
-        wall_ms = self._clock.wall_ms()
-        state = self.state
-        for definition, progress in recovered.jobs:
-            job = progress_module.restore(
-                definition, progress, now_ms, wall_ms
-            )
-            self._intake.adopt(job, now_ms)
-        state.changed.clear()
-        for job_id, final in recovered.finals.items():
-            state.table.ended[job_id] = job_table.EndedJob(
-                final.workspace, final.queue, final.state, final.ended_wall_ms
-            )
-        self._roster = dict(recovered.roster)
-        state.unseen = set(recovered.roster)
-        state.unseen_until_ms = now_ms + STORE_PATIENCE_MS + _LEASE_BOUND_MS
-        if self._former_gone:
-            self.note_former_gone()
-        for worker_id, address in recovered.roster.items():
-            self._add_worker(worker_id, address, None)
-
-    # Workers.
-
-    async def _refresh_registry(self) -> None:
-        try:
-            rows = await self._registry.refresh()
-        except (errors.LogUnavailable, errors.LogOutcomeUnknown) as error:
-            events.emit(
-                cell_events.STORE_FAILED, call='registry', error=error.message
-            )
+    def _send_start(self, start: orders_module.StartOrder) -> None:
+        session = self._roster.sessions.get(start.worker_id)
+        if session is None:
+            self.take_outcome(start, start_outcome.StartOutcome.NOT_SENT)
             return
-        for worker_id, row in rows.items():
-            worker = self.state.workers.get(worker_id)
-            if worker is None:
-                self._add_worker(worker_id, row.address, row)
-            else:
-                self._update_worker(worker, row)
-        for worker_id, worker in list(self.state.workers.items()):
-            if worker_id not in rows and worker.listed:
-                worker.listed = False
-                worker.unlisted_ms = self._clock.now_ms()
-            if worker_id not in rows and not worker.reported:
-                if worker_id not in self.state.unseen and not worker.tasks:
-                    self._drop_worker(worker)
-
-    def _add_worker(
-        self,
-        worker_id: str,
-        address: str,
-        row: ports.RegisteredWorker | None,
-    ) -> None:
-        worker = worker_module.Worker(
-            worker_id,
-            address,
-            row.pool if row else '',
-            row.rack if row else '',
-            row.failure_domain if row else '',
-            frozenset(row.labels) if row else frozenset(),
-            row.capacity if row else state_module.NOTHING,
-        )
-        worker.listed = row is not None
-        worker.ready = row is not None and row.is_ready
-        self.state.workers[worker_id] = worker
-        if self._roster.get(worker_id) != address:
-            self._roster[worker_id] = address
-            self._roster_changed = True
-        session = session_module.Session(
-            worker,
-            self._worker_orders,
-            self,
-            self._clock,
-            self.claim.epoch,
-            self.state.bounds.max_lease_ms,
+        events.emit(
+            cell_events.TASK_STARTED,
+            worker=start.worker_id,
+            task=start.task.name,
+            run=start.run,
         )
-        self._sessions[worker_id] = session
-        session.open()
-
-    def _update_worker(
-        self, worker: worker_module.Worker, row: ports.RegisteredWorker
-    ) -> None:
-        if worker.address != row.address:
-            worker.address = row.address
-            self._roster[worker.worker_id] = row.address
-            self._roster_changed = True
-        if worker.ready and not row.is_ready:
-            events.emit(
-                cell_events.WORKER_DRAINING,
-                worker=worker.worker_id,
-                remaining_ms=row.remaining_ms,
-            )
-        if not worker.listed or worker.ready != row.is_ready:
-            self.state.freed.add(worker.worker_id)
-        worker.pool = row.pool
-        worker.rack = row.rack
-        worker.failure_domain = row.failure_domain
-        worker.labels = frozenset(row.labels)
-        worker.capacity = row.capacity
-        worker.ready = row.is_ready
-        worker.listed = True
-
-    def _drop_worker(self, worker: worker_module.Worker) -> None:
-        self.state.workers.pop(worker.worker_id, None)
-        session = self._sessions.pop(worker.worker_id, None)
-        if session is not None:
-            session.close()
-        if self._roster.pop(worker.worker_id, None) is not None:
-            self._roster_changed = True
-
-    async def _follow_registry(self) -> None:
-        while True:
-            await self._clock.sleep_ms(_REGISTRY_MS)
-            await self._refresh_registry()
+        session.send_start(start)
 
     async def _tick(self) -> None:
         while True:
+            due_ms = self._clock.now_ms() + _TICK_MS
             await self._clock.sleep_ms(_TICK_MS)
             now_ms = self._clock.now_ms()
-            wall_ms = self._clock.wall_ms()
-            silent_ms = now_ms - self._journal.confirmed_ms
-            if silent_ms > STORE_PATIENCE_MS:
+            metrics.LOOP_DELAY_SECONDS.set(max(0, now_ms - due_ms) / 1000)
+            if now_ms - self._journal.confirmed_ms > STORE_PATIENCE_MS:
                 self.lose_leadership('the store does not answer')
                 return
-            if self.store_age_ms > _STORE_SILENT_MS:
-                self._withdraw_new()
-            self._open_due(now_ms, wall_ms)
-            self._repeat_stops(now_ms)
-            self._stop_partial_gangs(now_ms)
-            kept_ms = self.state.bounds.state_kept_ms + _STATE_SLACK_MS
-            self._expired += self.state.table.expire(wall_ms - kept_ms)
-            self._forget_ended()
-            self._send_orders()
-            if self.state.changed:
-                self._journal.request()
-            self._schedule_plan()
-
-    def _withdraw_new(self) -> None:
-        # Jobs that no append has taken up need not wait for the store.
-        for job_id in list(self._recording):
-            job = self.state.table.jobs.get(job_id)
-            if job is None or not self._intake.withdraw(job):
-                continue
-            for future in self._recording.pop(job_id):
-                if not future.done():
-                    future.set_exception(
-                        errors.NotReady('the store does not answer')
-                    )
-
-    def _open_due(self, now_ms: int, wall_ms: int) -> None:
-        for job in self.state.table.jobs.values():
-            due_ms = job.next_due_wall_ms
-            if due_ms is None or job.state.is_final or wall_ms < due_ms:
-                continue
-            self.state.table.index(job.open_occurrence())
-            self.state.table.open_steps(job, now_ms)
-            self.state.mark_changed(job)
-
-    def _stop_partial_gangs(self, now_ms: int) -> None:
-        # Members that started would wait in vain for one that did not.
-        limit_ms = self.state.bounds.gang_ms - _GANG_MARGIN_MS
-        for worker in self.state.workers.values():
-            for task in worker.tasks.values():
-                run = task.step_run
-                if not run.step.gang or not run.started_ms:
-                    continue
-                if task.state is not task_state.TaskState.STARTING:
-                    continue
-                if now_ms - run.started_ms > limit_ms:
-                    run.started_ms = 0
-                    self.state.stop_gang(run)
-
-    def _repeat_stops(self, now_ms: int) -> None:
-        for worker in self.state.workers.values():
-            for task in worker.tasks.values():
-                if task.state is not task_state.TaskState.STOPPING:
-                    continue
-                if not task.stop_sent_ms:
-                    task.stop_sent_ms = now_ms
-                elif now_ms - task.stop_sent_ms > _STOP_REPEAT_MS:
-                    task.stop_sent_ms = now_ms
-                    self.state.orders.stops.append(
-                        orders_module.StopOrder(
-                            worker.worker_id, task.name, task.run
-                        )
-                    )
-
-    def _forget_ended(self) -> None:
-        ended = [
-            job
-            for job in self.state.table.jobs.values()
-            if job.durable_state is not None
-            and job.durable_state.is_final
-            and not job.occupied
-            and job.job_id not in self.state.changed
-        ]
-        for job in ended:
-            self._forget(job)
+            self._keep_house(now_ms)
+
+    def _keep_house(self, now_ms: int) -> None:
+        state = self.state
+        wall_ms = self._clock.wall_ms()
+        if self.store_age_ms > _STORE_SILENT_MS:
+            self._recorder.withdraw_new()
+        housekeeping.open_due(state, now_ms, wall_ms)
+        housekeeping.repeat_stops(state, now_ms)
+        housekeeping.stop_partial_gangs(state, now_ms)
+        kept_ms = state.bounds.state_kept_ms + _STATE_SLACK_MS
+        self._recorder.expired += state.table.expire(wall_ms - kept_ms)
+        self._recorder.forget_ended()
+        events.report_suppressed()
+        metrics.LIVE_JOBS.set(len(state.table.jobs))
+        metrics.WAITING_TASKS.set(
+            sum(len(run.waiting) for run in state.table.ready.values())
+        )
+        self._send_orders()
+        if state.changed:
+            self._journal.request()
+        self._schedule_plan()
 
     async def _guard(
         self,
--- /dev/null
+++ b/basilspindle/cell/metrics.py
@@ -0,0 +1,84 @@
+"""Count what the cell does, for Prometheus.
+
+Labels take few values: outcomes, states and names of calls, never ids.
+"""
+
+import prometheus_client as prometheus
+
+_LATENCY_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+
+REQUESTS = prometheus.Counter(
+    'basilspindle_requests_total',
+    'Requests of callers by method and status.',
+    ['method', 'status'],
+)
+REQUEST_SECONDS = prometheus.Histogram(
+    'basilspindle_request_seconds',
+    'Time to answer a caller.',
+    buckets=_LATENCY_S,
+)
+REFUSALS = prometheus.Counter(
+    'basilspindle_refusals_total',
+    'Jobs that were turned away, by reason.',
+    ['reason'],
+)
+ACCEPT_SECONDS = prometheus.Histogram(
+    'basilspindle_accept_seconds',
+    'Time from the arrival of a job to its confirmed record.',
+    buckets=_LATENCY_S,
+)
+JOBS_ENDED = prometheus.Counter(
+    'basilspindle_jobs_ended_total', 'Ended jobs by final state.', ['state']
+)
+JOB_SECONDS = prometheus.Histogram(
+    'basilspindle_job_seconds',
+    'Time from the arrival of a job to its final state.',
+    buckets=_LATENCY_S,
+)
+STARTS = prometheus.Counter(
+    'basilspindle_task_starts_total',
+    'Orders to start a task by outcome.',
+    ['outcome'],
+)
+RUN_ENDS = prometheus.Counter(
+    'basilspindle_run_ends_total', 'Ended runs by kind.', ['kind']
+)
+CALL_SECONDS = prometheus.Histogram(
+    'basilspindle_call_seconds',
+    'Time of calls to the platform by dependency.',
+    ['dependency'],
+    buckets=_LATENCY_S,
+)
+CALL_FAILURES = prometheus.Counter(
+    'basilspindle_call_failures_total',
+    'Calls to the platform without an answer, by dependency.',
+    ['dependency'],
+)
+LEADER_CHANGES = prometheus.Counter(
+    'basilspindle_leader_changes_total',
+    'Times that this daemon began or ceased to lead.',
+    ['change'],
+)
+CONFIGURATION_VERSION = prometheus.Gauge(
+    'basilspindle_configuration_version',
+    'Version of the configuration in force.',
+)
+LIVE_JOBS = prometheus.Gauge(
+    'basilspindle_live_jobs', 'Jobs that the leader holds.'
+)
+WAITING_TASKS = prometheus.Gauge(
+    'basilspindle_waiting_tasks', 'Tasks whose turn has come.'
+)
+LOOP_DELAY_SECONDS = prometheus.Gauge(
+    'basilspindle_loop_delay_seconds',
+    'Latest delay of a timer of the event loop.',
+)
+DROPPED_LINES = prometheus.Counter(
+    'basilspindle_log_lines_dropped_total',
+    'Log lines that were counted instead of written.',
+)
+
+
+def render() -> bytes:
+    """Return all metrics in the text format."""
+    return prometheus.generate_latest()
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -12,6 +12,8 @@
 from basilspindle.cell import leader as leader_module
 from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
+from basilspindle.cell import metrics
+from basilspindle.cell import overview
 from basilspindle.cell import ports
 from basilspindle.cell import term_index
 from basilspindle.cell import terms as terms_module
@@ -117,6 +119,12 @@
     def _leads(self) -> bool:
         return self.leader is not None and self.leader.ready
 
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state for operators."""
+        return overview.dump(
+            self._identity.node, self._version(), self.is_ready, self.leader
+        )
+
     async def stop(self) -> None:
         """Hand leadership over; requests are still forwarded."""
         self.stopping = True
@@ -240,7 +248,7 @@
         try:
             async with leader:
                 for link in self._links:
-                    leader.add_link(link)
+                    leader.advice_calls.add_link(link)
                 if self.index is not None:
                     leader.configure(self.index)
                 self._election.notify()
@@ -282,6 +290,7 @@
         if terms.version <= self._version():
             return
         self.index = term_index.TermIndex(terms)
+        metrics.CONFIGURATION_VERSION.set(terms.version)
         events.emit(cell_events.CONFIGURATION_IN_FORCE, version=terms.version)
         if self.leader is not None:
             self.leader.configure(self.index)
@@ -289,12 +298,12 @@
     def _open_link(self, link: link_module.Link) -> None:
         self._links.add(link)
         if self.leader is not None:
-            self.leader.add_link(link)
+            self.leader.advice_calls.add_link(link)
 
     def _close_link(self, link: link_module.Link) -> None:
         self._links.discard(link)
         if self.leader is not None:
-            self.leader.remove_link(link)
+            self.leader.advice_calls.remove_link(link)
 
     async def _guard(
         self,
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -242,7 +242,6 @@
 
 
 def apply_advice(
-    state: state_module.CellState,
     run: step_run_module.StepRun,
     asked: list[str],
     tickets: dict[str, str],
--- /dev/null
+++ b/basilspindle/cell/recorder.py
@@ -0,0 +1,204 @@
+"""Decide what each append carries and what becomes true with it."""
+
+import asyncio
+import collections.abc
+
+from basilspindle.cell import events as cell_events
+from basilspindle.cell import intake as intake_module
+from basilspindle.cell import job_table
+from basilspindle.cell import journal as journal_module
+from basilspindle.cell import metrics
+from basilspindle.cell import state as state_module
+from basilspindle.cell import worker as worker_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle import events
+from basilspindle.workflow import job as job_module
+from basilspindle.workflow import job_state
+from basilspindle.workflow import progress as progress_module
+
+
+class Recorder:
+    """Batches of the journal, and whoever waits for one.
+
+    ``on_first`` is called when jobs were recorded for the first time.
+    """
+
+    __slots__ = (
+        '_state',
+        '_clock',
+        '_intake',
+        '_on_first',
+        '_waiting',
+        '_recorded',
+        'expired',
+        'roster',
+        'roster_changed',
+    )
+
+    def __init__(
+        self,
+        state: state_module.CellState,
+        clock: clock_module.Clock,
+        intake: intake_module.Intake,
+        on_first: collections.abc.Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._intake = intake
+        self._on_first = on_first
+        self._waiting: dict[str, list[asyncio.Future[None]]] = {}
+        self._recorded = asyncio.Event()
+        # Ended jobs whose state need not be known any longer.
+        self.expired: list[str] = []
+        # Addresses of the workers that may run tasks, by worker id.
+        self.roster: dict[str, str] = {}
+        self.roster_changed = False
+
+    def recover(self, recovered: journal_module.Recovered) -> None:
+        """Take over what an earlier leader recorded."""
+        now_ms = self._clock.now_ms()
+        wall_ms = self._clock.wall_ms()
+        state = self._state
+        for definition, progress in recovered.jobs:
+            job = progress_module.restore(
+                definition, progress, now_ms, wall_ms
+            )
+            self._intake.adopt(job, now_ms)
+        state.changed.clear()
+        for job_id, final in recovered.finals.items():
+            state.table.ended[job_id] = job_table.EndedJob(
+                final.workspace, final.queue, final.state, final.ended_wall_ms
+            )
+        self.roster = dict(recovered.roster)
+
+    def collect(self) -> journal_module.Batch:
+        """Return the records of the next append."""
+        batch = journal_module.Batch()
+        wall_ms = self._clock.wall_ms()
+        for worker in self._state.workers.values():
+            if worker.noted_end != worker.durable_end:
+                batch.ends[worker.worker_id] = (
+                    worker.born_wall_ms,
+                    worker.noted_end,
+                )
+        for job_id in list(self._state.changed):
+            job = self._state.changed.pop(job_id)
+            journal_module.put_job(batch, job, wall_ms)
+            if journal_module.is_full(batch):
+                # Ends of jobs that are left must not be acknowledged.
+                batch.ends.clear()
+                break
+        for job_id in self.expired:
+            journal_module.put_expired(batch, job_id)
+        self.expired = []
+        if self.roster_changed:
+            self.roster_changed = False
+            journal_module.put_roster(batch, self.roster)
+        return batch
+
+    def apply(self, batch: journal_module.Batch) -> None:
+        """Take in that an append is confirmed."""
+        first = False
+        for job, state in batch.jobs:
+            first |= job.durable_state is None
+            self._apply_job(job, state)
+        for worker_id, (born_wall_ms, number) in batch.ends.items():
+            worker = self._state.workers.get(worker_id)
+            if worker is not None and worker.born_wall_ms == born_wall_ms:
+                worker.durable_end = max(worker.durable_end, number)
+        recorded, self._recorded = self._recorded, asyncio.Event()
+        recorded.set()
+        if first:
+            self._on_first()
+
+    def _apply_job(
+        self, job: job_module.Job, state: job_state.JobState
+    ) -> None:
+        took_ms = self._clock.now_ms() - job.accepted_ms
+        if job.durable_state is None:
+            metrics.ACCEPT_SECONDS.observe(took_ms / 1000)
+            events.emit(
+                cell_events.JOB_ACCEPTED,
+                job=job.job_id,
+                queue=job.definition.queue,
+                workspace=job.definition.workspace,
+                took_ms=took_ms,
+            )
+        if state.is_final and job.durable_state is not state:
+            metrics.JOBS_ENDED.labels(state.value).inc()
+            metrics.JOB_SECONDS.observe(took_ms / 1000)
+            events.emit(
+                cell_events.JOB_ENDED,
+                job=job.job_id,
+                state=state,
+                took_ms=took_ms,
+            )
+        job.durable_state = state
+        if state.is_final and not job.occupied:
+            self.forget(job)
+        if state.is_final or not job.state.is_final:
+            for future in self._waiting.pop(job.job_id, ()):
+                if not future.done():
+                    future.set_result(None)
+
+    def forget(self, job: job_module.Job) -> None:
+        """Keep only the state of an ended job."""
+        self._state.table.end(job, job.final_wall_ms)
+        self._state.objectives.pop(job.job_id, None)
+
+    def forget_ended(self) -> None:
+        """Forget the recorded ended jobs that occupy no worker any more."""
+        ended = [
+            job
+            for job in self._state.table.jobs.values()
+            if job.durable_state is not None
+            and job.durable_state.is_final
+            and not job.occupied
+            and job.job_id not in self._state.changed
+        ]
+        for job in ended:
+            self.forget(job)
+
+    async def wait_for_job(self, job: job_module.Job, timeout_ms: int) -> None:
+        """Wait until the log holds a job as it is decided.
+
+        Raises ``NotReady`` if the job was withdrawn, ``Deposed`` if the
+        leader changed and ``DeadlineExceeded``.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.setdefault(job.job_id, []).append(future)
+        await self._clock.wait_ms(future, timeout_ms)
+
+    async def wait_for_ends(
+        self, worker: worker_module.Worker, timeout_ms: int
+    ) -> None:
+        """Wait until the log holds all ends of a worker, within a bound."""
+        until_ms = self._clock.now_ms() + timeout_ms
+        while worker.noted_end != worker.durable_end:
+            left_ms = until_ms - self._clock.now_ms()
+            try:
+                await self._clock.wait_ms(self._recorded.wait(), left_ms)
+            except errors.DeadlineExceeded:
+                # The ends are reported again; nothing is lost by going on.
+                return
+
+    def withdraw_new(self) -> None:
+        """Refuse the jobs that no append has taken up."""
+        for job_id in list(self._waiting):
+            job = self._state.table.jobs.get(job_id)
+            if job is None or not self._intake.withdraw(job):
+                continue
+            self._fail(job_id, errors.NotReady('the store does not answer'))
+
+    def close(self) -> None:
+        """Tell whoever waits that the leader changed."""
+        for job_id in list(self._waiting):
+            self._fail(job_id, errors.Deposed('the leader changed; ask again'))
+
+    def _fail(self, job_id: str, error: errors.BasilspindleError) -> None:
+        for future in self._waiting.pop(job_id):
+            if not future.done():
+                future.set_exception(error)
+                # The waiter may have given up; then nobody asks for it.
+                future.exception()
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -108,7 +108,7 @@
 
     def open(self) -> None:
         """Begin to renew the lease."""
-        self._task = asyncio.ensure_future(self._renew_forever())
+        self._task = asyncio.ensure_future(self._guard())
 
     def close(self) -> None:
         """Stop renewing and forget orders under way."""
@@ -140,6 +140,18 @@
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
 
+    async def _guard(self) -> None:
+        try:
+            await self._renew_forever()
+        except Exception as error:
+            events.emit(
+                cell_events.INTERNAL_FAULT,
+                part='session',
+                worker=self.worker.worker_id,
+                error=repr(error),
+            )
+            self._owner.lose_leadership('a session failed')
+
     async def _renew_forever(self) -> None:
         pause_ms = _RETRY_MIN_MS
         while True:
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -107,6 +107,7 @@
         task.state = state
         task.worker_id = worker.worker_id
         task.run = run
+        task.stop_sent_ms = 0
         task.percent = task.sampled_ms = task.sampled_percent = 0
         worker.take(task)
         job.occupied.add(task)
--- a/basilspindle/cli/program.py
+++ b/basilspindle/cli/program.py
@@ -10,9 +10,11 @@
 
 _COMMANDS = {
     'config': 'Check, show and publish the configuration.',
+    'explain': 'Tell the story of one job from log files.',
     'job': 'Submit, list, show, wait for and cancel jobs.',
     'key': 'Generate, add and withdraw keys.',
     'run': 'Submit a request and wait for its result.',
+    'settings': 'Check a settings file of either format.',
     'state': 'Show the state of a daemon.',
     'team': 'List teams and set their shares and limits.',
     'worker': 'List, drain and undrain workers.',
--- a/basilspindle/events/__init__.py
+++ b/basilspindle/events/__init__.py
@@ -1,13 +1,14 @@
 """Log numbered events; docs/events.md is the catalogue.
 
-Numbers: 1xx daemon, 2xx config, 3xx journal, 4xx cluster, 5xx peer,
-6xx fleet, 7xx coordinator, 8xx routing and api. Each package defines its
-own events in its ``events`` module.
+Numbers: below 100 the log itself, 1xx daemon, 2xx config, 3xx journal,
+4xx cluster, 5xx peer, 6xx fleet, 7xx coordinator, 8xx routing and api, 9xx
+cell. Each package defines its own events in its ``events`` module.
 """
 
 from basilspindle.events.emit import emit
 from basilspindle.events.emit import open_log
+from basilspindle.events.emit import report_suppressed
 from basilspindle.events.event import Event
 from basilspindle.events.event import Level
 
-__all__ = ['Event', 'Level', 'emit', 'open_log']
+__all__ = ['Event', 'Level', 'emit', 'open_log', 'report_suppressed']
--- a/basilspindle/events/emit.py
+++ b/basilspindle/events/emit.py
@@ -1,11 +1,42 @@
 """Write events as one JSON object a line."""
 
+import io
 import typing
 
 import loguru
 import msgspec
 
 from basilspindle.events import event as event_module
+from basilspindle.events import limiter as limiter_module
+from basilspindle.events import sink as sink_module
+
+LINES_SUPPRESSED = event_module.Event(
+    10,
+    'lines_suppressed',
+    event_module.Level.WARNING,
+    'lines of an event beyond the bound of a second were counted only',
+    'nothing to do; the counters have all of them',
+)
+LINES_DROPPED = event_module.Event(
+    11,
+    'lines_dropped',
+    event_module.Level.WARNING,
+    'lines were lost because the reader of the log was too slow',
+    'check what reads the standard output',
+)
+
+
+class _Output:
+    """Where the events of this process go."""
+
+    __slots__ = ('limiter', 'sink')
+
+    def __init__(self) -> None:
+        self.limiter = limiter_module.Limiter()
+        self.sink: sink_module.Sink | None = None
+
+
+_output = _Output()
 
 
 def _format(record: typing.Any) -> str:
@@ -26,16 +57,53 @@
 
 
 def open_log(stream: typing.TextIO, level: str = 'INFO') -> None:
-    """Send all events of this process to a text stream."""
+    """Send all events of this process to a text stream.
+
+    A stream with a descriptor is never waited for: lines that its reader
+    does not take in time are counted and dropped.
+    """
     loguru.logger.remove()
-    loguru.logger.add(stream, format=_format, level=level)
+    _output.limiter = limiter_module.Limiter()
+    _output.sink = None
+    target: typing.Any = stream
+    try:
+        _output.sink = sink_module.Sink(stream)
+        target = _output.sink.write
+    except (io.UnsupportedOperation, AttributeError):
+        # A stream in memory never blocks.
+        target = stream
+    loguru.logger.add(target, format=_format, level=level)
+
+
+def dropped_lines() -> int:
+    """Return the lines lost since the last ``lines_dropped`` event."""
+    return _output.sink.dropped if _output.sink is not None else 0
 
 
 def emit(event: event_module.Event, **fields: typing.Any) -> None:
     """Log one event; fields carry their unit as a suffix.
 
-    Keys and inputs of tasks must never be passed as fields.
+    Keys and inputs of tasks must never be passed as fields. Beyond a bound
+    a second, lines of one event are counted instead.
     """
+    if not _output.limiter.allows(event.number):
+        return
+    sink = _output.sink
+    if sink is not None and sink.dropped:
+        sink.flush()
+        lost, sink.dropped = sink.dropped, 0
+        _write(LINES_DROPPED, {'lines': lost})
+    _write(event, fields)
+
+
+def report_suppressed() -> None:
+    """Log how many lines were counted instead of written."""
+    for number, lines in _output.limiter.take_suppressed().items():
+        name = event_module.Event.catalogue[number].name
+        _write(LINES_SUPPRESSED, {'of': name, 'lines': lines})
+
+
+def _write(event: event_module.Event, fields: dict[str, typing.Any]) -> None:
     loguru.logger.bind(event=event.number, name=event.name, fields=fields).log(
         event.level.value, event.text
     )
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -7,6 +7,7 @@
 import httptools
 
 from basilspindle.cell import link as link_module
+from basilspindle.cell import metrics
 from basilspindle import errors
 
 _CONNECT_MS = 800
@@ -115,9 +116,11 @@
 class Client:
     """Keep connections to many servers; the one client of the platform."""
 
-    __slots__ = ('_idle', '_loop', '_silent_s')
+    __slots__ = ('_idle', '_loop', '_silent_s', '_names')
 
-    def __init__(self) -> None:
+    def __init__(self, names: dict[str, str] | None = None) -> None:
+        # Names of dependencies by address, for metrics.
+        self._names = names or {}
         self._idle: dict[str, collections.deque[_Connection]] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
         # When a server last left a request unanswered.
@@ -133,6 +136,10 @@
                 connection.close()
         self._idle.clear()
 
+    def name_of(self, address: str) -> str:
+        """Return the dependency at an address; most are workers."""
+        return self._names.get(address, 'worker')
+
     def forget(self, address: str) -> None:
         """Close the idle connections to a server."""
         for connection in self._idle.pop(address, ()):
@@ -150,6 +157,7 @@
         content_type: str = 'application/json',
     ) -> Answer:
         """Return the response; raises ``CallFailed`` without one."""
+        begun_s = self._now_s()
         data = _encode(address, method, path, body, headers, content_type)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -164,11 +172,15 @@
             # another timeout.
             self.forget(address)
             self._silent_s[address] = self._now_s()
+            metrics.CALL_FAILURES.labels(self.name_of(address)).inc()
             raise CallFailed(
                 f'no response from {address} within {timeout_ms} ms; check '
                 'that it runs and is reachable',
                 sent=True,
             ) from None
+        metrics.CALL_SECONDS.labels(self.name_of(address)).observe(
+            self._now_s() - begun_s
+        )
         if connection.made_s < self._silent_s.get(address, 0.0):
             # Made before the server went silent: it may be next to do so.
             connection.close()
--- a/basilspindle/platform/front.py
+++ b/basilspindle/platform/front.py
@@ -9,6 +9,7 @@
 
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import messages
+from basilspindle.cell import metrics
 from basilspindle.cell import node as node_module
 from basilspindle.cell import terms as terms_module
 from basilspindle import clock as clock_module
@@ -72,11 +73,17 @@
         if scope['type'] != 'http':
             return
         self.in_flight += 1
+        begun_ms = self._clock.now_ms()
         try:
             if scope['path'] == _READY_PATH:
                 response = Response(200 if self._node.is_ready else 503)
             else:
                 response = await self._answer(scope, receive)
+                took_ms = self._clock.now_ms() - begun_ms
+                metrics.REQUEST_SECONDS.observe(took_ms / 1000)
+                metrics.REQUESTS.labels(
+                    scope['method'], str(response.status)
+                ).inc()
             await _respond(send, response, self._node.stopping)
         finally:
             self.in_flight -= 1
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -17,6 +17,7 @@
 from basilspindle.platform import configuration
 from basilspindle.platform import front as front_module
 from basilspindle.platform import listener
+from basilspindle.platform import operations
 from basilspindle.platform import registry as registry_module
 from basilspindle.platform import store as store_module
 from basilspindle.platform import workers as workers_module
@@ -57,7 +58,8 @@
         boot.failure_domain,
         boot.leads_last,
     )
-    async with client_module.Client() as client:
+    names = {boot.store_address: 'store', boot.advice_address: 'advice'}
+    async with client_module.Client(names) as client:
         store = store_module.LogStore(client, boot.store_address)
         platform = node_module.Platform(
             store,
@@ -72,7 +74,16 @@
             node,
             listener.Listener(front, boot.caller_address),
             listener.Listener(front, boot.readiness_address),
+            listener.Listener(
+                operations.Operations(node), boot.metrics_address
+            ),
         ):
+            loop.add_signal_handler(
+                signal.SIGUSR1,
+                lambda: events.emit(
+                    cell_events.STATE_DUMPED, state=node.dump()
+                ),
+            )
             events.emit(
                 cell_events.NODE_STARTED,
                 node=boot.node,
--- /dev/null
+++ b/basilspindle/platform/operations.py
@@ -0,0 +1,44 @@
+"""Serve metrics and the state dump to operators."""
+
+import typing
+
+import msgspec
+
+from basilspindle.cell import metrics
+from basilspindle.cell import node as node_module
+
+_TEXT = b'text/plain; version=0.0.4; charset=utf-8'
+_JSON = b'application/json'
+
+
+class Operations:
+    """The ASGI application on the metrics address."""
+
+    __slots__ = ('_node',)
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+
+    async def __call__(
+        self, scope: dict[str, typing.Any], receive: object, send: typing.Any
+    ) -> None:
+        """Answer one request."""
+        if scope['type'] != 'http':
+            return
+        status, kind, body = 404, _JSON, b'{"error":"use /metrics or /state"}'
+        if scope['path'] == '/metrics':
+            status, kind, body = 200, _TEXT, metrics.render()
+        elif scope['path'] == '/state':
+            status, body = 200, msgspec.json.encode(self._node.dump())
+        headers = [
+            (b'content-type', kind),
+            (b'content-length', str(len(body)).encode()),
+        ]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -20,7 +20,6 @@
 
     def advise(self, order, *good):
         plan_module.apply_advice(
-            self.state,
             order.step_run,
             order.worker_ids,
             {name: f't-{name}' for name in good},
