Test the whole path with processes against a stand-in of the platform

Change: a stand-in of the store, workers, advice and operator on loopback with faults (silent, reset, lost, late, status); 13 tests with real daemons: kill, pause, all killed, planned stop, silent store, lost answers, late orders, dropped history, withdrawn key, cancellation, bad input.

--- /dev/null
+++ b/tests/platform_case.py
@@ -0,0 +1,261 @@
+"""Run daemons as processes against the stand-in of the platform."""
+
+import asyncio
+import collections
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+import typing
+import unittest
+
+import httpx
+
+from tests.standins import platform
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_START_S = 20.0
+HOST = 'h.example'
+_SETTINGS = """
+node = "{node}"
+ip = "127.0.0.1"
+zone = "a"
+port_range = [{link}, {metrics}]
+advice = "{advice}"
+[listen_addrs]
+frontend_addr = "127.0.0.1:{front}"
+readiness_addr = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 1.0
+cores = 2
+link_mbps = 1000.0
+[bounds]
+grace_s = 6
+hold_max_ms = 10000
+stop_ms = 200
+gang_ms = 3000
+status_s = 120
+[platform]
+address = "{store}"
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(('127.0.0.1', 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Daemon:
+    """One process of the product; it may be killed and started again."""
+
+    def __init__(
+        self, node: str, folder: pathlib.Path, store: str, advice: str
+    ) -> None:
+        self.node = node
+        link, metrics, self.front, self.ready = free_ports(4)
+        self.metrics = metrics
+        self._path = folder / f'{node}.toml'
+        self._path.write_text(
+            _SETTINGS.format(
+                node=node,
+                link=link,
+                metrics=metrics,
+                front=self.front,
+                ready=self.ready,
+                store=store,
+                advice=advice,
+            )
+        )
+        self.log_path = folder / f'{node}.log'
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log_path.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'basilspindle.platform.main',
+                cwd=_ROOT,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'BASILSPINDLE_BOOT': str(self._path)},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """A store, workers, advice and daemons on loopback."""
+
+    daemons_wanted = 3
+    workers_wanted = 3
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.store = platform.StandinStore()
+        self.advice = platform.StandinAdvice()
+        await self.enterAsyncContext(self.store)
+        await self.enterAsyncContext(self.advice)
+        self.store.put('keyed.op', 'config', platform.make_configuration())
+        self.workers = [
+            platform.StandinWorker(f'w{number}', self.store)
+            for number in range(self.workers_wanted)
+        ]
+        for worker in self.workers:
+            await self.enterAsyncContext(worker)
+        self.daemons = [
+            Daemon(
+                f'd{number}',
+                self.folder,
+                self.store.server.address,
+                self.advice.server.address,
+            )
+            for number in range(self.daemons_wanted)
+        ]
+        for daemon in self.daemons:
+            self.addAsyncCleanup(daemon.kill)
+            await daemon.start()
+        self.client = await self.enterAsyncContext(
+            httpx.AsyncClient(timeout=5.0)
+        )
+        for daemon in self.daemons:
+            await self.wait_ready(daemon)
+
+    async def wait_ready(self, daemon: Daemon) -> None:
+        """Wait until a daemon takes callers."""
+        url = f'http://127.0.0.1:{daemon.ready}/basilspindle/ready'
+        limit_s = time.monotonic() + _START_S
+        while time.monotonic() < limit_s:
+            try:
+                if (await self.client.get(url)).status_code == 200:
+                    return
+            except httpx.TransportError:
+                # It does not listen yet.
+                pass
+            await asyncio.sleep(0.05)
+        self.fail(f'{daemon.node} is not ready: {daemon.log_path.read_text()}')
+
+    async def call(
+        self,
+        method: str,
+        daemon: Daemon,
+        job_id: str = '',
+        body: object = None,
+        key: str = 'key-a',
+        queue: str = 'jobs',
+    ) -> httpx.Response:
+        """Send one request of a caller."""
+        return await self.client.request(
+            method,
+            f'http://127.0.0.1:{daemon.front}/{queue}/{job_id}',
+            json=body,
+            headers={
+                'Host': HOST,
+                'Authorization': f'Bearer {key}',
+                'X-Deadline-Ms': '3000',
+            },
+        )
+
+    async def call_any(
+        self, method: str, job_id: str, body: object = None
+    ) -> int:
+        """Send a request until one daemon answers; returns the status."""
+        limit_s = time.monotonic() + _START_S
+        while time.monotonic() < limit_s:
+            for daemon in self.daemons:
+                try:
+                    answer = await self.call(method, daemon, job_id, body)
+                except httpx.TransportError:
+                    continue
+                if answer.status_code not in (502, 503, 504):
+                    return answer.status_code
+            await asyncio.sleep(0.1)
+        self.fail(f'no daemon answered {method} {job_id}')
+
+    async def wait_state(self, job_id: str, *states: str) -> str:
+        """Wait until any daemon shows a job in one of the states."""
+        limit_s = time.monotonic() + _START_S
+        seen = ''
+        while time.monotonic() < limit_s:
+            for daemon in self.daemons:
+                try:
+                    answer = await self.call('GET', daemon, job_id)
+                except httpx.TransportError:
+                    continue
+                if answer.status_code == 410:
+                    self.fail(f'{job_id} is lost')
+                if answer.status_code == 200:
+                    seen = answer.json()['state']
+                    if seen in states:
+                        return seen
+            await asyncio.sleep(0.05)
+        self.fail(f'{job_id} is {seen}, not {states}')
+
+    def leader(self) -> Daemon:
+        """Return the daemon that leads by its log."""
+        found = [
+            (text.rfind('"name":"leader_ready"'), daemon)
+            for daemon in self.daemons
+            if (text := daemon.log_path.read_text())
+            and text.rfind('"name":"leader_ready"')
+            > text.rfind('"name":"leader_lost"')
+            and daemon.process is not None
+            and daemon.process.returncode is None
+        ]
+        self.assertTrue(found, 'no daemon leads')
+        return found[0][1]
+
+    def check_runs(self) -> None:
+        """Check that no task ran twice at once or again after its end."""
+        rows = sorted(
+            (row for worker in self.workers for row in worker.history),
+        )
+        running: typing.Counter[str] = collections.Counter()
+        done: set[str] = set()
+        for _, what, name, _ in rows:
+            if what == 'start':
+                self.assertNotIn(name, done, f'{name} ran again: {rows}')
+                running[name] += 1
+                self.assertEqual(1, running[name], f'{name} runs twice')
+            else:
+                running[name] -= 1
+                if what == 'done':
+                    done.add(name)
+
+
+def make_job(duration_ms: int, *counts: int) -> dict[str, object]:
+    """Return a job whose steps follow each other."""
+    steps: list[dict[str, object]] = []
+    for index, count in enumerate(counts):
+        step: dict[str, object] = {
+            'count': count,
+            'cpu': 1000,
+            'mem_mb': 10,
+            'estimate_ms': duration_ms,
+        }
+        if index:
+            step['after'] = [index - 1]
+        steps.append(step)
+    return {'spec': str(duration_ms), 'steps': steps}
--- /dev/null
+++ b/tests/standins/platform/__init__.py
@@ -0,0 +1,15 @@
+"""Stand in for the users' platform on loopback."""
+
+from tests.standins.platform.advice import StandinAdvice
+from tests.standins.platform.operator import make_configuration
+from tests.standins.platform.server import Server
+from tests.standins.platform.store import StandinStore
+from tests.standins.platform.worker import StandinWorker
+
+__all__ = [
+    'Server',
+    'StandinAdvice',
+    'StandinStore',
+    'StandinWorker',
+    'make_configuration',
+]
--- /dev/null
+++ b/tests/standins/platform/server.py
@@ -0,0 +1,155 @@
+"""Serve a stand-in over HTTP on loopback, with faults."""
+
+import asyncio
+import collections.abc
+import json
+import typing
+import urllib.parse
+
+import httptools
+
+
+class Reply(typing.NamedTuple):
+    """Status and body of a response."""
+
+    status: int
+    body: bytes = b'{}'
+
+
+class Request(typing.NamedTuple):
+    """One request, its query decoded."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> typing.Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+# Returns what happens to a request: '' serves it, 'silent' answers nothing,
+# 'reset' ends the connection, 'lost' serves it and answers nothing, 'late'
+# serves it a second later and answers nothing, a number is a status.
+Fault = collections.abc.Callable[[Request], str]
+Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Reply]]
+
+
+class Server:
+    """An HTTP server whose requests meet set faults."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.fault: Fault = lambda request: ''
+        self.requests: list[Request] = []
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self.connections: set[_Connection] = set()
+        self.late: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        """Return host and port."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    async def __aenter__(self) -> typing.Self:
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self), '127.0.0.1', 0
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        for connection in list(self.connections):
+            connection.close()
+        for task in self.late:
+            task.cancel()
+
+    async def serve(self, request: Request) -> Reply | None:
+        """Return the reply to a request, None for silence."""
+        self.requests.append(request)
+        fault = self.fault(request)
+        if fault == 'silent':
+            return None
+        if fault == 'reset':
+            raise ConnectionResetError
+        if fault.isdigit():
+            return Reply(int(fault))
+        if fault == 'late':
+            task = asyncio.ensure_future(self._serve_late(request))
+            self.late.add(task)
+            return None
+        reply = await self._handler(request)
+        return None if fault == 'lost' else reply
+
+    async def _serve_late(self, request: Request) -> None:
+        await asyncio.sleep(1)
+        await self._handler(request)
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        self._url = b''
+        self._headers: dict[str, str] = {}
+        self._body = b''
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+
+    def close(self) -> None:
+        assert self._transport is not None
+        self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        parsed = urllib.parse.urlsplit(self._url.decode())
+        request = Request(
+            self._parser.get_method().decode(),
+            parsed.path,
+            dict(urllib.parse.parse_qsl(parsed.query)),
+            self._headers,
+            self._body,
+        )
+        self._begin()
+        asyncio.ensure_future(self._answer(request))
+
+    async def _answer(self, request: Request) -> None:
+        assert self._transport is not None
+        try:
+            reply = await self._server.serve(request)
+        except ConnectionResetError:
+            self.close()
+            return
+        if reply is None:
+            return
+        head = (
+            f'HTTP/1.1 {reply.status} X\r\n'
+            f'Content-Length: {len(reply.body)}\r\n\r\n'
+        )
+        self._transport.write(head.encode() + reply.body)
--- /dev/null
+++ b/tests/standins/platform/store.py
@@ -0,0 +1,181 @@
+"""Stand in for the platform's log with keyed topics."""
+
+import asyncio
+import base64
+import json
+import struct
+
+from tests.standins.platform import server as server_module
+
+_PAGE = 500
+
+
+class _Partition:
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.first = 0
+        self.epoch = -1
+        self.next_seq: int | None = None
+        self.answers: dict[int, bytes] = {}
+        self.grown = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class StandinStore:
+    """One partition a topic; histories may be dropped at any time."""
+
+    def __init__(self) -> None:
+        self._topics: dict[str, _Partition] = {}
+        # The newest value of each key, kept also when records are dropped.
+        self.newest: dict[str, dict[str, tuple[bytes, int]]] = {}
+        self.server = server_module.Server(self._handle)
+
+    async def __aenter__(self) -> 'StandinStore':
+        await self.server.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.server.__aexit__(*error)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append as the operator or a worker does."""
+        self._append(self._topic(topic), topic, [(key, value)])
+
+    def drop_history(self) -> None:
+        """Forget all records but the newest of each key."""
+        for partition in self._topics.values():
+            partition.first = partition.end
+            partition.records = []
+            partition.grown.set()
+
+    def _topic(self, topic: str) -> _Partition:
+        if topic not in self._topics:
+            self._topics[topic] = _Partition()
+            self.newest[topic] = {}
+        return self._topics[topic]
+
+    def _append(
+        self,
+        partition: _Partition,
+        topic: str,
+        records: list[tuple[str, bytes]],
+    ) -> int:
+        offset = partition.end
+        for key, value in records:
+            newest = self.newest[topic]
+            if value:
+                newest[key] = (value, partition.end)
+            else:
+                newest.pop(key, None)
+            partition.records.append((key, value))
+        grown, partition.grown = partition.grown, asyncio.Event()
+        grown.set()
+        return offset
+
+    async def _handle(
+        self, request: server_module.Request
+    ) -> server_module.Reply:
+        call = request.path.rpartition('/')[2]
+        topic = request.query['topic']
+        if call == 'log-append':
+            return self._serve_append(request, topic)
+        if call == 'log-newest':
+            return self._serve_newest(request, topic)
+        return await self._serve_read(request, topic)
+
+    def _serve_append(
+        self, request: server_module.Request, topic: str
+    ) -> server_module.Reply:
+        partition = self._topic(topic)
+        query = request.query
+        if 'at' in query and int(query['at']) != partition.end:
+            return _reply(412, {'end': partition.end})
+        records = _split(request.body)
+        if 'producer' not in query:
+            offset = self._append(partition, topic, records)
+            return _reply(200, {'offset': offset, 'end': partition.end})
+        epoch = int(query['epoch'])
+        if epoch < partition.epoch:
+            return _reply(409, {'reason': 'fenced'})
+        if epoch > partition.epoch:
+            partition.epoch = epoch
+            partition.next_seq = None
+            partition.answers = {}
+        if not records:
+            return _reply(200, {'offset': partition.end})
+        seq = int(query['seq'])
+        if seq in partition.answers:
+            return server_module.Reply(200, partition.answers[seq])
+        if partition.next_seq not in (None, seq):
+            return _reply(
+                409, {'reason': 'seq', 'expected': partition.next_seq}
+            )
+        partition.next_seq = seq + 1
+        offset = self._append(partition, topic, records)
+        answer = _reply(200, {'offset': offset, 'end': partition.end})
+        partition.answers[seq] = answer.body
+        for old in sorted(partition.answers)[:-5]:
+            del partition.answers[old]
+        return answer
+
+    def _serve_newest(
+        self, request: server_module.Request, topic: str
+    ) -> server_module.Reply:
+        partition = self._topic(topic)
+        after = request.query.get('after', '')
+        rows = sorted(
+            (key, row)
+            for key, row in self.newest[topic].items()
+            if key > after
+        )
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'offset': offset,
+            }
+            for key, (value, offset) in rows[:_PAGE]
+        ]
+        more = len(rows) > _PAGE
+        return _reply(
+            200, {'items': items, 'more': more, 'end': partition.end}
+        )
+
+    async def _serve_read(
+        self, request: server_module.Request, topic: str
+    ) -> server_module.Reply:
+        partition = self._topic(topic)
+        start = int(request.query['from'])
+        wait_ms = int(request.query.get('wait_ms', 0))
+        if start < partition.first:
+            return _reply(410, {'first': partition.first})
+        if start >= partition.end and wait_ms:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await partition.grown.wait()
+            except TimeoutError:
+                pass
+        if start < partition.first:
+            return _reply(410, {'first': partition.first})
+        body = struct.pack('>QQ', partition.end, partition.first)
+        for key, value in partition.records[start - partition.first :]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += struct.pack('>I', len(content)) + content
+        return server_module.Reply(200, body)
+
+
+def _split(body: bytes) -> list[tuple[str, bytes]]:
+    records = []
+    while body:
+        (length,) = struct.unpack_from('>I', body)
+        content, body = body[4 : 4 + length], body[4 + length :]
+        size = content[0]
+        records.append((content[1 : 1 + size].decode(), content[1 + size :]))
+    return records
+
+
+def _reply(status: int, value: dict[str, object]) -> server_module.Reply:
+    return server_module.Reply(status, json.dumps(value).encode())
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,228 @@
+"""Guard the whole path on the platform with real processes."""
+
+import asyncio
+import signal
+import time
+
+from tests import platform_case
+from tests.standins import platform
+
+_JOB = '00000000000000{:02x}'
+
+
+class PathTest(platform_case.PlatformCase):
+    """Guard what callers see of a calm cell."""
+
+    async def test_a_job_runs_and_is_shown_by_every_daemon(self):
+        """Guard against a daemon that answers for itself only."""
+        job_id = _JOB.format(1)
+        body = platform_case.make_job(100, 3, 1)
+        answer = await self.call('POST', self.daemons[0], job_id, body)
+        self.assertEqual(200, answer.status_code)
+        # The same job again, elsewhere: it stays one job.
+        answer = await self.call('POST', self.daemons[1], job_id, body)
+        self.assertEqual(200, answer.status_code)
+        await self.wait_state(job_id, 'completed')
+        for daemon in self.daemons:
+            answer = await self.call('GET', daemon, job_id)
+            self.assertEqual('completed', answer.json()['state'])
+        self.check_runs()
+        starts = [
+            row
+            for worker in self.workers
+            for row in worker.history
+            if row[1] == 'start'
+        ]
+        self.assertEqual(4, len(starts))
+
+    async def test_bad_input_gets_a_clear_error(self):
+        """Guard against jobs that are kept although they are wrong."""
+        daemon = self.daemons[0]
+        cases = [
+            ('POST', 'xyz', {}, 'key-a', 404),
+            ('POST', _JOB.format(2), {'steps': []}, 'key-a', 400),
+            ('POST', _JOB.format(2), {'steps': [{'count': 0}]}, 'key-a', 400),
+            ('POST', _JOB.format(2), platform_case.make_job(9, 1), 'x', 401),
+            ('GET', _JOB.format(2), None, 'key-a', 410),
+            ('DELETE', _JOB.format(2), None, 'key-a', 410),
+            ('GET', '', None, 'key-a', 200),
+        ]
+        for method, job_id, body, key, status in cases:
+            with self.subTest(method=method, job=job_id, key=key):
+                answer = await self.call(method, daemon, job_id, body, key)
+                self.assertEqual(status, answer.status_code, answer.text)
+        answer = await self.call('GET', daemon, queue='other')
+        self.assertEqual(404, answer.status_code)
+
+    async def test_a_withdrawn_key_stops_working(self):
+        """Guard against a key that outlives its withdrawal."""
+        config = platform.make_configuration(2, keys=('key-b',))
+        self.store.put('keyed.op', 'config', config)
+        await asyncio.sleep(1.5)
+        for daemon in self.daemons:
+            answer = await self.call('GET', daemon, _JOB.format(3))
+            self.assertEqual(401, answer.status_code)
+
+    async def test_cancelling_stops_the_tasks(self):
+        """Guard against tasks that run on after a cancellation."""
+        job_id = _JOB.format(4)
+        body = platform_case.make_job(20_000, 2)
+        await self.call_any('POST', job_id, body)
+        await self.wait_state(job_id, 'running')
+        answer = await self.call('DELETE', self.daemons[2], job_id)
+        self.assertEqual(200, answer.status_code)
+        await self.wait_state(job_id, 'cancelled')
+        limit_s = time.monotonic() + 3
+        while time.monotonic() < limit_s:
+            ends = [
+                row[1]
+                for worker in self.workers
+                for row in worker.history
+                if row[1] != 'start'
+            ]
+            if ends == ['stopped', 'stopped']:
+                return
+            await asyncio.sleep(0.05)
+        self.fail(f'the tasks ended as {ends}')
+
+    async def test_metrics_and_state_are_served(self):
+        """Guard against a daemon that nobody can look into."""
+        daemon = self.leader()
+        base = f'http://127.0.0.1:{daemon.metrics}'
+        metrics = (await self.client.get(f'{base}/metrics')).text
+        self.assertIn('basilspindle_live_jobs', metrics)
+        state = (await self.client.get(f'{base}/state')).json()
+        self.assertTrue(state['leads'])
+        self.assertEqual(3, len(state['workers']))
+
+
+class FailureTest(platform_case.PlatformCase):
+    """Guard accepted work while daemons and the store fail."""
+
+    async def submit(self, first: int, count: int, duration_ms: int):
+        """Hand in jobs and return their ids."""
+        job_ids = [_JOB.format(first + n) for n in range(count)]
+        body = platform_case.make_job(duration_ms, 2)
+        for job_id in job_ids:
+            status = await self.call_any('POST', job_id, body)
+            self.assertEqual(200, status)
+        return job_ids
+
+    async def test_a_killed_leader_loses_and_doubles_nothing(self):
+        """Guard against lost or doubled work after a kill."""
+        job_ids = await self.submit(16, 6, 1_500)
+        leader = self.leader()
+        await leader.kill()
+        job_ids += await self.submit(32, 2, 200)
+        await leader.start()
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
+
+    async def test_a_paused_leader_is_replaced_and_stays_out(self):
+        """Guard against two leaders that both start tasks."""
+        job_ids = await self.submit(16, 4, 1_000)
+        leader = self.leader()
+        leader.send(signal.SIGSTOP)
+        job_ids += await self.submit(32, 2, 200)
+        leader.send(signal.SIGCONT)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
+
+    async def test_all_daemons_killed_at_once(self):
+        """Guard against work that only memory knew of."""
+        job_ids = await self.submit(16, 4, 1_000)
+        for daemon in self.daemons:
+            await daemon.kill()
+        for daemon in self.daemons:
+            await daemon.start()
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
+
+    async def test_a_planned_stop_cuts_nothing_off(self):
+        """Guard against requests that a planned stop cuts off."""
+        leader = self.leader()
+        leader.send(signal.SIGTERM)
+        job_ids = await self.submit(16, 4, 200)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        code = await asyncio.wait_for(leader.process.wait(), 6)
+        self.assertEqual(0, code)
+        self.check_runs()
+
+    async def test_a_silent_store_refuses_at_once_and_truthfully(self):
+        """Guard against requests held until their deadline."""
+        job_ids = await self.submit(16, 2, 300)
+        self.store.server.fault = lambda request: 'silent'
+        await asyncio.sleep(1.5)
+        job_id = _JOB.format(48)
+        body = platform_case.make_job(100, 1)
+        began_s = time.monotonic()
+        answer = await self.call('POST', self.daemons[0], job_id, body)
+        self.assertEqual(503, answer.status_code)
+        self.assertLess(time.monotonic() - began_s, 2.0)
+        self.assertIn('retry-after', answer.headers)
+        self.store.server.fault = lambda request: ''
+        for each in job_ids:
+            await self.wait_state(each, 'completed')
+        await asyncio.sleep(1.0)
+        names = {
+            row[2].partition('.')[0]
+            for worker in self.workers
+            for row in worker.history
+        }
+        self.assertNotIn(job_id, names)
+        self.check_runs()
+
+    async def test_appends_whose_answers_are_lost_count_once(self):
+        """Guard against work doubled or lost with an answer."""
+        lost = iter(range(1_000_000))
+
+        def fault(request):
+            append = request.path.endswith('log-append')
+            return 'lost' if append and next(lost) % 3 == 0 else ''
+
+        self.store.server.fault = fault
+        job_ids = await self.submit(16, 4, 200)
+        self.store.server.fault = lambda request: ''
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
+
+    async def test_starts_without_an_answer_run_once(self):
+        """Guard against orders that workers carry out late."""
+        seen = set()
+
+        def fault(request):
+            if not request.path.endswith('run-start'):
+                return ''
+            name = request.json()['task']
+            if name in seen:
+                return ''
+            seen.add(name)
+            return 'late'
+
+        for worker in self.workers:
+            worker.server.fault = fault
+        job_ids = await self.submit(16, 3, 300)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        await asyncio.sleep(1.2)
+        self.check_runs()
+
+    async def test_a_dropped_history_changes_nothing(self):
+        """Guard against a reader that stops where its offset is gone."""
+        self.store.drop_history()
+        config = platform.make_configuration(5, keys=('key-a', 'key-b'))
+        self.store.put('keyed.op', 'config', config)
+        self.store.drop_history()
+        job_ids = await self.submit(16, 2, 200)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        await asyncio.sleep(1.5)
+        answer = await self.call(
+            'GET', self.daemons[0], job_ids[0], key='key-b'
+        )
+        self.assertEqual(200, answer.status_code)
