Refuse at once while the store is away for all

Ruled out: accepting without a record, since a promise would rest on memory. Change: when a leader's append has been unanswered for 1.2 s without a replacement, refusals pass at once; Retry-After is a quarter of the job's objective, from 1 to 5 s. Conclusion: what binds is that nothing can be accepted meanwhile.

--- a/basilspindle/cell/admission.py
+++ b/basilspindle/cell/admission.py
@@ -16,6 +16,11 @@
 _SPREAD = 0.5
 
 
+# A job has this many tries within its objective while the store is away.
+_OUTAGE_TRIES = 4
+_MAX_OUTAGE_RETRY_MS = 5_000
+
+
 class Backlog:
     """Work that waits ahead of a class, in core-ms, and the fleet's size."""
 
@@ -33,6 +38,18 @@
         return self.waiting_core_ms / self.cores
 
 
+def outage_retry_ms(objective_ms: int) -> int:
+    """Return when to come back while nothing can be recorded.
+
+    How long an outage lasts is not known: short jobs are worth little
+    after it and try soon, long ones spread their tries over their time.
+    """
+    return min(
+        max(objective_ms // _OUTAGE_TRIES, _MIN_RETRY_MS),
+        _MAX_OUTAGE_RETRY_MS,
+    )
+
+
 def refusal_ms(backlog: Backlog, usable_ms: float, job_id: str) -> int | None:
     """Return when to come back, or None to accept the job.
 
--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -57,13 +57,15 @@
 class Election:
     """Follow one leader after another, or lead.
 
-    ``link`` is the connection to the leader while there is one;
+    ``link`` is the connection to the leader while there is one, and
+    ``store_age_ms`` how long its append was unanswered at the last ping;
     ``changed`` is set and replaced whenever that may have changed.
     """
 
     __slots__ = (
         'link',
         'claim',
+        'store_age_ms',
         'changed',
         '_identity',
         '_register',
@@ -92,6 +94,7 @@
     ) -> None:
         self.link: link_module.Link | None = None
         self.claim: claim_module.Claim | None = None
+        self.store_age_ms = 0
         self.changed = asyncio.Event()
         self._identity = identity
         self._register = claim_module.ClaimRegister(store)
@@ -349,6 +352,7 @@
                     node=claim.node,
                     epoch=claim.epoch,
                 )
+            self.store_age_ms = pong.store_age_ms
             if pong.version > self._version():
                 await self._fetch_terms(link)
             if pong.store_age_ms > _STORE_SILENT_MS:
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -4,6 +4,7 @@
 import collections.abc
 import typing
 
+from basilspindle.cell import admission
 from basilspindle.cell import advice_calls
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
@@ -26,10 +27,12 @@
 from basilspindle.cell import starts as starts_module
 from basilspindle.cell import state as state_module
 from basilspindle.cell import term_index
+from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
+from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 
 _TICK_MS = 100
@@ -45,7 +48,6 @@
 _RECORD_WAIT_MS = 10_000
 # Jobs are turned away while an append is unanswered for longer.
 _STORE_SILENT_MS = 600
-_STORE_RETRY_MS = 1_000
 
 
 class Leader:
@@ -180,7 +182,7 @@
         definition = request.definition
         if self.store_age_ms > _STORE_SILENT_MS:
             if not self.state.table.knows(definition.job_id):
-                return _store_silent()
+                return self._refuse_unrecorded(definition)
         try:
             job = self._intake.submit(definition, self._clock.now_ms())
         except errors.BasilspindleError as error:
@@ -200,9 +202,29 @@
         reply = await self._when_recorded(job, request.patience_ms)
         if isinstance(reply, messages.NotLeading):
             if self._intake.withdraw(job):
-                return _store_silent()
+                return self._refuse_unrecorded(definition)
         return reply
 
+    def _refuse_unrecorded(
+        self, definition: definition_module.JobDefinition
+    ) -> messages.Refused:
+        advice = self.state.advice_terms(definition)
+        objective_ms = urgency.objective_ms(definition, advice)
+        retry_after_ms = admission.outage_retry_ms(objective_ms)
+        metrics.REFUSALS.labels('store_silent').inc()
+        events.emit(
+            cell_events.JOB_REFUSED,
+            job=definition.job_id,
+            reason='store_silent',
+            store_age_ms=self.store_age_ms,
+            retry_after_ms=retry_after_ms,
+        )
+        return messages.Refused(
+            errors.NotReady.kind,
+            'the store does not answer; the job was not accepted, come back',
+            retry_after_ms,
+        )
+
     async def _cancel(self, request: messages.Cancel) -> messages.Reply:
         job = self._intake.cancel(request.job_id, request.workspace)
         if job is None:
@@ -220,7 +242,7 @@
         try:
             await self._recorder.wait_for_job(job, patience_ms)
         except errors.NotReady:
-            return _store_silent()
+            return self._refuse_unrecorded(job.definition)
         except (errors.Deposed, errors.DeadlineExceeded):
             # The record may still take effect; the caller's side asks again
             # or says that the outcome is not known.
@@ -437,11 +459,3 @@
                 error=repr(error),
             )
             self.lose_leadership('a part failed')
-
-
-def _store_silent() -> messages.Refused:
-    return messages.Refused(
-        errors.NotReady.kind,
-        'the store does not answer; the job was not accepted, come back',
-        _STORE_RETRY_MS,
-    )
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -27,6 +27,9 @@
 # replacement of a leader that was killed.
 _LEADERLESS_MS = 900
 _RETRY_AFTER_MS = 1_000
+# A leader whose append is unanswered for longer was not replaced, so the
+# store is away for all.
+_STORE_AWAY_MS = 1_200
 
 
 class Platform:
@@ -169,12 +172,20 @@
                 spent_ms = self._clock.now_ms() - begun_ms
                 if not _may_pass(reply) or spent_ms > _LEADERLESS_MS:
                     return reply
+                if self._store_age_ms > _STORE_AWAY_MS:
+                    return reply
                 # Nothing was done, and another leader may do better soon.
                 sent = False
                 await self._wait_change(changed, left_ms, spent_ms)
                 continue
             await self._clock.sleep_ms(_RECONNECT_PAUSE_MS)
 
+    @property
+    def _store_age_ms(self) -> int:
+        if self.leader is not None and self._leads:
+            return self.leader.store_age_ms
+        return self._election.store_age_ms
+
     async def _wait_change(
         self, changed: asyncio.Event, left_ms: int, spent_ms: int
     ) -> None:
