--- a/basilspindle/api/admission.py
+++ b/basilspindle/api/admission.py
@@ -23,7 +23,7 @@
 
 
 class Admission:
-    """Check keys, teams, queues and bounds against one configuration.
+    """Check keys, workspaces, queues and bounds against one configuration.
 
     A configuration is used only while ``store`` is assured that it is the
     latest one.
@@ -60,8 +60,8 @@
             )
         return identity
 
-    def team_of(self, authorization: str, queue: str) -> tuple[str, str]:
-        """Return (team, key id) for work on a queue.
+    def workspace_of(self, authorization: str, queue: str) -> tuple[str, str]:
+        """Return (workspace, key id) for work on a queue.
 
         The key id is '' on an open queue without a key. Raises
         ``KeyInvalid``, ``Forbidden`` and ``ConfigurationStale``.
@@ -69,20 +69,22 @@
         self._store.check_assured()
         settings = self._store.current.document.queues.get(queue)
         if settings is not None and settings.open and not authorization:
-            return settings.team or '', ''
+            return settings.workspace or '', ''
         identity = self.identify(authorization)
-        if not identity.team:
+        if not identity.workspace:
             raise errors.Forbidden(
-                'an operator key does not submit work; use a key of the team'
+                'an operator key does not submit work; use a key of the '
+                'workspace'
             )
-        if settings is None or settings.open or not settings.team:
-            return identity.team, identity.key_id
-        if settings.team != identity.team:
+        if settings is None or settings.open or not settings.workspace:
+            return identity.workspace, identity.key_id
+        if settings.workspace != identity.workspace:
             raise errors.Forbidden(
-                f'queue {queue!r} is not open to team {identity.team!r}; '
+                f'queue {queue!r} is not open to workspace '
+                f'{identity.workspace!r}; '
                 'use another queue'
             )
-        return identity.team, identity.key_id
+        return identity.workspace, identity.key_id
 
     def build(
         self,
@@ -96,18 +98,18 @@
 
         ``waits`` tells whether the caller holds the connection. Raises
         ``BadRequest``, ``TooLarge``, ``NotFound`` and the errors of
-        ``team_of``.
+        ``workspace_of``.
         """
         request = _decode(body)
-        team, key_id = self.team_of(authorization, request.queue)
-        kind = self._kind(request, team)
+        workspace, key_id = self.workspace_of(authorization, request.queue)
+        kind = self._kind(request, workspace)
         idempotent = kind.idempotent and request.idempotent is not False
         _check(request, kind, idempotency_key, self._limits)
         _check_json(request.input)
         durable = not waits or not idempotent or bool(idempotency_key)
         return model.Job(
-            job_id=_job_id(team, key_id, request.queue, idempotency_key),
-            team=team,
+            job_id=_job_id(workspace, key_id, request.queue, idempotency_key),
+            workspace=workspace,
             queue=request.queue,
             kind=request.kind,
             priority=kind.rank(),
@@ -129,21 +131,22 @@
         )
 
     def _kind(
-        self, request: submission_module.Submission, team: str
+        self, request: submission_module.Submission, workspace: str
     ) -> config.Kind:
         document = self._store.current.document
-        settings = document.teams.get(team)
+        settings = document.workspaces.get(workspace)
         allowed = settings.kinds if settings is not None else []
         kind = document.kinds.get(request.kind)
         if kind is None:
             raise errors.NotFound(
-                f'there is no kind {request.kind!r}; the team may submit '
+                f'there is no kind {request.kind!r}; the workspace may submit '
                 f'{", ".join(sorted(allowed)) or "none"}'
             )
         if request.kind not in allowed:
             raise errors.Forbidden(
-                f'team {team!r} may not submit kind {request.kind!r}; ask '
-                'an operator to add it to the team'
+                f'workspace {workspace!r} may not submit kind '
+                f'{request.kind!r}; ask '
+                'an operator to add it to the workspace'
             )
         queue = document.queues.get(request.queue)
         if queue is None and request.queue != _DEFAULT_QUEUE:
@@ -244,15 +247,17 @@
     return default if value is None else value
 
 
-def _job_id(team: str, key_id: str, queue: str, idempotency_key: str) -> str:
-    """Return the same id for the same idempotency key of a team.
+def _job_id(
+    workspace: str, key_id: str, queue: str, idempotency_key: str
+) -> str:
+    """Return the same id for the same idempotency key of a workspace.
 
     Without a key the id is random. On an open queue the callers are not
-    told apart, so their keys are kept apart from those of the team.
+    told apart, so their keys are kept apart from those of the workspace.
     """
     if not idempotency_key:
         return f'r{secrets.token_hex(_DIGEST_BYTES)}'
-    scope = team if key_id else f'{team}/{queue}/open'
+    scope = workspace if key_id else f'{workspace}/{queue}/open'
     text = f'{scope}\0{idempotency_key}'.encode()
     digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES)
     return f'k{digest.hexdigest()}'
--- a/basilspindle/api/callers.py
+++ b/basilspindle/api/callers.py
@@ -23,7 +23,7 @@
     """Confirm an accepted job; ``repeated`` if it was accepted before."""
 
     job_id: str
-    team: str
+    workspace: str
     repeated: bool
 
 
@@ -81,23 +81,25 @@
         )
         reply = await work.submit()
         return SubmittedBody(
-            job_id=reply.job_id, team=job.team, repeated=reply.repeated
+            job_id=reply.job_id,
+            workspace=job.workspace,
+            repeated=reply.repeated,
         )
 
     @litestar.get('/v1/jobs')
     async def list_jobs(
         request: litestar.Request, after: str = '', limit: int | None = None
     ) -> JobListBody:
-        """List the jobs of the key's team."""
-        team = _team(services, request)
+        """List the jobs of the key's workspace."""
+        workspace = _workspace(services, request)
         if limit is None:
             limit = min(_PAGE, most)
         if not 1 <= limit <= most:
             raise errors.BadRequest(f'limit must be from 1 to {most}')
         reply = await services.router.call(
             messages.ListJobs(
-                partition=services.router.partition_of(team),
-                team=team,
+                partition=services.router.partition_of(workspace),
+                workspace=workspace,
                 after=after,
                 limit=limit,
             ),
@@ -116,12 +118,12 @@
         queue: str = 'default',
     ) -> job_body.JobBody:
         """Show a job, waiting up to ``wait_ms`` for its end."""
-        team, key_id = services.admission.team_of(
+        workspace, key_id = services.admission.workspace_of(
             _authorization(request), queue
         )
         look = messages.View(
-            partition=services.router.partition_of(team),
-            team=team,
+            partition=services.router.partition_of(workspace),
+            workspace=workspace,
             job_id=job_id,
             wait_ms=_wait(wait_ms),
         )
@@ -134,10 +136,10 @@
         request: litestar.Request, job_id: str
     ) -> job_body.JobBody:
         """Cancel a job; ended tasks keep their outcome."""
-        team = _team(services, request)
+        workspace = _workspace(services, request)
         cancel = messages.Cancel(
-            partition=services.router.partition_of(team),
-            team=team,
+            partition=services.router.partition_of(workspace),
+            workspace=workspace,
             job_id=job_id,
         )
         return show(await _ask(services, cancel, _SUBMIT_MS))
@@ -204,12 +206,12 @@
         pass
 
 
-def _team(
+def _workspace(
     services: services_module.Services, request: litestar.Request
 ) -> str:
     identity = services.admission.identify(_authorization(request))
-    if not identity.team:
+    if not identity.workspace:
         raise errors.Forbidden(
-            'an operator key has no jobs; use a key of the team'
+            'an operator key has no jobs; use a key of the workspace'
         )
-    return identity.team
+    return identity.workspace
--- a/basilspindle/api/job_body.py
+++ b/basilspindle/api/job_body.py
@@ -17,10 +17,10 @@
 
 
 class JobBody(msgspec.Struct, frozen=True, kw_only=True):
-    """A job as its team sees it."""
+    """A job as its workspace sees it."""
 
     job_id: str
-    team: str
+    workspace: str
     queue: str
     kind: str
     state: model.State
@@ -46,7 +46,7 @@
     ]
     return JobBody(
         job_id=view.job_id,
-        team=view.team,
+        workspace=view.workspace,
         queue=view.queue,
         kind=view.kind,
         state=view.state,
--- a/basilspindle/api/waiting.py
+++ b/basilspindle/api/waiting.py
@@ -28,14 +28,14 @@
     ) -> None:
         self._clock = clock
         self._router = router
-        self._partition = router.partition_of(job.team)
+        self._partition = router.partition_of(job.workspace)
         self._job = job
         self._due_ms = clock.now_ms() + timeout_ms
         # Whether an owner other than the last one may have run the job.
         self._sent = False
 
     async def submit(self, wait_ms: int = 0) -> messages.Submitted:
-        """Hand the job to the owner of its team; wait there for its end."""
+        """Hand the job to its workspace's owner; wait there for its end."""
         request = messages.Submit(
             partition=self._partition, job=self._job, wait_ms=wait_ms
         )
@@ -83,7 +83,7 @@
         wait_ms = self._wait_ms()
         request = messages.View(
             partition=self._partition,
-            team=self._job.team,
+            workspace=self._job.workspace,
             job_id=self._job.job_id,
             wait_ms=wait_ms,
         )
@@ -106,7 +106,7 @@
             return None
         request = messages.Cancel(
             partition=self._partition,
-            team=self._job.team,
+            workspace=self._job.workspace,
             job_id=self._job.job_id,
         )
         with contextlib.suppress(errors.BasilspindleError):
--- a/basilspindle/cli/commands/config.py
+++ b/basilspindle/cli/commands/config.py
@@ -35,7 +35,7 @@
     )
     counts = {
         'cell': document.cell,
-        'teams': len(document.teams),
+        'workspaces': len(document.workspaces),
         'kinds': len(document.kinds),
         'queues': len(document.queues),
         'keys': len(document.keys),
--- a/basilspindle/cli/commands/job.py
+++ b/basilspindle/cli/commands/job.py
@@ -79,7 +79,7 @@
 )
 @click.pass_obj
 def list_jobs(session: session_module.Session, after: str, limit: int) -> None:
-    """List the jobs of the key's team, ordered by id."""
+    """List the jobs of the key's workspace, ordered by id."""
     params: dict[str, typing.Any] = {'limit': limit}
     if after:
         params['after'] = after
--- a/basilspindle/cli/commands/key.py
+++ b/basilspindle/cli/commands/key.py
@@ -37,7 +37,7 @@
     default='caller',
     show_default=True,
 )
-@click.option('--team', help='Team of a caller key.')
+@click.option('--workspace', help='Workspace of a caller key.')
 @click.option(
     '--sha256', help='Hash of a generated key; otherwise one is generated.'
 )
@@ -46,20 +46,22 @@
     session: session_module.Session,
     key_id: str,
     role: str,
-    team: str | None,
+    workspace: str | None,
     sha256: str | None,
 ) -> None:
     """Add a key to the configuration in force."""
-    if (team is None) == (role == 'caller'):
-        raise click.UsageError('a caller key needs --team, an operator none')
+    if (workspace is None) == (role == 'caller'):
+        raise click.UsageError(
+            'a caller key needs --workspace, an operator none'
+        )
     from basilspindle.cli import publish
     from basilspindle import config
     from basilspindle import errors
 
     text, hashed = config.Keyring.generate(key_id)
     entry = {'role': role, 'sha256': sha256 or hashed}
-    if team is not None:
-        entry['team'] = team
+    if workspace is not None:
+        entry['workspace'] = workspace
     try:
         with session.open() as client:
             version = publish.change(
--- a/basilspindle/cli/commands/team.py
+++ b/basilspindle/cli/commands/workspace.py
@@ -1,4 +1,4 @@
-"""List teams and set their shares and limits."""
+"""List workspaces and set their shares and limits."""
 
 import typing
 
@@ -33,24 +33,24 @@
 
 @click.group()
 def command() -> None:
-    """List teams and set their shares and limits."""
+    """List workspaces and set their shares and limits."""
 
 
 @command.command('list')
 @click.pass_obj
-def list_teams(session: session_module.Session) -> None:
-    """List the teams of the configuration in force."""
+def list_workspaces(session: session_module.Session) -> None:
+    """List the workspaces of the configuration in force."""
     from basilspindle.cli import publish
 
     with session.open() as client:
-        teams = publish.read(client).draft().get('/teams', {})
+        workspaces = publish.read(client).draft().get('/workspaces', {})
     lines = [
-        f'{name}: share {team["share"]}, limit '
-        f'{_describe(team.get("limit", {}))}, '
-        f'kinds {" ".join(team["kinds"]) or "none"}'
-        for name, team in sorted(teams.items())
+        f'{name}: share {workspace["share"]}, limit '
+        f'{_describe(workspace.get("limit", {}))}, '
+        f'kinds {" ".join(workspace["kinds"]) or "none"}'
+        for name, workspace in sorted(workspaces.items())
     ]
-    session.show(teams, '\n'.join(lines))
+    session.show(workspaces, '\n'.join(lines))
 
 
 @command.command('set')
@@ -63,7 +63,7 @@
 @click.option('--max-queued-tasks', type=click.IntRange(min=0))
 @click.option('--kind', 'kinds', multiple=True, help='Repeat for all kinds.')
 @click.pass_obj
-def set_team(
+def set_workspace(
     session: session_module.Session,
     name: str,
     share: float | None,
@@ -71,7 +71,7 @@
     kinds: tuple[str, ...],
     **limits: typing.Any,
 ) -> None:
-    """Set members of a team, which is added if it does not exist."""
+    """Set members of a workspace, which is added if it does not exist."""
     from basilspindle.cli import publish
 
     members = {
@@ -81,7 +81,7 @@
     }
     members.update({f'limit/{key}': value for key, value in limits.items()})
     wanted = {
-        f'/teams/{name}/{key}': value
+        f'/workspaces/{name}/{key}': value
         for key, value in members.items()
         if value is not None
     }
@@ -90,8 +90,8 @@
     with session.open() as client:
         version = publish.change(client, lambda draft: _set(draft, wanted))
     session.show(
-        {'team': name, 'version': version},
-        f'team {name} is set from version {version}',
+        {'workspace': name, 'version': version},
+        f'workspace {name} is set from version {version}',
     )
 
 
--- a/basilspindle/cli/program.py
+++ b/basilspindle/cli/program.py
@@ -16,7 +16,7 @@
     'run': 'Submit a request and wait for its result.',
     'settings': 'Check a settings file of either format.',
     'state': 'Show the state of a daemon.',
-    'team': 'List teams and set their shares and limits.',
+    'workspace': 'List workspaces and set their shares and limits.',
     'worker': 'List, drain and undrain workers.',
 }
 
--- a/basilspindle/cluster/partition.py
+++ b/basilspindle/cluster/partition.py
@@ -1,4 +1,4 @@
-"""Map teams to partitions and partitions to regions."""
+"""Map workspaces to partitions and partitions to regions."""
 
 import collections.abc
 import hashlib
@@ -6,9 +6,9 @@
 _DIGEST_BYTES = 8
 
 
-def partition_of(team: str, partitions: int) -> int:
-    """Return the partition of a team, from 0 to ``partitions - 1``."""
-    digest = hashlib.blake2b(team.encode(), digest_size=_DIGEST_BYTES)
+def partition_of(workspace: str, partitions: int) -> int:
+    """Return the partition of a workspace, from 0 to ``partitions - 1``."""
+    digest = hashlib.blake2b(workspace.encode(), digest_size=_DIGEST_BYTES)
     return int.from_bytes(digest.digest(), 'big') % partitions
 
 
--- a/basilspindle/config/__init__.py
+++ b/basilspindle/config/__init__.py
@@ -20,11 +20,11 @@
 from basilspindle.config.publication import Publication
 from basilspindle.config.queue import Queue
 from basilspindle.config.store import ConfigStore
-from basilspindle.config.team import Team
 from basilspindle.config.timing import Timing
 from basilspindle.config.validate import read
 from basilspindle.config.validate import validate
 from basilspindle.config.workers import Workers
+from basilspindle.config.workspace import Workspace
 
 __all__ = [
     'Accepted',
@@ -43,7 +43,7 @@
     'Peers',
     'Publication',
     'Queue',
-    'Team',
+    'Workspace',
     'Timing',
     'Workers',
     'decode',
--- a/basilspindle/config/amend.py
+++ b/basilspindle/config/amend.py
@@ -16,7 +16,7 @@
 
     A member is set in the overlay if the overlay may set its path, in the
     base otherwise: also where the overlay may not add what is above it,
-    such as a new team. Paths are JSON pointers.
+    such as a new workspace. Paths are JSON pointers.
     """
 
     __slots__ = ('_base', '_overlay')
--- a/basilspindle/config/document.py
+++ b/basilspindle/config/document.py
@@ -7,9 +7,9 @@
 from basilspindle.config import key as key_module
 from basilspindle.config import kind as kind_module
 from basilspindle.config import queue as queue_module
-from basilspindle.config import team as team_module
 from basilspindle.config import timing as timing_module
 from basilspindle.config import workers as workers_module
+from basilspindle.config import workspace as workspace_module
 from basilspindle import document
 
 _MOST_PARTITIONS = 1_024
@@ -29,7 +29,7 @@
 
     cell: document.Name
     regions: list[document.Name]
-    teams: dict[document.Name, team_module.Team]
+    workspaces: dict[document.Name, workspace_module.Workspace]
     kinds: dict[document.Name, kind_module.Kind]
     partitions: Partitions = 12
     overlay_may_set: list[str] = []
--- a/basilspindle/config/identity.py
+++ b/basilspindle/config/identity.py
@@ -4,8 +4,8 @@
 
 
 class Identity(msgspec.Struct, frozen=True, kw_only=True):
-    """Key id, role (``caller`` or ``operator``) and team of a key."""
+    """Key id, role (``caller`` or ``operator``) and workspace of a key."""
 
     key_id: str
     role: str
-    team: str | None = None
+    workspace: str | None = None
--- a/basilspindle/config/key.py
+++ b/basilspindle/config/key.py
@@ -8,8 +8,8 @@
 
 
 class Key(msgspec.Struct, frozen=True, kw_only=True):
-    """Hash of a key and whom it speaks for; operators have no team."""
+    """Hash of a key and whom it speaks for; operators have no workspace."""
 
     role: typing.Literal['caller', 'operator']
     sha256: document.Sha256
-    team: document.Name | None = None
+    workspace: document.Name | None = None
--- a/basilspindle/config/keyring.py
+++ b/basilspindle/config/keyring.py
@@ -43,7 +43,7 @@
                 '/keys of the configuration and was not withdrawn'
             )
         return identity_module.Identity(
-            key_id=key_id, role=key.role, team=key.team
+            key_id=key_id, role=key.role, workspace=key.workspace
         )
 
     @staticmethod
--- a/basilspindle/config/limit.py
+++ b/basilspindle/config/limit.py
@@ -1,4 +1,4 @@
-"""Bound what a team may have running."""
+"""Bound what a workspace may have running."""
 
 import msgspec
 
@@ -6,7 +6,7 @@
 
 
 class Limit(msgspec.Struct, frozen=True, kw_only=True):
-    """Most that a team may have running at once; None is no limit."""
+    """Most that a workspace may have running at once; None is no limit."""
 
     cpu_millicores: amounts.Amount | None = None
     memory_mb: amounts.Amount | None = None
--- a/basilspindle/config/rules.py
+++ b/basilspindle/config/rules.py
@@ -69,7 +69,9 @@
         try:
             path = document.split(pattern)
         except ValueError as error:
-            yield Breach(steps, str(error), 'write it as "/teams/*/share"')
+            yield Breach(
+                steps, str(error), 'write it as "/workspaces/*/share"'
+            )
             continue
         if not path or path[0] not in fields - {'overlay_may_set'}:
             yield Breach(
@@ -80,33 +82,33 @@
             )
 
 
-def _check_teams(merged: Object) -> _Breaches:
+def _check_workspaces(merged: Object) -> _Breaches:
     kinds = _members(merged, 'kinds')
-    for name, team in _members(merged, 'teams').items():
-        steps = ('teams', name, 'kinds')
-        yield from _unknown(steps, _get(team, 'kinds'), kinds, 'kind')
-        yield from _duplicates(steps, _get(team, 'kinds'))
+    for name, workspace in _members(merged, 'workspaces').items():
+        steps = ('workspaces', name, 'kinds')
+        yield from _unknown(steps, _get(workspace, 'kinds'), kinds, 'kind')
+        yield from _duplicates(steps, _get(workspace, 'kinds'))
 
 
 def _check_keys(merged: Object) -> _Breaches:
-    teams = _members(merged, 'teams')
+    workspaces = _members(merged, 'workspaces')
     for key_id, key in _members(merged, 'keys').items():
-        steps = ('keys', key_id, 'team')
-        role, team = _get(key, 'role'), _get(key, 'team')
-        if role == 'operator' and team is not None:
+        steps = ('keys', key_id, 'workspace')
+        role, workspace = _get(key, 'role'), _get(key, 'workspace')
+        if role == 'operator' and workspace is not None:
             yield Breach(
                 steps,
-                'an operator key has no team',
-                'remove the team, or set the role to caller',
+                'an operator key has no workspace',
+                'remove the workspace, or set the role to caller',
             )
-        elif role == 'caller' and team is None:
+        elif role == 'caller' and workspace is None:
             yield Breach(
                 steps,
-                'a caller key needs a team',
-                'set it to a name under /teams',
+                'a caller key needs a workspace',
+                'set it to a name under /workspaces',
             )
-        elif isinstance(team, str) and team not in teams:
-            yield _missing(steps, 'team', team)
+        elif isinstance(workspace, str) and workspace not in workspaces:
+            yield _missing(steps, 'workspace', workspace)
     yield from _check_hashes(merged)
 
 
@@ -126,18 +128,19 @@
 
 
 def _check_queues(merged: Object) -> _Breaches:
-    teams = _members(merged, 'teams')
+    workspaces = _members(merged, 'workspaces')
     for name, queue in _members(merged, 'queues').items():
-        team = _get(queue, 'team')
-        steps = ('queues', name, 'team')
-        if team is None and _get(queue, 'open') is True:
+        workspace = _get(queue, 'workspace')
+        steps = ('queues', name, 'workspace')
+        if workspace is None and _get(queue, 'open') is True:
             yield Breach(
                 steps,
-                'an open queue needs a team',
-                'set it to the name under /teams that its work counts for',
+                'an open queue needs a workspace',
+                'set it to the name under /workspaces that its work '
+                'counts for',
             )
-        elif isinstance(team, str) and team not in teams:
-            yield _missing(steps, 'team', team)
+        elif isinstance(workspace, str) and workspace not in workspaces:
+            yield _missing(steps, 'workspace', workspace)
         yield from _check_queue_kinds(merged, name, queue)
 
 
@@ -149,17 +152,20 @@
     known = _members(merged, 'kinds')
     yield from _unknown(steps, kinds, known, 'kind')
     yield from _duplicates(steps, kinds)
-    team = _get(queue, 'team')
-    teams = _members(merged, 'teams')
-    if not isinstance(team, str) or team not in teams:
+    workspace = _get(queue, 'workspace')
+    workspaces = _members(merged, 'workspaces')
+    if not isinstance(workspace, str) or workspace not in workspaces:
         return
-    granted = {kind for _, kind in _items(_get(teams[team], 'kinds'))}
+    granted = {
+        kind for _, kind in _items(_get(workspaces[workspace], 'kinds'))
+    }
     for index, kind in _items(kinds):
         if kind in known and kind not in granted:
             yield Breach(
                 (*steps, index),
-                f'team "{team}" of the queue does not have kind "{kind}"',
-                f'add it to /teams/{team}/kinds or remove it here',
+                f'workspace "{workspace}" of the queue does not have '
+                f'kind "{kind}"',
+                f'add it to /workspaces/{workspace}/kinds or remove it here',
             )
 
 
@@ -304,7 +310,7 @@
 _RULES: tuple[collections.abc.Callable[[Object], _Breaches], ...] = (
     _check_regions,
     _check_patterns,
-    _check_teams,
+    _check_workspaces,
     _check_keys,
     _check_queues,
     _check_kinds,
--- a/basilspindle/config/store.py
+++ b/basilspindle/config/store.py
@@ -157,13 +157,13 @@
         self.check_assured()
         return self._keyring.check(key)
 
-    def honours(self, key_id: str, team: str) -> bool:
-        """Tell whether a key id speaks for a team, assured or not.
+    def honours(self, key_id: str, workspace: str) -> bool:
+        """Tell whether a key id speaks for a workspace, assured or not.
 
         For queued work before its first start. Raises ``NotReady``.
         """
         key = self.current.document.keys.get(key_id)
-        return key is not None and key.team == team
+        return key is not None and key.workspace == workspace
 
     def subscribe(
         self, callback: Callback
--- a/basilspindle/config/team.py
+++ b/basilspindle/config/workspace.py
@@ -1,4 +1,4 @@
-"""Describe a team."""
+"""Describe a workspace."""
 
 import typing
 
@@ -28,8 +28,8 @@
 ]
 
 
-class Team(msgspec.Struct, frozen=True, kw_only=True):
-    """Share (relative weight), upper limit and kinds of one team."""
+class Workspace(msgspec.Struct, frozen=True, kw_only=True):
+    """Share (relative weight), upper limit and kinds of one workspace."""
 
     share: Share
     kinds: list[document.Name]
--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -39,7 +39,7 @@
 
     One queue serves all partitions of the daemon. ``may_start`` tells
     whether this daemon is assured to own a partition, ``key_valid`` whether
-    the key that a job came with still stands for its team.
+    the key that a job came with still stands for its workspace.
     """
 
     __slots__ = (
@@ -116,11 +116,11 @@
         await self._housekeeping.close()
         await self._ends.close()
 
-    def set_teams(
-        self, teams: collections.abc.Mapping[str, policy.TeamPolicy]
+    def set_workspaces(
+        self, workspaces: collections.abc.Mapping[str, policy.WorkspacePolicy]
     ) -> None:
         """Put shares and limits in force; nothing running is stopped."""
-        self._queue.set_teams(teams)
+        self._queue.set_workspaces(workspaces)
         self.wake()
 
     def wake(self) -> None:
@@ -188,7 +188,9 @@
     def _open(self, partition: owned_partition.OwnedPartition) -> None:
         lost = recovery.find_lost_intents(partition)
         for tracked, index, end in lost:
-            self._queue.add_running(tracked.job.team, tracked.job.resources)
+            self._queue.add_running(
+                tracked.job.workspace, tracked.job.resources
+            )
             self._ends.end(tracked, index, end)
         recovery.enqueue(partition, self._queue, self._clock)
         partition.open = True
@@ -222,11 +224,11 @@
             self._queue.remove(tracked.job.job_id)
             for _ in tracked.started:
                 self._queue.end_running(
-                    tracked.job.team, tracked.job.resources
+                    tracked.job.workspace, tracked.job.resources
                 )
             tracked.changed.set()
         for orphan in partition.orphans.values():
-            self._queue.end_running(orphan.team, orphan.resources)
+            self._queue.end_running(orphan.workspace, orphan.resources)
         for task in partition.accepting.values():
             task.cancel()
         events.emit(
@@ -262,7 +264,7 @@
         try:
             return await self._await_end(
                 request.partition,
-                request.job.team,
+                request.job.workspace,
                 request.job.job_id,
                 request.wait_ms,
             )
@@ -274,14 +276,17 @@
     async def view(self, request: messages.View) -> messages.Viewed:
         """Show a job, waiting for its end; raises ``NotFound``."""
         view = await self._await_end(
-            request.partition, request.team, request.job_id, request.wait_ms
+            request.partition,
+            request.workspace,
+            request.job_id,
+            request.wait_ms,
         )
         return messages.Viewed(view=view)
 
     async def _await_end(
-        self, number: int, team: str, job_id: str, wait_ms: int
+        self, number: int, workspace: str, job_id: str, wait_ms: int
     ) -> model.JobView:
-        tracked = self._job(number, team, job_id)
+        tracked = self._job(number, workspace, job_id)
         due_ms = self._clock.now_ms() + wait_ms
         while not tracked.state.final:
             left_ms = due_ms - self._clock.now_ms()
@@ -289,16 +294,17 @@
                 break
             with contextlib.suppress(errors.DeadlineExceeded):
                 await self._clock.wait_ms(tracked.changed.wait(), left_ms)
-            tracked = self._job(number, team, job_id)
+            tracked = self._job(number, workspace, job_id)
         return tracked.view(with_results=True)
 
     async def list_jobs(self, request: messages.ListJobs) -> messages.JobList:
-        """List one team's jobs in order of their ids."""
+        """List one workspace's jobs in order of their ids."""
         partition = self._partition(request.partition)
         job_ids = sorted(
             job_id
             for job_id, tracked in partition.jobs.items()
-            if tracked.job.team == request.team and job_id > request.after
+            if tracked.job.workspace == request.workspace
+            and job_id > request.after
         )
         page = job_ids[: request.limit]
         return messages.JobList(
@@ -311,7 +317,9 @@
 
     async def cancel(self, request: messages.Cancel) -> messages.Cancelled:
         """Cancel a job: end its queued tasks, stop its started ones."""
-        tracked = self._job(request.partition, request.team, request.job_id)
+        tracked = self._job(
+            request.partition, request.workspace, request.job_id
+        )
         if not tracked.state.final and not tracked.cancelled:
             partition = self._partition(request.partition)
             if tracked.job.durable:
@@ -348,12 +356,13 @@
         return partition
 
     def _job(
-        self, number: int, team: str, job_id: str
+        self, number: int, workspace: str, job_id: str
     ) -> tracked_job.TrackedJob:
         tracked = self._partition(number).jobs.get(job_id)
-        if tracked is None or tracked.job.team != team:
+        if tracked is None or tracked.job.workspace != workspace:
             raise errors.NotFound(
-                f'team {team!r} has no job {job_id!r}; list the jobs to '
+                f'workspace {workspace!r} has no job {job_id!r}; list the '
+                'jobs to '
                 'see those that are kept'
             )
         return tracked
--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -230,7 +230,7 @@
             attempt=task.attempt,
             job_id=job.job_id,
             index=task.index,
-            team=job.team,
+            workspace=job.workspace,
             kind=job.kind,
             priority=job.priority,
             resources=job.resources,
@@ -327,7 +327,7 @@
             model.TaskEnd(
                 task_id=tracked.job.task_id(task.index),
                 attempt=task.attempt,
-                team=tracked.job.team,
+                workspace=tracked.job.workspace,
                 partition=tracked.partition,
                 worker_id='',
                 state=model.State.QUEUED,
@@ -559,7 +559,7 @@
             )
         except errors.NotFound:
             # The queue forgets after a minute what it has handed out.
-            self._queue.end_running(job.team, job.resources, count)
+            self._queue.end_running(job.workspace, job.resources, count)
             recovery.push(tracked, count, self._queue, self._clock)
 
 
--- a/basilspindle/coordinator/estimate_book.py
+++ b/basilspindle/coordinator/estimate_book.py
@@ -7,7 +7,7 @@
 
 
 class EstimateBook:
-    """Estimates by team and kind, learned since this daemon started."""
+    """Estimates by workspace and kind, learned since this daemon started."""
 
     __slots__ = ('_estimates',)
 
@@ -24,7 +24,7 @@
 
     def correct(self, job: model.Job, largest: model.Resources) -> model.Job:
         """Return the job with the sizes to count; never smaller ones."""
-        estimate = self._estimates.get((job.team, job.kind))
+        estimate = self._estimates.get((job.workspace, job.kind))
         if estimate is None or largest == model.Resources():
             return job
         return msgspec.structs.replace(
@@ -34,7 +34,7 @@
         )
 
     def _estimate(self, job: model.Job) -> policy.UsageEstimate:
-        key = (job.team, job.kind)
+        key = (job.workspace, job.kind)
         if key not in self._estimates:
             self._estimates[key] = policy.UsageEstimate()
         return self._estimates[key]
--- a/basilspindle/coordinator/housekeeping.py
+++ b/basilspindle/coordinator/housekeeping.py
@@ -30,7 +30,7 @@
     """Expire, refuse, forget and compare, at a steady pace.
 
     ``misfit`` returns why no worker can hold a task of a job, ``key_valid``
-    whether the key that a job came with still stands for its team.
+    whether the key that a job came with still stands for its workspace.
     """
 
     __slots__ = (
--- a/basilspindle/coordinator/intake.py
+++ b/basilspindle/coordinator/intake.py
@@ -52,7 +52,7 @@
         self._ends = ends
         self._estimates = estimates
         self._wake = wake
-        # Tasks of submissions on their way into the log, by team.
+        # Tasks of submissions on their way into the log, by workspace.
         self._pending: dict[str, int] = {}
 
     async def accept(
@@ -91,7 +91,7 @@
                 f'{reason}; ask for less or add larger workers'
             )
         self._queue.check_room(
-            job.team, job.tasks + self._pending.get(job.team, 0)
+            job.workspace, job.tasks + self._pending.get(job.workspace, 0)
         )
 
     def misfit(self, job: model.Job) -> str:
@@ -134,7 +134,9 @@
     async def _record(
         self, partition: owned_partition.OwnedPartition, job: model.Job
     ) -> bool:
-        self._pending[job.team] = self._pending.get(job.team, 0) + job.tasks
+        self._pending[job.workspace] = (
+            self._pending.get(job.workspace, 0) + job.tasks
+        )
         try:
             await partition.journal.append(
                 journal_package.JobAccepted(job=job),
@@ -144,7 +146,7 @@
                 self._admit(partition, job)
             return True
         finally:
-            self._pending[job.team] -= job.tasks
+            self._pending[job.workspace] -= job.tasks
             partition.accepting.pop(job.job_id, None)
 
     def _admit(
--- a/basilspindle/coordinator/recovery.py
+++ b/basilspindle/coordinator/recovery.py
@@ -69,7 +69,7 @@
             end = model.TaskEnd(
                 task_id=tracked.job.task_id(index),
                 attempt=intent.attempt,
-                team=tracked.job.team,
+                workspace=tracked.job.workspace,
                 partition=partition.number,
                 worker_id=intent.worker_id,
                 state=model.State.UNKNOWN,
@@ -123,7 +123,7 @@
         left_ms = max(1, job.deadline_ms - age_ms)
     queue.push(
         job.job_id,
-        job.team,
+        job.workspace,
         job.priority,
         job.resources,
         count,
@@ -146,7 +146,7 @@
     tracked = partition.jobs.get(job_id)
     if tracked is None:
         if task.task_id not in partition.orphans:
-            queue.add_running(task.team, task.resources)
+            queue.add_running(task.workspace, task.resources)
         partition.orphans[task.task_id] = msgspec.structs.replace(
             task, holder_id=holder_id
         )
@@ -159,7 +159,7 @@
     if index in tracked.ended:
         return
     _count_found(tracked, task, holder_id)
-    queue.add_running(task.team, task.resources)
+    queue.add_running(task.workspace, task.resources)
 
 
 def adopt_orphans(
--- a/basilspindle/coordinator/sweeper.py
+++ b/basilspindle/coordinator/sweeper.py
@@ -122,7 +122,7 @@
     return model.TaskEnd(
         task_id=tracked.job.task_id(task.index),
         attempt=task.attempt,
-        team=tracked.job.team,
+        workspace=tracked.job.workspace,
         partition=tracked.partition,
         worker_id=task.worker_id,
         state=model.State.UNKNOWN,
--- a/basilspindle/coordinator/task_ends.py
+++ b/basilspindle/coordinator/task_ends.py
@@ -106,7 +106,7 @@
         if tracked is None:
             orphan = partition.orphans.pop(end.task_id, None)
             if orphan is not None:
-                self._queue.end_running(orphan.team, orphan.resources)
+                self._queue.end_running(orphan.workspace, orphan.resources)
             partition.orphan_ends[end.task_id] = (self._clock.now_ms(), end)
             return None
         task = tracked.started.get(index)
@@ -170,7 +170,7 @@
                 error=end.error,
             )
         )
-        self._queue.end_running(job.team, job.resources)
+        self._queue.end_running(job.workspace, job.resources)
         if verdict is outcome.Verdict.UNKNOWN:
             events.emit(
                 coordinator_events.OUTCOME_UNKNOWN,
@@ -181,7 +181,7 @@
 
     def _delay(self, tracked: tracked_job.TrackedJob, delay_ms: int) -> None:
         """Queue one task again after a delay."""
-        self._queue.end_running(tracked.job.team, tracked.job.resources)
+        self._queue.end_running(tracked.job.workspace, tracked.job.resources)
         task = asyncio.ensure_future(self._push_later(tracked, delay_ms))
         self._delayed.add(task)
         task.add_done_callback(self._delayed.discard)
@@ -201,7 +201,7 @@
             with contextlib.suppress(errors.NotFound):
                 self._queue.give_back(job.job_id, 1, self._clock.now_ms())
                 return
-        self._queue.end_running(job.team, job.resources)
+        self._queue.end_running(job.workspace, job.resources)
         recovery.push(tracked, 1, self._queue, self._clock)
 
 
--- a/basilspindle/coordinator/tracked_job.py
+++ b/basilspindle/coordinator/tracked_job.py
@@ -144,7 +144,7 @@
         return self._changed
 
     def view(self, *, with_results: bool) -> model.JobView:
-        """Show the job to its team."""
+        """Show the job to its workspace."""
         counts = collections.Counter(
             result.state.value for result in self.ended.values()
         )
@@ -154,7 +154,7 @@
         results = sorted(self.ended.values(), key=_by_index)
         return model.JobView(
             job_id=self.job.job_id,
-            team=self.job.team,
+            workspace=self.job.workspace,
             queue=self.job.queue,
             kind=self.job.kind,
             state=self.state,
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -40,7 +40,7 @@
 
 _TICK_MS = 500
 # A report that found no owner is repeated soon, since the tasks of the
-# team wait for the capacity that the owner still counts.
+# workspace wait for the capacity that the owner still counts.
 _RETRY_MAX_MS = 500
 _RANDOM_BYTES = 4
 # Requests that arrive while the balancer has not yet seen that this daemon
@@ -49,7 +49,7 @@
 
 
 class Daemon:
-    """One process: entry for callers, owner of teams, holder of workers."""
+    """One process: entry for callers, owner of workspaces, holder."""
 
     def __init__(
         self,
@@ -254,7 +254,7 @@
         )
         self._parts.fleet.on_room = coordinator.wake
         self._parts.membership.on_change(coordinator.wake)
-        self._parts.store.subscribe(self._set_teams)
+        self._parts.store.subscribe(self._set_workspaces)
         self._parts.ownership = await self._make_ownership(document)
         handlers = peer_handlers.PeerHandlers(
             clock,
@@ -409,13 +409,13 @@
         if not job.key_id:
             queue = self._parts.store.current.document.queues.get(job.queue)
             return queue is not None and queue.open
-        return self._parts.store.honours(job.key_id, job.team)
+        return self._parts.store.honours(job.key_id, job.workspace)
 
-    def _set_teams(self, accepted: config.Accepted) -> None:
-        self._parts.coordinator.set_teams(
+    def _set_workspaces(self, accepted: config.Accepted) -> None:
+        self._parts.coordinator.set_workspaces(
             {
-                name: _team_policy(team)
-                for name, team in accepted.document.teams.items()
+                name: _workspace_policy(workspace)
+                for name, workspace in accepted.document.workspaces.items()
             }
         )
 
@@ -468,9 +468,9 @@
     def __init__(self, daemon: Daemon) -> None:
         self._daemon = daemon
 
-    def partition_of(self, team: str) -> int:
-        """Return the partition of a team."""
-        return self._daemon.router.partition_of(team)
+    def partition_of(self, workspace: str) -> int:
+        """Return the partition of a workspace."""
+        return self._daemon.router.partition_of(workspace)
 
     async def call(
         self,
@@ -485,10 +485,10 @@
 _NO_SHARES = [-1.0, -1.0, -1.0]
 
 
-def _team_policy(team: config.Team) -> policy.TeamPolicy:
-    limit = team.limit
-    return policy.TeamPolicy(
-        share=team.share,
+def _workspace_policy(workspace: config.Workspace) -> policy.WorkspacePolicy:
+    limit = workspace.limit
+    return policy.WorkspacePolicy(
+        share=workspace.share,
         limit=model.Resources(
             _bound(limit.cpu_millicores),
             _bound(limit.memory_mb),
@@ -496,7 +496,7 @@
             -1,
         ),
         limit_tasks=_bound(limit.tasks),
-        max_queued_tasks=team.max_queued_tasks,
+        max_queued_tasks=workspace.max_queued_tasks,
     )
 
 
--- a/basilspindle/daemon/owner_directory.py
+++ b/basilspindle/daemon/owner_directory.py
@@ -4,7 +4,7 @@
 
 
 class OwnerDirectory:
-    """Tell where the owner of a team is."""
+    """Tell where the owner of a workspace is."""
 
     __slots__ = ('_ownership', '_membership', '_partitions')
 
@@ -18,9 +18,9 @@
         self._membership = membership
         self._partitions = partitions
 
-    def partition_of(self, team: str) -> int:
-        """Return the partition of a team."""
-        return cluster.partition_of(team, self._partitions)
+    def partition_of(self, workspace: str) -> int:
+        """Return the partition of a workspace."""
+        return cluster.partition_of(workspace, self._partitions)
 
     def owner_address(self, partition: int) -> str | None:
         """Return '' for this daemon, None while there is no owner."""
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -133,14 +133,14 @@
 
 
 class Forbidden(BasilspindleError):
-    """Refuse what the key's team may not do."""
+    """Refuse what the key's workspace may not do."""
 
     kind = 'forbidden'
     status = 403
 
 
 class NotFound(BasilspindleError):
-    """Report that the team has no such job, worker or queue."""
+    """Report that the workspace has no such job, worker or queue."""
 
     kind = 'not_found'
     status = 404
@@ -154,7 +154,7 @@
 
 
 class QueueFull(BasilspindleError):
-    """Refuse because the team's queue is at its bound."""
+    """Refuse because the workspace's queue is at its bound."""
 
     kind = 'queue_full'
     status = 429
--- a/basilspindle/fleet/entry.py
+++ b/basilspindle/fleet/entry.py
@@ -108,7 +108,7 @@
         return model.TaskEnd(
             task_id=self.running.task_id,
             attempt=self.running.attempt,
-            team=self.running.team,
+            workspace=self.running.workspace,
             partition=self.running.partition,
             worker_id=self.running.worker_id,
             state=state,
--- a/basilspindle/fleet/keeper.py
+++ b/basilspindle/fleet/keeper.py
@@ -446,7 +446,7 @@
                 attempt=spec.attempt,
                 job_id=spec.job_id,
                 index=spec.index,
-                team=spec.team,
+                workspace=spec.workspace,
                 kind=spec.kind,
                 partition=spec.partition,
                 worker_id=worker.info.worker_id,
--- a/basilspindle/fleet/ledger.py
+++ b/basilspindle/fleet/ledger.py
@@ -132,7 +132,7 @@
                 attempt=order.attempt,
                 job_id=order.job_id,
                 index=order.index,
-                team=order.team,
+                workspace=order.workspace,
                 kind=order.kind,
                 partition=order.partition,
                 worker_id=view.worker_id,
--- a/basilspindle/fleet/task_spec.py
+++ b/basilspindle/fleet/task_spec.py
@@ -19,7 +19,7 @@
     attempt: int
     job_id: str
     index: int
-    team: str
+    workspace: str
     kind: str
     partition: int
     resources: amounts.Amounts
@@ -36,7 +36,7 @@
             attempt=order.attempt,
             job_id=order.job_id,
             index=order.index,
-            team=order.team,
+            workspace=order.workspace,
             kind=order.kind,
             partition=order.partition,
             resources=amounts.Amounts.of(order.resources),
--- a/basilspindle/journal/job_entry.py
+++ b/basilspindle/journal/job_entry.py
@@ -90,7 +90,7 @@
         """Return the entry without inputs and results, for diagnosis."""
         return {
             'job_id': self.job.job_id,
-            'team': self.job.team,
+            'workspace': self.job.workspace,
             'kind': self.job.kind,
             'tasks': self.job.tasks,
             'state': self.state.value,
--- a/basilspindle/model/job.py
+++ b/basilspindle/model/job.py
@@ -16,7 +16,7 @@
     """
 
     job_id: str
-    team: str
+    workspace: str
     queue: str
     kind: str
     priority: priority_module.Priority
--- a/basilspindle/model/job_view.py
+++ b/basilspindle/model/job_view.py
@@ -1,4 +1,4 @@
-"""Show a job to its team."""
+"""Show a job to its workspace."""
 
 import msgspec
 
@@ -14,7 +14,7 @@
     """
 
     job_id: str
-    team: str
+    workspace: str
     queue: str
     kind: str
     state: state_module.State
--- a/basilspindle/model/running_task.py
+++ b/basilspindle/model/running_task.py
@@ -17,7 +17,7 @@
     attempt: int
     job_id: str
     index: int
-    team: str
+    workspace: str
     kind: str
     partition: int
     worker_id: str
--- a/basilspindle/model/task_end.py
+++ b/basilspindle/model/task_end.py
@@ -21,7 +21,7 @@
 
     task_id: str
     attempt: int
-    team: str
+    workspace: str
     partition: int
     worker_id: str
     state: state_module.State
--- a/basilspindle/model/task_order.py
+++ b/basilspindle/model/task_order.py
@@ -19,7 +19,7 @@
     attempt: int
     job_id: str
     index: int
-    team: str
+    workspace: str
     kind: str
     priority: priority_module.Priority
     resources: resources_module.Resources
--- a/basilspindle/peer/messages/cancel.py
+++ b/basilspindle/peer/messages/cancel.py
@@ -6,10 +6,10 @@
 
 
 class Cancel(msgspec.Struct, frozen=True, kw_only=True):
-    """Cancel a job of a team; ended tasks keep their outcome."""
+    """Cancel a job of a workspace; ended tasks keep their outcome."""
 
     partition: int
-    team: str
+    workspace: str
     job_id: str
 
 
--- a/basilspindle/peer/messages/heartbeat.py
+++ b/basilspindle/peer/messages/heartbeat.py
@@ -12,7 +12,7 @@
     ``config_age_ms`` and ``log_age_ms`` are the ages of the sender's
     assurance for the configuration and of its last answered log read; -1
     means never. ``waiting_shares`` is the lowest normalised share among
-    waiting teams, by priority class; -1.0 means none waits. ``fenced`` is
+    waiting workspaces, by priority class; -1.0 means none waits. ``fenced`` is
     set in replies only: the fences above claims of the receiver, so that a
     superseded owner learns of it from any member. ``sent_at_ms`` is the
     sender's monotonic time, returned to it in ``Place``. New fields go to
--- a/basilspindle/peer/messages/list_jobs.py
+++ b/basilspindle/peer/messages/list_jobs.py
@@ -1,4 +1,4 @@
-"""Ask the owner of a partition for the jobs of a team."""
+"""Ask the owner of a partition for the jobs of a workspace."""
 
 import msgspec
 
@@ -6,10 +6,10 @@
 
 
 class ListJobs(msgspec.Struct, frozen=True, kw_only=True):
-    """Ask for a page of a team's jobs with ids above ``after``."""
+    """Ask for a page of a workspace's jobs with ids above ``after``."""
 
     partition: int
-    team: str
+    workspace: str
     after: str = ''
     limit: int = 100
 
--- a/basilspindle/peer/messages/submit.py
+++ b/basilspindle/peer/messages/submit.py
@@ -1,4 +1,4 @@
-"""Hand a job in at the owner of its team's partition."""
+"""Hand a job in at the owner of its workspace's partition."""
 
 import msgspec
 
--- a/basilspindle/peer/messages/view.py
+++ b/basilspindle/peer/messages/view.py
@@ -6,10 +6,10 @@
 
 
 class View(msgspec.Struct, frozen=True, kw_only=True):
-    """Ask for a job of a team, waiting for its end up to ``wait_ms``."""
+    """Ask for a job of a workspace, waiting for its end up to ``wait_ms``."""
 
     partition: int
-    team: str
+    workspace: str
     job_id: str
     wait_ms: int = 0
 
--- a/basilspindle/policy/__init__.py
+++ b/basilspindle/policy/__init__.py
@@ -11,9 +11,9 @@
 from basilspindle.policy.rank import policy_for
 from basilspindle.policy.room_estimate import tasks_in
 from basilspindle.policy.spread import Spread
-from basilspindle.policy.team_policy import TeamPolicy
 from basilspindle.policy.usage_estimate import UsageEstimate
 from basilspindle.policy.worker_view import WorkerView
+from basilspindle.policy.workspace_policy import WorkspacePolicy
 
 __all__ = [
     'FairQueue',
@@ -23,7 +23,7 @@
     'Placer',
     'Quick',
     'Spread',
-    'TeamPolicy',
+    'WorkspacePolicy',
     'UsageEstimate',
     'WorkerView',
     'can_ever_fit',
--- a/basilspindle/policy/entry.py
+++ b/basilspindle/policy/entry.py
@@ -15,7 +15,7 @@
 
     __slots__ = (
         'job_id',
-        'team',
+        'workspace',
         'resources',
         'amounts',
         'priority',
@@ -34,14 +34,14 @@
     def __init__(
         self,
         job_id: str,
-        team: str,
+        workspace: str,
         resources: model.Resources,
         priority: model.Priority,
         sequence: int,
         now_ms: int,
     ) -> None:
         self.job_id = job_id
-        self.team = team
+        self.workspace = workspace
         self.resources = resources
         self.amounts = amounts_module.split(resources)
         self.priority = priority
--- a/basilspindle/policy/fair_queue.py
+++ b/basilspindle/policy/fair_queue.py
@@ -1,4 +1,4 @@
-"""Order the waiting work of teams by priority class and share."""
+"""Order the waiting work of workspaces by priority class and share."""
 
 import collections.abc
 import heapq
@@ -14,8 +14,8 @@
 from basilspindle.policy import reservation as reservation_module
 from basilspindle.policy import selection as selection_module
 from basilspindle.policy import step_count
-from basilspindle.policy import team_policy
-from basilspindle.policy import team_state
+from basilspindle.policy import workspace_policy
+from basilspindle.policy import workspace_state
 
 FAIRNESS_MARGIN = 0.05
 GANG_WAIT_MS = 30_000
@@ -38,15 +38,15 @@
 
 
 class FairQueue:
-    """Waiting and running work of many teams; time is passed in as ms.
+    """Waiting and running work of many workspaces; time is passed in as ms.
 
-    The normalised share of a team is its dominant share of the fleet
+    The normalised share of a workspace is its dominant share of the fleet
     divided by its part of all weights: 1.0 is exactly its share. Strict
-    order of classes; in a class the team with the lowest share is next.
+    order of classes; in a class the workspace with the lowest share is next.
     """
 
     __slots__ = (
-        '_teams',
+        '_workspaces',
         '_entries',
         '_popped',
         '_classes',
@@ -75,12 +75,12 @@
         recall_ms: int = RECALL_MS,
     ) -> None:
         self._steps = step_count.StepCount()
-        self._teams: dict[str, team_state.TeamState] = {}
+        self._workspaces: dict[str, workspace_state.WorkspaceState] = {}
         # A job has a second entry if it is queued with another shape.
         self._entries: dict[str, list[entry_module.Entry]] = {}
         # Entries with tasks in flight and none waiting, by their last pop.
         self._popped: dict[entry_module.Entry, None] = {}
-        self._classes: list[dict[str, team_state.TeamState]] = [
+        self._classes: list[dict[str, workspace_state.WorkspaceState]] = [
             {} for _ in model.Priority
         ]
         self._total = (0, 0, 0, 0)
@@ -104,21 +104,24 @@
 
     # Settings
 
-    def set_teams(
-        self, teams: collections.abc.Mapping[str, team_policy.TeamPolicy]
+    def set_workspaces(
+        self,
+        workspaces: collections.abc.Mapping[
+            str, workspace_policy.WorkspacePolicy
+        ],
     ) -> None:
-        """Replace the policies of all teams of the cell.
+        """Replace the policies of all workspaces of the cell.
 
-        A team that is no longer named keeps its last policy as long as
+        A workspace that is no longer named keeps its last policy as long as
         it has work. Nothing that runs is affected by a lower limit.
         """
-        self._weights = sum(policy.share for policy in teams.values())
-        for name, policy in teams.items():
-            self._team(name).set_policy(policy)
-        for name in [n for n in self._teams if n not in teams]:
-            team = self._teams[name]
-            if not team.running_tasks and not sum(team.waiting):
-                del self._teams[name]
+        self._weights = sum(policy.share for policy in workspaces.values())
+        for name, policy in workspaces.items():
+            self._workspace(name).set_policy(policy)
+        for name in [n for n in self._workspaces if n not in workspaces]:
+            workspace = self._workspaces[name]
+            if not workspace.running_tasks and not sum(workspace.waiting):
+                del self._workspaces[name]
         self._measure_all()
 
     def set_total(self, resources: model.Resources) -> None:
@@ -133,7 +136,7 @@
     def push(
         self,
         job_id: str,
-        team: str,
+        workspace: str,
         priority: model.Priority,
         resources: model.Resources,
         count: int,
@@ -152,20 +155,20 @@
         its earlier turn and the new deadline if shape and class are the
         same. Raises ``QueueFull`` (not run).
         """
-        state = self._team(team)
+        state = self._workspace(workspace)
         if not accepted:
             self._check_bound(state, count)
         entry = self._known(job_id, priority, resources, gang)
         if entry is None:
-            entry = self._enter(job_id, team, priority, resources, now_ms)
+            entry = self._enter(job_id, workspace, priority, resources, now_ms)
             entry.gang_tasks = count if gang else 0
         entry.run_time_ms = run_time_ms
         entry.expires_ms = now_ms + deadline_ms if deadline_ms > 0 else 0
         self._queue(state, entry, count)
 
-    def check_room(self, team: str, count: int) -> None:
+    def check_room(self, workspace: str, count: int) -> None:
         """Raise ``QueueFull`` if so many more tasks may not wait."""
-        self._check_bound(self._team(team), count)
+        self._check_bound(self._workspace(workspace), count)
 
     def give_back(
         self,
@@ -185,9 +188,9 @@
         was removed. Raises ``NotFound`` if they are not in flight.
         """
         entry = self._in_flight(job_id, count, resources)
-        team = self._team(entry.team)
+        workspace = self._workspace(entry.workspace)
         entry.in_flight -= count
-        self._run(team, entry.amounts, -count)
+        self._run(workspace, entry.amounts, -count)
         if entry.run_time_ms:
             self._ends.take_back(entry.amounts, count)
         if entry.removed:
@@ -197,7 +200,7 @@
             entry = self._split(entry)
         if wait_ms > 0:
             entry.not_before_ms = now_ms + wait_ms
-        self._queue(team, entry, count)
+        self._queue(workspace, entry, count)
         return count
 
     def confirm(
@@ -243,12 +246,12 @@
             self._forget(entry)
         return found
 
-    def waiting(self, team: str | None = None) -> int:
-        """Return the number of waiting tasks, of one team or of all."""
-        if team is not None:
-            state = self._teams.get(team)
+    def waiting(self, workspace: str | None = None) -> int:
+        """Return the number of waiting tasks, of one workspace or of all."""
+        if workspace is not None:
+            state = self._workspaces.get(workspace)
             return 0 if state is None else sum(state.waiting)
-        return sum(sum(state.waiting) for state in self._teams.values())
+        return sum(sum(state.waiting) for state in self._workspaces.values())
 
     # Next tasks
 
@@ -291,21 +294,23 @@
         ceiling: float,
     ) -> None:
         order = [
-            (team.share, team.turn, team)
-            for team in self._classes[priority].values()
+            (workspace.share, workspace.turn, workspace)
+            for workspace in self._classes[priority].values()
         ]
         heapq.heapify(order)
         while order and found.left > 0:
-            share, _, team = order[0]
+            share, _, workspace = order[0]
             if share > ceiling:
                 return
-            entry = found.next(team, priority)
+            entry = found.next(workspace, priority)
             if entry is None:
                 heapq.heappop(order)
                 continue
-            self._start(found, team, entry)
-            if team.waiting[priority]:
-                heapq.heapreplace(order, (team.share, team.turn, team))
+            self._start(found, workspace, entry)
+            if workspace.waiting[priority]:
+                heapq.heapreplace(
+                    order, (workspace.share, workspace.turn, workspace)
+                )
             else:
                 heapq.heappop(order)
 
@@ -315,14 +320,14 @@
         kept = found.reservation
         if kept is None or kept.entry.priority != priority:
             return
-        team = self._teams[kept.entry.team]
-        if kept.ready and found.admits(team, kept.entry):
-            self._start(found, team, kept.entry)
+        workspace = self._workspaces[kept.entry.workspace]
+        if kept.ready and found.admits(workspace, kept.entry):
+            self._start(found, workspace, kept.entry)
 
     def _start(
         self,
         found: selection_module.Selection,
-        team: team_state.TeamState,
+        workspace: workspace_state.WorkspaceState,
         entry: entry_module.Entry,
     ) -> None:
         count = entry.gang_tasks or 1
@@ -332,12 +337,12 @@
         self._popped.pop(entry, None)
         if not entry.count:
             self._popped[entry] = None
-        self._run(team, entry.amounts, count)
+        self._run(workspace, entry.amounts, count)
         if entry.run_time_ms:
             end_ms = found.now_ms + entry.run_time_ms
             self._ends.add(entry.amounts, end_ms, count)
-        team.turn = next(self._turn)
-        team.drained(count, found.now_ms)
+        workspace.turn = next(self._turn)
+        workspace.drained(count, found.now_ms)
         found.take(entry, count)
 
     # Gangs
@@ -369,8 +374,8 @@
         if now_ms - kept.since_ms >= self._gang_reserve_ms:
             entry.pushed_ms = now_ms + self._gang_reserve_ms
             return False
-        team = self._teams[entry.team]
-        return team.allows(entry.amounts, entry.gang_tasks)
+        workspace = self._workspaces[entry.workspace]
+        return workspace.allows(entry.amounts, entry.gang_tasks)
 
     def _oldest_gang(
         self, now_ms: int
@@ -379,7 +384,9 @@
             (entry.pushed_ms, entry.sequence, entry)
             for entry in self._gangs
             if now_ms - entry.pushed_ms >= self._gang_wait_ms
-            and self._teams[entry.team].allows(entry.amounts, entry.gang_tasks)
+            and self._workspaces[entry.workspace].allows(
+                entry.amounts, entry.gang_tasks
+            )
         ]
         if not due:
             return None
@@ -389,7 +396,7 @@
 
     def add_running(
         self,
-        team: str,
+        workspace: str,
         resources: model.Resources,
         count: int = 1,
         *,
@@ -400,52 +407,52 @@
         ``end_ms`` is when they are expected to end, 0 if unknown.
         """
         amounts = amounts_module.split(resources)
-        self._run(self._team(team), amounts, count)
+        self._run(self._workspace(workspace), amounts, count)
         if end_ms:
             self._ends.add(amounts, end_ms, count)
 
     def end_running(
-        self, team: str, resources: model.Resources, count: int = 1
+        self, workspace: str, resources: model.Resources, count: int = 1
     ) -> None:
         """Count tasks as ended.
 
         Raises ``ValueError`` if more end than run.
         """
         amounts = amounts_module.split(resources)
-        self._run(self._team(team), amounts, -count)
+        self._run(self._workspace(workspace), amounts, -count)
         self._ends.end(amounts, count)
 
-    def running(self, team: str) -> model.Resources:
-        """Return the resources of the running tasks of a team."""
-        state = self._teams.get(team)
+    def running(self, workspace: str) -> model.Resources:
+        """Return the resources of the running tasks of a workspace."""
+        state = self._workspaces.get(workspace)
         return model.Resources(*state.running) if state else model.Resources()
 
-    def running_tasks(self, team: str) -> int:
-        """Return the number of running tasks of a team."""
-        state = self._teams.get(team)
+    def running_tasks(self, workspace: str) -> int:
+        """Return the number of running tasks of a workspace."""
+        state = self._workspaces.get(workspace)
         return state.running_tasks if state else 0
 
     def limits_ok(
         self,
-        team: str,
+        workspace: str,
         resources: model.Resources = model.Resources(),
         count: int = 1,
     ) -> bool:
-        """Tell whether so many more tasks stay within the team's limits."""
+        """Tell whether so many more tasks stay within the limits."""
         amounts = amounts_module.split(resources)
-        return self._team(team).allows(amounts, count)
+        return self._workspace(workspace).allows(amounts, count)
 
     # Shares
 
-    def share(self, team: str) -> float:
-        """Return the normalised share of a team; 1.0 is its part."""
-        state = self._teams.get(team)
+    def share(self, workspace: str) -> float:
+        """Return the normalised share of a workspace; 1.0 is its part."""
+        state = self._workspaces.get(workspace)
         return state.share if state else 0.0
 
     def waiting_shares(self) -> list[float]:
-        """Return the lowest share of waiting teams by class, -1.0 if none.
+        """Return the lowest waiting share by class, -1.0 if none.
 
-        Teams at their limit, and gangs without a reservation, are left
+        Workspaces at their limit, and gangs without a reservation, are left
         out: others need not make way for them.
         """
         return [self._lowest(priority) for priority in model.Priority]
@@ -453,60 +460,68 @@
     def _lowest(self, priority: model.Priority) -> float:
         return min(
             (
-                team.share
-                for team in self._classes[priority].values()
-                if self._startable(team, priority)
+                workspace.share
+                for workspace in self._classes[priority].values()
+                if self._startable(workspace, priority)
             ),
             default=_NOBODY,
         )
 
     def _startable(
-        self, team: team_state.TeamState, priority: model.Priority
+        self,
+        workspace: workspace_state.WorkspaceState,
+        priority: model.Priority,
     ) -> bool:
         kept = self._reservation
-        for lane in team.lanes[priority].values():
+        for lane in workspace.lanes[priority].values():
             entry = lane.head()
             if entry is None:
                 continue
             if entry.gang_tasks:
                 if kept is not None and kept.entry is entry:
                     return True
-            elif team.allows(entry.amounts, 1):
+            elif workspace.allows(entry.amounts, 1):
                 return True
         return False
 
     def _measure_all(self) -> None:
-        for team in self._teams.values():
-            weight = team.policy.share if team.policy is not None else 0.0
-            # A team without a weight yields to every other.
+        for workspace in self._workspaces.values():
+            weight = (
+                workspace.policy.share if workspace.policy is not None else 0.0
+            )
+            # A workspace without a weight yields to every other.
             part = weight / self._weights if self._weights else 1.0
-            team.weight = max(part, 1e-9)
-            self._measure(team)
+            workspace.weight = max(part, 1e-9)
+            self._measure(workspace)
 
-    def _measure(self, team: team_state.TeamState) -> None:
+    def _measure(self, workspace: workspace_state.WorkspaceState) -> None:
         dominant = max(
             running / total if total else 0.0
-            for running, total in zip(team.running, self._total, strict=True)
+            for running, total in zip(
+                workspace.running, self._total, strict=True
+            )
         )
-        team.share = dominant / team.weight
+        workspace.share = dominant / workspace.weight
 
     # Bookkeeping
 
-    def _team(self, name: str) -> team_state.TeamState:
-        team = self._teams.get(name)
-        if team is None:
-            team = team_state.TeamState(name, next(self._turn), self._steps)
-            self._teams[name] = team
-        return team
+    def _workspace(self, name: str) -> workspace_state.WorkspaceState:
+        workspace = self._workspaces.get(name)
+        if workspace is None:
+            workspace = workspace_state.WorkspaceState(
+                name, next(self._turn), self._steps
+            )
+            self._workspaces[name] = workspace
+        return workspace
 
     def _run(
         self,
-        team: team_state.TeamState,
+        workspace: workspace_state.WorkspaceState,
         amounts: amounts_module.Amounts,
         count: int,
     ) -> None:
-        team.run(amounts, count)
-        self._measure(team)
+        workspace.run(amounts, count)
+        self._measure(workspace)
 
     def _known(
         self,
@@ -542,13 +557,18 @@
     def _enter(
         self,
         job_id: str,
-        team: str,
+        workspace: str,
         priority: model.Priority,
         resources: model.Resources,
         now_ms: int,
     ) -> entry_module.Entry:
         entry = entry_module.Entry(
-            job_id, team, resources, priority, next(self._sequence), now_ms
+            job_id,
+            workspace,
+            resources,
+            priority,
+            next(self._sequence),
+            now_ms,
         )
         self._entries.setdefault(job_id, []).append(entry)
         return entry
@@ -559,7 +579,7 @@
                 return entry
         entry = self._enter(
             gang.job_id,
-            gang.team,
+            gang.workspace,
             gang.priority,
             gang.resources,
             gang.pushed_ms,
@@ -571,12 +591,12 @@
 
     def _queue(
         self,
-        team: team_state.TeamState,
+        workspace: workspace_state.WorkspaceState,
         entry: entry_module.Entry,
         count: int,
     ) -> None:
-        team.queue(entry, count)
-        self._classes[entry.priority][team.name] = team
+        workspace.queue(entry, count)
+        self._classes[entry.priority][workspace.name] = workspace
         self._popped.pop(entry, None)
         if entry.gang_tasks:
             self._gangs[entry] = None
@@ -586,10 +606,10 @@
     def _unqueue(self, entry: entry_module.Entry, count: int) -> int:
         if not count:
             return 0
-        team = self._team(entry.team)
-        team.unqueue(entry, count)
-        if not team.waiting[entry.priority]:
-            self._classes[entry.priority].pop(entry.team, None)
+        workspace = self._workspace(entry.workspace)
+        workspace.unqueue(entry, count)
+        if not workspace.waiting[entry.priority]:
+            self._classes[entry.priority].pop(entry.workspace, None)
         if not entry.count:
             self._gangs.pop(entry, None)
             if entry.in_flight:
@@ -616,24 +636,27 @@
             entry.in_flight = 0
             self._forget(entry)
 
-    def _check_bound(self, team: team_state.TeamState, count: int) -> None:
-        if team.policy is None or team.policy.max_queued_tasks < 0:
+    def _check_bound(
+        self, workspace: workspace_state.WorkspaceState, count: int
+    ) -> None:
+        if workspace.policy is None or workspace.policy.max_queued_tasks < 0:
             return
-        bound = team.policy.max_queued_tasks
-        waiting = sum(team.waiting)
+        bound = workspace.policy.max_queued_tasks
+        waiting = sum(workspace.waiting)
         if waiting + count <= bound:
             return
         if count > bound:
             raise errors.QueueFull(
-                f'a job of {count} tasks is above the {bound} that team '
-                f'{team.name!r} may queue; submit smaller jobs or have '
+                f'a job of {count} tasks is above the {bound} that workspace '
+                f'{workspace.name!r} may queue; submit smaller jobs or have '
                 'max_queued_tasks raised'
             )
-        drain_ms = team.drain_ms(waiting + count - bound)
+        drain_ms = workspace.drain_ms(waiting + count - bound)
         retry_ms = drain_ms or _RETRY_UNKNOWN_MS
         retry_ms = min(max(retry_ms, _RETRY_MIN_MS), _RETRY_MAX_MS)
         raise errors.QueueFull(
-            f'team {team.name!r} has {waiting} tasks waiting of at most '
+            f'workspace {workspace.name!r} has {waiting} tasks waiting of '
+            f'at most '
             f'{bound}; try again in {retry_ms} ms or have '
             'max_queued_tasks raised',
             retry_after_ms=retry_ms,
--- a/basilspindle/policy/lane.py
+++ b/basilspindle/policy/lane.py
@@ -1,4 +1,4 @@
-"""Order the waiting jobs of one team, class and shape."""
+"""Order the waiting jobs of one workspace, class and shape."""
 
 from basilspindle.policy import entry as entry_module
 from basilspindle.policy import lazy_heap
--- a/basilspindle/policy/pick.py
+++ b/basilspindle/policy/pick.py
@@ -12,7 +12,7 @@
     """
 
     job_id: str
-    team: str
+    workspace: str
     count: int
     gang: bool
     resources: model.Resources
--- a/basilspindle/policy/selection.py
+++ b/basilspindle/policy/selection.py
@@ -6,7 +6,7 @@
 from basilspindle.policy import entry as entry_module
 from basilspindle.policy import pick
 from basilspindle.policy import reservation as reservation_module
-from basilspindle.policy import team_state
+from basilspindle.policy import workspace_state
 
 Blocked = collections.abc.Callable[[model.Resources], bool]
 RoomFor = collections.abc.Callable[[model.Resources], int]
@@ -47,31 +47,33 @@
         self._rooms: dict[model.Resources, int] = {}
 
     def next(
-        self, team: team_state.TeamState, priority: int
+        self, workspace: workspace_state.WorkspaceState, priority: int
     ) -> entry_module.Entry | None:
-        """Return the oldest waiting job of a team that may start, or None."""
+        """Return the oldest waiting job of a workspace that may start."""
         heads = []
-        for key, lane in list(team.lanes[priority].items()):
+        for key, lane in list(workspace.lanes[priority].items()):
             entry = lane.head()
             if entry is None:
-                del team.lanes[priority][key]
+                del workspace.lanes[priority][key]
             else:
                 heads.append((entry.sequence, entry))
         heads.sort()
         for _, entry in heads:
-            if self.admits(team, entry):
+            if self.admits(workspace, entry):
                 return entry
         return None
 
     def admits(
-        self, team: team_state.TeamState, entry: entry_module.Entry
+        self,
+        workspace: workspace_state.WorkspaceState,
+        entry: entry_module.Entry,
     ) -> bool:
         """Tell whether the next task of a job, or the gang, may start."""
         count = entry.gang_tasks or 1
         return (
             entry.not_before_ms <= self.now_ms
             and entry.resources not in self._full
-            and team.allows(entry.amounts, count)
+            and workspace.allows(entry.amounts, count)
             and self._spares_gang(entry)
             and self._has_room(entry)
         )
@@ -112,7 +114,7 @@
         self.picks.append(
             pick.Pick(
                 job_id=entry.job_id,
-                team=entry.team,
+                workspace=entry.workspace,
                 count=count,
                 gang=entry.gang_tasks > 0,
                 resources=entry.resources,
--- a/basilspindle/policy/usage_estimate.py
+++ b/basilspindle/policy/usage_estimate.py
@@ -17,7 +17,7 @@
 
 
 class UsageEstimate:
-    """Usage of one kind of work of one team, from lagging reports."""
+    """Usage of one kind of work of one workspace, from lagging reports."""
 
     __slots__ = ('_cpu', '_memory', '_run_time', '_floor', '_least')
 
--- a/basilspindle/policy/team_state.py
+++ b/basilspindle/policy/workspace_state.py
@@ -1,20 +1,20 @@
-"""Account for one team: what waits, what runs, what it may use."""
+"""Account for one workspace: what waits, what runs, what it may use."""
 
 from basilspindle import model
 from basilspindle.policy import amounts as amounts_module
 from basilspindle.policy import entry as entry_module
 from basilspindle.policy import lane as lane_module
 from basilspindle.policy import step_count
-from basilspindle.policy import team_policy
+from basilspindle.policy import workspace_policy
 
 _CLASSES = len(model.Priority)
 _RATE_WINDOW_MS = 1_000
 
 
-class TeamState:
-    """Counts of one team; ``share`` is kept up to date by the queue.
+class WorkspaceState:
+    """Counts of one workspace; ``share`` is kept up to date by the queue.
 
-    ``turn`` orders teams of equal share. A team without a policy may
+    ``turn`` orders workspaces of equal share. A workspace without a policy may
     queue work, but starts none.
     """
 
@@ -39,7 +39,7 @@
         self, name: str, turn: int, steps: step_count.StepCount
     ) -> None:
         self.name = name
-        self.policy: team_policy.TeamPolicy | None = None
+        self.policy: workspace_policy.WorkspacePolicy | None = None
         self.weight = 1.0
         self.running = [0, 0, 0, 0]
         self.running_tasks = 0
@@ -55,7 +55,7 @@
         self._rate = 0.0
         self._steps = steps
 
-    def set_policy(self, policy: team_policy.TeamPolicy) -> None:
+    def set_policy(self, policy: workspace_policy.WorkspacePolicy) -> None:
         """Replace the policy."""
         self.policy = policy
         limit = policy.limit
@@ -64,7 +64,7 @@
     def allows(self, amounts: amounts_module.Amounts, count: int) -> bool:
         """Tell whether so many more tasks stay within every upper limit.
 
-        A team above any of its limits starts nothing at all.
+        A workspace above any of its limits starts nothing at all.
         """
         if self.policy is None:
             return False
@@ -89,7 +89,7 @@
         ]
         if tasks < 0 or min(running) < 0:
             raise ValueError(
-                f'team {self.name!r} has fewer tasks running than ended; '
+                f'workspace {self.name!r} has fewer tasks running than ended; '
                 'end a task once, with the resources it was started with'
             )
         self.running_tasks = tasks
@@ -122,7 +122,7 @@
             self.lanes[priority].clear()
 
     def drained(self, count: int, now_ms: int) -> None:
-        """Measure how fast the queue of the team moves."""
+        """Measure how fast the queue of the workspace moves."""
         self._window_tasks += count
         elapsed_ms = now_ms - self._window_ms
         if elapsed_ms >= _RATE_WINDOW_MS:
--- a/basilspindle/routing/__init__.py
+++ b/basilspindle/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Route calls to the daemon that owns the team."""
+"""Route calls to the daemon that owns the workspace."""
 
 from basilspindle.routing.retry_budget import RetryBudget
 from basilspindle.routing.router import Caller
--- a/basilspindle/routing/router.py
+++ b/basilspindle/routing/router.py
@@ -1,4 +1,4 @@
-"""Find the owner of a team's partition and pass calls on to it."""
+"""Find the owner of a workspace's partition and pass calls on to it."""
 
 import asyncio
 import collections.abc
@@ -31,8 +31,8 @@
 class Owners(typing.Protocol):
     """Know which daemon owns a partition."""
 
-    def partition_of(self, team: str) -> int:
-        """Return the partition of a team."""
+    def partition_of(self, workspace: str) -> int:
+        """Return the partition of a workspace."""
 
     def owner_address(self, partition: int) -> str | None:
         """Return the peer address of the active owner.
@@ -72,9 +72,9 @@
         self._handlers = handlers
         self._budget = retry_budget.RetryBudget(clock)
 
-    def partition_of(self, team: str) -> int:
-        """Return the partition of a team."""
-        return self._owners.partition_of(team)
+    def partition_of(self, workspace: str) -> int:
+        """Return the partition of a workspace."""
+        return self._owners.partition_of(workspace)
 
     async def call(
         self,
@@ -169,12 +169,13 @@
 def _give_up(request: typing.Any, sent: bool) -> errors.BasilspindleError:
     if sent:
         return errors.OutcomeUnknown(
-            'the owner of the team was called and did not answer in time; '
+            'the owner of the workspace was called and did not answer in '
+            'time; '
             'ask for the job by its id before submitting it again',
             job_id=_job_id(request),
         )
     return errors.NotReady(
-        'no daemon owns the team at the moment; try again',
+        'no daemon owns the workspace at the moment; try again',
         retry_after_ms=_RETRY_AFTER_MS,
     )
 
--- a/bench/config.py
+++ b/bench/config.py
@@ -15,46 +15,46 @@
 from basilspindle import config
 
 _SEED = 1
-_TEAMS = (6, 60, 270)
-_KEYS_PER_TEAM = 2
+_WORKSPACES = (6, 60, 270)
+_KEYS_PER_WORKSPACE = 2
 _REPEATS = 15
 _RESOURCES = {'cpu_millicores': 500, 'memory_mb': 1024}
 
 
-def make_base(teams: int, seed: int) -> bytes:
-    """Return a base with a number of teams and two keys for each."""
+def make_base(workspaces: int, seed: int) -> bytes:
+    """Return a base with a number of workspaces and two keys for each."""
     rng = random.Random(seed)
-    kinds = [f'kind-{index}' for index in range(max(5, teams // 5))]
+    kinds = [f'kind-{index}' for index in range(max(5, workspaces // 5))]
     value = {
         'cell': 'bench',
         'regions': ['r1', 'r2'],
-        'overlay_may_set': ['/teams/*/limit', '/workers/drained'],
-        'teams': {},
+        'overlay_may_set': ['/workspaces/*/limit', '/workers/drained'],
+        'workspaces': {},
         'keys': {'ops': {'role': 'operator', 'sha256': _hash('ops')}},
         'queues': {'default': {'open': False}},
         'kinds': {kind: _make_kind(rng) for kind in kinds},
     }
-    for index in range(teams):
-        name = f'team-{index}'
-        value['teams'][name] = {
+    for index in range(workspaces):
+        name = f'workspace-{index}'
+        value['workspaces'][name] = {
             'share': rng.randint(1, 9),
             'limit': {'tasks': rng.randint(10, 500)},
             'kinds': rng.sample(kinds, 4),
             'max_queued_tasks': 10_000,
         }
-        for number in range(_KEYS_PER_TEAM):
+        for number in range(_KEYS_PER_WORKSPACE):
             key_id = f'{name}-{number}'
             value['keys'][key_id] = {
                 'role': 'caller',
-                'team': name,
+                'workspace': name,
                 'sha256': _hash(key_id),
             }
     return json.dumps(value, indent=2).encode()
 
 
-def measure(teams: int, seed: int) -> None:
+def measure(workspaces: int, seed: int) -> None:
     """Print the figures of one size."""
-    base = make_base(teams, seed)
+    base = make_base(workspaces, seed)
     overlay = b'{"workers": {"drained": ["worker-1"]}}'
     publication = config.Publication(
         version=7,
@@ -73,9 +73,9 @@
         'config_digest': publication.digest,
     }
     for name, call in checks.items():
-        _print(name, _time_ms(call), 'ms', read_ms, seed, teams)
+        _print(name, _time_ms(call), 'ms', read_ms, seed, workspaces)
     plain = len(base) + len(overlay)
-    _print('config_publication', len(record), 'bytes', plain, seed, teams)
+    _print('config_publication', len(record), 'bytes', plain, seed, workspaces)
 
 
 def _make_kind(rng: random.Random) -> dict[str, typing.Any]:
@@ -122,8 +122,8 @@
 
 def main() -> None:
     """Measure every size."""
-    for teams in _TEAMS:
-        measure(teams, _SEED)
+    for workspaces in _WORKSPACES:
+        measure(workspaces, _SEED)
 
 
 if __name__ == '__main__':
--- a/bench/coordinator.py
+++ b/bench/coordinator.py
@@ -94,10 +94,10 @@
     print(json.dumps(line), flush=True)
 
 
-def _job(number: int, team: str, tasks: int = 1) -> model.Job:
+def _job(number: int, workspace: str, tasks: int = 1) -> model.Job:
     return model.Job(
         job_id=f'r{number:032x}',
-        team=team,
+        workspace=workspace,
         queue='default',
         kind='report',
         priority=model.Priority.BATCH,
@@ -118,7 +118,7 @@
 
 
 def _make(
-    slots: int, teams: int
+    slots: int, workspaces: int
 ) -> tuple[coordinator_package.Coordinator, _Holders]:
     holders = _Holders(slots)
     made = coordinator_package.Coordinator(
@@ -128,14 +128,16 @@
         lambda number: True,
         lambda job: True,
     )
-    made.set_teams({f't{n}': policy.TeamPolicy() for n in range(teams)})
+    made.set_workspaces(
+        {f't{n}': policy.WorkspacePolicy() for n in range(workspaces)}
+    )
     return made, holders
 
 
-async def measure_memory(jobs: int, teams: int) -> None:
+async def measure_memory(jobs: int, workspaces: int) -> None:
     """Measure the memory of queued jobs and of running tasks."""
     for name, slots in (('queued_job', 0), ('running_task', jobs)):
-        made, _ = _make(slots, teams)
+        made, _ = _make(slots, workspaces)
         async with made as coordinator:
             coordinator.activate(0, _Journal(), [], [], 0)
             tracemalloc.start()
@@ -143,7 +145,8 @@
             for number in range(jobs):
                 await coordinator.submit(
                     messages.Submit(
-                        partition=0, job=_job(number, f't{number % teams}')
+                        partition=0,
+                        job=_job(number, f't{number % workspaces}'),
                     )
                 )
             await asyncio.sleep(0.5 if not slots else 2)
@@ -152,14 +155,19 @@
         report(f'memory_{name}_bytes', (after - before) / jobs, 'B', jobs)
 
 
-async def measure_team_memory(teams: int) -> None:
-    """Measure the memory of a team without work."""
+async def measure_workspace_memory(workspaces: int) -> None:
+    """Measure the memory of a workspace without work."""
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
-    made, _ = _make(0, teams)
+    made, _ = _make(0, workspaces)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    report('memory_team_bytes', (after - before) / teams, 'B', teams)
+    report(
+        'memory_workspace_bytes',
+        (after - before) / workspaces,
+        'B',
+        workspaces,
+    )
     await asyncio.sleep(0)
     del made
 
@@ -202,7 +210,7 @@
     return model.TaskEnd(
         task_id=task_id,
         attempt=attempt,
-        team='t0',
+        workspace='t0',
         partition=0,
         worker_id='worker-1',
         state=model.State.SUCCEEDED,
@@ -214,8 +222,8 @@
     """Print all figures."""
     for jobs in (500, 2_000) if quick else (500, 2_000, 5_100):
         await measure_memory(jobs, 6)
-    for teams in (6, 60, 270):
-        await measure_team_memory(teams)
+    for workspaces in (6, 60, 270):
+        await measure_workspace_memory(workspaces)
     for tasks in (1_000, 4_000) if quick else (1_000, 4_000, 10_000):
         await measure_rate(tasks)
 
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -21,7 +21,7 @@
 
     __slots__ = (
         'waiting_ms',
-        'by_team_ms',
+        'by_workspace_ms',
         'packing',
         'share_errors',
         'overuse',
@@ -33,9 +33,9 @@
 
     def __init__(self) -> None:
         self.waiting_ms: dict[str, list[int]] = {}
-        self.by_team_ms: dict[tuple[str, str], list[int]] = {}
+        self.by_workspace_ms: dict[tuple[str, str], list[int]] = {}
         self.packing: list[float] = []
-        # Mean distance of competing teams, and what they hold together.
+        # Mean distance of competing workspaces, and what they hold together.
         self.share_errors: list[tuple[float, float]] = []
         self.overuse: list[float] = []
         self.trace: list[tuple[int, float, int]] = []
@@ -43,10 +43,12 @@
         self.spent_ns = 0
         self.starts = 0
 
-    def waited(self, team: str, kind: str, waited_ms: int) -> None:
+    def waited(self, workspace: str, kind: str, waited_ms: int) -> None:
         """Record the waiting time of a task."""
         self.waiting_ms.setdefault(kind, []).append(waited_ms)
-        self.by_team_ms.setdefault((team, kind), []).append(waited_ms)
+        self.by_workspace_ms.setdefault((workspace, kind), []).append(
+            waited_ms
+        )
 
     def table(self) -> dict[str, tuple[float, str]]:
         """Return value and unit of each figure by name."""
@@ -75,11 +77,11 @@
         return table
 
     def neighbours_p99_ms(self, flooding: str) -> int:
-        """Return the urgent waiting p99 of all but one team."""
+        """Return the urgent waiting p99 of all but one workspace."""
         values = [
             waited_ms
-            for (team, kind), waits in self.by_team_ms.items()
-            if kind == 'urgent' and team != flooding
+            for (workspace, kind), waits in self.by_workspace_ms.items()
+            if kind == 'urgent' and workspace != flooding
             for waited_ms in waits
         ]
         return percentile(values, 99, _LONGEST_MS)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -138,7 +138,7 @@
         attempt=1,
         job_id=f'j{number // 4}',
         index=number % 4,
-        team='team1',
+        workspace='team1',
         kind='kind1',
         priority=model.Priority.BATCH,
         resources=model.Resources(
--- a/bench/journal.py
+++ b/bench/journal.py
@@ -58,7 +58,7 @@
     """Return a job with an input of 100 B."""
     return model.Job(
         job_id=job_id,
-        team='team-017',
+        workspace='workspace-017',
         queue='queue-017-batch',
         kind='nightly-report',
         priority=model.Priority.BATCH,
--- a/bench/path.py
+++ b/bench/path.py
@@ -173,8 +173,8 @@
         """Print all figures."""
         for daemon_id in self._cluster.daemon_ids:
             self._cluster.wait_listening(daemon_id)
-        for team in self._base['teams'].values():
-            team['limit'] = {}
+        for workspace in self._base['workspaces'].values():
+            workspace['limit'] = {}
         self._version = self._cluster.publish(self._base, 0)
         self._cluster.wait_ready()
         self.measure_control()
@@ -278,7 +278,7 @@
         """Measure the time from a publish until all daemons have it."""
         spent_ms = []
         for number in range(5 if self._quick else 20):
-            self._base['teams']['red']['share'] = number + 2
+            self._base['workspaces']['red']['share'] = number + 2
             start = time.monotonic()
             self._version = self._cluster.publish(self._base, self._version)
             while not all(
@@ -298,7 +298,7 @@
         return found is not None and float(found.group(1)) >= version
 
     def measure_takeover(self) -> None:
-        """Measure how long a team waits when its owner dies or pauses."""
+        """Measure how long a workspace waits when its owner dies or pauses."""
         cases = {'killed': signal.SIGKILL, 'paused': signal.SIGSTOP}
         if self._quick:
             del cases['paused']
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -19,7 +19,7 @@
     'two_years': sites.two_years,
 }
 _SCHEDULERS = (schedulers.Core, schedulers.FirstFit, schedulers.TwoChoices)
-_FLOODING = 'team-0'
+_FLOODING = 'workspace-0'
 REPORTS = pathlib.Path(__file__).resolve().parent / 'reports'
 
 
--- a/bench/schedulers.py
+++ b/bench/schedulers.py
@@ -21,7 +21,7 @@
         attempt=1,
         job_id=job.job_id,
         index=0,
-        team=job.team,
+        workspace=job.workspace,
         kind=job.kind,
         priority=job.priority,
         resources=resources,
@@ -48,7 +48,7 @@
         **options,
     ) -> None:
         self._queue = policy.FairQueue(**options)
-        self._queue.set_teams(site.teams)
+        self._queue.set_workspaces(site.workspaces)
         self._queue.set_total(site.total())
         self._placer = policy.Placer()
         for view in site.views():
@@ -62,7 +62,7 @@
         self.spent_ns = 0
 
     def _estimate(self, job):
-        key = job.team, job.kind
+        key = job.workspace, job.kind
         estimate = self._estimates.get(key)
         if estimate is None:
             estimate = policy.UsageEstimate(floor=self._floor)
@@ -75,7 +75,7 @@
         estimate = self._estimate(job)
         self._queue.push(
             job.job_id,
-            job.team,
+            job.workspace,
             job.priority,
             estimate.resources(job.declared, self._largest),
             len(job.run_ms),
@@ -93,7 +93,7 @@
         """Count a task as ended."""
         begun_ns = time.perf_counter_ns()
         self._placer.give(worker_id, resources, job.job_id)
-        self._queue.end_running(job.team, resources)
+        self._queue.end_running(job.workspace, resources)
         self.spent_ns += time.perf_counter_ns() - begun_ns
 
     def _blocked(self, resources) -> bool:
@@ -170,7 +170,8 @@
         self._order = list(self._views.values())
         self._rng = rng
         self._limits = {
-            name: team.limit_tasks for name, team in site.teams.items()
+            name: workspace.limit_tasks
+            for name, workspace in site.workspaces.items()
         }
         self._running = collections.Counter()
         self._parked = collections.defaultdict(collections.deque)
@@ -180,24 +181,24 @@
     def report(self, job, run_ms) -> None:
         """Ignore usage."""
 
-    def _allowed(self, team) -> bool:
-        limit = self._limits[team]
-        return limit < 0 or self._running[team] < limit
+    def _allowed(self, workspace) -> bool:
+        limit = self._limits[workspace]
+        return limit < 0 or self._running[workspace] < limit
 
     def _take(self, view, job):
         view.free = view.free.subtract(job.declared)
-        self._running[job.team] += 1
+        self._running[job.workspace] += 1
 
     def _give(self, job, worker_id):
         view = self._views[worker_id]
         view.free = view.free.add(job.declared)
-        self._running[job.team] -= 1
+        self._running[job.workspace] -= 1
 
 
 class FirstFit(_Baseline):
     """First come, first served; the first worker with room.
 
-    Teams at their upper limit are passed over, as for the core.
+    Workspaces at their upper limit are passed over, as for the core.
     """
 
     name = 'first_fit'
@@ -214,8 +215,8 @@
     def end(self, job, worker_id, resources) -> None:
         """Count a task as ended."""
         self._give(job, worker_id)
-        if self._parked[job.team]:
-            self._waiting.appendleft(self._parked[job.team].popleft())
+        if self._parked[job.workspace]:
+            self._waiting.appendleft(self._parked[job.workspace].popleft())
 
     def decide(self, now_ms):
         """Start from the head of the queue until one does not fit."""
@@ -223,8 +224,8 @@
         while self._waiting:
             begun_ns = time.perf_counter_ns()
             job, count = self._waiting[0]
-            if not self._allowed(job.team):
-                self._parked[job.team].append(self._waiting.popleft())
+            if not self._allowed(job.workspace):
+                self._parked[job.workspace].append(self._waiting.popleft())
                 continue
             placed = self._fit(job, count)
             if placed:
@@ -286,8 +287,8 @@
         self._give(job, worker_id)
         self._load[worker_id] -= 1
         self._touched.add(worker_id)
-        if self._parked[job.team]:
-            other, parked = self._parked[job.team].popleft()
+        if self._parked[job.workspace]:
+            other, parked = self._parked[job.workspace].popleft()
             self._queues[other].appendleft(parked)
             self._touched.add(other)
 
@@ -299,8 +300,8 @@
             view = self._views[worker_id]
             while queue and queue[0].declared.fits(view.free):
                 job = queue.popleft()
-                if not self._allowed(job.team):
-                    self._parked[job.team].append((worker_id, job))
+                if not self._allowed(job.workspace):
+                    self._parked[job.workspace].append((worker_id, job))
                     continue
                 self._take(view, job)
                 started.append((job, worker_id, job.declared))
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -28,7 +28,7 @@
         self._run_ms = {}
         self._left = {}
         self._used = [0, 0, 0, 0]
-        self._by_team = collections.defaultdict(lambda: [0, 0, 0, 0])
+        self._by_workspace = collections.defaultdict(lambda: [0, 0, 0, 0])
         self._memory = collections.Counter()
         self._total = amounts.split(site.total())
         self._sizes = {w[0]: w[3].memory_mb for w in site.workers}
@@ -65,7 +65,7 @@
     def _submit(self, job, now_ms):
         self._left[job.job_id] = job
         self._run_ms[job.job_id] = list(job.run_ms)
-        self._waiting[job.team, job.priority] += len(job.run_ms)
+        self._waiting[job.workspace, job.priority] += len(job.run_ms)
         self._scheduler.submit(job, now_ms)
 
     def _start(self, started, now_ms):
@@ -74,11 +74,11 @@
         run_ms = runs.pop()
         if not runs:
             del self._left[job.job_id]
-        self._waiting[job.team, job.priority] -= 1
+        self._waiting[job.workspace, job.priority] -= 1
         self._figures.starts += 1
         if job.at_ms >= self._site.warm_up_ms:
             kind = job.priority.name.lower()
-            self._figures.waited(job.team, kind, now_ms - job.at_ms)
+            self._figures.waited(job.workspace, kind, now_ms - job.at_ms)
         self._use(job, worker_id, 1)
         self._sequence += 1
         item = (now_ms + run_ms, self._sequence, job, worker_id, resources)
@@ -100,10 +100,10 @@
         return changed
 
     def _use(self, job, worker_id, sign):
-        team = self._by_team[job.team]
+        workspace = self._by_workspace[job.workspace]
         for place, amount in enumerate(amounts.split(job.actual)):
             self._used[place] += sign * amount
-            team[place] += sign * amount
+            workspace[place] += sign * amount
         self._memory[worker_id] += sign * job.actual.memory_mb
 
     def _sample(self, now_ms):
@@ -128,37 +128,37 @@
                 self._figures.share_errors.append(self._share_error(names))
 
     def _competing(self, now_ms):
-        # Strict classes leave nothing to share between classes, and a team
-        # whose work has only just arrived has no part yet.
+        # Strict classes leave nothing to share between classes, and a
+        # workspace whose work has only just arrived has no part yet.
         return {
-            (job.team, job.priority)
+            (job.workspace, job.priority)
             for job in self._left.values()
             if now_ms - job.at_ms >= _COMPETING_MS
-            and self._below_limit(job.team)
+            and self._below_limit(job.workspace)
         }
 
     def _share_error(self, competing):
-        # Mean distance from a weighted division of what the teams that
+        # Mean distance from a weighted division of what the workspaces that
         # wait hold together, and what they hold.
-        teams = self._site.teams
+        workspaces = self._site.workspaces
         shares = {name: self._dominant(name) for name in competing}
         held = sum(shares.values())
-        weight = sum(teams[name].share for name in competing)
+        weight = sum(workspaces[name].share for name in competing)
         error = sum(
-            abs(shares[name] - held * teams[name].share / weight)
+            abs(shares[name] - held * workspaces[name].share / weight)
             for name in competing
         ) / len(competing)
         return error, held
 
     def _below_limit(self, name):
-        limit = self._site.teams[name].limit_tasks
-        return limit < 0 or self._by_team[name][3] < limit
+        limit = self._site.workspaces[name].limit_tasks
+        return limit < 0 or self._by_workspace[name][3] < limit
 
     def _dominant(self, name):
         return max(
             used / total if total else 0.0
             for used, total in zip(
-                self._by_team[name], self._total, strict=True
+                self._by_workspace[name], self._total, strict=True
             )
         )
 
@@ -170,4 +170,4 @@
             kind = job.priority.name.lower()
             for _ in self._run_ms[job_id]:
                 waited_ms = self._site.end_ms - job.at_ms
-                self._figures.waited(job.team, kind, waited_ms)
+                self._figures.waited(job.workspace, kind, waited_ms)
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -34,7 +34,7 @@
 
 
 def site_a(seed: int, quick: bool = False) -> work_module.Site:
-    """Return the nightly batch of large teams with wrong sizes."""
+    """Return the nightly batch of large workspaces with wrong sizes."""
     rng = random.Random(seed)
     end_ms = (60 if quick else 150) * _MINUTE_MS
     shares = [0.3, 0.25, 0.15, 0.1, 0.1, 0.1]
@@ -46,17 +46,17 @@
         'gang': (model.Resources(8_000, 24_000, 0, 1), 16),
     }
     wrong = {
-        (team, kind): rng.choice([0.8, 1.0, 1.5, 2.0, 3.0])
-        for team in range(6)
+        (workspace, kind): rng.choice([0.8, 1.0, 1.5, 2.0, 3.0])
+        for workspace in range(6)
         for kind in kinds
     }
     number = itertools.count()
     work = []
     for _ in range(600 if quick else 1_500):
-        team = rng.choices(range(6), demands)[0]
+        workspace = rng.choices(range(6), demands)[0]
         kind = rng.choices(list(kinds), [5, 3, 2, 0.4])[0]
         actual, gang = kinds[kind]
-        factor = wrong[team, kind]
+        factor = wrong[workspace, kind]
         declared = model.Resources(
             min(int(actual.cpu_millicores * factor), 64_000),
             min(int(actual.memory_mb * factor), 256_000),
@@ -71,7 +71,7 @@
             work_module.Work(
                 f'batch-{next(number)}',
                 rng.randrange(span_ms),
-                f'team-{team}',
+                f'workspace-{workspace}',
                 kind,
                 _BATCH,
                 declared,
@@ -87,7 +87,7 @@
             work_module.Work(
                 f'urgent-{next(number)}',
                 at_ms + rng.randrange(5_000),
-                f'team-{rng.randrange(6)}',
+                f'workspace-{rng.randrange(6)}',
                 'query',
                 _URGENT,
                 small,
@@ -96,26 +96,26 @@
                 _run_times(rng, 1, 5_000),
             )
         )
-    teams = {
-        f'team-{n}': policy.TeamPolicy(share=share)
+    workspaces = {
+        f'workspace-{n}': policy.WorkspacePolicy(share=share)
         for n, share in enumerate(shares)
     }
     fleet = _fleet(24, 4, [model.Resources(64_000, 256_000, 0, 8)])
     return work_module.Site(
-        'site_a', fleet, teams, work, 100, 10 * _MINUTE_MS, end_ms
+        'site_a', fleet, workspaces, work, 100, 10 * _MINUTE_MS, end_ms
     )
 
 
 def site_b(
     seed: int, quick: bool = False, flood: bool = True
 ) -> work_module.Site:
-    """Return urgent requests beside booked batch; one team floods."""
+    """Return urgent requests beside booked batch; one workspace floods."""
     rng = random.Random(seed)
     end_ms = 60_000 if quick else 180_000
     number = itertools.count()
     work = []
 
-    def request(at_ms, team):
+    def request(at_ms, workspace):
         size = model.Resources(
             rng.choice([500, 1_000, 2_000]),
             rng.choice([500, 1_000, 2_000]),
@@ -125,7 +125,7 @@
         return work_module.Work(
             f'urgent-{next(number)}',
             int(at_ms),
-            team,
+            workspace,
             'request',
             _URGENT,
             size,
@@ -134,10 +134,10 @@
             _run_times(rng, 1, 1_500),
         )
 
-    for team in range(6):
+    for workspace in range(6):
         at_ms = 0.0
         while (at_ms := at_ms + rng.expovariate(6 / 1_000)) < end_ms:
-            work.append(request(at_ms, f'team-{team}'))
+            work.append(request(at_ms, f'workspace-{workspace}'))
     for booked in range(2):
         for _ in range(60):
             size = model.Resources(
@@ -160,12 +160,14 @@
         rng = random.Random(seed + 1_000)
         at_ms = end_ms / 3
         while (at_ms := at_ms + rng.expovariate(250 / 1_000)) < end_ms * 0.7:
-            work.append(request(at_ms, 'team-0'))
-    teams = {f'team-{n}': policy.TeamPolicy() for n in range(6)}
+            work.append(request(at_ms, 'workspace-0'))
+    workspaces = {f'workspace-{n}': policy.WorkspacePolicy() for n in range(6)}
     for booked in range(2):
-        teams[f'booked-{booked}'] = policy.TeamPolicy(limit_tasks=40)
+        workspaces[f'booked-{booked}'] = policy.WorkspacePolicy(limit_tasks=40)
     fleet = _fleet(24, 4, [model.Resources(16_000, 32_000, 0, 8)])
-    return work_module.Site('site_b', fleet, teams, work, 10, 20_000, end_ms)
+    return work_module.Site(
+        'site_b', fleet, workspaces, work, 10, 20_000, end_ms
+    )
 
 
 def two_years(seed: int, quick: bool = False) -> work_module.Site:
@@ -189,7 +191,7 @@
         return work_module.Work(
             f'job-{next(number)}',
             int(at_ms),
-            f'team-{min(rng.randrange(270), rng.randrange(270))}',
+            f'workspace-{min(rng.randrange(270), rng.randrange(270))}',
             priority.name.lower(),
             priority,
             size,
@@ -210,11 +212,13 @@
         rate = per_second / count / 1_000
         while (at_ms := at_ms + rng.expovariate(rate)) < end_ms:
             work.append(job(at_ms, priority, count, mean_ms))
-    teams = {f'team-{n}': policy.TeamPolicy() for n in range(270)}
+    workspaces = {
+        f'workspace-{n}': policy.WorkspacePolicy() for n in range(270)
+    }
     return work_module.Site(
         'two_years',
         _fleet(740, 5, sizes),
-        teams,
+        workspaces,
         work,
         10,
         20_000,
--- a/bench/work.py
+++ b/bench/work.py
@@ -10,7 +10,7 @@
     __slots__ = (
         'job_id',
         'at_ms',
-        'team',
+        'workspace',
         'kind',
         'priority',
         'declared',
@@ -24,7 +24,7 @@
         self,
         job_id: str,
         at_ms: int,
-        team: str,
+        workspace: str,
         kind: str,
         priority: model.Priority,
         declared: model.Resources,
@@ -35,7 +35,7 @@
     ) -> None:
         self.job_id = job_id
         self.at_ms = at_ms
-        self.team = team
+        self.workspace = workspace
         self.kind = kind
         self.priority = priority
         self.declared = declared
@@ -46,12 +46,12 @@
 
 
 class Site:
-    """Fleet, teams and work of one size; times are in ms."""
+    """Fleet, workspaces and work of one size; times are in ms."""
 
     __slots__ = (
         'name',
         'workers',
-        'teams',
+        'workspaces',
         'work',
         'tick_ms',
         'warm_up_ms',
@@ -62,7 +62,7 @@
         self,
         name: str,
         workers: list[tuple[str, str, str, model.Resources]],
-        teams: dict[str, policy.TeamPolicy],
+        workspaces: dict[str, policy.WorkspacePolicy],
         work: list[Work],
         tick_ms: int,
         warm_up_ms: int,
@@ -70,7 +70,7 @@
     ) -> None:
         self.name = name
         self.workers = workers
-        self.teams = teams
+        self.workspaces = workspaces
         self.work = sorted(work, key=lambda job: job.at_ms)
         self.tick_ms = tick_ms
         self.warm_up_ms = warm_up_ms
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,4 +1,4 @@
-"""Run a small cell on loopback and submit work of two teams.
+"""Run a small cell on loopback and submit work of two workspaces.
 
 Exits with 1 if any answer is missing or any worker recorded a breach.
 """
@@ -55,13 +55,13 @@
         print(f'  version {answer["version"]} is in force')
 
     def run_requests(self) -> None:
-        """Send one request of each team and wait for its answer."""
-        for team, key in local_cluster.CALLER_KEYS.items():
-            text = json.dumps({'echo': f'hello from {team}'})
+        """Send one request of each workspace and wait for its answer."""
+        for workspace, key in local_cluster.CALLER_KEYS.items():
+            text = json.dumps({'echo': f'hello from {workspace}'})
             job = self.call(key, 'run', '--kind', 'query', '--input', text)
             (result,) = job['results']
-            if result['result']['echo'] != f'hello from {team}':
-                raise DemoFailed(f'{team} got another answer: {job}')
+            if result['result']['echo'] != f'hello from {workspace}':
+                raise DemoFailed(f'{workspace} got another answer: {job}')
             print(f'  {result["result"]}')
 
     def run_jobs(self) -> None:
@@ -78,12 +78,12 @@
             print(f'  {tasks} tasks succeeded on {sorted(workers)}')
 
     def show_isolation(self) -> None:
-        """Show that a team sees only its own jobs."""
-        for team, key in local_cluster.CALLER_KEYS.items():
+        """Show that a workspace sees only its own jobs."""
+        for workspace, key in local_cluster.CALLER_KEYS.items():
             jobs = self.call(key, 'job', 'list')['jobs']
-            if any(job['team'] != team for job in jobs):
-                raise DemoFailed(f'{team} sees jobs of another team')
-            print(f'  {team} sees {len(jobs)} jobs, all its own')
+            if any(job['workspace'] != workspace for job in jobs):
+                raise DemoFailed(f'{workspace} sees jobs of another workspace')
+            print(f'  {workspace} sees {len(jobs)} jobs, all its own')
 
     def show_state(self) -> None:
         """Show daemons, workers and the state of one daemon."""
--- a/tests/api_case.py
+++ b/tests/api_case.py
@@ -22,7 +22,7 @@
 
 
 def make_document():
-    """Return a configuration of two teams and an open queue."""
+    """Return a configuration of two workspaces and an open queue."""
     kind = {
         'priority': 'urgent',
         'resources': {'cpu_millicores': 100, 'memory_mb': 64},
@@ -33,7 +33,7 @@
     document = {
         'cell': 'cell-1',
         'regions': ['r1'],
-        'teams': {
+        'workspaces': {
             'red': {'share': 1, 'limit': limit, 'kinds': kinds},
             'blue': {'share': 1, 'limit': limit, 'kinds': ['query']},
         },
@@ -43,16 +43,16 @@
             'other': kind,
         },
         'queues': {
-            'public': {'open': True, 'team': 'red', 'kinds': ['query']},
-            'reds': {'team': 'red'},
+            'public': {'open': True, 'workspace': 'red', 'kinds': ['query']},
+            'reds': {'workspace': 'red'},
         },
         'keys': {},
     }
-    for team in ('red', 'blue'):
-        key_id = f'{team}-1'
+    for workspace in ('red', 'blue'):
+        key_id = f'{workspace}-1'
         document['keys'][key_id] = {
             'role': 'caller',
-            'team': team,
+            'workspace': workspace,
             'sha256': KEYS[key_id][1],
         }
     document['keys']['ops-1'] = {
@@ -111,8 +111,8 @@
         }
         self.jobs = {}
 
-    def partition_of(self, team):
-        return len(team)
+    def partition_of(self, workspace):
+        return len(workspace)
 
     async def call(self, request, timeout_ms, on_repeat=None):
         self.requests.append(request)
@@ -138,7 +138,7 @@
 
     def find(self, request):
         job = self.jobs.get(request.job_id)
-        if job is None or job.team != request.team:
+        if job is None or job.workspace != request.workspace:
             raise errors.NotFound('no such job; check the id')
         return job
 
@@ -160,7 +160,7 @@
         ]
         return model.JobView(
             job_id=job.job_id,
-            team=job.team,
+            workspace=job.workspace,
             queue=job.queue,
             kind=job.kind,
             state=state,
--- a/tests/coordinator_case.py
+++ b/tests/coordinator_case.py
@@ -130,7 +130,7 @@
 
 
 class CoordinatorCase(unittest.IsolatedAsyncioTestCase):
-    """Set up one active partition with team red on one holder."""
+    """Set up one active partition with workspace red on one holder."""
 
     slots = 8
 
@@ -153,12 +153,12 @@
         self.addAsyncCleanup(self.coordinator.__aexit__)
 
     def set_limit(self, tasks: int, queued: int = 1000) -> None:
-        self.coordinator.set_teams(
+        self.coordinator.set_workspaces(
             {
-                'red': policy.TeamPolicy(
+                'red': policy.WorkspacePolicy(
                     limit_tasks=tasks, max_queued_tasks=queued
                 ),
-                'blue': policy.TeamPolicy(),
+                'blue': policy.WorkspacePolicy(),
             }
         )
 
@@ -174,7 +174,7 @@
     def job(self, job_id='j1', **changes: typing.Any) -> model.Job:
         fields: dict[str, typing.Any] = {
             'job_id': job_id,
-            'team': 'red',
+            'workspace': 'red',
             'queue': 'default',
             'kind': 'report',
             'priority': model.Priority.BATCH,
@@ -209,7 +209,7 @@
         fields = {
             'task_id': key[0],
             'attempt': key[1],
-            'team': order.team if order else 'red',
+            'workspace': order.workspace if order else 'red',
             'partition': 0,
             'worker_id': 'worker-1',
             'state': state,
@@ -224,8 +224,8 @@
         )
         await self.step()
 
-    async def view(self, job_id='j1', team='red') -> model.JobView:
+    async def view(self, job_id='j1', workspace='red') -> model.JobView:
         reply = await self.coordinator.view(
-            messages.View(partition=0, team=team, job_id=job_id)
+            messages.View(partition=0, workspace=workspace, job_id=job_id)
         )
         return reply.view
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -30,7 +30,7 @@
         'attempt': attempt,
         'job_id': job_id,
         'index': int(index or 0),
-        'team': 'team1',
+        'workspace': 'workspace1',
         'kind': 'kind1',
         'priority': model.Priority.BATCH,
         'resources': NEED,
--- a/tests/journal_case.py
+++ b/tests/journal_case.py
@@ -16,7 +16,7 @@
     """Return a durable job that is not idempotent."""
     return model.Job(
         job_id=job_id,
-        team='team-1',
+        workspace='workspace-1',
         queue='queue-1',
         kind='kind-1',
         priority=model.Priority.BATCH,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -31,7 +31,7 @@
 MUTANTS = (
     Mutant(
         'limit',
-        'policy/team_state.py',
+        'policy/workspace_state.py',
         'self.running_tasks + count > limit_tasks',
         'self.running_tasks + count > limit_tasks + 1',
         'tests.test_coordinator.LimitTest',
@@ -39,7 +39,7 @@
     Mutant(
         'adopted tasks count against the limit',
         'coordinator/recovery.py',
-        'queue.add_running(task.team, task.resources)',
+        'queue.add_running(task.workspace, task.resources)',
         'pass',
         'tests.test_coordinator.LimitTest',
     ),
@@ -121,9 +121,9 @@
         'tests.test_coordinator.AcceptTest',
     ),
     Mutant(
-        'jobs belong to their team',
+        'jobs belong to their workspace',
         'coordinator/coordinator.py',
-        'if tracked is None or tracked.job.team != team:',
+        'if tracked is None or tracked.job.workspace != workspace:',
         'if tracked is None:',
         'tests.test_coordinator.AcceptTest',
     ),
--- a/tests/standins/local_cluster.py
+++ b/tests/standins/local_cluster.py
@@ -42,7 +42,7 @@
 
 
 def base_document() -> dict[str, typing.Any]:
-    """Return a configuration with two teams and one kind of each sort."""
+    """Return a configuration with two workspaces and one kind of each sort."""
     resources = {'cpu_millicores': 500, 'memory_mb': 256}
     kinds = {
         'query': {'priority': 'urgent', 'idempotent': True},
@@ -55,16 +55,28 @@
     keys: dict[str, typing.Any] = {
         'ops': {'role': 'operator', 'sha256': sha256(OPERATOR_KEY)}
     }
-    for team, key in CALLER_KEYS.items():
-        keys[team] = {'role': 'caller', 'team': team, 'sha256': sha256(key)}
+    for workspace, key in CALLER_KEYS.items():
+        keys[workspace] = {
+            'role': 'caller',
+            'workspace': workspace,
+            'sha256': sha256(key),
+        }
     return {
         'cell': 'demo',
         'regions': ['local'],
         'partitions': 4,
-        'overlay_may_set': ['/teams/*/share', '/teams/*/limit', '/timing'],
-        'teams': {
-            team: {'share': 1, 'limit': {'tasks': 20}, 'kinds': list(kinds)}
-            for team in CALLER_KEYS
+        'overlay_may_set': [
+            '/workspaces/*/share',
+            '/workspaces/*/limit',
+            '/timing',
+        ],
+        'workspaces': {
+            workspace: {
+                'share': 1,
+                'limit': {'tasks': 20},
+                'kinds': list(kinds),
+            }
+            for workspace in CALLER_KEYS
         },
         'keys': keys,
         'queues': {'default': {'open': False}},
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -45,7 +45,7 @@
             self.assertEqual(expected, found, body)
             self.assertEqual(model.Resources(100, 64, 0, 1), job.resources)
 
-    async def test_idempotency_key_names_one_job_of_one_team(self):
+    async def test_idempotency_key_names_one_job_of_one_workspace(self):
         """Guard against a key that reaches another caller's job."""
         first = await self.submit()
         again = await self.submit()
@@ -62,10 +62,10 @@
         ]
         ids = {first['job_id'], *(other['job_id'] for other in others)}
         self.assertEqual(len(others) + 1, len(ids))
-        self.assertEqual('red', others[2]['team'])
+        self.assertEqual('red', others[2]['workspace'])
 
-    async def test_keyed_work_on_an_open_queue_is_the_teams(self):
-        """Guard against a team that loses its id by the queue."""
+    async def test_keyed_work_on_an_open_queue_is_the_workspaces(self):
+        """Guard against a workspace that loses its id by the queue."""
         keyed = await self.submit(_OPEN)
         anonymous = await self.submit(_OPEN, key='')
         self.assertNotEqual(keyed['job_id'], anonymous['job_id'])
--- a/tests/test_bench_policy.py
+++ b/tests/test_bench_policy.py
@@ -19,7 +19,7 @@
         work_module.Work(
             f'job-{n}',
             rng.randrange(5_000),
-            f'team-{n % 2}',
+            f'workspace-{n % 2}',
             'kind',
             model.Priority(n % 3),
             _ONE,
@@ -31,8 +31,8 @@
         for n in range(30)
     ]
     workers = [(f'w{n}', f'd{n}', f'r{n}', _SIZE) for n in range(2)]
-    teams = {f'team-{n}': policy.TeamPolicy() for n in range(2)}
-    return work_module.Site('tiny', workers, teams, jobs, 10, 0, 60_000)
+    workspaces = {f'workspace-{n}': policy.WorkspacePolicy() for n in range(2)}
+    return work_module.Site('tiny', workers, workspaces, jobs, 10, 0, 60_000)
 
 
 class SimulationTest(unittest.TestCase):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -219,7 +219,7 @@
         self.check(2, 'run', '--kind', 'a', '--input', '{')
         self.check(2, 'run', '--kind', 'a', key='')
         self.check(2, 'key', 'add', '--id', 'k', '--role', 'caller')
-        self.check(2, 'team', 'set', 'web', '--tasks', 'many')
+        self.check(2, 'workspace', 'set', 'web', '--tasks', 'many')
         self.assertEqual([], self.daemons.requests)
 
     def test_drain_applies_again_after_a_conflict(self):
@@ -237,28 +237,38 @@
         self.daemons.conflicts = 99
         self.check(6, 'worker', 'drain', 'c')
 
-    def test_keys_and_teams_are_published(self):
+    def test_keys_and_workspaces_are_published(self):
         """Guard against changes that never reach the configuration."""
-        result = self.check(0, 'key', 'add', '--id', 'web-1', '--team', 'web')
+        result = self.check(
+            0, 'key', 'add', '--id', 'web-1', '--workspace', 'web'
+        )
         self.assertIn('bsk_web-1_', result.output)
         entry = self.daemons.base['keys']['web-1']
-        self.assertEqual(('caller', 'web'), (entry['role'], entry['team']))
-        self.check(3, 'key', 'add', '--id', 'web-1', '--team', 'web')
+        self.assertEqual(
+            ('caller', 'web'), (entry['role'], entry['workspace'])
+        )
+        self.check(3, 'key', 'add', '--id', 'web-1', '--workspace', 'web')
         self.check(0, 'key', 'withdraw', '--id', 'web-1')
         self.assertNotIn('web-1', self.daemons.base['keys'])
-        self.check(0, 'team', 'set', 'web', '--share', '2', '--tasks', '9')
+        self.check(
+            0, 'workspace', 'set', 'web', '--share', '2', '--tasks', '9'
+        )
         self.assertEqual(
             {'web': {'share': 2.0, 'limit': {'tasks': 9}}},
-            self.daemons.overlay['teams'],
+            self.daemons.overlay['workspaces'],
+        )
+        self.check(0, 'workspace', 'set', 'web', '--tasks', 'none')
+        self.assertEqual(
+            {}, self.daemons.overlay['workspaces']['web']['limit']
+        )
+        self.check(
+            0, 'workspace', 'set', 'new', '--share', '1', '--kind', 'site'
         )
-        self.check(0, 'team', 'set', 'web', '--tasks', 'none')
-        self.assertEqual({}, self.daemons.overlay['teams']['web']['limit'])
-        self.check(0, 'team', 'set', 'new', '--share', '1', '--kind', 'site')
         self.assertEqual(
             {'share': 1.0, 'kinds': ['site']},
-            self.daemons.base['teams']['new'],
+            self.daemons.base['workspaces']['new'],
         )
-        result = self.check(0, 'team', 'list')
+        result = self.check(0, 'workspace', 'list')
         self.assertIn('web: share 2.0, limit none', result.output)
 
     def test_added_key_is_shown_after_a_lost_answer(self):
@@ -288,7 +298,7 @@
         result = self.check(
             3, 'config', 'publish', '--base', overlay, '--overlay', overlay
         )
-        self.assertIn(f'{overlay} /teams/research/kinds', result.output)
+        self.assertIn(f'{overlay} /workspaces/research/kinds', result.output)
         self.assertEqual([], self.daemons.requests)
 
     def test_in_force(self):
--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -52,20 +52,75 @@
     ('/regions', ['a', 'a'], '/regions/1', 'remove one'),
     ('/partitions', 0, '/partitions', 'from 1 to 1024'),
     ('/partitions', True, '/partitions', 'from 1 to 1024'),
-    ('/team', {}, '/team', 'remove it or use one of: cell, keys'),
-    ('/teams', [], '/teams', 'write an object'),
-    ('/teams/Web', {'share': 1, 'kinds': []}, '/teams/Web', 'name it with'),
-    ('/teams/a~1b', {'share': 1, 'kinds': []}, '/teams/a~1b', 'name it with'),
-    ('/teams/web/share', 0, '/teams/web/share', 'a number above 0'),
-    ('/teams/web/share', '1', '/teams/web/share', 'a number above 0'),
-    ('/teams/web/share', _GONE, '/teams/web/share', 'a number above 0'),
-    ('/teams/web/weight', 1, '/teams/web/weight', 'one of: kinds, limit'),
-    ('/teams/web/limit/tasks', -1, '/teams/web/limit/tasks', 'from 0 to'),
-    ('/teams/web/kinds', ['sight'], '/teams/web/kinds/0', 'under /kinds'),
-    ('/teams/web/kinds', ['site'] * 2, '/teams/web/kinds/1', 'remove one'),
-    ('/keys/ops-1/team', 'web', '/keys/ops-1/team', 'remove the team'),
-    ('/keys/search-1/team', _GONE, '/keys/search-1/team', 'under /teams'),
-    ('/keys/search-1/team', 'find', '/keys/search-1/team', 'under /teams'),
+    ('/workspace', {}, '/workspace', 'remove it or use one of: cell, keys'),
+    ('/workspaces', [], '/workspaces', 'write an object'),
+    (
+        '/workspaces/Web',
+        {'share': 1, 'kinds': []},
+        '/workspaces/Web',
+        'name it with',
+    ),
+    (
+        '/workspaces/a~1b',
+        {'share': 1, 'kinds': []},
+        '/workspaces/a~1b',
+        'name it with',
+    ),
+    ('/workspaces/web/share', 0, '/workspaces/web/share', 'a number above 0'),
+    (
+        '/workspaces/web/share',
+        '1',
+        '/workspaces/web/share',
+        'a number above 0',
+    ),
+    (
+        '/workspaces/web/share',
+        _GONE,
+        '/workspaces/web/share',
+        'a number above 0',
+    ),
+    (
+        '/workspaces/web/weight',
+        1,
+        '/workspaces/web/weight',
+        'one of: kinds, limit',
+    ),
+    (
+        '/workspaces/web/limit/tasks',
+        -1,
+        '/workspaces/web/limit/tasks',
+        'from 0 to',
+    ),
+    (
+        '/workspaces/web/kinds',
+        ['sight'],
+        '/workspaces/web/kinds/0',
+        'under /kinds',
+    ),
+    (
+        '/workspaces/web/kinds',
+        ['site'] * 2,
+        '/workspaces/web/kinds/1',
+        'remove one',
+    ),
+    (
+        '/keys/ops-1/workspace',
+        'web',
+        '/keys/ops-1/workspace',
+        'remove the workspace',
+    ),
+    (
+        '/keys/search-1/workspace',
+        _GONE,
+        '/keys/search-1/workspace',
+        'under /workspaces',
+    ),
+    (
+        '/keys/search-1/workspace',
+        'find',
+        '/keys/search-1/workspace',
+        'under /workspaces',
+    ),
     ('/keys/search-1/role', 'root', '/keys/search-1/role', 'one of: caller'),
     ('/keys/ops-1/sha256', 'AB', '/keys/ops-1/sha256', 'hexadecimal'),
     (
@@ -75,13 +130,23 @@
         'key generate',
     ),
     ('/queues/default/open', 1, '/queues/default/open', 'true or false'),
-    ('/queues/default/open', True, '/queues/default/team', 'under /teams'),
-    ('/queues/default/team', 'find', '/queues/default/team', 'under /teams'),
+    (
+        '/queues/default/open',
+        True,
+        '/queues/default/workspace',
+        'under /workspaces',
+    ),
+    (
+        '/queues/default/workspace',
+        'find',
+        '/queues/default/workspace',
+        'under /workspaces',
+    ),
     (
         '/queues/thumbnails/kinds',
         ['train'],
         '/queues/thumbnails/kinds/0',
-        'add it to /teams/web/kinds',
+        'add it to /workspaces/web/kinds',
     ),
     ('/queues/default/kinds', ['x'], '/queues/default/kinds/0', 'correct'),
     ('/kinds/site/gang', True, '/kinds/site/gang', 'to false'),
@@ -97,7 +162,7 @@
     ),
     ('/workers/drained', ['w', 'w'], '/workers/drained/1', 'remove one'),
     ('/workers/drained', ['a b'], '/workers/drained/0', 'the VM list'),
-    ('/overlay_may_set', ['teams'], '/overlay_may_set/0', 'write it as'),
+    ('/overlay_may_set', ['workspaces'], '/overlay_may_set/0', 'write it as'),
     ('/overlay_may_set', ['/tems'], '/overlay_may_set/0', 'start it with'),
     (
         '/overlay_may_set',
@@ -133,8 +198,8 @@
             (_EXAMPLES / 'overlay.json').read_bytes(),
         )
         self.assertEqual('south', read.cell)
-        self.assertEqual(4, read.teams['research'].limit.accelerators)
-        self.assertEqual(4, read.teams['search'].share)
+        self.assertEqual(4, read.workspaces['research'].limit.accelerators)
+        self.assertEqual(4, read.workspaces['search'].share)
         kind = read.kinds['train']
         self.assertEqual(model.Resources(8000, 32768, 2, 1), kind.need())
         self.assertEqual(model.Priority.BATCH, kind.rank())
@@ -154,9 +219,9 @@
         base = _BASE
         pointers = {
             '/cell': 'North!',
-            '/teams/web/share': 0,
-            '/teams/search/kinds': ['nothing'],
-            '/keys/ops-1/team': 'web',
+            '/workspaces/web/share': 0,
+            '/workspaces/search/kinds': ['nothing'],
+            '/keys/ops-1/workspace': 'web',
             '/kinds/site/gang': True,
             '/timing/heartbeat_ms': 2000,
         }
@@ -165,8 +230,8 @@
         overlay = {'partitions': 13, 'timing': {'hold_ms': 'x'}}
         faults = find_faults(base, overlay)
         expected = {*pointers, '/partitions', '/timing/hold_ms'}
-        expected.remove('/teams/search/kinds')
-        expected.add('/teams/search/kinds/0')
+        expected.remove('/workspaces/search/kinds')
+        expected.add('/workspaces/search/kinds/0')
         self.assertEqual(expected, {fault.pointer for fault in faults})
 
     def test_syntax_of_both_files_is_reported(self):
@@ -205,10 +270,10 @@
         cases = [
             ({'partitions': 12}, '/partitions'),
             ({'keys': {'ops-1': None}}, '/keys'),
-            ({'teams': {'web': {'kinds': []}}}, '/teams/web/kinds'),
-            ({'teams': {'web': None}}, '/teams/web'),
-            ({'teams': None}, '/teams'),
-            ({'teams': {'new': {'share': 1}}}, '/teams/new'),
+            ({'workspaces': {'web': {'kinds': []}}}, '/workspaces/web/kinds'),
+            ({'workspaces': {'web': None}}, '/workspaces/web'),
+            ({'workspaces': None}, '/workspaces'),
+            ({'workspaces': {'new': {'share': 1}}}, '/workspaces/new'),
             ({'workers': []}, '/workers'),
             ({'overlay_may_set': ['/keys']}, '/overlay_may_set'),
         ]
@@ -234,15 +299,15 @@
 
     def test_overlay_faults_name_the_overlay(self):
         """Guard against a search in the wrong file."""
-        overlay = {'teams': {'web': {'share': -1}}, 'regions': ['UP']}
+        overlay = {'workspaces': {'web': {'share': -1}}, 'regions': ['UP']}
         faults = find_faults(_BASE, overlay)
         self.assertEqual(
-            [('overlay', '/regions/0'), ('overlay', '/teams/web/share')],
+            [('overlay', '/regions/0'), ('overlay', '/workspaces/web/share')],
             sorted((fault.file, fault.pointer) for fault in faults),
         )
-        removed = find_faults(_BASE, {'teams': {'web': {'share': None}}})
+        removed = find_faults(_BASE, {'workspaces': {'web': {'share': None}}})
         self.assertEqual(
-            [('overlay', '/teams/web/share')],
+            [('overlay', '/workspaces/web/share')],
             [(fault.file, fault.pointer) for fault in removed],
         )
 
@@ -269,7 +334,7 @@
 
 
 class KeyringTest(unittest.TestCase):
-    """Guard against a key that speaks for another team."""
+    """Guard against a key that speaks for another workspace."""
 
     def test_only_the_exact_key_is_valid(self):
         """Guard against keys of other ids, cut off or altered."""
@@ -277,7 +342,9 @@
         other, other_sha256 = config.Keyring.generate('ops')
         keyring = config.Keyring(
             {
-                'web-1': config.Key(role='caller', team='web', sha256=sha256),
+                'web-1': config.Key(
+                    role='caller', workspace='web', sha256=sha256
+                ),
                 'ops': config.Key(role='operator', sha256=other_sha256),
             }
         )
@@ -287,10 +354,10 @@
             (
                 found.key_id,
                 found.role,
-                found.team,
+                found.workspace,
             ),
         )
-        self.assertIsNone(keyring.check(other).team)
+        self.assertIsNone(keyring.check(other).workspace)
         unknown, _ = config.Keyring.generate('web-2')
         bad = ['', 'bsk_', text[:-1], text + '0', text.upper(), unknown]
         bad += [text.replace('web-1', 'ops'), f' {text}', f'{text}\n', 'ü']
--- a/tests/test_config_race.py
+++ b/tests/test_config_race.py
@@ -33,7 +33,7 @@
     value = {
         'cell': 'c',
         'regions': ['r'],
-        'teams': {},
+        'workspaces': {},
         'kinds': {},
         'workers': {'drained': [f'w{number}']},
         'timing': {'log_retention_ms': 3_000},
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -427,21 +427,23 @@
     async def test_stale_configuration_refuses_keys(self):
         """Guard against a withdrawn key that is still honoured."""
         text, sha256 = config.Keyring.generate('web-1')
-        keys = {'web-1': {'role': 'caller', 'team': 'web', 'sha256': sha256}}
+        keys = {
+            'web-1': {'role': 'caller', 'workspace': 'web', 'sha256': sha256}
+        }
         store = await self.start()
         await store.publish(make_base(keys=keys), _OVERLAY, 0, 'ops')
         await self.clock.advance_ms(60_000)
-        self.assertEqual('web', store.identify(text).team)
+        self.assertEqual('web', store.identify(text).workspace)
         self.log.down = True
         await self.clock.advance_ms(1_600)
-        self.assertEqual('web', store.identify(text).team)
+        self.assertEqual('web', store.identify(text).workspace)
         await self.clock.advance_ms(2_000)
         with self.assertRaises(errors.ConfigurationStale):
             store.identify(text)
         self.assertTrue(store.honours('web-1', 'web'))
         self.log.down = False
         await self.clock.advance_ms(500)
-        self.assertEqual('web', store.identify(text).team)
+        self.assertEqual('web', store.identify(text).workspace)
         await store.publish(make_base(keys={}), _OVERLAY, 1, 'ops')
         with self.assertRaises(errors.KeyInvalid):
             store.identify(text)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -12,7 +12,7 @@
 
 
 class LimitTest(coordinator_case.CoordinatorCase):
-    """Guard against a team with more running than its limit."""
+    """Guard against a workspace with more running than its limit."""
 
     async def test_limit_bounds_running_tasks_at_all_times(self):
         self.set_limit(2)
@@ -49,7 +49,7 @@
             attempt=7,
             job_id=task_id.split('/')[0],
             index=int(task_id.split('/')[1]),
-            team='red',
+            workspace='red',
             kind='report',
             partition=0,
             worker_id='worker-9',
@@ -141,17 +141,17 @@
                 self.job(resources=model.Resources(9000, 1, 0, 1))
             )
 
-    async def test_other_team_sees_no_job(self):
+    async def test_other_workspace_sees_no_job(self):
         self.activate()
         await self.submit(self.job())
         with self.assertRaises(errors.NotFound):
-            await self.view(team='blue')
+            await self.view(workspace='blue')
         with self.assertRaises(errors.NotFound):
             await self.coordinator.cancel(
-                messages.Cancel(partition=0, team='blue', job_id='j1')
+                messages.Cancel(partition=0, workspace='blue', job_id='j1')
             )
         reply = await self.coordinator.list_jobs(
-            messages.ListJobs(partition=0, team='blue')
+            messages.ListJobs(partition=0, workspace='blue')
         )
         self.assertEqual([], reply.views)
 
@@ -337,7 +337,7 @@
             self.assertEqual({'queued': 1}, (await self.view()).counts)
             await self.step(500 << (number - 2))
         await self.coordinator.cancel(
-            messages.Cancel(partition=0, team='red', job_id='j1')
+            messages.Cancel(partition=0, workspace='red', job_id='j1')
         )
 
 
@@ -366,7 +366,7 @@
         self.activate()
         await self.submit(self.job(tasks=5))
         await self.coordinator.cancel(
-            messages.Cancel(partition=0, team='red', job_id='j1')
+            messages.Cancel(partition=0, workspace='red', job_id='j1')
         )
         await self.step(1_000)
         self.assertEqual(set(self.holders.running), set(self.holders.stopped))
@@ -399,7 +399,7 @@
         waiting = asyncio.ensure_future(
             self.coordinator.view(
                 messages.View(
-                    partition=0, team='red', job_id='j1', wait_ms=10_000
+                    partition=0, workspace='red', job_id='j1', wait_ms=10_000
                 )
             )
         )
@@ -437,7 +437,7 @@
             'attempt': key[1],
             'job_id': order.job_id,
             'index': order.index,
-            'team': order.team,
+            'workspace': order.workspace,
             'kind': order.kind,
             'partition': 0,
             'worker_id': 'worker-1',
@@ -496,7 +496,7 @@
         entry = journal.JobEntry(job)
         self.journal.state.jobs['j1'] = entry
         await self.coordinator.cancel(
-            messages.Cancel(partition=0, team='red', job_id='j1')
+            messages.Cancel(partition=0, workspace='red', job_id='j1')
         )
         await self.step(1_000)
         ends = [
--- a/tests/test_daemon_parts.py
+++ b/tests/test_daemon_parts.py
@@ -106,7 +106,7 @@
             attempt=1,
             job_id='r1',
             index=0,
-            team='red',
+            workspace='red',
             kind='query',
             partition=request.partition,
             worker_id='w1',
@@ -234,7 +234,7 @@
         self.assertEqual([0, 0, 1, 1, 2], stamps)
 
     def test_floors_are_the_lowest_waiting_shares_elsewhere(self):
-        """Guard against a team that is compared with itself."""
+        """Guard against a workspace that is compared with itself."""
         self.assertEqual([-1.0] * 3, self.holders.floors())
         self.own.heartbeat = None
         for name, shares in (
@@ -337,7 +337,7 @@
 
 
 class OwnerDirectoryTest(unittest.TestCase):
-    """Guard against calls to a daemon that does not own the team."""
+    """Guard against calls to a daemon that does not own the workspace."""
 
     def test_addresses(self):
         own, other = make_member('a'), make_member('b')
--- a/tests/test_policy_gang.py
+++ b/tests/test_policy_gang.py
@@ -17,8 +17,8 @@
     def __init__(self, **options):
         self.queue = policy.FairQueue(**options)
         self.queue.set_total(_TOTAL)
-        self.queue.set_teams(
-            {'blue': policy.TeamPolicy(), 'red': policy.TeamPolicy()}
+        self.queue.set_workspaces(
+            {'blue': policy.WorkspacePolicy(), 'red': policy.WorkspacePolicy()}
         )
         self.now_ms = 0
         self.run_time_ms = {}
@@ -26,12 +26,18 @@
         self.started_ms = {}
 
     def push(
-        self, job_id, team, count, run_time_ms, gang=False, priority=_BATCH
+        self,
+        job_id,
+        workspace,
+        count,
+        run_time_ms,
+        gang=False,
+        priority=_BATCH,
     ):
         self.run_time_ms[job_id] = run_time_ms
         self.queue.push(
             job_id,
-            team,
+            workspace,
             priority,
             _ONE,
             count,
@@ -61,7 +67,7 @@
             for pick in picks:
                 self.started_ms.setdefault(pick.job_id, self.now_ms)
                 end_ms = self.now_ms + self.run_time_ms[pick.job_id]
-                self.running += [(end_ms, pick.team)] * pick.count
+                self.running += [(end_ms, pick.workspace)] * pick.count
         assert self.room() >= 0
 
 
@@ -138,7 +144,7 @@
         """Guard against a gang that never fits and stops all others."""
         fleet = self._reserved(10, gang_reserve_ms=5_000)
         # The tasks outlast their declared run time by far.
-        fleet.running = [(10**9, team) for _, team in fleet.running]
+        fleet.running = [(10**9, workspace) for _, workspace in fleet.running]
         fleet.push('long', 'red', 6, 60_000)
         fleet.step()
         self.assertNotIn('long', fleet.started_ms)
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -14,7 +14,7 @@
         'attempt': 1,
         'job_id': 'job',
         'index': 0,
-        'team': 'blue',
+        'workspace': 'blue',
         'kind': 'kind',
         'priority': priority,
         'resources': resources,
--- a/tests/test_policy_queue.py
+++ b/tests/test_policy_queue.py
@@ -12,16 +12,17 @@
 _URGENT = model.Priority.URGENT
 
 
-def _queue(teams=None, **options):
+def _queue(workspaces=None, **options):
     queue = policy.FairQueue(**options)
     queue.set_total(_TOTAL)
-    queue.set_teams(
-        teams or {'blue': policy.TeamPolicy(), 'red': policy.TeamPolicy()}
+    queue.set_workspaces(
+        workspaces
+        or {'blue': policy.WorkspacePolicy(), 'red': policy.WorkspacePolicy()}
     )
     return queue
 
 
-def _push(queue, job_id, team='blue', count=1, **fields):
+def _push(queue, job_id, workspace='blue', count=1, **fields):
     values = {
         'priority': _BATCH,
         'resources': _ONE,
@@ -29,7 +30,7 @@
         'now_ms': 0,
         'deadline_ms': 0,
     }
-    queue.push(job_id, team, count=count, **(values | fields))
+    queue.push(job_id, workspace, count=count, **(values | fields))
 
 
 def _jobs(picks):
@@ -40,7 +41,7 @@
     """Guard shares, classes and limits."""
 
     def test_equal_shares_alternate(self):
-        """Guard against a flood that delays another team."""
+        """Guard against a flood that delays another workspace."""
         queue = _queue()
         _push(queue, 'flood', 'blue', 1_000)
         _push(queue, 'small', 'red', 5)
@@ -51,8 +52,8 @@
         """Guard against shares that ignore the weight."""
         queue = _queue(
             {
-                'blue': policy.TeamPolicy(share=3.0),
-                'red': policy.TeamPolicy(share=1.0),
+                'blue': policy.WorkspacePolicy(share=3.0),
+                'red': policy.WorkspacePolicy(share=1.0),
             }
         )
         _push(queue, 'a', 'blue', 100)
@@ -72,11 +73,11 @@
     def test_upper_limit_passes_over(self):
         """Guard against a limit exceeded and one that stops others."""
         limits = [
-            policy.TeamPolicy(limit_tasks=3),
-            policy.TeamPolicy(limit=model.Resources(3_000, -1, -1, -1)),
+            policy.WorkspacePolicy(limit_tasks=3),
+            policy.WorkspacePolicy(limit=model.Resources(3_000, -1, -1, -1)),
         ]
         for limit in limits:
-            queue = _queue({'blue': limit, 'red': policy.TeamPolicy()})
+            queue = _queue({'blue': limit, 'red': policy.WorkspacePolicy()})
             _push(queue, 'a', 'blue', 10)
             _push(queue, 'b', 'red', 10)
             with self.subTest(limit=limit):
@@ -89,7 +90,7 @@
         """Guard against starts above a limit that was lowered."""
         queue = _queue()
         queue.add_running('blue', _ONE, 5)
-        queue.set_teams({'blue': policy.TeamPolicy(limit_tasks=3)})
+        queue.set_workspaces({'blue': policy.WorkspacePolicy(limit_tasks=3)})
         _push(queue, 'a', 'blue', 5)
         for expected in (0, 0, 1):
             queue.end_running('blue', _ONE)
@@ -100,22 +101,22 @@
         queue = _queue()
         queue.add_running('blue', model.Resources(1_000, 0, 2, 1))
         limit = model.Resources(-1, -1, 1, -1)
-        queue.set_teams({'blue': policy.TeamPolicy(limit=limit)})
+        queue.set_workspaces({'blue': policy.WorkspacePolicy(limit=limit)})
         self.assertFalse(queue.limits_ok('blue'))
         _push(queue, 'a')
         self.assertEqual([], queue.pop(0, 9))
 
-    def test_unknown_team_starts_nothing(self):
-        """Guard against work of a team whose limits are not known."""
+    def test_unknown_workspace_starts_nothing(self):
+        """Guard against work of a workspace whose limits are not known."""
         queue = _queue()
         _push(queue, 'a', 'green')
         self.assertEqual([], queue.pop(0, 9))
-        queue.set_teams({'green': policy.TeamPolicy()})
+        queue.set_workspaces({'green': policy.WorkspacePolicy()})
         self.assertEqual(['a'], _jobs(queue.pop(0, 9)))
 
     def test_waiting_shares(self):
-        """Guard against a team at its limit that holds back others."""
-        queue = _queue({'blue': policy.TeamPolicy(limit_tasks=1)})
+        """Guard against a workspace at its limit that holds back others."""
+        queue = _queue({'blue': policy.WorkspacePolicy(limit_tasks=1)})
         self.assertEqual([-1.0] * 3, queue.waiting_shares())
         _push(queue, 'a', count=2)
         self.assertEqual([-1.0, -1.0, 0.0], queue.waiting_shares())
@@ -123,7 +124,7 @@
         self.assertEqual([-1.0] * 3, queue.waiting_shares())
 
     def test_floors_hold_back(self):
-        """Guard against a team ahead of a waiting team elsewhere."""
+        """Guard against a workspace ahead of a waiting workspace elsewhere."""
         queue = _queue()
         _push(queue, 'a', 'blue', 100)
         queue.pop(0, 99, floors=[-1.0, -1.0, 0.2])
@@ -132,7 +133,7 @@
 
     def test_queue_full_is_a_refusal(self):
         """Guard against an unbounded queue and a refusal without a time."""
-        queue = _queue({'blue': policy.TeamPolicy(max_queued_tasks=5)})
+        queue = _queue({'blue': policy.WorkspacePolicy(max_queued_tasks=5)})
         _push(queue, 'a', 'blue', 4)
         with self.assertRaises(errors.QueueFull) as caught:
             _push(queue, 'b', 'blue', 2)
--- a/tests/test_policy_state.py
+++ b/tests/test_policy_state.py
@@ -9,7 +9,7 @@
 from basilspindle import policy
 from tests import soak
 
-_TEAMS = ('blue', 'red', 'green')
+_WORKSPACES = ('blue', 'red', 'green')
 _SHAPES = (
     model.Resources(1_000, 1_000, 0, 1),
     model.Resources(4_000, 2_000, 0, 1),
@@ -42,14 +42,14 @@
     def set_limits(self, tasks, cpu):
         limit = model.Resources(cpu, -1, -1, -1)
         self.limits = {
-            'blue': policy.TeamPolicy(limit_tasks=tasks),
-            'red': policy.TeamPolicy(limit=limit, share=2.0),
-            'green': policy.TeamPolicy(),
+            'blue': policy.WorkspacePolicy(limit_tasks=tasks),
+            'red': policy.WorkspacePolicy(limit=limit, share=2.0),
+            'green': policy.WorkspacePolicy(),
         }
-        self.queue.set_teams(self.limits)
+        self.queue.set_workspaces(self.limits)
 
     @stateful.rule(
-        team=strategies.sampled_from(_TEAMS),
+        workspace=strategies.sampled_from(_WORKSPACES),
         priority=strategies.sampled_from(list(model.Priority)),
         shape=strategies.sampled_from(_SHAPES),
         count=strategies.integers(1, 6),
@@ -58,13 +58,13 @@
         run_time_ms=strategies.sampled_from([0, 100, 10_000]),
     )
     def push(
-        self, team, priority, shape, count, gang, deadline_ms, run_time_ms
+        self, workspace, priority, shape, count, gang, deadline_ms, run_time_ms
     ):
         job_id = f'job-{len(self.jobs)}'
-        self.jobs[job_id] = (team, shape, count if gang else 0)
+        self.jobs[job_id] = (workspace, shape, count if gang else 0)
         self.queue.push(
             job_id,
-            team,
+            workspace,
             priority,
             shape,
             count,
@@ -94,33 +94,33 @@
         for pick in picks:
             self._count(pick)
             assert pick.resources not in full
-        for name, team in self.limits.items():
-            if any(pick.team == name for pick in picks):
-                self._check_limits(name, team)
+        for name, workspace in self.limits.items():
+            if any(pick.workspace == name for pick in picks):
+                self._check_limits(name, workspace)
 
     def _count(self, pick):
-        team, shape, gang_tasks = self.jobs[pick.job_id]
-        assert (team, shape) == (pick.team, pick.resources)
+        workspace, shape, gang_tasks = self.jobs[pick.job_id]
+        assert (workspace, shape) == (pick.workspace, pick.resources)
         assert pick.count in (gang_tasks, self.waiting[pick.job_id]) or (
             not pick.gang and pick.count <= self.waiting[pick.job_id]
         )
         self.waiting[pick.job_id] -= pick.count
         self.in_flight[pick.job_id] += pick.count
-        self.running.extend([(pick.job_id, team, shape)] * pick.count)
+        self.running.extend([(pick.job_id, workspace, shape)] * pick.count)
 
-    def _check_limits(self, name, team):
+    def _check_limits(self, name, workspace):
         running = self.queue.running(name)
-        if team.limit_tasks >= 0:
-            assert self.queue.running_tasks(name) <= team.limit_tasks
-        if team.limit is not None and team.limit.cpu_millicores >= 0:
-            assert running.cpu_millicores <= team.limit.cpu_millicores
+        if workspace.limit_tasks >= 0:
+            assert self.queue.running_tasks(name) <= workspace.limit_tasks
+        if workspace.limit is not None and workspace.limit.cpu_millicores >= 0:
+            assert running.cpu_millicores <= workspace.limit.cpu_millicores
 
     @stateful.precondition(lambda self: +self.in_flight)
     @stateful.rule(data=strategies.data(), removed=strategies.booleans())
     def give_back(self, data, removed):
         job_id = data.draw(strategies.sampled_from(sorted(+self.in_flight)))
         count = data.draw(strategies.integers(1, self.in_flight[job_id]))
-        team, shape, gang_tasks = self.jobs[job_id]
+        workspace, shape, gang_tasks = self.jobs[job_id]
         if gang_tasks and self.in_flight[job_id] == gang_tasks:
             count = data.draw(strategies.sampled_from([count, gang_tasks]))
         if removed:
@@ -130,7 +130,7 @@
         self.in_flight[job_id] -= count
         self.waiting[job_id] += back
         for _ in range(count):
-            self.running.remove((job_id, team, shape))
+            self.running.remove((job_id, workspace, shape))
 
     def _confirm(self, job_id):
         self.queue.confirm(job_id, self.in_flight[job_id])
@@ -140,16 +140,16 @@
     @stateful.rule(data=strategies.data(), again=strategies.booleans())
     def end(self, data, again):
         task = data.draw(strategies.sampled_from(self.running))
-        job_id, team, shape = task
+        job_id, workspace, shape = task
         self._confirm(job_id)
         self.running.remove(task)
-        self.queue.end_running(team, shape)
+        self.queue.end_running(workspace, shape)
         if again and job_id not in self.removed:
             priority = model.Priority.BATCH
             self.queue.push(
-                job_id, team, priority, shape, 1, False, self.now_ms, 0
+                job_id, workspace, priority, shape, 1, False, self.now_ms, 0
             )
-            self.jobs[job_id] = (team, shape, 0)
+            self.jobs[job_id] = (workspace, shape, 0)
             self.due_ms.pop(job_id, None)
             self.waiting[job_id] += 1
 
@@ -173,8 +173,12 @@
     @stateful.invariant()
     def counts_agree(self):
         assert self.queue.waiting() == sum(self.waiting.values())
-        for name in _TEAMS:
-            tasks = [shape for _, team, shape in self.running if team == name]
+        for name in _WORKSPACES:
+            tasks = [
+                shape
+                for _, workspace, shape in self.running
+                if workspace == name
+            ]
             total = model.Resources()
             for shape in tasks:
                 total = total.add(shape)
@@ -183,9 +187,11 @@
 
     def teardown(self):
         """Guard against a waiting task that can never be popped."""
-        for job_id, team, shape in self.running:
-            self.queue.end_running(team, shape)
-        self.queue.set_teams(dict.fromkeys(_TEAMS, policy.TeamPolicy()))
+        for job_id, workspace, shape in self.running:
+            self.queue.end_running(workspace, shape)
+        self.queue.set_workspaces(
+            dict.fromkeys(_WORKSPACES, policy.WorkspacePolicy())
+        )
         left = collections.Counter()
         for pick in self.queue.pop(self.now_ms, 1_000_000):
             left[pick.job_id] += pick.count
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -128,7 +128,7 @@
         self.assertEqual({'succeeded': 60}, view['counts'])
 
     def test_request_survives_the_death_of_its_owner(self):
-        owner = self.owner_of_team()
+        owner = self.owner_of_workspace()
         entry = self.other(owner)
         with concurrent.futures.ThreadPoolExecutor() as pool:
             waiting = pool.submit(
@@ -144,7 +144,7 @@
         self.assertEqual(200, answer.status_code, answer.text)
         self.assertEqual('x', answer.json()['results'][0]['result']['echo'])
 
-    def owner_of_team(self) -> str:
+    def owner_of_workspace(self) -> str:
         job_id = self.submit('entry-1', 'report')
         self.wait_state('entry-1', job_id)
         return self.cluster.owner_of(job_id)
@@ -220,7 +220,7 @@
 
     def publish(self, number: int) -> httpx.Response:
         base = local_cluster.base_document()
-        base['teams']['red']['share'] = number + 2
+        base['workspaces']['red']['share'] = number + 2
         return self.call(
             self.cluster.daemon_ids[number],
             'POST',
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -37,7 +37,7 @@
         self.handlers = {messages.Submit: self.answer_here}
         self.router = routing.Router(self.clock, self, self, self.handlers)
 
-    def partition_of(self, team):
+    def partition_of(self, workspace):
         return 3
 
     def owner_address(self, partition):
--- a/tests/test_standin_worker.py
+++ b/tests/test_standin_worker.py
@@ -67,7 +67,7 @@
             await self.clock.advance_ms(20)
             (run,) = (await api.get('/runs')).json()
             self.assertEqual('a/0', run['task']['task_id'])
-            self.assertEqual('team1', run['task']['team'])
+            self.assertEqual('workspace1', run['task']['workspace'])
             self.assertEqual('failed', run['outcome'])
             self.assertEqual(10, run['end_ms'] - run['start_ms'])
             self.assertEqual([], (await api.get('/breaches')).json())
