Test the adapter's fault tables, settings, bodies and the bounded log

Cause: the translation of the store was tested through processes only. Change: 25 tests: faults of appends by kind, lost answers, fencing, dropped history, claims, members, registry entries, settings, bodies, log bounds and stories. They found that the line that counts lost lines could itself be lost while the buffer was full; it now waits for an empty buffer.

--- a/basilspindle/events/emit.py
+++ b/basilspindle/events/emit.py
@@ -91,8 +91,10 @@
     sink = _output.sink
     if sink is not None and sink.dropped:
         sink.flush()
-        lost, sink.dropped = sink.dropped, 0
-        _write(LINES_DROPPED, {'lines': lost})
+        if sink.is_empty:
+            # With lines still kept, this one might be lost as well.
+            lost, sink.dropped = sink.dropped, 0
+            _write(LINES_DROPPED, {'lines': lost})
     _write(event, fields)
 
 
--- a/basilspindle/events/sink.py
+++ b/basilspindle/events/sink.py
@@ -22,6 +22,11 @@
         self._size_bytes = 0
         os.set_blocking(self._fd, False)
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether all lines are written."""
+        return not self._lines
+
     def write(self, message: str) -> None:
         """Write a line now or keep it until the reader goes on."""
         line = str(message).encode()
--- /dev/null
+++ b/tests/test_event_output.py
@@ -0,0 +1,142 @@
+"""Guard that logs are bounded and never block the process."""
+
+import io
+import json
+import os
+import time
+import unittest
+
+import loguru
+
+from basilspindle.cell import events as cell_events
+from basilspindle.cli import log_story
+from basilspindle import events
+from basilspindle.events import limiter as limiter_module
+
+_JOB = '00000000000000aa'
+
+
+class PipeCase(unittest.TestCase):
+    """A log whose reader may be slow."""
+
+    def setUp(self):
+        read_fd, write_fd = os.pipe()
+        self.reader = os.fdopen(read_fd, 'rb', buffering=0)
+        self.writer = os.fdopen(write_fd, 'w')
+        self.addCleanup(self.reader.close)
+        self.addCleanup(self.writer.close)
+        self.addCleanup(loguru.logger.remove)
+        os.set_blocking(read_fd, False)
+        events.open_log(self.writer)
+
+    def read(self):
+        data = b''
+        while chunk := self.reader.read(1 << 20):
+            data += chunk
+        return data
+
+
+class BlockedReaderTest(PipeCase):
+    """Guard the process against whoever reads its output."""
+
+    def test_a_reader_that_stops_does_not_stop_the_process(self):
+        """Guard against a loop that waits for its log, and lost counts."""
+        began_s = time.monotonic()
+        for number in range(500):
+            self.emit(number)
+        self.assertLess(time.monotonic() - began_s, 5.0)
+        data = b''
+        number = 500
+        # Once the reader goes on, kept lines and the count of lost ones come.
+        while b'lines_dropped' not in data and number < 600:
+            data += self.read()
+            self.emit(number)
+            number += 1
+        for _ in range(20):
+            data += self.read()
+            self.emit(number)
+            number += 1
+        data += self.read()
+        lines = [json.loads(row) for row in data.splitlines()]
+        lost = sum(
+            row['lines'] for row in lines if row['name'] == 'lines_dropped'
+        )
+        written = sum(row['name'] != 'lines_dropped' for row in lines)
+        self.assertGreater(lost, 0)
+        self.assertEqual(number, written + lost)
+
+    def emit(self, number):
+        # Several kinds, so that the bound of one kind is not reached.
+        event = (
+            cell_events.LEADER_GAINED,
+            cell_events.LEADER_READY,
+            cell_events.LEADER_LOST,
+        )[number % 3]
+        events.emit(event, text='x' * 4_000)
+
+
+class LimiterTest(unittest.TestCase):
+    """Guard the bound on lines of one event."""
+
+    def test_the_first_lines_are_written_and_the_rest_counted(self):
+        """Guard against a flood of one event."""
+        limiter = limiter_module.Limiter(most=3)
+        allowed = [limiter.allows(1, now_s=7.5) for _ in range(10)]
+        self.assertEqual([True] * 3 + [False] * 7, allowed)
+        self.assertTrue(limiter.allows(2, now_s=7.5))
+        self.assertTrue(limiter.allows(1, now_s=8.0))
+        self.assertEqual({1: 7}, limiter.take_suppressed())
+        self.assertEqual({}, limiter.take_suppressed())
+
+    def test_counts_are_reported(self):
+        """Guard against lines that vanish without a word."""
+        stream = io.StringIO()
+        events.open_log(stream)
+        self.addCleanup(loguru.logger.remove)
+        for _ in range(3_000):
+            events.emit(cell_events.TASK_STARTED, task='t')
+        events.report_suppressed()
+        lines = [json.loads(row) for row in stream.getvalue().splitlines()]
+        written = sum(row['name'] == 'task_started' for row in lines)
+        counted = sum(
+            row['lines'] for row in lines if row['name'] == 'lines_suppressed'
+        )
+        self.assertEqual(3_000, written + counted)
+        self.assertLess(written, 3_000)
+
+
+class StoryTest(unittest.TestCase):
+    """Guard the way from a job's id to what happened to it."""
+
+    def line(self, at, name, **fields):
+        value = {
+            'time': f'2026-01-01T00:00:{at:06.3f}+00:00',
+            'event': 1,
+            'name': name,
+            **fields,
+        }
+        return json.dumps(value)
+
+    def collect(self, *texts):
+        return log_story.collect(_JOB, [('file', text) for text in texts])
+
+    def test_lines_of_several_daemons_are_put_in_order(self):
+        """Guard against a story that reads backwards."""
+        story = self.collect(
+            '  3.0 d2 ' + self.line(3, 'task_ended', task=f'{_JOB}.0.0.1'),
+            '  1.0 d1 ' + self.line(1, 'job_accepted', job=_JOB),
+            '  2.0 d1 ' + self.line(2, 'leader_lost', reason='r'),
+            '  2.5 d1 ' + self.line(2.5, 'job_accepted', job='other'),
+            '  9.0 d1 ' + self.line(9, 'leader_lost', reason='later'),
+        )
+        names = [line['name'] for _, _, line in story.lines]
+        self.assertEqual(['job_accepted', 'leader_lost', 'task_ended'], names)
+        texts = list(log_story.describe(story))
+        self.assertIn('+  1000 ms  d1', texts[1])
+
+    def test_bad_lines_are_counted(self):
+        """Guard against a log that cannot be read for one bad line."""
+        story = self.collect(
+            'Traceback', '{"time":', '{"a":1}', '[1]', '', self.line(1, 'x')
+        )
+        self.assertEqual(4, story.unreadable)
--- /dev/null
+++ b/tests/test_platform_boot.py
@@ -0,0 +1,155 @@
+"""Guard the platform's settings, bodies and answers."""
+
+import json
+import unittest
+
+from basilspindle.cell import terms as terms_module
+from basilspindle import errors
+from basilspindle.platform import body as body_module
+from basilspindle.platform import boot as boot_module
+from tests import cell_case
+from tests import platform_case
+
+_VALUES = {
+    'node': 'n1',
+    'link': 7420,
+    'metrics': 7435,
+    'advice': '10.0.0.9:1',
+    'front': 1,
+    'ready': 2,
+    'store': '10.0.0.1:1',
+}
+
+
+class BootTest(unittest.TestCase):
+    """Guard the reading of the settings file."""
+
+    def text(self, **changes):
+        return platform_case._SETTINGS.format(**{**_VALUES, **changes})
+
+    def test_fields_not_known_are_ignored(self):
+        """Guard against a start that fails over a new field."""
+        boot = boot_module.parse(self.text() + 'future = [1]\n')
+        self.assertEqual('127.0.0.1:7420', boot.link_address)
+        self.assertEqual(10_000, boot.bounds.max_lease_ms)
+        self.assertEqual(120_000, boot.bounds.state_kept_ms)
+        self.assertFalse(boot.leads_last)
+
+    def test_small_machines_lead_last(self):
+        """Guard against a leader behind a slow link."""
+        text = self.text().replace('link_mbps = 1000.0', 'link_mbps = 10.0')
+        self.assertTrue(boot_module.parse(text).leads_last)
+
+    def test_a_wrong_field_is_named(self):
+        """Guard against an error that does not say what to mend."""
+        cases = [
+            (self.text().replace('node = "n1"', ''), 'node'),
+            (self.text().replace('"n1"', '7'), 'node'),
+            (self.text().replace('[platform]', '[other]'), 'platform'),
+            ('= =', 'TOML'),
+        ]
+        for text, name in cases:
+            with self.subTest(name=name):
+                with self.assertRaises(errors.SettingsInvalid) as caught:
+                    boot_module.parse(text)
+                self.assertIn(name, caught.exception.message)
+
+
+class BodyTest(unittest.TestCase):
+    """Guard the decoding of submitted jobs."""
+
+    def decode(self, value):
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        queue = cell_case.make_queue()
+        return body_module.decode(raw, 'a' * 16, 'alpha', queue, 5)
+
+    def test_a_step_keeps_all_that_was_asked(self):
+        """Guard against a wish that is lost on the way."""
+        job = self.decode(
+            {
+                'spec': 's',
+                'steps': [
+                    {'count': 2, 'cpu': 5, 'mem_mb': 6, 'gpus': 1},
+                    {
+                        'count': 3,
+                        'after': [0],
+                        'gang': True,
+                        'same_rack': True,
+                        'requires': 'k',
+                        'affinity': 'r',
+                        'anti_affinity': 2,
+                        'checkpointing': True,
+                        'long_running': True,
+                        'fills': True,
+                        'target_ms': 7,
+                        'may_miss': 1,
+                    },
+                ],
+                'max_runs': 2,
+                'first_run_ms': 9,
+                'interval_ms': 8,
+            }
+        )
+        first, second = job.steps
+        self.assertEqual((5, 6, 1), tuple(_amounts(first.need)))
+        self.assertEqual((0,), second.after)
+        self.assertTrue(second.gang and second.same_rack and second.service)
+        self.assertEqual(0, second.reserved.cpu_millicores)
+        self.assertEqual(('k', 'r', 2), _wishes(second))
+        self.assertEqual((2, 9, 8), _times(job))
+
+    def test_wrong_bodies_get_a_reason(self):
+        """Guard against jobs that can never run being kept."""
+        step = {'count': 1}
+        cases = [
+            (b'{', 'no job'),
+            ({'steps': []}, 'one step'),
+            ({'steps': [{'count': 0}]}, 'count'),
+            ({'steps': [{'count': 1, 'cpu': -1}]}, 'negative'),
+            ({'steps': [{**step, 'after': [0]}]}, 'earlier'),
+            ({'steps': [{'count': 20_000}]}, 'at most'),
+            ({'spec': 'x' * 5_000, 'steps': [step]}, 'spec'),
+            ({'steps': [step], 'max_runs': -1}, 'max_runs'),
+        ]
+        for value, reason in cases:
+            with self.subTest(reason=reason):
+                with self.assertRaises(errors.BadRequest) as caught:
+                    self.decode(value)
+                self.assertIn(reason, caught.exception.message)
+
+
+def _amounts(need):
+    return need.cpu_millicores, need.memory_mb, need.accelerators
+
+
+def _wishes(step):
+    return step.required_label, step.data_rack, step.max_per_worker
+
+
+def _times(job):
+    return job.max_runs, job.first_run_ms, job.interval_ms
+
+
+class TermIndexTest(unittest.TestCase):
+    """Guard how requests find their queue and workspace."""
+
+    def test_the_longest_prefix_wins(self):
+        """Guard against a request on another workspace's queue."""
+        from basilspindle.cell import term_index
+
+        queues = [
+            cell_case.make_queue('a', prefix='/x/'),
+            cell_case.make_queue('b', prefix='/x/y/'),
+        ]
+        index = term_index.TermIndex(cell_case.make_terms(queues))
+        self.assertEqual('b', index.queue_of('h.example:80', '/x/y/1').name)
+        self.assertEqual('a', index.queue_of('H.example', '/x/1').name)
+        self.assertIsNone(index.queue_of('other', '/x/1'))
+        self.assertIsNone(index.queue_of('h.example', '/z'))
+        self.assertEqual('alpha', index.workspace_of('key'))
+        self.assertIsNone(index.workspace_of('old'))
+
+    def test_a_call_takes_longer_with_more_workers(self):
+        """Guard the estimate that spreads calls for advice."""
+        terms = terms_module.AdviceTerms(10.0, 2.0, 100.0)
+        self.assertEqual(30.0, terms.call_ms(10))
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,199 @@
+"""Guard the translation of the platform's log, with its faults."""
+
+import unittest
+
+from basilspindle.cell import claim as claim_module
+from basilspindle import errors
+from basilspindle.platform import client as client_module
+from basilspindle.platform import registry as registry_module
+from basilspindle.platform import store as store_module
+from tests.standins import platform
+
+_STREAM = 'jobs'
+
+
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    """A client against the stand-in of the store."""
+
+    async def asyncSetUp(self):
+        self.standin = platform.StandinStore()
+        await self.enterAsyncContext(self.standin)
+        self.client = await self.enterAsyncContext(client_module.Client())
+        self.store = self.open_store()
+
+    def open_store(self):
+        return store_module.LogStore(self.client, self.standin.server.address)
+
+    def fail_appends(self, fault):
+        self.standin.server.fault = lambda request: (
+            fault if request.path.endswith('log-append') else ''
+        )
+
+
+class AppendTest(StoreCase):
+    """Guard appends under an epoch."""
+
+    async def append(self, sequence, value, epoch=1):
+        await self.store.append(_STREAM, [('k', value)], epoch, sequence, 300)
+
+    async def test_faults_by_kind(self):
+        """Guard against a fault taken for another one."""
+        unsent, unknown = errors.LogUnavailable, errors.LogOutcomeUnknown
+        cases = [
+            ('429', unsent),
+            ('503', unsent),
+            ('507', unsent),
+            ('500', unknown),
+            ('silent', unknown),
+            ('reset', unknown),
+            ('lost', unknown),
+        ]
+        for fault, expected in cases:
+            with self.subTest(fault=fault):
+                self.fail_appends(fault)
+                with self.assertRaises(expected):
+                    await self.append(1, b'x')
+                self.fail_appends('')
+
+    async def test_a_repeat_after_a_lost_answer_appends_once(self):
+        """Guard against a record that stands twice."""
+        self.fail_appends('lost')
+        with self.assertRaises(errors.LogOutcomeUnknown):
+            await self.append(1, b'x')
+        self.fail_appends('')
+        await self.append(1, b'x')
+        self.assertEqual(1, await self.store.probe_end('jobs'))
+
+    async def test_an_old_repeat_is_known_to_have_taken_effect(self):
+        """Guard against a leader that gives up over its own append."""
+        for sequence in range(1, 9):
+            await self.append(sequence, b'x')
+        await self.append(1, b'x')
+        self.assertEqual(8, await self.store.probe_end('jobs'))
+
+    async def test_a_fenced_leader_appends_nothing(self):
+        """Guard against records of a leader that was replaced."""
+        await self.append(1, b'x', epoch=1)
+        await self.store.fence(_STREAM, 2)
+        with self.assertRaises(errors.Deposed):
+            await self.append(2, b'y', epoch=1)
+        with self.assertRaises(errors.Deposed):
+            await self.store.fence(_STREAM, 1)
+        values, _ = await self.store.newest(_STREAM)
+        self.assertEqual({'k': b'x'}, values)
+
+    async def test_nothing_listens(self):
+        """Guard against an unsent append whose outcome seems unknown."""
+        await self.standin.server.__aexit__()
+        with self.assertRaises(errors.LogUnavailable):
+            await self.append(1, b'x')
+
+
+class ReadTest(StoreCase):
+    """Guard reads of whole streams and of their tails."""
+
+    async def test_newest_reads_all_pages_and_drops_removed_keys(self):
+        """Guard against jobs that a new leader does not see."""
+        records = [(f'{n:04}', b'v') for n in range(1_201)]
+        await self.store.put(_STREAM, records)
+        await self.store.put(_STREAM, [('0007', None)])
+        values, end = await self.store.newest(_STREAM)
+        self.assertEqual(1_200, len(values))
+        self.assertEqual(1_202, end)
+
+    async def test_a_dropped_offset_is_told(self):
+        """Guard against a reader that waits for records of the past."""
+        await self.store.put(_STREAM, [('a', b'1')])
+        self.standin.drop_history()
+        with self.assertRaises(errors.LogTrimmed) as caught:
+            await self.store.read(_STREAM, 0, 0)
+        self.assertEqual(1, caught.exception.first)
+        self.assertEqual(1, await self.store.probe_end(_STREAM))
+
+    async def test_silent_connections_are_not_used_again(self):
+        """Guard against one timeout for each connection that went silent."""
+        await self.store.put(_STREAM, [('a', b'1')])
+        self.standin.server.fault = lambda request: 'silent'
+        with self.assertRaises(errors.LogUnavailable):
+            await self.store.read(_STREAM, 0, 0)
+        before = len(self.standin.server.connections)
+        self.standin.server.fault = lambda request: ''
+        await self.store.read(_STREAM, 0, 0)
+        self.assertLessEqual(before, 1)
+
+
+class ClaimTest(StoreCase):
+    """Guard that one of several claims wins."""
+
+    def claim(self, node):
+        return claim_module.Claim(node, f'{node}:1', node, 0)
+
+    async def test_one_of_two_claims_wins(self):
+        """Guard against two leaders with one epoch."""
+        first = claim_module.ClaimRegister(self.store)
+        second = claim_module.ClaimRegister(self.open_store())
+        _, end = await first.read()
+        made = await first.make(self.claim('a'), end)
+        self.assertIsNone(await second.make(self.claim('b'), end))
+        current, end = await second.read()
+        self.assertEqual(made, current)
+        later = await second.make(self.claim('b'), end)
+        self.assertGreater(later.epoch, made.epoch)
+
+    async def test_a_claim_without_an_answer_is_looked_up(self):
+        """Guard against a leader that does not know that it leads."""
+        register = claim_module.ClaimRegister(self.store)
+        _, end = await register.read()
+        self.fail_appends('lost')
+        made = await register.make(self.claim('a'), end)
+        self.assertEqual('a', made.node)
+
+    async def test_members_are_listed(self):
+        """Guard against daemons that a new leader does not tell."""
+        register = claim_module.ClaimRegister(self.store)
+        await register.enter('a', '1:1')
+        await register.enter('b', '2:1')
+        await register.leave('a')
+        await register.read()
+        self.assertEqual({'b': '2:1'}, register.members)
+
+
+class RegistryTest(StoreCase):
+    """Guard the reading of the worker registry."""
+
+    _GOOD = (
+        b'{"service":"p","address":"h:1","zone":"z","state":"ready",'
+        b'"capacity":{"cpu":9,"mem_mb":8},"labels":["k","r"],"new":1}'
+    )
+
+    async def test_bad_entries_are_left_out_and_the_others_hold(self):
+        """Guard against one bad entry that hides all workers."""
+        bad = [
+            b'\xff\xfe',
+            b'[]',
+            b'{"service":7}',
+            self._GOOD.replace(b'ready', b'asleep'),
+            self._GOOD.replace(b'"address":"h:1",', b''),
+        ]
+        for number, raw in enumerate(bad):
+            self.standin.put('keyed.servers', f'bad{number}', raw)
+        self.standin.put('keyed.servers', 'good', self._GOOD)
+        registry = registry_module.StoreRegistry(self.store)
+        rows = await registry.refresh()
+        self.assertEqual(['good'], list(rows))
+        row = rows['good']
+        self.assertEqual(('r', 9), (row.rack, row.capacity.cpu_millicores))
+        self.standin.put('keyed.servers', 'good', b'{"service":7}')
+        self.assertEqual(['good'], list(await registry.refresh()))
+
+    async def test_changes_and_removals_are_followed(self):
+        """Guard against work for a worker that leaves or has left."""
+        registry = registry_module.StoreRegistry(self.store)
+        self.standin.put('keyed.servers', 'w', self._GOOD)
+        self.assertTrue((await registry.refresh())['w'].is_ready)
+        draining = self._GOOD.replace(b'ready', b'draining')
+        self.standin.put('keyed.servers', 'w', draining)
+        self.assertFalse((await registry.refresh())['w'].is_ready)
+        self.standin.drop_history()
+        self.standin.put('keyed.servers', 'w', b'')
+        self.assertEqual({}, await registry.refresh())
