Evacuate workers that leave and take them for gone once they have left

Cause: what ran on a worker taken away at short notice waited for its lease of 5 s before it started again. Change: tasks that cannot end within the time that the worker gives are stopped, so that they start elsewhere with their checkpoint; a leaving worker without an entry that does not answer is gone.

--- a/basilspindle/cell/housekeeping.py
+++ b/basilspindle/cell/housekeeping.py
@@ -1,7 +1,9 @@
 """Do what falls due with time alone."""
 
 from basilspindle.cell import orders as orders_module
+from basilspindle.cell import speed
 from basilspindle.cell import state as state_module
+from basilspindle.workflow import task as task_module
 from basilspindle.workflow import task_state
 
 _State = task_state.TaskState
@@ -37,6 +39,34 @@
                 state.stop_gang(run)
 
 
+def evacuate(state: state_module.CellState, now_ms: int) -> None:
+    """Stop what cannot end before its worker leaves.
+
+    Answers workers that are taken away at short notice: what they hold
+    starts again elsewhere at once instead of after their lease.
+    """
+    for worker in state.workers.values():
+        if worker.ready or not worker.drain_end_ms:
+            continue
+        left_ms = worker.drain_end_ms - now_ms
+        for task in list(worker.tasks.values()):
+            if task.state is not _State.RUNNING:
+                continue
+            if _needed_ms(state, task) <= left_ms:
+                continue
+            if task.step_run.step.gang:
+                state.stop_gang(task.step_run)
+            else:
+                state.request_stop(task)
+
+
+def _needed_ms(state: state_module.CellState, task: task_module.Task) -> float:
+    if task.step_run.step.service:
+        return float('inf')
+    whole_ms = speed.expected_ms(state, task.step_run)
+    return whole_ms * (100 - task.percent) / 100
+
+
 def repeat_stops(state: state_module.CellState, now_ms: int) -> None:
     """Order stops again that show no effect."""
     for worker in state.workers.values():
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -427,6 +427,7 @@
         if self.store_age_ms > _STORE_SILENT_MS:
             self._recorder.withdraw_new()
         housekeeping.open_due(state, now_ms, wall_ms)
+        housekeeping.evacuate(state, now_ms)
         housekeeping.repeat_stops(state, now_ms)
         housekeeping.stop_partial_gangs(state, now_ms)
         kept_ms = state.bounds.state_kept_ms + _STATE_SLACK_MS
--- a/basilspindle/cell/roster.py
+++ b/basilspindle/cell/roster.py
@@ -13,6 +13,8 @@
 from basilspindle import events
 
 _REGISTRY_MS = 700
+# Longer than a renewal waits for an end, with its answer.
+_LEFT_SILENT_MS = 1_600
 
 OpenSession = collections.abc.Callable[
     [worker_module.Worker], session_module.Session
@@ -78,11 +80,24 @@
             if worker.listed:
                 worker.listed = False
                 worker.unlisted_ms = self._clock.now_ms()
+            if self._has_left(worker):
+                self.sessions[worker_id].give_up()
+                continue
             if worker.reported or worker.tasks:
                 continue
             if worker_id not in self._state.unseen:
                 self.drop(worker)
 
+    def _has_left(self, worker: worker_module.Worker) -> bool:
+        # A worker that reported to leave and has no entry any more is gone,
+        # unless it still answers.
+        silent_ms = self._clock.now_ms() - worker.contact_ms
+        return (
+            not worker.ready
+            and worker.reported
+            and silent_ms > _LEFT_SILENT_MS
+        )
+
     def drop(self, worker: worker_module.Worker) -> None:
         """Forget a worker that is gone."""
         self._state.workers.pop(worker.worker_id, None)
@@ -125,6 +140,8 @@
     ) -> None:
         worker.address = row.address
         self._note_address(worker.worker_id, row.address)
+        if not row.is_ready and row.remaining_ms:
+            worker.drain_end_ms = self._clock.now_ms() + row.remaining_ms
         if worker.ready and not row.is_ready:
             events.emit(
                 cell_events.WORKER_DRAINING,
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -121,6 +121,10 @@
         """Return when the lease is over if it is not renewed again."""
         return self._lease.over_ms()
 
+    def give_up(self) -> None:
+        """Take the life of the worker for over."""
+        self._owner.lose_life(self)
+
     def forget_clock(self) -> None:
         """Begin anew with another life of the worker."""
         self._lease.reset()
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -19,7 +19,8 @@
     that was applied, ``durable_end`` the highest that the log holds.
     ``slowness`` is the time that tasks take here against elsewhere, ``lag``
     the same for those that run now, and ``strikes`` counts starts without
-    an answer. ``suspect_until_ms`` bounds a time without new work.
+    an answer. ``suspect_until_ms`` bounds a time without new work, and
+    ``drain_end_ms`` is when a leaving worker may be gone, 0 for not known.
     """
 
     __slots__ = (
--- /dev/null
+++ b/tests/test_cell_housekeeping.py
@@ -0,0 +1,146 @@
+"""Guard what falls due with time alone."""
+
+from basilspindle.cell import housekeeping
+from basilspindle.cell import lease_clock
+from basilspindle.cell import start_outcome
+from basilspindle.cell import starts as starts_module
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+
+
+class EvacuationTest(cell_case.CellCase):
+    """Guard work on workers that are taken away at short notice."""
+
+    def setUp(self):
+        super().setUp()
+        self.worker = self.add_worker('w1', cpu=8_000)
+        self.submit(
+            cell_case.make_definition(
+                _JOB,
+                cell_case.make_step(1, estimate_ms=10_000),
+                cell_case.make_step(1, estimate_ms=500),
+            )
+        )
+        self.run_all(self.plan())
+        self.worker.ready = False
+        self.worker.drain_end_ms = self.now_ms + 2_000
+
+    def stopped(self):
+        housekeeping.evacuate(self.state, self.now_ms)
+        return [stop.name for stop in self.state.take_orders().stops]
+
+    def test_only_what_cannot_end_in_time_is_stopped(self):
+        """Guard against work lost with its worker, or thrown away."""
+        self.assertEqual([f'{_JOB}.0.0.0'], self.stopped())
+        self.assertEqual([], self.stopped())
+
+    def test_nothing_is_stopped_without_a_known_end(self):
+        """Guard against stops on workers that serve for long yet."""
+        self.worker.drain_end_ms = 0
+        self.assertEqual([], self.stopped())
+
+
+class GangTest(cell_case.CellCase):
+    """Guard gangs of which a member does not start."""
+
+    def test_a_gang_is_stopped_before_it_ends_alone(self):
+        """Guard against members that wait for one that never comes."""
+        for name in ('w1', 'w2'):
+            self.add_worker(name, cpu=1_000)
+        step = cell_case.make_step(2, gang=True)
+        self.submit(cell_case.make_definition(_JOB, step))
+        first, _ = self.plan().starts
+        self.answer(first)
+        housekeeping.stop_partial_gangs(self.state, self.now_ms + 1_000)
+        self.assertEqual([], self.state.take_orders().stops)
+        housekeeping.stop_partial_gangs(self.state, self.now_ms + 2_000)
+        self.assertEqual(2, len(self.state.take_orders().stops))
+
+    def test_a_gang_starts_again_as_a_whole(self):
+        """Guard against a gang that starts while a member still runs."""
+        for name in ('w1', 'w2', 'w3'):
+            self.add_worker(name, cpu=1_000)
+        step = cell_case.make_step(2, gang=True)
+        self.submit(cell_case.make_definition(_JOB, step))
+        first, second = self.plan().starts
+        self.answer(first)
+        self.answer(second, start_outcome.StartOutcome.NO_ROOM)
+        orders = self.plan()
+        self.assertEqual([], orders.starts)
+        [stop] = orders.stops
+        self.assertEqual(first.task.name, stop.name)
+        starts_module.apply_stop_answer(self.state, stop, self.now_ms)
+        self.now_ms += 400
+        for name in ('w1', 'w2', 'w3'):
+            self.report(name)
+        starts = self.plan().starts
+        self.assertEqual(2, len(starts))
+        self.assertEqual({first.run + 1}, {each.run for each in starts})
+
+
+class OccurrenceTest(cell_case.CellCase):
+    """Guard jobs that run several times."""
+
+    def test_runs_open_when_they_are_due_and_not_before(self):
+        """Guard against a run that starts early or never."""
+        self.add_worker('w1')
+        job = self.submit(
+            cell_case.make_definition(
+                _JOB,
+                cell_case.make_step(),
+                max_runs=2,
+                first_run_ms=5_000,
+                interval_ms=1_000,
+            )
+        )
+        housekeeping.open_due(self.state, self.now_ms, 4_999)
+        self.assertEqual([], self.plan().starts)
+        for due_ms in (5_000, 6_000):
+            self.assertFalse(job.state.is_final)
+            housekeeping.open_due(self.state, self.now_ms, due_ms)
+            [start] = self.run_all(self.plan())
+            self.end('w1', start.task.name, start.run)
+        self.assertTrue(job.state.is_final)
+
+
+class ServiceTest(cell_case.CellCase):
+    """Guard tasks that run until their job is cancelled."""
+
+    def test_a_service_starts_again_however_it_ends(self):
+        """Guard against a service that stays down."""
+        self.add_worker('w1')
+        job = self.submit(
+            cell_case.make_definition(
+                _JOB, cell_case.make_step(service=True), max_attempts=1
+            )
+        )
+        for kind in cell_case.report_module.EndKind:
+            with self.subTest(kind=kind):
+                [start] = self.run_all(self.plan())
+                self.end('w1', start.task.name, start.run, kind)
+                self.assertFalse(job.state.is_final)
+
+
+class LeaseClockTest(cell_case.CellCase):
+    """Guard the time after which nothing runs on a worker."""
+
+    def test_a_slow_clock_is_allowed_for(self):
+        """Guard against a second start while the first still runs."""
+        clock = lease_clock.LeaseClock()
+        self.assertIsNone(clock.grant(5_000, 0))
+        clock.note(1_000, 10_000)
+        self.assertEqual(6_000, clock.grant(5_000, 10_000))
+        # The worker's clock may run 2% slow.
+        self.assertGreaterEqual(clock.over_ms(), 10_000 + 5_102)
+        clock.note(2_000, 11_000)
+        self.assertEqual(7_000, clock.grant(5_000, 11_000))
+        self.assertGreaterEqual(clock.over_ms(), 11_000 + 5_102)
+
+    def test_a_grant_without_an_answer_counts(self):
+        """Guard against an order that is carried out unseen."""
+        clock = lease_clock.LeaseClock()
+        clock.note(0, 0)
+        clock.grant(5_000, 0)
+        clock.grant(5_000, 4_000)
+        self.assertGreaterEqual(clock.over_ms(), 9_000)
