Soak the platform's daemons with random faults

Change: signals in series and together, faults of the store, workers and configurations at random; accepted work completes, nothing runs twice, what was only refused never ran, no worker holds more than it has.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint demo soak bench bench-quick events mutants
+.PHONY: setup test lint demo soak soak-platform bench bench-quick events mutants
 
 setup: $(STAMP)
 
@@ -39,3 +39,6 @@
 		tests.test_cluster_interleaving tests.test_config_race \
 		tests.test_fleet_interleaving tests.test_journal_interleaving \
 		tests.test_policy_state
+
+soak-platform: setup
+	$(PYTHON) -m tests.soak_platform
--- /dev/null
+++ b/tests/soak_case.py
@@ -0,0 +1,220 @@
+"""Inject random faults from outside while clients hand in work.
+
+The same seed gives the same schedule of faults; what overlaps depends on
+the machine.
+"""
+
+import asyncio
+import collections
+import random
+import signal
+import time
+
+import httpx
+
+from tests import platform_case
+from tests.standins import platform
+
+_FAULT_S = 8.0
+_HEAL_S = 40.0
+_SUBMIT_PAUSE_S = 0.12
+_STORE_FAULTS = ('silent', 'reset', 'lost', 'late', '503', '429')
+_WORKER_FAULTS = ('silent', 'reset', 'lost', 'late', '503')
+
+
+class SoakCase(platform_case.PlatformCase):
+    """Daemons, a store and workers that all fail at random."""
+
+    daemons_wanted = 4
+    workers_wanted = 4
+
+    async def soak(self, seed: int) -> None:
+        """Play one seed and check the promises."""
+        self.random = random.Random(seed)
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.unknown: set[str] = set()
+        self.down: set[platform_case.Daemon] = set()
+        self.version = 1
+        until_s = time.monotonic() + _FAULT_S
+        try:
+            async with asyncio.TaskGroup() as group:
+                for client in range(3):
+                    group.create_task(self._hand_in(seed, client, until_s))
+                for work in (
+                    self._fail_daemons,
+                    self._fail_store,
+                    self._fail_workers,
+                    self._change,
+                ):
+                    group.create_task(work(until_s))
+            await self._heal()
+            await self._check(seed)
+        except BaseException:
+            for daemon in self.daemons:
+                print(f'--- {daemon.node}, seed {seed}')
+                print(daemon.log_path.read_text()[-6_000:])
+            raise
+
+    async def _hand_in(self, seed: int, client: int, until_s: float) -> None:
+        # Connections stay open from request to request.
+        number = 0
+        pick = random.Random(seed * 31 + client)
+        async with httpx.AsyncClient(timeout=4.0) as session:
+            while time.monotonic() < until_s:
+                number += 1
+                job_id = f'{seed % 0xFFFF:04x}{client:04x}{number:08x}'
+                body = platform_case.make_job(
+                    pick.choice((50, 300, 900)), pick.choice((1, 2, 3))
+                )
+                await self._submit(session, pick, job_id, body)
+                await asyncio.sleep(_SUBMIT_PAUSE_S)
+
+    async def _submit(
+        self,
+        session: httpx.AsyncClient,
+        pick: random.Random,
+        job_id: str,
+        body: object,
+    ) -> None:
+        for _ in range(3):
+            daemon = pick.choice(self.daemons)
+            try:
+                answer = await session.post(
+                    f'http://127.0.0.1:{daemon.front}/jobs/{job_id}',
+                    json=body,
+                    headers={
+                        'Host': platform_case.HOST,
+                        'Authorization': 'Bearer key-a',
+                        'X-Deadline-Ms': '3000',
+                    },
+                )
+            except httpx.TransportError:
+                self.unknown.add(job_id)
+                continue
+            if answer.status_code == 200:
+                self.accepted.add(job_id)
+                return
+            if answer.status_code in (429, 503):
+                self.refused.add(job_id)
+            else:
+                self.unknown.add(job_id)
+            await asyncio.sleep(0.2)
+
+    async def _fail_daemons(self, until_s: float) -> None:
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+            for daemon in self.random.sample(
+                self.daemons, self.random.choice((1, 1, 2, 4))
+            ):
+                await self._fail_daemon(daemon)
+
+    async def _fail_daemon(self, daemon: platform_case.Daemon) -> None:
+        if daemon in self.down:
+            return
+        self.down.add(daemon)
+        kind = self.random.choice(('kill', 'pause', 'stop'))
+        if kind == 'kill':
+            await daemon.kill()
+        elif kind == 'stop':
+            daemon.send(signal.SIGTERM)
+        else:
+            daemon.send(signal.SIGSTOP)
+        asyncio.ensure_future(
+            self._restore(daemon, kind, self.random.uniform(0.1, 3.0))
+        )
+
+    async def _restore(
+        self, daemon: platform_case.Daemon, kind: str, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        if kind == 'pause':
+            daemon.send(signal.SIGCONT)
+        else:
+            assert daemon.process is not None
+            await daemon.process.wait()
+            await daemon.start()
+        self.down.discard(daemon)
+
+    async def _fail_store(self, until_s: float) -> None:
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            kind = self.random.choice(_STORE_FAULTS)
+            part = self.random.choice((0.2, 1.0))
+            chance = random.Random(self.random.random())
+            self.store.server.fault = lambda request, kind=kind, part=part: (
+                kind if chance.random() < part else ''
+            )
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+            self.store.server.fault = lambda request: ''
+            if self.random.random() < 0.3:
+                self.store.drop_history()
+
+    async def _fail_workers(self, until_s: float) -> None:
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+            worker = self.random.choice(self.workers)
+            kind = self.random.choice(_WORKER_FAULTS)
+            chance = random.Random(self.random.random())
+            worker.server.fault = lambda request, kind=kind: (
+                kind if chance.random() < 0.5 else ''
+            )
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            worker.server.fault = lambda request: ''
+
+    async def _change(self, until_s: float) -> None:
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+            self.version += 1
+            keys = ('key-a', f'key-{self.version}')
+            self.store.put(
+                'keyed.op',
+                'config',
+                platform.make_configuration(self.version, keys=keys),
+            )
+
+    async def _heal(self) -> None:
+        self.store.server.fault = lambda request: ''
+        for worker in self.workers:
+            worker.server.fault = lambda request: ''
+        while self.down:
+            await asyncio.sleep(0.1)
+        for daemon in self.daemons:
+            await self.wait_ready(daemon)
+
+    async def _check(self, seed: int) -> None:
+        left = set(self.accepted)
+        limit_s = time.monotonic() + _HEAL_S
+        while left and time.monotonic() < limit_s:
+            for job_id in list(left):
+                daemon = self.random.choice(self.daemons)
+                answer = await self.call('GET', daemon, job_id)
+                self.assertNotEqual(410, answer.status_code, job_id)
+                if answer.status_code == 200:
+                    state = answer.json()['state']
+                    self.assertNotIn(state, ('failed', 'cancelled'), job_id)
+                    if state == 'completed':
+                        left.discard(job_id)
+            await asyncio.sleep(0.1)
+        self.assertEqual(set(), left, f'seed {seed}: not completed')
+        self.check_runs()
+        self._check_refusals()
+        self._check_capacity()
+
+    def _check_refusals(self) -> None:
+        ran = {
+            row[2].partition('.')[0]
+            for worker in self.workers
+            for row in worker.history
+        }
+        only_refused = self.refused - self.accepted - self.unknown
+        self.assertEqual(set(), ran & only_refused, 'ran although refused')
+
+    def _check_capacity(self) -> None:
+        for worker in self.workers:
+            used: collections.Counter[str] = collections.Counter()
+            for _, what, name, _ in sorted(worker.history):
+                used[name] += 1 if what == 'start' else -1
+                self.assertLessEqual(
+                    sum(used.values()) * 1_000, worker.capacity
+                )
--- /dev/null
+++ b/tests/soak_platform.py
@@ -0,0 +1,37 @@
+"""Play seeds of the soak by hand: first seed and how many."""
+
+import sys
+import time
+import unittest
+
+from tests import soak_case
+
+
+def _make_case(seed: int) -> unittest.TestCase:
+    class Seed(soak_case.SoakCase):
+        async def test(self) -> None:
+            await self.soak(seed)
+
+        def id(self) -> str:
+            return f'seed {seed}'
+
+    return Seed('test')
+
+
+def main() -> None:
+    """Play the seeds one after the other; exit with 1 if one failed."""
+    first = int(sys.argv[1]) if len(sys.argv) > 1 else int(time.time())
+    count = int(sys.argv[2]) if len(sys.argv) > 2 else 10
+    failed = []
+    for seed in range(first, first + count):
+        result = unittest.TextTestRunner(verbosity=0).run(_make_case(seed))
+        print(f'seed {seed}: {"ok" if result.wasSuccessful() else "FAILED"}')
+        sys.stdout.flush()
+        if not result.wasSuccessful():
+            failed.append(seed)
+    print(f'{count - len(failed)} of {count} seeds passed; failed: {failed}')
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
