--- a/basilspindle/cell/advice_calls.py
+++ b/basilspindle/cell/advice_calls.py
@@ -80,6 +80,7 @@
             self._fail(order, 'all daemons pause')
             return
         adviser.pending_ms += expected_ms
+        begun_ms = self._clock.now_ms()
         timeout_ms = int(adviser.pending_ms) + _SLACK_MS
         try:
             result = await self._call(adviser, order, timeout_ms)
@@ -89,6 +90,13 @@
             return
         finally:
             adviser.pending_ms -= expected_ms
+        events.emit(
+            cell_events.ADVICE_TAKEN,
+            step=run.key,
+            asked=len(order.worker_ids),
+            good=len(result.tickets),
+            took_ms=self._clock.now_ms() - begun_ms,
+        )
         plan_module.apply_advice(
             run,
             order.worker_ids,
--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -18,8 +18,9 @@
 from basilspindle import events
 
 _PING_MS = 250
-_PING_ANSWER_MS = 900
+_PING_ANSWER_MS = 400
 _CONNECT_MS = 700
+_ASK_ANSWER_MS = 900
 # A leader whose append is unanswered for this long is replaced if others
 # reach the store.
 _STORE_SILENT_MS = 450
@@ -28,9 +29,9 @@
 _RETURN_MS = 1_500
 # A store that answers a read sooner is not slow.
 _STORE_PROMPT_MS = 150
-# A leader appends at least once a second; with none for this long it is
+# A leader appends at least twice a second; with none for this long it is
 # taken for dead although nothing refused a connection.
-_QUIET_MS = 1_400
+_QUIET_MS = 900
 _RETRY_MS = 200
 # Daemons that lose the leader together claim at different moments.
 _CLAIM_SPREAD_MS = 40
@@ -198,7 +199,7 @@
             # One of several to be asked; the others may know.
             return None
         try:
-            reply = await link.call(messages.WhoLeads(), _PING_ANSWER_MS)
+            reply = await link.call(messages.WhoLeads(), _ASK_ANSWER_MS)
         except errors.PeerError:
             return None
         finally:
@@ -233,7 +234,7 @@
             # It finds the claim in the store when it is back.
             return False
         try:
-            await link.call(messages.Announce(claim), _PING_ANSWER_MS)
+            await link.call(messages.Announce(claim), _ASK_ANSWER_MS)
         except errors.PeerError:
             return False
         finally:
@@ -324,6 +325,7 @@
     ) -> '_Followed':
         ping = messages.Ping(self._identity.node)
         begun_ms = self._clock.now_ms()
+        misses = 0
         while not link.closed.is_set():
             try:
                 pong = await link.call(ping, _PING_ANSWER_MS)
@@ -335,7 +337,14 @@
                 )
                 if link.closed.is_set():
                     return _Followed.CLOSED
-                return _Followed.SILENT
+                if await self._is_quiet():
+                    return _Followed.GONE
+                misses += 1
+                if misses > 1:
+                    # It lives, so this connection has gone silent.
+                    return _Followed.CLOSED
+                continue
+            misses = 0
             if not isinstance(pong, messages.Pong):
                 return _Followed.SILENT
             if pong.incarnation != claim.incarnation:
@@ -368,7 +377,7 @@
     async def _fetch_terms(self, link: link_module.Link) -> None:
         # The leader has a newer configuration than the store gave here.
         try:
-            reply = await link.call(messages.GetTerms(), _PING_ANSWER_MS)
+            reply = await link.call(messages.GetTerms(), _ASK_ANSWER_MS)
         except errors.PeerError as error:
             events.emit(
                 cell_events.LEADER_SILENT,
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -103,6 +103,20 @@
     'a worker did not start a task',
     'see the outcome; the task waits again',
 )
+STEP_WAITS = _Event(
+    916,
+    'step_waits',
+    _Level.INFO,
+    'a step whose turn has come does not start whole now',
+    'see the reason; candidates are the workers that may run it',
+)
+ADVICE_TAKEN = _Event(
+    917,
+    'advice_taken',
+    _Level.INFO,
+    'the advice service named the workers that may run a step',
+    'nothing to do',
+)
 WORKER_GAINED = _Event(
     920,
     'worker_gained',
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -20,7 +20,7 @@
 # Least time between the starts of two appends; a shorter one costs calls.
 _LINGER_MS = 25
 # An idle leader appends this often, so that others see that it lives.
-_BEAT_MS = 1_000
+_BEAT_MS = 400
 _BEAT_KEY = 'beat'
 _DEFINITION = 'd'
 _PROGRESS = 'p'
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -396,6 +396,16 @@
                 session.send_stop(stop)
         for advice in orders.advice:
             self.advice_calls.send(advice)
+        for note in orders.waits:
+            run = note.step_run
+            events.emit(
+                cell_events.STEP_WAITS,
+                step=run.key,
+                reason=note.reason,
+                waiting=len(run.waiting),
+                candidates=note.candidates,
+                ready_for_ms=self._clock.now_ms() - run.ready_ms,
+            )
 
     def _send_start(self, start: orders_module.StartOrder) -> None:
         session = self._roster.sessions.get(start.worker_id)
--- a/basilspindle/cell/orders.py
+++ b/basilspindle/cell/orders.py
@@ -1,5 +1,7 @@
 """Describe orders of the scheduler to workers and advisers."""
 
+import enum
+
 from basilspindle.workflow import step_run as step_run_module
 from basilspindle.workflow import task as task_module
 
@@ -41,12 +43,38 @@
         self.worker_ids = worker_ids
 
 
+class WaitReason(enum.StrEnum):
+    """Name why a step whose turn has come does not start."""
+
+    UNSEEN = 'workers_not_seen'
+    LIMIT = 'workspace_limit'
+    ROOM = 'no_room'
+    TICKET = 'ticket_expired'
+
+
+class WaitNote:
+    """Why a step waits, with what decided it."""
+
+    __slots__ = ('step_run', 'reason', 'candidates')
+
+    def __init__(
+        self,
+        step_run: step_run_module.StepRun,
+        reason: WaitReason,
+        candidates: int,
+    ) -> None:
+        self.step_run = step_run
+        self.reason = reason
+        self.candidates = candidates
+
+
 class Orders:
-    """Orders that one round of decisions produced."""
+    """Orders that one round of decisions produced, and why others wait."""
 
-    __slots__ = ('starts', 'stops', 'advice')
+    __slots__ = ('starts', 'stops', 'advice', 'waits')
 
     def __init__(self) -> None:
         self.starts: list[StartOrder] = []
         self.stops: list[StopOrder] = []
         self.advice: list[AdviceOrder] = []
+        self.waits: list[WaitNote] = []
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -10,6 +10,7 @@
 from basilspindle.workflow import ticket as ticket_module
 
 _State = task_state.TaskState
+_Reason = orders_module.WaitReason
 # A worker that has not answered for this long gets no new work: a renewal
 # is answered within about a second.
 CONTACT_LIMIT_MS = 2_500
@@ -64,6 +65,7 @@
         if run.job.durable_state is None:
             return True
         if run.job.recovered and self._may_run_unseen(now_ms):
+            self._note_wait(run, _Reason.UNSEEN, len(self._state.unseen))
             return True
         if now_ms >= run.retry_ms:
             return False
@@ -110,13 +112,14 @@
                 self._state.limit_of(definition.workspace),
             ),
         )
-        if step.gang and count < step.count:
-            return
-        if not count:
+        if not count or (step.gang and count < step.count):
+            self._note_wait(run, _Reason.LIMIT, len(candidates))
             return
         if advice is None:
             choice = fitting.choose(run, candidates, count)
             self._start(run, choice, now_ms)
+            if run.waiting:
+                self._note_wait(run, _Reason.ROOM, len(candidates))
             return
         self._place_advised(run, candidates, count, now_ms)
 
@@ -138,7 +141,10 @@
         if choice:
             self._start(run, choice, now_ms)
             count -= sum(choice.values())
-        if not count or run.asked_ms or len(valid) == len(candidates):
+        if not count or run.asked_ms:
+            return
+        if len(valid) == len(candidates):
+            self._note_wait(run, _Reason.ROOM, len(candidates))
             return
         if run.step.gang:
             stale = candidates
@@ -146,8 +152,24 @@
             stale = [worker for worker in candidates if worker not in valid]
         choice = fitting.choose(run, stale, count)
         if choice:
+            self._note_wait(run, _Reason.TICKET, len(choice))
             self._reserve(run, choice, now_ms)
             self._ask(run, list(choice), now_ms)
+        else:
+            self._note_wait(run, _Reason.ROOM, len(candidates))
+
+    def _note_wait(
+        self,
+        run: step_run_module.StepRun,
+        reason: orders_module.WaitReason,
+        candidates: int,
+    ) -> None:
+        if run.wait_reason == reason:
+            return
+        run.wait_reason = reason
+        self._state.orders.waits.append(
+            orders_module.WaitNote(run, reason, candidates)
+        )
 
     def _start(
         self,
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -20,6 +20,7 @@
     ``started_ms`` is the time of the latest orders to start, and
     ``ready_ms`` the time at which the earlier steps were done.
     ``timed`` tasks took ``timed_ms`` together, as on a sound worker.
+    ``wait_reason`` is why the step did not start when last planned.
     ``reserved_until_ms`` bounds a reservation of room in ``reserved``.
     """
 
@@ -40,6 +41,7 @@
         'reserved',
         'reserved_until_ms',
         'retry_ms',
+        'wait_reason',
         'gang_failed_runs',
         'timed',
         'timed_ms',
@@ -71,6 +73,7 @@
         self.reserved: dict[str, int] = {}
         self.reserved_until_ms = 0
         self.retry_ms = 0
+        self.wait_reason = ''
         self.gang_failed_runs: set[int] = set()
         self.timed = 0
         self.timed_ms = 0.0
