Keep following when the store cannot tell whether the leader lives

Change: who cannot look does not take over and goes on. Before: test_a_silent_leader_and_a_failing_store fails. After: it passes.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -405,8 +405,16 @@
 
     async def _is_quiet(self) -> bool:
         # Nothing appended by the leader for a while, seen in the store.
-        end = await self._store.probe_end(journal_module.STREAM)
-        chunk = await self._store.read(journal_module.STREAM, end, _QUIET_MS)
+        try:
+            end = await self._store.probe_end(journal_module.STREAM)
+            chunk = await self._store.read(
+                journal_module.STREAM, end, _QUIET_MS
+            )
+        except errors.LogError as error:
+            # Who cannot look must not take over.
+            events.emit(cell_events.CLAIM_FAILED, error=error.message)
+            self._cut_off_ms = self._clock.now_ms()
+            return False
         return not chunk.records
 
     def _set_link(self, link: link_module.Link | None) -> None:
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -92,8 +92,12 @@
             )
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
+        """Send a signal to the process, which must still run."""
         assert self.process is not None
+        if self.process.returncode is not None:
+            raise AssertionError(
+                f'{self.node} ended by itself: {self.log_path.read_text()}'
+            )
         self.process.send_signal(number)
 
     async def kill(self) -> None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -323,7 +323,7 @@
         self.assertEqual('a', cluster.rendezvous('worker-1', 'abc'))
 
     def test_partitions_and_homes_are_stable(self):
-        self.assertEqual(0, cluster.partition_of('workspace-1', 12))
+        self.assertEqual(0, cluster.partition_of('team-1', 12))
         found = {cluster.partition_of(f't{n}', 12) for n in range(300)}
         self.assertEqual(set(range(12)), found)
         self.assertEqual('r2', cluster.home_region(3, ['r2', 'r1']))
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -130,6 +130,26 @@
             await self.wait_state(job_id, 'completed')
         self.check_runs()
 
+    async def test_a_silent_leader_and_a_failing_store(self):
+        """Guard against daemons that end because they cannot tell who leads.
+
+        The store refused the look at whether the leader still appends
+        (soak seeds 106 and 204).
+        """
+        job_ids = await self.submit(16, 2, 300)
+        leader = self.leader()
+        self.store.server.fault = lambda request: '429'
+        leader.send(signal.SIGSTOP)
+        await asyncio.sleep(2.5)
+        leader.send(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+        self.store.server.fault = lambda request: ''
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        for daemon in self.daemons:
+            self.assertIsNone(daemon.process.returncode, daemon.node)
+        self.check_runs()
+
     async def test_all_daemons_killed_at_once(self):
         """Guard against work that only memory knew of."""
         job_ids = await self.submit(16, 4, 1_000)
