Guard parts in one place; decode the rack in the adapter

Cause: read as a newcomer: three copies of the guard of a part, the union of messages written twice, the place of the rack among labels known outside the adapter.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -1,7 +1,6 @@
 """Lead the cell: own all jobs and hold all workers."""
 
 import asyncio
-import collections.abc
 import typing
 
 from basilspindle.cell import admission
@@ -9,6 +8,7 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import events as cell_events
+from basilspindle.cell import guard
 from basilspindle.cell import housekeeping
 from basilspindle.cell import intake as intake_module
 from basilspindle.cell import journal as journal_module
@@ -453,20 +453,11 @@
             self._journal.request()
         self._schedule_plan()
 
-    async def _guard(
-        self,
-        work: collections.abc.Callable[
-            [], collections.abc.Coroutine[typing.Any, typing.Any, None]
-        ],
-    ) -> None:
+    async def _guard(self, work: guard.Work) -> None:
         try:
-            await work()
+            await guard.run(work, self._lose_by_fault)
         except errors.Deposed as error:
             self.lose_leadership(error.message)
-        except Exception as error:
-            events.emit(
-                cell_events.INTERNAL_FAULT,
-                part=work.__name__,
-                error=repr(error),
-            )
-            self.lose_leadership('a part failed')
+
+    def _lose_by_fault(self, error: Exception) -> None:
+        self.lose_leadership(f'a part failed: {error!r}')
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -9,6 +9,7 @@
 import collections.abc
 import itertools
 import socket
+import typing
 
 import msgspec
 
@@ -28,17 +29,7 @@
 _TCP_USER_TIMEOUT_MS = 3_000
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(messages.Frame)
-_REQUESTS = (
-    messages.Submit,
-    messages.Find,
-    messages.Cancel,
-    messages.CountWaiting,
-    messages.Ping,
-    messages.Advise,
-    messages.Announce,
-    messages.WhoLeads,
-    messages.GetTerms,
-)
+_REQUESTS = typing.get_args(messages.Request)
 
 
 class Link(asyncio.Protocol):
--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -161,24 +161,4 @@
     """One message on a link; replies carry the number of their request."""
 
     number: int
-    message: (
-        Submit
-        | Find
-        | Cancel
-        | CountWaiting
-        | Ping
-        | Advise
-        | Announce
-        | WhoLeads
-        | GetTerms
-        | Accepted
-        | Found
-        | Gone
-        | Counted
-        | Refused
-        | NotLeading
-        | Pong
-        | Advised
-        | LeaderIs
-        | TermsAre
-    )
+    message: Request | Reply
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -1,13 +1,13 @@
 """Run one daemon of a cell: serve callers, follow or lead."""
 
 import asyncio
-import collections.abc
 import typing
 
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import election as election_module
 from basilspindle.cell import events as cell_events
+from basilspindle.cell import guard
 from basilspindle.cell import identity as identity_module
 from basilspindle.cell import leader as leader_module
 from basilspindle.cell import link as link_module
@@ -99,7 +99,9 @@
             int(port),
         )
         for work in (self._follow_configuration, self._election.run):
-            self._tasks.append(asyncio.ensure_future(self._guard(work)))
+            self._tasks.append(
+                asyncio.ensure_future(guard.run(work, self._fail))
+            )
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -316,21 +318,8 @@
         if self.leader is not None:
             self.leader.advice_calls.remove_link(link)
 
-    async def _guard(
-        self,
-        work: collections.abc.Callable[
-            [], collections.abc.Coroutine[typing.Any, typing.Any, None]
-        ],
-    ) -> None:
-        try:
-            await work()
-        except Exception as error:
-            events.emit(
-                cell_events.INTERNAL_FAULT,
-                part=work.__name__,
-                error=repr(error),
-            )
-            self.failed.set()
+    def _fail(self, error: Exception) -> None:
+        self.failed.set()
 
 
 def _changes(request: messages.Request) -> bool:
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -83,6 +83,7 @@
         'address',
         'pool',
         'failure_domain',
+        'rack',
         'labels',
         'capacity',
         'is_ready',
@@ -96,6 +97,7 @@
         address: str,
         pool: str,
         failure_domain: str,
+        rack: str,
         labels: tuple[str, ...],
         capacity: need_module.Need,
         is_ready: bool,
@@ -106,17 +108,13 @@
         self.address = address
         self.pool = pool
         self.failure_domain = failure_domain
+        self.rack = rack
         self.labels = labels
         self.capacity = capacity
         self.is_ready = is_ready
         self.remaining_ms = remaining_ms
         self.born_wall_ms = born_wall_ms
 
-    @property
-    def rack(self) -> str:
-        """Return the label that names the rack, or ''."""
-        return self.labels[-1] if len(self.labels) > 1 else ''
-
 
 class WorkerRegistry(typing.Protocol):
     """The platform's list of workers."""
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -4,6 +4,7 @@
 import typing
 
 from basilspindle.cell import events as cell_events
+from basilspindle.cell import guard
 from basilspindle.cell import lease_clock
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import ports
@@ -108,7 +109,9 @@
 
     def open(self) -> None:
         """Begin to renew the lease."""
-        self._task = asyncio.ensure_future(self._guard())
+        self._task = asyncio.ensure_future(
+            guard.run(self._renew_forever, self._fail)
+        )
 
     def close(self) -> None:
         """Stop renewing and forget orders under way."""
@@ -144,17 +147,8 @@
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
 
-    async def _guard(self) -> None:
-        try:
-            await self._renew_forever()
-        except Exception as error:
-            events.emit(
-                cell_events.INTERNAL_FAULT,
-                part='session',
-                worker=self.worker.worker_id,
-                error=repr(error),
-            )
-            self._owner.lose_leadership('a session failed')
+    def _fail(self, error: Exception) -> None:
+        self._owner.lose_leadership(f'a session failed: {error!r}')
 
     async def _renew_forever(self) -> None:
         pause_ms = _RETRY_MIN_MS
--- a/basilspindle/platform/registry.py
+++ b/basilspindle/platform/registry.py
@@ -12,6 +12,8 @@
 _STREAM = 'servers'
 _READY = 'ready'
 _DRAINING = 'draining'
+# Place of the rack among the labels; the kind comes before it.
+_RACK = 1
 
 
 class _Capacity(msgspec.Struct):
@@ -105,6 +107,7 @@
             entry.address,
             entry.service,
             entry.zone,
+            entry.labels[_RACK] if len(entry.labels) > _RACK else '',
             tuple(entry.labels),
             need_module.Need(
                 entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpus
