--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -42,7 +42,16 @@
         print(error.message, file=sys.stderr)
         sys.exit(_EXIT_SETTINGS)
     events.open_log(sys.stdout, 'INFO')
-    sys.exit(asyncio.run(_run(boot, path)))
+    try:
+        code = asyncio.run(_run(boot, path))
+    except OSError as error:
+        print(
+            f'cannot start: {error}; check the addresses in the settings '
+            'and that nothing else uses them',
+            file=sys.stderr,
+        )
+        code = _EXIT_FAILED
+    sys.exit(code)
 
 
 async def _run(boot: boot_module.Boot, path: str) -> int:
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -4,6 +4,7 @@
 import collections
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -18,6 +19,7 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _START_S = 20.0
+_PORTS = (16_000, 32_000)
 HOST = 'h.example'
 _SETTINGS = """
 node = "{node}"
@@ -44,13 +46,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that nothing uses now.
+
+    They lie below those that connections get: a daemon that is down would
+    find its port taken by a connection of another (soak seed 221).
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                # Taken; another one is tried.
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
