Make the cell a package of its own

Cause: basilspindle/cell had no __init__.py, so an installed copy and the catalogue of events left it out; the whole suite failed in one test (464 passed, 1 failed). After: tests of events pass, docs/events.md lists 9xx.

--- /dev/null
+++ b/basilspindle/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Lead a cell: one daemon decides, the others forward to it."""
