--- /dev/null
+++ b/tests/test_cell_intake.py
@@ -0,0 +1,147 @@
+"""Guard acceptance, refusal and what callers see of jobs."""
+
+from basilspindle.cell import admission
+from basilspindle.cell import journal
+from basilspindle import errors
+from basilspindle import workflow
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+
+
+class AcceptanceTest(cell_case.CellCase):
+    """Guard that a job is one job, of one workspace."""
+
+    def definition(self, job_id=_JOB, **changes):
+        return cell_case.make_definition(
+            job_id, cell_case.make_step(), **changes
+        )
+
+    def test_the_same_id_is_the_same_job(self):
+        """Guard against a job that runs twice for two submissions."""
+        first = self.submit(self.definition())
+        self.assertIs(first, self.submit(self.definition()))
+
+    def test_an_id_of_another_workspace_is_refused_and_not_shown(self):
+        """Guard against work that the wrong workspace sees."""
+        self.submit(self.definition())
+        with self.assertRaises(errors.KeyReused):
+            self.submit(self.definition(workspace='beta'))
+        self.assertIsNone(self.intake.find_state(_JOB, 'beta'))
+        self.assertIsNone(self.intake.cancel(_JOB, 'beta'))
+
+    def test_a_job_is_shown_only_as_it_is_recorded(self):
+        """Guard against a state that a later leader would take back."""
+        job = self.intake.submit(self.definition(), self.now_ms)
+        workspace = cell_case.WORKSPACE
+        self.assertIsNone(self.intake.find_state(_JOB, workspace))
+        self.record()
+        found = self.intake.find_state(_JOB, workspace)
+        self.assertEqual(workflow.JobState.PENDING, found)
+        self.add_worker('w1')
+        [start] = self.run_all(self.plan())
+        self.end('w1', start.task.name, start.run)
+        self.assertEqual(workflow.JobState.COMPLETED, job.state)
+        found = self.intake.find_state(_JOB, workspace)
+        self.assertEqual(workflow.JobState.RUNNING, found)
+        self.record()
+        found = self.intake.find_state(_JOB, workspace)
+        self.assertEqual(workflow.JobState.COMPLETED, found)
+
+    def test_only_what_no_append_took_up_is_withdrawn(self):
+        """Guard against a refusal of a job that is recorded all the same."""
+        job = self.intake.submit(self.definition(), self.now_ms)
+        batch = journal.Batch()
+        journal.put_job(batch, job, 0)
+        self.assertFalse(self.intake.withdraw(job))
+        other = self.intake.submit(
+            self.definition('00000000000000bb'), self.now_ms
+        )
+        self.assertTrue(self.intake.withdraw(other))
+        self.assertFalse(self.state.table.knows(other.job_id))
+        self.assertEqual([], self.plan().starts)
+
+    def test_waiting_jobs_are_counted(self):
+        """Guard against a count that leaves accepted jobs out."""
+        for number in range(3):
+            self.submit(self.definition(f'{number:016x}'))
+        self.assertEqual(3, self.state.table.waiting_in(cell_case.QUEUE))
+        self.add_worker('w1', cpu=1_000)
+        self.run_all(self.plan())
+        self.assertEqual(2, self.state.table.waiting_in(cell_case.QUEUE))
+
+
+class RefusalTest(cell_case.CellCase):
+    """Guard jobs that come when the fleet has work for long.
+
+    Replays a burst of one kind: each job is four tasks of one second on a
+    worker with room for four.
+    """
+
+    def burst(self, count):
+        refused = []
+        for number in range(count):
+            definition = cell_case.make_definition(
+                f'{number:016x}', cell_case.make_step(4)
+            )
+            try:
+                self.submit(definition)
+            except errors.Overloaded as error:
+                refused.append(error)
+        return refused
+
+    def test_what_cannot_be_served_is_refused_at_once(self):
+        """Guard against jobs that wait until they are worth nothing."""
+        self.add_worker('w1', cpu=4_000)
+        refused = self.burst(30)
+        # The objective is 3 s and a job counts until 9 s: about eight jobs
+        # a second each fit before that.
+        self.assertGreaterEqual(len(refused), 18)
+        self.assertLessEqual(len(refused), 23)
+        for error in refused:
+            self.assertIs(errors.Ran.NO, error.ran)
+            self.assertGreaterEqual(error.retry_after_ms, 1_000)
+
+    def test_refused_callers_return_apart(self):
+        """Guard against callers that all come back at one moment."""
+        self.add_worker('w1', cpu=4_000)
+        times = {error.retry_after_ms for error in self.burst(40)}
+        self.assertGreater(len(times), 15)
+
+    def test_an_empty_fleet_of_workers_refuses_nothing_unknown(self):
+        """Guard against refusals while workers are not known yet."""
+        self.assertEqual([], self.burst(5))
+
+    def test_the_pause_in_an_outage_follows_the_objective(self):
+        """Guard against tries that are used up within an outage."""
+        self.assertEqual(1_000, admission.outage_retry_ms(1_500))
+        self.assertEqual(2_750, admission.outage_retry_ms(11_000))
+        self.assertEqual(5_000, admission.outage_retry_ms(60_000))
+
+
+class RecordTest(cell_case.CellCase):
+    """Guard that the log holds all that a later leader needs."""
+
+    def test_a_job_survives_with_its_progress(self):
+        """Guard against progress that a change of leader loses."""
+        from basilspindle.workflow import progress
+
+        self.add_worker('w1')
+        job = self.submit(
+            cell_case.make_definition(
+                _JOB, cell_case.make_step(2), cell_case.make_step(after=(0,))
+            )
+        )
+        first, second = self.run_all(self.plan())
+        self.end('w1', first.task.name, first.run)
+        second.task.checkpoint = 'c1'
+        saved = progress.capture(job)
+        self.make_state(term=1)
+        restored = progress.restore(job.definition, saved, self.now_ms, 0)
+        self.intake.adopt(restored, self.now_ms)
+        self.record()
+        self.add_worker('w1')
+        [start] = self.plan().starts
+        self.assertEqual(second.task.name, start.task.name)
+        self.assertEqual('c1', start.task.checkpoint)
+        self.assertGreater(start.run, second.run)
