Never follow a leader that was replaced

Cause: read as a newcomer: a daemon without the store followed whomever other daemons named, also an older leader, which may refuse what its successor has accepted. Before: test_the_newest_claim_is_followed fails. After: 2 tests pass.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -171,9 +171,12 @@
 
     async def _turn_without_store(self) -> None:
         # The other daemons may have a leader that this one can reach.
-        claim = self._heard
-        if _epoch(claim) <= _epoch(self.claim):
-            claim = await self._ask_members()
+        claim = self.newest()
+        if claim is self.claim:
+            # Never one that was replaced: it may refuse what its successor
+            # has accepted.
+            answer = await self._ask_members()
+            claim = max((claim, answer), key=_epoch)
         if claim is not None and not self._is_former_self(claim):
             self.claim = claim
             await self._follow(claim)
