Take a start for not run only if no try went unanswered; bound connections

The leader had 3,998 connections, its limit; tries of a start found no descriptor after an earlier try had been carried out without an answer, and the last outcome alone was taken for the whole. Change: after a try without an answer only an answer about that run decides; the connection idle for longest makes room within the limit of the settings.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -32,6 +32,17 @@
 _STOP_PAUSE_MS = 250
 
 
+# After a try without an answer, only these tell what became of the run.
+_DECIDES = frozenset(
+    {
+        start_outcome.StartOutcome.RUNS,
+        start_outcome.StartOutcome.RUN_TOO_LOW,
+        start_outcome.StartOutcome.FENCED,
+        start_outcome.StartOutcome.OTHER_LIFE,
+    }
+)
+
+
 class SessionOwner(typing.Protocol):
     """What a session reports to."""
 
@@ -208,6 +219,7 @@
     async def _start(self, order: orders_module.StartOrder) -> None:
         begun_ms = self._clock.now_ms()
         step = order.task.step_run
+        unanswered = False
         while True:
             outcome = await self._start_once(
                 order, step.job.definition.payload
@@ -215,8 +227,13 @@
             spent_ms = self._clock.now_ms() - begun_ms
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
+            unanswered = True
             if spent_ms > _START_PATIENCE_MS:
                 break
+        if unanswered and outcome not in _DECIDES:
+            # The try without an answer may have been, or still be, carried
+            # out.
+            outcome = start_outcome.StartOutcome.UNKNOWN
         if outcome is start_outcome.StartOutcome.FENCED:
             self._owner.lose_leadership('a worker has a later leader')
         self._owner.take_outcome(order, outcome)
--- a/basilspindle/platform/boot.py
+++ b/basilspindle/platform/boot.py
@@ -14,6 +14,9 @@
 # at 60 jobs a second; docs/CAPACITY.md has the slopes.
 _LEADER_CORES = 1.0
 _LEADER_LINK_MBPS = 50.0
+# Descriptors for files (200 are set aside by the platform), callers and links.
+_OTHER_DESCRIPTORS = 1_400
+_LEAST_CONNECTIONS = 200
 
 
 class _Listen(msgspec.Struct):
@@ -39,6 +42,7 @@
     cpu_share: float = 1.0
     cores: int = 1
     link_mbps: float = 1_000.0
+    max_fds: int = 4_096
 
 
 class _Store(msgspec.Struct):
@@ -73,6 +77,7 @@
         'store_call_bytes',
         'advice_address',
         'leads_last',
+        'call_connections',
         'bounds',
     )
 
@@ -88,6 +93,9 @@
         self.store_call_bytes = file.platform.call_bytes
         self.advice_address = file.advice
         limits = file.limits
+        self.call_connections = max(
+            _LEAST_CONNECTIONS, limits.max_fds - _OTHER_DESCRIPTORS
+        )
         self.leads_last = (
             limits.cpu_share * limits.cores < _LEADER_CORES
             or limits.link_mbps < _LEADER_LINK_MBPS
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -13,6 +13,8 @@
 _CONNECT_MS = 800
 # Servers close idle connections; an older one is opened anew instead.
 _IDLE_MS = 20_000
+# Connections of one process where the settings name no limit.
+_CONNECTIONS = 3_000
 
 
 class Answer(typing.NamedTuple):
@@ -50,12 +52,15 @@
         'idle_since_s',
         'made_s',
         'closed',
+        '_opened',
         '_parser',
         '_waiter',
         '_chunks',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, opened: 'set[_Connection]') -> None:
+        # The set that lists this connection while it is open.
+        self._opened = opened
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
         self.made_s = 0.0
@@ -67,10 +72,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._opened.add(self)
         link_module.configure_socket(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
+        self._opened.discard(self)
         self._fail(f'the connection ended: {exc or "closed"}')
 
     def data_received(self, data: bytes) -> None:
@@ -116,9 +123,25 @@
 class Client:
     """Keep connections to many servers; the one client of the platform."""
 
-    __slots__ = ('_idle', '_loop', '_silent_s', '_names')
+    __slots__ = (
+        '_idle',
+        '_loop',
+        '_silent_s',
+        '_names',
+        '_limit',
+        '_open',
+        '_oldest',
+    )
 
-    def __init__(self, names: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        names: dict[str, str] | None = None,
+        limit: int = _CONNECTIONS,
+    ) -> None:
+        # Beyond this many connections, the one idle for longest is closed.
+        self._limit = limit
+        self._open: set[_Connection] = set()
+        self._oldest: dict[_Connection, None] = {}
         # Names of dependencies by address, for metrics.
         self._names = names or {}
         self._idle: dict[str, collections.deque[_Connection]] = {}
@@ -143,6 +166,7 @@
     def forget(self, address: str) -> None:
         """Close the idle connections to a server."""
         for connection in self._idle.pop(address, ()):
+            self._oldest.pop(connection, None)
             connection.close()
 
     async def call(
@@ -186,11 +210,21 @@
             connection.close()
         if not connection.closed:
             connection.idle_since_s = self._now_s()
+            self._oldest[connection] = None
             self._idle.setdefault(address, collections.deque()).append(
                 connection
             )
         return answer
 
+    def _make_room(self) -> None:
+        # Descriptors are few against many workers; an idle connection to one
+        # must not keep another from being reached.
+        while len(self._open) >= self._limit and self._oldest:
+            connection = next(iter(self._oldest))
+            del self._oldest[connection]
+            connection.close()
+            self._open.discard(connection)
+
     def _now_s(self) -> float:
         assert self._loop is not None
         return self._loop.time()
@@ -200,6 +234,7 @@
         oldest_s = self._now_s() - _IDLE_MS / 1000
         while kept:
             connection = kept.pop()
+            self._oldest.pop(connection, None)
             if connection.closed:
                 continue
             if connection.idle_since_s < oldest_s:
@@ -208,10 +243,11 @@
             return connection
         host, _, port = address.rpartition(':')
         assert self._loop is not None
+        self._make_room()
         try:
             async with asyncio.timeout(_CONNECT_MS / 1000):
                 _, made = await self._loop.create_connection(
-                    _Connection, host, int(port)
+                    lambda: _Connection(self._open), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise CallFailed(
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -68,7 +68,8 @@
         boot.leads_last,
     )
     names = {boot.store_address: 'store', boot.advice_address: 'advice'}
-    async with client_module.Client(names) as client:
+    limit = boot.call_connections
+    async with client_module.Client(names, limit) as client:
         store = store_module.LogStore(client, boot.store_address)
         platform = node_module.Platform(
             store,
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from basilspindle import clock as clock_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import election as election_module
 from basilspindle.cell import identity as identity_module
+from basilspindle import clock as clock_module
 
 
 class _Clock(clock_module.Clock):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,6 @@
 """Guard the translation of the platform's log, with its faults."""
 
+import asyncio
 import unittest
 
 from basilspindle.cell import claim as claim_module
@@ -122,6 +123,28 @@
         self.assertLessEqual(before, 1)
 
 
+class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
+    """Guard the descriptors of a daemon against many workers."""
+
+    async def test_the_connection_idle_for_longest_makes_room(self):
+        """Guard against workers that cannot be reached for want of one.
+
+        At 1,500 workers a leader ran out of descriptors (sweep at 300
+        machines).
+        """
+        client = await self.enterAsyncContext(client_module.Client(limit=2))
+        stores = [platform.StandinStore() for _ in range(5)]
+        for store in stores:
+            await self.enterAsyncContext(store)
+        for store in stores:
+            reader = store_module.LogStore(client, store.server.address)
+            await reader.newest(_STREAM)
+        await asyncio.sleep(0.05)
+        open_now = sum(len(store.server.connections) for store in stores)
+        self.assertEqual(2, open_now)
+        self.assertEqual(1, len(stores[-1].server.connections))
+
+
 class ClaimTest(StoreCase):
     """Guard that one of several claims wins."""
 
