--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -4,9 +4,9 @@
 from basilspindle.cell import job_table
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import term_index
-from basilspindle.cell import terms as terms_module
 from basilspindle.cell import usage as usage_module
 from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import advice_terms
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
@@ -76,12 +76,12 @@
 
     def advice_terms(
         self, definition: definition_module.JobDefinition
-    ) -> terms_module.AdviceTerms | None:
+    ) -> advice_terms.AdviceTerms | None:
         """Return the terms of advice of a job's queue, if it has any."""
         if self.index is None:
-            return None
+            return definition.advice
         queue = self.index.queues.get(definition.queue)
-        return queue.advice if queue is not None else None
+        return queue.advice if queue is not None else definition.advice
 
     def limit_of(self, workspace: str) -> need_module.Need | None:
         """Return the upper limit of a workspace, or None for no limit."""
--- a/basilspindle/cell/terms.py
+++ b/basilspindle/cell/terms.py
@@ -2,21 +2,10 @@
 
 import msgspec
 
+from basilspindle.workflow import advice_terms
 from basilspindle.workflow import need as need_module
 
 
-class AdviceTerms(msgspec.Struct, frozen=True):
-    """Time that the advice service takes and how long a ticket holds."""
-
-    decide_ms: float
-    each_ms: float
-    valid_ms: float
-
-    def call_ms(self, workers: int) -> float:
-        """Return the time of a call that names so many workers."""
-        return self.decide_ms + self.each_ms * workers
-
-
 class QueueTerms(msgspec.Struct, frozen=True):
     """Rules of one queue; ``host`` and ``prefix`` select it."""
 
@@ -30,7 +19,7 @@
     target_latency_ms: int
     timeout_ms: int
     is_open: bool
-    advice: AdviceTerms | None
+    advice: advice_terms.AdviceTerms | None
 
 
 class WorkspaceTerms(msgspec.Struct, frozen=True):
--- a/basilspindle/cell/urgency.py
+++ b/basilspindle/cell/urgency.py
@@ -1,6 +1,6 @@
 """Order steps that wait: class, then the time left to be on time."""
 
-from basilspindle.cell import terms as terms_module
+from basilspindle.workflow import advice_terms
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import step_run as step_run_module
 
@@ -12,7 +12,7 @@
 
 def chain_ms(
     definition: definition_module.JobDefinition,
-    advice: terms_module.AdviceTerms | None,
+    advice: advice_terms.AdviceTerms | None,
 ) -> int:
     """Return the declared time of the longest chain of steps."""
     call_ms = advice.call_ms(_ADVISED_WORKERS) if advice else 0.0
@@ -25,7 +25,7 @@
 
 def objective_ms(
     definition: definition_module.JobDefinition,
-    advice: terms_module.AdviceTerms | None,
+    advice: advice_terms.AdviceTerms | None,
 ) -> int:
     """Return the time within which a job is on time."""
     chain = chain_ms(definition, advice)
--- a/basilspindle/platform/body.py
+++ b/basilspindle/platform/body.py
@@ -75,6 +75,7 @@
         job.max_runs,
         job.first_run_ms,
         job.interval_ms,
+        queue.advice,
     )
 
 
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -8,6 +8,7 @@
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.platform import store as store_module
+from basilspindle.workflow import advice_terms
 from basilspindle.workflow import need as need_module
 
 _STREAM = 'op'
@@ -148,7 +149,7 @@
                 route.target_latency_ms,
                 route.timeout_ms,
                 route.public,
-                terms_module.AdviceTerms(
+                advice_terms.AdviceTerms(
                     route.advice.decide_ms,
                     route.advice.each_ms,
                     route.advice.valid_ms,
--- a/basilspindle/workflow/__init__.py
+++ b/basilspindle/workflow/__init__.py
@@ -1,5 +1,6 @@
 """Describe jobs of several steps and how far they are."""
 
+from basilspindle.workflow.advice_terms import AdviceTerms
 from basilspindle.workflow.definition import JobDefinition
 from basilspindle.workflow.job import Job
 from basilspindle.workflow.job_state import JobState
@@ -11,6 +12,7 @@
 from basilspindle.workflow.ticket import Ticket
 
 __all__ = [
+    'AdviceTerms',
     'Job',
     'JobDefinition',
     'JobState',
--- a/basilspindle/workflow/definition.py
+++ b/basilspindle/workflow/definition.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from basilspindle.workflow import advice_terms
 from basilspindle.workflow import step as step_module
 
 
@@ -12,7 +13,8 @@
     A job is on time within ``stretch`` times its longest chain of work and
     ``target_latency_ms`` more. ``max_attempts`` bounds the failed runs of a
     task. With ``max_runs`` above 0 the steps run that many times, the first
-    at ``first_run_ms`` since 1970, the next each ``interval_ms``.
+    at ``first_run_ms`` since 1970, the next each ``interval_ms``. ``advice``
+    are the terms of the queue, which may be removed while the job lives.
     """
 
     job_id: str
@@ -29,3 +31,4 @@
     max_runs: int = 0
     first_run_ms: int = 0
     interval_ms: int = 0
+    advice: advice_terms.AdviceTerms | None = None
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -1,13 +1,13 @@
 """Guard which tasks start, where, and with which advice."""
 
 from basilspindle.cell import plan as plan_module
-from basilspindle.cell import terms as terms_module
+from basilspindle.cell import term_index
 from basilspindle import workflow
 from tests import cell_case
 
 _JOB = '00000000000000aa'
 _OTHER = '00000000000000bb'
-_ADVICE = terms_module.AdviceTerms(10.0, 1.0, 2_000.0)
+_ADVICE = workflow.AdviceTerms(10.0, 1.0, 2_000.0)
 
 
 class AdvisedCase(cell_case.CellCase):
@@ -62,6 +62,22 @@
         self.advise(order, 'w2')
         self.assertEqual(1, len(self.plan().starts))
 
+    def test_a_job_outlives_its_queue(self):
+        """Guard against starts without a ticket once a queue is removed."""
+        self.add_worker('w1')
+        self.submit(
+            cell_case.make_definition(
+                _JOB, cell_case.make_step(), advice=_ADVICE
+            )
+        )
+        other = cell_case.make_terms([cell_case.make_queue('other')])
+        self.state.index = term_index.TermIndex(other)
+        orders = self.plan()
+        self.assertEqual([], orders.starts)
+        [order] = orders.advice
+        self.advise(order, 'w1')
+        self.assertEqual('t-w1', self.plan().starts[0].ticket)
+
     def test_few_of_many_workers_are_asked_about_first(self):
         """Guard against calls that take long for workers never used.
 
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -3,10 +3,10 @@
 import json
 import unittest
 
-from basilspindle.cell import terms as terms_module
 from basilspindle import errors
 from basilspindle.platform import body as body_module
 from basilspindle.platform import boot as boot_module
+from basilspindle import workflow
 from tests import cell_case
 from tests import platform_case
 
@@ -151,5 +151,5 @@
 
     def test_a_call_takes_longer_with_more_workers(self):
         """Guard the estimate that spreads calls for advice."""
-        terms = terms_module.AdviceTerms(10.0, 2.0, 100.0)
+        terms = workflow.AdviceTerms(10.0, 2.0, 100.0)
         self.assertEqual(30.0, terms.call_ms(10))
