Count work that may run unseen against limits of workspaces

Cause: a new leader starts new jobs while some workers have not answered it.

Ruled out: a limit that the configuration changed (none did), and late orders (the start was the leader's own and answered at once).

Change: until all workers are seen, the waiting tasks of recovered jobs count as running, but no more than the unseen workers hold. Runs that a worker still has to stop count too; those of a forgotten job hold back all of its workspace, since their size is not known.

--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -3,8 +3,10 @@
 from basilspindle.cell import fitting
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import state as state_module
+from basilspindle.cell import unseen
 from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
 from basilspindle.workflow import task_state
 from basilspindle.workflow import ticket as ticket_module
@@ -34,10 +36,12 @@
 class Planner:
     """Turn waiting tasks and free room into orders."""
 
-    __slots__ = ('_state',)
+    __slots__ = ('_state', '_unseen')
 
     def __init__(self, state: state_module.CellState) -> None:
         self._state = state
+        # What workspaces may have running beside their usage.
+        self._unseen: dict[str, need_module.Need] = {}
 
     def plan(self, now_ms: int) -> None:
         """Add the orders that are possible now to the state's orders."""
@@ -50,6 +54,7 @@
         for worker in state.workers.values():
             if worker.accepts(now_ms, CONTACT_LIMIT_MS):
                 pools.setdefault(worker.pool, []).append(worker)
+        self._unseen = unseen.count(state, now_ms)
         key = urgency.Urgency(now_ms, state.objectives)
         for run in sorted(state.table.ready.values(), key=key):
             if self._skips(run, now_ms, freed, eased):
@@ -70,7 +75,7 @@
     ) -> bool:
         if run.job.durable_state is None:
             return True
-        if run.job.recovered and self._may_run_unseen(now_ms):
+        if run.job.recovered and unseen.may_run_unseen(self._state, now_ms):
             self._note_wait(run, _Reason.UNSEEN, len(self._state.unseen))
             return True
         if now_ms >= run.retry_ms:
@@ -81,10 +86,6 @@
             return not freed
         return freed <= run.advised and freed.isdisjoint(run.tickets)
 
-    def _may_run_unseen(self, now_ms: int) -> bool:
-        state = self._state
-        return bool(state.unseen) and now_ms < state.unseen_until_ms
-
     def _place(
         self,
         run: step_run_module.StepRun,
@@ -116,6 +117,7 @@
                 definition.workspace,
                 step.reserved,
                 self._state.limit_of(definition.workspace),
+                self._unseen.get(definition.workspace, state_module.NOTHING),
             ),
         )
         if not count or (step.gang and count < step.count):
--- a/basilspindle/cell/usage.py
+++ b/basilspindle/cell/usage.py
@@ -28,15 +28,17 @@
         workspace: str,
         need: need_module.Need,
         limit: need_module.Need | None,
+        unseen: need_module.Need = _NOTHING,
     ) -> int:
         """Return how many more equal tasks stay within a limit.
 
-        Amounts of 0 in the limit are unlimited. A workspace with nothing
-        running may start one task that alone is above its limit.
+        Amounts of 0 in the limit are unlimited; ``unseen`` counts as used.
+        A workspace with nothing running may start one task that alone is
+        above its limit.
         """
         if limit is None:
             return _UNLIMITED
-        used = self.of(workspace)
+        used = self.of(workspace).plus(unseen)
         rows = (
             (limit.cpu_millicores, used.cpu_millicores, need.cpu_millicores),
             (limit.memory_mb, used.memory_mb, need.memory_mb),
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -1,5 +1,6 @@
 """Guard which tasks start, where, and with which advice."""
 
+from basilspindle.cell import job_table
 from basilspindle.cell import plan as plan_module
 from basilspindle.cell import term_index
 from basilspindle import workflow
@@ -147,6 +148,74 @@
         self.assertEqual(_JOB, start.task.step_run.job.job_id)
 
 
+class UnseenUsageTest(cell_case.CellCase):
+    """Guard limits of workspaces while not all that runs is known.
+
+    A leader that had not heard of 4 of 28 workers yet started new jobs of a
+    workspace that had work there (kwpa-refunds, leave-and-return, seed 1).
+    """
+
+    def setUp(self):
+        super().setUp()
+        limit = workflow.Need(cpu_millicores=3_000)
+        self.make_state(terms=cell_case.make_terms(limit=limit))
+        self.add_worker('w1', cpu=100_000)
+
+    def recover(self, count):
+        job = self.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step(count))
+        )
+        job.recovered = True
+        self.state.unseen = {'w9'}
+        self.state.unseen_until_ms = self.now_ms + 5_000
+
+    def submit_other(self, count=10):
+        step = cell_case.make_step(count)
+        self.submit(cell_case.make_definition(_OTHER, step))
+
+    def test_work_that_may_run_unseen_counts(self):
+        """Guard against more running than the limit allows."""
+        self.recover(2)
+        self.submit_other()
+        self.assertEqual(1, len(self.plan().starts))
+        self.add_worker('w9')
+        self.assertEqual(2, len(self.plan().starts))
+
+    def test_no_more_can_run_unseen_than_the_workers_hold(self):
+        """Guard against a workspace that waits for a worker too small."""
+        self.recover(50)
+        self.add_worker('w9', cpu=1_000, reported=False)
+        self.submit_other()
+        self.assertEqual(2, len(self.plan().starts))
+
+    def test_members_of_a_gang_seen_in_part_count(self):
+        """Guard against members that are on a worker not seen yet."""
+        step = cell_case.make_step(3, gang=True)
+        job = self.submit(cell_case.make_definition(_JOB, step))
+        job.recovered = True
+        self.state.unseen = {'w9'}
+        self.state.unseen_until_ms = self.now_ms + 5_000
+        self.report('w1', [(f'{_JOB}.0.0.0', 1), (f'{_JOB}.0.0.1', 1)])
+        self.submit_other()
+        self.assertEqual([], self.plan().starts)
+
+    def test_a_run_that_is_being_stopped_counts(self):
+        """Guard against runs of an earlier leader that still end."""
+        self.add_worker('w2')
+        ended = self.state.table.ended
+        ended[_JOB] = job_table.EndedJob(
+            cell_case.WORKSPACE,
+            cell_case.QUEUE,
+            workflow.JobState.CANCELLED,
+            0,
+        )
+        self.report('w2', [(f'{_JOB}.0.0.0', 1)])
+        self.submit_other()
+        self.assertEqual([], self.plan().starts)
+        self.report('w2')
+        self.assertEqual(3, len(self.plan().starts))
+
+
 class LimitTest(cell_case.CellCase):
     """Guard the limits of workers and workspaces."""
 
