Repeat appends before they time out and claim without a second read

Cause: a lost answer of the store cost the leader 400 ms before it asked again; a store at 0.5 s an answer was slower than every first try, so no job was accepted for 20 s (new test). After the kill of a leader the next one made four calls in turn before it could read the jobs.

Ruled out: the deadline of requests (answers came after a leader was there), the speed of reading the jobs (two pages).

Change: - cell/tries.py sends a call again while the first is under way; the first answer counts. An append is repeated after four times its usual time, 100 to 700 ms. - A follower whose leader refuses connections claims at the end it knows. Addresses of daemons have a stream of their own, so that this end changes with claims only. An unanswered claim is looked up after 250 ms. - A new leader fences and reads at the same time, then reads what came between, and does not wait for the registry. - Jobs are turned away after 900 ms without an answer instead of 600. - newest() returns the end of the first page: what changed while further pages were read was missed.

--- a/basilspindle/cell/claim.py
+++ b/basilspindle/cell/claim.py
@@ -1,5 +1,7 @@
 """Decide in the store which daemon leads the cell."""
 
+import asyncio
+
 import msgspec
 
 from basilspindle.cell import events as cell_events
@@ -7,9 +9,12 @@
 from basilspindle import errors
 from basilspindle import events
 
+# Holds claims only, so that its end changes with each claim alone.
 STREAM = 'lead'
 _KEY = 'leader'
-_MEMBER = 'node:'
+_MEMBERS = 'members'
+# A claim without an answer for this long is looked up: it may have won.
+_LOOK_UP_MS = 250
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
@@ -40,17 +45,21 @@
 
     async def enter(self, node: str, address: str) -> None:
         """Record a daemon's address for the others."""
-        record = (_MEMBER + node, msgspec.msgpack.encode(address))
-        await self._store.put(STREAM, [record])
+        record = (node, msgspec.msgpack.encode(address))
+        await self._store.put(_MEMBERS, [record])
 
     async def leave(self, node: str) -> None:
         """Remove a daemon's address."""
-        await self._store.put(STREAM, [(_MEMBER + node, None)])
+        await self._store.put(_MEMBERS, [(node, None)])
+
+    async def read_members(self) -> None:
+        """Read the addresses of the daemons that have entered."""
+        values, _ = await self._store.newest(_MEMBERS)
+        self._note_members(values)
 
     async def read(self) -> tuple[Claim | None, int]:
         """Return the newest claim and the end of the stream."""
         values, end = await self._store.newest(STREAM)
-        self._note_members(values)
         raw = values.get(_KEY)
         if raw is None:
             return None, end
@@ -67,24 +76,39 @@
         """
         written = msgspec.structs.replace(claim, epoch=at + 1)
         record = (_KEY, msgspec.msgpack.encode(written))
+        appending = asyncio.ensure_future(
+            self._store.append_at(STREAM, [record], at)
+        )
         try:
-            offset = await self._store.append_at(STREAM, [record], at)
+            await asyncio.wait({appending}, timeout=_LOOK_UP_MS / 1000)
+            if not appending.done() and await self._is_seen(written):
+                return written
+            offset = await appending
         except errors.LogOutcomeUnknown:
-            current, _ = await self.read()
-            return written if current == written else None
+            return written if await self._holds(written) else None
+        finally:
+            appending.cancel()
         return written if offset is not None else None
 
+    async def _is_seen(self, claim: Claim) -> bool:
+        try:
+            return await self._holds(claim)
+        except errors.LogError as error:
+            # The append may still be answered.
+            events.emit(cell_events.CLAIM_FAILED, error=error.message)
+            return False
+
+    async def _holds(self, claim: Claim) -> bool:
+        current, _ = await self.read()
+        return current == claim
+
     def _note_members(self, values: dict[str, bytes]) -> None:
         members = {}
-        for key, raw in values.items():
-            if not key.startswith(_MEMBER):
-                continue
+        for node, raw in values.items():
             try:
-                address = msgspec.msgpack.decode(raw, type=str)
+                members[node] = msgspec.msgpack.decode(raw, type=str)
             except msgspec.MsgspecError as error:
                 events.emit(
-                    cell_events.RECORD_UNREADABLE, key=key, error=error
+                    cell_events.RECORD_UNREADABLE, key=node, error=error
                 )
-                continue
-            members[key.removeprefix(_MEMBER)] = address
         self.members = members
--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -21,6 +21,8 @@
 _PING_ANSWER_MS = 400
 _CONNECT_MS = 700
 _ASK_ANSWER_MS = 900
+# A VM that runs refuses a connection within a few round trips.
+_REFUSAL_MS = 200
 # A leader whose append is unanswered for this long is replaced if others
 # reach the store.
 _STORE_SILENT_MS = 450
@@ -245,31 +247,52 @@
         return True
 
     async def _turn(self) -> None:
-        claim, end = await self._register.read()
-        self._failing = False
-        self.claim = claim
         if not self._entered:
             await self._register.enter(
                 self._identity.node, self._identity.address
             )
             self._entered = True
-            claim, end = await self._register.read()
-            self.claim = claim
+        (claim, end), _ = await asyncio.gather(
+            self._register.read(), self._register.read_members()
+        )
+        self._failing = False
+        self.claim = claim
         if claim is None or claim.resigned or self._is_former_self(claim):
             await self._claim(claim, end)
             return
         end_of = await self._follow(claim)
         self._set_link(None)
-        if end_of is _Followed.CLOSED:
-            return
+        if end_of is _Followed.CLOSED and await self._is_refused(claim):
+            end_of = _Followed.GONE
+        if end_of is _Followed.GONE:
+            # Without reading again, which may take long: the store rejects
+            # the claim if there was another one.
+            await self._claim(claim, end)
+        elif end_of is _Followed.SILENT:
+            await self._turn_after_silence(claim)
+
+    async def _turn_after_silence(self, claim: claim_module.Claim) -> None:
         current, end = await self._register.read()
         if current != claim:
             return
-        if end_of is _Followed.GONE or await self._is_quiet():
+        if await self._is_quiet():
             await self._claim(claim, end)
         else:
             await self._clock.sleep_ms(_RETRY_MS)
 
+    async def _is_refused(self, claim: claim_module.Claim) -> bool:
+        # A daemon whose process has ended refuses connections.
+        try:
+            link = await link_module.connect(
+                claim.address, self._handler, _REFUSAL_MS
+            )
+        except ConnectionRefusedError:
+            return True
+        except errors.PeerError:
+            return False
+        link.close()
+        return False
+
     def _is_former_self(self, claim: claim_module.Claim) -> bool:
         # Also a claim of this very process that it no longer acts on.
         return claim.address == self._identity.address
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -8,6 +8,7 @@
 
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import ports
+from basilspindle.cell import tries as tries_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
@@ -16,6 +17,8 @@
 from basilspindle.workflow import job_state
 from basilspindle.workflow import progress as progress_module
 
+_T = typing.TypeVar('_T')
+
 STREAM = 'jobs'
 # Least time between the starts of two appends; a shorter one costs calls.
 _LINGER_MS = 25
@@ -26,9 +29,15 @@
 _PROGRESS = 'p'
 _FINAL = 'f'
 _ROSTER_KEY = 'roster'
-_FIRST_TIMEOUT_MS = 400
-_MAX_TIMEOUT_MS = 1_000
-_RETRY_PAUSE_MS = 60
+# Longer than a slow store takes; the answer of a later try counts before.
+_ANSWER_MS = 1_500
+# An append is repeated when it takes this many times as long as usual, but
+# neither sooner nor later than these bounds: a lost answer costs the wait.
+_REPEAT_FACTOR = 4
+_MIN_REPEAT_MS = 100
+_MAX_REPEAT_MS = 700
+# Weight of the newest append in the usual time.
+_NEWEST_PART = 0.3
 # The store bounds one call; a batch stays well below it.
 _MAX_BATCH_BYTES = 1024 * 1024
 
@@ -91,6 +100,7 @@
         'confirmed_ms',
         'pending_since_ms',
         '_failing',
+        '_usual_ms',
     )
 
     def __init__(
@@ -112,6 +122,7 @@
         # When the append under way was first sent; None for none.
         self.pending_since_ms: int | None = None
         self._failing = False
+        self._usual_ms = 0.0
 
     def request(self) -> None:
         """Have the changes so far appended soon."""
@@ -122,14 +133,21 @@
 
         Raises ``Deposed`` if a later leader has fenced this one.
         """
-        while True:
-            try:
-                await self._store.fence(STREAM, self._epoch)
-                values, _ = await self._store.newest(STREAM)
-                break
-            except (errors.LogUnavailable, errors.LogOutcomeUnknown) as error:
-                self._note_failure(error)
-                await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+        fencing = asyncio.ensure_future(
+            self._repeat(lambda: self._store.fence(STREAM, self._epoch))
+        )
+        try:
+            values, end = await self._read_all()
+            await fencing
+        finally:
+            fencing.cancel()
+        try:
+            # What was appended after the first read and before the fence.
+            values = await self._repeat(
+                lambda: self._read_rest(values, end), _MAX_REPEAT_MS
+            )
+        except errors.LogTrimmed:
+            values, _ = await self._read_all()
         self._note_success()
         return _decode(values)
 
@@ -140,6 +158,7 @@
                 async with asyncio.timeout(_BEAT_MS / 1000):
                     await self._wake.wait()
             except TimeoutError:
+                # Nothing changed: an empty append shows that this one leads.
                 pass
             self._wake.clear()
             begun_ms = self._clock.now_ms()
@@ -154,26 +173,50 @@
 
     async def _append(self, batch: Batch) -> None:
         self._sequence += 1
-        self.pending_since_ms = self._clock.now_ms()
-        timeout_ms = _FIRST_TIMEOUT_MS
-        while True:
-            try:
-                await self._store.append(
-                    STREAM,
-                    batch.records,
-                    self._epoch,
-                    self._sequence,
-                    timeout_ms,
-                )
-                break
-            except (errors.LogUnavailable, errors.LogOutcomeUnknown) as error:
-                # The same sequence number takes effect at most once.
-                self._note_failure(error)
-                timeout_ms = min(2 * timeout_ms, _MAX_TIMEOUT_MS)
-                await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+        begun_ms = self.pending_since_ms = self._clock.now_ms()
+        # The same sequence number takes effect at most once.
+        sequence = self._sequence
+        pause_ms = max(_REPEAT_FACTOR * int(self._usual_ms), _MIN_REPEAT_MS)
+        await self._repeat(
+            lambda: self._store.append(
+                STREAM, batch.records, self._epoch, sequence, _ANSWER_MS
+            ),
+            min(pause_ms, _MAX_REPEAT_MS),
+        )
         self.pending_since_ms = None
+        took_ms = self._clock.now_ms() - begun_ms
+        self._usual_ms += _NEWEST_PART * (took_ms - self._usual_ms)
         self._note_success()
 
+    async def _read_all(self) -> tuple[dict[str, bytes], int]:
+        return await self._repeat(
+            lambda: self._store.newest(STREAM), _MAX_REPEAT_MS
+        )
+
+    async def _read_rest(
+        self, values: dict[str, bytes], start: int
+    ) -> dict[str, bytes]:
+        values = dict(values)
+        while True:
+            chunk = await self._store.read(STREAM, start, 0)
+            for key, value in chunk.records:
+                if value is None:
+                    values.pop(key, None)
+                else:
+                    values[key] = value
+            start += len(chunk.records)
+            if not chunk.records or start >= chunk.end:
+                return values
+
+    async def _repeat(
+        self,
+        call: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
+        pause_ms: int = _MIN_REPEAT_MS,
+    ) -> _T:
+        tries = tries_module.Tries(self._clock, call, self._note_failure)
+        with tries:
+            return await tries.first_answer(pause_ms)
+
     def _note_failure(self, error: errors.BasilspindleError) -> None:
         if not self._failing:
             self._failing = True
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -47,7 +47,7 @@
 _STATE_SLACK_MS = 10_000
 _RECORD_WAIT_MS = 10_000
 # Jobs are turned away while an append is unanswered for longer.
-_STORE_SILENT_MS = 600
+_STORE_SILENT_MS = 900
 
 
 class Leader:
@@ -102,7 +102,6 @@
         self._recorder.recover(await self._journal.load())
         self._guard_unseen()
         self._roster.recover()
-        await self._roster.refresh()
         for work in (self._journal.run, self._tick, self._roster.follow):
             self._tasks.append(asyncio.ensure_future(self._guard(work)))
         self.ready = True
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -33,7 +33,10 @@
     """
 
     async def newest(self, stream: str) -> tuple[dict[str, bytes], int]:
-        """Return the newest value of each key and the end offset."""
+        """Return the newest value of each key and an end offset.
+
+        Every record before that end is taken into account.
+        """
         ...
 
     async def read(
--- a/basilspindle/cell/roster.py
+++ b/basilspindle/cell/roster.py
@@ -56,8 +56,8 @@
     async def follow(self) -> None:
         """Refresh until cancelled."""
         while True:
-            await self._clock.sleep_ms(_REGISTRY_MS)
             await self.refresh()
+            await self._clock.sleep_ms(_REGISTRY_MS)
 
     async def refresh(self) -> None:
         """Bring the workers in line with the registry."""
--- /dev/null
+++ b/basilspindle/cell/tries.py
@@ -0,0 +1,89 @@
+"""Repeat a call that takes effect once until it is answered."""
+
+import asyncio
+import collections.abc
+import typing
+
+from basilspindle import clock as clock_module
+from basilspindle import errors
+
+# More calls under way at once do not shorten the wait for a silent store.
+_MOST = 3
+# Pause after an answer that says that nothing was done.
+_RETRY_PAUSE_MS = 60
+# Calls under way at once are at most this far apart.
+_MAX_PAUSE_MS = 1_000
+
+_T = typing.TypeVar('_T')
+OnFailure = collections.abc.Callable[[errors.BasilspindleError], None]
+
+
+class Tries(typing.Generic[_T]):
+    """Send a call again before the last try has failed.
+
+    The store may lose an answer or take long: a repeat on another
+    connection finds out which, and the first answer counts. Leaving the
+    context cancels the tries that are still under way.
+    """
+
+    __slots__ = ('_clock', '_call', '_on_failure', '_running')
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        call: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
+        on_failure: OnFailure,
+    ) -> None:
+        self._clock = clock
+        self._call = call
+        self._on_failure = on_failure
+        self._running: set[asyncio.Future[_T]] = set()
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for future in self._running:
+            future.cancel()
+            # A try that fails meanwhile tells nothing that is still asked.
+            future.add_done_callback(_discard)
+        self._running.clear()
+
+    async def first_answer(self, pause_ms: int) -> _T:
+        """Return the first answer, repeating first after ``pause_ms``.
+
+        Raises what the call raises, but for ``LogUnavailable`` and
+        ``LogOutcomeUnknown``, after which it is repeated.
+        """
+        while True:
+            if len(self._running) < _MOST:
+                self._running.add(asyncio.ensure_future(self._call()))
+            await self._wait(pause_ms)
+            failed = False
+            for future in [row for row in self._running if row.done()]:
+                self._running.discard(future)
+                try:
+                    return future.result()
+                except (
+                    errors.LogUnavailable,
+                    errors.LogOutcomeUnknown,
+                ) as error:
+                    self._on_failure(error)
+                    failed = True
+            if failed:
+                await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+            pause_ms = min(2 * pause_ms, _MAX_PAUSE_MS)
+
+    async def _wait(self, pause_ms: int) -> None:
+        timer = asyncio.ensure_future(self._clock.sleep_ms(pause_ms))
+        try:
+            await asyncio.wait(
+                {*self._running, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+
+
+def _discard(future: asyncio.Future[typing.Any]) -> None:
+    if not future.cancelled():
+        future.exception()
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -54,8 +54,13 @@
         self._address = address
 
     async def newest(self, stream: str) -> tuple[dict[str, bytes], int]:
-        """Return the newest value of each key and the end offset."""
+        """Return the newest value of each key and the end offset.
+
+        The end is that of the first page: what changes while the others are
+        read is found by reading from there.
+        """
         values: dict[str, bytes] = {}
+        end: int | None = None
         query = {'topic': _KEYED + stream, 'part': str(_PART)}
         while True:
             answer = await self._get('log-newest', query, _READ_MS)
@@ -63,10 +68,11 @@
                 return {}, 0
             self._check_read(answer)
             page = _decode(answer.body, _Newest)
+            end = page.end if end is None else end
             for item in page.items:
                 values[item.key] = base64.b64decode(item.value)
             if not page.more or not page.items:
-                return values, page.end
+                return values, end
             query['after'] = page.items[-1].key
 
     async def read(
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -42,6 +42,8 @@
 
     def __init__(self, handler: Handler) -> None:
         self.fault: Fault = lambda request: ''
+        # Every request takes this much longer.
+        self.delay_s = 0.0
         self.requests: list[Request] = []
         self._handler = handler
         self._server: asyncio.Server | None = None
@@ -72,6 +74,8 @@
     async def serve(self, request: Request) -> Reply | None:
         """Return the reply to a request, None for silence."""
         self.requests.append(request)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         fault = self.fault(request)
         if fault == 'silent':
             return None
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -65,3 +65,60 @@
         election.answer = _claim(7)
         await election._turn_without_store()
         self.assertEqual([8], election.followed)
+
+
+class _Register:
+    """Counts the calls to the store."""
+
+    def __init__(self, claim):
+        self.claim = claim
+        self.members = {}
+        self.reads = 0
+        self.made_at = []
+
+    async def enter(self, node, address):
+        return
+
+    async def read(self):
+        self.reads += 1
+        return self.claim, 7
+
+    async def read_members(self):
+        return
+
+    async def make(self, claim, at):
+        self.made_at.append(at)
+
+
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    """Guard how soon a leader that is gone is replaced."""
+
+    def election(self, end_of, refused):
+        election = _Election()
+        election._register = _Register(_claim(5))
+
+        async def follow(claim):
+            return end_of
+
+        async def is_refused(claim):
+            return refused
+
+        election._follow = follow
+        election._is_refused = is_refused
+        return election
+
+    async def test_a_killed_leader_is_replaced_without_another_read(self):
+        """Guard against calls to a slow store before the claim."""
+        ended = election_module._Followed
+        for end_of in (ended.GONE, ended.CLOSED):
+            election = self.election(end_of, refused=True)
+            await election._turn()
+            self.assertEqual(1, election._register.reads)
+            self.assertEqual([7], election._register.made_at)
+
+    async def test_a_leader_that_only_closed_a_connection_stays(self):
+        """Guard against the replacement of a leader that lives."""
+        closed = election_module._Followed.CLOSED
+        election = self.election(closed, refused=False)
+        await election._turn()
+        self.assertEqual([], election._register.made_at)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -7,6 +7,10 @@
 from tests import platform_case
 from tests.standins import platform
 
+# What appends take when the store needs 60 times its 4 ms.
+_SLOW_STORE_S = 0.5
+# Callers of both sites wait this long for an answer.
+_DEADLINE_S = 3.0
 _JOB = '00000000000000{:02x}'
 
 
@@ -119,6 +123,24 @@
             await self.wait_state(job_id, 'completed')
         self.check_runs()
 
+    async def test_a_leader_killed_while_the_store_is_slow(self):
+        """Guard against requests that wait for a leader to their deadline.
+
+        Day trouble-2 of berceuse-partage: the store takes 60 times as long,
+        the leader is killed, and 100 requests ended in 504.
+        """
+        job_ids = await self.submit(16, 2, 300)
+        self.store.server.delay_s = _SLOW_STORE_S
+        leader = self.leader()
+        await leader.kill()
+        began_s = time.monotonic()
+        late = await self.submit(32, 1, 100)
+        self.assertLess(time.monotonic() - began_s, _DEADLINE_S)
+        self.store.server.delay_s = 0.0
+        for job_id in job_ids + late:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
+
     async def test_a_paused_leader_is_replaced_and_stays_out(self):
         """Guard against two leaders that both start tasks."""
         job_ids = await self.submit(16, 4, 1_000)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Guard the translation of the platform's log, with its faults."""
 
 import asyncio
+import time
 import unittest
 
 from basilspindle.cell import claim as claim_module
@@ -11,6 +12,9 @@
 from tests.standins import platform
 
 _STREAM = 'jobs'
+# A new leader within the shortest deadline of callers, 3 s, needs a claim
+# in a fraction of it.
+_LOST_CLAIM_S = 0.5
 
 
 class StoreCase(unittest.IsolatedAsyncioTestCase):
@@ -102,6 +106,24 @@
         self.assertEqual(1_200, len(values))
         self.assertEqual(1_202, end)
 
+    async def test_the_end_leaves_out_nothing_that_changed_meanwhile(self):
+        """Guard against changes between two pages that nobody reads."""
+        for number in range(700):
+            self.standin.put(f'keyed.{_STREAM}', f'k{number:03}', b'old')
+        before = self.standin._topic(f'keyed.{_STREAM}').end
+
+        def change(request):
+            if request.query.get('after'):
+                self.standin.put(f'keyed.{_STREAM}', 'k000', b'new')
+            return ''
+
+        self.standin.server.fault = change
+        values, end = await self.store.newest(_STREAM)
+        self.assertEqual(b'old', values['k000'])
+        chunk = await self.store.read(_STREAM, end, 0)
+        self.assertEqual(before, end)
+        self.assertIn(('k000', b'new'), chunk.records)
+
     async def test_a_dropped_offset_is_told(self):
         """Guard against a reader that waits for records of the past."""
         await self.store.put(_STREAM, [('a', b'1')])
@@ -171,13 +193,31 @@
         made = await register.make(self.claim('a'), end)
         self.assertEqual('a', made.node)
 
+    async def test_a_slow_claim_is_looked_up_early(self):
+        """Guard against a cell that waits for a lost answer."""
+        register = claim_module.ClaimRegister(self.store)
+        _, end = await register.read()
+        self.fail_appends('lost')
+        began_s = time.monotonic()
+        made = await register.make(self.claim('a'), end)
+        self.assertEqual('a', made.node)
+        self.assertLess(time.monotonic() - began_s, _LOST_CLAIM_S)
+
+    async def test_a_claim_that_was_not_made_is_waited_for(self):
+        """Guard against a look-up that ends a claim under way."""
+        register = claim_module.ClaimRegister(self.store)
+        _, end = await register.read()
+        self.standin.server.delay_s = 0.4
+        made = await register.make(self.claim('a'), end)
+        self.assertEqual('a', made.node)
+
     async def test_members_are_listed(self):
         """Guard against daemons that a new leader does not tell."""
         register = claim_module.ClaimRegister(self.store)
         await register.enter('a', '1:1')
         await register.enter('b', '2:1')
         await register.leave('a')
-        await register.read()
+        await register.read_members()
         self.assertEqual({'b': '2:1'}, register.members)
 
 
