Put work beyond a workspace's share last; pause workers that fail all

A worker that fails what it starts was avoided only by the task that had failed there, one start without an answer put a worker behind all others for good, and a run that its earlier run's end made needless went on.

Ruled out: the limits of workspaces (they bound what runs, not who waits), priorities (they are the queue's, not the workspace's).

Change: cell/share.py counts accepted jobs against the rate that a workspace may count on. What is beyond goes after all else and is refused as soon as it cannot be on time; free room is used by anyone. Failures of three jobs in a row that fail nowhere else pause a worker for 2 s; doubt in a worker fades with its successes. A run that is not needed is stopped.

--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -4,12 +4,18 @@
 from basilspindle.cell import speed
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
 from basilspindle.workflow import task as task_module
 from basilspindle.workflow import task_state
 
 _Kind = report_module.EndKind
 _State = task_state.TaskState
+# Where 4 runs in 100 fail by their own fault, three jobs in a row hardly do.
+_LEAST_FAILED_JOBS = 3
+# A worker that fails what it starts gets no new work for this long: most
+# tasks take a second or more, and each is thrown away.
+_FAILING_PAUSE_MS = 2_000
 # After these ends the other members of a gang may go on waiting.
 _LEAVES_PARTNERS = frozenset(
     {_Kind.STOPPED, _Kind.LAPSED, _Kind.PARTNER_MISSING}
@@ -34,9 +40,17 @@
         task.checkpoint = row.checkpoint
     if row.kind is _Kind.DONE and current:
         speed.note_done(state, worker, task, now_ms)
+        worker.note_success()
+        worker.failed_jobs.clear()
     if row.kind is _Kind.DONE and not task.step_run.step.service:
+        superseded = task.occupies and not current
         _mark_done(state, task, now_ms)
+        if superseded and not task.step_run.step.gang:
+            # A later run is under way that nobody needs any more.
+            state.request_stop(task)
     elif row.kind is _Kind.FAILED and row.run not in task.failed_runs:
+        if not task.step_run.step.service:
+            _blame(state, worker, task.step_run.job, now_ms)
         _count_failure(state, task, row, worker)
     if current:
         state.release(task)
@@ -71,6 +85,29 @@
         state.table.open_steps(job, now_ms)
 
 
+def _blame(
+    state: state_module.CellState,
+    worker: worker_module.Worker,
+    job: job_module.Job,
+    now_ms: int,
+) -> None:
+    # Answers workers that fail all that they start: failures of several
+    # jobs that fail nowhere else are the worker's, others the job's.
+    job.failed_on.add(worker.worker_id)
+    if len(job.failed_on) > 1:
+        for worker_id in job.failed_on:
+            other = state.workers.get(worker_id)
+            if other is not None:
+                other.failed_jobs.discard(job.job_id)
+        return
+    worker.note_failure()
+    worker.failed_jobs.add(job.job_id)
+    if len(worker.failed_jobs) >= _LEAST_FAILED_JOBS:
+        worker.suspect_until_ms = max(
+            worker.suspect_until_ms, now_ms + _FAILING_PAUSE_MS
+        )
+
+
 def _count_failure(
     state: state_module.CellState,
     task: task_module.Task,
--- a/basilspindle/cell/fitting.py
+++ b/basilspindle/cell/fitting.py
@@ -96,7 +96,7 @@
         left = worker.room.cpu_millicores - placed * need_cpu
         far = bool(step.data_rack) and worker.rack != step.data_rack
         slow = round(worker.slowness / _SLOWNESS_STEP)
-        return (far, worker.strikes, slow, left, worker.worker_id)
+        return (far, round(worker.doubt), slow, left, worker.worker_id)
 
     choice: Choice = {}
     left = count
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -51,8 +51,15 @@
         if ended is not None:
             _check_workspace(ended.workspace, definition)
             return None
-        self._check_backlog(definition, now_ms)
-        return self.adopt(job_module.Job(definition, now_ms), now_ms)
+        terms = self._state.workspace_terms(definition.workspace)
+        shares = self._state.shares
+        is_beyond_share = shares.is_beyond(terms, now_ms)
+        self._check_backlog(definition, is_beyond_share)
+        if not is_beyond_share:
+            shares.count(terms, now_ms)
+        job = job_module.Job(definition, now_ms)
+        job.is_beyond_share = is_beyond_share
+        return self.adopt(job, now_ms)
 
     def adopt(self, job: job_module.Job, now_ms: int) -> job_module.Job:
         """Add a job that is accepted, now or by an earlier leader."""
@@ -86,7 +93,9 @@
         return job
 
     def _check_backlog(
-        self, definition: definition_module.JobDefinition, now_ms: int
+        self,
+        definition: definition_module.JobDefinition,
+        is_beyond_share: bool,
     ) -> None:
         state = self._state
         if definition.max_runs or any(
@@ -96,9 +105,12 @@
         advice = state.advice_terms(definition)
         chain_ms = urgency.chain_ms(definition, advice)
         objective_ms = urgency.objective_ms(definition, advice)
-        usable_ms = urgency.LATE_FACTOR * objective_ms - chain_ms
+        # Beyond the share a job has to be on time; others may be late.
+        factor = 1 if is_beyond_share else urgency.LATE_FACTOR
         retry_ms = admission.refusal_ms(
-            self._backlog(definition), usable_ms, definition.job_id
+            self._backlog(definition, is_beyond_share),
+            factor * objective_ms - chain_ms,
+            definition.job_id,
         )
         if retry_ms is not None:
             raise errors.Overloaded(
@@ -110,7 +122,9 @@
             )
 
     def _backlog(
-        self, definition: definition_module.JobDefinition
+        self,
+        definition: definition_module.JobDefinition,
+        is_beyond_share: bool,
     ) -> admission.Backlog:
         state = self._state
         waiting = 0.0
@@ -118,8 +132,12 @@
             other = run.job.definition
             if other.pool != definition.pool:
                 continue
-            if other.priority > definition.priority:
+            # What comes after this job does not hold it back.
+            if run.job.is_beyond_share and not is_beyond_share:
                 continue
+            if other.priority > definition.priority:
+                if run.job.is_beyond_share or not is_beyond_share:
+                    continue
             step = run.step
             waiting += (
                 len(run.waiting)
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -150,6 +150,7 @@
         """Put a configuration in force."""
         self.state.index = index
         self.state.eased.update(index.workspaces)
+        self.state.shares.keep(index.workspaces)
         self._schedule_plan()
 
     # Requests of callers, forwarded or direct.
@@ -263,6 +264,7 @@
             events.emit(
                 cell_events.WORKER_GAINED,
                 worker=worker.worker_id,
+                cpu_millicores=worker.capacity.cpu_millicores,
                 running=len(report.running),
                 ends=len(report.ends),
             )
@@ -416,6 +418,7 @@
             worker=start.worker_id,
             task=start.task.name,
             run=start.run,
+            cpu_millicores=start.task.step_run.step.reserved.cpu_millicores,
         )
         session.send_start(start)
 
@@ -442,7 +445,6 @@
         kept_ms = state.bounds.state_kept_ms + _STATE_SLACK_MS
         self._recorder.expired += state.table.expire(wall_ms - kept_ms)
         self._recorder.forget_ended()
-        events.report_suppressed()
         metrics.LIVE_JOBS.set(len(state.table.jobs))
         metrics.WAITING_TASKS.set(
             sum(len(run.waiting) for run in state.table.ready.values())
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -123,6 +123,7 @@
                 job=job.job_id,
                 queue=job.definition.queue,
                 workspace=job.definition.workspace,
+                beyond_share=job.is_beyond_share,
                 took_ms=took_ms,
             )
         if state.is_final and job.durable_state is not state:
--- a/basilspindle/cell/starts.py
+++ b/basilspindle/cell/starts.py
@@ -36,14 +36,16 @@
     task = order.task
     if task.run != order.run or task.worker_id != order.worker_id:
         return
+    worker = state.workers.get(order.worker_id)
     if outcome in _RESOLVED_BY_REPORT:
+        if worker is not None:
+            worker.note_success()
         if task.state is _State.STARTING:
             task.state = _State.RUNNING
         if task.state is _State.RUNNING:
             task.started_ms = now_ms
         return
     run = task.step_run
-    worker = state.workers.get(order.worker_id)
     if outcome is _Outcome.UNKNOWN:
         # It may still be carried out; the stop makes that impossible.
         if task.state is _State.STARTING:
@@ -52,7 +54,7 @@
             state.stop_gang(run)
         if worker is not None:
             worker.suspect_until_ms = now_ms + _REFUSED_PAUSE_MS
-            worker.strikes += 1
+            worker.note_unanswered()
         return
     if outcome not in _NOT_RUN:
         return
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -3,7 +3,9 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import job_table
 from basilspindle.cell import orders as orders_module
+from basilspindle.cell import share
 from basilspindle.cell import term_index
+from basilspindle.cell import terms as terms_module
 from basilspindle.cell import usage as usage_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import advice_terms
@@ -45,6 +47,7 @@
         'unseen_until_ms',
         'objectives',
         'queue_factors',
+        'shares',
     )
 
     def __init__(self, bounds: bounds_module.Bounds, term: int = 0) -> None:
@@ -64,6 +67,7 @@
         self.unseen_until_ms = 0
         self.objectives: dict[str, int] = {}
         self.queue_factors: dict[str, float] = {}
+        self.shares = share.Shares()
 
     def take_orders(self) -> orders_module.Orders:
         """Return the orders collected so far and begin anew."""
@@ -83,11 +87,17 @@
         queue = self.index.queues.get(definition.queue)
         return queue.advice if queue is not None else definition.advice
 
-    def limit_of(self, workspace: str) -> need_module.Need | None:
-        """Return the upper limit of a workspace, or None for no limit."""
+    def workspace_terms(
+        self, workspace: str
+    ) -> terms_module.WorkspaceTerms | None:
+        """Return the terms of a workspace; None if it has none."""
         if self.index is None:
             return None
-        row = self.index.workspaces.get(workspace)
+        return self.index.workspaces.get(workspace)
+
+    def limit_of(self, workspace: str) -> need_module.Need | None:
+        """Return the upper limit of a workspace, or None for no limit."""
+        row = self.workspace_terms(workspace)
         return row.limit if row is not None else None
 
     def next_run(self, task: task_module.Task) -> int:
--- a/basilspindle/cell/terms.py
+++ b/basilspindle/cell/terms.py
@@ -23,11 +23,15 @@
 
 
 class WorkspaceTerms(msgspec.Struct, frozen=True):
-    """Share, keys and upper limit of a workspace; limit 0 is none."""
+    """Keys, share and upper limit of a workspace; limit 0 is none.
+
+    ``share_jobs_s`` are the jobs a second that the workspace may count on
+    when the fleet is full; 0 is no bound.
+    """
 
     name: str
     keys: tuple[str, ...]
-    weight: float
+    share_jobs_s: float
     limit: need_module.Need
 
 
--- a/basilspindle/cell/urgency.py
+++ b/basilspindle/cell/urgency.py
@@ -1,4 +1,4 @@
-"""Order steps that wait: class, then the time left to be on time."""
+"""Order steps that wait: share, class, then the time left to be on time."""
 
 from basilspindle.workflow import advice_terms
 from basilspindle.workflow import definition as definition_module
@@ -35,7 +35,8 @@
 class Urgency:
     """Sort key of a waiting step at one moment.
 
-    Within a class, the step whose job has the least time left comes first;
+    What workspaces sent beyond their shares comes after all else. Within a
+    class, the step whose job has the least time left comes first;
     one that can no longer end in time to count comes after all others of
     its class, so that it holds back nothing that can.
     """
@@ -48,11 +49,12 @@
 
     def __call__(
         self, run: step_run_module.StepRun
-    ) -> tuple[int, bool, int, str]:
+    ) -> tuple[bool, int, bool, int, str]:
         """Return the key; smaller comes first."""
         job = run.job
         due_ms = self._due_ms.get(job.job_id, job.accepted_ms)
         span_ms = due_ms - job.accepted_ms
         last_ms = job.accepted_ms + LATE_FACTOR * span_ms
         lost = self._now_ms + run.step.estimate_ms > last_ms
-        return (job.definition.priority, lost, due_ms, run.key)
+        priority = job.definition.priority
+        return (job.is_beyond_share, priority, lost, due_ms, run.key)
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -7,6 +7,11 @@
 # Entries that lapsed while the registry was away are back within about this
 # time; a worker that still answers is used meanwhile.
 _UNLISTED_MS = 2_000
+# A worker that leaves two starts in five unanswered stays behind sound ones,
+# and one lost answer is forgotten after a few good ones.
+_DOUBT_KEPT = 0.8
+# Sound workers fail a few runs in a hundred too: one counts for nothing.
+_FAILURE_DOUBT = 0.4
 
 
 class Worker:
@@ -18,8 +23,10 @@
     must not run, by name with their run. ``noted_end`` is the highest end
     that was applied, ``durable_end`` the highest that the log holds.
     ``slowness`` is the time that tasks take here against elsewhere, ``lag``
-    the same for those that run now, and ``strikes`` counts starts without
-    an answer. ``suspect_until_ms`` bounds a time without new work, and
+    the same for those that run now. ``doubt`` rises with starts that are not
+    answered and runs that fail, and falls with each success;
+    ``failed_jobs`` are the jobs that failed here, and nowhere else, since a
+    run ended well. ``suspect_until_ms`` bounds a time without new work, and
     ``drain_end_ms`` is when a leaving worker may be gone, 0 for not known.
     """
 
@@ -43,7 +50,8 @@
         'durable_end',
         'foreign',
         'suspect_until_ms',
-        'strikes',
+        'doubt',
+        'failed_jobs',
         'slowness',
         'lag',
         'slow_samples',
@@ -80,7 +88,8 @@
         self.durable_end = 0
         self.foreign: dict[str, int] = {}
         self.suspect_until_ms = 0
-        self.strikes = 0
+        self.doubt = 0.0
+        self.failed_jobs: set[str] = set()
         self.slowness = 1.0
         self.lag = 1.0
         self.slow_samples = 0
@@ -113,6 +122,18 @@
             and now_ms - self.contact_ms <= contact_limit_ms
         )
 
+    def note_unanswered(self) -> None:
+        """Count a start without an answer."""
+        self.doubt += 1.0
+
+    def note_failure(self) -> None:
+        """Count a run that failed."""
+        self.doubt += _FAILURE_DOUBT
+
+    def note_success(self) -> None:
+        """Count a start that was answered or a run that ended well."""
+        self.doubt *= _DOUBT_KEPT
+
     def take(self, task: task_module.Task) -> None:
         """Count a task on this worker."""
         self.tasks[task.name] = task
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -55,7 +55,8 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    weight: float = 1.0
+    # Jobs a second that count for the tenant when all is full.
+    weight: float = 0.0
     cap: _Cap = msgspec.field(default_factory=_Cap)
 
 
--- a/basilspindle/workflow/job.py
+++ b/basilspindle/workflow/job.py
@@ -13,6 +13,8 @@
     callers may see; ``append_begun`` tells that the log may hold the job.
     ``accepted_ms`` is monotonic. ``recovered`` marks a job
     accepted under an earlier leader, whose tasks may run unseen.
+    ``is_beyond_share`` marks a job that its workspace sent beyond its share.
+    ``failed_on`` are the workers on which runs of the job failed.
     """
 
     __slots__ = (
@@ -27,6 +29,8 @@
         'final_wall_ms',
         'occupied',
         'append_begun',
+        'failed_on',
+        'is_beyond_share',
     )
 
     def __init__(
@@ -43,6 +47,8 @@
         self.final_wall_ms = 0
         self.occupied: set[task_module.Task] = set()
         self.append_begun = False
+        self.failed_on: set[str] = set()
+        self.is_beyond_share = False
         if not definition.max_runs:
             self.open_occurrence()
 
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -61,12 +61,15 @@
     return terms_module.QueueTerms(name, **values)
 
 
-def make_terms(queues=None, limit=workflow.Need(), version=1):
-    """Return a configuration with one workspace."""
+def make_terms(queues=None, limit=workflow.Need(), version=1, shares=None):
+    """Return a configuration; ``shares`` are jobs a second by workspace."""
     return terms_module.Terms(
         version,
         tuple(queues or [make_queue()]),
-        (terms_module.WorkspaceTerms(WORKSPACE, ('key',), 1.0, limit),),
+        tuple(
+            terms_module.WorkspaceTerms(name, (f'key-{name}',), share, limit)
+            for name, share in (shares or {WORKSPACE: 0.0}).items()
+        ),
         (terms_module.PoolTerms(POOL, '/health', 64),),
         terms_module.RequestLimits(),
     )
--- a/tests/test_cell_ends.py
+++ b/tests/test_cell_ends.py
@@ -77,6 +77,67 @@
         self.assertEqual(2, len(self.plan().starts))
 
 
+class FailingWorkerTest(cell_case.CellCase):
+    """Guard where work goes while a worker fails all that it starts.
+
+    Replays jobs that keep coming: the worker that fails is always the one
+    with room.
+    """
+
+    def setUp(self):
+        super().setUp()
+        for name in ('w1', 'w2'):
+            self.add_worker(name)
+
+    def fail_all(self, starts):
+        for start in starts:
+            if start.worker_id == 'w1':
+                self.end('w1', start.task.name, start.run, _FAILED)
+
+    def submit_jobs(self, first, count):
+        for number in range(first, first + count):
+            step = cell_case.make_step()
+            self.submit(cell_case.make_definition(f'{number:016x}', step))
+        return self.run_all(self.plan())
+
+    def test_it_gets_no_work_after_a_few_failures(self):
+        """Guard against jobs that fail there one after the other."""
+        self.fail_all(self.submit_jobs(1, 4))
+        starts = self.submit_jobs(16, 8)
+        self.assertEqual({'w2'}, {start.worker_id for start in starts})
+
+    def test_it_is_tried_again(self):
+        """Guard against a worker that recovers and is never used again."""
+        self.fail_all(self.submit_jobs(1, 4))
+        self.submit_jobs(16, 8)
+        self.now_ms += 2_500
+        self.report('w1')
+        starts = self.run_all(self.plan())
+        self.assertIn('w1', {start.worker_id for start in starts})
+
+    def test_usual_failures_change_no_choice(self):
+        """Guard against work that is spread by failures of its own."""
+        first, second = self.submit_jobs(1, 2)
+        self.assertEqual('w1', first.worker_id)
+        self.end('w1', second.task.name, second.run, _FAILED)
+        [again] = self.run_all(self.plan())
+        self.assertEqual('w2', again.worker_id)
+        # Both workers are equally full, so that the first one is next.
+        [start] = self.submit_jobs(16, 1)
+        self.assertEqual('w1', start.worker_id)
+
+    def test_jobs_that_fail_everywhere_count_against_no_worker(self):
+        """Guard against a fleet that a few hopeless jobs empty."""
+        step = cell_case.make_step()
+        for number in range(3):
+            self.submit(cell_case.make_definition(f'{number:016x}', step))
+        for _ in range(2):
+            for start in self.run_all(self.plan()):
+                self.end(start.worker_id, start.task.name, start.run, _FAILED)
+        for worker in self.state.workers.values():
+            self.assertEqual(set(), worker.failed_jobs)
+
+
 class DoneTest(cell_case.CellCase):
     """Guard that work which is done stays done."""
 
@@ -113,3 +174,22 @@
         self.assertEqual(1_000, other.used.cpu_millicores)
         self.end(starts[1].worker_id, starts[1].task.name, starts[1].run)
         self.assertEqual(0, other.used.cpu_millicores)
+
+    def test_a_later_run_that_is_not_needed_is_stopped(self):
+        """Guard against work whose end is ignored.
+
+        The first run ended on a worker that was taken for lost.
+        """
+        self.add_worker('w1')
+        self.add_worker('w2')
+        definition = cell_case.make_definition(_JOB, cell_case.make_step())
+        self.submit(definition)
+        [first] = self.run_all(self.plan())
+        lost = self.state.workers[first.worker_id]
+        self.state.lose_worker_tasks(lost)
+        lost.suspect_until_ms = self.now_ms + 10_000
+        [second] = self.run_all(self.plan())
+        self.end(first.worker_id, first.task.name, first.run)
+        [stop] = self.state.take_orders().stops
+        self.assertEqual(second.run, stop.run)
+        self.assertEqual(second.worker_id, stop.worker_id)
