Draw reports from logs and count lost lines in the metrics

Cause: nothing showed waiting, shares and packing of a period; the metric of dropped log lines was never counted, and followers never reported the lines that they suppressed.

Ruled out: a plot by the daemons themselves (they have no disk, and the logs have all that is needed).

Change: `basilspindle report PICTURE FILE...` draws waiting jobs, used cores by workspace, the used part of the fleet and refusals, with changes of leader. log_lines.py reads log lines for it and for explain. Each daemon reports and counts its suppressed and lost lines once a second.

Before: basilspindle_log_lines_dropped_total 0 at all times. After: the flood tests hold it to the lines that were lost.

--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -23,6 +23,8 @@
 
 _RETRY_MS = 500
 _RECONNECT_PAUSE_MS = 20
+# Lines of the log are bounded by the second; so are reports of the rest.
+_REPORT_MS = 1_000
 # A request without a leader waits this long for one, which covers the
 # replacement of a leader that was killed.
 _LEADERLESS_MS = 900
@@ -98,7 +100,11 @@
             host,
             int(port),
         )
-        for work in (self._follow_configuration, self._election.run):
+        for work in (
+            self._follow_configuration,
+            self._election.run,
+            self._report_lines,
+        ):
             self._tasks.append(
                 asyncio.ensure_future(guard.run(work, self._fail))
             )
@@ -296,6 +302,11 @@
         while True:
             self._take_terms(await self._platform.configuration.next_version())
 
+    async def _report_lines(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_REPORT_MS)
+            metrics.DROPPED_LINES.inc(events.report_suppressed())
+
     def _version(self) -> int:
         return self.index.terms.version if self.index else 0
 
--- a/basilspindle/cli/commands/explain.py
+++ b/basilspindle/cli/commands/explain.py
@@ -1,11 +1,11 @@
 """Tell the story of one job from log files."""
 
-import collections.abc
 import sys
 import typing
 
 import click
 
+from basilspindle.cli import log_lines
 from basilspindle.cli import log_story
 
 
@@ -18,7 +18,9 @@
     Reads standard input without FILES. Lines that cannot be read are
     counted and left out.
     """
-    story = log_story.collect(job_id, _read(files or (sys.stdin,)))
+    story = log_story.collect(
+        job_id, log_lines.read_files(files or (sys.stdin,))
+    )
     if not story.lines:
         click.echo(f'no line tells of {job_id}; give the logs of all daemons')
         sys.exit(1)
@@ -26,11 +28,3 @@
         click.echo(text)
     if story.unreadable:
         click.echo(f'{story.unreadable} lines could not be read', err=True)
-
-
-def _read(
-    files: collections.abc.Iterable[typing.TextIO],
-) -> collections.abc.Iterator[tuple[str, str]]:
-    for file in files:
-        for text in file:
-            yield file.name, text
--- a/basilspindle/cli/program.py
+++ b/basilspindle/cli/program.py
@@ -13,6 +13,7 @@
     'explain': 'Tell the story of one job from log files.',
     'job': 'Submit, list, show, wait for and cancel jobs.',
     'key': 'Generate, add and withdraw keys.',
+    'report': 'Draw waiting, shares and packing from log files.',
     'run': 'Submit a request and wait for its result.',
     'settings': 'Check a settings file of either format.',
     'state': 'Show the state of a daemon.',
--- a/basilspindle/events/emit.py
+++ b/basilspindle/events/emit.py
@@ -75,11 +75,6 @@
     loguru.logger.add(target, format=_format, level=level)
 
 
-def dropped_lines() -> int:
-    """Return the lines lost since the last ``lines_dropped`` event."""
-    return _output.sink.dropped if _output.sink is not None else 0
-
-
 def emit(event: event_module.Event, **fields: typing.Any) -> None:
     """Log one event; fields carry their unit as a suffix.
 
@@ -98,11 +93,19 @@
     _write(event, fields)
 
 
-def report_suppressed() -> None:
-    """Log how many lines were counted instead of written."""
-    for number, lines in _output.limiter.take_suppressed().items():
+def report_suppressed() -> int:
+    """Log how many lines were counted instead of written.
+
+    Returns the lines that were suppressed or lost since the last call.
+    """
+    lines = 0
+    for number, count in _output.limiter.take_suppressed().items():
+        lines += count
         name = event_module.Event.catalogue[number].name
-        _write(LINES_SUPPRESSED, {'of': name, 'lines': lines})
+        _write(LINES_SUPPRESSED, {'of': name, 'lines': count})
+    if _output.sink is not None:
+        lines += _output.sink.take_lost()
+    return lines
 
 
 def _write(event: event_module.Event, fields: dict[str, typing.Any]) -> None:
--- a/basilspindle/events/sink.py
+++ b/basilspindle/events/sink.py
@@ -13,10 +13,12 @@
     ``dropped`` counts the lines lost since the last one that was written.
     """
 
-    __slots__ = ('dropped', '_fd', '_lines', '_size_bytes')
+    __slots__ = ('dropped', '_fd', '_lines', '_size_bytes', '_lost')
 
     def __init__(self, stream: typing.TextIO) -> None:
         self.dropped = 0
+        # Lines lost since the last call of take_lost().
+        self._lost = 0
         self._fd = stream.fileno()
         self._lines: collections.deque[bytes] = collections.deque()
         self._size_bytes = 0
@@ -33,7 +35,7 @@
         if self._size_bytes + len(line) > _BUFFER_BYTES:
             self.flush()
         if self._size_bytes + len(line) > _BUFFER_BYTES:
-            self.dropped += 1
+            self._lose(1)
             return
         self._lines.append(line)
         self._size_bytes += len(line)
@@ -49,7 +51,7 @@
                 return
             except OSError:
                 # Without a reader there is nobody to tell.
-                self.dropped += len(self._lines)
+                self._lose(len(self._lines))
                 self._lines.clear()
                 self._size_bytes = 0
                 return
@@ -58,3 +60,12 @@
                 self._lines[0] = line[written:]
                 return
             self._lines.popleft()
+
+    def take_lost(self) -> int:
+        """Return the lines lost since the last call."""
+        taken, self._lost = self._lost, 0
+        return taken
+
+    def _lose(self, lines: int) -> None:
+        self.dropped += lines
+        self._lost += lines
--- a/basilspindle/platform/registry.py
+++ b/basilspindle/platform/registry.py
@@ -57,10 +57,6 @@
                 await self._read_all()
         return self._rows
 
-    def forget(self) -> None:
-        """Read all entries anew at the next refresh."""
-        self._next = None
-
     async def _read_all(self) -> None:
         values, end = await self._store.newest(_STREAM)
         self._rows = {}
--- a/tests/test_cli_files.py
+++ b/tests/test_cli_files.py
@@ -7,6 +7,7 @@
 
 from click import testing
 
+from basilspindle.cli import log_report
 from basilspindle.cli import main as main_module
 
 _JOB = '00000000000000aa'
@@ -88,3 +89,57 @@
             'settings', 'check', str(example / 'settings.json')
         )
         self.assertEqual(0, result.exit_code, result.output)
+
+
+class ReportTest(FilesCase):
+    """Guard the figures and the picture of a period."""
+
+    def line(self, at_s, name, **fields):
+        time = f'2026-01-01T00:00:{at_s:06.3f}+00:00'
+        return json.dumps({'time': time, 'event': 1, 'name': name, **fields})
+
+    def lines(self):
+        accepted = {'workspace': 'w', 'queue': 'q'}
+        start = {'worker': 'x', 'run': 1, 'cpu_millicores': 500}
+        return [
+            self.line(0.0, 'worker_gained', worker='x', cpu_millicores=2000),
+            self.line(0.1, 'job_accepted', job='a', **accepted),
+            self.line(0.1, 'job_accepted', job='b', **accepted),
+            self.line(1.2, 'task_started', task='a.0.0.0', **start),
+            self.line(1.3, 'job_refused', job='c', reason='overloaded'),
+            self.line(2.1, 'task_started', task='b.0.0.0', **start),
+            'not a line of ours',
+            self.line(3.1, 'task_ended', task='a.0.0.0', run=1),
+            self.line(4.1, 'worker_lost', worker='x'),
+        ]
+
+    def collect(self, rows):
+        return log_report.collect([('file', row) for row in rows], 1.0)
+
+    def test_figures_follow_the_lines(self):
+        """Guard against jobs and cores that are counted wrongly."""
+        report = self.collect(reversed(self.lines()))
+        self.assertEqual([2, 1, 0, 0, 0], report.waiting.of('q'))
+        self.assertEqual([0, 0.5, 1, 0.5, 0], report.cores.of('w'))
+        self.assertEqual([2, 2, 2, 2, 0], report.capacity)
+        self.assertEqual([0, 1, 0, 0, 0], report.refused.of('overloaded'))
+        self.assertEqual(1, report.unreadable)
+
+    def test_a_picture_is_written(self):
+        """Guard against a command that draws nothing."""
+        log = self.write('a.log', '\n'.join(self.lines()))
+        picture = str(self.folder / 'day.png')
+        result = self.run_command('report', picture, log)
+        self.assertEqual(0, result.exit_code, result.output)
+        self.assertIn('at most 2 jobs waiting', result.output)
+        head = pathlib.Path(picture).read_bytes()[:4]
+        self.assertEqual(b'\x89PNG', head)
+
+    def test_bad_input_is_told(self):
+        """Guard against a trace instead of an error."""
+        result = self.run_command('report', 'day.txt', text='')
+        self.assertIn('must end in .png', result.output)
+        picture = str(self.folder / 'day.png')
+        result = self.run_command('report', picture, text='noise')
+        self.assertEqual(1, result.exit_code)
+        self.assertIn('no line can be read', result.output)
--- a/tests/test_event_output.py
+++ b/tests/test_event_output.py
@@ -64,6 +64,8 @@
         written = sum(row['name'] != 'lines_dropped' for row in lines)
         self.assertGreater(lost, 0)
         self.assertEqual(number, written + lost)
+        # The metric of lost lines counts them too.
+        self.assertEqual(lost, events.report_suppressed())
 
     def emit(self, number):
         # Several kinds, so that the bound of one kind is not reached.
@@ -95,13 +97,15 @@
         self.addCleanup(loguru.logger.remove)
         for _ in range(3_000):
             events.emit(cell_events.TASK_STARTED, task='t')
-        events.report_suppressed()
+        returned = events.report_suppressed()
         lines = [json.loads(row) for row in stream.getvalue().splitlines()]
         written = sum(row['name'] == 'task_started' for row in lines)
         counted = sum(
             row['lines'] for row in lines if row['name'] == 'lines_suppressed'
         )
         self.assertEqual(3_000, written + counted)
+        self.assertEqual(counted, returned)
+        self.assertEqual(0, events.report_suppressed())
         self.assertLess(written, 3_000)
 
 
@@ -129,7 +133,7 @@
             '  2.5 d1 ' + self.line(2.5, 'job_accepted', job='other'),
             '  9.0 d1 ' + self.line(9, 'leader_lost', reason='later'),
         )
-        names = [line['name'] for _, _, line in story.lines]
+        names = [line.name for line in story.lines]
         self.assertEqual(['job_accepted', 'leader_lost', 'task_ended'], names)
         texts = list(log_story.describe(story))
         self.assertIn('+  1000 ms  d1', texts[1])
