--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -67,8 +67,12 @@
         version,
         tuple(queues or [make_queue()]),
         tuple(
-            terms_module.WorkspaceTerms(name, (f'key-{name}',), share, limit)
-            for name, share in (shares or {WORKSPACE: 0.0}).items()
+            terms_module.WorkspaceTerms(name, (key,), share, limit)
+            for key, (name, share) in zip(
+                ('key', 'other-key'),
+                (shares or {WORKSPACE: 0.0}).items(),
+                strict=False,
+            )
         ),
         (terms_module.PoolTerms(POOL, '/health', 64),),
         terms_module.RequestLimits(),
