--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -80,6 +80,8 @@
         if job.append_begun:
             return False
         state.changed.pop(job.job_id, None)
+        if not job.is_beyond_share:
+            state.shares.give_back(job.definition.workspace)
         state.table.forget(job)
         state.objectives.pop(job.job_id, None)
         return True
--- a/basilspindle/cell/share.py
+++ b/basilspindle/cell/share.py
@@ -45,6 +45,12 @@
         if terms is not None and terms.share_jobs_s > 0:
             self._fill(terms, now_ms).jobs -= 1.0
 
+    def give_back(self, workspace: str) -> None:
+        """Count off a job that was withdrawn before it was accepted."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.jobs += 1.0
+
     def keep(self, workspaces: collections.abc.Container[str]) -> None:
         """Forget workspaces that no configuration has any more."""
         for name in list(self._buckets):
--- a/tests/test_cell_share.py
+++ b/tests/test_cell_share.py
@@ -114,6 +114,16 @@
         self.assertTrue(shares.is_beyond(terms, 0))
         self.assertFalse(shares.is_beyond(terms, 500))
 
+    def test_withdrawn_jobs_use_up_no_share(self):
+        """Guard against callers who return after an outage and wait."""
+        for number in range(2 * 4):
+            definition = cell_case.make_definition(
+                f'{number:016x}', cell_case.make_step(), workspace=_CALM
+            )
+            job = self.intake.submit(definition, self.now_ms)
+            self.assertFalse(job.is_beyond_share)
+            self.assertTrue(self.intake.withdraw(job))
+
     def test_a_workspace_without_a_share_has_no_bound(self):
         """Guard against refusals where nothing is configured."""
         shares = share.Shares()
