Pace tasks that fill before a service beside them is over its bound

Cause: tasks with `fills` were placed beside services and never slowed down, so a service could be over its `target_ms` for as long as they ran.

Ruled out: not placing them beside services (what others leave is what they are for), stopping them (their work would be thrown away).

A task that an earlier leader started begins anew. Slowed tasks make no worker suspect. `task_paced` logs each order.

--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -229,6 +229,13 @@
     'a request of a caller got no service',
     'see the status and the reason',
 )
+TASK_PACED = _Event(
+    918,
+    'task_paced',
+    _Level.INFO,
+    'a task that fills was ordered to work slower or faster',
+    'nothing to do; a service beside it is near its bound, or no longer',
+)
 INTERNAL_FAULT = _Event(
     945,
     'internal_fault',
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -15,6 +15,7 @@
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
 from basilspindle.cell import orders as orders_module
+from basilspindle.cell import pacing
 from basilspindle.cell import plan as plan_module
 from basilspindle.cell import ports
 from basilspindle.cell import reconcile
@@ -276,6 +277,7 @@
         noted_end = worker.noted_end
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
         speed.watch(self.state, worker, now_ms)
+        pacing.pace(self.state, worker, now_ms)
         self._log_ends(worker, report, noted_end)
         self._send_orders()
         if self.state.changed:
@@ -403,6 +405,17 @@
             session = self._roster.sessions.get(stop.worker_id)
             if session is not None:
                 session.send_stop(stop)
+        for pace in orders.paces:
+            session = self._roster.sessions.get(pace.worker_id)
+            if session is not None:
+                session.send_pace(pace)
+                events.emit(
+                    cell_events.TASK_PACED,
+                    worker=pace.worker_id,
+                    task=pace.task.name,
+                    run=pace.run,
+                    percent=pace.percent,
+                )
         for advice in orders.advice:
             self.advice_calls.send(advice)
         for note in orders.waits:
--- a/basilspindle/cell/orders.py
+++ b/basilspindle/cell/orders.py
@@ -31,6 +31,20 @@
         self.run = run
 
 
+class PaceOrder:
+    """Let a task work at a part of its speed, in percent."""
+
+    __slots__ = ('worker_id', 'task', 'run', 'percent')
+
+    def __init__(
+        self, worker_id: str, task: task_module.Task, percent: int
+    ) -> None:
+        self.worker_id = worker_id
+        self.task = task
+        self.run = task.run
+        self.percent = percent
+
+
 class AdviceOrder:
     """Ask which workers may run a step."""
 
@@ -71,10 +85,11 @@
 class Orders:
     """Orders that one round of decisions produced, and why others wait."""
 
-    __slots__ = ('starts', 'stops', 'advice', 'waits')
+    __slots__ = ('starts', 'stops', 'paces', 'advice', 'waits')
 
     def __init__(self) -> None:
         self.starts: list[StartOrder] = []
         self.stops: list[StopOrder] = []
+        self.paces: list[PaceOrder] = []
         self.advice: list[AdviceOrder] = []
         self.waits: list[WaitNote] = []
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -177,6 +177,19 @@
         """Stop a run, or keep one that has not arrived from starting."""
         ...
 
+    async def pace(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        name: str,
+        run: int,
+        percent: int,
+        timeout_ms: int,
+    ) -> None:
+        """Let a run work at a part of its speed, 0 to 100 percent."""
+        ...
+
 
 class AdviceResult(typing.NamedTuple):
     """Tickets by worker id and how long they hold."""
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -62,6 +62,7 @@
             continue
         if worker.tasks.get(row.name) is task and task.run == row.run:
             task.percent = row.percent
+            task.load = row.load
             if row.checkpoint:
                 task.checkpoint = row.checkpoint
             if task.state is _State.STARTING:
@@ -72,6 +73,8 @@
             state.occupy(task, worker, row.run, _State.RUNNING)
             task.started_ms = now_ms
             task.checkpoint = row.checkpoint or task.checkpoint
+            task.load = row.load
+            task.pace_percent = None
             state.table.ready.pop(task.step_run.key, None)
             if task.step_run.waiting and not task.step_run.step.gang:
                 state.table.ready[task.step_run.key] = task.step_run
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -151,6 +151,10 @@
         """Send a stop until it is answered or has failed often."""
         self._spawn(self._stop(order))
 
+    def send_pace(self, order: orders_module.PaceOrder) -> None:
+        """Send a pace; one that fails is decided anew."""
+        self._spawn(self._pace(order))
+
     def _spawn(
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
@@ -266,6 +270,24 @@
         except errors.WorkerOutcomeUnknown:
             return start_outcome.StartOutcome.UNKNOWN
 
+    async def _pace(self, order: orders_module.PaceOrder) -> None:
+        try:
+            await self._orders.pace(
+                self.worker.address,
+                self.worker.worker_id,
+                self._token,
+                order.task.name,
+                order.run,
+                order.percent,
+                _START_ANSWER_MS,
+            )
+        except errors.StaleEpoch as error:
+            self._owner.lose_leadership(error.message)
+        except errors.WorkerError:
+            # It may be carried out or not; the next report decides again.
+            if order.task.run == order.run:
+                order.task.pace_percent = None
+
     async def _stop(self, order: orders_module.StopOrder) -> None:
         for _ in range(_STOP_TRIES):
             try:
--- a/basilspindle/cell/speed.py
+++ b/basilspindle/cell/speed.py
@@ -127,7 +127,11 @@
     state: state_module.CellState, task: task_module.Task, now_ms: int
 ) -> _Sample | None:
     run = task.step_run
-    if task.state is not _State.RUNNING or run.step.gang or run.step.service:
+    step = run.step
+    if task.state is not _State.RUNNING or step.gang or step.service:
+        return None
+    if step.fills:
+        # It works as fast as it is paced.
         return None
     if not task.sampled_ms:
         task.sampled_ms = now_ms
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -118,6 +118,8 @@
         task.worker_id = worker.worker_id
         task.run = run
         task.stop_sent_ms = 0
+        task.load = 0
+        task.pace_percent, task.paced_ms = 100, 0
         task.percent = task.sampled_ms = task.sampled_percent = 0
         worker.take(task)
         job.occupied.add(task)
--- a/basilspindle/platform/workers.py
+++ b/basilspindle/platform/workers.py
@@ -22,8 +22,10 @@
     # The other members of the gang did not come in time.
     'alone': _Kind.PARTNER_MISSING,
 }
+# The caller's token is lower than one that the worker has seen.
+_FENCED = 'fence'
 _REASONS = {
-    'fence': _Outcome.FENCED,
+    _FENCED: _Outcome.FENCED,
     'old': _Outcome.RUN_TOO_LOW,
     'late': _Outcome.DEADLINE_PASSED,
     'room': _Outcome.NO_ROOM,
@@ -148,6 +150,35 @@
         )
         _check(answer, address)
 
+    async def pace(
+        self,
+        address: str,
+        worker_id: str,
+        token: int,
+        name: str,
+        run: int,
+        percent: int,
+        timeout_ms: int,
+    ) -> None:
+        """Let a run work at a part of its speed."""
+        body = {
+            'task': name,
+            'run': run,
+            'percent': percent,
+            'fencing_token': token,
+        }
+        answer = await self._post(
+            address, worker_id, '/basilspindle/pace', body, timeout_ms
+        )
+        if answer.status == 409:
+            reason = msgspec.json.decode(answer.body, type=_Rejected).reason
+            if reason != _FENCED:
+                raise errors.WorkerUnavailable(
+                    f'worker at {address} has no run {run} of {name} '
+                    f'({reason}); its next report tells'
+                )
+        _check(answer, address)
+
     async def _post(
         self,
         address: str,
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -17,6 +17,9 @@
     ``started_ms`` is the monotonic time at which the worker answered the
     last order for the task; 0 while none is answered. ``percent`` is the
     progress in the last report, ``sampled_percent`` that at ``sampled_ms``.
+    ``load`` is what the last report says of the task: its response time in
+    ms for a service, otherwise the cpu in use. ``pace_percent`` is how fast
+    it works since ``paced_ms``; None if that is not known.
     """
 
     __slots__ = (
@@ -35,6 +38,9 @@
         'sampled_percent',
         'avoid',
         'stop_sent_ms',
+        'load',
+        'pace_percent',
+        'paced_ms',
     )
 
     def __init__(
@@ -55,6 +61,9 @@
         self.sampled_percent = 0
         self.avoid: set[str] = set()
         self.stop_sent_ms = 0
+        self.load = 0
+        self.pace_percent: int | None = 100
+        self.paced_ms = 0
 
     @property
     def occupies(self) -> bool:
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -144,9 +144,19 @@
         ends_module.apply_end(self.state, worker, row, self.now_ms)
         worker.noted_end = row.number
 
-    def report(self, name, running=(), ends=(), sent_ms=None, born=BORN_MS):
+    def report(
+        self,
+        name,
+        running=(),
+        ends=(),
+        sent_ms=None,
+        born=BORN_MS,
+        loads=None,
+    ):
         rows = tuple(
-            report_module.RunningRow(task, run, '', 50, 0)
+            report_module.RunningRow(
+                task, run, '', 50, (loads or {}).get(task, 0)
+            )
             for task, run in running
         )
         report = report_module.Report(0, born, rows, tuple(ends))
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -35,6 +35,9 @@
         self.worker_id = worker_id
         self.capacity = cpu
         self.history: list[tuple[float, str, str, int]] = []
+        # Paces that were ordered, and what each run reports of its load.
+        self.paces: list[tuple[str, int]] = []
+        self.loads: dict[str, int] = {}
         self.state = 'ready'
         self._pool = pool
         self._store = store
@@ -123,6 +126,8 @@
             return await self._hold(body)
         if call == 'run-stop':
             return self._stop(body)
+        if call == 'pace':
+            return self._pace(body)
         return self._start(body)
 
     def _start(self, body: dict[str, object]) -> server_module.Reply:
@@ -148,6 +153,14 @@
         self._blocked[name] = max(self._blocked.get(name, 0), number)
         return self._reply(200)
 
+    def _pace(self, body: dict[str, object]) -> server_module.Reply:
+        name, number = str(body['task']), int(str(body['run']))
+        run = self._running.get(name)
+        if run is None or run.run != number:
+            return self._reply(409, reason='old')
+        self.paces.append((name, int(str(body['percent']))))
+        return self._reply(200)
+
     async def _hold(self, body: dict[str, object]) -> server_module.Reply:
         taken = int(str(body['ack_cursor']))
         self._ended = [row for row in self._ended if int(str(row[0])) > taken]
@@ -173,7 +186,7 @@
                     * (now_s - run.began_s)
                     / max(run.ends_s - run.began_s, 0.001)
                 ),
-                100,
+                self.loads.get(run.name, 100),
             ]
             for run in self._running.values()
         ]
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -100,6 +100,35 @@
         self.assertEqual(3, len(state['workers']))
 
 
+class PaceTest(platform_case.PlatformCase):
+    """Guard the orders that slow tasks down, as the worker takes them."""
+
+    daemons_wanted = 1
+    workers_wanted = 1
+
+    async def test_a_service_over_its_bound_stops_what_fills(self):
+        """Guard against a pace that the worker does not understand."""
+        serve = platform_case.make_job(60_000, 1)
+        serve['steps'][0].update(long_running=True, target_ms=50)
+        fill = platform_case.make_job(60_000, 1)
+        fill['steps'][0].update(fills=True)
+        service_id, fill_id = _JOB.format(16), _JOB.format(17)
+        for job_id, body in ((service_id, serve), (fill_id, fill)):
+            self.assertEqual(200, await self.call_any('POST', job_id, body))
+            await self.wait_state(job_id, 'running')
+        worker = self.workers[0]
+        worker.loads[f'{service_id}.0.0.0'] = 80
+        await self.wait_pace(f'{fill_id}.0.0.0', 0)
+        worker.loads[f'{service_id}.0.0.0'] = 10
+        await self.wait_pace(f'{fill_id}.0.0.0', 20)
+
+    async def wait_pace(self, name, percent):
+        # The shortest time for which a service may be over its bound is 4 s.
+        async with asyncio.timeout(4):
+            while (name, percent) not in self.workers[0].paces:
+                await asyncio.sleep(0.05)
+
+
 class FailureTest(platform_case.PlatformCase):
     """Guard accepted work while daemons and the store fail."""
 
