Avoid the worker of a failed run for two runs only

Ruled out: advice that was not asked for again (it named the same two).

Change: after two times its declared time a task may start on the worker of its last failure again; workers that fail everything are paused by their failures of several jobs.

--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -26,6 +26,9 @@
 _SPARE_FACTOR = 2
 # The objective of a job counts a call on as many workers.
 _LEAST_ADVISED = 30
+# A worker on which a task failed is avoided for this many times the time
+# that the task takes: about one run, and one more of waiting for others.
+_AVOID_FACTOR = 2
 # A step that may run on no more workers than this has little choice.
 _FEW_WORKERS = 3
 # Most workers that one call for advice may name.
@@ -126,7 +129,7 @@
                 for worker in candidates
                 if worker.worker_id in run.tickets
             ]
-        candidates = _without_avoided(run, candidates)
+        candidates = _without_avoided(run, candidates, now_ms)
         headroom = self._state.usage.headroom(
             definition.workspace,
             step.reserved,
@@ -349,8 +352,15 @@
 
 
 def _without_avoided(
-    run: step_run_module.StepRun, workers: list[worker_module.Worker]
+    run: step_run_module.StepRun,
+    workers: list[worker_module.Worker],
+    now_ms: int,
 ) -> list[worker_module.Worker]:
+    # Most failures are the task's own, so that after a while the worker of
+    # the last one is as good as any other.
+    patience_ms = _AVOID_FACTOR * run.step.estimate_ms
+    if run.started_ms and now_ms - run.started_ms > patience_ms:
+        return workers
     avoid = set()
     for task in run.waiting.values():
         avoid |= task.avoid
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -4,6 +4,7 @@
 
 from basilspindle.cell import job_table
 from basilspindle.cell import plan as plan_module
+from basilspindle.cell import report as report_module
 from basilspindle.cell import term_index
 from basilspindle import workflow
 from tests import cell_case
@@ -126,6 +127,32 @@
         later = self.run_all(self.plan())
         self.assertEqual({'w2'}, {start.worker_id for start in later})
 
+    def test_a_worker_is_avoided_for_a_while_only(self):
+        """Guard against a step that waits long for its other good worker.
+
+        A gang of two failed once on one of its two good workers and waited
+        26 s for room on the other (berceuse-partage quiet-1).
+        """
+        self.add_worker('w1')
+        self.add_worker('w2')
+        step = cell_case.make_step(cpu=3_000)
+        self.submit(cell_case.make_definition(_JOB, step))
+        [order] = self.plan().advice
+        self.advise(order, 'w1', 'w2')
+        [start] = self.run_all(self.plan())
+        other = 'w2' if start.worker_id == 'w1' else 'w1'
+        self.state.workers[other].used = workflow.Need(4_000, 100)
+        failed = report_module.EndKind.FAILED
+        self.end(start.worker_id, start.task.name, start.run, failed)
+        self.assertEqual([], self.plan().starts)
+        self.now_ms += 2_100
+        self.report('w1')
+        self.report('w2')
+        for order in self.plan().advice:
+            self.advise(order, 'w1', 'w2')
+        [again] = self.plan().starts
+        self.assertEqual(start.worker_id, again.worker_id)
+
     def test_a_step_that_waits_for_advice_costs_nothing(self):
         """Guard against a leader that is busy with what it has asked.
 
