--- /dev/null
+++ b/basilspindle/cell/configuration_lag.py
@@ -0,0 +1,40 @@
+"""Measure how long a daemon has used an outdated configuration."""
+
+from basilspindle.cell import metrics
+
+# A version that is in force sooner is not reported as late.
+_REPORT_AFTER_MS = 1_000
+_REPORT_INTERVAL_MS = 1_000
+
+
+class ConfigurationLag:
+    """Time since a version newer than the one in force became known."""
+
+    __slots__ = ('_since_ms', '_reported_ms')
+
+    def __init__(self) -> None:
+        self._since_ms: int | None = None
+        self._reported_ms = 0
+
+    def observe(
+        self, newest_version: int, version: int, now_ms: int
+    ) -> int | None:
+        """Note the newest known version and the one in force.
+
+        Returns how long it has been behind if that is due to be reported.
+        """
+        if newest_version <= version:
+            self._since_ms = None
+            metrics.CONFIGURATION_BEHIND_SECONDS.set(0)
+            return None
+        if self._since_ms is None:
+            self._since_ms = now_ms
+            self._reported_ms = now_ms
+        behind_ms = now_ms - self._since_ms
+        metrics.CONFIGURATION_BEHIND_SECONDS.set(behind_ms / 1000)
+        if behind_ms < _REPORT_AFTER_MS:
+            return None
+        if now_ms - self._reported_ms < _REPORT_INTERVAL_MS:
+            return None
+        self._reported_ms = now_ms
+        return behind_ms
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -164,7 +164,8 @@
     'configuration_in_force',
     _Level.INFO,
     'a new version of the configuration is in force',
-    'nothing to do',
+    'nothing to do; source is where it was read, transfer_ms the time from '
+    'its first to its last byte, apply_ms the time to decode and index it',
 )
 CONFIGURATION_UNREADABLE = _Event(
     933,
@@ -187,6 +188,21 @@
     'a call to the advice service failed and is retried',
     'check the advice service if this persists',
 )
+CONFIGURATION_READ_FAILED = _Event(
+    936,
+    'configuration_read_failed',
+    _Level.WARNING,
+    'a read of the configuration failed and is repeated',
+    'see the error: without any byte the source is silent, with some the '
+    'answer is too slow for the link',
+)
+CONFIGURATION_BEHIND = _Event(
+    937,
+    'configuration_behind',
+    _Level.WARNING,
+    'a newer version of the configuration is known and not in force here',
+    'look for configuration_read_failed at this daemon',
+)
 NODE_STARTED = _Event(
     940,
     'node_started',
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -15,6 +15,7 @@
 
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import messages
+from basilspindle.cell import metrics
 from basilspindle import errors
 from basilspindle import events
 
@@ -36,8 +37,9 @@
     """One connection between two daemons; both ends may send requests.
 
     ``node`` is the name of the node at the other end, empty until it is
-    known. ``pending_ms`` is for users of the link: the expected duration of
-    the advice calls in flight at the other end.
+    known. ``received_bytes`` counts what the other end has sent.
+    ``pending_ms`` is for users of the link: the expected duration of the
+    advice calls in flight at the other end.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self._pending_replies: dict[int, asyncio.Future[messages.Reply]] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
         self.closed = asyncio.Event()
+        self.received_bytes = 0
         self.node = ''
         self.pending_ms = 0.0
 
@@ -80,6 +83,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes and dispatch complete frames."""
+        self.received_bytes += len(data)
         buffer = self._buffer
         buffer += data
         start = 0
@@ -101,7 +105,7 @@
             except msgspec.MsgspecError as error:
                 self._abort(str(error))
                 return
-            self._dispatch(frame)
+            self._dispatch(frame, length)
         if start:
             del buffer[:start]
 
@@ -145,7 +149,7 @@
             len(payload).to_bytes(_LENGTH_BYTES, 'big') + payload
         )
 
-    def _dispatch(self, frame: messages.Frame) -> None:
+    def _dispatch(self, frame: messages.Frame, size_bytes: int) -> None:
         if isinstance(frame.message, _REQUESTS):
             task = asyncio.ensure_future(
                 self._answer(frame.number, frame.message)
@@ -156,6 +160,8 @@
         future = self._pending_replies.get(frame.number)
         if future is not None and not future.done():
             future.set_result(frame.message)
+        else:
+            metrics.LATE_REPLY_BYTES.inc(size_bytes)
 
     async def _answer(self, number: int, request: messages.Request) -> None:
         if isinstance(request, messages.Ping):
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -55,6 +55,11 @@
     'Calls to the platform without an answer, by dependency.',
     ['dependency'],
 )
+DISCARDED_BYTES = prometheus.Counter(
+    'basilspindle_discarded_bytes_total',
+    'Bytes of incomplete responses that timed out, by dependency.',
+    ['dependency'],
+)
 LEADER_CHANGES = prometheus.Counter(
     'basilspindle_leader_changes_total',
     'Times that this daemon began or ceased to lead.',
@@ -64,6 +69,36 @@
     'basilspindle_configuration_version',
     'Version of the configuration in force.',
 )
+CONFIGURATION_BYTES = prometheus.Counter(
+    'basilspindle_configuration_bytes_total',
+    'Bytes of the configurations that were read, by source.',
+    ['source'],
+)
+CONFIGURATION_READ_SECONDS = prometheus.Histogram(
+    'basilspindle_configuration_read_seconds',
+    'Time from the first to the last byte of a configuration, by source.',
+    ['source'],
+    buckets=_LATENCY_S,
+)
+CONFIGURATION_READ_FAILURES = prometheus.Counter(
+    'basilspindle_configuration_read_failures_total',
+    'Reads of the configuration that failed, by source.',
+    ['source'],
+)
+CONFIGURATION_APPLY_SECONDS = prometheus.Histogram(
+    'basilspindle_configuration_apply_seconds',
+    'Time to bring a configuration that was read into force.',
+    buckets=_LATENCY_S,
+)
+CONFIGURATION_BEHIND_SECONDS = prometheus.Gauge(
+    'basilspindle_configuration_behind_seconds',
+    'Time since a version newer than the one in force became known, 0 if '
+    'none is.',
+)
+LATE_REPLY_BYTES = prometheus.Counter(
+    'basilspindle_late_reply_bytes_total',
+    'Bytes of replies of other daemons that came after the timeout.',
+)
 LIVE_JOBS = prometheus.Gauge(
     'basilspindle_live_jobs', 'Jobs that the leader holds.'
 )
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -5,8 +5,8 @@
 
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
-from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell import configuration_update
 from basilspindle.cell import election as election_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import guard
@@ -323,17 +323,35 @@
         return self.index.configuration.version if self.index else 0
 
     def _apply_configuration(
-        self, configuration: configuration_module.Configuration
+        self, update: configuration_update.ConfigurationUpdate
     ) -> None:
-        if configuration.version <= self._version():
+        configuration = update.configuration
+        previous_version = self._version()
+        if configuration.version <= previous_version:
             return
+        begun_ms = self._clock.now_ms()
         self.index = configuration_index.ConfigurationIndex(configuration)
         metrics.CONFIGURATION_VERSION.set(configuration.version)
-        events.emit(
-            cell_events.CONFIGURATION_IN_FORCE, version=configuration.version
-        )
         if self.leader is not None:
             self.leader.configure(self.index)
+        apply_ms = update.decode_ms + self._clock.now_ms() - begun_ms
+        metrics.CONFIGURATION_BYTES.labels(update.source).inc(
+            update.size_bytes
+        )
+        metrics.CONFIGURATION_READ_SECONDS.labels(update.source).observe(
+            update.transfer_ms / 1000
+        )
+        metrics.CONFIGURATION_APPLY_SECONDS.observe(apply_ms / 1000)
+        events.emit(
+            cell_events.CONFIGURATION_IN_FORCE,
+            version=configuration.version,
+            previous_version=previous_version,
+            source=update.source,
+            size_bytes=update.size_bytes,
+            transfer_ms=update.transfer_ms,
+            apply_ms=apply_ms,
+            queues=len(configuration.queues),
+        )
 
     def _on_link_open(self, link: link_module.Link) -> None:
         self._links.add(link)
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from basilspindle.cell import configuration as configuration_module
+from basilspindle.cell import configuration_update
 from basilspindle.cell import report as report_module
 from basilspindle.cell import start_outcome
 from basilspindle.workflow import need as need_module
@@ -12,16 +12,24 @@
 
 
 class StoreChunk:
-    """Records read from a stream, and its first and end offsets."""
+    """Records read from a stream, and its first and end offsets.
 
-    __slots__ = ('records', 'first', 'end')
+    ``transfer_ms`` is the time from the first to the last byte of the answer.
+    """
+
+    __slots__ = ('records', 'first', 'end', 'transfer_ms')
 
     def __init__(
-        self, records: list[tuple[str, bytes | None]], first: int, end: int
+        self,
+        records: list[tuple[str, bytes | None]],
+        first: int,
+        end: int,
+        transfer_ms: int = 0,
     ) -> None:
         self.records = records
         self.first = first
         self.end = end
+        self.transfer_ms = transfer_ms
 
 
 class Store(typing.Protocol):
@@ -225,6 +233,6 @@
 class ConfigurationSource(typing.Protocol):
     """The configuration that operators publish."""
 
-    async def next_version(self) -> configuration_module.Configuration:
+    async def next_version(self) -> configuration_update.ConfigurationUpdate:
         """Wait for a version newer than the last one returned."""
         ...
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -19,10 +19,14 @@
 
 
 class Response(typing.NamedTuple):
-    """Status and body of a response."""
+    """Status and body of a response.
+
+    ``transfer_ms`` is the time from its first to its last byte.
+    """
 
     status: int
     body: bytes
+    transfer_ms: int = 0
 
 
 class CallFailed(errors.BasilspindleError):
@@ -53,6 +57,8 @@
         'idle_since_s',
         'connected_at_s',
         'closed',
+        'received_bytes',
+        'first_byte_at_s',
         '_open_connections',
         '_parser',
         '_response',
@@ -66,6 +72,9 @@
         self.idle_since_s = 0.0
         self.connected_at_s = 0.0
         self.closed = False
+        # Of the current response, headers included.
+        self.received_bytes = 0
+        self.first_byte_at_s = 0.0
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[Response] | None = None
         self._chunks: list[bytes] = []
@@ -82,6 +91,9 @@
         self._fail_request(f'the connection was lost: {exc or "closed"}')
 
     def data_received(self, data: bytes) -> None:
+        if not self.received_bytes:
+            self.first_byte_at_s = asyncio.get_running_loop().time()
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -94,8 +106,11 @@
 
     def on_message_complete(self) -> None:
         """Complete the request with the received response."""
+        now_s = asyncio.get_running_loop().time()
         response = Response(
-            self._parser.get_status_code(), b''.join(self._chunks)
+            self._parser.get_status_code(),
+            b''.join(self._chunks),
+            round((now_s - self.first_byte_at_s) * 1000),
         )
         self._chunks = []
         keep = self._parser.should_keep_alive()
@@ -109,6 +124,7 @@
         """Send a request and return a future for its response."""
         assert self.transport is not None
         self._response = asyncio.get_running_loop().create_future()
+        self.received_bytes = 0
         self.transport.write(data)
         return self._response
 
@@ -187,6 +203,7 @@
     ) -> Response:
         """Send a request and return its response; raises ``CallFailed``."""
         started_s = self._now_s()
+        connection: _Connection | None = None
         data = _encode(address, method, path, body, headers, content_type)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -203,8 +220,9 @@
             self._last_timeout_s[address] = self._now_s()
             metrics.CALL_FAILURES.labels(self.dependency_name(address)).inc()
             raise CallFailed(
-                f'no response from {address} within {timeout_ms} ms; check '
-                'that it runs and is reachable',
+                f'no response from {address} within {timeout_ms} ms'
+                f'{self._describe_partial(address, connection, started_s)}; '
+                'check that it runs and is reachable',
                 sent=True,
             ) from None
         metrics.CALL_SECONDS.labels(self.dependency_name(address)).observe(
@@ -221,6 +239,22 @@
             ).append(connection)
         return response
 
+    def _describe_partial(
+        self, address: str, connection: _Connection | None, started_s: float
+    ) -> str:
+        # Distinguishes a server that does not answer from an answer that
+        # takes longer than the timeout.
+        if connection is None or not connection.received_bytes:
+            return ''
+        metrics.DISCARDED_BYTES.labels(self.dependency_name(address)).inc(
+            connection.received_bytes
+        )
+        waited_ms = round((connection.first_byte_at_s - started_s) * 1000)
+        return (
+            f' ({connection.received_bytes} bytes of it came, the first after '
+            f'{waited_ms} ms)'
+        )
+
     def _evict_idle(self) -> None:
         # There may be more workers than file descriptors. An idle connection
         # to one worker must not prevent a connection to another.
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -3,7 +3,9 @@
 import msgspec
 
 from basilspindle.cell import configuration as configuration_module
+from basilspindle.cell import configuration_update
 from basilspindle.cell import events as cell_events
+from basilspindle.cell import metrics
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
@@ -97,11 +99,11 @@
         self._version = 0
         self._store_failing = False
 
-    async def next_version(self) -> configuration_module.Configuration:
+    async def next_version(self) -> configuration_update.ConfigurationUpdate:
         """Wait for a version newer than the last one returned."""
         while True:
             try:
-                raw = await self._next_record()
+                raw, transfer_ms = await self._next_record()
             except errors.LogTrimmed:
                 self._next_offset = None
                 continue
@@ -112,27 +114,37 @@
             if self._store_failing:
                 self._store_failing = False
                 events.emit(cell_events.STORE_REGAINED, call='configuration')
-            configuration = self._decode(raw) if raw is not None else None
+            if raw is None:
+                continue
+            begun_ms = self._clock.now_ms()
+            configuration = self._decode(raw)
             if (
                 configuration is not None
                 and configuration.version > self._version
             ):
                 self._version = configuration.version
-                return configuration
+                return configuration_update.ConfigurationUpdate(
+                    configuration,
+                    configuration_update.Source.STORE,
+                    len(raw),
+                    transfer_ms,
+                    self._clock.now_ms() - begun_ms,
+                )
 
-    async def _next_record(self) -> bytes | None:
+    async def _next_record(self) -> tuple[bytes | None, int]:
         if self._next_offset is None:
+            begun_ms = self._clock.now_ms()
             values, self._next_offset = await self._store.read_latest(_STREAM)
-            return values.get(_KEY)
+            return values.get(_KEY), self._clock.now_ms() - begun_ms
         chunk = await self._store.read(
             _STREAM, self._next_offset, _READ_WAIT_MS
         )
         if chunk.end < self._next_offset:
             self._next_offset = None
-            return None
+            return None, 0
         self._next_offset += len(chunk.records)
         versions = [raw for key, raw in chunk.records if key == _KEY]
-        return versions[-1] if versions else None
+        return versions[-1] if versions else None, chunk.transfer_ms
 
     def _decode(self, raw: bytes) -> configuration_module.Configuration | None:
         try:
@@ -142,6 +154,14 @@
             return None
 
     def _log_store_failure(self, error: errors.BasilspindleError) -> None:
+        source = configuration_update.Source.STORE
+        metrics.CONFIGURATION_READ_FAILURES.labels(source).inc()
+        events.emit(
+            cell_events.CONFIGURATION_READ_FAILED,
+            source=source,
+            version=self._version,
+            error=error.message,
+        )
         if not self._store_failing:
             self._store_failing = True
             events.emit(
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -104,7 +104,7 @@
         if response.status == 404:
             return ports.StoreChunk([], 0, 0)
         self._check_read(response)
-        return _decode_chunk(response.body)
+        return _decode_chunk(response.body, response.transfer_ms)
 
     async def probe_end(self, stream: str) -> int:
         """Return the end offset of a stream."""
@@ -272,10 +272,10 @@
     return struct.pack('>I', len(content)) + content
 
 
-def _decode_chunk(body: bytes) -> ports.StoreChunk:
+def _decode_chunk(body: bytes, transfer_ms: int = 0) -> ports.StoreChunk:
     end, first = struct.unpack_from('>QQ', body, 0)
     records = list(_decode_records(body))
-    return ports.StoreChunk(records, first, end)
+    return ports.StoreChunk(records, first, end, transfer_ms)
 
 
 def _decode_records(
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -8,6 +8,9 @@
 
 import httptools
 
+# A limited link carries responses in pieces of this size.
+_SEGMENT_BYTES = 4_096
+
 
 class Reply(typing.NamedTuple):
     """Status and body of a response."""
@@ -45,6 +48,10 @@
         self.fault: Fault = lambda request: ''
         # Delay before each request is handled.
         self.delay_s = 0.0
+        # Rate of the link that all responses share, 0 for no limit.
+        self.link_bytes_s = 0.0
+        self._link_free_s = 0.0
+        self.sent_bytes = 0
         self.requests: list[Request] = []
         self._handler = handler
         self._server: asyncio.Server | None = None
@@ -91,6 +98,17 @@
         reply = await self._handler(request)
         return None if fault == 'lost' else reply
 
+    async def wait_for_link(self, size_bytes: int) -> None:
+        """Wait until the link has carried some more bytes."""
+        self.sent_bytes += size_bytes
+        if not self.link_bytes_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._link_free_s = (
+            max(now_s, self._link_free_s) + size_bytes / self.link_bytes_s
+        )
+        await asyncio.sleep(self._link_free_s - now_s)
+
     async def _serve_late(self, request: Request) -> None:
         await asyncio.sleep(1)
         await self._handler(request)
@@ -157,4 +175,10 @@
             f'HTTP/1.1 {reply.status} X\r\n'
             f'Content-Length: {len(reply.body)}\r\n\r\n'
         )
-        self._transport.write(head.encode() + reply.body)
+        data = head.encode() + reply.body
+        for start in range(0, len(data), _SEGMENT_BYTES):
+            segment = data[start : start + _SEGMENT_BYTES]
+            await self._server.wait_for_link(len(segment))
+            if self._transport.is_closing():
+                return
+            self._transport.write(segment)
