Bound reads of the store by progress instead of by their whole time

Cause: a read had 1 s, or 2 s with a wait, for its whole answer. An answer of 908 KB takes 1.5 to 2.1 s on a link of 5 Mbit/s; it was thrown away and read again from its start. Change: a read has 1 s until the first byte of its answer and 1 s for each pause within it. All reads of the store go this way, so also those of jobs by a new leader and of the registry. Result: SlowTransferTest.test_a_large_answer_takes_as_long_as_the_link_needs fails before (LogUnavailable) and passes now; 22 tests of the store and the configuration pass. Conclusion: a transfer that makes progress is kept; its cost is not changed.

--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import typing
 
 import httptools
@@ -59,6 +60,7 @@
         'closed',
         'received_bytes',
         'first_byte_at_s',
+        'on_progress',
         '_open_connections',
         '_parser',
         '_response',
@@ -75,6 +77,8 @@
         # Of the current response, headers included.
         self.received_bytes = 0
         self.first_byte_at_s = 0.0
+        # Called for each part of a response.
+        self.on_progress: collections.abc.Callable[[], None] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[Response] | None = None
         self._chunks: list[bytes] = []
@@ -94,6 +98,8 @@
         if not self.received_bytes:
             self.first_byte_at_s = asyncio.get_running_loop().time()
         self.received_bytes += len(data)
+        if self.on_progress is not None:
+            self.on_progress()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -198,29 +204,40 @@
         body: bytes = b'',
         *,
         timeout_ms: int,
+        stall_ms: int | None = None,
         headers: tuple[tuple[str, str], ...] = (),
         content_type: str = 'application/json',
     ) -> Response:
-        """Send a request and return its response; raises ``CallFailed``."""
+        """Send a request and return its response; raises ``CallFailed``.
+
+        ``timeout_ms`` bounds the whole call. With ``stall_ms``, it bounds the
+        time to the first byte of the response, and ``stall_ms`` each pause
+        after it, so that a large response may take as long as its link needs.
+        """
         started_s = self._now_s()
         connection: _Connection | None = None
         data = _encode(address, method, path, body, headers, content_type)
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout(timeout_ms / 1000) as timeout:
                 connection = await self._acquire(address)
+                if stall_ms is not None:
+                    connection.on_progress = self._extender(timeout, stall_ms)
                 try:
                     response = await connection.send(data)
                 except BaseException:
                     connection.close()
                     raise
+                finally:
+                    connection.on_progress = None
         except TimeoutError:
             # The other connections to this server may hang without being
             # reset, and each would cost another timeout.
             self.close_idle(address)
             self._last_timeout_s[address] = self._now_s()
             metrics.CALL_FAILURES.labels(self.dependency_name(address)).inc()
+            took_ms = round((self._now_s() - started_s) * 1000)
             raise CallFailed(
-                f'no response from {address} within {timeout_ms} ms'
+                f'no response from {address} within {took_ms} ms'
                 f'{self._describe_partial(address, connection, started_s)}; '
                 'check that it runs and is reachable',
                 sent=True,
@@ -239,6 +256,15 @@
             ).append(connection)
         return response
 
+    def _extender(
+        self, timeout: asyncio.Timeout, stall_ms: int
+    ) -> collections.abc.Callable[[], None]:
+        def extend() -> None:
+            if not timeout.expired():
+                timeout.reschedule(self._now_s() + stall_ms / 1000)
+
+        return extend
+
     def _describe_partial(
         self, address: str, connection: _Connection | None, started_s: float
     ) -> str:
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -12,7 +12,11 @@
 from basilspindle import errors
 from basilspindle.platform import client as client_module
 
+# Time to the first byte of the answer to a read.
 _READ_TIMEOUT_MS = 1_000
+# Longest pause within an answer. What the answer takes as a whole depends on
+# its size and on the link.
+_READ_STALL_MS = 1_000
 _WRITE_TIMEOUT_MS = 700
 _PRODUCER = 'basilspindle'
 # Topics with this prefix keep the newest record of each key forever.
@@ -208,7 +212,11 @@
         path = f'/basilspindle/{call}?{urllib.parse.urlencode(query)}'
         try:
             return await self._client.call(
-                self._address, 'GET', path, timeout_ms=timeout_ms
+                self._address,
+                'GET',
+                path,
+                timeout_ms=timeout_ms,
+                stall_ms=_READ_STALL_MS,
             )
         except client_module.CallFailed as error:
             raise self._unavailable(error.message) from error
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -17,6 +17,7 @@
 
     status: int
     body: bytes = b'{}'
+    is_stalled: bool = False
 
 
 class Request(typing.NamedTuple):
@@ -35,8 +36,9 @@
 
 # Returns the fault of a request: '' for none, 'silent' does not handle it and
 # sends no response, 'reset' closes the connection, 'lost' handles it but sends
-# no response, 'late' handles it a second later and sends no response, and a
-# number is the status of the response.
+# no response, 'late' handles it a second later and sends no response,
+# 'stalled' sends only the first half of the response, and a number is the
+# status of the response.
 Fault = collections.abc.Callable[[Request], str]
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Reply]]
 
@@ -96,6 +98,8 @@
             self._late_tasks.add(task)
             return None
         reply = await self._handler(request)
+        if fault == 'stalled':
+            return reply._replace(is_stalled=True)
         return None if fault == 'lost' else reply
 
     async def wait_for_link(self, size_bytes: int) -> None:
@@ -176,6 +180,8 @@
             f'Content-Length: {len(reply.body)}\r\n\r\n'
         )
         data = head.encode() + reply.body
+        if reply.is_stalled:
+            data = data[: len(data) // 2]
         for start in range(0, len(data), _SEGMENT_BYTES):
             segment = data[start : start + _SEGMENT_BYTES]
             await self._server.wait_for_link(len(segment))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -15,6 +15,9 @@
 # A new leader has to be found within the shortest deadline of callers, 3 s, so
 # a claim may take only a fraction of that.
 _MAX_LOST_CLAIM_S = 0.5
+# A configuration has to be in force within 2 s at the strictest site, so a
+# connection that went silent has to be noticed before.
+_MAX_STALL_S = 2.0
 
 
 class StoreCase(unittest.IsolatedAsyncioTestCase):
@@ -145,6 +148,34 @@
         self.assertLessEqual(before, 1)
 
 
+class SlowTransferTest(StoreCase):
+    """Test answers that are large for the link."""
+
+    async def test_a_large_answer_takes_as_long_as_the_link_needs(self):
+        """Guard against a read that never succeeds on a narrow link.
+
+        A limit on the whole read gave up an answer that was arriving, and
+        the next read began it again.
+        """
+        await self.store.put(_STREAM, [('k', bytes(90_000))])
+        self.standin.server.link_bytes_s = 60_000
+        values, _ = await self.store.read_latest(_STREAM)
+        self.assertEqual(90_000, len(values['k']))
+        chunk = await self.store.read(_STREAM, 0, 0)
+        self.assertEqual(1, len(chunk.records))
+        self.assertGreater(chunk.transfer_ms, 1_000)
+
+    async def test_an_answer_that_stops_is_given_up(self):
+        """Guard against a read that hangs on a silent connection."""
+        await self.store.put(_STREAM, [('k', bytes(90_000))])
+        self.standin.server.fault = lambda request: 'stalled'
+        begun_s = time.monotonic()
+        with self.assertRaises(errors.LogUnavailable) as caught:
+            await self.store.read(_STREAM, 0, 0)
+        self.assertLess(time.monotonic() - begun_s, _MAX_STALL_S)
+        self.assertIn('bytes of it came', caught.exception.message)
+
+
 class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
     """Test the connection limit of the client."""
 
