Distribute changes of the configuration instead of whole copies

What callers saw: on links of 5 Mbit/s a grown configuration that changed again was not in force in time, at some daemons never; requests were handled by versions several changes old, added routes were refused with 404. Cause: each daemon read each version as a whole from the store (908 KB after three growths), and requested it from the leader too as soon as a ping showed it. The request to the leader was given up after 900 ms and repeated, its replies filled both links, and the pings behind them went unanswered. After a failed read all versions since were read together. Change: the leader reads the store, one version at a time. A follower sends it FollowConfiguration with its version and gets what changed, compressed, in parts of 16 KB; a part that is lost is requested again, parts received are kept, also when newer versions come meanwhile. Pings tell how long ago the leader knew its version to be the newest; without a confirmation for 1 s a follower reads the store itself. Daemons name the format of these payloads in Pong; with a daemon that names none (an older build) the store is read as before, and whole copies are requested only after 1 s and one at a time. Conclusion: what a change costs follows the change, not the configuration.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -6,14 +6,11 @@
 import random
 
 from basilspindle.cell import claim as claim_module
-from basilspindle.cell import configuration_lag
-from basilspindle.cell import configuration_update
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import identity as identity_module
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
-from basilspindle.cell import metrics
 from basilspindle.cell import ports
 from basilspindle import clock as clock_module
 from basilspindle import errors
@@ -52,6 +49,11 @@
     collections.abc.Awaitable[None],
 ]
 
+# Called with the link, the answer and the time at which the ping was sent.
+ObserveLeader = collections.abc.Callable[
+    [link_module.Link, messages.Pong, int], None
+]
+
 
 class _FollowResult(enum.Enum):
     """Why a daemon stopped following a leader.
@@ -90,9 +92,7 @@
         '_stopping',
         '_store_failing',
         '_store_failed_ms',
-        '_configuration_version',
-        '_apply_configuration',
-        '_lag',
+        '_observe_leader',
         '_announced_claim',
         '_is_registered',
     )
@@ -104,10 +104,7 @@
         clock: clock_module.Clock,
         lead: LeadCallback,
         handler: link_module.Handler,
-        configuration_version: collections.abc.Callable[[], int],
-        apply_configuration: collections.abc.Callable[
-            [configuration_update.ConfigurationUpdate], None
-        ],
+        observe_leader: ObserveLeader,
     ) -> None:
         self.link: link_module.Link | None = None
         self.claim: claim_module.Claim | None = None
@@ -122,9 +119,7 @@
         self._stopping = False
         self._store_failing = False
         self._store_failed_ms = -_STORE_RECOVERY_MS
-        self._configuration_version = configuration_version
-        self._apply_configuration = apply_configuration
-        self._lag = configuration_lag.ConfigurationLag()
+        self._observe_leader = observe_leader
         self._announced_claim: claim_module.Claim | None = None
         self._is_registered = False
 
@@ -375,6 +370,7 @@
         begun_ms = self._clock.now_ms()
         misses = 0
         while not link.closed.is_set():
+            sent_ms = self._clock.now_ms()
             try:
                 pong = await link.call(ping, _PING_TIMEOUT_MS)
             except errors.PeerError as error:
@@ -410,9 +406,7 @@
                     epoch=claim.epoch,
                 )
             self.store_age_ms = pong.store_age_ms
-            self._note_newest_version(pong.version)
-            if pong.version > self._configuration_version():
-                await self._fetch_configuration(link)
+            self._observe_leader(link, pong, sent_ms)
             if pong.store_age_ms > _MAX_APPEND_AGE_MS:
                 if await self._is_leader_cut_off():
                     return _FollowResult.GONE
@@ -427,49 +421,6 @@
                 continue
         return _FollowResult.CLOSED
 
-    async def _fetch_configuration(self, link: link_module.Link) -> None:
-        # The leader has a newer configuration than this daemon has read from
-        # the store.
-        source = configuration_update.Source.LEADER
-        begun_ms = self._clock.now_ms()
-        received_bytes = link.received_bytes
-        try:
-            reply = await link.call(messages.GetTerms(), _CALL_TIMEOUT_MS)
-        except errors.PeerError as error:
-            metrics.CONFIGURATION_READ_FAILURES.labels(source).inc()
-            events.emit(
-                cell_events.CONFIGURATION_READ_FAILED,
-                source=source,
-                version=self._configuration_version(),
-                error=error.message,
-                received_bytes=link.received_bytes - received_bytes,
-            )
-            return
-        if (
-            isinstance(reply, messages.TermsAre)
-            and reply.configuration is not None
-        ):
-            self._apply_configuration(
-                configuration_update.ConfigurationUpdate(
-                    reply.configuration,
-                    source,
-                    link.received_bytes - received_bytes,
-                    self._clock.now_ms() - begun_ms,
-                )
-            )
-
-    def _note_newest_version(self, version: int) -> None:
-        behind_ms = self._lag.observe(
-            version, self._configuration_version(), self._clock.now_ms()
-        )
-        if behind_ms is not None:
-            events.emit(
-                cell_events.CONFIGURATION_BEHIND,
-                version=self._configuration_version(),
-                newest=version,
-                behind_ms=behind_ms,
-            )
-
     async def _is_leader_cut_off(self) -> bool:
         begun_ms = self._clock.now_ms()
         try:
--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -67,6 +67,22 @@
     """Ask a daemon for the configuration that it uses."""
 
 
+class FollowConfiguration(_Message):
+    """Ask the leader for what changed since ``version``.
+
+    The leader waits up to ``wait_ms`` for a newer version. The other fields
+    continue a transfer that has begun, from ``base_version`` to ``target``,
+    with the part ``number``; ``target`` is 0 to begin one. Sent only to a
+    leader whose ``Pong`` names the same format.
+    """
+
+    version: int
+    base_version: int
+    target: int
+    number: int
+    wait_ms: int
+
+
 class LeaderIs(_Message):
     """The newest leadership claim that a daemon knows, if any."""
 
@@ -79,6 +95,25 @@
     configuration: configuration_module.Configuration | None
 
 
+class ConfigurationPart(_Message):
+    """A part of the payload that leads from ``base_version`` to ``version``.
+
+    ``base_version`` is 0 if the payload holds the whole configuration.
+    ``part_count`` is 0 if nothing is newer. ``age_ms`` is the time since the
+    leader knew its version to be the newest in the store. ``next_offset`` is
+    where to read on in the store once the payload is applied, -1 if that is
+    not known.
+    """
+
+    base_version: int
+    version: int
+    number: int
+    part_count: int
+    data: bytes
+    age_ms: int
+    next_offset: int
+
+
 class Accepted(_Message):
     """The request was accepted, and what it changed is recorded."""
 
@@ -116,8 +151,10 @@
 
     ``store_age_ms`` is how long the current append of a leader has been
     unanswered, 0 if there is none. ``version`` is that of the configuration
-    that the daemon uses. A daemon that does not lead answers 0 for these
-    and for ``epoch``.
+    that the daemon uses, and ``configuration_age_ms`` the time since it knew
+    that version to be the newest. A daemon that does not lead answers 0 for
+    these and for ``epoch``. ``configuration_format`` is the format of its
+    configuration payloads, 0 for builds that send none.
     """
 
     incarnation: str
@@ -125,6 +162,8 @@
     epoch: int
     store_age_ms: int
     version: int
+    configuration_age_ms: int = 0
+    configuration_format: int = 0
 
 
 class Advised(_Message):
@@ -144,6 +183,7 @@
     | Announce
     | WhoLeads
     | GetTerms
+    | FollowConfiguration
 )
 Reply = (
     Accepted
@@ -156,6 +196,7 @@
     | Advised
     | LeaderIs
     | TermsAre
+    | ConfigurationPart
 )
 
 
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -6,9 +6,8 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
-from basilspindle.cell import configuration_update
+from basilspindle.cell import configuration_sync
 from basilspindle.cell import election as election_module
-from basilspindle.cell import events as cell_events
 from basilspindle.cell import guard
 from basilspindle.cell import identity as identity_module
 from basilspindle.cell import leader as leader_module
@@ -74,21 +73,25 @@
         bounds: bounds_module.Bounds,
         clock: clock_module.Clock,
     ) -> None:
-        self.index: configuration_index.ConfigurationIndex | None = None
         self.leader: leader_module.Leader | None = None
         self.stopping = False
         self._identity = identity
         self._platform = platform
         self._bounds = bounds
         self._clock = clock
+        self._configuration = configuration_sync.ConfigurationSync(
+            platform.configuration,
+            clock,
+            self._on_configuration,
+            self._on_fault,
+        )
         self._election = election_module.Election(
             identity,
             platform.store,
             clock,
             self._lead,
             self.handle,
-            self._version,
-            self._apply_configuration,
+            self._configuration.observe_leader,
         )
         self._links: set[link_module.Link] = set()
         self._server: asyncio.Server | None = None
@@ -104,11 +107,8 @@
             host,
             int(port),
         )
-        for work in (
-            self._follow_configuration,
-            self._election.run,
-            self._report_dropped_lines,
-        ):
+        await self._configuration.__aenter__()
+        for work in (self._election.run, self._report_dropped_lines):
             self._tasks.append(
                 asyncio.ensure_future(guard.run(work, self._on_fault))
             )
@@ -118,11 +118,17 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._configuration.__aexit__()
         if self._server is not None:
             self._server.close()
         for link in list(self._links):
             link.close()
 
+    @property
+    def index(self) -> configuration_index.ConfigurationIndex | None:
+        """Return the configuration in force, None if there is none yet."""
+        return self._configuration.index
+
     @property
     def is_ready(self) -> bool:
         """Tell whether clients should send new requests to this daemon."""
@@ -137,7 +143,10 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return the state of this daemon, for operators."""
         return overview.dump(
-            self._identity.node, self._version(), self.is_ready, self.leader
+            self._identity.node,
+            self._configuration.version,
+            self.is_ready,
+            self.leader,
         )
 
     async def stop(self) -> None:
@@ -226,7 +235,9 @@
                 True,
                 leader.claim.epoch,
                 leader.store_age_ms,
-                self._version(),
+                self._configuration.version,
+                self._configuration.age_ms,
+                configuration_sync.FORMAT,
             )
         if isinstance(request, messages.Announce):
             self._election.observe_claim(request.claim)
@@ -240,6 +251,8 @@
             return messages.TermsAre(
                 self.index.configuration if self.index else None
             )
+        if isinstance(request, messages.FollowConfiguration):
+            return await self._configuration.serve(request)
         if isinstance(request, messages.Advise):
             return await self._advise(request)
         if self.leader is not None:
@@ -308,50 +321,16 @@
         """Remove this daemon from the list of members, before it stops."""
         await self._election.leave()
 
-    async def _follow_configuration(self) -> None:
-        while True:
-            self._apply_configuration(
-                await self._platform.configuration.next_version()
-            )
-
     async def _report_dropped_lines(self) -> None:
         while True:
             await self._clock.sleep_ms(_REPORT_INTERVAL_MS)
             metrics.DROPPED_LINES.inc(events.report_suppressed())
 
-    def _version(self) -> int:
-        return self.index.configuration.version if self.index else 0
-
-    def _apply_configuration(
-        self, update: configuration_update.ConfigurationUpdate
+    def _on_configuration(
+        self, index: configuration_index.ConfigurationIndex
     ) -> None:
-        configuration = update.configuration
-        previous_version = self._version()
-        if configuration.version <= previous_version:
-            return
-        begun_ms = self._clock.now_ms()
-        self.index = configuration_index.ConfigurationIndex(configuration)
-        metrics.CONFIGURATION_VERSION.set(configuration.version)
         if self.leader is not None:
-            self.leader.configure(self.index)
-        apply_ms = update.decode_ms + self._clock.now_ms() - begun_ms
-        metrics.CONFIGURATION_BYTES.labels(update.source).inc(
-            update.size_bytes
-        )
-        metrics.CONFIGURATION_READ_SECONDS.labels(update.source).observe(
-            update.transfer_ms / 1000
-        )
-        metrics.CONFIGURATION_APPLY_SECONDS.observe(apply_ms / 1000)
-        events.emit(
-            cell_events.CONFIGURATION_IN_FORCE,
-            version=configuration.version,
-            previous_version=previous_version,
-            source=update.source,
-            size_bytes=update.size_bytes,
-            transfer_ms=update.transfer_ms,
-            apply_ms=apply_ms,
-            queues=len(configuration.queues),
-        )
+            self.leader.configure(index)
 
     def _on_link_open(self, link: link_module.Link) -> None:
         self._links.add(link)
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -48,11 +48,17 @@
         ...
 
     async def read(
-        self, stream: str, from_offset: int, wait_ms: int
+        self,
+        stream: str,
+        from_offset: int,
+        wait_ms: int,
+        max_kb: int | None = None,
     ) -> StoreChunk:
         """Return records from an offset, waiting for the first one.
 
-        Raises ``LogTrimmed`` if the records at that offset were dropped.
+        Returns one record or more, up to ``max_kb`` in all if there are
+        several. Raises ``LogTrimmed`` if the records at that offset were
+        dropped.
         """
         ...
 
@@ -230,9 +236,33 @@
         ...
 
 
+class ConfigurationPoll:
+    """What one read of the published configuration returned.
+
+    ``update`` is None if no version came. ``next_offset`` is where to read
+    on, None if there may be newer versions than the one returned.
+    """
+
+    __slots__ = ('update', 'next_offset')
+
+    def __init__(
+        self,
+        update: configuration_update.ConfigurationUpdate | None,
+        next_offset: int | None,
+    ) -> None:
+        self.update = update
+        self.next_offset = next_offset
+
+
 class ConfigurationSource(typing.Protocol):
     """The configuration that operators publish."""
 
-    async def next_version(self) -> configuration_update.ConfigurationUpdate:
-        """Wait for a version newer than the last one returned."""
+    async def poll(
+        self, next_offset: int | None, wait_ms: int
+    ) -> ConfigurationPoll:
+        """Read the next version from an offset on, or the newest one.
+
+        Waits up to ``wait_ms`` for a version at the offset, and not at all if
+        ``next_offset`` is None. Raises ``LogError``.
+        """
         ...
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -228,6 +228,13 @@
         self.first_offset = first_offset
 
 
+class ConfigurationDiverged(BasilspindleError):
+    """Report a change of the configuration that does not fit its base."""
+
+    kind = 'configuration_diverged'
+    status = 503
+
+
 class PeerError(BasilspindleError):
     """Base of the errors of a call to another daemon."""
 
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -5,7 +5,7 @@
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_update
 from basilspindle.cell import events as cell_events
-from basilspindle.cell import metrics
+from basilspindle.cell import ports
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
@@ -15,10 +15,9 @@
 
 _STREAM = 'op'
 _KEY = 'config'
-# Shorter than the time within which a new version has to take effect, so that
-# a hanging connection is detected within that time.
-_READ_WAIT_MS = 1_000
-_RETRY_MS = 150
+# The store returns one record at least, so this asks for one only. A version
+# may be larger than what it returns by default, and only the newest counts.
+_ONE_RECORD_KB = 1
 
 
 class _Advice(msgspec.Struct):
@@ -82,93 +81,60 @@
 class StoreConfigurationSource:
     """Reader of configuration versions that logs and skips invalid ones."""
 
-    __slots__ = (
-        '_store',
-        '_clock',
-        '_next_offset',
-        '_version',
-        '_store_failing',
-    )
+    __slots__ = ('_store', '_clock')
 
     def __init__(
         self, store: store_module.LogStore, clock: clock_module.Clock
     ) -> None:
         self._store = store
         self._clock = clock
-        self._next_offset: int | None = None
-        self._version = 0
-        self._store_failing = False
-
-    async def next_version(self) -> configuration_update.ConfigurationUpdate:
-        """Wait for a version newer than the last one returned."""
-        while True:
-            try:
-                raw, transfer_ms = await self._next_record()
-            except errors.LogTrimmed:
-                self._next_offset = None
-                continue
-            except errors.LogError as error:
-                self._log_store_failure(error)
-                await self._clock.sleep_ms(_RETRY_MS)
-                continue
-            if self._store_failing:
-                self._store_failing = False
-                events.emit(cell_events.STORE_REGAINED, call='configuration')
-            if raw is None:
-                continue
-            begun_ms = self._clock.now_ms()
-            configuration = self._decode(raw)
-            if (
-                configuration is not None
-                and configuration.version > self._version
-            ):
-                self._version = configuration.version
-                return configuration_update.ConfigurationUpdate(
-                    configuration,
-                    configuration_update.Source.STORE,
-                    len(raw),
-                    transfer_ms,
-                    self._clock.now_ms() - begun_ms,
-                )
 
-    async def _next_record(self) -> tuple[bytes | None, int]:
-        if self._next_offset is None:
-            begun_ms = self._clock.now_ms()
-            values, self._next_offset = await self._store.read_latest(_STREAM)
-            return values.get(_KEY), self._clock.now_ms() - begun_ms
-        chunk = await self._store.read(
-            _STREAM, self._next_offset, _READ_WAIT_MS
+    async def poll(
+        self, next_offset: int | None, wait_ms: int
+    ) -> ports.ConfigurationPoll:
+        """Read the next version from an offset on, or the newest one."""
+        if next_offset is None:
+            return await self._read_newest()
+        try:
+            chunk = await self._store.read(
+                _STREAM, next_offset, wait_ms, _ONE_RECORD_KB
+            )
+        except errors.LogTrimmed:
+            return await self._read_newest()
+        end = next_offset + len(chunk.records)
+        raw = [value for key, value in chunk.records if key == _KEY and value]
+        update = self._decode(raw[-1], chunk.transfer_ms) if raw else None
+        # At another end there are newer records, or the stream was reset.
+        return ports.ConfigurationPoll(
+            update, end if end == chunk.end else None
         )
-        if chunk.end < self._next_offset:
-            self._next_offset = None
-            return None, 0
-        self._next_offset += len(chunk.records)
-        versions = [raw for key, raw in chunk.records if key == _KEY]
-        return versions[-1] if versions else None, chunk.transfer_ms
-
-    def _decode(self, raw: bytes) -> configuration_module.Configuration | None:
+
+    async def _read_newest(self) -> ports.ConfigurationPoll:
+        begun_ms = self._clock.now_ms()
+        values, end = await self._store.read_latest(_STREAM)
+        raw = values.get(_KEY)
+        took_ms = self._clock.now_ms() - begun_ms
+        update = self._decode(raw, took_ms) if raw is not None else None
+        return ports.ConfigurationPoll(update, end)
+
+    def _decode(
+        self, raw: bytes, transfer_ms: int
+    ) -> configuration_update.ConfigurationUpdate | None:
+        begun_ms = self._clock.now_ms()
         try:
-            return _to_configuration(msgspec.json.decode(raw, type=_Config))
+            configuration = _to_configuration(
+                msgspec.json.decode(raw, type=_Config)
+            )
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             events.emit(cell_events.CONFIGURATION_UNREADABLE, error=str(error))
             return None
-
-    def _log_store_failure(self, error: errors.BasilspindleError) -> None:
-        source = configuration_update.Source.STORE
-        metrics.CONFIGURATION_READ_FAILURES.labels(source).inc()
-        events.emit(
-            cell_events.CONFIGURATION_READ_FAILED,
-            source=source,
-            version=self._version,
-            error=error.message,
+        report = configuration_update.ReadReport(
+            configuration_update.Source.STORE,
+            len(raw),
+            transfer_ms,
+            self._clock.now_ms() - begun_ms,
         )
-        if not self._store_failing:
-            self._store_failing = True
-            events.emit(
-                cell_events.STORE_FAILED,
-                call='configuration',
-                error=error.message,
-            )
+        return configuration_update.ConfigurationUpdate(configuration, report)
 
 
 def _to_configuration(config: _Config) -> configuration_module.Configuration:
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -85,7 +85,11 @@
             query['after'] = page.items[-1].key
 
     async def read(
-        self, stream: str, from_offset: int, wait_ms: int
+        self,
+        stream: str,
+        from_offset: int,
+        wait_ms: int,
+        max_kb: int | None = None,
     ) -> ports.StoreChunk:
         """Return records from an offset, waiting for the first one."""
         query = {
@@ -95,6 +99,8 @@
         }
         if wait_ms:
             query['wait_ms'] = str(wait_ms)
+        if max_kb is not None:
+            query['max_kb'] = str(max_kb)
         response = await self._get(
             'log-read', query, wait_ms + _READ_TIMEOUT_MS
         )
--- a/tests/standins/narrow_link.py
+++ b/tests/standins/narrow_link.py
@@ -22,6 +22,7 @@
         self._free_at_s = 0.0
         self._turn = asyncio.Lock()
         self._addresses: dict[str, str] = {}
+        self._silent_addresses: set[str] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -29,6 +30,9 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        # Connections that were being accepted are complete after two passes.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
         for server in self._servers:
             server.close()
         for task in self._tasks:
@@ -48,6 +52,10 @@
             self._addresses[address] = f'{host}:{port}'
         return self._addresses[address]
 
+    def silence(self, address: str) -> None:
+        """Drop all that a server sends from now on."""
+        self._silent_addresses.add(address)
+
     async def _open(
         self,
         address: str,
@@ -63,8 +71,8 @@
             writer.transport.abort()
             return
         for work in (
-            self._carry(reader, upstream_writer, is_limited=False),
-            self._carry(upstream_reader, writer, is_limited=True),
+            self._carry(reader, upstream_writer, None),
+            self._carry(upstream_reader, writer, address),
         ):
             task = asyncio.ensure_future(work)
             self._tasks.add(task)
@@ -74,12 +82,14 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        *,
-        is_limited: bool,
+        sender: str | None,
     ) -> None:
+        # ``sender`` is the address of a server, None for the VM itself.
         with contextlib.suppress(OSError):
             while data := await reader.read(_SEGMENT_BYTES):
-                if is_limited:
+                if sender in self._silent_addresses:
+                    continue
+                if sender is not None:
                     await self._wait_for_turn(len(data))
                 writer.write(data)
                 await writer.drain()
--- a/tests/test_cell_configuration.py
+++ b/tests/test_cell_configuration.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import msgspec
+
+from basilspindle.cell import messages
 from tests import configuration_case
 
 # A confirmed change is in force everywhere within this time.
@@ -70,3 +73,112 @@
         await asyncio.sleep(1.0)
         self.assertEqual([], self.lines('leader_silent'))
         self.assertTrue(self.follower.node.is_ready)
+
+
+class SourceTest(configuration_case.ConfigurationCase):
+    """Test from where a daemon gets the configuration."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.publish(1)
+        self.leader = await self.start_leader()
+        self.follower = await self.start('follower')
+        await self.wait_until(lambda: self.follower.node.is_ready)
+
+    def count_reads(self):
+        return sum(
+            request.path.endswith(('log-read', 'log-newest'))
+            and request.query['topic'] == 'keyed.op'
+            for request in self.store.server.requests
+        )
+
+    async def wait_in_force(self, daemon, version):
+        await self.wait_until(
+            lambda: daemon.version >= version, _IN_FORCE_LIMIT_S
+        )
+
+    async def test_a_follower_of_a_current_leader_reads_no_store(self):
+        """Guard against reads that grow with the number of daemons."""
+        for number in range(4):
+            await self.start(f'more-{number}')
+        await self.wait_until(
+            lambda: all(daemon.node.is_ready for daemon in self.daemons)
+        )
+        await asyncio.sleep(0.5)
+        before = self.count_reads()
+        for version in range(2, 6):
+            self.publish(version, keys=(f'key-{version}',))
+            await asyncio.sleep(0.25)
+        for daemon in self.daemons:
+            await self.wait_in_force(daemon, 5)
+        # One for each version and two a second, all by the leader.
+        self.assertLess(self.count_reads() - before, 10)
+        sources = {
+            line['source']
+            for line in self.lines('configuration_in_force')
+            if line['version'] == 5
+        }
+        self.assertEqual({'store', 'leader'}, sources)
+
+    async def test_a_follower_reads_the_store_if_the_leader_does_not(self):
+        """Guard against a leader whose own copy is out of date.
+
+        Here one read of the leader hangs on a connection that went silent.
+        """
+        hung = []
+
+        def hang_once(request):
+            if request.query.get('topic') != 'keyed.op' or hung:
+                return ''
+            hung.append(request)
+            return 'silent'
+
+        self.store.server.fault = hang_once
+        await self.wait_until(lambda: hung)
+        self.publish(2, keys=('key-2',))
+        await self.wait_in_force(self.follower, 2)
+        line = self.lines('configuration_in_force')[-1]
+        self.assertEqual('store', line['source'])
+        self.assertTrue(self.follower.node.is_ready)
+        await self.wait_in_force(self.leader, 2)
+
+    async def test_changes_come_through_a_change_of_leader(self):
+        """Guard against a change lost between two leaders."""
+        await self.start('third')
+        await self.wait_until(lambda: self.daemons[2].node.is_ready)
+        for version in range(2, 10):
+            if version == 4:
+                await self.leader.aclose()
+                self.daemons.remove(self.leader)
+            self.publish(version, keys=(f'key-{version}',))
+            await asyncio.sleep(0.3)
+        for daemon in self.daemons:
+            await self.wait_in_force(daemon, 9)
+            self.assertIsNone(daemon.node.index.workspace_of('key-8'))
+
+    async def test_a_leader_of_an_older_build_is_asked_nothing_new(self):
+        """Guard against links that an older build closes.
+
+        It cannot decode a message that it does not know, and sends no changes.
+        """
+        handle = self.leader.node.handle
+        unknown = []
+
+        async def handle_as_older_build(request):
+            if isinstance(request, messages.FollowConfiguration):
+                unknown.append(request)
+            reply = await handle(request)
+            if isinstance(reply, messages.Pong):
+                return msgspec.structs.replace(reply, configuration_format=0)
+            return reply
+
+        self.leader.node.handle = handle_as_older_build
+        late = await self.start('late')
+        await self.wait_until(lambda: late.node.is_ready)
+        self.publish(2)
+        await self.wait_in_force(late, 2)
+        # Without the store, the whole configuration comes from the leader.
+        late.link.silence(self.store.server.address)
+        self.publish(3)
+        await self.wait_in_force(late, 3)
+        self.assertEqual([], unknown)
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -26,8 +26,7 @@
             _Clock(),
             None,
             None,
-            lambda: 0,
-            lambda configuration: None,
+            lambda link, pong, sent_ms: None,
         )
         self.followed = []
 
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -1,16 +1,11 @@
 """Test how a daemon gets the configuration from the platform's store."""
 
-import asyncio
-import io
-import json
 import unittest
 
-import loguru
-
 from basilspindle.cell import configuration_lag
 from basilspindle.cell import configuration_update
 from basilspindle import clock as clock_module
-from basilspindle import events
+from basilspindle import errors
 from basilspindle.platform import client as client_module
 from basilspindle.platform import configuration
 from basilspindle.platform import store as store_module
@@ -36,9 +31,6 @@
             store_module.LogStore(self.client, self.store.server.address),
             clock_module.Clock(),
         )
-        self.stream = io.StringIO()
-        events.configure_logging(self.stream)
-        self.addCleanup(loguru.logger.remove)
 
     def publish(self, version, **changes):
         self.store.put(
@@ -47,10 +39,6 @@
             platform.make_configuration(version, **changes),
         )
 
-    def lines(self, name):
-        lines = map(json.loads, self.stream.getvalue().splitlines())
-        return [line for line in lines if line['name'] == name]
-
 
 class ReadReportTest(ConfigurationCase):
     """Test what is logged about reads of the configuration."""
@@ -59,35 +47,29 @@
         """Guard against logs that hide what reading a version took."""
         self.publish(1, routes=make_routes(200))
         self.store.server.link_bytes_s = NARROW_LINK_BYTES_S
-        update = await self.source.next_version()
-        self.assertEqual(configuration_update.Source.STORE, update.source)
-        self.assertGreater(update.size_bytes, 40_000)
-        self.assertGreater(update.transfer_ms, 60)
+        poll = await self.source.poll(None, 0)
+        report = poll.update.report
+        self.assertEqual(configuration_update.Source.STORE, report.source)
+        self.assertGreater(report.size_bytes, 40_000)
+        self.assertGreater(report.transfer_ms, 60)
         self.publish(2)
-        update = await self.source.next_version()
-        self.assertLess(update.size_bytes, 1_000)
-        self.assertLess(update.transfer_ms, 60)
+        poll = await self.source.poll(poll.next_offset, 1_000)
+        report = poll.update.report
+        self.assertLess(report.size_bytes, 1_000)
+        self.assertLess(report.transfer_ms, 60)
 
     async def test_a_failed_read_tells_silence_from_a_slow_answer(self):
         """Guard against logs that cannot tell a silent store from a slow one.
 
         In the incident both looked the same: no response within the timeout.
         """
-        self.publish(1)
-        await self.source.next_version()
-        self.store.server.fault = lambda request: 'silent'
-        waiting = asyncio.ensure_future(self.source.next_version())
-        while not self.lines('configuration_read_failed'):
-            await asyncio.sleep(0.05)
-        self.store.server.fault = lambda request: ''
-        self.store.server.link_bytes_s = 3_000
-        self.publish(2, routes=make_routes(100))
-        while len(self.lines('configuration_read_failed')) < 2:
-            await asyncio.sleep(0.05)
-        waiting.cancel()
-        silent, slow = self.lines('configuration_read_failed')[:2]
-        self.assertNotIn('bytes of it came', silent['error'])
-        self.assertRegex(slow['error'], r'\d+ bytes of it came')
+        self.publish(1, routes=make_routes(100))
+        for fault in ('silent', 'stalled'):
+            self.store.server.fault = lambda request, fault=fault: fault
+            with self.assertRaises(errors.LogUnavailable) as caught:
+                await self.source.poll(None, 0)
+            is_partial = 'bytes of it came' in caught.exception.message
+            self.assertEqual(fault == 'stalled', is_partial)
 
 
 class LagTest(unittest.TestCase):
@@ -96,11 +78,14 @@
     def test_lag_is_reported_once_a_second_until_it_ends(self):
         """Guard against a daemon that is behind without a trace in the log."""
         lag = configuration_lag.ConfigurationLag()
-        self.assertIsNone(lag.observe(5, 4, 0))
-        self.assertIsNone(lag.observe(5, 4, 900))
-        self.assertEqual(1_100, lag.observe(6, 4, 1_100))
-        self.assertIsNone(lag.observe(6, 4, 1_500))
-        self.assertEqual(2_200, lag.observe(7, 5, 2_200))
-        self.assertIsNone(lag.observe(7, 7, 2_300))
-        self.assertIsNone(lag.observe(8, 7, 2_400))
-        self.assertIsNone(lag.observe(8, 7, 3_300))
+        self.assertFalse(lag.observe(5, 4, 0))
+        self.assertFalse(lag.observe(5, 4, 900))
+        self.assertTrue(lag.observe(6, 4, 1_100))
+        self.assertEqual(1_100, lag.behind_ms)
+        self.assertFalse(lag.observe(6, 4, 1_500))
+        self.assertTrue(lag.observe(7, 5, 2_200))
+        self.assertEqual(2_200, lag.behind_ms)
+        self.assertFalse(lag.observe(7, 7, 2_300))
+        self.assertEqual(0, lag.behind_ms)
+        self.assertFalse(lag.observe(8, 7, 2_400))
+        self.assertFalse(lag.observe(8, 7, 3_300))
