--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -4,6 +4,7 @@
 Without it, this source tree is used for both.
 """
 
+import asyncio
 import os
 import pathlib
 import subprocess
@@ -16,6 +17,7 @@
 
 from tests import platform_case
 from tests.standins import local_cluster
+from tests.standins import platform
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _OTHER_ROOT = pathlib.Path(
@@ -26,6 +28,8 @@
 _TAKEOVER_LIMIT_S = 60.0
 # Partitions stop moving within 4 s of the return of a daemon.
 _QUIET_S = 6.0
+# A confirmed change of the configuration is in force within this time.
+_IN_FORCE_LIMIT_S = 3.0
 _KEY = local_cluster.CALLER_KEYS['red']
 _FINAL_STATES = frozenset({'succeeded', 'failed', 'cancelled', 'unknown'})
 _JOB_ID_FORMAT = '00000000000000{:02x}'
@@ -378,6 +382,43 @@
                 self.assertEqual('completed', answer.json()['state'])
         self.check_runs()
 
+    async def change_keys(self, version: int) -> None:
+        """Replace the key and grow the configuration; all must follow."""
+        routes = tuple(f'more-{number}' for number in range(300 * version))
+        config = platform.make_configuration(
+            version, keys=(f'key-{version}',), routes=('jobs', *routes)
+        )
+        self.store.put('keyed.op', 'config', config)
+        deadline_s = time.monotonic() + _IN_FORCE_LIMIT_S
+        statuses: dict[str, list[int]] = {}
+        while time.monotonic() < deadline_s:
+            statuses = {
+                daemon.node: [
+                    (await self.call('GET', daemon, key=key)).status_code
+                    for key in (f'key-{version}', f'key-{version - 1}')
+                ]
+                for daemon in self.daemons
+            }
+            if all(pair == [200, 401] for pair in statuses.values()):
+                return
+            await asyncio.sleep(0.05)
+        self.fail(f'version {version} is not in force: {statuses}')
+
+    async def test_configuration_changes_cross_the_builds(self) -> None:
+        """Guard against a withdrawn key that works at one of the builds."""
+        await self.change_keys(2)
+        for leaving in (self.other, self.own):
+            for daemon in leaving:
+                await daemon.kill()
+            await self.call_any('GET', '')
+            for daemon in leaving:
+                await daemon.start()
+                await self.wait_ready(daemon)
+            for version in range(3, 6):
+                await self.change_keys(
+                    version + (3 if leaving is self.own else 0)
+                )
+
     async def test_a_new_build_recovers_streams_and_logs(self) -> None:
         """Guard against streams, settings and logs that are not readable."""
         for daemon in self.own:
