Start no further attempt of a read whose answer is arriving

What callers would see: a cell whose wide VMs are gone stays without a leader; no job is accepted. Change: HedgedCall counts parts of an answer that come; while they come no attempt starts. Conclusion: attempts are for answers that do not come, not for large ones.

--- a/basilspindle/cell/hedged_call.py
+++ b/basilspindle/cell/hedged_call.py
@@ -25,8 +25,9 @@
     The store may be slow or an answer may be lost, and the first answer to
     any of the attempts counts. The delay between attempts doubles, since
     repeated calls add load to a slow store. It stays the same once ``probe``
-    is answered: the store is then fast, and answers were lost. Leaving the
-    context cancels all attempts.
+    is answered: the store is then fast, and answers were lost. While an
+    answer is arriving, no attempt starts, as it would share the link with that
+    answer. Leaving the context cancels all attempts.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         '_probe',
         '_probe_future',
         '_in_flight',
+        '_has_progressed',
     )
 
     def __init__(
@@ -51,6 +53,7 @@
         self._probe = probe
         self._probe_future: asyncio.Future[object] | None = None
         self._in_flight: set[asyncio.Future[_T]] = set()
+        self._has_progressed = False
 
     def __enter__(self) -> typing.Self:
         return self
@@ -65,6 +68,10 @@
             future.add_done_callback(_ignore_result)
         self._in_flight.clear()
 
+    def note_progress(self) -> None:
+        """Note that a part of an answer has come."""
+        self._has_progressed = True
+
     async def first_answer(self, delay_ms: int) -> _T:
         """Return the first answer; the second attempt is after ``delay_ms``.
 
@@ -72,7 +79,9 @@
         any other error of the call is raised.
         """
         while True:
-            if len(self._in_flight) < _MAX_IN_FLIGHT:
+            is_arriving = self._has_progressed and bool(self._in_flight)
+            self._has_progressed = False
+            if not is_arriving and len(self._in_flight) < _MAX_IN_FLIGHT:
                 self._in_flight.add(asyncio.ensure_future(self._call()))
             if self._probe is not None and self._probe_future is None:
                 # Early enough to be answered before the second attempt.
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -217,9 +217,13 @@
         self._note_store_success()
 
     async def _read_all(self) -> tuple[dict[str, bytes], int]:
-        return await self._call_until_answered(
-            lambda: self._store.read_latest(STREAM), _MAX_HEDGE_DELAY_MS
+        hedged_call = hedged_call_module.HedgedCall(
+            self._clock,
+            lambda: self._store.read_latest(STREAM, hedged_call.note_progress),
+            self._note_store_failure,
         )
+        with hedged_call:
+            return await hedged_call.first_answer(_MAX_HEDGE_DELAY_MS)
 
     async def _read_later_records(
         self, values: dict[str, bytes], start: int
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -40,10 +40,15 @@
     ``LogOutcomeUnknown`` if it may have had an effect or may still have one.
     """
 
-    async def read_latest(self, stream: str) -> tuple[dict[str, bytes], int]:
+    async def read_latest(
+        self,
+        stream: str,
+        on_progress: collections.abc.Callable[[], None] | None = None,
+    ) -> tuple[dict[str, bytes], int]:
         """Return the newest value of each key and an end offset.
 
-        The values include every record before that offset.
+        The values include every record before that offset. ``on_progress`` is
+        called whenever a part of them comes.
         """
         ...
 
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -205,6 +205,7 @@
         *,
         timeout_ms: int,
         stall_ms: int | None = None,
+        on_progress: collections.abc.Callable[[], None] | None = None,
         headers: tuple[tuple[str, str], ...] = (),
         content_type: str = 'application/json',
     ) -> Response:
@@ -213,6 +214,7 @@
         ``timeout_ms`` bounds the whole call. With ``stall_ms``, it bounds the
         time to the first byte of the response, and ``stall_ms`` each pause
         after it, so that a large response may take as long as its link needs.
+        ``on_progress`` is then called whenever a part of it comes.
         """
         started_s = self._now_s()
         connection: _Connection | None = None
@@ -221,7 +223,9 @@
             async with asyncio.timeout(timeout_ms / 1000) as timeout:
                 connection = await self._acquire(address)
                 if stall_ms is not None:
-                    connection.on_progress = self._extender(timeout, stall_ms)
+                    connection.on_progress = self._extender(
+                        timeout, stall_ms, on_progress
+                    )
                 try:
                     response = await connection.send(data)
                 except BaseException:
@@ -257,11 +261,16 @@
         return response
 
     def _extender(
-        self, timeout: asyncio.Timeout, stall_ms: int
+        self,
+        timeout: asyncio.Timeout,
+        stall_ms: int,
+        on_progress: collections.abc.Callable[[], None] | None,
     ) -> collections.abc.Callable[[], None]:
         def extend() -> None:
             if not timeout.expired():
                 timeout.reschedule(self._now_s() + stall_ms / 1000)
+            if on_progress is not None:
+                on_progress()
 
         return extend
 
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -58,7 +58,11 @@
         self._client = client
         self._address = address
 
-    async def read_latest(self, stream: str) -> tuple[dict[str, bytes], int]:
+    async def read_latest(
+        self,
+        stream: str,
+        on_progress: collections.abc.Callable[[], None] | None = None,
+    ) -> tuple[dict[str, bytes], int]:
         """Return the newest value of each key and an end offset.
 
         The offset is the end of the stream as of the first page. Reading on
@@ -72,7 +76,9 @@
             'part': str(_PARTITION),
         }
         while True:
-            response = await self._get('log-newest', query, _READ_TIMEOUT_MS)
+            response = await self._get(
+                'log-newest', query, _READ_TIMEOUT_MS, on_progress
+            )
             if response.status == 404:
                 return {}, 0
             self._check_read(response)
@@ -213,7 +219,11 @@
             ) from error
 
     async def _get(
-        self, call: str, query: dict[str, str], timeout_ms: int
+        self,
+        call: str,
+        query: dict[str, str],
+        timeout_ms: int,
+        on_progress: collections.abc.Callable[[], None] | None = None,
     ) -> client_module.Response:
         path = f'/basilspindle/{call}?{urllib.parse.urlencode(query)}'
         try:
@@ -223,6 +233,7 @@
                 path,
                 timeout_ms=timeout_ms,
                 stall_ms=_READ_STALL_MS,
+                on_progress=on_progress,
             )
         except client_module.CallFailed as error:
             raise self._unavailable(error.message) from error
--- a/tests/test_cell_configuration.py
+++ b/tests/test_cell_configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from basilspindle.cell import messages
+from tests import cell_case
 from tests import configuration_case
 
 # A confirmed change is in force everywhere within this time.
@@ -75,6 +76,34 @@
         self.assertTrue(self.follower.node.is_ready)
 
 
+class NarrowLeaderTest(configuration_case.ConfigurationCase):
+    """Test a leader whose link is narrow for the jobs that it recovers."""
+
+    async def test_jobs_are_recovered_over_a_narrow_link(self):
+        """Guard against a cell that stays without a leader.
+
+        Each page of jobs was given up after 1 s, and further attempts were
+        made beside an answer that was arriving.
+        """
+        self.publish(1)
+        for number in range(800):
+            definition = cell_case.make_definition(
+                f'{number:016x}', cell_case.make_step(3)
+            )
+            definition = msgspec.structs.replace(
+                definition, payload='x' * 1_800
+            )
+            self.store.put(
+                'keyed.jobs',
+                f'd{definition.job_id}',
+                msgspec.msgpack.encode(definition),
+            )
+        daemon = await self.start('only')
+        # The jobs take 3.9 s of the link; urgent work starts within 6 s.
+        await self.wait_until(lambda: daemon.node.is_ready, 6.0)
+        self.assertEqual(800, self.lines('leader_ready')[0]['jobs'])
+
+
 class SourceTest(configuration_case.ConfigurationCase):
     """Test from where a daemon gets the configuration."""
 
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from basilspindle.cell import hedged_call
 from basilspindle.cell import journal as journal_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
@@ -54,7 +55,7 @@
     async def fence(self, stream, epoch):
         await asyncio.sleep(0.01)
 
-    async def read_latest(self, stream):
+    async def read_latest(self, stream, on_progress=None):
         return dict(self.values), 10
 
     async def read(self, stream, start, wait_ms):
@@ -196,3 +197,31 @@
         store.trimmed = True
         recovered = await self.open(store).load()
         self.assertEqual(2, len(recovered.jobs))
+
+
+class ArrivingAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Test attempts beside an answer that is arriving."""
+
+    async def read(self, pause_s, pauses):
+        attempts = []
+
+        async def call():
+            attempts.append(None)
+            for _ in range(pauses):
+                await asyncio.sleep(pause_s)
+                hedged.note_progress()
+            return len(attempts)
+
+        hedged = hedged_call.HedgedCall(
+            clock_module.Clock(), call, lambda error: None
+        )
+        with hedged:
+            return await hedged.first_answer(40)
+
+    async def test_no_attempt_starts_while_an_answer_arrives(self):
+        """Guard against attempts that share a narrow link with an answer."""
+        self.assertEqual(1, await self.read(0.01, 40))
+
+    async def test_an_attempt_starts_beside_a_silent_one(self):
+        """Guard against waiting for an answer that was lost."""
+        self.assertGreater(await self.read(0.3, 1), 1)
