Answer 503 instead of 404 or 401 while a newer configuration is read

What callers saw: refused with 404 as an older version says, at daemons that knew of a newer one. Cause: a refusal counted as final although the version that it was based on was known to be outdated. Change: while a newer version is known and not in force, a request without a queue or workspace is answered 503 with Retry-After 1 s. Conclusion: a refusal of a queue or key is true for the newest version known.

--- a/basilspindle/cell/configuration_sync.py
+++ b/basilspindle/cell/configuration_sync.py
@@ -94,6 +94,11 @@
         """Return the version in force, 0 if there is none."""
         return self._history.version
 
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether a newer version is known and not in force yet."""
+        return self._newest_version > self.version
+
     @property
     def age_ms(self) -> int:
         """Return the time since the version was known to be the newest."""
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -129,6 +129,11 @@
         """Return the configuration in force, None if there is none yet."""
         return self._configuration.index
 
+    @property
+    def is_configuration_behind(self) -> bool:
+        """Tell whether a newer configuration is known and not in force."""
+        return self._configuration.is_behind
+
     @property
     def is_ready(self) -> bool:
         """Tell whether clients should send new requests to this daemon."""
--- a/basilspindle/platform/frontend.py
+++ b/basilspindle/platform/frontend.py
@@ -25,6 +25,7 @@
 # out here.
 _LEADER_MARGIN_MS = 200
 _DEFAULT_DEADLINE_MS = 3_000
+_BEHIND_RETRY_MS = 1_000
 _MAX_DEADLINE_MS = 30_000
 # Statuses which promise that the job was not accepted and will never run.
 _REFUSAL_STATUSES = frozenset({429, 503})
@@ -142,6 +143,7 @@
         host = headers.get(b'host', b'').decode('latin-1')
         queue = index.queue_of(host, path)
         if queue is None:
+            self._check_current()
             raise errors.NotFound('no such queue; check host and path')
         if queue.is_open:
             # An open queue needs no API key, and its jobs belong to no
@@ -152,11 +154,20 @@
         )
         workspace = index.workspace_of(key.strip())
         if scheme.lower() != 'bearer' or workspace is None:
+            self._check_current()
             raise errors.KeyInvalid(
                 'the API key is missing or unknown; use a valid one'
             )
         return queue, workspace
 
+    def _check_current(self) -> None:
+        # The newer version may have the queue or the key.
+        if self._node.is_configuration_behind:
+            raise errors.NotReady(
+                'a newer configuration is being read; retry later',
+                retry_after_ms=_BEHIND_RETRY_MS,
+            )
+
     def _timeout_ms(self, headers: dict[bytes, bytes]) -> int:
         timeout_ms = _timeout_from_headers_ms(headers)
         if self.stop_deadline_ms is not None:
