Check in the soak that versions are in force in time and never go back

The stand-in of the store limits its answers as the store does, and reads of the configuration are tested for skipped, unreadable and dropped versions.

--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import json
 import random
 import signal
 import time
@@ -18,6 +19,8 @@
 _FAULT_PHASE_S = 8.0
 _COMPLETION_TIMEOUT_S = 40.0
 _SUBMIT_PAUSE_S = 0.12
+# A confirmed change of the configuration is in force within this time.
+_IN_FORCE_LIMIT_S = 3.0
 _STORE_FAULTS = ('silent', 'reset', 'lost', 'late', '503', '429')
 _WORKER_FAULTS = ('silent', 'reset', 'lost', 'late', '503')
 
@@ -36,6 +39,7 @@
         self.unknown: set[str] = set()
         self.down: set[platform_case.Daemon] = set()
         self.version = 1
+        self.route_count = 0
         end_s = time.monotonic() + _FAULT_PHASE_S
         try:
             async with asyncio.TaskGroup() as group:
@@ -49,6 +53,7 @@
                 ):
                     group.create_task(work(end_s))
             await self._recover()
+            await self._check_configuration()
             await self._check(seed)
         except BaseException:
             for daemon in self.daemons:
@@ -168,13 +173,18 @@
     async def _change_configuration(self, end_s: float) -> None:
         while time.monotonic() < end_s:
             await asyncio.sleep(self.random.uniform(0.2, 1.0))
-            self.version += 1
-            keys = ('key-a', f'key-{self.version}')
-            self.store.put(
-                'keyed.op',
-                'config',
-                platform.make_configuration(self.version, keys=keys),
-            )
+            self._publish(self.random.choice((0, 0, 300, 1_500)))
+
+    def _publish(self, added_routes: int) -> None:
+        self.version += 1
+        self.route_count += added_routes
+        routes = [f'more-{number}' for number in range(self.route_count)]
+        config = platform.make_configuration(
+            self.version,
+            keys=('key-a', f'key-{self.version}'),
+            routes=('jobs', *routes),
+        )
+        self.store.put('keyed.op', 'config', config)
 
     async def _recover(self) -> None:
         self.store.server.fault = lambda request: ''
@@ -185,6 +195,39 @@
         for daemon in self.daemons:
             await self.wait_ready(daemon)
 
+    async def _check_configuration(self) -> None:
+        for _ in range(3):
+            self._publish(10)
+            deadline_s = time.monotonic() + _IN_FORCE_LIMIT_S
+            outdated = set(self.daemons)
+            while outdated and time.monotonic() < deadline_s:
+                for daemon in list(outdated):
+                    answers = [
+                        await self.call('GET', daemon, key=f'key-{version}')
+                        for version in (self.version, self.version - 1)
+                    ]
+                    statuses = [answer.status_code for answer in answers]
+                    if statuses == [200, 401]:
+                        outdated.discard(daemon)
+                await asyncio.sleep(0.05)
+            self.assertEqual(
+                [],
+                [daemon.node for daemon in outdated],
+                f'version {self.version} is not in force',
+            )
+        for daemon in self.daemons:
+            self._check_versions_rise(daemon)
+
+    def _check_versions_rise(self, daemon: platform_case.Daemon) -> None:
+        version = 0
+        for text in daemon.log_path.read_text().splitlines():
+            line = json.loads(text) if text.startswith('{') else {}
+            if line.get('name') == 'node_started':
+                version = 0
+            elif line.get('name') == 'configuration_in_force':
+                self.assertGreater(line['version'], version, daemon.node)
+                version = line['version']
+
     async def _check(self, seed: int) -> None:
         incomplete = set(self.accepted)
         deadline_s = time.monotonic() + _COMPLETION_TIMEOUT_S
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -8,6 +8,9 @@
 from tests.standins.platform import server as server_module
 
 _PAGE_SIZE = 500
+_DEFAULT_MAX_KB = 1_024
+# A response to a read begins with the end and the first offset.
+_HEADER_BYTES = 16
 
 
 class _Partition:
@@ -162,9 +165,13 @@
         if start < partition.first:
             return _reply(410, {'first': partition.first})
         body = struct.pack('>QQ', partition.end, partition.first)
-        for key, value in partition.records[start - partition.first :]:
+        max_bytes = int(request.query.get('max_kb', _DEFAULT_MAX_KB)) * 1_024
+        for key, value in partition.records[max(0, start - partition.first) :]:
             content = bytes([len(key)]) + key.encode() + value
-            body += struct.pack('>I', len(content)) + content
+            record = struct.pack('>I', len(content)) + content
+            if len(body) > _HEADER_BYTES and len(body + record) > max_bytes:
+                break
+            body += record
         return server_module.Reply(200, body)
 
 
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -72,6 +72,39 @@
             self.assertEqual(fault == 'stalled', is_partial)
 
 
+class PollTest(ConfigurationCase):
+    """Test which version a read returns and where the next one begins."""
+
+    async def poll(self, next_offset):
+        poll = await self.source.poll(next_offset, 100)
+        version = poll.update.configuration.version if poll.update else None
+        return version, poll.next_offset
+
+    async def test_versions_that_are_not_the_newest_are_skipped(self):
+        """Guard against a daemon that reads all versions that it missed."""
+        self.publish(1)
+        self.assertEqual((1, 1), await self.poll(None))
+        for version in range(2, 9):
+            self.publish(version, routes=make_routes(100))
+        version, next_offset = await self.poll(1)
+        self.assertEqual((2, None), (version, next_offset))
+        self.assertEqual((8, 8), await self.poll(next_offset))
+        self.assertEqual((None, 8), await self.poll(8))
+
+    async def test_other_records_and_dropped_history(self):
+        """Guard against a daemon that stops at what it cannot use."""
+        self.publish(1)
+        self.store.put('keyed.op', 'wave/1', b'{}')
+        self.assertEqual((None, 2), await self.poll(1))
+        self.store.put('keyed.op', 'config', b'{"version": "x"}')
+        self.assertEqual((None, 3), await self.poll(2))
+        self.publish(2)
+        self.store.drop_history()
+        self.assertEqual((2, 4), await self.poll(1))
+        # The store was reset: it ends before the offset that was read.
+        self.assertEqual((None, None), await self.poll(9))
+
+
 class LagTest(unittest.TestCase):
     """Test the report of a daemon that is behind."""
 
