Measure what changes of the configuration cost

The rig of the regression tests moves to tests/standins/narrow_cell.py, so that tests and bench share it.

--- a/bench/run.py
+++ b/bench/run.py
@@ -14,6 +14,7 @@
     'policy',
     'coordinator',
     'config',
+    'configuration',
     'path',
     'journal',
     'fleet',
@@ -21,9 +22,9 @@
 )
 # These take under a minute together; journal and fleet have no shorter run.
 _QUICK_SCRIPTS = ('policy', 'coordinator', 'config', 'path')
-_WITH_QUICK_OPTION = ('policy', 'coordinator', 'path')
-# Takes two minutes otherwise: ten seconds for each of twelve cases.
-_ALWAYS_QUICK = ('cluster',)
+_WITH_QUICK_OPTION = ('policy', 'coordinator', 'configuration', 'path')
+# These take minutes otherwise: ten seconds or more for each of twelve cases.
+_ALWAYS_QUICK = ('cluster', 'configuration')
 _TIMEOUT_S = 280
 
 
--- a/tests/standins/narrow_link.py
+++ b/tests/standins/narrow_link.py
@@ -4,6 +4,8 @@
 import contextlib
 
 _SEGMENT_BYTES = 4_096
+# A shorter wait would take as long as this one.
+_TIMER_RESOLUTION_S = 0.002
 # Bytes of one connection that may be on their way at once.
 _WINDOW_BYTES = 65_536
 
@@ -103,4 +105,6 @@
             self._free_at_s = (
                 max(now_s, self._free_at_s) + size_bytes / self.bytes_per_s
             )
-            await asyncio.sleep(self._free_at_s - now_s)
+            delay_s = self._free_at_s - now_s
+            if delay_s > _TIMER_RESOLUTION_S:
+                await asyncio.sleep(delay_s)
--- a/tests/test_cell_configuration.py
+++ b/tests/test_cell_configuration.py
@@ -7,6 +7,7 @@
 from basilspindle.cell import messages
 from tests import cell_case
 from tests import configuration_case
+from tests.standins import narrow_cell
 
 # A confirmed change is in force everywhere within this time.
 _IN_FORCE_LIMIT_S = 3.0
@@ -20,15 +21,15 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.publish(1)
-        self.leader = await self.start_leader()
-        self.follower = await self.start('follower')
+        self.cell.publish(1)
+        self.leader = await self.cell.start_leader()
+        self.follower = await self.cell.start('follower')
         await self.wait_until(lambda: self.follower.node.is_ready)
 
     async def wait_in_force(self, version):
         await self.wait_until(
             lambda: self.follower.version >= version,
-            self.published_s[version]
+            self.cell.published_s[version]
             + _IN_FORCE_LIMIT_S
             - asyncio.get_running_loop().time(),
         )
@@ -39,8 +40,8 @@
         A read was bounded by a time in which a narrow link cannot carry a
         large configuration, and every attempt started from the beginning.
         """
-        routes = configuration_case.make_routes(_QUEUE_COUNT)
-        self.publish(2, routes=routes)
+        routes = narrow_cell.make_routes(_QUEUE_COUNT)
+        self.cell.publish(2, routes=routes)
         await self.wait_in_force(2)
 
     async def test_changes_of_a_grown_configuration_are_in_force_in_time(self):
@@ -51,8 +52,8 @@
         """
         for version in range(2, 14):
             count = min(1_400 * (version - 1), _QUEUE_COUNT)
-            routes = configuration_case.make_routes(count + version % 3)
-            self.publish(version, routes=routes, keys=(f'key-{version}',))
+            routes = narrow_cell.make_routes(count + version % 3)
+            self.cell.publish(version, routes=routes, keys=(f'key-{version}',))
             await asyncio.sleep(0.4)
             if version - 7 > 1:
                 await self.wait_in_force(version - 7)
@@ -68,8 +69,8 @@
         """
         for version in range(2, 8):
             count = min(1_400 * (version - 1), _QUEUE_COUNT)
-            routes = configuration_case.make_routes(count)
-            self.publish(version, routes=routes, keys=(f'key-{version}',))
+            routes = narrow_cell.make_routes(count)
+            self.cell.publish(version, routes=routes, keys=(f'key-{version}',))
             await asyncio.sleep(0.5)
         await asyncio.sleep(1.0)
         self.assertEqual([], self.lines('leader_silent'))
@@ -85,7 +86,7 @@
         Each page of jobs was given up after 1 s, and further attempts were
         made beside an answer that was arriving.
         """
-        self.publish(1)
+        self.cell.publish(1)
         for number in range(800):
             definition = cell_case.make_definition(
                 f'{number:016x}', cell_case.make_step(3)
@@ -93,12 +94,12 @@
             definition = msgspec.structs.replace(
                 definition, payload='x' * 1_800
             )
-            self.store.put(
+            self.cell.store.put(
                 'keyed.jobs',
                 f'd{definition.job_id}',
                 msgspec.msgpack.encode(definition),
             )
-        daemon = await self.start('only')
+        daemon = await self.cell.start('only')
         # The jobs take 3.9 s of the link; urgent work starts within 6 s.
         await self.wait_until(lambda: daemon.node.is_ready, 6.0)
         self.assertEqual(800, self.lines('leader_ready')[0]['jobs'])
@@ -109,16 +110,16 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.publish(1)
-        self.leader = await self.start_leader()
-        self.follower = await self.start('follower')
+        self.cell.publish(1)
+        self.leader = await self.cell.start_leader()
+        self.follower = await self.cell.start('follower')
         await self.wait_until(lambda: self.follower.node.is_ready)
 
     def count_reads(self):
         return sum(
             request.path.endswith(('log-read', 'log-newest'))
             and request.query['topic'] == 'keyed.op'
-            for request in self.store.server.requests
+            for request in self.cell.store.server.requests
         )
 
     async def wait_in_force(self, daemon, version):
@@ -129,16 +130,16 @@
     async def test_a_follower_of_a_current_leader_reads_no_store(self):
         """Guard against reads that grow with the number of daemons."""
         for number in range(4):
-            await self.start(f'more-{number}')
+            await self.cell.start(f'more-{number}')
         await self.wait_until(
-            lambda: all(daemon.node.is_ready for daemon in self.daemons)
+            lambda: all(daemon.node.is_ready for daemon in self.cell.daemons)
         )
         await asyncio.sleep(0.5)
         before = self.count_reads()
         for version in range(2, 6):
-            self.publish(version, keys=(f'key-{version}',))
+            self.cell.publish(version, keys=(f'key-{version}',))
             await asyncio.sleep(0.25)
-        for daemon in self.daemons:
+        for daemon in self.cell.daemons:
             await self.wait_in_force(daemon, 5)
         # One for each version and two a second, all by the leader.
         self.assertLess(self.count_reads() - before, 10)
@@ -162,9 +163,9 @@
             hung.append(request)
             return 'silent'
 
-        self.store.server.fault = hang_once
+        self.cell.store.server.fault = hang_once
         await self.wait_until(lambda: hung)
-        self.publish(2, keys=('key-2',))
+        self.cell.publish(2, keys=('key-2',))
         await self.wait_in_force(self.follower, 2)
         line = self.lines('configuration_in_force')[-1]
         self.assertEqual('store', line['source'])
@@ -173,15 +174,15 @@
 
     async def test_changes_come_through_a_change_of_leader(self):
         """Guard against a change lost between two leaders."""
-        await self.start('third')
-        await self.wait_until(lambda: self.daemons[2].node.is_ready)
+        await self.cell.start('third')
+        await self.wait_until(lambda: self.cell.daemons[2].node.is_ready)
         for version in range(2, 10):
             if version == 4:
                 await self.leader.aclose()
-                self.daemons.remove(self.leader)
-            self.publish(version, keys=(f'key-{version}',))
+                self.cell.daemons.remove(self.leader)
+            self.cell.publish(version, keys=(f'key-{version}',))
             await asyncio.sleep(0.3)
-        for daemon in self.daemons:
+        for daemon in self.cell.daemons:
             await self.wait_in_force(daemon, 9)
             self.assertIsNone(daemon.node.index.workspace_of('key-8'))
 
@@ -202,12 +203,12 @@
             return reply
 
         self.leader.node.handle = handle_as_older_build
-        late = await self.start('late')
+        late = await self.cell.start('late')
         await self.wait_until(lambda: late.node.is_ready)
-        self.publish(2)
+        self.cell.publish(2)
         await self.wait_in_force(late, 2)
         # Without the store, the whole configuration comes from the leader.
-        late.link.silence(self.store.server.address)
-        self.publish(3)
+        late.link.silence(self.cell.store.server.address)
+        self.cell.publish(3)
         await self.wait_in_force(late, 3)
         self.assertEqual([], unknown)
