Read the configuration once more if an answer does not begin

Ruled out: retries on every failure, as they add calls while the store is down. Change: HedgedRead starts one more read on another connection 250 ms after the wait of the first has passed without a byte. Conclusion: one silent connection costs 0.75 s at most.

--- a/basilspindle/cell/configuration_sync.py
+++ b/basilspindle/cell/configuration_sync.py
@@ -12,6 +12,7 @@
 from basilspindle.cell import configuration_update
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import guard
+from basilspindle.cell import hedged_read as hedged_read_module
 from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
@@ -29,6 +30,8 @@
 _MAX_AGE_MS = 1_000
 # A read of the store waits this long for a new version.
 _STORE_WAIT_MS = 500
+# A read that has no answer by then may be on a connection that went silent.
+_STORE_HEDGE_MS = _STORE_WAIT_MS + 250
 _RETRY_MS = 150
 # A leader of an older build sends whole configurations only; one is requested
 # if the store has not brought it sooner.
@@ -209,8 +212,13 @@
         # Ends early if the leader confirms the version first.
         self._confirmed.clear()
         confirmed = asyncio.ensure_future(self._confirmed.wait())
+        hedged_read = hedged_read_module.HedgedRead(
+            lambda on_progress: self._source.poll(
+                self._next_offset, _STORE_WAIT_MS, on_progress
+            )
+        )
         polling = asyncio.ensure_future(
-            self._source.poll(self._next_offset, _STORE_WAIT_MS)
+            hedged_read.first_answer(_STORE_HEDGE_MS)
         )
         try:
             await asyncio.wait(
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -58,11 +58,13 @@
         from_offset: int,
         wait_ms: int,
         max_kb: int | None = None,
+        on_progress: collections.abc.Callable[[], None] | None = None,
     ) -> StoreChunk:
         """Return records from an offset, waiting for the first one.
 
         Returns one record or more, up to ``max_kb`` in all if there are
-        several. Raises ``LogTrimmed`` if the records at that offset were
+        several. ``on_progress`` is called whenever a part of the answer
+        comes. Raises ``LogTrimmed`` if the records at that offset were
         dropped.
         """
         ...
@@ -263,11 +265,15 @@
     """The configuration that operators publish."""
 
     async def poll(
-        self, next_offset: int | None, wait_ms: int
+        self,
+        next_offset: int | None,
+        wait_ms: int,
+        on_progress: collections.abc.Callable[[], None] | None = None,
     ) -> ConfigurationPoll:
         """Read the next version from an offset on, or the newest one.
 
         Waits up to ``wait_ms`` for a version at the offset, and not at all if
-        ``next_offset`` is None. Raises ``LogError``.
+        ``next_offset`` is None. ``on_progress`` is called whenever a part of
+        the answer comes. Raises ``LogError``.
         """
         ...
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -1,5 +1,7 @@
 """Read the configuration that operators publish in the store."""
 
+import collections.abc
+
 import msgspec
 
 from basilspindle.cell import configuration as configuration_module
@@ -90,17 +92,20 @@
         self._clock = clock
 
     async def poll(
-        self, next_offset: int | None, wait_ms: int
+        self,
+        next_offset: int | None,
+        wait_ms: int,
+        on_progress: collections.abc.Callable[[], None] | None = None,
     ) -> ports.ConfigurationPoll:
         """Read the next version from an offset on, or the newest one."""
         if next_offset is None:
-            return await self._read_newest()
+            return await self._read_newest(on_progress)
         try:
             chunk = await self._store.read(
-                _STREAM, next_offset, wait_ms, _ONE_RECORD_KB
+                _STREAM, next_offset, wait_ms, _ONE_RECORD_KB, on_progress
             )
         except errors.LogTrimmed:
-            return await self._read_newest()
+            return await self._read_newest(on_progress)
         end = next_offset + len(chunk.records)
         raw = [value for key, value in chunk.records if key == _KEY and value]
         update = self._decode(raw[-1], chunk.transfer_ms) if raw else None
@@ -109,9 +114,11 @@
             update, end if end == chunk.end else None
         )
 
-    async def _read_newest(self) -> ports.ConfigurationPoll:
+    async def _read_newest(
+        self, on_progress: collections.abc.Callable[[], None] | None
+    ) -> ports.ConfigurationPoll:
         begun_ms = self._clock.now_ms()
-        values, end = await self._store.read_latest(_STREAM)
+        values, end = await self._store.read_latest(_STREAM, on_progress)
         raw = values.get(_KEY)
         took_ms = self._clock.now_ms() - begun_ms
         update = self._decode(raw, took_ms) if raw is not None else None
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -96,6 +96,7 @@
         from_offset: int,
         wait_ms: int,
         max_kb: int | None = None,
+        on_progress: collections.abc.Callable[[], None] | None = None,
     ) -> ports.StoreChunk:
         """Return records from an offset, waiting for the first one."""
         query = {
@@ -108,7 +109,7 @@
         if max_kb is not None:
             query['max_kb'] = str(max_kb)
         response = await self._get(
-            'log-read', query, wait_ms + _READ_TIMEOUT_MS
+            'log-read', query, wait_ms + _READ_TIMEOUT_MS, on_progress
         )
         if response.status == 410:
             first = msgspec.json.decode(response.body).get('first', 0)
