Read streams of the own deployment over narrow links

Change: the log client bounds the time to an answer and each pause within it; the follower of the configuration halves the number of records after a read that takes too long, and doubles it after a fast one. Conclusion: a read ends because nothing comes, not because much does.

--- a/basilspindle/config/follower.py
+++ b/basilspindle/config/follower.py
@@ -12,7 +12,8 @@
 
 STREAM = 'control'
 FIRST_OFFSET = 1
-# Records have up to a few 100 KB each, which keeps a chunk below 32 MB.
+# Records have up to a few 100 KB each, which keeps a chunk below 32 MB. On a
+# narrow link fewer are read at a time.
 _MAX_RECORDS_PER_READ = 16
 # Time that a read may take beyond the time that the log may hold it open.
 _READ_GRACE_MS = 3_000
@@ -37,6 +38,7 @@
         '_clock',
         '_log',
         '_on_read',
+        '_records_per_read',
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         self._clock = clock
         self._log = log
         self._on_read = on_read
+        self._records_per_read = _MAX_RECORDS_PER_READ
 
     async def read(self, wait_ms: int) -> bool:
         """Read one chunk; tell whether the tail was reached.
@@ -83,18 +86,25 @@
     async def _read_log(
         self, from_offset: int, wait_ms: int
     ) -> interfaces.Chunk:
+        limit = self._records_per_read
+        timeout_ms = wait_ms + _READ_GRACE_MS
+        begun_ms = self._clock.now_ms()
         try:
-            return await self._clock.wait_for(
-                self._log.read(
-                    STREAM, from_offset, _MAX_RECORDS_PER_READ, wait_ms
-                ),
-                wait_ms + _READ_GRACE_MS,
+            chunk = await self._clock.wait_for(
+                self._log.read(STREAM, from_offset, limit, wait_ms),
+                timeout_ms,
             )
         except errors.DeadlineExceeded as error:
+            # The answer may have been too large for the link.
+            self._records_per_read = max(1, limit // 2)
             raise errors.LogUnavailable(
                 f'a read of stream {STREAM} was not answered within '
-                f'{wait_ms + _READ_GRACE_MS} ms; check the log service'
+                f'{timeout_ms} ms; check the log service'
             ) from error
+        took_ms = self._clock.now_ms() - begun_ms
+        if len(chunk.records) == limit and 4 * took_ms < timeout_ms:
+            self._records_per_read = min(2 * limit, _MAX_RECORDS_PER_READ)
+        return chunk
 
     def _skip_trimmed(self, first: int) -> None:
         if first <= self.next_offset:
--- a/basilspindle/journal/log_client.py
+++ b/basilspindle/journal/log_client.py
@@ -94,7 +94,7 @@
 
     @property
     def request_timeout_ms(self) -> int:
-        """Return the timeout of a request, added to a read's wait."""
+        """Return the time to an answer, added to a read's wait."""
         return self._request_timeout_ms
 
     @property
@@ -190,24 +190,34 @@
         # about 110 B of default headers to each, and handles redirects and
         # cookies, which the log does not use. A timeout cancels the request
         # and thereby closes its connection, so that a dead connection is
-        # not reused.
+        # not reused. It bounds the time to the answer and each pause within
+        # it, so that a large answer may take as long as its link needs.
         request = httpx.Request(
             method,
             self._base_url + path,
             content=data,
             extensions={'timeout': self._timeouts},
         )
-        return await self._clock.wait_for(
-            self._send(request), wait_ms + self._request_timeout_ms
+        response = await self._clock.wait_for(
+            self._transport.handle_async_request(request),
+            wait_ms + self._request_timeout_ms,
         )
-
-    async def _send(self, request: httpx.Request) -> httpx.Response:
-        response = await self._transport.handle_async_request(request)
         try:
-            await response.aread()
+            content = await self._receive(response)
         finally:
             await response.aclose()
-        return response
+        return httpx.Response(response.status_code, content=content)
+
+    async def _receive(self, response: httpx.Response) -> bytes:
+        parts = response.aiter_bytes()
+        content = []
+        while True:
+            part = await self._clock.wait_for(
+                anext(parts, None), self._request_timeout_ms
+            )
+            if part is None:
+                return b''.join(content)
+            content.append(part)
 
     def _record_answer(self) -> None:
         if self._outage_logged:
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -27,6 +27,7 @@
     """In-memory log with one stream.
 
     ``down`` refuses all calls and ``silent`` leaves reads unanswered.
+    ``record_ms`` is the time that a reader's link needs for a record.
     ``lost`` holds the faults of the next appends: None refuses the append,
     True and False lose the answer with and without appending.
     """
@@ -36,6 +37,7 @@
         self.first = 1
         self.down = False
         self.silent = False
+        self.record_ms = 0
         self.lost = []
         self._clock = clock
         self._appended = asyncio.Event()
@@ -82,7 +84,10 @@
                 await self._clock.wait_for(self._appended.wait(), wait_ms)
             except errors.DeadlineExceeded:
                 pass
-        return self.chunk(from_offset, limit)
+        chunk = self.chunk(from_offset, limit)
+        if self.record_ms and chunk.records:
+            await self._clock.sleep_ms(self.record_ms * len(chunk.records))
+        return chunk
 
     def chunk(self, from_offset, limit):
         """Return the records from an offset without waiting."""
@@ -472,6 +477,21 @@
         await self.clock.advance_ms(6_000)
         store.check_fresh()
 
+    async def test_records_are_read_over_a_narrow_link(self):
+        """Guard against a daemon that never reads the configuration.
+
+        A read that took longer than its timeout was repeated as it was.
+        """
+        first = await self.start()
+        for version in range(20):
+            await first.publish(
+                make_base([f'w{version}']), _OVERLAY, version, 'ops'
+            )
+        self.log.record_ms = 400
+        late = await self.start()
+        await self.clock.advance_ms(40_000)
+        self.assertEqual(20, late.version)
+
     async def test_bootstrap_key_ends_with_the_first_configuration(self):
         """Guard against a bootstrap key that stays valid after a publish."""
         text, sha256 = config.Keyring.generate('first')
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -10,6 +10,7 @@
 from tests.standins import log_faults
 from tests.standins import log_service
 from tests.standins import manual_clock
+from tests.standins import narrow_link
 
 _TIMEOUT_MS = 150
 # fault, error of an append under it, records in the stream afterwards
@@ -89,6 +90,40 @@
         self.assertEqual(2, chunk.next)
 
 
+class NarrowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Guard reads whose answer takes longer than the timeout."""
+
+    async def asyncSetUp(self):
+        self.service = log_service.LogService()
+        url = await self.enterAsyncContext(log_service.serve(self.service))
+        self.address = url.removeprefix('http://')
+        self.link = await self.enterAsyncContext(
+            narrow_link.NarrowLink(200_000.0)
+        )
+        self.client = await self.enterAsyncContext(
+            journal.LogClient(
+                'http://' + await self.link.via(self.address),
+                request_timeout_ms=_TIMEOUT_MS,
+            )
+        )
+        await self.client.append('s', bytes(150_000))
+
+    async def test_a_large_answer_takes_as_long_as_the_link_needs(self):
+        """Guard against a stream that cannot be read on a narrow link."""
+        chunk = await self.client.read('s', 1, 10, 0)
+        self.assertEqual([150_000], [len(r.data) for r in chunk.records])
+
+    async def test_an_answer_that_stops_is_given_up(self):
+        """Guard against a read that hangs in the middle of an answer."""
+        read = asyncio.create_task(self.client.read('s', 1, 10, 0))
+        async with asyncio.timeout(2):
+            while self.link.received_bytes < 50_000:
+                await asyncio.sleep(0.01)
+        self.link.silence(self.address)
+        with self.assertRaises(errors.LogUnavailable):
+            await asyncio.wait_for(read, 2)
+
+
 class InProcessTest(unittest.IsolatedAsyncioTestCase):
     """Guard offsets, retention and timeouts, under a manual clock."""
 
