Keep recovered jobs whose cancellation waits for the store

What callers saw: a cancelled job was answered 410 and ran later (UNASKED). Cause: while the store is silent, requests that wait for a record are refused and their new jobs withdrawn. A job that a later leader had recovered counted as new there, as it was in no append of that leader: its cancellation made the leader forget it, the next DELETE was answered 410, and the next leader recovered and ran it. Change: a job with a recorded state is not withdrawn. Result: test_a_recovered_job_is_never_withdrawn fails before, passes now.

--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -75,9 +75,9 @@
         return job
 
     def withdraw(self, job: job_module.Job) -> bool:
-        """Remove a new job unless an append already includes it."""
+        """Remove a new job unless it is recorded or part of an append."""
         state = self._state
-        if job.append_started:
+        if job.append_started or job.durable_state is not None:
             return False
         state.changed_jobs.pop(job.job_id, None)
         if not job.is_beyond_share:
--- a/tests/test_cell_intake.py
+++ b/tests/test_cell_intake.py
@@ -4,6 +4,7 @@
 from basilspindle.cell import journal
 from basilspindle import errors
 from basilspindle import workflow
+from basilspindle.workflow import progress
 from tests import cell_case
 
 _JOB = '00000000000000aa'
@@ -48,6 +49,25 @@
         found = self.intake.find_state(_JOB, workspace)
         self.assertEqual(workflow.JobState.COMPLETED, found)
 
+    def test_a_recovered_job_is_never_withdrawn(self):
+        """Guard against a cancellation that makes a recorded job unknown.
+
+        While the store is silent, requests that wait for a record are refused
+        and their new jobs withdrawn. A job recovered from an earlier leader is
+        in no append of this leader, but in the store.
+        """
+        job = self.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step())
+        )
+        self.make_state(term=1)
+        restored = progress.restore(job.definition, None, self.now_ms, 0)
+        self.intake.adopt(restored, self.now_ms)
+        self.state.changed_jobs.clear()
+        cancelled = self.intake.cancel(_JOB, cell_case.WORKSPACE)
+        self.assertFalse(self.intake.withdraw(cancelled))
+        self.assertTrue(self.state.table.knows(_JOB))
+        self.assertIn(_JOB, self.state.changed_jobs)
+
     def test_only_what_no_append_took_up_is_withdrawn(self):
         """Guard against refusing a job that is recorded nevertheless."""
         job = self.intake.submit(self.definition(), self.now_ms)
@@ -124,8 +144,6 @@
 
     def test_a_job_survives_with_its_progress(self):
         """Guard against progress that is lost when the leader changes."""
-        from basilspindle.workflow import progress
-
         self.add_worker('w1')
         job = self.submit(
             cell_case.make_definition(
