Let a malformed response end its own call only

Cause: decoders raised errors of msgspec, struct, base64 and dict access outside of the project's classes, which only those classes were caught for. Reports of workers were rows of any type, checked by their first use. Change: rows of reports have types; responses that cannot be decoded raise the error of a call without effect, or of one whose outcome is unknown; only a higher fencing token, or a rejection without a reason, ends a leadership; a failed handler of a link is logged and answered, so the other end asks again. Conclusion: what arrives decides about its own call only.

--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -102,7 +102,7 @@
             start = end
             try:
                 frame = _DECODER.decode(payload)
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
                 self._abort(str(error))
                 return
             self._dispatch(frame, length)
@@ -166,7 +166,17 @@
     async def _answer(self, number: int, request: messages.Request) -> None:
         if isinstance(request, messages.Ping):
             self.node = request.node
-        self._send(number, await self._handler(request))
+        try:
+            reply = await self._handler(request)
+        except Exception as error:
+            # The outcome is unknown, so the other end asks again.
+            events.emit(
+                cell_events.INTERNAL_FAULT,
+                part=type(request).__qualname__,
+                error=repr(error),
+            )
+            reply = messages.NotLeading()
+        self._send(number, reply)
 
     def _abort(self, reason: str) -> None:
         events.emit(cell_events.LINK_BROKEN, node=self.node, reason=reason)
--- a/basilspindle/platform/advice.py
+++ b/basilspindle/platform/advice.py
@@ -48,5 +48,11 @@
             raise errors.WorkerUnavailable(
                 f'the advice service returned status {response.status}; retry'
             )
-        advice = msgspec.json.decode(response.body, type=_Advice)
-        return ports.AdviceResult(dict(advice.good), int(advice.valid_ms))
+        try:
+            advice = msgspec.json.decode(response.body, type=_Advice)
+            return ports.AdviceResult(dict(advice.good), int(advice.valid_ms))
+        except (msgspec.MsgspecError, ValueError, OverflowError) as error:
+            raise errors.WorkerUnavailable(
+                f'the advice service sent a response that cannot be decoded: '
+                f'{error!r}; retry'
+            ) from error
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -23,6 +23,8 @@
 _KEYED_TOPIC_PREFIX = 'keyed.'
 _PARTITION = 0
 _RETRY_AFTER_MS = 500
+# The end offset and the first offset of a chunk take 8 bytes each.
+_CHUNK_HEADER_BYTES = 16
 
 
 class _Item(msgspec.Struct):
@@ -37,6 +39,11 @@
     more: bool = False
 
 
+class _Trimmed(msgspec.Struct):
+    # First offset that the partition still contains.
+    first: int = 0
+
+
 class _Appended(msgspec.Struct):
     offset: int = 0
 
@@ -82,10 +89,10 @@
             if response.status == 404:
                 return {}, 0
             self._check_read(response)
-            page = _decode(response.body, _NewestPage)
+            page = _decode_read(response.body, _NewestPage)
             end = page.end if end is None else end
             for item in page.items:
-                values[item.key] = base64.b64decode(item.value)
+                values[item.key] = _decode_base64(item.value)
             if not page.more or not page.items:
                 return values, end
             query['after'] = page.items[-1].key
@@ -112,7 +119,7 @@
             'log-read', query, wait_ms + _READ_TIMEOUT_MS, on_progress
         )
         if response.status == 410:
-            first = msgspec.json.decode(response.body).get('first', 0)
+            first = _decode_read(response.body, _Trimmed).first
             raise errors.LogTrimmed(
                 f'stream {stream!r} no longer contains offset {from_offset}; '
                 f'read from offset {first}',
@@ -136,7 +143,7 @@
             if response.status == 404:
                 return 0
             if response.status == 410:
-                first = msgspec.json.decode(response.body).get('first', 0)
+                first = _decode_read(response.body, _Trimmed).first
                 query['from'] = str(first)
                 continue
             self._check_read(response)
@@ -274,21 +281,40 @@
             raise self._unavailable(f'status {response.status}')
 
     def _unavailable(self, reason: str) -> errors.LogUnavailable:
-        return errors.LogUnavailable(
-            f'the call to the store had no effect: {reason}; retry later',
-            retry_after_ms=_RETRY_AFTER_MS,
-        )
+        return _no_effect(reason)
+
+
+def _no_effect(reason: str) -> errors.LogUnavailable:
+    return errors.LogUnavailable(
+        f'the call to the store had no effect: {reason}; retry later',
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
 
 
 def _decode(body: bytes, expected_type: type[typing.Any]) -> typing.Any:
     try:
         return msgspec.json.decode(body, type=expected_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise errors.LogOutcomeUnknown(
             f'the response of the store cannot be decoded: {error}; retry'
         ) from error
 
 
+def _decode_read(body: bytes, expected_type: type[typing.Any]) -> typing.Any:
+    # A read has no effect, so it is simply repeated.
+    try:
+        return _decode(body, expected_type)
+    except errors.LogOutcomeUnknown as error:
+        raise _no_effect(error.message) from error
+
+
+def _decode_base64(value: str) -> bytes:
+    try:
+        return base64.b64decode(value)
+    except ValueError as error:
+        raise _no_effect(f'a value is not valid base64: {error}') from error
+
+
 def _encode_record(key: str, value: bytes | None) -> bytes:
     raw = key.encode()
     content = bytes([len(raw)]) + raw + (value if value is not None else b'')
@@ -299,6 +325,8 @@
 
 
 def _decode_chunk(body: bytes, transfer_ms: int = 0) -> ports.StoreChunk:
+    if len(body) < _CHUNK_HEADER_BYTES:
+        raise _no_effect('the response is shorter than its header')
     end, first = struct.unpack_from('>QQ', body, 0)
     records = list(_decode_records(body))
     return ports.StoreChunk(records, first, end, transfer_ms)
@@ -307,11 +335,13 @@
 def _decode_records(
     body: bytes,
 ) -> collections.abc.Iterator[tuple[str, bytes | None]]:
-    # The end offset and the first offset take 8 bytes each.
-    position = 16
+    position = _CHUNK_HEADER_BYTES
     while position + 4 <= len(body):
         (length,) = struct.unpack_from('>I', body, position)
         position += 4
+        if position + length > len(body):
+            # The rest is read again from the offset of this record.
+            return
         content = body[position : position + length]
         position += length
         if not content:
--- a/basilspindle/platform/workers.py
+++ b/basilspindle/platform/workers.py
@@ -41,14 +41,31 @@
     clock_ms: int = 0
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    # Checkpoint.
+    saved: str
+    # Progress.
+    percent: float
+    # Response time in ms of a service, CPU usage of any other task.
+    load: float = 0
+
+
+class _FinishedRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: str
+    # Checkpoint.
+    saved: str
+
+
 class _WorkerReport(msgspec.Struct):
     # Monotonic clock of the worker.
     clock_ms: int
-    # Rows of task, run, checkpoint, progress in percent and, for a service,
-    # its response time in ms.
-    running: list[list[typing.Any]] = []
-    # Rows of end number, task, run, how the run ended and checkpoint.
-    finished: list[list[typing.Any]] = []
+    running: list[_RunningRow] = []
+    finished: list[_FinishedRow] = []
     # Unix time of the worker's start in ms, which changes with a restart.
     born: int = 0
 
@@ -90,7 +107,7 @@
                 response.body, type=_WorkerReport
             )
             return _decode_report(worker_report)
-        except (msgspec.MsgspecError, IndexError, KeyError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
             raise errors.WorkerOutcomeUnknown(
                 f'worker at {address} sent a report that cannot be decoded: '
                 f'{error!r}; retry'
@@ -127,7 +144,7 @@
         if response.status == 200:
             return _Outcome.RUNS
         if response.status == 409:
-            reason = msgspec.json.decode(response.body, type=_Rejection).reason
+            reason = _decode_reason(response, address)
             return _START_OUTCOMES.get(reason, _Outcome.INVALID)
         if response.status in (429, 503):
             return _Outcome.UNHEALTHY
@@ -174,7 +191,7 @@
             address, worker_id, '/basilspindle/pace', body, timeout_ms
         )
         if response.status == 409:
-            reason = msgspec.json.decode(response.body, type=_Rejection).reason
+            reason = _decode_reason(response, address)
             if reason != _FENCED_REASON:
                 raise errors.WorkerUnavailable(
                     f'worker at {address} has no run {run} of {name} '
@@ -215,6 +232,12 @@
             f'another worker answers at {address}; refresh the registry'
         )
     if response.status == 409:
+        reason = _decode_reason(response, address)
+        # A call that only a fencing token can reject may give no reason.
+        if reason and reason != _FENCED_REASON:
+            raise errors.WorkerUnavailable(
+                f'worker at {address} rejected a call ({reason}); retry'
+            )
         raise errors.StaleEpoch(
             f'worker at {address} has seen a higher fencing token; stop '
             'leading'
@@ -224,16 +247,27 @@
     )
 
 
+def _decode_reason(response: client_module.Response, address: str) -> str:
+    try:
+        return msgspec.json.decode(response.body, type=_Rejection).reason
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        # A rejected call had no effect, whatever the reason was.
+        raise errors.WorkerUnavailable(
+            f'worker at {address} rejected a call with a body that cannot be '
+            f'decoded: {error!r}; retry'
+        ) from error
+
+
 def _decode_report(worker_report: _WorkerReport) -> report_module.Report:
     running = tuple(
         report_module.ActiveRun(
-            row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0
+            row.task, row.run, row.saved, int(row.percent), int(row.load)
         )
         for row in worker_report.running
     )
     ends = tuple(
         report_module.RunEnd(
-            row[0], row[1], row[2], _END_KINDS[row[3]], row[4]
+            row.number, row.task, row.run, _END_KINDS[row.how], row.saved
         )
         for row in worker_report.finished
     )
