Keep the leadership when the report of one worker cannot be applied

What callers would see: no leader for long, as each one steps down at the same report, which the worker repeats; and a task that never ends, as the error of its start left it without an outcome. Cause: any error in the session of one worker ended the leadership, and an unexpected error of a start ended only the task of the event loop. Change: such a report is logged as internal_fault, its worker gets no new tasks for 2 s and the session goes on; a start with an unexpected error has an unknown outcome, so the run is stopped and the task queued again. Result: two tests in tests/test_cell_session.py fail before and pass now. Conclusion: a fault that one worker can cause costs that worker only.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -33,6 +33,8 @@
 _START_RETRY_LIMIT_MS = 1_500
 _ORDER_TIMEOUT_MS = 350
 _MAX_STOP_ATTEMPTS = 6
+# A worker whose report could not be applied gets no new tasks for this long.
+_FAULT_PAUSE_MS = 2_000
 _STOP_RETRY_MS = 250
 
 
@@ -174,6 +176,14 @@
         self._order_tasks.add(task)
         task.add_done_callback(self._order_tasks.discard)
 
+    def _log_fault(self, part: str, error: Exception) -> None:
+        events.emit(
+            cell_events.INTERNAL_FAULT,
+            part=part,
+            worker=self.worker.worker_id,
+            error=repr(error),
+        )
+
     def _fail(self, error: Exception) -> None:
         self._owner.lose_leadership(f'a worker session failed: {error!r}')
 
@@ -228,8 +238,16 @@
             return error.message
         now_ms = self._clock.now_ms()
         self._lease.observe(report.clock_ms, now_ms)
+        try:
+            lacks_ends = self._owner.handle_report(self, report, sent_ms)
+        except Exception as error:
+            # What one worker reports must not end the leadership: the next
+            # leader would receive the same report.
+            self._log_fault('report', error)
+            worker.suspect_until_ms = now_ms + _FAULT_PAUSE_MS
+            return f'a report could not be applied: {error!r}'
         self._is_worker_silent = False
-        if self._owner.handle_report(self, report, sent_ms):
+        if lacks_ends:
             await self._owner.wait_for_ends(worker, _UNRECORDED_PAUSE_MS)
         elif not recorded:
             await self._clock.sleep_ms(_UNRECORDED_PAUSE_MS)
@@ -282,6 +300,10 @@
             return start_outcome.StartOutcome.NOT_SENT
         except errors.WorkerOutcomeUnknown:
             return start_outcome.StartOutcome.UNKNOWN
+        except Exception as error:
+            # Without an outcome, the task would keep its room for ever.
+            self._log_fault('start', error)
+            return start_outcome.StartOutcome.UNKNOWN
 
     async def _pace(self, order: orders_module.PaceOrder) -> None:
         try:
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from basilspindle.cell import report as report_module
 from basilspindle.cell import session as session_module
 from basilspindle.cell import start_outcome
 from basilspindle import clock as clock_module
@@ -90,6 +91,76 @@
         self.assertIs(_Outcome.NO_ROOM, self.outcome(_Outcome.NO_ROOM))
 
 
+    def test_an_unexpected_error_leaves_the_outcome_unknown(self):
+        """Guard against a task that keeps its room and never ends.
+
+        The error ended the task of the event loop that made the call, and
+        the owner never heard of the outcome.
+        """
+        self.assertIs(
+            _Outcome.UNKNOWN, self.outcome(ValueError('not a response'))
+        )
+
+
+class _Reporter:
+    """Answers each renewal with the same report, and stops after a few."""
+
+    def __init__(self, renewals):
+        self.renewals = renewals
+        self.calls = 0
+
+    async def renew(self, *values):
+        self.calls += 1
+        if self.calls > self.renewals:
+            await asyncio.Event().wait()
+        return report_module.Report(0, cell_case.BORN_MS, (), ())
+
+
+class _FailingOwner:
+    def __init__(self):
+        self.reports = 0
+        self.lost = []
+
+    def handle_report(self, session, report, sent_ms):
+        self.reports += 1
+        raise KeyError('unknown row')
+
+    def lose_leadership(self, reason):
+        self.lost.append(reason)
+
+    def lose_worker(self, session):
+        return
+
+
+class ReportTest(unittest.TestCase):
+    """Guard the leadership against what one worker reports."""
+
+    def test_a_report_that_cannot_be_applied_ends_no_leadership(self):
+        """Guard against leaders that end one after another.
+
+        The worker repeats its report to each new leader.
+        """
+        case = cell_case.CellCase()
+        case.setUp()
+        worker = case.add_worker('w1')
+        owner = _FailingOwner()
+        reporter = _Reporter(3)
+        session = session_module.Session(
+            worker, reporter, owner, _SteppingClock(), 1, 10_000
+        )
+
+        async def play():
+            session.open()
+            while reporter.calls <= reporter.renewals and not owner.lost:
+                await asyncio.sleep(0)
+            session.close()
+
+        asyncio.run(play())
+        self.assertEqual([], owner.lost)
+        self.assertEqual(3, owner.reports)
+        self.assertFalse(worker.accepts(1_000))
+
+
 class _SteppingClock(clock_module.Clock):
     """Advances by 100 ms whenever the time is read."""
 
