Keep the tasks of a draining worker that may only be cut off

Cause: a draining worker without a registry entry counted as gone after 1.6 s of silence. An entry also expires after three missing heartbeats: a draining worker that is cut off and runs on loses it 4.5 s later, while its lease of 5 s is still valid, and its tasks were queued again. Ruled out: workers that are not draining, whose tasks wait for the lease. Change: such a worker is gone only if it answered until shortly before its entry was removed, less than an expired entry needs; all others keep their tasks until their lease has expired. A worker known from an earlier leader counts as unlisted since it was added, not since time 0. A worker that leaves still gives its tasks back after 1.6 s.

--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -15,6 +15,9 @@
 _REFRESH_INTERVAL_MS = 700
 # Longer than a lease renewal takes, including its wait for run ends.
 _DEPARTED_SILENCE_MS = 1_600
+# A registry entry expires after this many heartbeats are missing. The latest
+# one may have come up to a heartbeat before the worker was cut off.
+_EXPIRY_HEARTBEATS = 3
 
 OpenSession = collections.abc.Callable[
     [worker_module.Worker], session_module.Session
@@ -92,13 +95,19 @@
                 self.drop(worker)
 
     def _has_departed(self, worker: worker_module.Worker) -> bool:
-        # A worker that was draining and has lost its registry entry is gone
-        # once it stops answering.
+        # A draining worker that answered until its registry entry was removed
+        # and is silent since has left. One that was silent before, or answered
+        # later, may be cut off and run on until its lease expires.
+        if worker.ready or not worker.reported:
+            return False
         silent_ms = self._clock.now_ms() - worker.last_contact_ms
+        silent_before_ms = worker.unlisted_since_ms - worker.last_contact_ms
+        expired_after_ms = (
+            _EXPIRY_HEARTBEATS - 1
+        ) * self._state.bounds.heartbeat_ms
         return (
-            not worker.ready
-            and worker.reported
-            and silent_ms > _DEPARTED_SILENCE_MS
+            silent_ms > _DEPARTED_SILENCE_MS
+            and 0 <= silent_before_ms < expired_after_ms - _REFRESH_INTERVAL_MS
         )
 
     def drop(self, worker: worker_module.Worker) -> None:
@@ -134,6 +143,7 @@
             entry.capacity if entry else state_module.NO_NEED,
         )
         worker.listed = entry is not None
+        worker.unlisted_since_ms = self._clock.now_ms()
         worker.ready = entry is not None and entry.is_ready
         self._state.workers[worker_id] = worker
         self._note_address(worker_id, address)
--- /dev/null
+++ b/tests/test_cell_worker_tracker.py
@@ -0,0 +1,154 @@
+"""Test when a worker counts as gone."""
+
+import asyncio
+
+from basilspindle.cell import ports
+from basilspindle.cell import worker_tracker as worker_tracker_module
+from basilspindle import clock as clock_module
+from basilspindle.workflow import task_state
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+_HEARTBEAT_MS = 1_500
+# A registry entry expires after three heartbeats.
+_EXPIRY_MS = 3 * _HEARTBEAT_MS
+
+
+class _Clock(clock_module.Clock):
+    __slots__ = ('case',)
+
+    def __init__(self, case):
+        self.case = case
+
+    def now_ms(self):
+        return self.case.now_ms
+
+
+class _Registry:
+    def __init__(self):
+        self.entries = {}
+
+    async def refresh(self):
+        return dict(self.entries)
+
+
+class _Recorder:
+    def __init__(self):
+        self.worker_addresses = {}
+        self.worker_addresses_changed = False
+
+
+class _Session:
+    """Requeues the tasks of its worker when that is declared lost."""
+
+    def __init__(self, case, worker):
+        self.case = case
+        self.worker = worker
+
+    def open(self):
+        return
+
+    def close(self):
+        return
+
+    def declare_lost(self):
+        self.worker.reported = False
+        self.case.state.requeue_worker_tasks(self.worker)
+
+
+class DepartureTest(cell_case.CellCase):
+    """Guard tasks of a worker that is silent, not gone."""
+
+    def setUp(self):
+        super().setUp()
+        self.registry = _Registry()
+        self.tracker = worker_tracker_module.WorkerTracker(
+            self.state,
+            _Clock(self),
+            self.registry,
+            _Recorder(),
+            lambda worker: _Session(self, worker),
+        )
+        self.list('w1', is_ready=True)
+        self.refresh()
+        self.report('w1')
+        job = self.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step())
+        )
+        [start] = self.start_all(self.plan())
+        self.task = start.task
+        self.assertEqual({'w1'}, {start.worker_id})
+        self.assertEqual(1, len(job.occupying_tasks))
+        self.list('w1', is_ready=False)
+        self.refresh()
+
+    def list(self, name, is_ready):
+        self.registry.entries[name] = ports.RegisteredWorker(
+            name,
+            f'{name}:1',
+            cell_case.POOL,
+            'r1',
+            'a',
+            ('k', 'r1'),
+            cell_case.workflow.Need(4_000, 100_000),
+            is_ready,
+            0,
+            cell_case.BORN_MS,
+        )
+
+    def refresh(self):
+        asyncio.run(self.tracker.refresh())
+
+    def advance(self, duration_ms, answers):
+        """Refresh every 700 ms, with reports of the worker if it answers."""
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.now_ms = min(self.now_ms + 700, until_ms)
+            if answers:
+                self.report('w1', [(self.task.name, self.task.run)])
+            self.refresh()
+
+    def test_a_draining_worker_that_is_cut_off_keeps_its_tasks(self):
+        """Guard against a task that is started again while it runs.
+
+        The worker was cut off from the store and the leader at once. Its
+        registry entry expired before its lease did.
+        """
+        for delay_ms in (0, 500, 1_000, _HEARTBEAT_MS):
+            with self.subTest(delay_ms=delay_ms):
+                self.setUp()
+                # The latest heartbeat came before the worker was cut off.
+                self.advance(_EXPIRY_MS - delay_ms, answers=False)
+                del self.registry.entries['w1']
+                self.advance(2_000, answers=False)
+                self.assertIs(task_state.TaskState.RUNNING, self.task.state)
+
+    def test_a_worker_that_has_left_gives_its_tasks_back_soon(self):
+        """Guard against tasks that wait for the lease of a worker."""
+        self.advance(3_000, answers=True)
+        del self.registry.entries['w1']
+        self.advance(2_400, answers=False)
+        self.assertIs(task_state.TaskState.WAITING, self.task.state)
+
+    def test_a_draining_worker_that_answers_keeps_its_tasks(self):
+        """Guard against trust in an entry that expired with the store."""
+        self.advance(3_000, answers=True)
+        del self.registry.entries['w1']
+        self.advance(6_000, answers=True)
+        self.assertIs(task_state.TaskState.RUNNING, self.task.state)
+
+    def test_a_recovered_worker_that_answered_keeps_its_tasks(self):
+        """Guard against a second run while the registry is incomplete.
+
+        The entry expired with the store; the leader knows the worker from
+        its predecessor.
+        """
+        self.tracker._recorder.worker_addresses['w2'] = 'w2:1'
+        self.tracker.recover()
+        self.report('w2', [(self.task.name, self.task.run + 1)])
+        self.now_ms += 700
+        self.report('w2')
+        worker = self.state.workers['w2']
+        worker.add_task(self.task)
+        self.advance(3_000, answers=False)
+        self.assertIn(self.task.name, worker.tasks)
