Stop less urgent tasks for a gang that would be late

Cause: a gang needs all its room, and all its part of the workspace's limit, at once. Smaller tasks took each part of both as it became free, and the requests for advice about all 270 workers took 1.5 to 4.3 s, one after another. Ruled out: the store (an append takes 35 ms), the leader's processor (0.65 of 2.15 cores), expired tickets (75 of 830 s of waiting). Change: tasks of less urgent jobs that checkpoint give way once to a gang whose slack is nearly used up and that can still be on time; tasks about to end are waited for; the room is reserved for 3 s at most. The limit of a workspace is kept for its most urgent waiting gang, for 2 s at most while less than half of it is used. A request for advice is divided over daemons without a pending call. Conclusion: room for wide gangs has to be made, it does not come by itself.

--- a/basilspindle/cell/advice_calls.py
+++ b/basilspindle/cell/advice_calls.py
@@ -14,6 +14,7 @@
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
+from basilspindle.workflow import step_run as step_run_module
 
 # A daemon whose call failed gets no calls for this long, and the step whose
 # call failed is not retried earlier.
@@ -62,23 +63,40 @@
         self._remote_advisers.pop(link, None)
 
     def send(self, order: orders_module.AdviceRequest) -> None:
-        """Start a call for the workers and the step of an order."""
-        task = asyncio.ensure_future(self._ask(order))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        """Start the calls for the workers and the step of an order."""
+        run = order.step_run
+        parts = advisers_module.split(
+            self._advisers,
+            order.worker_ids,
+            self._expected_ms(run, len(order.worker_ids)),
+        )
+        run.pending_advice_calls = len(parts)
+        for worker_ids in parts:
+            part = orders_module.AdviceRequest(run, worker_ids)
+            task = asyncio.ensure_future(self._ask(part))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
 
     def close(self) -> None:
         """Cancel all calls in flight."""
         for task in self._calls:
             task.cancel()
 
+    @property
+    def _advisers(self) -> list[advisers_module.Adviser]:
+        return [self._local_adviser, *self._remote_advisers.values()]
+
+    def _expected_ms(
+        self, run: step_run_module.StepRun, workers: int
+    ) -> float:
+        terms = self._state.advice_terms(run.job.definition)
+        return terms.call_ms(workers) if terms else 0.0
+
     async def _ask(self, order: orders_module.AdviceRequest) -> None:
         run = order.step_run
-        terms = self._state.advice_terms(run.job.definition)
-        expected_ms = terms.call_ms(len(order.worker_ids)) if terms else 0.0
-        candidates = [self._local_adviser, *self._remote_advisers.values()]
+        expected_ms = self._expected_ms(run, len(order.worker_ids))
         adviser = advisers_module.choose(
-            candidates, expected_ms, self._clock.now_ms()
+            self._advisers, expected_ms, self._clock.now_ms()
         )
         if adviser is None:
             self._fail(order, 'every daemon is paused after a failed call')
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -110,6 +110,13 @@
     'a ready step cannot start all of its tasks now',
     'see the reason; candidates is the number of workers that may run it',
 )
+TASKS_PREEMPTED = _Event(
+    938,
+    'tasks_preempted',
+    _Level.INFO,
+    'less urgent tasks are stopped to make room for a gang',
+    'nothing to do; they continue from their checkpoints',
+)
 ADVICE_TAKEN = _Event(
     917,
     'advice_taken',
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -427,6 +427,13 @@
                 )
         for advice in orders.advice:
             self.advice_calls.send(advice)
+        for preempted in orders.preemptions:
+            metrics.PREEMPTIONS.inc(len(preempted.tasks))
+            events.emit(
+                cell_events.TASKS_PREEMPTED,
+                step=preempted.step_run.key,
+                tasks=[task.name for task in preempted.tasks],
+            )
         for note in orders.waits:
             run = note.step_run
             events.emit(
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -41,6 +41,10 @@
     'Orders to start a task by outcome.',
     ['outcome'],
 )
+PREEMPTIONS = prometheus.Counter(
+    'basilspindle_preemptions_total',
+    'Tasks stopped to make room for more urgent ones.',
+)
 RUN_ENDS = prometheus.Counter(
     'basilspindle_run_ends_total', 'Ended runs by kind.', ['kind']
 )
--- a/basilspindle/cell/orders.py
+++ b/basilspindle/cell/orders.py
@@ -82,10 +82,31 @@
         self.candidates = candidates
 
 
+class PreemptionNote:
+    """Gang that gets room, and the tasks that give way to it."""
+
+    __slots__ = ('step_run', 'tasks')
+
+    def __init__(
+        self,
+        step_run: step_run_module.StepRun,
+        tasks: list[task_module.Task],
+    ) -> None:
+        self.step_run = step_run
+        self.tasks = tasks
+
+
 class Orders:
     """Orders of a scheduling pass, and the reasons why steps wait."""
 
-    __slots__ = ('starts', 'stops', 'paces', 'advice', 'waits')
+    __slots__ = (
+        'starts',
+        'stops',
+        'paces',
+        'advice',
+        'waits',
+        'preemptions',
+    )
 
     def __init__(self) -> None:
         self.starts: list[StartOrder] = []
@@ -93,3 +114,4 @@
         self.paces: list[PaceOrder] = []
         self.advice: list[AdviceRequest] = []
         self.waits: list[WaitNote] = []
+        self.preemptions: list[PreemptionNote] = []
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -1,13 +1,16 @@
 """Schedule waiting tasks: decide which start now, and on which workers."""
 
+from basilspindle.cell import limit_hold
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import packing
+from basilspindle.cell import preemption
 from basilspindle.cell import state as state_module
 from basilspindle.cell import unseen
 from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task as task_module
 from basilspindle.workflow import task_state
 from basilspindle.workflow import ticket as ticket_module
 
@@ -33,14 +36,30 @@
 _AVOID_FACTOR = 2
 # The workers of a step that may run on at most this many are scarce.
 _FEW_ELIGIBLE_WORKERS = 3
-# The advice service accepts at most this many workers in one call.
-_MAX_WORKERS_PER_CALL = 100
+# A request for advice names at most this many workers; it is divided into
+# calls.
+_MAX_WORKERS_PER_REQUEST = 300
+# Tasks give way to a gang that has less time left than this until it has to
+# start, as others may end soon enough by themselves.
+_PREEMPTION_SLACK_MS = 2_500
+# A gang that has to start earlier than this ago is late whatever gives way: a
+# declared duration is that far off.
+_MAX_OVERDUE_MS = 1_500
+# Room for a gang is reserved for this long while the tasks that give way to it
+# are stopped and others end.
+_PREEMPTION_TIMEOUT_MS = 3_000
 
 
 class Planner:
     """Match waiting tasks to free capacity and issue the start orders."""
 
-    __slots__ = ('_state', '_unseen_usage', '_scarce_workers')
+    __slots__ = (
+        '_state',
+        '_unseen_usage',
+        '_scarce_workers',
+        '_urgency',
+        '_limit_hold',
+    )
 
     def __init__(self, state: state_module.CellState) -> None:
         self._state = state
@@ -49,6 +68,8 @@
         self._unseen_usage: dict[str, need_module.Need] = {}
         # Ids of workers that steps with few eligible workers wait for.
         self._scarce_workers: set[str] = set()
+        self._urgency = urgency.Urgency(0, state.due_times_ms)
+        self._limit_hold = limit_hold.LimitHold(state)
 
     def plan(self, now_ms: int) -> None:
         """Run a scheduling pass and add its orders to those of the state."""
@@ -73,16 +94,25 @@
             if self._unseen_usage.get(workspace) != need:
                 freed_workspaces.add(workspace)
         self._scarce_workers = _find_scarce_workers(state)
-        key = urgency.Urgency(now_ms, state.due_times_ms)
-        for run in sorted(state.table.ready_steps.values(), key=key):
-            if self._should_skip(run, now_ms, freed_workers, freed_workspaces):
+        self._limit_hold.begin_pass()
+        self._urgency = urgency.Urgency(now_ms, state.due_times_ms)
+        for run in sorted(state.table.ready_steps.values(), key=self._urgency):
+            skip = self._should_skip(
+                run, now_ms, freed_workers, freed_workspaces
+            )
+            if not skip:
+                run.retry_at_ms = now_ms + _RECHECK_INTERVAL_MS
+                pool = pools.get(run.job.definition.pool, [])
+                self._place(run, pool, now_ms)
+            if run.is_limited_by_workspace and self._may_hold(run):
+                self._limit_hold.hold(run, now_ms)
+            if skip:
                 continue
-            run.retry_at_ms = now_ms + _RECHECK_INTERVAL_MS
-            self._place(run, pools.get(run.job.definition.pool, []), now_ms)
             if not run.waiting:
                 state.table.ready_steps.pop(run.key, None)
             elif run.tickets is not None and not run.advice_requested_ms:
                 self._ask_about_new_workers(run, pools, now_ms)
+        state.freed_workspaces |= self._limit_hold.end_pass()
 
     def _should_skip(
         self,
@@ -150,17 +180,15 @@
                 if worker.worker_id in run.tickets
             ]
         candidates = _exclude_avoided(run, candidates, now_ms)
-        headroom = self._state.usage.headroom(
-            definition.workspace,
-            step.reserved,
-            self._state.workspace_limit(definition.workspace),
-            self._unseen_usage.get(definition.workspace, state_module.NO_NEED),
-        )
+        headroom = self._headroom(run)
         run.is_limited_by_workspace = headroom < len(run.waiting)
         count = min(len(run.waiting), headroom)
         if not count or (step.gang and count < step.count):
             self._record_wait_reason(run, _Reason.LIMIT, len(candidates))
+            self._preempt_own(run, now_ms)
             return
+        if not run.reserved_tasks:
+            run.awaits_preempted = False
         if advice is None:
             assignment = packing.assign(
                 run, candidates, count, self._scarce_workers
@@ -168,9 +196,37 @@
             self._start(run, assignment, now_ms)
             if run.waiting:
                 self._record_wait_reason(run, _Reason.ROOM, len(candidates))
+                self._preempt(run, candidates, now_ms)
             return
         self._place_advised(run, candidates, count, now_ms)
 
+    def _headroom(self, run: step_run_module.StepRun) -> int:
+        workspace = run.job.definition.workspace
+        if self._limit_hold.is_held(workspace):
+            return 0
+        return self._state.usage.headroom(
+            workspace,
+            run.step.reserved,
+            self._state.workspace_limit(workspace),
+            self._unseen_usage.get(workspace, state_module.NO_NEED),
+        )
+
+    def _may_preempt(self, run: step_run_module.StepRun) -> bool:
+        if run.awaits_preempted or not self._may_hold(run):
+            return False
+        advice = self._state.advice_terms(run.job.definition)
+        slack_ms = self._urgency.slack_ms(run, advice)
+        return -_MAX_OVERDUE_MS <= slack_ms <= _PREEMPTION_SLACK_MS
+
+    def _may_hold(self, run: step_run_module.StepRun) -> bool:
+        # Only a gang that can still end in time holds back other work.
+        return (
+            run.step.gang
+            and len(run.waiting) == run.step.count
+            and not run.job.is_beyond_share
+            and not self._urgency.is_too_late(run)
+        )
+
     def _place_advised(
         self,
         run: step_run_module.StepRun,
@@ -193,6 +249,7 @@
             return
         if len(valid) == len(candidates):
             self._record_wait_reason(run, _Reason.ROOM, len(candidates))
+            self._preempt(run, candidates, now_ms)
             return
         if run.step.gang:
             # A gang starts as a whole and needs all its tickets at once.
@@ -207,6 +264,57 @@
             self._request_advice(run, list(assignment), now_ms)
         else:
             self._record_wait_reason(run, _Reason.ROOM, len(candidates))
+            self._preempt(run, candidates, now_ms)
+
+    def _preempt(
+        self,
+        run: step_run_module.StepRun,
+        workers: list[worker_module.Worker],
+        now_ms: int,
+    ) -> None:
+        # Stops less urgent tasks where a gang that can still end in time may
+        # run, and keeps their room for it.
+        if not self._may_preempt(run):
+            return
+        found = preemption.plan_preemption(
+            self._state, run, workers, len(run.waiting), now_ms
+        )
+        if found is None:
+            return
+        self._reserve(run, found.assignment, now_ms)
+        self._stop_preempted(run, found.tasks, now_ms)
+        if run.tickets is not None:
+            # The tickets are to be valid once the tasks have stopped.
+            self._request_advice(run, list(found.assignment), now_ms)
+
+    def _preempt_own(self, run: step_run_module.StepRun, now_ms: int) -> None:
+        # Stops less urgent tasks of the same workspace.
+        workspace = run.job.definition.workspace
+        if not self._may_preempt(run):
+            return
+        if self._limit_hold.is_held(workspace):
+            return
+        unseen = self._unseen_usage.get(workspace, state_module.NO_NEED)
+        tasks = preemption.plan_limit_preemption(
+            self._state, run, unseen, now_ms
+        )
+        if tasks:
+            self._stop_preempted(run, tasks, now_ms)
+
+    def _stop_preempted(
+        self,
+        run: step_run_module.StepRun,
+        tasks: list[task_module.Task],
+        now_ms: int,
+    ) -> None:
+        run.awaits_preempted = True
+        run.reserved_until_ms = now_ms + _PREEMPTION_TIMEOUT_MS
+        for task in tasks:
+            task.preemptions += 1
+            self._state.request_stop(task)
+        self._state.orders.preemptions.append(
+            orders_module.PreemptionNote(run, tasks)
+        )
 
     def _record_wait_reason(
         self,
@@ -286,9 +394,10 @@
         if _is_awaiting_advice(run, now_ms) or not worker_ids:
             return
         run.advice_requested_ms = now_ms
+        run.pending_advice_calls = 1
         self._state.orders.advice.append(
             orders_module.AdviceRequest(
-                run, worker_ids[:_MAX_WORKERS_PER_CALL]
+                run, worker_ids[:_MAX_WORKERS_PER_REQUEST]
             )
         )
 
@@ -298,6 +407,7 @@
         assignment: packing.Assignment,
         now_ms: int,
     ) -> None:
+        self._state.release_reservation(run)
         run.reserved_tasks = dict(assignment)
         run.reserved_until_ms = now_ms + _ADVICE_TIMEOUT_MS
         for worker_id, count in assignment.items():
@@ -311,14 +421,14 @@
         *,
         force: bool = False,
     ) -> None:
-        if not run.reserved_tasks:
+        if not run.reserved_tasks and not run.awaits_preempted:
             return
         if (
             not force
-            and run.advice_requested_ms
+            and (run.advice_requested_ms or run.awaits_preempted)
             and now_ms < run.reserved_until_ms
         ):
-            # The call for advice is still pending.
+            # A call for advice or the stop of other tasks is still pending.
             return
         self._state.release_reservation(run)
 
@@ -381,7 +491,7 @@
     for worker_id, value in tickets.items():
         merged[worker_id] = ticket_module.Ticket(value, expires_ms)
     run.tickets = merged
-    run.advice_requested_ms = 0
+    _end_advice_call(run)
     run.retry_at_ms = 0
 
 
@@ -391,11 +501,17 @@
     retry_at_ms: int,
 ) -> None:
     """Retry a failed call for advice at ``retry_at_ms``."""
-    run.advice_requested_ms = 0
+    _end_advice_call(run)
     run.retry_at_ms = retry_at_ms
     state.release_reservation(run)
 
 
+def _end_advice_call(run: step_run_module.StepRun) -> None:
+    run.pending_advice_calls -= 1
+    if run.pending_advice_calls <= 0:
+        run.advice_requested_ms = 0
+
+
 def _exclude_avoided(
     run: step_run_module.StepRun,
     workers: list[worker_module.Worker],
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -200,6 +200,7 @@
                 worker.reserved = worker.reserved.plus(need, -count)
                 self.freed_workers.add(worker_id)
         step_run.reserved_tasks = {}
+        step_run.awaits_preempted = False
 
     def mark_changed(self, job: job_module.Job) -> None:
         """Mark a job to be recorded with the next append."""
--- a/basilspindle/cell/urgency.py
+++ b/basilspindle/cell/urgency.py
@@ -23,6 +23,23 @@
     return int(max(finish_ms, default=0.0))
 
 
+def _path_from_ms(
+    definition: definition_module.JobDefinition,
+    index: int,
+    advice: advice_terms.AdviceTerms | None,
+) -> float:
+    # Estimated time from the start of a step to the end of the job.
+    call_ms = advice.call_ms(_WORKERS_PER_CALL) if advice else 0.0
+    finish_ms = {index: float(definition.steps[index].estimate_ms)}
+    for number, step in enumerate(definition.steps):
+        before = [
+            finish_ms[other] for other in step.after if other in finish_ms
+        ]
+        if before and number not in finish_ms:
+            finish_ms[number] = max(before) + step.estimate_ms + call_ms
+    return max(finish_ms.values())
+
+
 def objective_ms(
     definition: definition_module.JobDefinition,
     advice: advice_terms.AdviceTerms | None,
@@ -52,9 +69,30 @@
     ) -> tuple[bool, int, bool, int, str]:
         """Return the sort key of a step; smaller keys come first."""
         job = run.job
+        return (
+            job.is_beyond_share,
+            job.definition.priority,
+            self.is_too_late(run),
+            self._due_ms.get(job.job_id, job.accepted_ms),
+            run.key,
+        )
+
+    def slack_ms(
+        self,
+        run: step_run_module.StepRun,
+        advice: advice_terms.AdviceTerms | None,
+    ) -> float:
+        """Return how much later a step may start and its job be on time."""
+        job = run.job
         due_ms = self._due_ms.get(job.job_id, job.accepted_ms)
-        span_ms = due_ms - job.accepted_ms
+        path_ms = _path_from_ms(job.definition, run.index, advice)
+        return due_ms - self._now_ms - path_ms
+
+    def is_too_late(self, run: step_run_module.StepRun) -> bool:
+        """Tell whether the result has no value by the end of a step."""
+        job = run.job
+        span_ms = self._due_ms.get(job.job_id, job.accepted_ms) - (
+            job.accepted_ms
+        )
         cutoff_ms = job.accepted_ms + MAX_LATENESS_FACTOR * span_ms
-        is_too_late = self._now_ms + run.step.estimate_ms > cutoff_ms
-        priority = job.definition.priority
-        return (job.is_beyond_share, priority, is_too_late, due_ms, run.key)
+        return self._now_ms + run.step.estimate_ms > cutoff_ms
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -20,9 +20,12 @@
 
     ``tickets`` maps worker ids to their tickets, None before the first
     advice. ``advised_worker_ids`` are the workers named in calls for advice
-    so far. ``advice_requested_ms`` is the time of a pending call, 0 if there
+    so far. ``pending_advice_calls`` counts the calls without an answer, and
+    ``advice_requested_ms`` is the time at which they were made, 0 if there
     is none. ``reserved_tasks`` maps worker ids to the number of tasks for
     which room is reserved during a call, until ``reserved_until_ms``.
+    ``awaits_preempted`` tells that it is reserved while tasks that give way
+    to the step are being stopped.
 
     ``wait_reason`` is why the step did not start when it was last planned,
     and ``retry_at_ms`` when it is planned again at the latest.
@@ -43,11 +46,13 @@
         'done',
         'tickets',
         'advice_requested_ms',
+        'pending_advice_calls',
         'advised_worker_ids',
         'ready_ms',
         'started_ms',
         'reserved_tasks',
         'reserved_until_ms',
+        'awaits_preempted',
         'retry_at_ms',
         'wait_reason',
         'is_limited_by_workspace',
@@ -76,11 +81,13 @@
         self.done = 0
         self.tickets: dict[str, ticket_module.Ticket] | None = None
         self.advice_requested_ms = 0
+        self.pending_advice_calls = 0
         self.advised_worker_ids: set[str] = set()
         self.ready_ms = 0
         self.started_ms = 0
         self.reserved_tasks: dict[str, int] = {}
         self.reserved_until_ms = 0
+        self.awaits_preempted = False
         self.retry_at_ms = 0
         self.wait_reason = ''
         self.is_limited_by_workspace = False
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -25,6 +25,7 @@
     taken from the latest report: the response time in ms of a service, the
     CPU usage of any other task. ``pace_percent`` is the speed ordered at
     ``paced_ms``, in percent of full speed; None if it is unknown.
+    ``preemptions`` counts the stops in favour of more urgent work.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         'load',
         'pace_percent',
         'paced_ms',
+        'preemptions',
     )
 
     def __init__(
@@ -69,6 +71,7 @@
         self.load = 0
         self.pace_percent: int | None = 100
         self.paced_ms = 0
+        self.preemptions = 0
 
     @property
     def occupies_worker(self) -> bool:
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -90,7 +90,6 @@
         self.assertIs(_Outcome.NOT_SENT, self.outcome(_NOT_SENT))
         self.assertIs(_Outcome.NO_ROOM, self.outcome(_Outcome.NO_ROOM))
 
-
     def test_an_unexpected_error_leaves_the_outcome_unknown(self):
         """Guard against a task that keeps its room and never ends.
 
