Refuse a job whose cancellation arrived before it

What callers would see: a job runs although its caller cancelled it and was told that there is no such job. Cause: a cancellation of an unknown job was answered 410 and forgotten, so that a submission that was delayed on its way, or repeated by its caller after a lost answer, was accepted afterwards. Ruled out: recording such cancellations in the store, as any id may be cancelled and a job that nobody submitted must not be shown. Change: the leader remembers them for 60 s, at most 10,000, by workspace; a later submission is answered 429 and never runs. Conclusion: the order of arrival no longer decides whether it runs.

--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -1,6 +1,7 @@
 """Accept, look up and cancel jobs."""
 
 from basilspindle.cell import admission
+from basilspindle.cell import early_cancels
 from basilspindle.cell import state as state_module
 from basilspindle.cell import urgency
 from basilspindle import errors
@@ -8,6 +9,9 @@
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
 
+# A repeat cannot help, so callers that repeat anyway come back late.
+_CANCELLED_RETRY_MS = 10_000
+
 
 class Intake:
     """Apply job requests of callers to the state of the cell.
@@ -15,10 +19,11 @@
     Submission is idempotent: a repeated job id returns the same job.
     """
 
-    __slots__ = ('_state',)
+    __slots__ = ('_state', '_early_cancels')
 
     def __init__(self, state: state_module.CellState) -> None:
         self._state = state
+        self._early_cancels = early_cancels.EarlyCancels()
 
     def find_state(
         self, job_id: str, workspace: str
@@ -39,8 +44,9 @@
     ) -> job_module.Job | None:
         """Return the new or existing job; None if it has already ended.
 
-        Raises ``Overloaded`` if the job could not end in time and
-        ``KeyReused`` if a job of another workspace has the same id.
+        Raises ``Overloaded`` if the job could not end in time,
+        ``AlreadyCancelled`` if its cancellation came first and ``KeyReused``
+        if a job of another workspace has the same id.
         """
         table = self._state.table
         job = table.jobs.get(definition.job_id)
@@ -51,6 +57,16 @@
         if ended is not None:
             _check_workspace(ended.workspace, definition)
             return None
+        if self._early_cancels.has(
+            definition.job_id, definition.workspace, now_ms
+        ):
+            raise errors.AlreadyCancelled(
+                f'job {definition.job_id} was cancelled before it arrived; '
+                'submit it with another id',
+                ran=errors.Ran.NO,
+                retry_after_ms=_CANCELLED_RETRY_MS,
+                job_id=definition.job_id,
+            )
         workspace = self._state.workspace_config(definition.workspace)
         limiter = self._state.share_limiter
         is_beyond_share = limiter.is_beyond(workspace, now_ms)
@@ -94,6 +110,12 @@
         self._state.end_job(job, job_state.JobState.CANCELLED)
         return job
 
+    def note_early_cancel(
+        self, job_id: str, workspace: str, now_ms: int
+    ) -> None:
+        """Refuse a job from now on, as its caller was told that it is gone."""
+        self._early_cancels.note(job_id, workspace, now_ms)
+
     def _check_backlog(
         self,
         definition: definition_module.JobDefinition,
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -244,6 +244,9 @@
         if job is None:
             known = self._intake.find_state(request.job_id, request.workspace)
             if known is None:
+                self._intake.note_early_cancel(
+                    request.job_id, request.workspace, self._clock.now_ms()
+                )
                 return messages.Gone()
             return messages.Accepted()
         self._send_orders()
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -153,6 +153,13 @@
     status = 409
 
 
+class AlreadyCancelled(BasilspindleError):
+    """Refuse a job whose cancellation arrived before it."""
+
+    kind = 'already_cancelled'
+    status = 429
+
+
 class QueueFull(BasilspindleError):
     """Refuse because the workspace has reached its limit of queued tasks."""
 
--- a/tests/test_cell_intake.py
+++ b/tests/test_cell_intake.py
@@ -1,6 +1,7 @@
 """Test acceptance and refusal of jobs, and the states callers see."""
 
 from basilspindle.cell import admission
+from basilspindle.cell import early_cancels
 from basilspindle.cell import journal
 from basilspindle import errors
 from basilspindle import workflow
@@ -81,6 +82,35 @@
         self.assertFalse(self.state.table.knows(other.job_id))
         self.assertEqual([], self.plan().starts)
 
+    def test_a_job_that_was_cancelled_before_it_arrived_is_refused(self):
+        """Guard against a job that runs after its caller cancelled it.
+
+        The submission was delayed on its way, and the cancellation had been
+        answered already.
+        """
+        self.intake.note_early_cancel(_JOB, cell_case.WORKSPACE, self.now_ms)
+        self.now_ms += 20_000
+        with self.assertRaises(errors.AlreadyCancelled) as caught:
+            self.intake.submit(self.definition(), self.now_ms)
+        self.assertIs(errors.Ran.NO, caught.exception.ran)
+        self.assertFalse(self.state.table.knows(_JOB))
+
+    def test_an_early_cancellation_concerns_its_workspace_only(self):
+        """Guard against a workspace that stops the jobs of another one."""
+        self.intake.note_early_cancel(_JOB, 'beta', self.now_ms)
+        self.submit(self.definition())
+        self.assertTrue(self.state.table.knows(_JOB))
+
+    def test_early_cancellations_are_bounded(self):
+        """Guard against memory that grows with each unknown id."""
+        cancels = early_cancels.EarlyCancels()
+        for number in range(12_000):
+            cancels.note(f'{number:016x}', 'alpha', self.now_ms)
+        self.assertFalse(cancels.has(f'{0:016x}', 'alpha', self.now_ms))
+        self.assertTrue(cancels.has(f'{11_999:016x}', 'alpha', self.now_ms))
+        self.now_ms += 120_000
+        self.assertFalse(cancels.has(f'{11_999:016x}', 'alpha', self.now_ms))
+
     def test_waiting_jobs_are_counted(self):
         """Guard against a count that omits accepted jobs."""
         for number in range(3):
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -101,6 +101,18 @@
             await asyncio.sleep(0.05)
         self.fail(f'expected two stopped tasks, not {ends}')
 
+    async def test_a_cancellation_that_comes_first_stops_its_job(self):
+        """Guard against a job that runs although it was cancelled."""
+        job_id = _JOB_ID_FORMAT.format(5)
+        answer = await self.call('DELETE', self.daemons[0], job_id)
+        self.assertEqual(410, answer.status_code)
+        body = platform_case.make_job(100, 1)
+        answer = await self.call('POST', self.daemons[1], job_id, body)
+        self.assertEqual(429, answer.status_code)
+        self.assertIn('Retry-After', answer.headers)
+        answer = await self.call('GET', self.daemons[2], job_id)
+        self.assertEqual(410, answer.status_code)
+
     async def test_metrics_and_state_are_served(self):
         """Guard against a daemon without metrics or a state dump."""
         daemon = self.leader()
