Move the decisions about room for gangs out of the planner

Tests of the division of calls for advice are new: tests/test_cell_advisers.py. No decision changes.

--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -1,16 +1,14 @@
 """Schedule waiting tasks: decide which start now, and on which workers."""
 
-from basilspindle.cell import limit_hold
+from basilspindle.cell import gang_room
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import packing
-from basilspindle.cell import preemption
 from basilspindle.cell import state as state_module
 from basilspindle.cell import unseen
 from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
-from basilspindle.workflow import task as task_module
 from basilspindle.workflow import task_state
 from basilspindle.workflow import ticket as ticket_module
 
@@ -39,15 +37,6 @@
 # A request for advice names at most this many workers; it is divided into
 # calls.
 _MAX_WORKERS_PER_REQUEST = 300
-# Tasks give way to a gang that has less time left than this until it has to
-# start, as others may end soon enough by themselves.
-_PREEMPTION_SLACK_MS = 2_500
-# A gang that has to start earlier than this ago is late whatever gives way: a
-# declared duration is that far off.
-_MAX_OVERDUE_MS = 1_500
-# Room for a gang is reserved for this long while the tasks that give way to it
-# are stopped and others end.
-_PREEMPTION_TIMEOUT_MS = 3_000
 
 
 class Planner:
@@ -57,8 +46,7 @@
         '_state',
         '_unseen_usage',
         '_scarce_workers',
-        '_urgency',
-        '_limit_hold',
+        '_gang_room',
     )
 
     def __init__(self, state: state_module.CellState) -> None:
@@ -68,8 +56,7 @@
         self._unseen_usage: dict[str, need_module.Need] = {}
         # Ids of workers that steps with few eligible workers wait for.
         self._scarce_workers: set[str] = set()
-        self._urgency = urgency.Urgency(0, state.due_times_ms)
-        self._limit_hold = limit_hold.LimitHold(state)
+        self._gang_room = gang_room.GangRoom(state)
 
     def plan(self, now_ms: int) -> None:
         """Run a scheduling pass and add its orders to those of the state."""
@@ -94,9 +81,9 @@
             if self._unseen_usage.get(workspace) != need:
                 freed_workspaces.add(workspace)
         self._scarce_workers = _find_scarce_workers(state)
-        self._limit_hold.begin_pass()
-        self._urgency = urgency.Urgency(now_ms, state.due_times_ms)
-        for run in sorted(state.table.ready_steps.values(), key=self._urgency):
+        order = urgency.Urgency(now_ms, state.due_times_ms)
+        self._gang_room.begin_pass(order)
+        for run in sorted(state.table.ready_steps.values(), key=order):
             skip = self._should_skip(
                 run, now_ms, freed_workers, freed_workspaces
             )
@@ -104,15 +91,14 @@
                 run.retry_at_ms = now_ms + _RECHECK_INTERVAL_MS
                 pool = pools.get(run.job.definition.pool, [])
                 self._place(run, pool, now_ms)
-            if run.is_limited_by_workspace and self._may_hold(run):
-                self._limit_hold.hold(run, now_ms)
+            self._gang_room.hold_limit(run, now_ms)
             if skip:
                 continue
             if not run.waiting:
                 state.table.ready_steps.pop(run.key, None)
             elif run.tickets is not None and not run.advice_requested_ms:
                 self._ask_about_new_workers(run, pools, now_ms)
-        state.freed_workspaces |= self._limit_hold.end_pass()
+        state.freed_workspaces |= self._gang_room.end_pass()
 
     def _should_skip(
         self,
@@ -185,7 +171,7 @@
         count = min(len(run.waiting), headroom)
         if not count or (step.gang and count < step.count):
             self._record_wait_reason(run, _Reason.LIMIT, len(candidates))
-            self._preempt_own(run, now_ms)
+            self._gang_room.make_headroom(run, self._unseen_need(run), now_ms)
             return
         if not run.reserved_tasks:
             run.awaits_preempted = False
@@ -195,36 +181,24 @@
             )
             self._start(run, assignment, now_ms)
             if run.waiting:
-                self._record_wait_reason(run, _Reason.ROOM, len(candidates))
-                self._preempt(run, candidates, now_ms)
+                self._make_room(run, candidates, now_ms)
             return
         self._place_advised(run, candidates, count, now_ms)
 
     def _headroom(self, run: step_run_module.StepRun) -> int:
         workspace = run.job.definition.workspace
-        if self._limit_hold.is_held(workspace):
+        if self._gang_room.is_held(workspace):
             return 0
         return self._state.usage.headroom(
             workspace,
             run.step.reserved,
             self._state.workspace_limit(workspace),
-            self._unseen_usage.get(workspace, state_module.NO_NEED),
+            self._unseen_need(run),
         )
 
-    def _may_preempt(self, run: step_run_module.StepRun) -> bool:
-        if run.awaits_preempted or not self._may_hold(run):
-            return False
-        advice = self._state.advice_terms(run.job.definition)
-        slack_ms = self._urgency.slack_ms(run, advice)
-        return -_MAX_OVERDUE_MS <= slack_ms <= _PREEMPTION_SLACK_MS
-
-    def _may_hold(self, run: step_run_module.StepRun) -> bool:
-        # Only a gang that can still end in time holds back other work.
-        return (
-            run.step.gang
-            and len(run.waiting) == run.step.count
-            and not run.job.is_beyond_share
-            and not self._urgency.is_too_late(run)
+    def _unseen_need(self, run: step_run_module.StepRun) -> need_module.Need:
+        return self._unseen_usage.get(
+            run.job.definition.workspace, state_module.NO_NEED
         )
 
     def _place_advised(
@@ -248,8 +222,7 @@
         if not count or run.advice_requested_ms:
             return
         if len(valid) == len(candidates):
-            self._record_wait_reason(run, _Reason.ROOM, len(candidates))
-            self._preempt(run, candidates, now_ms)
+            self._make_room(run, candidates, now_ms)
             return
         if run.step.gang:
             # A gang starts as a whole and needs all its tickets at once.
@@ -260,61 +233,22 @@
         if assignment:
             self._record_wait_reason(run, _Reason.TICKET, len(assignment))
             # Holds the capacity until the new tickets arrive.
-            self._reserve(run, assignment, now_ms)
+            self._state.reserve(run, assignment, now_ms + _ADVICE_TIMEOUT_MS)
             self._request_advice(run, list(assignment), now_ms)
         else:
-            self._record_wait_reason(run, _Reason.ROOM, len(candidates))
-            self._preempt(run, candidates, now_ms)
+            self._make_room(run, candidates, now_ms)
 
-    def _preempt(
+    def _make_room(
         self,
         run: step_run_module.StepRun,
         workers: list[worker_module.Worker],
         now_ms: int,
     ) -> None:
-        # Stops less urgent tasks where a gang that can still end in time may
-        # run, and keeps their room for it.
-        if not self._may_preempt(run):
-            return
-        found = preemption.plan_preemption(
-            self._state, run, workers, len(run.waiting), now_ms
-        )
-        if found is None:
-            return
-        self._reserve(run, found.assignment, now_ms)
-        self._stop_preempted(run, found.tasks, now_ms)
-        if run.tickets is not None:
-            # The tickets are to be valid once the tasks have stopped.
-            self._request_advice(run, list(found.assignment), now_ms)
-
-    def _preempt_own(self, run: step_run_module.StepRun, now_ms: int) -> None:
-        # Stops less urgent tasks of the same workspace.
-        workspace = run.job.definition.workspace
-        if not self._may_preempt(run):
-            return
-        if self._limit_hold.is_held(workspace):
-            return
-        unseen = self._unseen_usage.get(workspace, state_module.NO_NEED)
-        tasks = preemption.plan_limit_preemption(
-            self._state, run, unseen, now_ms
-        )
-        if tasks:
-            self._stop_preempted(run, tasks, now_ms)
-
-    def _stop_preempted(
-        self,
-        run: step_run_module.StepRun,
-        tasks: list[task_module.Task],
-        now_ms: int,
-    ) -> None:
-        run.awaits_preempted = True
-        run.reserved_until_ms = now_ms + _PREEMPTION_TIMEOUT_MS
-        for task in tasks:
-            task.preemptions += 1
-            self._state.request_stop(task)
-        self._state.orders.preemptions.append(
-            orders_module.PreemptionNote(run, tasks)
-        )
+        self._record_wait_reason(run, _Reason.ROOM, len(workers))
+        assignment = self._gang_room.make_room(run, workers, now_ms)
+        if assignment and run.tickets is not None:
+            # The tickets are to be valid once the room is free.
+            self._request_advice(run, list(assignment), now_ms)
 
     def _record_wait_reason(
         self,
@@ -401,19 +335,6 @@
             )
         )
 
-    def _reserve(
-        self,
-        run: step_run_module.StepRun,
-        assignment: packing.Assignment,
-        now_ms: int,
-    ) -> None:
-        self._state.release_reservation(run)
-        run.reserved_tasks = dict(assignment)
-        run.reserved_until_ms = now_ms + _ADVICE_TIMEOUT_MS
-        for worker_id, count in assignment.items():
-            worker = self._state.workers[worker_id]
-            worker.reserved = worker.reserved.plus(run.step.reserved, count)
-
     def _drop_reservation(
         self,
         run: step_run_module.StepRun,
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -191,6 +191,21 @@
                 self.request_stop(task)
         self.mark_changed(job)
 
+    def reserve(
+        self,
+        step_run: step_run_module.StepRun,
+        assignment: dict[str, int],
+        until_ms: int,
+    ) -> None:
+        """Keep capacity for tasks of a step, given by worker id."""
+        self.release_reservation(step_run)
+        step_run.reserved_tasks = dict(assignment)
+        step_run.reserved_until_ms = until_ms
+        for worker_id, count in assignment.items():
+            worker = self.workers[worker_id]
+            need = step_run.step.reserved
+            worker.reserved = worker.reserved.plus(need, count)
+
     def release_reservation(self, step_run: step_run_module.StepRun) -> None:
         """Release the capacity that a step has reserved."""
         for worker_id, count in step_run.reserved_tasks.items():
--- /dev/null
+++ b/tests/test_cell_advisers.py
@@ -0,0 +1,58 @@
+"""Test how calls for advice are divided over daemons."""
+
+import unittest
+
+from basilspindle.cell import advisers
+
+
+def _make_advisers(count, busy=0):
+    made = [advisers.Adviser(None) for _ in range(count)]
+    for adviser in made[:busy]:
+        adviser.pending_ms = 500.0
+    return made
+
+
+def _names(count):
+    return [f'w{number}' for number in range(count)]
+
+
+class SplitTest(unittest.TestCase):
+    """Guard the time until a gang knows where it may run.
+
+    On kwpa-refunds-large, day quiet-1, advice about all 270 workers came in
+    three calls after one another, the last one after 4.3 s.
+    """
+
+    def split(self, count, idle, expected_ms=1_170.0):
+        # Long calls use half of the daemons.
+        return advisers.split(
+            _make_advisers(2 * idle), _names(count), expected_ms
+        )
+
+    def test_a_large_request_is_divided(self):
+        """Guard against calls about many workers one after another."""
+        parts = self.split(100, 40)
+        self.assertEqual(3, len(parts))
+        self.assertEqual(9, len(self.split(270, 40)))
+
+    def test_each_worker_is_named_once(self):
+        """Guard against workers that are left out or asked about twice."""
+        for count in (1, 29, 30, 61, 100, 270):
+            parts = self.split(count, 40)
+            named = sorted(name for part in parts for name in part)
+            self.assertEqual(sorted(_names(count)), named)
+
+    def test_a_small_request_is_one_call(self):
+        """Guard against calls that cost more than they save."""
+        self.assertEqual([_names(40)], self.split(40, 40))
+
+    def test_calls_do_not_wait_behind_each_other(self):
+        """Guard against parts that queue at the same daemon."""
+        self.assertEqual(2, len(self.split(100, 2)))
+        busy = advisers.split(_make_advisers(8, busy=4), _names(90), 1_170.0)
+        self.assertEqual(1, len(busy))
+
+    def test_no_call_names_too_many_workers(self):
+        """Guard against a call that the advice service rejects."""
+        parts = self.split(270, 0)
+        self.assertLessEqual(max(map(len, parts)), 100)
