Skip progress that does not match its job instead of stepping down

What callers would see: no leader any more, as each new one failed at the same record. Cause: stored progress names steps and tasks by number; a number out of range raised IndexError or KeyError while the leader recovered. Ruled out: records that cannot be decoded, which are skipped already. Change: restore checks the numbers and raises RecordUnreadable; the recorder logs the job and goes on. Its records stay in the store. Result: test_progress_of_another_job_is_unreadable: each of its four cases failed before, all pass now.

--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -63,9 +63,18 @@
         wall_ms = self._clock.wall_ms()
         state = self._state
         for definition, progress in recovered.jobs:
-            job = progress_module.restore(
-                definition, progress, now_ms, wall_ms
-            )
+            try:
+                job = progress_module.restore(
+                    definition, progress, now_ms, wall_ms
+                )
+            except errors.RecordUnreadable as error:
+                # The records stay in the store for a build that reads them.
+                events.emit(
+                    cell_events.RECORD_UNREADABLE,
+                    key=definition.job_id,
+                    error=error.message,
+                )
+                continue
             self._intake.adopt(job, now_ms)
         state.changed_jobs.clear()
         for job_id, record in recovered.ended_jobs.items():
--- a/basilspindle/workflow/progress.py
+++ b/basilspindle/workflow/progress.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from basilspindle import errors
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
@@ -80,24 +81,33 @@
     now_ms: int,
     now_wall_ms: int,
 ) -> job_module.Job:
-    """Rebuild a job of an earlier leader from its stored progress."""
+    """Rebuild a job of an earlier leader from its stored progress.
+
+    Raises ``RecordUnreadable`` if the progress is not one of this job.
+    """
     age_ms = max(0, now_wall_ms - definition.accepted_wall_ms)
     job = job_module.Job(definition, now_ms - age_ms)
     job.recovered = True
     job.durable_state = job_state.JobState.PENDING
     if progress is None:
         return job
+    if not 0 <= progress.next_occurrence <= job.occurrences:
+        raise _unreadable(definition, 'the number of occurrences')
     job.state = job.durable_state = progress.state
     while job.next_occurrence < progress.next_occurrence:
         job.open_occurrence()
     for saved_step in progress.steps:
-        run = job.runs[saved_step.occurrence, saved_step.index]
+        run = job.runs.get((saved_step.occurrence, saved_step.index))
+        if run is None:
+            raise _unreadable(definition, 'the number of a step')
         run.gang_failed_runs = set(saved_step.gang_failed_runs)
         done_bits = int.from_bytes(saved_step.done, 'little')
         for task in run.tasks:
             if done_bits >> task.index & 1:
                 run.mark_done(task)
         for saved_task in saved_step.tasks:
+            if not 0 <= saved_task.index < len(run.tasks):
+                raise _unreadable(definition, 'the number of a task')
             task = run.tasks[saved_task.index]
             task.run = saved_task.run
             task.ended_run = saved_task.ended_run
@@ -105,3 +115,12 @@
             task.checkpoint = saved_task.checkpoint
     job.started = bool(progress.steps)
     return job
+
+
+def _unreadable(
+    definition: definition_module.JobDefinition, what: str
+) -> errors.RecordUnreadable:
+    return errors.RecordUnreadable(
+        f'the progress of job {definition.job_id} does not match its '
+        f'definition: {what} is out of range; find out what wrote it'
+    )
--- a/tests/test_cell_intake.py
+++ b/tests/test_cell_intake.py
@@ -193,3 +193,27 @@
         self.assertEqual(second.task.name, start.task.name)
         self.assertEqual('c1', start.task.checkpoint)
         self.assertGreater(start.run, second.run)
+
+    def test_progress_of_another_job_is_unreadable(self):
+        """Guard against a record that ends each new leader.
+
+        A leader that cannot recover steps down, and the next one reads the
+        same record.
+        """
+        definition = cell_case.make_definition(_JOB, cell_case.make_step(2))
+        good = progress.StepProgress(0, 0, b'', (), ())
+        task = progress.TaskProgress(7, 1, 0, (), '')
+        pending = workflow.JobState.PENDING
+        for saved in (
+            progress.Progress(pending, 2, (good,)),
+            progress.Progress(pending, -1, (good,)),
+            progress.Progress(
+                pending, 1, (progress.StepProgress(0, 3, b'', (), ()),)
+            ),
+            progress.Progress(
+                pending, 1, (progress.StepProgress(0, 0, b'', (), (task,)),)
+            ),
+        ):
+            with self.subTest(saved=saved):
+                with self.assertRaises(errors.RecordUnreadable):
+                    progress.restore(definition, saved, self.now_ms, 0)
