Do not answer from the memory of a leader that may be replaced

What callers would see: 410 for a job that another leader has accepted, or a cancellation that seems to concern no job while the job runs on. Cause: a leader that was paused handles the requests in its buffers before anything tells it of its successor. The clock stood still while a machine was suspended, so that leases and ages at that leader seemed younger than they were. Ruled out: starts and renewals of such a leader, which workers reject by its fencing token. Change: a leader without a confirmed append for 1.5 s does not say that a job is unknown; the daemon asks again. The clock counts suspended time. Conclusion: what only the leader may say needs a recent confirmation.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -51,6 +51,9 @@
 # Job states are kept this much longer than the configured retention time.
 _RETENTION_MARGIN_MS = 10_000
 _CANCEL_TIMEOUT_MS = 10_000
+# A leader without a confirmed append for longer than this does not tell which
+# jobs are unknown. An idle leader appends every 400 ms.
+_MAX_UNCONFIRMED_MS = 1_500
 # New jobs are refused while an append has been pending for longer than this.
 _STORE_UNRESPONSIVE_MS = 900
 
@@ -175,7 +178,7 @@
         if isinstance(request, messages.Find):
             state = self._intake.find_state(request.job_id, request.workspace)
             if state is None:
-                return messages.Gone()
+                return self._answer_unknown()
             return messages.Found(state)
         if isinstance(request, messages.Cancel):
             return await self._cancel(request)
@@ -239,15 +242,26 @@
             retry_after_ms,
         )
 
+    def _answer_unknown(self) -> messages.Reply:
+        # A leader that was paused or is cut off may have a successor, which
+        # may know the job.
+        confirmed_ms = self._clock.now_ms() - self._journal.confirmed_ms
+        if confirmed_ms > _MAX_UNCONFIRMED_MS:
+            return messages.NotLeading()
+        return messages.Gone()
+
     async def _cancel(self, request: messages.Cancel) -> messages.Reply:
         job = self._intake.cancel(request.job_id, request.workspace)
         if job is None:
             known = self._intake.find_state(request.job_id, request.workspace)
             if known is None:
+                answer = self._answer_unknown()
+                if isinstance(answer, messages.NotLeading):
+                    return answer
                 self._intake.note_early_cancel(
                     request.job_id, request.workspace, self._clock.now_ms()
                 )
-                return messages.Gone()
+                return answer
             return messages.Accepted()
         self._send_orders()
         return await self._reply_when_recorded(job, _CANCEL_TIMEOUT_MS)
--- a/basilspindle/clock.py
+++ b/basilspindle/clock.py
@@ -8,6 +8,8 @@
 from basilspindle import errors
 
 _T = typing.TypeVar('_T')
+# Only Linux has a steady clock that counts suspended time.
+_STEADY_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
 class Clock:
@@ -16,8 +18,12 @@
     __slots__ = ()
 
     def now_ms(self) -> int:
-        """Return monotonic time in ms; only differences are meaningful."""
-        return time.monotonic_ns() // 1_000_000
+        """Return monotonic time in ms; only differences are meaningful.
+
+        Counts the time in which the machine is suspended: leases and
+        timeouts at other machines run on meanwhile.
+        """
+        return time.clock_gettime_ns(_STEADY_CLOCK) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return the Unix time in ms; use it for logs and display only."""
--- /dev/null
+++ b/tests/test_cell_leader.py
@@ -0,0 +1,87 @@
+"""Test what a leader answers that may have been replaced."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell import claim as claim_module
+from basilspindle.cell import configuration_index
+from basilspindle.cell import leader as leader_module
+from basilspindle.cell import messages
+from basilspindle import clock as clock_module
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+
+
+class _Clock(clock_module.Clock):
+    __slots__ = ('now',)
+
+    def __init__(self):
+        self.now = 100_000
+
+    def now_ms(self):
+        return self.now
+
+
+class PausedLeaderTest(unittest.TestCase):
+    """Guard callers against a leader that was paused for some seconds."""
+
+    def setUp(self):
+        self.clock = _Clock()
+        claim = claim_module.Claim('n', 'n:1', 'i', 0, epoch=1)
+        self.leader = leader_module.Leader(
+            claim,
+            None,
+            None,
+            None,
+            None,
+            self.clock,
+            bounds_module.Bounds(),
+            configuration_index.ConfigurationIndex(
+                cell_case.make_configuration()
+            ),
+            True,
+        )
+        self.leader.ready = True
+
+    def ask(self, request):
+        return asyncio.run(self.leader.handle(request))
+
+    def test_a_job_of_the_successor_is_not_said_to_be_unknown(self):
+        """Guard against 410 for a job that another leader has accepted.
+
+        The request waits in the buffer of the connection while the leader is
+        paused, and is handled before anything tells of the successor.
+        """
+        request = messages.Find(_JOB, cell_case.WORKSPACE)
+        self.assertIsInstance(self.ask(request), messages.Gone)
+        self.clock.now += 5_000
+        self.assertIsInstance(self.ask(request), messages.NotLeading)
+
+    def test_a_cancellation_is_not_said_to_concern_no_job(self):
+        """Guard against a cancelled job that runs at the successor."""
+        self.clock.now += 5_000
+        request = messages.Cancel(_JOB, cell_case.WORKSPACE)
+        self.assertIsInstance(self.ask(request), messages.NotLeading)
+
+
+class SuspendTest(unittest.TestCase):
+    """Guard against permissions that outlast a suspended machine."""
+
+    def test_suspended_time_counts(self):
+        """Guard against a lease that seems to be valid after a suspend.
+
+        The monotonic clock of the system stands still meanwhile.
+        """
+        clocks = {
+            time.CLOCK_MONOTONIC: 1_000_000_000,
+            time.CLOCK_BOOTTIME: 6_000_000_000,
+        }
+        with (
+            mock.patch.object(time, 'clock_gettime_ns', clocks.get),
+            mock.patch.object(time, 'monotonic_ns', lambda: 1_000_000_000),
+        ):
+            self.assertEqual(6_000, clock_module.Clock().now_ms())
