Test garbled responses and restarts with daemon processes

test_garbled_responses_end_no_process: every second response of the store and the workers is cut to 7 bytes for 2 s.

--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -10,6 +10,7 @@
 
 # A limited link carries responses in pieces of this size.
 _SEGMENT_BYTES = 4_096
+_GARBLED_BYTES = 7
 
 
 class Reply(typing.NamedTuple):
@@ -37,8 +38,8 @@
 # Returns the fault of a request: '' for none, 'silent' does not handle it and
 # sends no response, 'reset' closes the connection, 'lost' handles it but sends
 # no response, 'late' handles it a second later and sends no response,
-# 'stalled' sends only the first half of the response, and a number is the
-# status of the response.
+# 'stalled' sends only the first half of the response, 'garbled' only the
+# first few bytes of its body, and a number is the status of the response.
 Fault = collections.abc.Callable[[Request], str]
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Reply]]
 
@@ -100,6 +101,8 @@
         reply = await self._handler(request)
         if fault == 'stalled':
             return reply._replace(is_stalled=True)
+        if fault == 'garbled':
+            return reply._replace(body=reply.body[:_GARBLED_BYTES])
         return None if fault == 'lost' else reply
 
     async def wait_for_link(self, size_bytes: int) -> None:
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -64,6 +64,10 @@
             task.cancel()
         await self.server.__aexit__(*error)
 
+    def stop_publishing(self) -> None:
+        """Keep answering, but write no more registry entries."""
+        self._tasks[0].cancel()
+
     @property
     def _clock_ms(self) -> int:
         return int((time.monotonic() - self._started_s) * 1000)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,9 +1,13 @@
 """Test jobs from submission to completion with daemon processes."""
 
 import asyncio
+import collections
+import itertools
 import signal
 import time
 
+import httpx
+
 from tests import platform_case
 from tests.standins import platform
 
@@ -311,6 +315,85 @@
         await asyncio.sleep(1.2)
         self.check_runs()
 
+    async def test_garbled_responses_end_no_process(self):
+        """Guard against a process that a malformed response takes down.
+
+        Every second response of the store and of the workers is cut short
+        for a while.
+        """
+        numbers = itertools.count()
+
+        def fault(request):
+            return 'garbled' if next(numbers) % 2 else ''
+
+        servers = [self.store.server, *(w.server for w in self.workers)]
+        for server in servers:
+            server.fault = fault
+        job_ids = await self.submit(16, 4, 200)
+        await asyncio.sleep(2.0)
+        for server in servers:
+            server.fault = lambda request: ''
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        for daemon in self.daemons:
+            self.assertIsNone(daemon.process.returncode, daemon.node)
+        self.check_runs()
+
+    async def restart_all(self):
+        """Kill all daemons and start them again."""
+        for daemon in self.daemons:
+            await daemon.kill()
+        for daemon in self.daemons:
+            await daemon.start()
+
+    async def test_a_restart_brings_back_no_withdrawn_key(self):
+        """Guard against a key that works again after a restart.
+
+        The history is gone, and the store does not answer at first.
+        """
+        config = platform.make_configuration(2, keys=('key-b',))
+        self.store.put('keyed.op', 'config', config)
+        await asyncio.sleep(1.0)
+        self.store.drop_history()
+        self.store.server.fault = lambda request: 'silent'
+        await self.restart_all()
+        statuses = collections.Counter()
+        for number in range(40):
+            if number == 20:
+                self.store.server.fault = lambda request: ''
+            for daemon in self.daemons:
+                try:
+                    answer = await self.call('GET', daemon, '0' * 16)
+                except httpx.TransportError:
+                    continue
+                statuses[answer.status_code] += 1
+            await asyncio.sleep(0.1)
+        self.assertLessEqual(set(statuses), {401, 503})
+        self.assertTrue(statuses[401])
+
+    async def test_a_restart_brings_back_no_worker_that_left(self):
+        """Guard against starts on a worker that has left meanwhile.
+
+        It still answers at its address, and the leader before has recorded
+        it as one that may run tasks.
+        """
+        job_ids = await self.submit(16, 3, 200)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        gone = self.workers[0]
+        for daemon in self.daemons:
+            await daemon.kill()
+        gone.stop_publishing()
+        self.store.put('keyed.servers', gone.worker_id, b'')
+        before = len(gone.history)
+        for daemon in self.daemons:
+            await daemon.start()
+        job_ids = await self.submit(32, 6, 100)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.assertEqual(before, len(gone.history))
+        self.check_runs()
+
     async def test_a_dropped_history_changes_nothing(self):
         """Guard against a reader that stops when its offset was dropped."""
         self.store.drop_history()
