Show what jobs spend their time on from saved logs

basilspindle delays divides the time of each job into acceptance, advice, wait, spread of the starts, run and record, by queue, with the seconds that steps waited by reason. The parts add up to the whole by construction; a test checks it. Lines of another program, cut lines and jobs with a missing line are counted. explain shows tasks_preempted for the tasks that gave way.

--- a/basilspindle/cli/log_timeline.py
+++ b/basilspindle/cli/log_timeline.py
@@ -85,8 +85,10 @@
 def _concerns(fields: log_lines.Fields, job_id: str) -> bool:
     if fields.get('job') == job_id:
         return True
+    tasks = fields.get('tasks')
+    names = [fields.get('task'), fields.get('step')]
+    names += tasks if isinstance(tasks, list) else []
     return any(
-        isinstance(fields.get(name), str)
-        and fields[name].partition('.')[0] == job_id
-        for name in ('task', 'step')
+        isinstance(name, str) and name.partition('.')[0] == job_id
+        for name in names
     )
--- a/basilspindle/cli/root_group.py
+++ b/basilspindle/cli/root_group.py
@@ -10,6 +10,7 @@
 
 _COMMANDS = {
     'config': 'Validate, show and publish the configuration.',
+    'delays': 'Show what jobs spend their time on, from log files.',
     'explain': 'Show the timeline of a job from log files.',
     'job': 'Submit, list, show, wait for and cancel jobs.',
     'key': 'Generate, add and withdraw API keys.',
--- a/tests/test_cli_files.py
+++ b/tests/test_cli_files.py
@@ -7,6 +7,7 @@
 
 from click import testing
 
+from basilspindle.cli import log_delays
 from basilspindle.cli import log_report
 from basilspindle.cli import main as main_module
 
@@ -68,6 +69,81 @@
         self.assertEqual(1, result.exit_code)
         self.assertIn('no log line mentions job', result.output)
 
+    def test_tasks_that_gave_way_are_shown(self):
+        """Guard against a stop without a cause in the timeline."""
+        fields = {'step': 'other.0.0', 'tasks': [f'{_JOB}.0.0.1', 7]}
+        path = self.write('a.log', self.make_log((1, 'preempted', fields)))
+        result = self.run_command('explain', _JOB, path)
+        self.assertEqual(0, result.exit_code)
+        self.assertIn('preempted', result.output)
+
+
+class DelaysTest(FilesCase):
+    """Test the parts of the time of jobs."""
+
+    def make_line(self, at_s, name, **fields):
+        time = f'2026-01-01T00:00:{at_s:06.3f}+00:00'
+        return json.dumps({'time': time, 'event': 1, 'name': name, **fields})
+
+    def make_job(self):
+        """Return the lines of a job of two steps that takes 6.2 s."""
+        line = self.make_line
+        return [
+            line(1.1, 'job_accepted', job=_JOB, queue='q', took_ms=100),
+            line(1.4, 'advice_taken', step=f'{_JOB}.0.0', took_ms=300),
+            line(1.4, 'step_waits', step=f'{_JOB}.0.0', reason='no_room'),
+            line(2.4, 'task_started', task=f'{_JOB}.0.0.0'),
+            line(2.6, 'task_started', task=f'{_JOB}.0.0.1'),
+            line(4.6, 'task_ended', task=f'{_JOB}.0.0.0'),
+            line(4.7, 'task_ended', task=f'{_JOB}.0.0.1'),
+            line(5.0, 'advice_taken', step=f'{_JOB}.0.1', took_ms=300),
+            line(5.1, 'task_started', task=f'{_JOB}.0.1.0'),
+            line(7.1, 'task_ended', task=f'{_JOB}.0.1.0'),
+            line(7.2, 'job_ended', job=_JOB),
+        ]
+
+    def test_the_parts_add_up_to_the_whole(self):
+        """Guard against time that no part accounts for."""
+        found = log_delays.collect(('d', line) for line in self.make_job())
+        parts = {name: row[0] for name, row in found.parts_s['q'].items()}
+        total_s = parts.pop('total')
+        # Unix times in seconds have a resolution below 1 us.
+        self.assertAlmostEqual(6.2, total_s, 5)
+        self.assertAlmostEqual(total_s, sum(parts.values()), 5)
+        self.assertAlmostEqual(0.6, parts['advice'], 5)
+        self.assertAlmostEqual(1.1, parts['wait'], 5)
+        self.assertAlmostEqual(4.1, parts['run'], 5)
+        self.assertAlmostEqual(1.0, found.waits_s['q']['no_room'], 5)
+
+    def test_incomplete_and_foreign_lines_are_counted(self):
+        """Guard against one bad line that ends the command."""
+        text = '\n'.join(
+            (
+                *self.make_job(),
+                self.make_line(1.0, 'job_accepted', job='b', took_ms='x'),
+                self.make_line(1.0, 'task_started', task=None),
+                self.make_line(1.0, 'step_waits'),
+                self.make_line(1.0, 'lines_suppressed', lines=3),
+                '{"time":"2026-01-01T00:00:01',
+                'another program',
+            )
+        )
+        result = self.run_command('delays', self.write('a.log', text))
+        self.assertEqual(0, result.exit_code, result.output)
+        for expected in (
+            'q: 1 jobs',
+            'no_room',
+            '1 jobs have a missing line',
+            '3 lines were left out',
+            '2 lines could not be read',
+        ):
+            self.assertIn(expected, result.output)
+
+    def test_nothing_to_show(self):
+        """Guard against exit code 0 without a result."""
+        result = self.run_command('delays', text='noise')
+        self.assertEqual(1, result.exit_code)
+
 
 class SettingsTest(FilesCase):
     """Test the validation of settings files in both formats."""
