--- a/basilspindle/cli/log_delays.py
+++ b/basilspindle/cli/log_delays.py
@@ -1,6 +1,5 @@
 """Divide the time of jobs into its parts, from log lines."""
 
-import collections
 import collections.abc
 
 from basilspindle.cli import log_lines
@@ -16,12 +15,12 @@
 
     __slots__ = ('first_start_s', 'last_start_s', 'last_end_s', 'advice_s')
 
-    def __init__(self, start_s: float) -> None:
+    def __init__(self, start_s: float, advice_s: float) -> None:
         self.first_start_s = start_s
         self.last_start_s = start_s
         self.last_end_s = start_s
-        # Duration of the first calls for advice.
-        self.advice_s = 0.0
+        # Duration of the first call for advice.
+        self.advice_s = advice_s
 
 
 class _JobTimes:
@@ -53,12 +52,92 @@
 
     def __init__(self) -> None:
         self.parts_s: dict[str, dict[str, list[float]]] = {}
-        self.waits_s: dict[str, collections.Counter[str]] = {}
+        self.waits_s: dict[str, dict[str, float]] = {}
         self.incomplete_count = 0
         self.suppressed_count = 0
         self.unreadable_count = 0
 
 
+class _Replay:
+    """The open jobs, steps and waits after the lines read so far."""
+
+    __slots__ = ('delays', 'jobs', '_advice_s', '_open_waits')
+
+    def __init__(self) -> None:
+        self.delays = Delays()
+        self.jobs: dict[str, _JobTimes] = {}
+        # Duration of the first call for advice, and begin and reason of the
+        # wait, by step.
+        self._advice_s: dict[str, float] = {}
+        self._open_waits: dict[str, tuple[float, str]] = {}
+
+    def apply(self, line: log_lines.LogLine) -> None:
+        """Apply an event; ignore those that do not affect the delays."""
+        handler = _HANDLERS.get(line.name)
+        if handler is not None:
+            handler(self, line.time_s, line.fields)
+
+    def note_accepted(self, now_s: float, fields: log_lines.Fields) -> None:
+        self.jobs[str(fields.get('job'))] = _JobTimes(
+            str(fields.get('queue', '')), now_s - _took_s(fields), now_s
+        )
+
+    def note_ended(self, now_s: float, fields: log_lines.Fields) -> None:
+        job = self.jobs.get(str(fields.get('job')))
+        if job is not None:
+            job.ended_s = now_s
+
+    def note_advice(self, now_s: float, fields: log_lines.Fields) -> None:
+        step = str(fields.get('step'))
+        self._advice_s.setdefault(step, _took_s(fields))
+
+    def note_wait(self, now_s: float, fields: log_lines.Fields) -> None:
+        step = str(fields.get('step'))
+        self._close_wait(step, now_s)
+        self._open_waits[step] = now_s, str(fields.get('reason', ''))
+
+    def note_start(self, now_s: float, fields: log_lines.Fields) -> None:
+        step = _step_of(fields)
+        self._close_wait(step, now_s)
+        job = self.jobs.get(_job_of(step))
+        if job is None:
+            return
+        if step not in job.steps:
+            job.steps[step] = _StepTimes(now_s, self._advice_s.get(step, 0.0))
+        job.steps[step].last_start_s = now_s
+
+    def note_task_end(self, now_s: float, fields: log_lines.Fields) -> None:
+        step = _step_of(fields)
+        job = self.jobs.get(_job_of(step))
+        if job is not None and step in job.steps:
+            job.steps[step].last_end_s = now_s
+
+    def note_suppressed(self, now_s: float, fields: log_lines.Fields) -> None:
+        self.delays.suppressed_count += int(_number(fields.get('lines')))
+
+    def _close_wait(self, step: str, now_s: float) -> None:
+        begun = self._open_waits.pop(step, None)
+        job = self.jobs.get(_job_of(step))
+        if job is None or begun is None:
+            return
+        begun_s, reason = begun
+        waits_s = self.delays.waits_s.setdefault(job.queue, {})
+        waits_s[reason] = waits_s.get(reason, 0.0) + now_s - begun_s
+
+
+_HANDLERS: dict[
+    str, collections.abc.Callable[[_Replay, float, log_lines.Fields], None]
+] = {
+    'job_accepted': _Replay.note_accepted,
+    'job_ended': _Replay.note_ended,
+    'advice_taken': _Replay.note_advice,
+    'step_waits': _Replay.note_wait,
+    'task_started': _Replay.note_start,
+    'task_ended': _Replay.note_task_end,
+    'lines_suppressed': _Replay.note_suppressed,
+}
+
+
 def collect(
     raw_lines: collections.abc.Iterable[tuple[str, str]],
 ) -> Delays:
@@ -67,64 +146,14 @@
     Steps are taken one after another in the order of their first start; a
     step that is open at the same time as another adds only what is later.
     """
-    delays = Delays()
+    replay = _Replay()
     reader = log_lines.LogReader(raw_lines)
-    lines = sorted(reader, key=lambda line: line.time_s)
-    delays.unreadable_count = reader.unreadable_count
-    jobs: dict[str, _JobTimes] = {}
-    pending_advice_s: dict[str, float] = {}
-    open_waits: dict[str, tuple[float, str]] = {}
-    for line in lines:
-        fields = line.fields
-        if line.name == 'job_accepted':
-            took_s = _number(fields.get('took_ms')) / 1000
-            jobs[str(fields.get('job'))] = _JobTimes(
-                str(fields.get('queue', '')), line.time_s - took_s, line.time_s
-            )
-        elif line.name == 'job_ended':
-            job = jobs.get(str(fields.get('job')))
-            if job is not None:
-                job.ended_s = line.time_s
-        elif line.name == 'advice_taken':
-            step = str(fields.get('step'))
-            took_s = _number(fields.get('took_ms')) / 1000
-            pending_advice_s.setdefault(step, took_s)
-        elif line.name == 'lines_suppressed':
-            delays.suppressed_count += int(_number(fields.get('lines')))
-        elif line.name == 'step_waits':
-            step = str(fields.get('step'))
-            _close_wait(delays, jobs, open_waits, step, line.time_s)
-            open_waits[step] = line.time_s, str(fields.get('reason', ''))
-        elif line.name in ('task_started', 'task_ended'):
-            step = str(fields.get('task')).rpartition('.')[0]
-            job = jobs.get(step.partition('.')[0])
-            if job is None:
-                continue
-            if line.name == 'task_started':
-                _close_wait(delays, jobs, open_waits, step, line.time_s)
-                if step not in job.steps:
-                    job.steps[step] = times = _StepTimes(line.time_s)
-                    times.advice_s = pending_advice_s.get(step, 0.0)
-                job.steps[step].last_start_s = line.time_s
-            elif step in job.steps:
-                job.steps[step].last_end_s = line.time_s
-    for job in jobs.values():
-        _add_job(delays, job)
-    return delays
-
-
-def _close_wait(
-    delays: Delays,
-    jobs: dict[str, _JobTimes],
-    open_waits: dict[str, tuple[float, str]],
-    step: str,
-    now_s: float,
-) -> None:
-    job = jobs.get(step.partition('.')[0])
-    begun = open_waits.pop(step, None)
-    if job is not None and begun is not None:
-        waits = delays.waits_s.setdefault(job.queue, collections.Counter())
-        waits[begun[1]] += now_s - begun[0]
+    for line in sorted(reader, key=lambda line: line.time_s):
+        replay.apply(line)
+    for job in replay.jobs.values():
+        _add_job(replay.delays, job)
+    replay.delays.unreadable_count = reader.unreadable_count
+    return replay.delays
 
 
 def _add_job(delays: Delays, job: _JobTimes) -> None:
@@ -165,9 +194,8 @@
             yield f'  {part:<8}' + ''.join(
                 f'{round(cell * 1000):>9}' for cell in cells
             )
-        for reason, value_s in delays.waits_s.get(
-            queue, collections.Counter()
-        ).most_common():
+        waits_s = delays.waits_s.get(queue, {})
+        for reason, value_s in sorted(waits_s.items(), key=lambda x: -x[1]):
             yield f'  waited {value_s:.1f} s in all: {reason}'
 
 
@@ -176,5 +204,17 @@
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
 
 
+def _step_of(fields: log_lines.Fields) -> str:
+    return str(fields.get('task')).rpartition('.')[0]
+
+
+def _job_of(step: str) -> str:
+    return step.partition('.')[0]
+
+
+def _took_s(fields: log_lines.Fields) -> float:
+    return _number(fields.get('took_ms')) / 1000
+
+
 def _number(value: object) -> float:
     return float(value) if isinstance(value, int | float) else 0.0
