Answer 503 when it is not known whether a job exists

What callers would see: during an outage of the store a request for an unknown job waits for its whole deadline, and its daemon asks the leader every 20 ms. A leader without a recent confirmation answered NotLeading, which daemons repeat at once. Change: it refuses with not_ready and Retry-After 1 s, which daemons pass on after 0.9 s, or at once in an outage.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -54,6 +54,7 @@
 # A leader without a confirmed append for longer than this does not tell which
 # jobs are unknown. An idle leader appends every 400 ms.
 _MAX_UNCONFIRMED_MS = 1_500
+_UNCONFIRMED_RETRY_MS = 1_000
 # New jobs are refused while an append has been pending for longer than this.
 _STORE_UNRESPONSIVE_MS = 900
 
@@ -247,7 +248,11 @@
         # may know the job.
         confirmed_ms = self._clock.now_ms() - self._journal.confirmed_ms
         if confirmed_ms > _MAX_UNCONFIRMED_MS:
-            return messages.NotLeading()
+            return messages.Refused(
+                errors.NotReady.kind,
+                'the leader has no recent answer of the store; ask again',
+                _UNCONFIRMED_RETRY_MS,
+            )
         return messages.Gone()
 
     async def _cancel(self, request: messages.Cancel) -> messages.Reply:
@@ -256,7 +261,7 @@
             known = self._intake.find_state(request.job_id, request.workspace)
             if known is None:
                 answer = self._answer_unknown()
-                if isinstance(answer, messages.NotLeading):
+                if isinstance(answer, messages.Refused):
                     return answer
                 self._intake.note_early_cancel(
                     request.job_id, request.workspace, self._clock.now_ms()
