Look for tasks that may give way at most twice a second for a gang

Cause, suspected: each pass in which a part of a workspace's limit became free looked through all tasks of the fleet again for each waiting gang, so that passes took too long for the gangs that were being started. Change: a step looks for such tasks once in 500 ms. Result: test_tasks_are_not_looked_for_in_each_pass fails before (10 looks) and passes now.

--- a/basilspindle/cell/gang_room.py
+++ b/basilspindle/cell/gang_room.py
@@ -25,6 +25,9 @@
 # Room for a gang is reserved for this long while the tasks that give way to it
 # are stopped and others end.
 _PREEMPTION_TIMEOUT_MS = 3_000
+# A look for tasks that may give way visits all tasks of the fleet, and is not
+# repeated for a step earlier than this.
+_SEEK_INTERVAL_MS = 500
 
 
 class GangRoom:
@@ -62,7 +65,7 @@
         now_ms: int,
     ) -> packing.Assignment:
         """Reserve room and stop what is in it; returns it by worker id."""
-        if not self._may_preempt(run):
+        if not self._may_preempt(run, now_ms):
             return {}
         found = preemption.plan_preemption(
             self._state, run, workers, len(run.waiting), now_ms
@@ -84,7 +87,7 @@
         """Stop tasks of a gang's own workspace that is at its limit."""
         if self.is_held(run.job.definition.workspace):
             return
-        if not self._may_preempt(run):
+        if not self._may_preempt(run, now_ms):
             return
         tasks = preemption.plan_limit_preemption(
             self._state, run, unseen, now_ms
@@ -92,12 +95,17 @@
         if tasks:
             self._stop(run, tasks, now_ms)
 
-    def _may_preempt(self, run: step_run_module.StepRun) -> bool:
+    def _may_preempt(self, run: step_run_module.StepRun, now_ms: int) -> bool:
         if run.awaits_preempted or not self._may_hold(run):
             return False
+        if now_ms - run.room_sought_ms < _SEEK_INTERVAL_MS:
+            return False
         advice = self._state.advice_terms(run.job.definition)
         slack_ms = self._urgency.slack_ms(run, advice)
-        return -_MAX_OVERDUE_MS <= slack_ms <= _PREEMPTION_SLACK_MS
+        if not -_MAX_OVERDUE_MS <= slack_ms <= _PREEMPTION_SLACK_MS:
+            return False
+        run.room_sought_ms = now_ms
+        return True
 
     def _may_hold(self, run: step_run_module.StepRun) -> bool:
         # Only a gang that can still end in time holds back other work.
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -25,7 +25,8 @@
     is none. ``reserved_tasks`` maps worker ids to the number of tasks for
     which room is reserved during a call, until ``reserved_until_ms``.
     ``awaits_preempted`` tells that it is reserved while tasks that give way
-    to the step are being stopped.
+    to the step are being stopped; ``room_sought_ms`` is when such tasks were
+    last looked for.
 
     ``wait_reason`` is why the step did not start when it was last planned,
     and ``retry_at_ms`` when it is planned again at the latest.
@@ -53,6 +54,7 @@
         'reserved_tasks',
         'reserved_until_ms',
         'awaits_preempted',
+        'room_sought_ms',
         'retry_at_ms',
         'wait_reason',
         'is_limited_by_workspace',
@@ -88,6 +90,7 @@
         self.reserved_tasks: dict[str, int] = {}
         self.reserved_until_ms = 0
         self.awaits_preempted = False
+        self.room_sought_ms = 0
         self.retry_at_ms = 0
         self.wait_reason = ''
         self.is_limited_by_workspace = False
--- a/tests/test_cell_preemption.py
+++ b/tests/test_cell_preemption.py
@@ -1,5 +1,8 @@
 """Test that gangs get room on a fleet that is nearly full."""
 
+from unittest import mock
+
+from basilspindle.cell import preemption
 from basilspindle.cell import report as report_module
 from basilspindle import workflow
 from basilspindle.workflow import task_state
@@ -232,6 +235,24 @@
             self.advance()
         self.assertEqual(6, len(self.running))
 
+    def test_tasks_are_not_looked_for_in_each_pass(self):
+        """Guard against passes that visit all tasks for each gang.
+
+        Sweep of kwpa-refunds-large, 1,002 workers: GANG and LOST.
+        """
+        self.submit_small(60, checkpoints=False)
+        for _ in range(10):
+            self.advance()
+        self.submit_gang()
+        with mock.patch.object(
+            preemption, 'plan_limit_preemption', return_value=[]
+        ) as seek:
+            for _ in range(10):
+                self.now_ms += 20
+                self.state.freed_workspaces.add(cell_case.WORKSPACE)
+                self.plan()
+        self.assertEqual(1, seek.call_count)
+
     def test_a_gang_above_the_limit_holds_nothing_back(self):
         """Guard against a workspace blocked by a gang that cannot start."""
         self.submit_gang(count=5)
