--- a/review/rig.py
+++ b/review/rig.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import struct
@@ -21,6 +22,7 @@
 import tomllib
 import typing
 import urllib.parse
+import zlib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = 'q.example'
@@ -35,6 +37,7 @@
 CANCEL_MS = 3_000
 STOP_MS = 900
 HOLD_MAX_MS = 10_000
+MAX_FILES = 4_200
 _PAGE_ITEMS = 500
 _PAGE_BYTES = 1_000_000
 # How long the store takes to answer.
@@ -198,9 +201,12 @@
 
     def __init__(self, record: Record) -> None:
         self.server = HttpServer(self._handle)
+        # Names of the daemons that the store turns away with 503.
+        self.turned_away: set[str] = set()
         self.refused_appends = 0
         self._record = record
         self._topics: dict[str, _Topic] = {}
+        self._doors: list[HttpServer] = []
 
     def topic(self, name: str) -> _Topic:
         """Return a topic, created on first use."""
@@ -220,6 +226,25 @@
                     return node
         return ''
 
+    async def open_door(self, node: str) -> HttpServer:
+        """Return a server of the store for one daemon only."""
+
+        async def handle(request: Request) -> Reply | None:
+            if node in self.turned_away:
+                await asyncio.sleep(_STORE_ANSWER_S)
+                return 503, b'{}'
+            return await self._handle(request)
+
+        door = HttpServer(handle)
+        await door.start()
+        self._doors.append(door)
+        return door
+
+    def close(self) -> None:
+        """Stop serving."""
+        for server in (self.server, *self._doors):
+            server.close()
+
     async def _handle(self, request: Request) -> Reply | None:
         call = request.path.rpartition('/')[2]
         topic = self.topic(request.query['topic'])
@@ -324,6 +349,8 @@
         self.end_s: float | None = None
         self.how = ''
         self.stop_at_s: float | None = None
+        # Whether `ack_cursor` has reached the end of the run.
+        self.is_noted = False
 
 
 class Worker:
@@ -347,6 +374,8 @@
         # Task, run and checkpoint of each start order as it was carried out.
         self.cpu = cpu
         self.quiet = False
+        # Whether tasks report checkpoints.
+        self.checkpoints = False
         self._store = store
         self._record = record
         self._stop_ms = stop_ms
@@ -361,6 +390,7 @@
         self._active: dict[str, Run] = {}
         self._blocked: dict[str, int] = {}
         self._ends: list[list[object]] = []
+        self._ended_runs: dict[int, Run] = {}
         self._end_number = 0
         self._token = 0
         self._deadline_ms = 0
@@ -466,6 +496,7 @@
             self._blocked.get(run.task, 0), run.number
         )
         self._end_number += 1
+        self._ended_runs[self._end_number] = run
         self._ends.append(
             [self._end_number, run.task, run.number, how, run.checkpoint]
         )
@@ -512,6 +543,8 @@
         run = Run(self, task, number, body.get('checkpoint', ''))
         run.start_s = time.monotonic()
         run.end_s = run.start_s + int(body['spec']) / 1000
+        if self.checkpoints:
+            run.checkpoint = f'{zlib.crc32(task.encode()):016x}'
         self._active[task] = run
         self.runs.append(run)
         if not self.quiet:
@@ -533,6 +566,8 @@
 
     async def _hold(self, body: dict[str, typing.Any]) -> Reply | None:
         cursor = body['ack_cursor']
+        for number in [each for each in self._ended_runs if each <= cursor]:
+            self._ended_runs.pop(number).is_noted = True
         self._ends = [row for row in self._ends if row[0] > cursor]
         if 'deadline_ms' in body:
             self._extend(body['deadline_ms'])
@@ -564,7 +599,11 @@
     """One process of the project, started as the deploy file says."""
 
     def __init__(
-        self, name: str, folder: pathlib.Path, store: Store, record: Record
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store_address: str,
+        record: Record,
     ) -> None:
         self.name = name
         self._folder = folder
@@ -594,7 +633,7 @@
 cpu_share = 0.537
 cores = 2
 memory_mb = 300
-max_fds = 4200
+max_fds = {MAX_FILES}
 link_mbps = 1000.0
 [bounds]
 contact_ms = {CONTACT_MS}
@@ -608,7 +647,7 @@
 status_s = 120
 far_x = 1.5
 [platform]
-address = "{store.server.address}"
+address = "{store_address}"
 form = "log"
 writes_per_s = 600
 reads_per_s = 2000
@@ -633,6 +672,8 @@
             self.process = subprocess.Popen(
                 role['run'].split(), cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        files = (MAX_FILES, MAX_FILES)
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, files)
         self._record.note(f'{self.name}: process started')
 
     def send(self, number: signal.Signals) -> None:
@@ -671,9 +712,9 @@
             self.workers.append(worker)
             await worker.start()
         for number in range(daemons):
-            daemon = Daemon(
-                f'node-{number}', self._folder, self.store, self.record
-            )
+            name = f'node-{number}'
+            door = await self.store.open_door(name)
+            daemon = Daemon(name, self._folder, door.address, self.record)
             self.daemons[daemon.name] = daemon
             daemon.start()
         for daemon in self.daemons.values():
@@ -769,7 +810,7 @@
             daemon.end()
         for worker in self.workers:
             worker.stop()
-        self.store.server.close()
+        self.store.close()
         await asyncio.sleep(0.1)
 
     def since(self, at_s: float) -> float:
@@ -797,9 +838,33 @@
             by_task[run.task].append(run)
         return found
 
+    def repeats(self) -> list[tuple[Run, Run]]:
+        """Return runs that ended as done, and a later start of the task.
+
+        Only those whose end was taken note of.
+        """
+        found = []
+        done: dict[str, Run] = {}
+        for run in self.runs():
+            first = done.get(run.task)
+            if first is not None and run.start_s > (first.end_s or 0.0):
+                found.append((first, run))
+            if run.how == 'done' and run.is_noted:
+                done.setdefault(run.task, run)
+        return found
+
     def note_doubles(self) -> bool:
-        """Write down each task that ran twice at one time; tell if any."""
+        """Write down each task that ran twice; tell if any."""
         doubles = self.doubles()
+        repeats = self.repeats()
+        for first, second in repeats:
+            self.record.note(
+                f'TWICE: {first.task} run {first.number} on '
+                f'{first.worker.name} ended as done, which was taken note '
+                f'of, and run {second.number} was started on '
+                f'{second.worker.name} '
+                f'{second.start_s - (first.end_s or 0.0):.3f} s later'
+            )
         for first, second, overlap_s in doubles:
             self.record.note(
                 f'TWICE: {first.task} run {first.number} on '
@@ -807,7 +872,7 @@
                 f'{second.worker.name} at the same time for '
                 f'{overlap_s * 1000:.0f} ms'
             )
-        return bool(doubles)
+        return bool(doubles or repeats)
 
 
 class CannotRun(Exception):
@@ -877,6 +942,9 @@
 def main(case: str, play: Play) -> None:
     """Play a case; exit with 1 if its rule was broken, 0 if it held."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    # The stand-ins of all machines share this process.
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     record = Record(pathlib.Path(case).resolve().parent / 'record.txt')
     record.note('with the disruption' if trouble else 'no disruption')
     with tempfile.TemporaryDirectory() as folder:
