--- a/review/rig.py
+++ b/review/rig.py
@@ -184,7 +184,7 @@
         offset = len(self.records)
         for record in records:
             size = record[0]
-            key = record[1 : 1 + size].decode()
+            key = record[1 : 1 + size].decode(errors='replace')
             value = record[1 + size :]
             if value:
                 self.newest[key] = (value, len(self.records))
