--- a/review/rig.py
+++ b/review/rig.py
@@ -932,6 +932,12 @@
 
 
 async def _play(play: Play, rig: Rig, trouble: bool) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    # The processes are ended also if the case is.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(105):
             return await play(rig, trouble)
@@ -951,7 +957,7 @@
         rig = Rig(pathlib.Path(folder), record)
         try:
             broken = asyncio.run(_play(play, rig, trouble))
-        except (CannotRun, TimeoutError) as error:
+        except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
             record.note(f'the case could not run: {error!r}')
             sys.exit(2)
         if os.environ.get('KEEP_LOGS'):
