--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -8,7 +8,8 @@
     """Translate between the leader's clock and that of one worker, in ms.
 
     A worker reads ``clock_ms`` before it sends its answer, so on arrival its
-    clock shows at least that time.
+    clock shows at least that time. A lease counts from that reading: orders
+    that are never answered do not extend it any further.
     """
 
     __slots__ = ('_clock_ms', '_observed_ms', '_deadline_ms')
@@ -23,15 +24,15 @@
         self._clock_ms = clock_ms
         self._observed_ms = now_ms
 
-    def grant(self, lease_ms: int, now_ms: int) -> int | None:
-        """Return the deadline, on the worker's clock, of a lease from now.
+    def grant(self, lease_ms: int) -> int | None:
+        """Return the deadline, on the worker's clock, of a lease.
 
         None while that clock is not known. The lease counts as granted even
         if the order that carries it is never answered.
         """
         if self._clock_ms is None:
             return None
-        deadline_ms = self._clock_ms + (now_ms - self._observed_ms) + lease_ms
+        deadline_ms = self._clock_ms + lease_ms
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -211,7 +211,7 @@
         """Renew the lease; returns the error message if that fails."""
         worker = self.worker
         sent_ms = self._clock.now_ms()
-        deadline_ms = self._lease.grant(self._lease_ms, sent_ms)
+        deadline_ms = self._renewal_deadline_ms(sent_ms)
         recorded = worker.applied_end_number == worker.recorded_end_number
         # The worker should answer at once if it has no lease, if no report of
         # it has arrived yet or if earlier run ends are not recorded.
@@ -253,6 +253,14 @@
             await self._clock.sleep_ms(_UNRECORDED_PAUSE_MS)
         return None
 
+    def _renewal_deadline_ms(self, now_ms: int) -> int | None:
+        # A deadline that has passed on the worker's clock extends nothing.
+        deadline_ms = self._lease.grant(self._lease_ms)
+        expiry_ms = self._lease.expiry_ms()
+        if expiry_ms is not None and now_ms > expiry_ms:
+            return None
+        return deadline_ms
+
     async def _start(self, order: orders_module.StartOrder) -> None:
         begun_ms = self._clock.now_ms()
         step = order.task.step_run
@@ -276,7 +284,7 @@
     async def _try_start(
         self, order: orders_module.StartOrder, payload: str
     ) -> start_outcome.StartOutcome:
-        deadline_ms = self._lease.grant(self._lease_ms, self._clock.now_ms())
+        deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
             return start_outcome.StartOutcome.NOT_SENT
         try:
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -115,6 +115,72 @@
         return report_module.Report(0, cell_case.BORN_MS, (), ())
 
 
+class _SilentWorker:
+    """Answers a first renewal and then none."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.deadlines_ms = []
+
+    async def renew(self, address, worker_id, token, deadline_ms, *values):
+        self.deadlines_ms.append(deadline_ms)
+        if len(self.deadlines_ms) == 1:
+            return report_module.Report(0, cell_case.BORN_MS, (), ())
+        await self.clock.sleep_ms(1_500)
+        raise _UNKNOWN
+
+
+class _Losses:
+    def __init__(self, clock):
+        self.clock = clock
+        self.lost_ms = []
+
+    def handle_report(self, session, report, sent_ms):
+        return False
+
+    def lose_worker(self, session):
+        self.lost_ms.append(self.clock.now)
+
+
+class SilenceTest(unittest.TestCase):
+    """Guard the tasks of a worker that does not answer any more."""
+
+    def play(self, error=_UNKNOWN):
+        """Return the worker, and the times at which it counts as lost."""
+        case = cell_case.CellCase()
+        case.setUp()
+        worker = case.add_worker('w1')
+        clock = _ManualClock()
+        silent = _SilentWorker(clock)
+        owner = _Losses(clock)
+        session = session_module.Session(
+            worker, silent, owner, clock, 1, 10_000
+        )
+
+        async def play():
+            session.open()
+            while clock.now < 60_000:
+                await asyncio.sleep(0)
+            session.close()
+
+        asyncio.run(play())
+        return silent, owner.lost_ms
+
+    def test_a_lease_that_is_not_answered_ends(self):
+        """Guard against tasks that wait for a worker without power for ever.
+
+        Each renewal, answered or not, moved the expiry of the lease (review/2:
+        LOST).
+        """
+        silent, lost_ms = self.play()
+        self.assertTrue(lost_ms)
+        # The last lease that the worker may have taken, on a slow clock, and
+        # then at most one attempt and one pause.
+        taken_ms = max(filter(None, silent.deadlines_ms)) / 0.98
+        self.assertGreater(lost_ms[0], taken_ms)
+        self.assertLess(lost_ms[0], taken_ms + 2_100)
+
+
 class _FailingOwner:
     def __init__(self):
         self.reports = 0
@@ -174,3 +240,19 @@
 
     async def sleep_ms(self, duration_ms):
         return
+
+
+class _ManualClock(clock_module.Clock):
+    """Advances only while something sleeps."""
+
+    __slots__ = ('now',)
+
+    def __init__(self):
+        self.now = 0
+
+    def now_ms(self):
+        return self.now
+
+    async def sleep_ms(self, duration_ms):
+        await asyncio.sleep(0)
+        self.now += duration_ms
