--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -240,8 +240,9 @@
     ) -> bool:
         """Announce a claim to one daemon.
 
-        Returns True if that daemon certainly no longer acts on an older
-        claim: it has answered, or no process listens at its address.
+        Returns True if the daemon at that address has answered, so that no
+        process there acts on an older claim any more. A refused connection
+        shows nothing: a cut with resets refuses connections as well.
         """
         if address == self._identity.address:
             return True
@@ -249,9 +250,7 @@
             link = await link_module.connect(
                 address, self._handler, _CONNECT_TIMEOUT_MS
             )
-        except ConnectionRefusedError:
-            return True
-        except errors.PeerError:
+        except (ConnectionRefusedError, errors.PeerError):
             # The daemon finds the claim in the store once it is back.
             return False
         try:
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -27,6 +27,7 @@
 from basilspindle.cell import start_outcome
 from basilspindle.cell import starts as starts_module
 from basilspindle.cell import state as state_module
+from basilspindle.cell import unseen
 from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
 from basilspindle.cell import worker_tracker as worker_tracker_module
@@ -75,21 +76,25 @@
         clock: clock_module.Clock,
         bounds: bounds_module.Bounds,
         index: configuration_index.ConfigurationIndex | None,
-        previous_leader_gone: bool,
+        previous: claim_module.Claim | None,
     ) -> None:
         self.claim = claim
         self.lost = asyncio.Event()
         self.ready = False
         self.state = state_module.CellState(bounds, claim.term)
         self.state.configuration_index = index
-        self._previous_leader_gone = previous_leader_gone
+        self._previous = previous
         self._worker_orders = worker_orders
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._intake = intake_module.Intake(self.state)
         self._planner = plan_module.Planner(self.state)
         self._recorder = recorder_module.Recorder(
-            self.state, clock, self._intake, self._schedule_plan
+            self.state,
+            clock,
+            claim.term,
+            self._intake,
+            self._schedule_plan,
         )
         self._journal = journal_module.Journal(
             store,
@@ -150,18 +155,29 @@
         state.unseen_until_ms = (
             self._clock.now_ms() + STORE_TIMEOUT_MS + _MAX_LEASE_DURATION_MS
         )
-        if self._previous_leader_gone:
+        if self._previous is None or self._previous.resigned:
             self.note_previous_leader_gone()
 
     def note_previous_leader_gone(self) -> None:
         """Record that the previous leader no longer renews leases.
 
-        Any run started by it ends within one lease from now.
+        Any run started by it ends within one lease from now. If it has not
+        settled, a leader before it may renew leases as well, of workers that
+        neither of them has reached.
         """
-        self._previous_leader_gone = True
+        if (
+            self._previous is not None
+            and self._recorder.settled_term < self._previous.term
+        ):
+            return
         until_ms = self._clock.now_ms() + _MAX_LEASE_DURATION_MS
         self.state.unseen_until_ms = min(self.state.unseen_until_ms, until_ms)
 
+    @property
+    def awaits_workers(self) -> bool:
+        """Tell whether tasks wait for workers that have not reported."""
+        return unseen.may_run_unseen(self.state, self._clock.now_ms())
+
     def configure(self, index: configuration_index.ConfigurationIndex) -> None:
         """Apply a new version of the configuration."""
         self.state.configuration_index = index
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -27,6 +27,9 @@
 # While there is no leader, a request waits this long for one. The time covers
 # the replacement of a leader that was killed.
 _LEADER_WAIT_MS = 900
+# A predecessor that does not answer is told of the new claim this often, as
+# long as workers are awaited that may still run its tasks.
+_ANNOUNCE_RETRY_MS = 500
 _RETRY_AFTER_MS = 1_000
 # A leader whose append is unanswered for longer should have been replaced. As
 # it was not, no daemon reaches the store.
@@ -289,7 +292,7 @@
             self._clock,
             self._bounds,
             self.index,
-            previous is None or previous.resigned,
+            previous,
         )
         self.leader = leader
         try:
@@ -317,10 +320,24 @@
         claim: claim_module.Claim,
         previous: claim_module.Claim | None,
     ) -> None:
-        if previous is not None:
-            if await self._election.announce_to(previous.address, claim):
-                leader.note_previous_leader_gone()
-        await self._election.announce(claim)
+        await asyncio.gather(
+            self._depose(leader, claim, previous),
+            self._election.announce(claim),
+        )
+
+    async def _depose(
+        self,
+        leader: leader_module.Leader,
+        claim: claim_module.Claim,
+        previous: claim_module.Claim | None,
+    ) -> None:
+        if previous is None:
+            return
+        while not await self._election.announce_to(previous.address, claim):
+            if not leader.awaits_workers:
+                return
+            await self._clock.sleep_ms(_ANNOUNCE_RETRY_MS)
+        leader.note_previous_leader_gone()
 
     async def leave(self) -> None:
         """Remove this daemon from the list of members, before it stops."""
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -1,5 +1,6 @@
 """Test which leader a daemon follows, and when it replaces a leader."""
 
+import asyncio
 import unittest
 
 from basilspindle.cell import claim as claim_module
@@ -72,6 +73,26 @@
         self.assertEqual([8], election.followed)
 
 
+class AnnounceTest(unittest.IsolatedAsyncioTestCase):
+    """Guard what shows that a predecessor no longer leads."""
+
+    async def test_a_refused_announcement_proves_nothing(self):
+        """Guard against a leader that is cut off with resets.
+
+        It renews the leases of the workers on its side; its successor took
+        the refused connection for its end (class of review/4).
+        """
+        server = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        host, port = server.sockets[0].getsockname()
+        server.close()
+        await server.wait_closed()
+        self.assertFalse(
+            await _Election().announce_to(f'{host}:{port}', _claim(5))
+        )
+
+
 class _Register:
     """Counts reads and records the offsets at which claims were made."""
 
