--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -149,10 +149,6 @@
         """
         return self._lease.expiry_ms()
 
-    def declare_lost(self) -> None:
-        """Report the worker as lost to the owner."""
-        self._owner.lose_worker(self)
-
     def reset_lease_clock(self) -> None:
         """Forget the clock and lease of an earlier worker incarnation."""
         self._lease.reset()
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -7,17 +7,13 @@
 from basilspindle.cell import recorder as recorder_module
 from basilspindle.cell import session as session_module
 from basilspindle.cell import state as state_module
+from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
 
 _REFRESH_INTERVAL_MS = 700
-# Longer than a lease renewal takes, including its wait for run ends.
-_DEPARTED_SILENCE_MS = 1_600
-# A registry entry expires after this many heartbeats are missing. The latest
-# one may have come up to a heartbeat before the worker was cut off.
-_EXPIRY_HEARTBEATS = 3
 
 OpenSession = collections.abc.Callable[
     [worker_module.Worker], session_module.Session
@@ -86,29 +82,16 @@
             if worker.listed:
                 worker.listed = False
                 worker.unlisted_since_ms = self._clock.now_ms()
-            if self._has_departed(worker):
-                self.sessions[worker_id].declare_lost()
-                continue
+            # The missing entry says nothing about runs: the session tells
+            # when the lease of a worker that was heard of has run out.
             if worker.reported or worker.tasks:
                 continue
-            if worker_id not in self._state.unseen_workers:
-                self.drop(worker)
-
-    def _has_departed(self, worker: worker_module.Worker) -> bool:
-        # A draining worker that answered until its registry entry was removed
-        # and is silent since has left. One that was silent before, or answered
-        # later, may be cut off and run on until its lease expires.
-        if worker.ready or not worker.reported:
-            return False
-        silent_ms = self._clock.now_ms() - worker.last_contact_ms
-        silent_before_ms = worker.unlisted_since_ms - worker.last_contact_ms
-        expired_after_ms = (
-            _EXPIRY_HEARTBEATS - 1
-        ) * self._state.bounds.heartbeat_ms
-        return (
-            silent_ms > _DEPARTED_SILENCE_MS
-            and 0 <= silent_before_ms < expired_after_ms - _REFRESH_INTERVAL_MS
-        )
+            if worker_id in self._state.unseen_workers and (
+                unseen.may_run_unseen(self._state, self._clock.now_ms())
+            ):
+                continue
+            self._state.unseen_workers.discard(worker_id)
+            self.drop(worker)
 
     def drop(self, worker: worker_module.Worker) -> None:
         """Remove a worker and close its session."""
