--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -322,9 +322,6 @@
                 running=len(report.running),
                 ends=len(report.ends),
             )
-        if worker.born_wall_ms and worker.born_wall_ms != report.born_wall_ms:
-            # The worker has restarted.
-            session.reset_lease_clock()
         previous_end_number = worker.applied_end_number
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
         speed.check_progress(self.state, worker, now_ms)
--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -46,7 +46,18 @@
         remaining_ms = max(0, self._deadline_ms - self._clock_ms)
         return self._observed_ms + int(remaining_ms / _MIN_CLOCK_RATE) + 1
 
-    def reset(self) -> None:
-        """Forget the clock and the leases of an earlier incarnation."""
-        self._clock_ms = None
-        self._deadline_ms = 0
+    def begin_life(self, clock_ms: int, now_ms: int, lease_ms: int) -> None:
+        """Note the first answer of a new incarnation.
+
+        It may have taken an order with a deadline on the clock of the earlier
+        one, which counts as its longest possible lease, ``lease_ms``.
+        """
+        self.observe(clock_ms, now_ms)
+        self._deadline_ms = clock_ms + lease_ms
+
+    def is_earlier(self, clock_ms: int) -> bool:
+        """Tell whether a reading lies before the latest one.
+
+        The clock of an incarnation never goes back.
+        """
+        return self._clock_ms is not None and clock_ms < self._clock_ms
--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -192,7 +192,7 @@
         checkpoint: str,
         ticket: str,
         timeout_ms: int,
-    ) -> start_outcome.StartOutcome:
+    ) -> start_outcome.StartAnswer:
         """Start a run; a repeated call does not start it again."""
         ...
 
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -23,8 +23,8 @@
     Returns whether new tasks may start as a result.
     """
     if worker.born_wall_ms != report.born_wall_ms:
-        if worker.born_wall_ms:
-            state.requeue_worker_tasks(worker)
+        # Runs of the earlier incarnation are missing from this report and
+        # released below. Those that it lists were accepted by the new one.
         worker.born_wall_ms = report.born_wall_ms
         worker.applied_end_number = worker.recorded_end_number = 0
     is_first_report = not worker.reported
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -107,6 +107,10 @@
         '_renewal_task',
         '_order_tasks',
         '_is_worker_silent',
+        '_max_lease_ms',
+        '_is_life_certain',
+        '_open_starts',
+        '_acknowledged_end_number',
     )
 
     def __init__(
@@ -128,6 +132,13 @@
         self._renewal_task: asyncio.Task[None] | None = None
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._is_worker_silent = False
+        self._max_lease_ms = max_lease_ms
+        # False while the incarnation that last reported may have been
+        # replaced by another one under the same id.
+        self._is_life_certain = False
+        # Number of start orders without an answer.
+        self._open_starts = 0
+        self._acknowledged_end_number = 0
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -149,10 +160,6 @@
         """
         return self._lease.expiry_ms()
 
-    def reset_lease_clock(self) -> None:
-        """Forget the clock and lease of an earlier worker incarnation."""
-        self._lease.reset()
-
     def send_start(self, order: orders_module.StartOrder) -> None:
         """Send a start order and report its outcome to the owner."""
         self._spawn(self._start(order))
@@ -209,11 +216,17 @@
         sent_ms = self._clock.now_ms()
         deadline_ms = self._renewal_deadline_ms(sent_ms)
         recorded = worker.applied_end_number == worker.recorded_end_number
+        acknowledged_end_number = self._acknowledgeable_end_number()
+        lacks_acknowledgement = (
+            max(acknowledged_end_number, self._acknowledged_end_number)
+            != worker.recorded_end_number
+        )
         # The worker should answer at once if it has no lease, if no report of
-        # it has arrived yet or if earlier run ends are not recorded.
+        # it has arrived yet or if earlier run ends are not recorded. It does
+        # so by itself if it lists run ends that are not acknowledged.
         waits = deadline_ms is not None and worker.reported and recorded
         wait_ms = _RENEW_WAIT_MS if waits else 0
-        acknowledged_end_number = worker.recorded_end_number
+        self._is_life_certain = False
         try:
             report = await self._orders.renew(
                 worker.address,
@@ -233,7 +246,16 @@
         except errors.WorkerError as error:
             return error.message
         now_ms = self._clock.now_ms()
-        self._lease.observe(report.clock_ms, now_ms)
+        if worker.born_wall_ms and not report.born_wall_ms:
+            return 'a report does not tell when the worker started'
+        if worker.born_wall_ms not in (0, report.born_wall_ms):
+            self._acknowledged_end_number = 0
+            self._lease.begin_life(report.clock_ms, now_ms, self._max_lease_ms)
+        else:
+            self._acknowledged_end_number = max(
+                self._acknowledged_end_number, acknowledged_end_number
+            )
+            self._lease.observe(report.clock_ms, now_ms)
         try:
             lacks_ends = self._owner.handle_report(self, report, sent_ms)
         except Exception as error:
@@ -243,12 +265,21 @@
             worker.suspect_until_ms = now_ms + _FAULT_PAUSE_MS
             return f'a report could not be applied: {error!r}'
         self._is_worker_silent = False
+        self._is_life_certain = True
         if lacks_ends:
             await self._owner.wait_for_ends(worker, _UNRECORDED_PAUSE_MS)
-        elif not recorded:
+        elif not recorded or lacks_acknowledgement:
             await self._clock.sleep_ms(_UNRECORDED_PAUSE_MS)
         return None
 
+    def _acknowledgeable_end_number(self) -> int:
+        # End numbers start anew with each incarnation, and the call names
+        # only the id of the worker. One that has restarted under its id would
+        # forget the ends of runs that it has accepted since.
+        if self._open_starts or not self._is_life_certain:
+            return 0
+        return self.worker.recorded_end_number
+
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
@@ -259,10 +290,14 @@
 
     async def _start(self, order: orders_module.StartOrder) -> None:
         begun_ms = self._clock.now_ms()
-        step = order.task.step_run
+        payload = order.task.step_run.job.definition.payload
         has_unanswered = False
         while True:
-            outcome = await self._try_start(order, step.job.definition.payload)
+            self._open_starts += 1
+            try:
+                outcome = await self._try_start(order, payload)
+            finally:
+                self._open_starts -= 1
             spent_ms = self._clock.now_ms() - begun_ms
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
@@ -284,7 +319,7 @@
         if deadline_ms is None:
             return start_outcome.StartOutcome.NOT_SENT
         try:
-            return await self._orders.start(
+            answer = await self._orders.start(
                 self.worker.address,
                 self.worker.worker_id,
                 self._token,
@@ -296,6 +331,10 @@
                 order.ticket,
                 _ORDER_TIMEOUT_MS,
             )
+            if answer.clock_ms is not None:
+                if self._lease.is_earlier(answer.clock_ms):
+                    self._is_life_certain = False
+            return answer.outcome
         except errors.StaleEpoch:
             return start_outcome.StartOutcome.FENCED
         except errors.WorkerReplaced:
--- a/basilspindle/cell/start_outcome.py
+++ b/basilspindle/cell/start_outcome.py
@@ -1,6 +1,7 @@
 """Outcomes of start orders."""
 
 import enum
+import typing
 
 
 class StartOutcome(enum.Enum):
@@ -17,3 +18,10 @@
     NOT_SENT = 'not_sent'
     UNKNOWN = 'unknown'
     INVALID = 'invalid'
+
+
+class StartAnswer(typing.NamedTuple):
+    """Outcome of a start order, and the clock of the worker if it told it."""
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
--- a/basilspindle/platform/workers.py
+++ b/basilspindle/platform/workers.py
@@ -38,7 +38,11 @@
 
 class _Rejection(msgspec.Struct):
     reason: str = ''
-    clock_ms: int = 0
+
+
+class _ClockReading(msgspec.Struct):
+    # Monotonic clock of the worker.
+    clock_ms: int | None = None
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
@@ -125,7 +129,7 @@
         checkpoint: str,
         ticket: str,
         timeout_ms: int,
-    ) -> start_outcome.StartOutcome:
+    ) -> start_outcome.StartAnswer:
         """Start a run; a repeated call does not start it again."""
         body: dict[str, typing.Any] = {
             'task': name,
@@ -141,18 +145,9 @@
         response = await self._post(
             address, worker_id, '/basilspindle/run-start', body, timeout_ms
         )
-        if response.status == 200:
-            return _Outcome.RUNS
-        if response.status == 409:
-            reason = _decode_reason(response, address)
-            return _START_OUTCOMES.get(reason, _Outcome.INVALID)
-        if response.status in (429, 503):
-            return _Outcome.UNHEALTHY
-        if response.status == 421:
-            return _Outcome.WORKER_REPLACED
-        if response.status < 500:
-            return _Outcome.INVALID
-        return _Outcome.UNKNOWN
+        return start_outcome.StartAnswer(
+            _decode_start_outcome(response, address), _decode_clock(response)
+        )
 
     async def stop(
         self,
@@ -222,6 +217,31 @@
             raise errors.WorkerOutcomeUnknown(error.message) from error
 
 
+def _decode_start_outcome(
+    response: client_module.Response, address: str
+) -> start_outcome.StartOutcome:
+    if response.status == 200:
+        return _Outcome.RUNS
+    if response.status == 409:
+        reason = _decode_reason(response, address)
+        return _START_OUTCOMES.get(reason, _Outcome.INVALID)
+    if response.status in (429, 503):
+        return _Outcome.UNHEALTHY
+    if response.status == 421:
+        return _Outcome.WORKER_REPLACED
+    if response.status < 500:
+        return _Outcome.INVALID
+    return _Outcome.UNKNOWN
+
+
+def _decode_clock(response: client_module.Response) -> int | None:
+    # The outcome stands whatever the rest of the answer is.
+    try:
+        return msgspec.json.decode(response.body, type=_ClockReading).clock_ms
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+
+
 def _check_status(response: client_module.Response, address: str) -> None:
     if response.status == 200:
         return
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -89,6 +89,14 @@
         for connection in list(self.connections):
             connection.close()
 
+    def lose_connections(self) -> None:
+        """Never answer on the open connections again, as after a power loss.
+
+        The other end notices when it sends something: that resets them.
+        """
+        for connection in self.connections:
+            connection.is_lost = True
+
     async def __aexit__(self, *_: object) -> None:
         self.refuse()
         for task in self._late_tasks:
@@ -138,6 +146,7 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self.is_lost = False
         self._begin()
 
     def _begin(self) -> None:
@@ -158,6 +167,9 @@
         self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self.is_lost:
+            self.close()
+            return
         self._parser.feed_data(data)
 
     def on_url(self, url: bytes) -> None:
@@ -188,7 +200,7 @@
         except ConnectionResetError:
             self.close()
             return
-        if reply is None:
+        if reply is None or self.is_lost:
             return
         head = (
             f'HTTP/1.1 {reply.status} X\r\n'
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -75,7 +75,7 @@
 
     def start_again(self) -> None:
         """Start under the same id, holding and knowing nothing of before."""
-        self.server.reset_connections()
+        self.server.lose_connections()
         self.server.fault = lambda request: ''
         self._begin_life()
         self._is_up = True
--- a/tests/test_cell_housekeeping.py
+++ b/tests/test_cell_housekeeping.py
@@ -162,3 +162,16 @@
         for _ in range(20):
             clock.grant(5_000)
         self.assertLessEqual(clock.expiry_ms(), 5_000 / 0.98 + 1)
+
+    def test_a_new_life_may_have_taken_a_deadline_of_the_old_one(self):
+        """Guard against a lease that ends later than it seems to.
+
+        A worker that has restarted shortens a deadline on the clock of its
+        earlier life to its longest lease.
+        """
+        clock = lease_clock.LeaseClock()
+        clock.observe(600_000, 0)
+        clock.grant(5_000)
+        clock.begin_life(200, 1_000, 10_000)
+        clock.grant(5_000)
+        self.assertGreaterEqual(clock.expiry_ms(), 1_000 + 10_000)
--- a/tests/test_cell_reports.py
+++ b/tests/test_cell_reports.py
@@ -90,9 +90,46 @@
         """Guard against runs considered alive after a worker restart."""
         self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
         self.start_all(self.plan())
+        self.now_ms += 10
         self.report('w1', born=cell_case.BORN_MS + 1)
         self.assertEqual(1, len(self.plan().starts))
 
+    def test_a_restarted_worker_keeps_what_it_accepted(self):
+        """Guard against tasks started elsewhere while the new life runs them.
+
+        Their starts were answered by the new life before its first report
+        (review/5: TWICE).
+        """
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step(3)))
+        running, ended, in_flight = self.plan().starts
+        for start in (running, ended):
+            self.apply_outcome(start)
+        self.now_ms += 10
+        self.add_worker('w2')
+        self.report(
+            'w1',
+            [(running.task.name, running.run)],
+            ends=[_run_end(1, ended)],
+            born=cell_case.BORN_MS + 1,
+        )
+        orders = self.plan()
+        self.assertEqual([], orders.starts)
+        self.assertEqual([], orders.stops)
+        # The start in flight turns out not to have arrived.
+        self.apply_outcome(in_flight, _Outcome.NOT_SENT)
+        [start] = self.plan().starts
+        self.assertEqual(in_flight.task.name, start.task.name)
+
+    def test_a_start_answered_after_the_request_may_be_of_the_new_life(self):
+        """Guard against a run that the report is too early to list."""
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [start] = self.plan().starts
+        sent_ms = self.now_ms
+        self.now_ms += 10
+        self.apply_outcome(start)
+        self.report('w1', sent_ms=sent_ms, born=cell_case.BORN_MS + 1)
+        self.assertEqual([], self.plan().starts)
+
     def test_end_numbers_restart_with_the_worker(self):
         """Guard against ends that are skipped after a worker restart."""
         self.end_numbers['w1'] = 7
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -26,7 +26,7 @@
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
-        return answer
+        return start_outcome.StartAnswer(answer)
 
 
 class _Owner:
@@ -194,6 +194,100 @@
         self.assertLess(lost_ms[0], taken_ms + 2_100)
 
 
+class _RestartingWorker:
+    """Records what each renewal acknowledges; one of them fails."""
+
+    def __init__(self, failing_call):
+        self.failing_call = failing_call
+        self.acknowledged = []
+        self.start_clock_ms = None
+
+    async def renew(self, address, worker_id, token, deadline_ms, acked, *_):
+        self.acknowledged.append(acked)
+        if len(self.acknowledged) == self.failing_call:
+            raise _UNKNOWN
+        return report_module.Report(50_000, cell_case.BORN_MS, (), ())
+
+    async def start(self, *values):
+        return start_outcome.StartAnswer(_Outcome.RUNS, self.start_clock_ms)
+
+
+class _RecordingOwner:
+    def handle_report(self, session, report, sent_ms):
+        worker = session.worker
+        worker.reported = True
+        worker.born_wall_ms = report.born_wall_ms
+        worker.applied_end_number = worker.recorded_end_number = 7
+        return False
+
+    def handle_start_outcome(self, order, outcome):
+        return
+
+
+class AcknowledgementTest(unittest.TestCase):
+    """Guard run ends of a worker that has restarted under its id.
+
+    It numbers its ends anew and forgets those up to the number that a call
+    names, also if the number belongs to the life before (review/5: TWICE).
+    """
+
+    def setUp(self):
+        case = cell_case.CellCase()
+        case.setUp()
+        self.worker = case.add_worker('w1')
+        case.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [self.order] = case.plan().starts
+
+    def session(self, orders):
+        return session_module.Session(
+            self.worker, orders, _RecordingOwner(), _ManualClock(), 1, 10_000
+        )
+
+    def test_an_unanswered_renewal_is_followed_by_no_acknowledgement(self):
+        """Guard against an acknowledgement that reaches the next life."""
+        orders = _RestartingWorker(failing_call=3)
+        session = self.session(orders)
+
+        async def play():
+            for _ in range(5):
+                await session._renew_once()
+
+        asyncio.run(play())
+        self.assertEqual([0, 7, 7, 0, 7], orders.acknowledged)
+
+    def test_an_earlier_clock_tells_of_another_life(self):
+        """Guard against a restart that no renewal has noticed."""
+        for clock_ms, expected in ((50_001, 7), (300, 0), (None, 7)):
+            with self.subTest(clock_ms=clock_ms):
+                self.setUp()
+                orders = _RestartingWorker(failing_call=0)
+                orders.start_clock_ms = clock_ms
+                session = self.session(orders)
+
+                async def play(session=session):
+                    await session._renew_once()
+                    await session._start(self.order)
+                    await session._renew_once()
+
+                asyncio.run(play())
+                self.assertEqual([0, expected], orders.acknowledged)
+
+    def test_a_start_in_flight_may_be_taken_by_another_life(self):
+        """Guard against an acknowledgement that overtakes an answer."""
+        orders = _RestartingWorker(failing_call=0)
+        session = self.session(orders)
+
+        async def play():
+            await session._renew_once()
+            session._open_starts += 1
+            await session._renew_once()
+            session._open_starts -= 1
+            await session._renew_once()
+
+        asyncio.run(play())
+        self.assertEqual([0, 0, 7], orders.acknowledged)
+
+
 class _FailingOwner:
     def __init__(self):
         self.reports = 0
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -42,3 +42,24 @@
         self.workers[0].lose_power()
         await self.wait_state(job_id, 'completed')
         self.check_runs()
+
+    async def test_a_worker_that_is_back_at_once_doubles_nothing(self):
+        """Guard against tasks that the new life of a worker accepted.
+
+        The leader's renewal hangs on a dead connection meanwhile, and starts
+        go to the new life (review/5: TWICE).
+        """
+        await self.submit(16, 50, 9)
+        job_ids = []
+        for number in range(4):
+            worker = self.workers[number % len(self.workers)]
+            worker.lose_power()
+            await asyncio.sleep(0.3)
+            worker.start_again()
+            await asyncio.sleep(0.1)
+            duration_ms = 50 if number % 2 else 1_500
+            job_ids.append(await self.submit(32 + number, duration_ms, 18))
+            await asyncio.sleep(2.5)
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
