--- a/basilspindle/cell/housekeeping.py
+++ b/basilspindle/cell/housekeeping.py
@@ -22,6 +22,8 @@
         due_ms = job.next_due_wall_ms
         if due_ms is None or job.state.is_final or wall_ms < due_ms:
             continue
+        if job.durable_state is None:
+            continue
         state.table.add_tasks(job.open_occurrence())
         state.table.add_ready_steps(job, now_ms)
         state.mark_changed(job)
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -80,14 +80,15 @@
 class Batch:
     """Records of one append, and what is durable once it is confirmed.
 
-    ``jobs`` are the jobs with the state that is recorded.
+    ``jobs`` are the jobs with the state and the number of occurrences that
+    are recorded.
     """
 
     __slots__ = ('records', 'jobs', 'ends', 'size_bytes')
 
     def __init__(self) -> None:
         self.records: list[tuple[str, bytes | None]] = []
-        self.jobs: list[tuple[job_module.Job, job_state.JobState]] = []
+        self.jobs: list[tuple[job_module.Job, job_state.JobState, int]] = []
         # By worker id: start time that identifies the worker's incarnation,
         # and the highest number of its run ends that the batch covers.
         self.ends: dict[str, tuple[int, int]] = {}
@@ -275,6 +276,7 @@
     job_id = job.job_id
     state = job.state
     job.append_started = True
+    occurrences = job.next_occurrence
     if state.is_final:
         definition = job.definition
         if job.durable_state is not None:
@@ -289,10 +291,13 @@
         batch.put(
             _DEFINITION_PREFIX + job_id, msgspec.msgpack.encode(job.definition)
         )
+        if job.definition.max_runs:
+            # The definition names no occurrence as open.
+            occurrences = 0
     else:
         progress = progress_module.capture(job)
         batch.put(_PROGRESS_PREFIX + job_id, msgspec.msgpack.encode(progress))
-    batch.jobs.append((job, state))
+    batch.jobs.append((job, state, occurrences))
 
 
 def put_tombstone(batch: Batch, job_id: str) -> None:
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -107,8 +107,9 @@
         freed_workers: set[str],
         freed_workspaces: set[str],
     ) -> bool:
-        if run.job.durable_state is None:
-            # The job is not accepted until it is recorded.
+        if not run.job.is_recorded(run):
+            # The job is not accepted until it is recorded, and the leader
+            # may change before one of its occurrences is.
             return True
         if run.job.recovered and unseen.may_run_unseen(self._state, now_ms):
             self._record_wait_reason(
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -23,8 +23,8 @@
     """Fill the batches of the journal and wake the waiters of each append.
 
     ``collect`` and ``apply`` are the callbacks of the journal.
-    ``on_new_jobs_recorded`` is called after an append that recorded a job
-    for the first time.
+    ``on_new_work_recorded`` is called after an append that recorded a job or
+    an occurrence of it for the first time.
     """
 
     __slots__ = (
@@ -32,7 +32,7 @@
         '_clock',
         '_term',
         '_intake',
-        '_on_new_jobs_recorded',
+        '_on_new_work_recorded',
         '_waiters',
         '_append_confirmed',
         'expired_job_ids',
@@ -47,13 +47,13 @@
         clock: clock_module.Clock,
         term: int,
         intake: intake_module.Intake,
-        on_new_jobs_recorded: collections.abc.Callable[[], None],
+        on_new_work_recorded: collections.abc.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
         self._term = term
         self._intake = intake
-        self._on_new_jobs_recorded = on_new_jobs_recorded
+        self._on_new_work_recorded = on_new_work_recorded
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
         self._append_confirmed = asyncio.Event()
         # Ids of ended jobs whose records are to be deleted.
@@ -128,9 +128,13 @@
 
     def apply(self, batch: journal_module.Batch) -> None:
         """Apply the confirmation of an append."""
-        has_new_jobs = False
-        for job, state in batch.jobs:
-            has_new_jobs |= job.durable_state is None
+        has_new_work = False
+        for job, state, occurrences in batch.jobs:
+            has_new_work |= (
+                job.durable_state is None
+                or occurrences > job.durable_occurrences
+            )
+            job.durable_occurrences = max(job.durable_occurrences, occurrences)
             self._apply_job(job, state)
         for worker_id, (born_wall_ms, number) in batch.ends.items():
             worker = self._state.workers.get(worker_id)
@@ -143,8 +147,8 @@
             asyncio.Event(),
         )
         confirmed.set()
-        if has_new_jobs:
-            self._on_new_jobs_recorded()
+        if has_new_work:
+            self._on_new_work_recorded()
 
     def _apply_job(
         self, job: job_module.Job, state: job_state.JobState
--- a/basilspindle/workflow/job.py
+++ b/basilspindle/workflow/job.py
@@ -13,14 +13,14 @@
     committed to the log, the only one shown to callers, and None before the
     first commit. ``append_started`` is set before the first append, after
     which the log may hold the job. ``accepted_ms`` is monotonic time.
-    ``runs`` maps (occurrence, step index) to a step run, ``next_occurrence``
-    is the number of the first occurrence that is not open yet, and
-    ``occupying_tasks`` are the tasks that occupy a worker. ``recovered``
-    marks a job accepted under an earlier leader: its tasks may be running
-    on workers that have not reported yet. ``started`` tells that a task was
-    started. ``is_beyond_share`` marks a job submitted while its workspace
-    was above its share. ``failed_worker_ids`` are the workers on which runs
-    of the job failed.
+    ``runs`` maps (occurrence, step index) to a step run. ``next_occurrence``
+    is the number of the first occurrence that is not open yet; the log holds
+    those below ``durable_occurrences``. ``occupying_tasks`` are the tasks
+    that occupy a worker. ``recovered`` marks a job accepted under an earlier
+    leader: its tasks may be running on workers that have not reported yet.
+    ``started`` tells that a task was started. ``is_beyond_share`` marks a job
+    submitted while its workspace was above its share. ``failed_worker_ids``
+    are the workers on which runs of the job failed.
     """
 
     __slots__ = (
@@ -30,6 +30,7 @@
         'accepted_ms',
         'runs',
         'next_occurrence',
+        'durable_occurrences',
         'recovered',
         'started',
         'final_wall_ms',
@@ -48,6 +49,7 @@
         self.accepted_ms = accepted_ms
         self.runs: dict[tuple[int, int], step_run_module.StepRun] = {}
         self.next_occurrence = 0
+        self.durable_occurrences = 0
         self.recovered = False
         self.started = False
         self.final_wall_ms = 0
@@ -89,6 +91,16 @@
             opened.append(run)
         return opened
 
+    def is_recorded(self, run: step_run_module.StepRun) -> bool:
+        """Tell whether the log holds the job with this occurrence of it.
+
+        A later leader knows nothing of any other, so none may start.
+        """
+        return (
+            self.durable_state is not None
+            and run.occurrence < self.durable_occurrences
+        )
+
     def is_ready(self, run: step_run_module.StepRun) -> bool:
         """Tell whether all steps that a step run depends on are done."""
         return all(
--- a/basilspindle/workflow/progress.py
+++ b/basilspindle/workflow/progress.py
@@ -89,6 +89,7 @@
     job = job_module.Job(definition, now_ms - age_ms)
     job.recovered = True
     job.durable_state = job_state.JobState.PENDING
+    job.durable_occurrences = job.next_occurrence
     if progress is None:
         return job
     if not 0 <= progress.next_occurrence <= job.occurrences:
@@ -96,6 +97,7 @@
     job.state = job.durable_state = progress.state
     while job.next_occurrence < progress.next_occurrence:
         job.open_occurrence()
+    job.durable_occurrences = job.next_occurrence
     for saved_step in progress.steps:
         run = job.runs.get((saved_step.occurrence, saved_step.index))
         if run is None:
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -90,6 +90,7 @@
         )
         job = self.intake.submit(definition, self.now_ms)
         job.durable_state = job.state
+        job.durable_occurrences = job.next_occurrence
 
     def plan(self) -> list[object]:
         """Run a pass and let its starts succeed."""
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -123,6 +123,7 @@
         """Mark the current state of all jobs as recorded."""
         for job in self.state.changed_jobs.values():
             job.durable_state = job.state
+            job.durable_occurrences = job.next_occurrence
         self.state.changed_jobs.clear()
 
     def plan(self):
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -129,7 +129,7 @@
             Daemon(
                 f'd{number}',
                 self.folder,
-                self.store.server.address,
+                await self.store_address(f'd{number}'),
                 self.advice.server.address,
             )
             for number in range(self.daemon_count)
@@ -144,6 +144,10 @@
         for daemon in self.daemons:
             await self.wait_ready(daemon)
 
+    async def store_address(self, node: str) -> str:
+        """Return the address of the store for one daemon."""
+        return self.store.server.address
+
     def choose_builds(self) -> None:
         """Set the source tree of daemons before they start."""
 
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -36,13 +36,22 @@
         # records are dropped.
         self.newest: dict[str, dict[str, tuple[bytes, int]]] = {}
         self.server = server_module.Server(self._handle)
+        self._doors: list[server_module.Server] = []
 
     async def __aenter__(self) -> 'StandinStore':
         await self.server.__aenter__()
         return self
 
     async def __aexit__(self, *error: object) -> None:
-        await self.server.__aexit__(*error)
+        for server in (self.server, *self._doors):
+            await server.__aexit__(*error)
+
+    async def open_door(self) -> server_module.Server:
+        """Return a server of this store that may fail for some only."""
+        door = server_module.Server(self._handle)
+        await door.__aenter__()
+        self._doors.append(door)
+        return door
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append one record, as operators and workers do."""
--- a/tests/test_cell_housekeeping.py
+++ b/tests/test_cell_housekeeping.py
@@ -99,6 +99,9 @@
         for due_ms in (5_000, 6_000):
             self.assertFalse(job.state.is_final)
             housekeeping.open_due_occurrences(self.state, self.now_ms, due_ms)
+            # A later leader knows only of recorded occurrences (review/3).
+            self.assertEqual([], self.plan().starts)
+            self.record()
             [start] = self.start_all(self.plan())
             self.report_end('w1', start.task.name, start.run)
         self.assertTrue(job.state.is_final)
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -1,6 +1,7 @@
-"""Test what callers see when workers are cut off, crash or restart."""
+"""Test that runs end before their tasks are started again."""
 
 import asyncio
+import time
 
 from tests import platform_case
 
@@ -63,3 +64,42 @@
         for job_id in job_ids:
             await self.wait_state(job_id, 'completed')
         self.check_runs()
+
+
+class TurnedAwayTest(platform_case.PlatformCase):
+    """Test a leader that the store turns away while it serves the others."""
+
+    async def store_address(self, node: str) -> str:
+        """Return the address of a door of the store for one daemon."""
+        self.doors = getattr(self, 'doors', {})
+        self.doors[node] = await self.store.open_door()
+        return self.doors[node].address
+
+    async def test_occurrences_that_come_due_run_once(self):
+        """Guard against starts that the next leader knows nothing of.
+
+        It opened the occurrences again and started their tasks elsewhere
+        (review/3: TWICE).
+        """
+        begun_ms = int(time.time() * 1000) + 500
+        job_ids = []
+        for number in range(6):
+            duration_ms = 900 if number % 2 else 50
+            body = platform_case.make_job(duration_ms, 2)
+            body.update(
+                max_runs=5,
+                first_run_ms=begun_ms + 170 * number,
+                interval_ms=1_000,
+            )
+            job_ids.append(_JOB_ID_FORMAT.format(64 + number))
+            self.assertEqual(
+                200, await self.call_any('POST', job_ids[-1], body)
+            )
+        await asyncio.sleep(1.5)
+        door = self.doors[self.leader().node]
+        door.fault = lambda request: '503'
+        await asyncio.sleep(3.0)
+        door.fault = lambda request: ''
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+        self.check_runs()
