--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -47,6 +47,7 @@
         '_unseen_usage',
         '_scarce_workers',
         '_gang_room',
+        '_stopping_steps',
     )
 
     def __init__(self, state: state_module.CellState) -> None:
@@ -57,6 +58,9 @@
         # Ids of workers that steps with few eligible workers wait for.
         self._scarce_workers: set[str] = set()
         self._gang_room = gang_room.GangRoom(state)
+        # Keys of steps with runs that are being stopped on some worker and
+        # that no task accounts for.
+        self._stopping_steps: set[str] = set()
 
     def plan(self, now_ms: int) -> None:
         """Run a scheduling pass and add its orders to those of the state."""
@@ -81,6 +85,11 @@
             if self._unseen_usage.get(workspace) != need:
                 freed_workspaces.add(workspace)
         self._scarce_workers = _find_scarce_workers(state)
+        self._stopping_steps = {
+            name.rpartition('.')[0]
+            for worker in state.workers.values()
+            for name in worker.unexpected_runs
+        }
         order = urgency.Urgency(now_ms, state.due_times_ms)
         self._gang_room.begin_pass(order)
         for run in sorted(state.table.ready_steps.values(), key=order):
@@ -111,6 +120,9 @@
             # The job is not accepted until it is recorded, and the leader
             # may change before one of its occurrences is.
             return True
+        if run.key in self._stopping_steps:
+            # A task of it runs until its worker has carried out the stop.
+            return True
         if run.job.recovered and unseen.may_run_unseen(self._state, now_ms):
             self._record_wait_reason(
                 run, _Reason.UNSEEN, len(self._state.unseen_workers)
--- a/tests/test_cell_reports.py
+++ b/tests/test_cell_reports.py
@@ -154,6 +154,22 @@
         self.report('w1')
         self.assertEqual(1, len(self.plan().starts))
 
+    def test_a_task_with_a_run_that_is_stopped_waits_for_its_end(self):
+        """Guard against two runs of a task while the first is stopped.
+
+        A worker lists a run that the leader has given up on (class of
+        review/5: the other worker has room for the task).
+        """
+        self.add_worker('w2')
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        name = f'{_JOB}.0.0.0'
+        self.report('w1', [(name, 3)])
+        orders = self.plan()
+        self.assertEqual([], orders.starts)
+        self.assertEqual(3, orders.stops[0].run)
+        self.report('w1')
+        self.assertEqual(1, len(self.plan().starts))
+
     def test_a_later_leader_adopts_what_runs(self):
         """Guard against a second run after a change of leader."""
         job = self.submit(
