--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -84,7 +84,7 @@
     are recorded.
     """
 
-    __slots__ = ('records', 'jobs', 'ends', 'size_bytes')
+    __slots__ = ('records', 'jobs', 'ends', 'worker_addresses', 'size_bytes')
 
     def __init__(self) -> None:
         self.records: list[tuple[str, bytes | None]] = []
@@ -92,6 +92,8 @@
         # By worker id: start time that identifies the worker's incarnation,
         # and the highest number of its run ends that the batch covers.
         self.ends: dict[str, tuple[int, int]] = {}
+        # The addresses by worker id, if the batch records them.
+        self.worker_addresses: dict[str, str] = {}
         self.size_bytes = 0
 
     def put(self, key: str, value: bytes | None) -> None:
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -314,6 +314,7 @@
         """
         worker = session.worker
         now_ms = self._clock.now_ms()
+        self._recorder.note_answer(worker)
         if not worker.reported:
             events.emit(
                 cell_events.WORKER_GAINED,
@@ -328,7 +329,7 @@
         pacing.pace(self.state, worker, now_ms)
         self._log_ends(worker, report, previous_end_number)
         self._send_orders()
-        if self.state.changed_jobs:
+        if self.state.changed_jobs or self._recorder.worker_addresses_changed:
             self._journal.request_append()
         self._schedule_plan()
         return worker.applied_end_number != worker.recorded_end_number
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -23,8 +23,8 @@
     """Fill the batches of the journal and wake the waiters of each append.
 
     ``collect`` and ``apply`` are the callbacks of the journal.
-    ``on_new_work_recorded`` is called after an append that recorded a job or
-    an occurrence of it for the first time.
+    ``on_new_work_recorded`` is called after an append that recorded a job, an
+    occurrence of it or a worker for the first time.
     """
 
     __slots__ = (
@@ -95,6 +95,14 @@
         self.worker_addresses = dict(recovered.worker_addresses)
         self.settled_term = recovered.settled_term
 
+    def note_answer(self, worker: worker_module.Worker) -> None:
+        """Have the log name a worker with the address of its answer."""
+        address = worker.answered_address
+        if self.worker_addresses.get(worker.worker_id) != address:
+            self.worker_addresses[worker.worker_id] = address
+            self.worker_addresses_changed = True
+            worker.is_recorded = False
+
     def collect(self) -> journal_module.Batch:
         """Return the records of the next append."""
         batch = journal_module.Batch()
@@ -119,6 +127,7 @@
         if self.worker_addresses_changed:
             self.worker_addresses_changed = False
             journal_module.put_worker_addresses(batch, self.worker_addresses)
+            batch.worker_addresses = dict(self.worker_addresses)
         if self.settled_term != self._term and not unseen.may_run_unseen(
             self._state, self._clock.now_ms()
         ):
@@ -142,6 +151,13 @@
                 worker.recorded_end_number = max(
                     worker.recorded_end_number, number
                 )
+        for worker_id, address in batch.worker_addresses.items():
+            worker = self._state.workers.get(worker_id)
+            if worker is None or worker.is_recorded:
+                continue
+            if worker.answered_address == address:
+                worker.is_recorded = has_new_work = True
+                self._state.freed_workers.add(worker_id)
         confirmed, self._append_confirmed = (
             self._append_confirmed,
             asyncio.Event(),
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -213,6 +213,7 @@
     async def _renew_once(self) -> str | None:
         """Renew the lease; returns the error message if that fails."""
         worker = self.worker
+        address = worker.address
         sent_ms = self._clock.now_ms()
         deadline_ms = self._renewal_deadline_ms(sent_ms)
         recorded = worker.applied_end_number == worker.recorded_end_number
@@ -229,7 +230,7 @@
         self._is_life_certain = False
         try:
             report = await self._orders.renew(
-                worker.address,
+                address,
                 worker.worker_id,
                 self._token,
                 deadline_ms,
@@ -241,7 +242,10 @@
             self._owner.lose_leadership(error.message)
             return error.message
         except errors.WorkerReplaced as error:
-            self._owner.lose_worker(self)
+            # Only where the worker has answered before, another one shows
+            # that it has ended: its entry may name a wrong address.
+            if address == worker.answered_address:
+                self._owner.lose_worker(self)
             return error.message
         except errors.WorkerError as error:
             return error.message
@@ -256,6 +260,7 @@
                 self._acknowledged_end_number, acknowledged_end_number
             )
             self._lease.observe(report.clock_ms, now_ms)
+        worker.answered_address = address
         try:
             lacks_ends = self._owner.handle_report(self, report, sent_ms)
         except Exception as error:
@@ -291,11 +296,14 @@
     async def _start(self, order: orders_module.StartOrder) -> None:
         begun_ms = self._clock.now_ms()
         payload = order.task.step_run.job.definition.payload
+        # All attempts go to one address: what answers there settles those
+        # without an answer.
+        address = self.worker.address
         has_unanswered = False
         while True:
             self._open_starts += 1
             try:
-                outcome = await self._try_start(order, payload)
+                outcome = await self._try_start(order, address, payload)
             finally:
                 self._open_starts -= 1
             spent_ms = self._clock.now_ms() - begun_ms
@@ -313,14 +321,14 @@
         self._owner.handle_start_outcome(order, outcome)
 
     async def _try_start(
-        self, order: orders_module.StartOrder, payload: str
+        self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
             return start_outcome.StartOutcome.NOT_SENT
         try:
             answer = await self._orders.start(
-                self.worker.address,
+                address,
                 self.worker.worker_id,
                 self._token,
                 deadline_ms,
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -25,9 +25,12 @@
 
     ``ready`` is the readiness in the registry, ``listed`` tells whether the
     worker has an entry there and ``unlisted_since_ms`` since when it has
-    none. ``reported`` tells whether it has reported to this leader, and
-    ``last_contact_ms`` when it last did. ``unexpected_runs`` are reported
-    runs that must be stopped, as run numbers by task name.
+    none. ``answered_address`` is where it last answered this leader or an
+    earlier one; ``is_recorded`` tells whether the log names it there, so that
+    a later leader waits for its report. ``reported`` tells whether it has
+    reported to this leader, and ``last_contact_ms`` when it last did.
+    ``unexpected_runs`` are reported runs that must be stopped, as run numbers
+    by task name.
 
     ``used`` are the resources of ``tasks``, and ``reserved`` those kept free
     for waiting steps. ``born_wall_ms``, the start time of the worker,
@@ -50,6 +53,8 @@
     __slots__ = (
         'worker_id',
         'address',
+        'answered_address',
+        'is_recorded',
         'pool',
         'rack',
         'failure_domain',
@@ -88,6 +93,8 @@
     ) -> None:
         self.worker_id = worker_id
         self.address = address
+        self.answered_address = ''
+        self.is_recorded = False
         self.pool = pool
         self.rack = rack
         self.failure_domain = failure_domain
@@ -134,6 +141,7 @@
         """Tell whether new tasks may start on this worker now."""
         return (
             self.ready
+            and self.is_recorded
             and (
                 self.listed
                 or now_ms - self.unlisted_since_ms < _UNLISTED_GRACE_MS
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -53,7 +53,9 @@
     def recover(self) -> None:
         """Open sessions with the workers that the previous leader recorded."""
         for worker_id, address in self._recorder.worker_addresses.items():
-            self._add(worker_id, address, None)
+            worker = self._add(worker_id, address, None)
+            worker.answered_address = address
+            worker.is_recorded = True
 
     async def follow(self) -> None:
         """Refresh the workers until cancelled."""
@@ -115,7 +117,7 @@
         worker_id: str,
         address: str,
         entry: ports.RegisteredWorker | None,
-    ) -> None:
+    ) -> worker_module.Worker:
         worker = worker_module.Worker(
             worker_id,
             address,
@@ -129,16 +131,15 @@
         worker.unlisted_since_ms = self._clock.now_ms()
         worker.ready = entry is not None and entry.is_ready
         self._state.workers[worker_id] = worker
-        self._note_address(worker_id, address)
         session = self._open_session(worker)
         self.sessions[worker_id] = session
         session.open()
+        return worker
 
     def _update(
         self, worker: worker_module.Worker, entry: ports.RegisteredWorker
     ) -> None:
         worker.address = entry.address
-        self._note_address(worker.worker_id, entry.address)
         if not entry.is_ready and entry.remaining_ms:
             worker.drain_end_ms = self._clock.now_ms() + entry.remaining_ms
         if worker.ready and not entry.is_ready:
@@ -156,8 +157,3 @@
         worker.capacity = entry.capacity
         worker.ready = entry.is_ready
         worker.listed = True
-
-    def _note_address(self, worker_id: str, address: str) -> None:
-        if self._recorder.worker_addresses.get(worker_id) != address:
-            self._recorder.worker_addresses[worker_id] = address
-            self._recorder.worker_addresses_changed = True
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -72,7 +72,7 @@
             frozenset({'k'}),
             workflow.Need(_WORKER_MILLICORES, _WORKER_MEMORY_MB),
         )
-        worker.reported = True
+        worker.reported = worker.is_recorded = True
         worker.last_contact_ms = self.now_ms
         self.state.workers[name] = worker
 
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -109,6 +109,8 @@
             frozenset({'k', rack}),
             workflow.Need(cpu, 100_000),
         )
+        worker.answered_address = worker.address
+        worker.is_recorded = True
         self.state.workers[name] = worker
         if reported:
             self.report(name)
--- /dev/null
+++ b/tests/test_cell_recorder.py
@@ -0,0 +1,55 @@
+"""Test what the leader records before it acts on it."""
+
+from basilspindle.cell import recorder as recorder_module
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+
+
+class _Clock:
+    def __init__(self, case):
+        self.case = case
+
+    def now_ms(self):
+        return self.case.now_ms
+
+    def wall_ms(self):
+        return self.case.now_ms
+
+
+class WorkerRecordTest(cell_case.CellCase):
+    """Guard tasks on workers that a later leader does not know."""
+
+    def setUp(self):
+        super().setUp()
+        self.plans = 0
+        self.recorder = recorder_module.Recorder(
+            self.state, _Clock(self), 0, self.intake, self.count_plan
+        )
+        self.worker = self.add_worker('w1')
+        self.recorder.note_answer(self.worker)
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+
+    def count_plan(self):
+        self.plans += 1
+
+    def test_a_worker_gets_tasks_once_the_log_names_it(self):
+        """Guard against a run that the next leader does not wait for.
+
+        It would start the task again on another worker (class of review/3).
+        """
+        self.assertEqual([], self.plan().starts)
+        batch = self.recorder.collect()
+        self.assertEqual([], self.plan().starts)
+        self.recorder.apply(batch)
+        self.assertEqual(1, self.plans)
+        self.assertEqual(1, len(self.plan().starts))
+
+    def test_a_new_address_is_recorded_before_more_tasks(self):
+        """Guard against a later leader that asks at the earlier address."""
+        self.recorder.apply(self.recorder.collect())
+        self.worker.answered_address = 'w1:2'
+        self.recorder.note_answer(self.worker)
+        self.assertEqual([], self.plan().starts)
+        self.recorder.apply(self.recorder.collect())
+        self.assertEqual(1, len(self.plan().starts))
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -194,6 +194,44 @@
         self.assertLess(lost_ms[0], taken_ms + 2_100)
 
 
+class OtherWorkerTest(unittest.TestCase):
+    """Guard the tasks of a worker whose address is answered by another."""
+
+    def lost(self, address):
+        """Return how often the worker counts as lost."""
+        case = cell_case.CellCase()
+        case.setUp()
+        worker = case.add_worker('w1')
+        worker.address = address
+        owner = _Losses(_ManualClock())
+        session = session_module.Session(
+            worker,
+            _SilentWorker(owner.clock, None),
+            owner,
+            owner.clock,
+            1,
+            10_000,
+        )
+
+        async def renew(*values):
+            raise errors.WorkerReplaced('another worker; look it up')
+
+        session._orders.renew = renew
+        asyncio.run(session._renew_once())
+        return len(owner.lost_ms)
+
+    def test_another_worker_at_its_address_shows_that_it_has_ended(self):
+        """Guard against tasks that wait for the lease of an ended worker."""
+        self.assertEqual(1, self.lost('w1:1'))
+
+    def test_a_wrong_address_proves_nothing(self):
+        """Guard against an entry that names the address of another worker.
+
+        The worker that has the tasks runs on where it answered before.
+        """
+        self.assertEqual(0, self.lost('w2:1'))
+
+
 class _RestartingWorker:
     """Records what each renewal acknowledges; one of them fails."""
 
--- a/tests/test_cell_worker_tracker.py
+++ b/tests/test_cell_worker_tracker.py
@@ -62,6 +62,7 @@
         self.list('w1', is_ready=True)
         self.refresh()
         self.report('w1')
+        self.state.workers['w1'].is_recorded = True
         job = self.submit(
             cell_case.make_definition(_JOB, cell_case.make_step())
         )
