--- a/basilspindle/cell/claim.py
+++ b/basilspindle/cell/claim.py
@@ -6,6 +6,7 @@
 
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import ports
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 
@@ -70,7 +71,7 @@
             return None, end
         try:
             return msgspec.msgpack.decode(raw, type=Claim), end
-        except msgspec.MsgspecError as error:
+        except decoding.FAULTS as error:
             events.emit(cell_events.RECORD_UNREADABLE, key=_KEY, error=error)
             return None, end
 
@@ -114,7 +115,7 @@
         for node, raw in values.items():
             try:
                 members[node] = msgspec.msgpack.decode(raw, type=str)
-            except msgspec.MsgspecError as error:
+            except decoding.FAULTS as error:
                 events.emit(
                     cell_events.RECORD_UNREADABLE, key=node, error=error
                 )
--- a/basilspindle/cell/configuration_history.py
+++ b/basilspindle/cell/configuration_history.py
@@ -7,6 +7,7 @@
 
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_change
+from basilspindle import decoding
 from basilspindle import errors
 
 _MAX_CHANGES = 64
@@ -162,7 +163,7 @@
             )
             for blob in _BLOBS_DECODER.decode(payload)
         ]
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (*decoding.FAULTS, zlib.error) as error:
         raise errors.ConfigurationDiverged(
             f'a change of the configuration cannot be decoded: {error}; read '
             'the whole configuration'
--- a/basilspindle/cell/configuration_index.py
+++ b/basilspindle/cell/configuration_index.py
@@ -40,6 +40,7 @@
         'configuration',
         'queues',
         'workspaces',
+        'pools',
         '_by_host',
         '_by_key',
     )
@@ -52,6 +53,10 @@
         self.workspaces = {
             workspace.name: workspace for workspace in configuration.workspaces
         }
+        # Names of the pools, also of those that a queue alone names.
+        self.pools = {pool.name for pool in configuration.pools} | {
+            queue.pool for queue in configuration.queues
+        }
         self._by_host: dict[str, _HostQueues] = {}
         for queue in configuration.queues:
             host = queue.host.lower()
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -238,6 +238,13 @@
     'the settings file was reloaded',
     'nothing to do',
 )
+CHECKPOINT_DROPPED = _Event(
+    947,
+    'checkpoint_dropped',
+    _Level.WARNING,
+    'a worker reported a checkpoint that is too long to store',
+    'find out what the task writes; it restarts from its beginning',
+)
 STATE_DUMPED = _Event(
     946,
     'state_dumped',
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -10,6 +10,7 @@
 from basilspindle.cell import hedged_call as hedged_call_module
 from basilspindle.cell import ports
 from basilspindle import clock as clock_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.workflow import definition as definition_module
@@ -329,7 +330,7 @@
     for key, raw in values.items():
         try:
             _decode_record(recovered, values, key, raw)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except decoding.FAULTS as error:
             events.emit(
                 cell_events.RECORD_UNREADABLE, key=key, error=str(error)
             )
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -16,6 +16,7 @@
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 
@@ -102,7 +103,7 @@
             start = end
             try:
                 frame = _DECODER.decode(payload)
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            except decoding.FAULTS as error:
                 self._abort(str(error))
                 return
             self._dispatch(frame, length)
@@ -197,7 +198,7 @@
             )
     except ConnectionRefusedError:
         raise
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         raise errors.PeerUnavailable(
             f'no connection to the daemon at {address}: {error!r}; check '
             'that it runs and is reachable'
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -175,10 +175,18 @@
     def _spawn(
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        task = asyncio.ensure_future(work)
+        task = asyncio.ensure_future(self._run_order(work))
         self._order_tasks.add(task)
         task.add_done_callback(self._order_tasks.discard)
 
+    async def _run_order(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        try:
+            await work
+        except Exception as error:
+            self._log_fault('order', error)
+
     def _log_fault(self, part: str, error: Exception) -> None:
         events.emit(
             cell_events.INTERNAL_FAULT,
@@ -193,7 +201,13 @@
     async def _renew_forever(self) -> None:
         pause_ms = _MIN_RENEW_RETRY_MS
         while True:
-            fault = await self._renew_once()
+            try:
+                fault = await self._renew_once()
+            except Exception as error:
+                # Neither may what one entry of the registry names end the
+                # leadership: the next leader would read it as well.
+                self._log_fault('renewal', error)
+                fault = f'a renewal failed: {error!r}'
             if fault is None:
                 pause_ms = _MIN_RENEW_RETRY_MS
                 continue
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -60,7 +60,16 @@
     async def follow(self) -> None:
         """Refresh the workers until cancelled."""
         while True:
-            await self.refresh()
+            try:
+                await self.refresh()
+            except Exception as error:
+                # What the registry holds must not end the leadership: the
+                # next leader would read it as well.
+                events.emit(
+                    cell_events.INTERNAL_FAULT,
+                    part='WorkerTracker.refresh',
+                    error=repr(error),
+                )
             await self._clock.sleep_ms(_REFRESH_INTERVAL_MS)
 
     async def refresh(self) -> None:
@@ -74,6 +83,8 @@
             return
         for worker_id, entry in entries.items():
             worker = self._state.workers.get(worker_id)
+            if worker is None and not self._is_configured(entry.pool):
+                continue
             if worker is None:
                 self._add(worker_id, entry.address, entry)
             else:
@@ -95,6 +106,11 @@
             self._state.unseen_workers.discard(worker_id)
             self.drop(worker)
 
+    def _is_configured(self, pool: str) -> bool:
+        # An entry of another pool names no worker of this cell.
+        index = self._state.configuration_index
+        return index is not None and pool in index.pools
+
     def drop(self, worker: worker_module.Worker) -> None:
         """Remove a worker and close its session."""
         self._state.workers.pop(worker.worker_id, None)
--- a/basilspindle/cli/client.py
+++ b/basilspindle/cli/client.py
@@ -6,6 +6,7 @@
 import httpx
 import msgspec
 
+from basilspindle import decoding
 from basilspindle import errors
 
 _CONNECT_TIMEOUT_S = 3.0
@@ -157,11 +158,11 @@
     if response.is_success:
         try:
             return msgspec.json.decode(response.content or b'null')
-        except msgspec.MsgspecError:
+        except decoding.FAULTS:
             raise _make_unexpected_error(url, response) from None
     try:
         body = msgspec.json.decode(response.content, type=_ErrorResponse).error
-    except msgspec.MsgspecError:
+    except decoding.FAULTS:
         raise _make_unexpected_error(url, response) from None
     raise _make_reported_error(body)
 
--- a/basilspindle/cli/log_lines.py
+++ b/basilspindle/cli/log_lines.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from basilspindle import decoding
+
 Fields = dict[str, typing.Any]
 
 
@@ -68,7 +70,7 @@
         return None
     try:
         fields = msgspec.json.decode(text[start:])
-    except msgspec.MsgspecError:
+    except decoding.FAULTS:
         # The caller counts the line as unreadable.
         return None
     if not isinstance(fields, dict):
--- a/basilspindle/cli/submission.py
+++ b/basilspindle/cli/submission.py
@@ -54,9 +54,11 @@
     raw = file.read() if file else (text or 'null').encode()
     import msgspec
 
+    from basilspindle import decoding
+
     try:
         return msgspec.json.decode(raw)
-    except msgspec.MsgspecError as error:
+    except decoding.FAULTS as error:
         raise click.UsageError(
             f'the input is not valid JSON: {error}'
         ) from error
--- a/basilspindle/cluster/vm_list_client.py
+++ b/basilspindle/cluster/vm_list_client.py
@@ -7,6 +7,7 @@
 
 from basilspindle import clock as clock_module
 from basilspindle.cluster import virtual_machine
+from basilspindle import decoding
 from basilspindle import errors
 
 _NOT_MODIFIED = 304
@@ -81,7 +82,7 @@
             return list(self._cached_vms)
         except (
             httpx.HTTPError,
-            msgspec.MsgspecError,
+            *decoding.FAULTS,
             errors.DeadlineExceeded,
         ) as error:
             reason = str(error) or type(error).__name__
--- a/basilspindle/config/publication.py
+++ b/basilspindle/config/publication.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from basilspindle import decoding
 from basilspindle import errors
 
 # Limits the memory that a damaged or malicious record can allocate.
@@ -69,7 +70,7 @@
         if not unpack.eof or unpack.unused_data:
             raise _make_unreadable('it is not exactly one complete record')
         publication = _DECODER.decode(data)
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (*decoding.FAULTS, zlib.error) as error:
         raise _make_unreadable(str(error)) from error
     if not _is_consistent(publication):
         raise _make_unreadable(
@@ -99,7 +100,7 @@
 def _canonicalize(document: bytes) -> typing.Any:
     try:
         return _sort_members(msgspec.json.decode(document))
-    except msgspec.MsgspecError:
+    except decoding.FAULTS:
         return document.hex()
 
 
--- a/basilspindle/config/validate.py
+++ b/basilspindle/config/validate.py
@@ -8,6 +8,7 @@
 from basilspindle.config import overlay as overlay_module
 from basilspindle.config import rules
 from basilspindle.config import source as source_module
+from basilspindle import decoding
 from basilspindle import document
 from basilspindle import errors
 
@@ -58,7 +59,7 @@
             msgspec.json.decode(base), msgspec.json.decode(overlay)
         )
         return msgspec.convert(merged, document_module.Document)
-    except msgspec.MsgspecError as error:
+    except decoding.FAULTS as error:
         raise errors.ConfigurationInvalid(
             f'this daemon cannot read the accepted configuration: {error}; '
             'update the daemon or publish a corrected configuration'
--- a/basilspindle/fleet/client.py
+++ b/basilspindle/fleet/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from basilspindle import clock as clock_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle.fleet import connection
 from basilspindle.fleet import event_page
@@ -192,7 +193,7 @@
     def _refusal(self, status: int, data: bytes) -> errors.WorkerRefused:
         try:
             refusal = msgspec.json.decode(data, type=_Refusal)
-        except msgspec.MsgspecError:
+        except decoding.FAULTS:
             refusal = _Refusal(message=f'status {status}')
         text = f'worker at {self.address} refused: {refusal.kind}'
         if refusal.kind == errors.StaleEpoch.kind:
@@ -209,7 +210,7 @@
     def _decode(self, data: bytes, kind: type[_T]) -> _T:
         try:
             return msgspec.json.decode(data, type=kind)
-        except msgspec.MsgspecError as fault:
+        except decoding.FAULTS as fault:
             raise errors.WorkerOutcomeUnknown(
                 f'worker at {self.address} sent an unreadable answer: {fault}'
             ) from fault
--- a/basilspindle/fleet/connection.py
+++ b/basilspindle/fleet/connection.py
@@ -74,7 +74,13 @@
         was sent, ``WorkerOutcomeUnknown`` if no answer came in time.
         """
         send_state = _SendState(guard)
-        request = self._build(method, path, body, timeout_ms, send_state)
+        try:
+            request = self._build(method, path, body, timeout_ms, send_state)
+        except (httpx.InvalidURL, ValueError, OverflowError) as fault:
+            raise errors.WorkerUnavailable(
+                f'{self._address!r} is no address: {fault}; correct the VM '
+                'list'
+            ) from fault
         try:
             return await self._clock.wait_for(
                 self._exchange(request, send_state), timeout_ms
--- a/basilspindle/journal/batch.py
+++ b/basilspindle/journal/batch.py
@@ -28,7 +28,7 @@
 
 
 def decode(data: bytes) -> Batch:
-    """Decode a batch; raises ``msgspec.MsgspecError`` if that fails."""
+    """Decode a batch; raises one of ``decoding.FAULTS``."""
     return _DECODER.decode(data)
 
 
--- a/basilspindle/journal/log_client.py
+++ b/basilspindle/journal/log_client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from basilspindle import clock as clock_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.journal import chunk as chunk_module
@@ -140,7 +141,7 @@
         except (
             httpx.HTTPError,
             errors.DeadlineExceeded,
-            msgspec.MsgspecError,
+            *decoding.FAULTS,
         ) as error:
             self._record_failure(sent_ms)
             raise _outcome_unknown_error(_describe_error(error)) from error
@@ -170,7 +171,7 @@
         except (
             httpx.HTTPError,
             errors.DeadlineExceeded,
-            msgspec.MsgspecError,
+            *decoding.FAULTS,
         ) as error:
             self._record_failure(sent_ms)
             raise self.unavailable_error(_describe_error(error)) from error
--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -5,9 +5,8 @@
 import types
 import typing
 
-import msgspec
-
 from basilspindle import clock as clock_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.journal import append_item
@@ -512,7 +511,7 @@
     def _decode(self, offset: int, data: bytes) -> batch_module.Batch | None:
         try:
             return batch_module.decode(data)
-        except msgspec.MsgspecError as error:
+        except decoding.FAULTS as error:
             events.emit(
                 journal_events.RECORD_UNREADABLE,
                 partition=self.partition,
--- a/basilspindle/peer/client.py
+++ b/basilspindle/peer/client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from basilspindle import clock as clock_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.peer import codec
@@ -24,7 +25,7 @@
     exceptions.GRPCError,
     exceptions.StreamTerminatedError,
     exceptions.ProtocolError,
-    msgspec.MsgspecError,
+    *decoding.FAULTS,
     OSError,
     AssertionError,
     AttributeError,
--- a/basilspindle/peer/codec.py
+++ b/basilspindle/peer/codec.py
@@ -29,7 +29,7 @@
         return tag + self._encoder.encode(message)
 
     def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
-        """Decode a message or a fault; raises ``MsgspecError``."""
+        """Decode a message or a fault; raises ``decoding.FAULTS``."""
         if not data:
             raise msgspec.DecodeError('the message is empty')
         if data[:1] == _FAULT_TAG:
--- a/basilspindle/peer/server.py
+++ b/basilspindle/peer/server.py
@@ -10,6 +10,7 @@
 from grpclib import server
 import msgspec
 
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.peer import events as peer_events
@@ -102,7 +103,7 @@
     ) -> None:
         try:
             request = await stream.recv_message()
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except decoding.FAULTS as error:
             reply: msgspec.Struct = self._undecodable_fault(
                 request_type, error
             )
--- a/basilspindle/platform/advice.py
+++ b/basilspindle/platform/advice.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from basilspindle.cell import ports
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle.platform import client as client_module
 
@@ -13,7 +14,7 @@
 class _Advice(msgspec.Struct):
     # Pairs of worker id and ticket, one for each worker that may run the step.
     good: list[tuple[str, str]] = []
-    valid_ms: float = _DEFAULT_VALID_MS
+    valid_ms: decoding.Amount = _DEFAULT_VALID_MS
 
 
 class HttpAdvice:
@@ -51,7 +52,7 @@
         try:
             advice = msgspec.json.decode(response.body, type=_Advice)
             return ports.AdviceResult(dict(advice.good), int(advice.valid_ms))
-        except (msgspec.MsgspecError, ValueError, OverflowError) as error:
+        except decoding.FAULTS as error:
             raise errors.WorkerUnavailable(
                 f'the advice service sent a response that cannot be decoded: '
                 f'{error!r}; retry'
--- a/basilspindle/platform/boot_settings.py
+++ b/basilspindle/platform/boot_settings.py
@@ -135,7 +135,7 @@
     try:
         document: typing.Any = tomllib.loads(text)
         return BootSettings(msgspec.convert(document, _SettingsFile))
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise errors.SettingsInvalid(
             f'{name} is not valid TOML: {error}; correct the file'
         ) from error
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -214,7 +214,14 @@
         """
         started_s = self._now_s()
         connection: _Connection | None = None
-        data = _encode(address, method, path, body, headers, content_type)
+        try:
+            data = _encode(address, method, path, body, headers, content_type)
+        except ValueError as error:
+            raise CallFailed(
+                f'a call to {address!r} cannot be written: {error}; correct '
+                'the entry that names the address',
+                sent=False,
+            ) from error
         try:
             async with asyncio.timeout(timeout_ms / 1000) as timeout:
                 connection = await self._acquire(address)
@@ -324,7 +331,7 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise CallFailed(
                 f'no connection to {address}: {error!r}; check that it runs '
                 'and is reachable',
@@ -344,6 +351,8 @@
 ) -> bytes:
     lines = [f'{method} {path} HTTP/1.1', f'Host: {address}']
     lines += [f'{name}: {value}' for name, value in headers]
+    if any('\r' in line or '\n' in line for line in lines):
+        raise ValueError('a line break in the head of a request')
     if body or method == 'POST':
         lines.append(f'Content-Type: {content_type}')
         lines.append(f'Content-Length: {len(body)}')
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -9,6 +9,7 @@
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import ports
 from basilspindle import clock as clock_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.platform import store as store_module
@@ -23,9 +24,9 @@
 
 
 class _Advice(msgspec.Struct):
-    decide_ms: float = 0.0
-    each_ms: float = 0.0
-    valid_ms: float = 0.0
+    decide_ms: decoding.Amount = 0.0
+    each_ms: decoding.Amount = 0.0
+    valid_ms: decoding.Amount = 0.0
 
 
 class _Route(msgspec.Struct):
@@ -35,11 +36,11 @@
     path_prefix: str
     # Name of the worker pool that runs the jobs.
     service: str = ''
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
-    timeout_ms: int = 3_000
+    priority: decoding.Count = 0
+    max_attempts: decoding.Count = 1
+    stretch: decoding.Amount = 1.0
+    target_latency_ms: decoding.Count = 0
+    timeout_ms: decoding.Count = 3_000
     public: bool = False
     advice: _Advice | None = None
 
@@ -48,13 +49,13 @@
     # A service is a pool of workers.
     name: str
     health_path: str = '/health'
-    max_conns: int = 64
+    max_conns: decoding.Count = 64
 
 
 class _Resources(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: decoding.Count = 0
+    mem_mb: decoding.Count = 0
+    gpus: decoding.Count = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -63,17 +64,17 @@
     api_keys: list[str] = []
     # Jobs per second that the workspace may count on when the fleet is full;
     # 0 for no bound.
-    weight: float = 0.0
+    weight: decoding.Amount = 0.0
     # Upper limit on the resources in use; 0 for no limit.
     cap: _Resources = msgspec.field(default_factory=_Resources)
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 262_144
+    max_body_bytes: decoding.Count = 262_144
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -132,7 +133,7 @@
             configuration = _to_configuration(
                 msgspec.json.decode(raw, type=_Config)
             )
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except decoding.FAULTS as error:
             events.emit(cell_events.CONFIGURATION_UNREADABLE, error=str(error))
             return None
         report = configuration_update.ReadReport(
--- a/basilspindle/platform/job_body.py
+++ b/basilspindle/platform/job_body.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from basilspindle.cell import configuration as configuration_module
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import need as need_module
@@ -13,12 +14,12 @@
 
 
 class _Step(msgspec.Struct):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    estimate_ms: float = 0
-    after: list[int] = []
+    count: decoding.Integer = 1
+    cpu: decoding.Integer = 0
+    mem_mb: decoding.Integer = 0
+    gpus: decoding.Integer = 0
+    estimate_ms: decoding.Number = 0
+    after: list[decoding.Integer] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -27,22 +28,22 @@
     # Rack of the input data, where the tasks run fastest.
     affinity: str = ''
     # Maximum number of tasks of the step on one worker; 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: decoding.Integer = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: float = 0
+    target_ms: decoding.Number = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: decoding.Integer = 0
 
 
 class _Job(msgspec.Struct):
     # Payload that is passed to every task.
     spec: str = ''
     steps: list[_Step] = []
-    max_runs: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    max_runs: decoding.Integer = 0
+    first_run_ms: decoding.Integer = 0
+    interval_ms: decoding.Integer = 0
 
 
 _DECODER = msgspec.json.Decoder(_Job)
@@ -58,7 +59,7 @@
     """Return the job that a request body defines; raises ``BadRequest``."""
     try:
         job = _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.FAULTS as error:
         raise errors.BadRequest(
             f'the body is not a valid job: {error}'
         ) from error
@@ -95,9 +96,11 @@
         if step.count < 1:
             raise errors.BadRequest(f'step {index}: count must be at least 1')
         amounts = (step.cpu, step.mem_mb, step.gpus, step.estimate_ms)
-        if min(amounts) < 0:
+        limits = (step.target_ms, step.anti_affinity, step.may_miss)
+        if min(*amounts, *limits) < 0:
             raise errors.BadRequest(
-                f'step {index}: resources and estimate_ms must not be negative'
+                f'step {index}: resources, estimate_ms, target_ms, '
+                'anti_affinity and may_miss must not be negative'
             )
         if any(not 0 <= earlier < index for earlier in step.after):
             raise errors.BadRequest(
--- a/basilspindle/platform/registry.py
+++ b/basilspindle/platform/registry.py
@@ -1,9 +1,12 @@
 """Read the worker registry from the platform's store."""
 
+import re
+
 import msgspec
 
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import ports
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.platform import store as store_module
@@ -12,14 +15,18 @@
 _STREAM = 'servers'
 _READY = 'ready'
 _DRAINING = 'draining'
+# A worker's id is sent in a header, and addresses are connected to.
+_WORKER_ID = re.compile(r'[!-~]{1,200}')
+_ADDRESS = re.compile(r'[0-9A-Za-z._-]{1,253}:([0-9]{1,5})')
+_MAX_PORT = 65_535
 # Index of the rack in the labels, after the kind of the worker.
 _RACK_LABEL_INDEX = 1
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: decoding.Count = 0
+    mem_mb: decoding.Count = 0
+    gpus: decoding.Count = 0
 
 
 class _Entry(msgspec.Struct):
@@ -32,9 +39,9 @@
     # Kind of the worker, then its rack.
     labels: list[str] = []
     # Time until a draining worker leaves.
-    remaining_ms: int = 0
+    remaining_ms: decoding.Count = 0
     # Unix time of the worker's start in ms.
-    born: int = 0
+    born: decoding.Count = 0
 
 
 class StoreRegistry:
@@ -88,16 +95,15 @@
             return
         try:
             entry = msgspec.json.decode(raw, type=_Entry)
-            if entry.state not in (_READY, _DRAINING):
-                raise msgspec.ValidationError(f'state {entry.state!r}')
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            _check(key, entry)
+        except decoding.FAULTS as error:
             # The entry is skipped; the last valid one of this key stays.
             if key not in self._unreadable_keys:
                 self._unreadable_keys.add(key)
                 events.emit(
                     cell_events.REGISTRY_ENTRY_UNREADABLE,
                     key=key,
-                    error=str(error),
+                    error=str(error)[:200],
                 )
             return
         self._workers[key] = ports.RegisteredWorker(
@@ -116,3 +122,13 @@
             entry.remaining_ms,
             entry.born,
         )
+
+
+def _check(worker_id: str, entry: _Entry) -> None:
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise ValueError('the key is not a worker id')
+    if entry.state not in (_READY, _DRAINING):
+        raise ValueError(f'state {entry.state[:40]!r}')
+    address = _ADDRESS.fullmatch(entry.address)
+    if address is None or not 0 < int(address[1]) <= _MAX_PORT:
+        raise ValueError(f'address {entry.address[:60]!r}')
--- a/basilspindle/platform/store.py
+++ b/basilspindle/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from basilspindle.cell import ports
+from basilspindle import decoding
 from basilspindle import errors
 from basilspindle.platform import client as client_module
 
@@ -23,6 +24,7 @@
 _KEYED_TOPIC_PREFIX = 'keyed.'
 _PARTITION = 0
 _RETRY_AFTER_MS = 500
+_REPLACEMENT = '\ufffd'
 # The end offset and the first offset of a chunk take 8 bytes each.
 _CHUNK_HEADER_BYTES = 16
 
@@ -30,30 +32,30 @@
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int = 0
+    offset: decoding.Count = 0
 
 
 class _NewestPage(msgspec.Struct):
     items: list[_Item]
-    end: int
+    end: decoding.Count
     more: bool = False
 
 
 class _Trimmed(msgspec.Struct):
     # First offset that the partition still contains.
-    first: int = 0
+    first: decoding.Count = 0
 
 
 class _Appended(msgspec.Struct):
-    offset: int = 0
+    offset: decoding.Count = 0
 
 
 class _Rejection(msgspec.Struct):
     reason: str = ''
     # One of these two fields holds the next sequence number that the
     # partition accepts.
-    expected: int | None = None
-    seq: int | None = None
+    expected: decoding.Count | None = None
+    seq: decoding.Count | None = None
 
 
 class LogStore:
@@ -91,11 +93,12 @@
             self._check_read(response)
             page = _decode_read(response.body, _NewestPage)
             end = page.end if end is None else end
+            known = len(values)
             for item in page.items:
                 values[item.key] = _decode_base64(item.value)
-            if not page.more or not page.items:
+            if not page.more or len(values) == known:
                 return values, end
-            query['after'] = page.items[-1].key
+            query['after'] = _last_readable_key(page.items)
 
     async def read(
         self,
@@ -294,7 +297,7 @@
 def _decode(body: bytes, expected_type: type[typing.Any]) -> typing.Any:
     try:
         return msgspec.json.decode(body, type=expected_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.FAULTS as error:
         raise errors.LogOutcomeUnknown(
             f'the response of the store cannot be decoded: {error}; retry'
         ) from error
@@ -308,6 +311,15 @@
         raise _no_effect(error.message) from error
 
 
+def _last_readable_key(items: list[_Item]) -> str:
+    # A key that is no text is shown with replacement characters, so the next
+    # page cannot begin after it.
+    for item in reversed(items):
+        if _REPLACEMENT not in item.key:
+            return item.key
+    return items[-1].key
+
+
 def _decode_base64(value: str) -> bytes:
     try:
         return base64.b64decode(value)
--- a/basilspindle/platform/workers.py
+++ b/basilspindle/platform/workers.py
@@ -4,9 +4,12 @@
 
 import msgspec
 
+from basilspindle.cell import events as cell_events
 from basilspindle.cell import report as report_module
 from basilspindle.cell import start_outcome
+from basilspindle import decoding
 from basilspindle import errors
+from basilspindle import events
 from basilspindle.platform import client as client_module
 
 _Outcome = start_outcome.StartOutcome
@@ -31,6 +34,11 @@
     'room': _Outcome.NO_ROOM,
     'ticket': _Outcome.TICKET_REFUSED,
 }
+# A checkpoint is stored with the progress of its job. A longer one is dropped,
+# so that the task starts from its beginning.
+_MAX_CHECKPOINT_CHARS = 4_000
+_MAX_PERCENT = 100
+_MAX_LOGGED_CHARS = 60
 # A report with this many run ends is incomplete; more follow.
 _MAX_ENDS_PER_REPORT = 500
 _ENCODER = msgspec.json.Encoder()
@@ -42,24 +50,24 @@
 
 class _ClockReading(msgspec.Struct):
     # Monotonic clock of the worker.
-    clock_ms: int | None = None
+    clock_ms: decoding.Count | None = None
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: decoding.Count
     # Checkpoint.
     saved: str
     # Progress.
-    percent: float
+    percent: decoding.Amount
     # Response time in ms of a service, CPU usage of any other task.
-    load: float = 0
+    load: decoding.Amount = 0
 
 
 class _FinishedRow(msgspec.Struct, array_like=True):
-    number: int
+    number: decoding.Count
     task: str
-    run: int
+    run: decoding.Count
     how: str
     # Checkpoint.
     saved: str
@@ -67,11 +75,13 @@
 
 class _WorkerReport(msgspec.Struct):
     # Monotonic clock of the worker.
-    clock_ms: int
-    running: list[_RunningRow] = []
-    finished: list[_FinishedRow] = []
+    clock_ms: decoding.Count
+    # Required: a report without one of the lists would say that runs have
+    # ended.
+    running: list[_RunningRow]
+    finished: list[_FinishedRow]
     # Unix time of the worker's start in ms, which changes with a restart.
-    born: int = 0
+    born: decoding.Count = 0
 
 
 class HttpWorkers:
@@ -111,7 +121,7 @@
                 response.body, type=_WorkerReport
             )
             return _decode_report(worker_report)
-        except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
+        except (*decoding.FAULTS, KeyError) as error:
             raise errors.WorkerOutcomeUnknown(
                 f'worker at {address} sent a report that cannot be decoded: '
                 f'{error!r}; retry'
@@ -238,7 +248,7 @@
     # The outcome stands whatever the rest of the answer is.
     try:
         return msgspec.json.decode(response.body, type=_ClockReading).clock_ms
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.FAULTS:
         return None
 
 
@@ -268,7 +278,7 @@
 def _decode_reason(response: client_module.Response, address: str) -> str:
     try:
         return msgspec.json.decode(response.body, type=_Rejection).reason
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.FAULTS as error:
         # A rejected call had no effect, whatever the reason was.
         raise errors.WorkerUnavailable(
             f'worker at {address} rejected a call with a body that cannot be '
@@ -279,13 +289,21 @@
 def _decode_report(worker_report: _WorkerReport) -> report_module.Report:
     running = tuple(
         report_module.ActiveRun(
-            row.task, row.run, row.saved, int(row.percent), int(row.load)
+            row.task,
+            row.run,
+            _accept_checkpoint(row.task, row.saved),
+            min(int(row.percent), _MAX_PERCENT),
+            int(row.load),
         )
         for row in worker_report.running
     )
     ends = tuple(
         report_module.RunEnd(
-            row.number, row.task, row.run, _END_KINDS[row.how], row.saved
+            row.number,
+            row.task,
+            row.run,
+            _END_KINDS[row.how],
+            _accept_checkpoint(row.task, row.saved),
         )
         for row in worker_report.finished
     )
@@ -296,3 +314,14 @@
         ends,
         len(ends) < _MAX_ENDS_PER_REPORT,
     )
+
+
+def _accept_checkpoint(task: str, checkpoint: str) -> str:
+    if len(checkpoint) <= _MAX_CHECKPOINT_CHARS:
+        return checkpoint
+    events.emit(
+        cell_events.CHECKPOINT_DROPPED,
+        task=task[:_MAX_LOGGED_CHARS],
+        chars=len(checkpoint),
+    )
+    return ''
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -10,11 +10,11 @@
 import httpx
 import hypothesis
 from hypothesis import strategies
-import msgspec
 
 from basilspindle import clock as clock_module
 from basilspindle.cluster import vm_list_client
 from basilspindle.config import publication as publication_module
+from basilspindle import decoding
 from basilspindle import document
 from basilspindle import errors
 from basilspindle.fleet import client as worker_client
@@ -45,6 +45,11 @@
     b'{"running":[null],"ended":[]}',
     b'{"kind":7}',
     b'[' * 5_000,
+    b'{"x":' + b'[' * 20_000 + b']' * 20_000 + b'}',
+    b'{"events":[],"next":0,"x":' + b'{"a":' * 20_000 + b'1' + b'}' * 20_000,
+    b'{"offset":1' + b'0' * 40 + b'}',
+    b'{"epoch":' + b'9' * 5_000 + b'}',
+    b'\x91' * 100_000,
 )
 _STATUSES = (200, 304, 400, 404, 409, 410, 429, 500, 503)
 _SETTINGS = hypothesis.settings(
@@ -125,7 +130,7 @@
         ):
             try:
                 decode(raw)
-            except msgspec.MsgspecError:
+            except decoding.FAULTS:
                 continue
 
     def test_listed_bodies(self):
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -1,8 +1,10 @@
 """Test that runs end before their tasks are started again."""
 
 import asyncio
+import json
 import time
 
+from tests import odd_values
 from tests import platform_case
 
 _JOB_ID_FORMAT = '00000000000000{:02x}'
@@ -103,3 +105,59 @@
         for job_id in job_ids:
             await self.wait_state(job_id, 'completed')
         self.check_runs()
+
+
+class ForeignEntryTest(platform_case.PlatformCase):
+    """Test entries that another writer leaves among those of the workers."""
+
+    async def test_foreign_entries_cost_no_leadership(self):
+        """Guard against leaders that follow each other within a second.
+
+        Each read the same entry: its key was no text, its port out of range,
+        it was nested too deeply, or a number in it too large (review/1: LOST;
+        leaders changed 26 epochs in 4 s on the users' machines).
+        """
+        entry = {
+            'service': 'pool',
+            'address': self.workers[0].server.address,
+            'zone': 'a',
+            'state': 'ready',
+            'capacity': {'cpu': 1_000, 'mem_mb': 1_000, 'gpus': 0},
+            'labels': ['a', 'r1'],
+            'seq': 1,
+        }
+        host = '127.0.0.1'
+        odd_entries = {
+            'entry-\ufffd': entry,
+            'other-pool': {**entry, 'service': 'another'},
+            'other-address': entry,
+            'w1\r\nX-Odd: 1': entry,
+            'number': {**entry, 'remaining_ms': 10**40},
+            **{
+                f'port-{port}': {**entry, 'address': f'{host}:{port}'}
+                for port in ('99999', '-1', '0', '65536', '1e3', '')
+            },
+        }
+        raw_entries = {
+            key: json.dumps(value).encode()
+            for key, value in odd_entries.items()
+        }
+        deep = odd_values.VALUES[-1].encode()
+        raw_entries['deep'] = json.dumps(entry).encode()[:-1] + (
+            b',"odd":' + deep + b'}'
+        )
+        raw_entries['text'] = b'\xff\xfe'
+        leader = self.leader()
+        for key, raw in raw_entries.items():
+            self.store.put('keyed.servers', key, raw)
+        job_id = _JOB_ID_FORMAT.format(96)
+        body = platform_case.make_job(500, 2, 2, 2)
+        self.assertEqual(200, await self.call_any('POST', job_id, body))
+        await self.wait_state(job_id, 'completed')
+        await asyncio.sleep(2.0)
+        for daemon in self.daemons:
+            text = daemon.log_path.read_text()
+            self.assertNotIn('"name":"leader_lost"', text)
+            self.assertIsNone(daemon.process.returncode)
+        self.assertIn('registry_entry_unreadable', leader.log_path.read_text())
+        self.check_runs()
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -92,6 +92,14 @@
             await self.call(self.api.start(grant.epoch, self.order('a')))
         self.assertEqual([], self.worker.runs)
 
+    async def test_an_odd_address_is_not_called(self):
+        """Guard against an entry of the VM list that no URL can hold."""
+        for address in ('w:99999', 'w:-1', 'w:x', 'a\r\nb:1', '\ud800:1'):
+            with self.subTest(address=address):
+                api = fleet.WorkerClient(address, clock_module.Clock())
+                with self.assertRaises(errors.WorkerUnavailable):
+                    await self.call(api.lease('d1', 3_000, 0))
+
     async def test_guard_prevents_the_send(self):
         """Guard against sending a start that the guard has rejected."""
         grant = await self.call(self.api.lease('d1', 3_000, 0))
