--- a/basilspindle/daemon/holder_directory.py
+++ b/basilspindle/daemon/holder_directory.py
@@ -71,11 +71,16 @@
                 yield holder_id_of(member), heartbeat.room, stamp
 
     def is_lost(self, holder_id: str) -> bool:
-        """Tell whether a holder has failed, has left or is unknown."""
+        """Tell whether a holder has left, was replaced or is unknown.
+
+        One whose address refuses connections may be cut off with resets: it
+        renews the leases of its tasks for as long as it reaches its workers.
+        Once it has ended, the next holder of each worker reports them.
+        """
         member = self._find(holder_id)
         if member is self._membership.own:
             return False
-        return member is None or not member.state.must_reply
+        return member is None or member.state is cluster.MemberState.GONE
 
     def lowest_waiting_shares(self) -> list[float]:
         """Return the lowest waiting share elsewhere by priority class.
