--- a/basilspindle/cluster/fencing.py
+++ b/basilspindle/cluster/fencing.py
@@ -104,13 +104,13 @@
     def _all_called(self) -> bool:
         return all(
             member.address in self._requests
-            for member in self._membership.required_members()
+            for member in self._membership.fenceable_members()
         )
 
     def _unacked_members(self) -> list[member_module.Member]:
         return [
             member
-            for member in self._membership.required_members()
+            for member in self._membership.fenceable_members()
             if self._acked_incarnations.get(member.address)
             != member.incarnation
         ]
@@ -124,7 +124,13 @@
             return False
         if self._former_acked():
             return True
-        return waited_ms >= self._timing.settle_ms
+        if self._former_id == self._membership.own.member_id:
+            # This process has taken the place of the former owner's; packets
+            # of that one may still be under way.
+            return waited_ms >= self._timing.settle_ms
+        # It has left, or refuses connections and may only be cut off. It
+        # starts nothing more once its assurance has run out.
+        return waited_ms >= with_clock_drift(self._timing.assurance_ms)
 
     def _former_acked(self) -> bool:
         former = self._membership.get(self._former_id)
--- a/basilspindle/cluster/member_state.py
+++ b/basilspindle/cluster/member_state.py
@@ -7,9 +7,9 @@
     """State of another daemon as this one sees it.
 
     A suspect member was not heard from for suspect_ms and may still run.
-    A down member's address has refused connections for suspect_ms, so no
-    process runs there. A gone member left the VM list or was replaced by a
-    newer process.
+    A down member's address has refused connections for suspect_ms: its
+    process has ended, or it is cut off with resets. A gone member left the
+    VM list or was replaced by a newer process.
     """
 
     LIVE = 'live'
@@ -20,8 +20,8 @@
 
     @property
     def must_reply(self) -> bool:
-        """Tell whether assurance and fencing need this member's reply."""
-        return self not in _STOPPED
+        """Tell whether assurance needs this member's reply."""
+        return self is not MemberState.GONE
 
     @property
     def responsive(self) -> bool:
@@ -29,5 +29,4 @@
         return self in _RESPONSIVE
 
 
-_STOPPED = frozenset({MemberState.DOWN, MemberState.GONE})
 _RESPONSIVE = frozenset({MemberState.LIVE, MemberState.LEAVING})
--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -192,13 +192,25 @@
         return max(matching, key=lambda m: m.incarnation, default=None)
 
     def required_members(self) -> list[member_module.Member]:
-        """Return the members whose replies assurance and fencing need."""
+        """Return the members whose replies assurance needs."""
         return [
             member
             for member in self._members.values()
             if self._state_of(member).must_reply
         ]
 
+    def fenceable_members(self) -> list[member_module.Member]:
+        """Return the members that may answer a fence.
+
+        Those that refuse connections do not. They are assured of nothing
+        once assurance_ms have passed since they were last answered.
+        """
+        return [
+            member
+            for member in self.required_members()
+            if self._state_of(member) is not _State.DOWN
+        ]
+
     def answered_send_ms(self, member_id: str) -> int | None:
         """Return the send time of the last answered heartbeat, or None.
 
