Withdraw a job only if it is still the one of its id

A caller could be told that a job never runs while it ran, and an accepted job could vanish from its leader's memory: three overlapping requests for one job with unequal deadlines while an append is slow. Noted by the review without a case; it may be what the users saw as REFUSED, which is not shown.

withdraw() removed whatever job was known under the id. It now compares the object. The new test failed before the change.

--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -91,10 +91,17 @@
         return job
 
     def withdraw(self, job: job_module.Job) -> bool:
-        """Remove a new job unless it is recorded or part of an append."""
+        """Remove a new job unless it is recorded or part of an append.
+
+        Returns whether no job of its id is recorded or may be: another
+        request may have withdrawn this one, and a third one have submitted
+        it again since.
+        """
         state = self._state
         if job.append_started or job.durable_state is not None:
             return False
+        if state.table.jobs.get(job.job_id) is not job:
+            return not state.table.knows(job.job_id)
         state.changed_jobs.pop(job.job_id, None)
         if not job.is_beyond_share:
             state.share_limiter.refund(job.definition.workspace)
--- a/tests/test_cell_intake.py
+++ b/tests/test_cell_intake.py
@@ -32,6 +32,21 @@
         self.assertIsNone(self.intake.find_state(_JOB, 'beta'))
         self.assertIsNone(self.intake.cancel(_JOB, 'beta'))
 
+    def test_a_late_withdrawal_spares_the_same_job_submitted_again(self):
+        """Guard against an accepted job that its leader forgets.
+
+        Two requests wait for one job; the first one withdraws it, a third
+        one submits it again, and the second one gives up then. Its caller
+        must not be told that the job never runs.
+        """
+        first = self.intake.submit(self.definition(), self.now_ms)
+        self.assertTrue(self.intake.withdraw(first))
+        self.assertTrue(self.intake.withdraw(first))
+        second = self.submit(self.definition())
+        self.assertFalse(self.intake.withdraw(first))
+        self.assertIs(second, self.submit(self.definition()))
+        self.assertIsNotNone(self.intake.find_state(_JOB, cell_case.WORKSPACE))
+
     def test_a_job_is_shown_only_as_it_is_recorded(self):
         """Guard against showing a state that a later leader may revert."""
         job = self.intake.submit(self.definition(), self.now_ms)
