--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -13,8 +13,10 @@
 
 import httpx
 
+from tests import odd_values
 from tests import platform_case
 from tests.standins import platform
+from tests.standins.platform import server as server_module
 
 _FAULT_PHASE_S = 8.0
 _COMPLETION_TIMEOUT_S = 40.0
@@ -23,6 +25,12 @@
 _IN_FORCE_LIMIT_S = 3.0
 _STORE_FAULTS = ('silent', 'reset', 'lost', 'late', '503', '429')
 _WORKER_FAULTS = ('silent', 'reset', 'lost', 'late', '503')
+# Beside these, workers refuse connections, lose power and return under their
+# ids, and one of them is lost for good.
+_WORKER_MACHINE_FAULTS = ('refuse', 'refuse', 'power', 'power', 'gone')
+_MAX_CUT_S = 7.0
+_MAX_POWER_LOSS_S = 1.5
+_RECURRENCE = {'max_runs': 3, 'interval_ms': 700}
 
 
 class SoakCase(platform_case.PlatformCase):
@@ -31,12 +39,22 @@
     daemon_count = 4
     worker_count = 4
 
+    async def store_address(self, node: str) -> str:
+        """Return the address of a door of the store for one daemon."""
+        self.doors: dict[str, server_module.Server] = getattr(
+            self, 'doors', {}
+        )
+        self.doors[node] = await self.store.open_door()
+        return self.doors[node].address
+
     async def soak(self, seed: int) -> None:
         """Run the schedule of one seed and check the invariants."""
         self.random = random.Random(seed)
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
+        self.failed_workers: set[platform.StandinWorker] = set()
+        self.gone_workers: set[platform.StandinWorker] = set()
         self.down: set[platform_case.Daemon] = set()
         self.version = 1
         self.route_count = 0
@@ -50,6 +68,8 @@
                     self._fail_store,
                     self._fail_workers,
                     self._change_configuration,
+                    self._fail_worker_machines,
+                    self._leave_odd_entries,
                 ):
                     group.create_task(work(end_s))
             await self._recover()
@@ -73,9 +93,77 @@
                     client_random.choice((50, 300, 900)),
                     client_random.choice((1, 2, 3)),
                 )
-                await self._submit(session, client_random, job_id, body)
+                if client_random.random() < 0.2:
+                    first_ms = int(time.time() * 1000) + 200
+                    body.update(_RECURRENCE, first_run_ms=first_ms)
+                if client_random.random() < 0.2:
+                    await self._submit_copies(
+                        session, client_random, job_id, body
+                    )
+                else:
+                    await self._submit(session, client_random, job_id, body)
                 await asyncio.sleep(_SUBMIT_PAUSE_S)
 
+    async def _submit_copies(
+        self,
+        session: httpx.AsyncClient,
+        client_random: random.Random,
+        job_id: str,
+        body: object,
+    ) -> None:
+        # Copies of a submission that wait at the leader at the same time and
+        # give up one after the other.
+        async def send(delay_s: float, deadline_ms: int) -> None:
+            await asyncio.sleep(delay_s)
+            await self._send(
+                session,
+                client_random.choice(self.daemons),
+                job_id,
+                body,
+                deadline_ms,
+            )
+
+        await asyncio.gather(
+            *(
+                send(
+                    client_random.uniform(0.0, 0.4),
+                    client_random.randint(250, 1_500),
+                )
+                for _ in range(3)
+            )
+        )
+
+    async def _send(
+        self,
+        session: httpx.AsyncClient,
+        daemon: platform_case.Daemon,
+        job_id: str,
+        body: object,
+        deadline_ms: int = 3_000,
+    ) -> bool:
+        """Send a submission once; tell whether the job was accepted."""
+        try:
+            answer = await session.post(
+                f'http://127.0.0.1:{daemon.frontend_port}/jobs/{job_id}',
+                json=body,
+                headers={
+                    'Host': platform_case.HOST,
+                    'Authorization': 'Bearer key-a',
+                    'X-Deadline-Ms': str(deadline_ms),
+                },
+            )
+        except httpx.TransportError:
+            self.unknown.add(job_id)
+            return False
+        if answer.status_code == 200:
+            self.accepted.add(job_id)
+            return True
+        if answer.status_code in (429, 503):
+            self.refused.add(job_id)
+        else:
+            self.unknown.add(job_id)
+        return False
+
     async def _submit(
         self,
         session: httpx.AsyncClient,
@@ -85,26 +173,8 @@
     ) -> None:
         for _ in range(3):
             daemon = client_random.choice(self.daemons)
-            try:
-                answer = await session.post(
-                    f'http://127.0.0.1:{daemon.frontend_port}/jobs/{job_id}',
-                    json=body,
-                    headers={
-                        'Host': platform_case.HOST,
-                        'Authorization': 'Bearer key-a',
-                        'X-Deadline-Ms': '3000',
-                    },
-                )
-            except httpx.TransportError:
-                self.unknown.add(job_id)
-                continue
-            if answer.status_code == 200:
-                self.accepted.add(job_id)
+            if await self._send(session, daemon, job_id, body):
                 return
-            if answer.status_code in (429, 503):
-                self.refused.add(job_id)
-            else:
-                self.unknown.add(job_id)
             await asyncio.sleep(0.2)
 
     async def _fail_daemons(self, end_s: float) -> None:
@@ -148,13 +218,17 @@
             fault = self.random.choice(_STORE_FAULTS)
             fraction = self.random.choice((0.2, 1.0))
             fault_random = random.Random(self.random.random())
-            self.store.server.fault = (
-                lambda request, fault=fault, fraction=fraction: (
+            doors = list(self.doors.values())
+            if self.random.random() < 0.4:
+                # The store turns one daemon away and serves the others.
+                doors = [self.random.choice(doors)]
+            for door in doors:
+                door.fault = lambda request, fault=fault, fraction=fraction: (
                     fault if fault_random.random() < fraction else ''
                 )
-            )
             await asyncio.sleep(self.random.uniform(0.2, 2.0))
-            self.store.server.fault = lambda request: ''
+            for door in doors:
+                door.fault = lambda request: ''
             if self.random.random() < 0.3:
                 self.store.drop_history()
 
@@ -164,11 +238,62 @@
             worker = self.random.choice(self.workers)
             fault = self.random.choice(_WORKER_FAULTS)
             fault_random = random.Random(self.random.random())
-            worker.server.fault = lambda request, fault=fault: (
-                fault if fault_random.random() < 0.5 else ''
+            duration_s = self.random.uniform(0.2, 1.5)
+            if worker not in self.failed_workers:
+                worker.server.fault = lambda request, fault=fault: (
+                    fault if fault_random.random() < 0.5 else ''
+                )
+            await asyncio.sleep(duration_s)
+            if worker not in self.failed_workers:
+                worker.server.fault = lambda request: ''
+
+    async def _fail_worker_machines(self, end_s: float) -> None:
+        while time.monotonic() < end_s:
+            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+            worker = self.random.choice(self.workers)
+            fault = self.random.choice(_WORKER_MACHINE_FAULTS)
+            part = self.random.random()
+            if worker in self.failed_workers:
+                continue
+            self.failed_workers.add(worker)
+            if fault == 'refuse':
+                worker.server.refuse()
+                asyncio.ensure_future(
+                    self._rejoin(worker, 0.1 + part * _MAX_CUT_S)
+                )
+                continue
+            worker.lose_power()
+            if fault == 'gone' and not self.gone_workers:
+                self.gone_workers.add(worker)
+                continue
+            asyncio.ensure_future(
+                self._start_again(worker, 0.1 + part * _MAX_POWER_LOSS_S)
             )
+
+    async def _rejoin(
+        self, worker: platform.StandinWorker, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        await worker.server.listen()
+        self.failed_workers.discard(worker)
+
+    async def _start_again(
+        self, worker: platform.StandinWorker, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        worker.start_again()
+        self.failed_workers.discard(worker)
+
+    async def _leave_odd_entries(self, end_s: float) -> None:
+        entries = list(
+            odd_values.messages(json.loads(self.workers[0].entry()))
+        )
+        number = 0
+        while time.monotonic() < end_s:
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
-            worker.server.fault = lambda request: ''
+            number += 1
+            key = self.random.choice((f'odd-{number}', f'odd-\ufffd{number}'))
+            self.store.put('keyed.servers', key, self.random.choice(entries))
 
     async def _change_configuration(self, end_s: float) -> None:
         while time.monotonic() < end_s:
@@ -187,10 +312,12 @@
         self.store.put('keyed.op', 'config', config)
 
     async def _recover(self) -> None:
-        self.store.server.fault = lambda request: ''
+        for door in self.doors.values():
+            door.fault = lambda request: ''
         for worker in self.workers:
-            worker.server.fault = lambda request: ''
-        while self.down:
+            if worker not in self.failed_workers:
+                worker.server.fault = lambda request: ''
+        while self.down or self.failed_workers - self.gone_workers:
             await asyncio.sleep(0.1)
         for daemon in self.daemons:
             await self.wait_ready(daemon)
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -114,25 +114,27 @@
                 await asyncio.sleep(_PUBLISH_INTERVAL_S)
                 continue
             seq += 1
-            entry = {
-                'service': self._pool,
-                'address': self.server.address,
-                'zone': 'a',
-                'version': 'v1',
-                'slots': 8,
-                'state': self.state,
-                'cold_left_ms': 0,
-                'capacity': {'cpu': self.capacity, 'mem_mb': 100_000},
-                'labels': ['k', 'r1'],
-                'clock_ms': self._clock_ms,
-                'seq': seq,
-                'born': self._born,
-            }
-            self._store.put(
-                'keyed.servers', self.worker_id, json.dumps(entry).encode()
-            )
+            self._store.put('keyed.servers', self.worker_id, self.entry(seq))
             await asyncio.sleep(_PUBLISH_INTERVAL_S)
 
+    def entry(self, seq: int = 0) -> bytes:
+        """Return the registry entry of the worker."""
+        entry = {
+            'service': self._pool,
+            'address': self.server.address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 8,
+            'state': self.state,
+            'cold_left_ms': 0,
+            'capacity': {'cpu': self.capacity, 'mem_mb': 100_000},
+            'labels': ['k', 'r1'],
+            'clock_ms': self._clock_ms,
+            'seq': seq,
+            'born': self._born,
+        }
+        return json.dumps(entry).encode()
+
     async def _run_tasks(self) -> None:
         while True:
             await asyncio.sleep(0.01)
