Write a line with a less-than sign as valid JSON

Operators' tools could not read some log lines: a field with '<' that is no markup kept a backslash that JSON does not know. Texts of bounded numbers ('Expected `int` <= ...') show it often.

The sign is now written as JSON's own escape. The extended test failed before the change.

--- a/basilspindle/events/emit.py
+++ b/basilspindle/events/emit.py
@@ -51,9 +51,10 @@
     }
     text = msgspec.json.encode(line, enc_hook=str).decode()
     # loguru formats the returned string again, so braces and markup in the
-    # JSON text are escaped.
+    # JSON text are escaped. It removes a backslash before '<' only where it
+    # takes it for markup, so JSON's own escape is used.
     escaped = text.replace('{', '{{').replace('}', '}}')
-    return escaped.replace('<', r'\<') + '\n'
+    return escaped.replace('<', '\\u003c') + '\n'
 
 
 def configure_logging(stream: typing.TextIO, level: str = 'INFO') -> None:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -34,8 +34,16 @@
         self.addCleanup(loguru.logger.remove)
 
     def test_line_is_json_also_with_braces_and_markup(self):
-        text = '{not a field} <red>not markup</red>'
-        events.emit(catalogue.load()[0], reason=text)
-        line = json.loads(self.stream.getvalue())
-        self.assertEqual(text, line['reason'])
-        self.assertEqual(catalogue.load()[0].number, line['event'])
+        for text in (
+            '{not a field} <red>not markup</red>',
+            'Expected `int` <= 9 (soak seed 1002)',
+            r'a \< b \\<c> \d <',
+            '\x00"\\',
+        ):
+            with self.subTest(text=text):
+                self.stream.seek(0)
+                self.stream.truncate()
+                events.emit(catalogue.load()[0], reason=text)
+                line = json.loads(self.stream.getvalue())
+                self.assertEqual(text, line['reason'])
+                self.assertEqual(catalogue.load()[0].number, line['event'])
