Answer a repeated DELETE at once; start a gang from one checkpoint

- A second DELETE of a job whose tasks are still being stopped waited until its deadline for an append that does not come.
It is answered at once.

Both new tests failed before the change.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -285,6 +285,9 @@
                 return answer
             return messages.Accepted()
         self._send_orders()
+        if job.durable_state is not None and job.durable_state.is_final:
+            # Only its tasks are still being stopped.
+            return messages.Accepted()
         return await self._reply_when_recorded(job, _CANCEL_TIMEOUT_MS)
 
     async def _reply_when_recorded(
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -292,6 +292,10 @@
         if run.step.gang:
             # All members of a gang start with the same run number.
             gang_run = max(state.next_run(task) for task in waiting)
+            # All carry one checkpoint; that of any member is valid for all.
+            checkpoint = max(task.checkpoint for task in waiting)
+            for task in waiting:
+                task.checkpoint = checkpoint
         for worker_id, count in assignment.items():
             ticket = ''
             if run.tickets is not None:
--- a/tests/test_cell_housekeeping.py
+++ b/tests/test_cell_housekeeping.py
@@ -57,6 +57,18 @@
         housekeeping.stop_partial_gangs(self.state, self.now_ms + 2_000)
         self.assertEqual(2, len(self.state.take_orders().stops))
 
+    def test_members_start_with_one_checkpoint(self):
+        """Guard against members that resume from different points."""
+        self.add_worker('w1', cpu=4_000)
+        step = cell_case.make_step(3, gang=True, checkpoints=True)
+        job = self.submit(cell_case.make_definition(_JOB, step))
+        tasks = job.runs[0, 0].tasks
+        for task, checkpoint in zip(tasks, ('', 'b', 'a'), strict=True):
+            task.checkpoint = checkpoint
+        starts = self.plan().starts
+        self.assertEqual(3, len(starts))
+        self.assertEqual({'b'}, {start.task.checkpoint for start in starts})
+
     def test_a_gang_starts_again_as_a_whole(self):
         """Guard against a gang that restarts while a member still runs."""
         for name in ('w1', 'w2', 'w3'):
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -28,8 +28,8 @@
         return self.now
 
 
-class PausedLeaderTest(unittest.TestCase):
-    """Guard callers against a leader that was paused for some seconds."""
+class LeaderCase(unittest.TestCase):
+    """A leader without workers or a store, and a clock set by the test."""
 
     def setUp(self):
         self.clock = _Clock()
@@ -52,6 +52,10 @@
     def ask(self, request):
         return asyncio.run(self.leader.handle(request))
 
+
+class PausedLeaderTest(LeaderCase):
+    """Guard callers against a leader that was paused for some seconds."""
+
     def test_a_job_of_the_successor_is_not_said_to_be_unknown(self):
         """Guard against 410 for a job that another leader has accepted.
 
@@ -76,6 +80,33 @@
         self.check_asked_again(self.ask(request))
 
 
+class CancelTest(LeaderCase):
+    """Guard callers that cancel an ended job once more."""
+
+    def test_a_repeated_cancellation_is_answered_at_once(self):
+        """Guard against a DELETE that waits until its deadline.
+
+        The job is recorded as cancelled and its tasks are being stopped.
+        """
+        intake = self.leader._intake
+        job = intake.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step()), 0
+        )
+        intake.cancel(_JOB, cell_case.WORKSPACE)
+        job.durable_state = job.state
+        self.assertIsInstance(
+            asyncio.run(
+                asyncio.wait_for(
+                    self.leader.handle(
+                        messages.Cancel(_JOB, cell_case.WORKSPACE)
+                    ),
+                    1,
+                )
+            ),
+            messages.Accepted,
+        )
+
+
 class SuccessionTest(unittest.TestCase):
     """Guard runs that leaders before the predecessor may keep alive."""
 
