Reckon with leases that leaders before have granted to a new life

The leader of that time knows, its successor did not: it counted the worker as lost after 5.1 s and started a task again that had ended done.

From the first answer that a leader gets from a life, the lease now counts until the longest one after the first 4 s of that life; workers that have been up for longer are not affected. A new leader waits for workers that it has not heard of for the longest lease instead of 5.1 s.

The new test and the extended one failed before the change.

--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -1,5 +1,8 @@
 """Track a worker's clock and the expiry of its lease."""
 
+# Orders for an incarnation that has ended are sent for this long at most: a
+# renewal that times out, the pause after it, and the repeats of a start.
+_STALE_ORDER_MS = 4_000
 # Lowest rate of a worker's clock relative to the leader's.
 _MIN_CLOCK_RATE = 0.98
 
@@ -46,14 +49,17 @@
         remaining_ms = max(0, self._deadline_ms - self._clock_ms)
         return self._observed_ms + int(remaining_ms / _MIN_CLOCK_RATE) + 1
 
-    def begin_life(self, clock_ms: int, now_ms: int, lease_ms: int) -> None:
-        """Note the first answer of a new incarnation.
+    def begin_life(
+        self, clock_ms: int, now_ms: int, max_lease_ms: int
+    ) -> None:
+        """Note the first answer of an incarnation, which any leader may get.
 
-        It may have taken an order with a deadline on the clock of the earlier
-        one, which counts as its longest possible lease, ``lease_ms``.
+        Soon after its start it may have taken an order with a deadline on the
+        clock of the incarnation before it, which it shortens to its longest
+        possible lease.
         """
         self.observe(clock_ms, now_ms)
-        self._deadline_ms = clock_ms + lease_ms
+        self._deadline_ms = min(clock_ms, _STALE_ORDER_MS) + max_lease_ms
 
     def is_earlier(self, clock_ms: int) -> bool:
         """Tell whether a reading lies before the latest one.
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -266,7 +266,11 @@
         now_ms = self._clock.now_ms()
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
-        if worker.born_wall_ms not in (0, report.born_wall_ms):
+        is_known = self._lease.expiry_ms() is not None
+        if not is_known or worker.born_wall_ms not in (
+            0,
+            report.born_wall_ms,
+        ):
             self._acknowledged_end_number = 0
             self._lease.begin_life(report.clock_ms, now_ms, self._max_lease_ms)
         else:
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -89,6 +89,11 @@
         for connection in list(self.connections):
             connection.close()
 
+    def drop_late(self) -> None:
+        """Forget the requests that would be carried out late."""
+        for task in self._late_tasks:
+            task.cancel()
+
     def lose_connections(self) -> None:
         """Never answer on the open connections again, as after a power loss.
 
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -68,6 +68,7 @@
         """Crash; connections stay open but nothing answers any more."""
         self._is_up = False
         self.server.fault = lambda request: 'silent'
+        self.server.drop_late()
         for run in list(self._running.values()):
             self.history.append((time.monotonic(), 'lost', run.name, run.run))
         self._running.clear()
@@ -163,6 +164,9 @@
     async def _handle(
         self, request: server_module.Request
     ) -> server_module.Reply:
+        if not self._is_up:
+            # Read before the power was lost.
+            raise ConnectionResetError
         expected = request.headers.get('x-expect-instance')
         if expected != self.worker_id:
             return server_module.Reply(421)
--- a/tests/test_cell_housekeeping.py
+++ b/tests/test_cell_housekeeping.py
@@ -190,3 +190,19 @@
         clock.begin_life(200, 1_000, 10_000)
         clock.grant(5_000)
         self.assertGreaterEqual(clock.expiry_ms(), 1_000 + 10_000)
+
+    def test_a_later_leader_does_not_know_of_that_deadline(self):
+        """Guard against an early end of a lease after a change of leader.
+
+        An earlier leader sent the order; this one hears of the worker for
+        the first time (soak seed 1017: a task ran again that had ended).
+        """
+        clock = lease_clock.LeaseClock()
+        clock.begin_life(3_000, 0, 10_000)
+        self.assertEqual(8_000, clock.grant(5_000))
+        self.assertGreaterEqual(clock.expiry_ms(), 10_000)
+        # After the longest lease, no such deadline is left.
+        clock = lease_clock.LeaseClock()
+        clock.begin_life(60_000, 0, 10_000)
+        clock.grant(5_000)
+        self.assertLess(clock.expiry_ms(), 5_200)
