--- a/basilspindle/cell/bounds.py
+++ b/basilspindle/cell/bounds.py
@@ -12,8 +12,6 @@
     ``early_ms`` how long before its due time an occurrence may start,
     ``remote_factor`` the ratio of task durations outside and inside the rack
     of the data, and ``grace_ms`` the time a daemon has to shut down.
-    ``heartbeat_ms`` is how often a worker renews its registry entry, which
-    expires after three times as long.
     """
 
     max_lease_ms: int = 10_000
@@ -23,4 +21,3 @@
     early_ms: int = 250
     remote_factor: float = 1.5
     grace_ms: int = 6_000
-    heartbeat_ms: int = 1_500
--- a/basilspindle/platform/boot_settings.py
+++ b/basilspindle/platform/boot_settings.py
@@ -62,8 +62,6 @@
     listen_addrs: _ListenAddresses
     platform: _Platform
     advice: str = ''
-    # How often a worker writes its entry in the registry.
-    heartbeat_ms: float = 1_500
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -114,7 +112,6 @@
             early_ms=int(bounds.early_ms),
             remote_factor=bounds.far_x,
             grace_ms=int(bounds.grace_s * 1000),
-            heartbeat_ms=int(file.heartbeat_ms),
         )
 
 
