Name a worker in the log only while it may have runs

A draining worker without runs is taken out of the log at its report, and one whose lease has run out as well; each is named again, and recorded, before it gets tasks.

The new test failed before the change.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -326,7 +326,6 @@
         """
         worker = session.worker
         now_ms = self._clock.now_ms()
-        self._recorder.note_answer(worker)
         if not worker.reported:
             events.emit(
                 cell_events.WORKER_GAINED,
@@ -337,6 +336,7 @@
             )
         previous_end_number = worker.applied_end_number
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
+        self._recorder.note_report(worker)
         speed.check_progress(self.state, worker, now_ms)
         pacing.pace(self.state, worker, now_ms)
         self._log_ends(worker, report, previous_end_number)
@@ -402,6 +402,7 @@
         worker.reported = False
         self.state.requeue_worker_tasks(worker)
         self.state.unseen_workers.discard(worker.worker_id)
+        self._recorder.forget_worker(worker)
         if not worker.listed:
             self._worker_tracker.drop(worker)
         self._send_orders()
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -95,14 +95,28 @@
         self.worker_addresses = dict(recovered.worker_addresses)
         self.settled_term = recovered.settled_term
 
-    def note_answer(self, worker: worker_module.Worker) -> None:
-        """Have the log name a worker with the address of its answer."""
+    def note_report(self, worker: worker_module.Worker) -> None:
+        """Have the log name a worker that has or may get runs.
+
+        It is named with the address of its answer. A later leader waits for
+        the report of each worker that the log names, in vain if it has left
+        meanwhile, so a draining one is named only as long as it has runs.
+        """
+        if not (worker.ready or worker.tasks or worker.unexpected_runs):
+            self.forget_worker(worker)
+            return
         address = worker.answered_address
         if self.worker_addresses.get(worker.worker_id) != address:
             self.worker_addresses[worker.worker_id] = address
             self.worker_addresses_changed = True
             worker.is_recorded = False
 
+    def forget_worker(self, worker: worker_module.Worker) -> None:
+        """Have the log not name a worker that certainly has no runs."""
+        worker.is_recorded = False
+        if self.worker_addresses.pop(worker.worker_id, None) is not None:
+            self.worker_addresses_changed = True
+
     def collect(self) -> journal_module.Batch:
         """Return the records of the next append."""
         batch = journal_module.Batch()
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -117,11 +117,7 @@
         session = self.sessions.pop(worker.worker_id, None)
         if session is not None:
             session.close()
-        if (
-            self._recorder.worker_addresses.pop(worker.worker_id, None)
-            is not None
-        ):
-            self._recorder.worker_addresses_changed = True
+        self._recorder.forget_worker(worker)
 
     def close(self) -> None:
         """Close all sessions and let the leases of the workers expire."""
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -27,7 +27,7 @@
             self.state, _Clock(self), 0, self.intake, self.count_plan
         )
         self.worker = self.add_worker('w1')
-        self.recorder.note_answer(self.worker)
+        self.recorder.note_report(self.worker)
         self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
 
     def count_plan(self):
@@ -49,7 +49,26 @@
         """Guard against a later leader that asks at the earlier address."""
         self.recorder.apply(self.recorder.collect())
         self.worker.answered_address = 'w1:2'
-        self.recorder.note_answer(self.worker)
+        self.recorder.note_report(self.worker)
         self.assertEqual([], self.plan().starts)
         self.recorder.apply(self.recorder.collect())
         self.assertEqual(1, len(self.plan().starts))
+
+    def test_a_draining_worker_without_runs_is_not_named(self):
+        """Guard against a later leader that waits for a worker that has left.
+
+        Recovered work stood still for 10 s after a change of the leader
+        (kwpa-refunds-grown, trouble-1).
+        """
+        self.recorder.apply(self.recorder.collect())
+        [start] = self.start_all(self.plan())
+        self.worker.ready = False
+        self.recorder.note_report(self.worker)
+        self.assertIn('w1', self.recorder.worker_addresses)
+        self.report_end('w1', start.task.name, start.run)
+        self.recorder.note_report(self.worker)
+        self.recorder.collect()
+        self.assertEqual({}, self.recorder.worker_addresses)
+        # It is named again before it gets tasks again.
+        self.worker.ready = True
+        self.assertFalse(self.worker.accepts(self.now_ms))
--- a/tests/test_cell_worker_tracker.py
+++ b/tests/test_cell_worker_tracker.py
@@ -37,6 +37,10 @@
         self.worker_addresses = {}
         self.worker_addresses_changed = False
 
+    def forget_worker(self, worker):
+        del self.worker_addresses[worker.worker_id]
+        self.worker_addresses_changed = True
+
 
 class _Session:
     def open(self):
