Await workers for one lease again after a change of the leader

Workers that had left stayed named meanwhile, leaders changed every 10 s, and each change began the wait anew, so that recovered work never started.

The leases reckoned with after a first answer stay.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -31,7 +31,6 @@
 _PROGRESS_PREFIX = 'p'
 _ENDED_PREFIX = 'f'
 _WORKER_ADDRESSES_KEY = 'roster'
-_SETTLED_KEY = 'settled'
 # Timeout of each attempt, longer than a slow store takes to answer. After a
 # lost answer the next attempt does not wait for this timeout.
 _APPEND_TIMEOUT_MS = 1_500
@@ -60,11 +59,9 @@
 
     ``jobs`` are the live jobs with their progress, ``ended_jobs`` the ended
     ones by job id, and ``worker_addresses`` the addresses by worker id.
-    ``settled_term`` is the term of the latest leader that knew of all runs,
-    -1 if none has recorded that.
     """
 
-    __slots__ = ('jobs', 'ended_jobs', 'worker_addresses', 'settled_term')
+    __slots__ = ('jobs', 'ended_jobs', 'worker_addresses')
 
     def __init__(self) -> None:
         self.jobs: list[
@@ -75,7 +72,6 @@
         ] = []
         self.ended_jobs: dict[str, EndedJobRecord] = {}
         self.worker_addresses: dict[str, str] = {}
-        self.settled_term = -1
 
 
 class Batch:
@@ -315,11 +311,6 @@
     batch.put(_WORKER_ADDRESSES_KEY, msgspec.msgpack.encode(worker_addresses))
 
 
-def put_settled(batch: Batch, term: int) -> None:
-    """Add a record that a leader knows of all runs."""
-    batch.put(_SETTLED_KEY, msgspec.msgpack.encode(term))
-
-
 def is_full(batch: Batch) -> bool:
     """Tell whether a batch has reached the size limit of an append."""
     return batch.size_bytes >= _MAX_BATCH_BYTES
@@ -343,8 +334,6 @@
     decode: typing.Any = msgspec.msgpack.decode
     if key == _WORKER_ADDRESSES_KEY:
         recovered.worker_addresses = decode(raw, type=dict[str, str])
-    elif key == _SETTLED_KEY:
-        recovered.settled_term = decode(raw, type=int)
     elif key.startswith(_ENDED_PREFIX):
         recovered.ended_jobs[key[1:]] = decode(raw, type=EndedJobRecord)
     elif key.startswith(_DEFINITION_PREFIX):
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -47,8 +47,8 @@
 # leader waits for this time and one lease before it restarts tasks that may
 # still be running on workers that have not reported to it.
 STORE_TIMEOUT_MS = 15_000
-# Allows for a slow worker clock.
-_LEASE_DURATION_PERCENT = 103
+# Upper bound on how long a lease lasts, allowing for a slow worker clock.
+_MAX_LEASE_DURATION_MS = session_module.LEASE_MS * 103 // 100
 # Job states are kept this much longer than the configured retention time.
 _RETENTION_MARGIN_MS = 10_000
 _CANCEL_TIMEOUT_MS = 10_000
@@ -92,7 +92,6 @@
         self._recorder = recorder_module.Recorder(
             self.state,
             clock,
-            claim.term,
             self._intake,
             self._schedule_plan,
         )
@@ -149,13 +148,11 @@
     def _expect_unseen_runs(self) -> None:
         # Workers that have not reported yet may still run tasks of the
         # previous leader. It steps down within STORE_TIMEOUT_MS, and its last
-        # leases expire within the longest lease after that.
+        # leases expire within _MAX_LEASE_DURATION_MS after that.
         state = self.state
         state.unseen_workers = set(self._recorder.worker_addresses)
         state.unseen_until_ms = (
-            self._clock.now_ms()
-            + STORE_TIMEOUT_MS
-            + self._max_lease_duration_ms
+            self._clock.now_ms() + STORE_TIMEOUT_MS + _MAX_LEASE_DURATION_MS
         )
         if self._previous is None or self._previous.resigned:
             self.note_previous_leader_gone()
@@ -163,16 +160,9 @@
     def note_previous_leader_gone(self) -> None:
         """Record that the previous leader no longer renews leases.
 
-        Any run started by it ends within one lease from now. If it has not
-        settled, a leader before it may renew leases as well, of workers that
-        neither of them has reached.
+        Any run started by it ends within one lease from now.
         """
-        if (
-            self._previous is not None
-            and self._recorder.settled_term < self._previous.term
-        ):
-            return
-        until_ms = self._clock.now_ms() + self._max_lease_duration_ms
+        until_ms = self._clock.now_ms() + _MAX_LEASE_DURATION_MS
         self.state.unseen_until_ms = min(self.state.unseen_until_ms, until_ms)
 
     @property
@@ -180,13 +170,6 @@
         """Tell whether tasks wait for workers that have not reported."""
         return unseen.may_run_unseen(self.state, self._clock.now_ms())
 
-    @property
-    def _max_lease_duration_ms(self) -> int:
-        # A worker that has restarted under its id takes a deadline on its
-        # earlier clock as its longest possible lease.
-        lease_ms = max(session_module.LEASE_MS, self.state.bounds.max_lease_ms)
-        return lease_ms * _LEASE_DURATION_PERCENT // 100
-
     def configure(self, index: configuration_index.ConfigurationIndex) -> None:
         """Apply a new version of the configuration."""
         self.state.configuration_index = index
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -9,7 +9,6 @@
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import metrics
 from basilspindle.cell import state as state_module
-from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
@@ -30,7 +29,6 @@
     __slots__ = (
         '_state',
         '_clock',
-        '_term',
         '_intake',
         '_on_new_work_recorded',
         '_waiters',
@@ -38,20 +36,17 @@
         'expired_job_ids',
         'worker_addresses',
         'worker_addresses_changed',
-        'settled_term',
     )
 
     def __init__(
         self,
         state: state_module.CellState,
         clock: clock_module.Clock,
-        term: int,
         intake: intake_module.Intake,
         on_new_work_recorded: collections.abc.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
-        self._term = term
         self._intake = intake
         self._on_new_work_recorded = on_new_work_recorded
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
@@ -61,9 +56,6 @@
         # Addresses of the workers that may run tasks, by worker id.
         self.worker_addresses: dict[str, str] = {}
         self.worker_addresses_changed = False
-        # Term of the latest leader that has settled: no worker that its log
-        # names can still run tasks that it does not know of.
-        self.settled_term = -1
 
     def recover(self, recovered: journal_module.RecoveredState) -> None:
         """Restore the state that an earlier leader recorded."""
@@ -93,7 +85,6 @@
                 record.ended_wall_ms,
             )
         self.worker_addresses = dict(recovered.worker_addresses)
-        self.settled_term = recovered.settled_term
 
     def note_report(self, worker: worker_module.Worker) -> None:
         """Have the log name a worker that has or may get runs.
@@ -142,11 +133,6 @@
             self.worker_addresses_changed = False
             journal_module.put_worker_addresses(batch, self.worker_addresses)
             batch.worker_addresses = dict(self.worker_addresses)
-        if self.settled_term != self._term and not unseen.may_run_unseen(
-            self._state, self._clock.now_ms()
-        ):
-            self.settled_term = self._term
-            journal_module.put_settled(batch, self._term)
         return batch
 
     def apply(self, batch: journal_module.Batch) -> None:
