Continue a predecessor's wait for workers after a change of the leader

A leader now records which workers it awaits and for how long, and its successor awaits them for the rest. A worker gets no lease and no task before the log says that it has reported, so that the rest is enough. Workers that the predecessor knew are awaited for the longest lease, 10 s, again.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -31,6 +31,7 @@
 _PROGRESS_PREFIX = 'p'
 _ENDED_PREFIX = 'f'
 _WORKER_ADDRESSES_KEY = 'roster'
+_WAITS_KEY = 'waits'
 # Timeout of each attempt, longer than a slow store takes to answer. After a
 # lost answer the next attempt does not wait for this timeout.
 _APPEND_TIMEOUT_MS = 1_500
@@ -54,14 +55,26 @@
     ended_wall_ms: int
 
 
+class WaitsRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Stored record of the workers that a leader awaits.
+
+    ``remaining_ms`` is how long it does so at most from the record on, by
+    worker id; ``term`` is its own.
+    """
+
+    term: int
+    remaining_ms: dict[str, int]
+
+
 class RecoveredState:
     """State of the cell as read from the store.
 
     ``jobs`` are the live jobs with their progress, ``ended_jobs`` the ended
     ones by job id, and ``worker_addresses`` the addresses by worker id.
+    ``waits`` is what the latest leader that recorded it was waiting for.
     """
 
-    __slots__ = ('jobs', 'ended_jobs', 'worker_addresses')
+    __slots__ = ('jobs', 'ended_jobs', 'worker_addresses', 'waits')
 
     def __init__(self) -> None:
         self.jobs: list[
@@ -72,6 +85,7 @@
         ] = []
         self.ended_jobs: dict[str, EndedJobRecord] = {}
         self.worker_addresses: dict[str, str] = {}
+        self.waits: WaitsRecord | None = None
 
 
 class Batch:
@@ -81,7 +95,14 @@
     are recorded.
     """
 
-    __slots__ = ('records', 'jobs', 'ends', 'worker_addresses', 'size_bytes')
+    __slots__ = (
+        'records',
+        'jobs',
+        'ends',
+        'worker_addresses',
+        'waits',
+        'size_bytes',
+    )
 
     def __init__(self) -> None:
         self.records: list[tuple[str, bytes | None]] = []
@@ -89,8 +110,9 @@
         # By worker id: start time that identifies the worker's incarnation,
         # and the highest number of its run ends that the batch covers.
         self.ends: dict[str, tuple[int, int]] = {}
-        # The addresses by worker id, if the batch records them.
-        self.worker_addresses: dict[str, str] = {}
+        # The addresses by worker id, and the waits, if the batch records them.
+        self.worker_addresses: dict[str, str] | None = None
+        self.waits: WaitsRecord | None = None
         self.size_bytes = 0
 
     def put(self, key: str, value: bytes | None) -> None:
@@ -311,6 +333,11 @@
     batch.put(_WORKER_ADDRESSES_KEY, msgspec.msgpack.encode(worker_addresses))
 
 
+def put_waits(batch: Batch, waits: WaitsRecord) -> None:
+    """Add a record of the workers that the leader awaits."""
+    batch.put(_WAITS_KEY, msgspec.msgpack.encode(waits))
+
+
 def is_full(batch: Batch) -> bool:
     """Tell whether a batch has reached the size limit of an append."""
     return batch.size_bytes >= _MAX_BATCH_BYTES
@@ -334,6 +361,8 @@
     decode: typing.Any = msgspec.msgpack.decode
     if key == _WORKER_ADDRESSES_KEY:
         recovered.worker_addresses = decode(raw, type=dict[str, str])
+    elif key == _WAITS_KEY:
+        recovered.waits = decode(raw, type=WaitsRecord)
     elif key.startswith(_ENDED_PREFIX):
         recovered.ended_jobs[key[1:]] = decode(raw, type=EndedJobRecord)
     elif key.startswith(_DEFINITION_PREFIX):
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -47,8 +47,8 @@
 # leader waits for this time and one lease before it restarts tasks that may
 # still be running on workers that have not reported to it.
 STORE_TIMEOUT_MS = 15_000
-# Upper bound on how long a lease lasts, allowing for a slow worker clock.
-_MAX_LEASE_DURATION_MS = session_module.LEASE_MS * 103 // 100
+# Time that a lease may take at most, allowing for a slow worker clock.
+_LEASE_DURATION_PERCENT = 103
 # Job states are kept this much longer than the configured retention time.
 _RETENTION_MARGIN_MS = 10_000
 _CANCEL_TIMEOUT_MS = 10_000
@@ -92,6 +92,7 @@
         self._recorder = recorder_module.Recorder(
             self.state,
             clock,
+            claim.term,
             self._intake,
             self._schedule_plan,
         )
@@ -113,8 +114,10 @@
 
     async def __aenter__(self) -> typing.Self:
         self._recorder.recover(await self._journal.load())
-        self._expect_unseen_runs()
+        self._await_workers()
         self._worker_tracker.recover()
+        # Tells the next leader for which workers this one waits.
+        self._journal.request_append()
         for work in (
             self._journal.run,
             self._tick,
@@ -145,25 +148,43 @@
             self._plan_handle.cancel()
         self._recorder.close()
 
-    def _expect_unseen_runs(self) -> None:
-        # Workers that have not reported yet may still run tasks of the
-        # previous leader. It steps down within STORE_TIMEOUT_MS, and its last
-        # leases expire within _MAX_LEASE_DURATION_MS after that.
-        state = self.state
-        state.unseen_workers = set(self._recorder.worker_addresses)
-        state.unseen_until_ms = (
-            self._clock.now_ms() + STORE_TIMEOUT_MS + _MAX_LEASE_DURATION_MS
-        )
+    def _await_workers(self) -> None:
+        # Workers that have not reported yet may still run tasks of an earlier
+        # leader. The previous one steps down within STORE_TIMEOUT_MS, and the
+        # last leases that it has granted expire within the longest one.
+        now_ms = self._clock.now_ms()
+        awaited = self.state.awaited_workers
+        remaining_ms = self._recorder.recovered_waits_ms(self._previous)
+        full_ms = STORE_TIMEOUT_MS + self._max_lease_duration_ms
+        for worker_id in self._recorder.worker_addresses:
+            if remaining_ms is None:
+                # The log does not tell how long the previous leader waited
+                # itself, so leaders before it count as well.
+                awaited.continue_for(worker_id, now_ms + full_ms)
+            elif worker_id in remaining_ms:
+                awaited.continue_for(
+                    worker_id, now_ms + remaining_ms[worker_id]
+                )
+            else:
+                awaited.expect(worker_id, now_ms + full_ms)
         if self._previous is None or self._previous.resigned:
             self.note_previous_leader_gone()
 
     def note_previous_leader_gone(self) -> None:
         """Record that the previous leader no longer renews leases.
 
-        Any run started by it ends within one lease from now.
+        Any run of a worker that it knew ends within the longest lease.
         """
-        until_ms = self._clock.now_ms() + _MAX_LEASE_DURATION_MS
-        self.state.unseen_until_ms = min(self.state.unseen_until_ms, until_ms)
+        self.state.awaited_workers.limit(
+            self._clock.now_ms() + self._max_lease_duration_ms
+        )
+
+    @property
+    def _max_lease_duration_ms(self) -> int:
+        # A worker that has restarted under its id takes a deadline on its
+        # earlier clock as its longest possible lease.
+        lease_ms = max(session_module.LEASE_MS, self.state.bounds.max_lease_ms)
+        return lease_ms * _LEASE_DURATION_PERCENT // 100
 
     @property
     def awaits_workers(self) -> bool:
@@ -324,7 +345,9 @@
         pacing.pace(self.state, worker, now_ms)
         self._log_ends(worker, report, previous_end_number)
         self._send_orders()
-        if self.state.changed_jobs or self._recorder.worker_addresses_changed:
+        if self.state.changed_jobs or self._recorder.has_worker_changes(
+            worker
+        ):
             self._journal.request_append()
         self._schedule_plan()
         return worker.applied_end_number != worker.recorded_end_number
@@ -384,7 +407,7 @@
             )
         worker.reported = False
         self.state.requeue_worker_tasks(worker)
-        self.state.unseen_workers.discard(worker.worker_id)
+        self.state.awaited_workers.discard(worker.worker_id)
         self._recorder.forget_worker(worker)
         if not worker.listed:
             self._worker_tracker.drop(worker)
--- a/basilspindle/cell/overview.py
+++ b/basilspindle/cell/overview.py
@@ -31,7 +31,7 @@
     fields['store_age_ms'] = leader.store_age_ms
     fields['live_jobs'] = len(jobs)
     fields['ended_jobs'] = len(state.table.ended_jobs)
-    fields['unseen_workers'] = sorted(state.unseen_workers)
+    fields['unseen_workers'] = sorted(state.awaited_workers)
     fields['jobs'] = [_dump_job(job) for job in jobs[:_MAX_ROWS]]
     fields['workers'] = [
         _dump_worker(worker)
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/plan.py
@@ -125,7 +125,7 @@
             return True
         if run.job.recovered and unseen.may_run_unseen(self._state, now_ms):
             self._record_wait_reason(
-                run, _Reason.UNSEEN, len(self._state.unseen_workers)
+                run, _Reason.UNSEEN, len(self._state.awaited_workers)
             )
             return True
         if run.tickets is None and _is_awaiting_advice(run, now_ms):
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -42,7 +42,7 @@
         state.freed_workers.add(worker.worker_id)
     worker.last_contact_ms = now_ms
     if is_first_report:
-        state.unseen_workers.discard(worker.worker_id)
+        state.awaited_workers.discard(worker.worker_id)
         state.freed_workers.add(worker.worker_id)
     return (
         has_ends or is_first_report or worker.worker_id in state.freed_workers
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 
+from basilspindle.cell import claim as claim_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import intake as intake_module
 from basilspindle.cell import job_table
@@ -29,7 +30,11 @@
     __slots__ = (
         '_state',
         '_clock',
+        '_term',
         '_intake',
+        '_confirmed_addresses',
+        '_confirmed_waits',
+        '_awaited_in_log',
         '_on_new_work_recorded',
         '_waiters',
         '_append_confirmed',
@@ -42,11 +47,13 @@
         self,
         state: state_module.CellState,
         clock: clock_module.Clock,
+        term: int,
         intake: intake_module.Intake,
         on_new_work_recorded: collections.abc.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
+        self._term = term
         self._intake = intake
         self._on_new_work_recorded = on_new_work_recorded
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
@@ -56,6 +63,12 @@
         # Addresses of the workers that may run tasks, by worker id.
         self.worker_addresses: dict[str, str] = {}
         self.worker_addresses_changed = False
+        # The addresses that the log holds.
+        self._confirmed_addresses: dict[str, str] = {}
+        self._confirmed_waits: journal_module.WaitsRecord | None = None
+        # Ids of the workers for which the log tells, or may tell after the
+        # append in flight, that a leader waits for them.
+        self._awaited_in_log: set[str] = set()
 
     def recover(self, recovered: journal_module.RecoveredState) -> None:
         """Restore the state that an earlier leader recorded."""
@@ -85,6 +98,34 @@
                 record.ended_wall_ms,
             )
         self.worker_addresses = dict(recovered.worker_addresses)
+        self._confirmed_addresses = dict(recovered.worker_addresses)
+        self._confirmed_waits = recovered.waits
+        if recovered.waits is not None:
+            self._awaited_in_log = set(recovered.waits.remaining_ms)
+
+    def recovered_waits_ms(
+        self, previous: claim_module.Claim | None
+    ) -> dict[str, int] | None:
+        """Return how long the previous leader waited on, by worker id.
+
+        None if the log does not tell: that leader has appended nothing, or
+        is of a build that does not record it.
+        """
+        waits = self._confirmed_waits
+        if previous is None or waits is None or waits.term != previous.term:
+            return None
+        return waits.remaining_ms
+
+    def is_awaited_in_log(self, worker_id: str) -> bool:
+        """Tell whether a successor would only continue a leader's wait."""
+        return worker_id in self._awaited_in_log
+
+    def has_worker_changes(self, worker: worker_module.Worker) -> bool:
+        """Tell whether the log has yet to tell of a worker's report."""
+        return (
+            self.worker_addresses_changed
+            or worker.worker_id in self._awaited_in_log
+        )
 
     def note_report(self, worker: worker_module.Worker) -> None:
         """Have the log name a worker that has or may get runs.
@@ -133,8 +174,30 @@
             self.worker_addresses_changed = False
             journal_module.put_worker_addresses(batch, self.worker_addresses)
             batch.worker_addresses = dict(self.worker_addresses)
+        self._collect_waits(batch)
         return batch
 
+    def _collect_waits(self, batch: journal_module.Batch) -> None:
+        # A successor waits for these workers for the rest of the time only,
+        # so none of them gets a lease or a task until the log names it as one
+        # that has reported.
+        remaining_ms = self._state.awaited_workers.remaining_ms(
+            self._clock.now_ms()
+        )
+        is_recorded = (
+            self._confirmed_waits is not None
+            and self._confirmed_waits.term == self._term
+        )
+        if is_recorded and not remaining_ms and not self._awaited_in_log:
+            return
+        batch.waits = journal_module.WaitsRecord(self._term, remaining_ms)
+        journal_module.put_waits(batch, batch.waits)
+        self._awaited_in_log |= remaining_ms.keys()
+        for worker_id in remaining_ms:
+            worker = self._state.workers.get(worker_id)
+            if worker is not None:
+                worker.is_recorded = False
+
     def apply(self, batch: journal_module.Batch) -> None:
         """Apply the confirmation of an append."""
         has_new_work = False
@@ -151,13 +214,7 @@
                 worker.recorded_end_number = max(
                     worker.recorded_end_number, number
                 )
-        for worker_id, address in batch.worker_addresses.items():
-            worker = self._state.workers.get(worker_id)
-            if worker is None or worker.is_recorded:
-                continue
-            if worker.answered_address == address:
-                worker.is_recorded = has_new_work = True
-                self._state.freed_workers.add(worker_id)
+        has_new_work |= self._apply_workers(batch)
         confirmed, self._append_confirmed = (
             self._append_confirmed,
             asyncio.Event(),
@@ -166,6 +223,30 @@
         if has_new_work:
             self._on_new_work_recorded()
 
+    def _apply_workers(self, batch: journal_module.Batch) -> bool:
+        # Returns whether a worker may get tasks from now on.
+        if batch.worker_addresses is not None:
+            self._confirmed_addresses = batch.worker_addresses
+        if batch.waits is not None:
+            self._confirmed_waits = batch.waits
+            self._awaited_in_log = set(batch.waits.remaining_ms)
+        has_new = False
+        for worker in self._state.workers.values():
+            worker_id = worker.worker_id
+            if (
+                worker.is_recorded
+                or worker_id in self._awaited_in_log
+                or not worker.answered_address
+                or self.worker_addresses.get(worker_id)
+                != worker.answered_address
+                or self._confirmed_addresses.get(worker_id)
+                != worker.answered_address
+            ):
+                continue
+            worker.is_recorded = has_new = True
+            self._state.freed_workers.add(worker_id)
+        return has_new
+
     def _apply_job(
         self, job: job_module.Job, state: job_state.JobState
     ) -> None:
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -21,6 +21,8 @@
 # A worker may hold its answer to a renewal until a run ends, for at most this
 # time, so that ends are reported without polling.
 _RENEW_WAIT_MS = 1_000
+# The same for a worker with runs that gets no lease before the log names it.
+_UNNAMED_WAIT_MS = 50
 # Time for the answer itself, added to the wait above.
 _RENEW_MARGIN_MS = 500
 _MIN_RENEW_RETRY_MS = 100
@@ -236,11 +238,7 @@
             max(acknowledged_end_number, self._acknowledged_end_number)
             != worker.recorded_end_number
         )
-        # The worker should answer at once if it has no lease, if no report of
-        # it has arrived yet or if earlier run ends are not recorded. It does
-        # so by itself if it lists run ends that are not acknowledged.
-        waits = deadline_ms is not None and worker.reported and recorded
-        wait_ms = _RENEW_WAIT_MS if waits else 0
+        wait_ms = self._renewal_wait_ms(deadline_ms, recorded)
         self._is_life_certain = False
         try:
             report = await self._orders.renew(
@@ -304,6 +302,10 @@
         return self.worker.recorded_end_number
 
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
+        # A later leader would not wait for a lease of a worker that the log
+        # does not name.
+        if not self.worker.is_recorded:
+            return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
         expiry_ms = self._lease.expiry_ms()
@@ -311,6 +313,21 @@
             return None
         return deadline_ms
 
+    def _renewal_wait_ms(
+        self, deadline_ms: int | None, are_ends_recorded: bool
+    ) -> int:
+        # The worker should answer at once if no report of it has arrived yet,
+        # if earlier run ends are not recorded or if its lease has run out. It
+        # does so by itself if it lists run ends that are not acknowledged.
+        if not self.worker.reported or not are_ends_recorded:
+            return 0
+        if deadline_ms is not None:
+            return _RENEW_WAIT_MS
+        if self.worker.is_recorded:
+            return 0
+        # Its runs need a lease as soon as the log names it.
+        return _UNNAMED_WAIT_MS if self.worker.tasks else _RENEW_WAIT_MS
+
     async def _start(self, order: orders_module.StartOrder) -> None:
         begun_ms = self._clock.now_ms()
         payload = order.task.step_run.job.definition.payload
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -1,5 +1,6 @@
 """Hold the state of a cell at its leader and keep it consistent."""
 
+from basilspindle.cell import awaited
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_index
@@ -35,8 +36,8 @@
     which a job has to end to be on time, and ``duration_factors`` the ratio
     of actual to estimated task durations of each queue.
 
-    ``unseen_workers`` are the ids of workers of an earlier leader that have
-    not reported to this one. Until ``unseen_until_ms`` they may run its tasks.
+    ``awaited_workers`` are workers of earlier leaders that have not reported
+    to this one and may run tasks that it does not know of.
     """
 
     __slots__ = (
@@ -50,8 +51,7 @@
         'freed_workers',
         'freed_workspaces',
         'term',
-        'unseen_workers',
-        'unseen_until_ms',
+        'awaited_workers',
         'due_times_ms',
         'duration_factors',
         'share_limiter',
@@ -70,8 +70,7 @@
         self.freed_workers: set[str] = set()
         self.freed_workspaces: set[str] = set()
         self.term = term
-        self.unseen_workers: set[str] = set()
-        self.unseen_until_ms = 0
+        self.awaited_workers = awaited.AwaitedWorkers()
         self.due_times_ms: dict[str, int] = {}
         self.duration_factors: dict[str, float] = {}
         self.share_limiter = share.ShareLimiter()
--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -16,7 +16,7 @@
 
 def may_run_unseen(state: state_module.CellState, now_ms: int) -> bool:
     """Tell whether workers that have not reported may still run tasks."""
-    return bool(state.unseen_workers) and now_ms < state.unseen_until_ms
+    return state.awaited_workers.any(now_ms)
 
 
 def estimate_usage(
@@ -74,7 +74,7 @@
 def _unseen_capacity(state: state_module.CellState) -> need_module.Need | None:
     # None if the capacity of an unseen worker is unknown.
     total = need_module.Need()
-    for worker_id in state.unseen_workers:
+    for worker_id in state.awaited_workers:
         worker = state.workers.get(worker_id)
         if worker is None or not worker.capacity.cpu_millicores:
             return None
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -7,7 +7,6 @@
 from basilspindle.cell import recorder as recorder_module
 from basilspindle.cell import session as session_module
 from basilspindle.cell import state as state_module
-from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
@@ -55,7 +54,9 @@
         for worker_id, address in self._recorder.worker_addresses.items():
             worker = self._add(worker_id, address, None)
             worker.answered_address = address
-            worker.is_recorded = True
+            worker.is_recorded = not self._recorder.is_awaited_in_log(
+                worker_id
+            )
 
     async def follow(self) -> None:
         """Refresh the workers until cancelled."""
@@ -99,11 +100,11 @@
             # when the lease of a worker that was heard of has run out.
             if worker.reported or worker.tasks:
                 continue
-            if worker_id in self._state.unseen_workers and (
-                unseen.may_run_unseen(self._state, self._clock.now_ms())
+            if self._state.awaited_workers.awaits(
+                worker_id, self._clock.now_ms()
             ):
                 continue
-            self._state.unseen_workers.discard(worker_id)
+            self._state.awaited_workers.discard(worker_id)
             self.drop(worker)
 
     def _is_configured(self, pool: str) -> bool:
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -8,6 +8,7 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell import journal as journal_module
 from basilspindle.cell import leader as leader_module
 from basilspindle.cell import messages
 from basilspindle import clock as clock_module
@@ -106,6 +107,69 @@
         )
 
 
+class SuccessionTest(unittest.TestCase):
+    """Guard runs that leaders before may keep alive, and their jobs."""
+
+    def wait_ms(self, waits, resigned=True, is_gone=True):
+        """Return how long a new leader waits for a worker that is silent."""
+        clock = _Clock()
+        previous = claim_module.Claim('a', 'a:1', 'i', 4, resigned=resigned)
+        leader = leader_module.Leader(
+            claim_module.Claim('n', 'n:1', 'i', 5, epoch=9),
+            None,
+            None,
+            None,
+            None,
+            clock,
+            bounds_module.Bounds(),
+            None,
+            previous,
+        )
+        recovered = journal_module.RecoveredState()
+        recovered.worker_addresses = {'w1': 'w1:1'}
+        if waits is not None:
+            recovered.waits = journal_module.WaitsRecord(*waits)
+        leader._recorder.recover(recovered)
+        leader._await_workers()
+        if is_gone and not resigned:
+            leader.note_previous_leader_gone()
+        [wait_ms] = leader.state.awaited_workers.remaining_ms(
+            clock.now
+        ).values()
+        return wait_ms
+
+    def test_a_lease_of_the_predecessor_is_awaited(self):
+        """Guard against a task that a silent worker still runs.
+
+        The longest lease is 10 s: a worker that has restarted may have taken
+        one (soak seed 1017).
+        """
+        for resigned in (False, True):
+            wait_ms = self.wait_ms((4, {}), resigned)
+            self.assertGreater(wait_ms, 10_200)
+            self.assertLess(wait_ms, 11_000)
+        wait_ms = self.wait_ms((4, {}), resigned=False, is_gone=False)
+        self.assertGreater(wait_ms, 25_000)
+
+    def test_the_wait_of_the_predecessor_is_continued(self):
+        """Guard against work that stands still from leader to leader."""
+        for resigned in (False, True):
+            self.assertEqual(
+                700, self.wait_ms((4, {'w1': 700}), resigned, is_gone=False)
+            )
+
+    def test_a_leader_before_a_predecessor_that_was_waiting_counts(self):
+        """Guard against a task that the leader before it still runs.
+
+        That one is cut off from the store together with a worker, and renews
+        its lease for up to 15 s. The predecessor never reached the worker.
+        """
+        self.assertEqual(20_000, self.wait_ms((4, {'w1': 20_000})))
+        # It may have ended before it recorded anything.
+        for waits in (None, (3, {}), (3, {'w1': 700})):
+            self.assertGreater(self.wait_ms(waits), 25_000)
+
+
 class SuspendTest(unittest.TestCase):
     """Guard against permissions that outlast a suspended machine."""
 
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -217,8 +217,7 @@
             cell_case.make_definition(_JOB, cell_case.make_step())
         )
         job.recovered = True
-        self.state.unseen_workers = {'w9'}
-        self.state.unseen_until_ms = self.now_ms + 5_000
+        self.state.awaited_workers.expect('w9', self.now_ms + 5_000)
         self.assertEqual([], self.plan().starts)
         new_job = cell_case.make_definition(_OTHER, cell_case.make_step())
         self.submit(new_job)
@@ -251,8 +250,7 @@
             cell_case.make_definition(_JOB, cell_case.make_step(count))
         )
         job.recovered = True
-        self.state.unseen_workers = {'w9'}
-        self.state.unseen_until_ms = self.now_ms + 5_000
+        self.state.awaited_workers.expect('w9', self.now_ms + 5_000)
 
     def submit_other(self, count=10):
         step = cell_case.make_step(count)
@@ -278,8 +276,7 @@
         step = cell_case.make_step(3, gang=True)
         job = self.submit(cell_case.make_definition(_JOB, step))
         job.recovered = True
-        self.state.unseen_workers = {'w9'}
-        self.state.unseen_until_ms = self.now_ms + 5_000
+        self.state.awaited_workers.expect('w9', self.now_ms + 5_000)
         self.report('w1', [(f'{_JOB}.0.0.0', 1), (f'{_JOB}.0.0.1', 1)])
         self.submit_other()
         self.assertEqual([], self.plan().starts)
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -24,7 +24,7 @@
         super().setUp()
         self.plans = 0
         self.recorder = recorder_module.Recorder(
-            self.state, _Clock(self), self.intake, self.count_plan
+            self.state, _Clock(self), 0, self.intake, self.count_plan
         )
         self.worker = self.add_worker('w1')
         self.recorder.note_report(self.worker)
@@ -72,3 +72,46 @@
         # It is named again before it gets tasks again.
         self.worker.ready = True
         self.assertFalse(self.worker.accepts(self.now_ms))
+
+
+class WaitRecordTest(cell_case.CellCase):
+    """Guard leases that a successor would not wait for."""
+
+    def setUp(self):
+        super().setUp()
+        self.recorder = recorder_module.Recorder(
+            self.state, _Clock(self), 3, self.intake, lambda: None
+        )
+        self.worker = self.add_worker('w1', reported=False)
+        self.recorder.worker_addresses = {'w1': 'w1:1'}
+        self.recorder._confirmed_addresses = {'w1': 'w1:1'}
+        self.state.awaited_workers.expect('w1', self.now_ms + 9_000)
+
+    def append(self):
+        batch = self.recorder.collect()
+        self.recorder.apply(batch)
+        return batch.waits
+
+    def test_a_successor_learns_how_long_a_worker_is_still_awaited(self):
+        """Guard against a wait that each leader begins anew.
+
+        Recovered work stood still from change to change (kwpa-refunds,
+        deploy/days/leave-and-return.toml, seed 382907315450: LOST).
+        """
+        self.assertEqual({'w1': 9_000}, self.append().remaining_ms)
+        self.now_ms += 2_000
+        waits = self.append()
+        self.assertEqual((3, {'w1': 7_000}), (waits.term, waits.remaining_ms))
+
+    def test_an_awaited_worker_gets_no_lease_before_the_log_names_it(self):
+        """Guard against a lease that a successor does not wait for."""
+        self.append()
+        in_flight = self.recorder.collect()
+        self.report('w1')
+        self.assertFalse(self.worker.is_recorded)
+        self.assertTrue(self.recorder.has_worker_changes(self.worker))
+        self.recorder.apply(in_flight)
+        self.assertFalse(self.worker.is_recorded)
+        self.assertEqual({}, self.append().remaining_ms)
+        self.assertTrue(self.worker.is_recorded)
+        self.assertIsNone(self.append())
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -203,6 +203,42 @@
         self.assertLess(lost_ms[0], taken_ms + 2_100)
 
 
+class UnnamedWorkerTest(unittest.TestCase):
+    """Guard leases of workers that the log does not name."""
+
+    def test_no_lease_before_the_log_names_the_worker(self):
+        """Guard against a lease that a later leader does not wait for."""
+        case = cell_case.CellCase()
+        case.setUp()
+        worker = case.add_worker('w1')
+        clock = _ManualClock()
+        silent = _SilentWorker(clock, None)
+        waits_ms = []
+
+        async def renew(address, worker_id, token, deadline_ms, acked, *rest):
+            silent.deadlines_ms.append(deadline_ms)
+            waits_ms.append(rest[0])
+            return report_module.Report(
+                _OLD_CLOCK_MS, cell_case.BORN_MS, (), ()
+            )
+
+        silent.renew = renew
+        session = session_module.Session(
+            worker, silent, _Losses(clock), clock, 1, 10_000
+        )
+
+        async def play():
+            worker.is_recorded = False
+            await session._renew_once()
+            await session._renew_once()
+            worker.is_recorded = True
+            await session._renew_once()
+
+        asyncio.run(play())
+        self.assertEqual([None, None, 65_000], silent.deadlines_ms)
+        self.assertTrue(all(waits_ms))
+
+
 class OtherWorkerTest(unittest.TestCase):
     """Guard the tasks of a worker whose address is answered by another."""
 
--- a/tests/test_cell_worker_tracker.py
+++ b/tests/test_cell_worker_tracker.py
@@ -37,6 +37,9 @@
         self.worker_addresses = {}
         self.worker_addresses_changed = False
 
+    def is_awaited_in_log(self, worker_id):
+        return False
+
     def forget_worker(self, worker):
         del self.worker_addresses[worker.worker_id]
         self.worker_addresses_changed = True
@@ -161,8 +164,7 @@
         recorder = self.tracker._recorder
         recorder.worker_addresses['w2'] = 'w2:1'
         self.tracker.recover()
-        self.state.unseen_workers = {'w2'}
-        self.state.unseen_until_ms = self.now_ms + 5_000
+        self.state.awaited_workers.expect('w2', self.now_ms + 5_000)
         self.advance(4_900, answers=True)
         self.assertIn('w2', self.state.workers)
         self.advance(800, answers=True)
