Record the cancellation of a job that has not arrived

A caller that had cancelled a job (410) saw it run: its delayed submission came to the next leader, and such cancellations were kept in memory only.

The leader records it and answers once that append is confirmed; a later leader reads it.

--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -19,11 +19,11 @@
     Submission is idempotent: a repeated job id returns the same job.
     """
 
-    __slots__ = ('_state', '_early_cancels')
+    __slots__ = ('_state', 'early_cancels')
 
     def __init__(self, state: state_module.CellState) -> None:
         self._state = state
-        self._early_cancels = early_cancels.EarlyCancels()
+        self.early_cancels = early_cancels.EarlyCancels()
 
     def find_state(
         self, job_id: str, workspace: str
@@ -57,7 +57,7 @@
         if ended is not None:
             _check_workspace(ended.workspace, definition)
             return None
-        if self._early_cancels.has(
+        if self.early_cancels.has(
             definition.job_id, definition.workspace, now_ms
         ):
             raise errors.AlreadyCancelled(
@@ -121,7 +121,7 @@
         self, job_id: str, workspace: str, now_ms: int
     ) -> None:
         """Refuse a job from now on, as its caller was told that it is gone."""
-        self._early_cancels.note(job_id, workspace, now_ms)
+        self.early_cancels.note(job_id, workspace, now_ms)
 
     def _check_backlog(
         self,
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -32,6 +32,7 @@
 _ENDED_PREFIX = 'f'
 _WORKER_ADDRESSES_KEY = 'roster'
 _WAITS_KEY = 'waits'
+_EARLY_CANCEL_PREFIX = 'c'
 # Timeout of each attempt, longer than a slow store takes to answer. After a
 # lost answer the next attempt does not wait for this timeout.
 _APPEND_TIMEOUT_MS = 1_500
@@ -71,10 +72,18 @@
 
     ``jobs`` are the live jobs with their progress, ``ended_jobs`` the ended
     ones by job id, and ``worker_addresses`` the addresses by worker id.
-    ``waits`` is what the latest leader that recorded it was waiting for.
+    ``waits`` is what the latest leader that recorded it was waiting for, and
+    ``early_cancels`` are, by job id, the workspaces that have cancelled a job
+    before it arrived.
     """
 
-    __slots__ = ('jobs', 'ended_jobs', 'worker_addresses', 'waits')
+    __slots__ = (
+        'jobs',
+        'ended_jobs',
+        'worker_addresses',
+        'waits',
+        'early_cancels',
+    )
 
     def __init__(self) -> None:
         self.jobs: list[
@@ -86,6 +95,7 @@
         self.ended_jobs: dict[str, EndedJobRecord] = {}
         self.worker_addresses: dict[str, str] = {}
         self.waits: WaitsRecord | None = None
+        self.early_cancels: dict[str, list[str]] = {}
 
 
 class Batch:
@@ -101,6 +111,7 @@
         'ends',
         'worker_addresses',
         'waits',
+        'waiters',
         'size_bytes',
     )
 
@@ -113,6 +124,8 @@
         # The addresses by worker id, and the waits, if the batch records them.
         self.worker_addresses: dict[str, str] | None = None
         self.waits: WaitsRecord | None = None
+        # Resolved once the batch is confirmed.
+        self.waiters: list[asyncio.Future[None]] = []
         self.size_bytes = 0
 
     def put(self, key: str, value: bytes | None) -> None:
@@ -333,6 +346,14 @@
     batch.put(_WORKER_ADDRESSES_KEY, msgspec.msgpack.encode(worker_addresses))
 
 
+def put_early_cancel(batch: Batch, job_id: str, workspaces: list[str]) -> None:
+    """Add the cancellations of a job that has not arrived, or remove them."""
+    batch.put(
+        _EARLY_CANCEL_PREFIX + job_id,
+        msgspec.msgpack.encode(workspaces) if workspaces else None,
+    )
+
+
 def put_waits(batch: Batch, waits: WaitsRecord) -> None:
     """Add a record of the workers that the leader awaits."""
     batch.put(_WAITS_KEY, msgspec.msgpack.encode(waits))
@@ -363,6 +384,8 @@
         recovered.worker_addresses = decode(raw, type=dict[str, str])
     elif key == _WAITS_KEY:
         recovered.waits = decode(raw, type=WaitsRecord)
+    elif key.startswith(_EARLY_CANCEL_PREFIX):
+        recovered.early_cancels[key[1:]] = decode(raw, type=list[str])
     elif key.startswith(_ENDED_PREFIX):
         recovered.ended_jobs[key[1:]] = decode(raw, type=EndedJobRecord)
     elif key.startswith(_DEFINITION_PREFIX):
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -289,13 +289,7 @@
         if job is None:
             known = self._intake.find_state(request.job_id, request.workspace)
             if known is None:
-                answer = self._answer_unknown()
-                if isinstance(answer, messages.Refused):
-                    return answer
-                self._intake.note_early_cancel(
-                    request.job_id, request.workspace, self._clock.now_ms()
-                )
-                return answer
+                return await self._cancel_early(request)
             return messages.Accepted()
         self._send_orders()
         if job.durable_state is not None and job.durable_state.is_final:
@@ -303,6 +297,21 @@
             return messages.Accepted()
         return await self._reply_when_recorded(job, _CANCEL_TIMEOUT_MS)
 
+    async def _cancel_early(self, request: messages.Cancel) -> messages.Reply:
+        answer = self._answer_unknown()
+        if isinstance(answer, messages.Refused):
+            return answer
+        self._intake.note_early_cancel(
+            request.job_id, request.workspace, self._clock.now_ms()
+        )
+        # The job may still come, and by then to another leader.
+        self._journal.request_append()
+        try:
+            await self._recorder.wait_for_changes(_CANCEL_TIMEOUT_MS)
+        except (errors.Deposed, errors.DeadlineExceeded):
+            return messages.NotLeading()
+        return answer
+
     async def _reply_when_recorded(
         self, job: job_module.Job, timeout_ms: int
     ) -> messages.Reply:
@@ -542,6 +551,7 @@
             wall_ms - retention_ms
         )
         self._recorder.forget_ended()
+        self._intake.early_cancels.expire(now_ms)
         metrics.LIVE_JOBS.set(len(state.table.jobs))
         metrics.WAITING_TASKS.set(
             sum(len(run.waiting) for run in state.table.ready_steps.values())
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -38,6 +38,8 @@
         '_on_new_work_recorded',
         '_waiters',
         '_append_confirmed',
+        '_append_waiters',
+        '_all_append_waiters',
         'expired_job_ids',
         'worker_addresses',
         'worker_addresses_changed',
@@ -58,6 +60,10 @@
         self._on_new_work_recorded = on_new_work_recorded
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
         self._append_confirmed = asyncio.Event()
+        # Those of the next append to be collected.
+        self._append_waiters: list[asyncio.Future[None]] = []
+        # These, and those of the append in flight.
+        self._all_append_waiters: set[asyncio.Future[None]] = set()
         # Ids of ended jobs whose records are to be deleted.
         self.expired_job_ids: list[str] = []
         # Addresses of the workers that may run tasks, by worker id.
@@ -97,6 +103,8 @@
                 record.state,
                 record.ended_wall_ms,
             )
+        for job_id, workspaces in recovered.early_cancels.items():
+            self._intake.early_cancels.restore(job_id, workspaces, now_ms)
         self.worker_addresses = dict(recovered.worker_addresses)
         self._confirmed_addresses = dict(recovered.worker_addresses)
         self._confirmed_waits = recovered.waits
@@ -170,11 +178,15 @@
         for job_id in self.expired_job_ids:
             journal_module.put_tombstone(batch, job_id)
         self.expired_job_ids = []
+        cancels = self._intake.early_cancels.take_changed()
+        for job_id, workspaces in cancels.items():
+            journal_module.put_early_cancel(batch, job_id, workspaces)
         if self.worker_addresses_changed:
             self.worker_addresses_changed = False
             journal_module.put_worker_addresses(batch, self.worker_addresses)
             batch.worker_addresses = dict(self.worker_addresses)
         self._collect_waits(batch)
+        batch.waiters, self._append_waiters = self._append_waiters, []
         return batch
 
     def _collect_waits(self, batch: journal_module.Batch) -> None:
@@ -215,6 +227,9 @@
                     worker.recorded_end_number, number
                 )
         has_new_work |= self._apply_workers(batch)
+        for future in batch.waiters:
+            if not future.done():
+                future.set_result(None)
         confirmed, self._append_confirmed = (
             self._append_confirmed,
             asyncio.Event(),
@@ -309,6 +324,18 @@
         self._waiters.setdefault(job.job_id, []).append(future)
         await self._clock.wait_for(future, timeout_ms)
 
+    async def wait_for_changes(self, timeout_ms: int) -> None:
+        """Wait until the store holds all changes made so far.
+
+        Raises ``Deposed`` if the leader changed and ``DeadlineExceeded`` on
+        timeout.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._append_waiters.append(future)
+        self._all_append_waiters.add(future)
+        future.add_done_callback(self._all_append_waiters.discard)
+        await self._clock.wait_for(future, timeout_ms)
+
     async def wait_for_ends(
         self, worker: worker_module.Worker, timeout_ms: int
     ) -> None:
@@ -337,8 +364,14 @@
 
     def close(self) -> None:
         """Fail all waiters, since the leader changed."""
+        deposed = errors.Deposed('the leader changed; ask again')
         for job_id in list(self._waiters):
-            self._fail(job_id, errors.Deposed('the leader changed; ask again'))
+            self._fail(job_id, deposed)
+        for future in list(self._all_append_waiters):
+            future.set_exception(deposed)
+            # Keeps asyncio from logging an exception that was never
+            # retrieved, in case the waiter has given up.
+            future.exception()
 
     def _fail(self, job_id: str, error: errors.BasilspindleError) -> None:
         for future in self._waiters.pop(job_id):
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -1,6 +1,8 @@
 """Test what the leader records before it acts on it."""
 
+from basilspindle.cell import journal as journal_module
 from basilspindle.cell import recorder as recorder_module
+from basilspindle import errors
 from tests import cell_case
 
 _JOB = '00000000000000aa'
@@ -74,6 +76,35 @@
         self.assertFalse(self.worker.accepts(self.now_ms))
 
 
+class EarlyCancelTest(cell_case.CellCase):
+    """Guard callers that cancel a job before it arrives."""
+
+    def test_a_successor_knows_of_it_until_it_expires(self):
+        """Guard against a cancelled job that a later leader starts."""
+        recorder = recorder_module.Recorder(
+            self.state, _Clock(self), 0, self.intake, lambda: None
+        )
+        for workspace in ('alpha', 'beta'):
+            self.intake.note_early_cancel(_JOB, workspace, self.now_ms)
+        records = dict(recorder.collect().records)
+        recovered = journal_module._decode(records)
+        self.assertEqual({_JOB: ['alpha', 'beta']}, recovered.early_cancels)
+        self.make_state()
+        successor = recorder_module.Recorder(
+            self.state, _Clock(self), 1, self.intake, lambda: None
+        )
+        successor.recover(recovered)
+        with self.assertRaises(errors.AlreadyCancelled):
+            self.intake.submit(
+                cell_case.make_definition(_JOB, cell_case.make_step()),
+                self.now_ms,
+            )
+        self.now_ms += 61_000
+        self.intake.early_cancels.expire(self.now_ms)
+        records = dict(successor.collect().records)
+        self.assertIn(None, records.values())
+
+
 class WaitRecordTest(cell_case.CellCase):
     """Guard leases that a successor would not wait for."""
 
--- a/tests/test_platform_malformed.py
+++ b/tests/test_platform_malformed.py
@@ -172,7 +172,7 @@
     def test_other_records_are_kept(self):
         """Guard against one record that costs all others."""
         for raw in (*_BODIES, b'\xc1', b'\x93\x01\x02\x03', b'\x90'):
-            for key in ('dxx', 'fxx', 'roster', 'beat', ''):
+            for key in ('dxx', 'fxx', 'cxx', 'roster', 'waits', 'beat', ''):
                 with self.subTest(key=key, raw=raw):
                     values = {
                         key: raw,
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -202,6 +202,25 @@
             await self.wait_state(job_id, 'completed')
         self.check_runs()
 
+    async def test_a_cancellation_that_comes_first_outlasts_its_leader(self):
+        """Guard against a cancelled job that runs after a change of leader.
+
+        Its submission lay at a frozen daemon; the leader that had answered
+        the cancellation was killed (shown by the review: UNASKED).
+        """
+        job_id = _JOB_ID_FORMAT.format(5)
+        leader = self.leader()
+        others = [each for each in self.daemons if each is not leader]
+        answer = await self.call('DELETE', others[0], job_id)
+        self.assertEqual(410, answer.status_code)
+        await leader.kill()
+        await self.submit(16, 1, 100)
+        body = platform_case.make_job(100, 1)
+        answer = await self.call('POST', others[1], job_id, body)
+        self.assertEqual(429, answer.status_code)
+        await leader.start()
+        await self.wait_ready(leader)
+
     async def test_a_paused_leader_is_replaced_and_stays_out(self):
         """Guard against two leaders that both start tasks."""
         job_ids = await self.submit(16, 4, 1_000)
