Log on which evidence a worker is lost, and how old the confirmation is

worker_lost has the evidence (lease, replaced, restarted), the epoch and confirmed_age_ms; the release by a later life of a worker was not logged at all. leader_lost has confirmed_age_ms, task_started the epoch. New metrics: basilspindle_tasks_released_total by evidence, and basilspindle_unconfirmed_seconds. Decisions are unchanged.

--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -160,7 +160,8 @@
     'worker_lost',
     _Level.WARNING,
     'the lease or the process of a worker ended; its tasks are requeued',
-    'nothing to do unless many workers are lost',
+    'see the evidence; with a confirmed_age_ms of seconds the store has not '
+    'answered this daemon',
 )
 WORKER_DRAINING = _Event(
     923,
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -15,6 +15,7 @@
 from basilspindle.cell import intake as intake_module
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import leadership
+from basilspindle.cell import loss
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
 from basilspindle.cell import orders as orders_module
@@ -245,6 +246,10 @@
         since_ms = self._journal.pending_since_ms
         return self._clock.now_ms() - since_ms if since_ms is not None else 0
 
+    @property
+    def _confirmed_age_ms(self) -> int:
+        return self._clock.now_ms() - self._journal.confirmed_ms
+
     async def _submit(self, request: messages.Submit) -> messages.Reply:
         definition = request.definition
         if self.store_age_ms > _STORE_UNRESPONSIVE_MS:
@@ -303,8 +308,7 @@
             )
         # A leader that was paused or is cut off may have a successor, which
         # may know the job.
-        confirmed_ms = self._clock.now_ms() - self._journal.confirmed_ms
-        if confirmed_ms > _MAX_UNCONFIRMED_MS:
+        if self._confirmed_age_ms > _MAX_UNCONFIRMED_MS:
             return messages.Refused(
                 errors.NotReady.kind,
                 'the leader has no recent answer of the store; ask again',
@@ -376,6 +380,8 @@
                 ends=len(report.ends),
             )
         previous_end_number = worker.applied_end_number
+        if worker.born_wall_ms != report.born_wall_ms:
+            self._log_loss(worker, loss.Evidence.RESTARTED)
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
         self._recorder.note_report(worker)
         speed.check_progress(self.state, worker, now_ms)
@@ -433,15 +439,12 @@
         """Record that a worker has acknowledged a stop order."""
         starts_module.apply_stop_ack(self.state, order, self._clock.now_ms())
 
-    def lose_worker(self, session: session_module.Session) -> None:
-        """Requeue the tasks of a worker that restarted or lost its lease."""
+    def lose_worker(
+        self, session: session_module.Session, evidence: loss.Evidence
+    ) -> None:
+        """Requeue the tasks of a worker that ended or lost its lease."""
         worker = session.worker
-        if worker.tasks:
-            events.emit(
-                cell_events.WORKER_LOST,
-                worker=worker.worker_id,
-                tasks=len(worker.tasks),
-            )
+        self._log_loss(worker, evidence)
         worker.reported = False
         self.state.requeue_worker_tasks(worker)
         self.state.awaited_workers.discard(worker.worker_id)
@@ -451,6 +454,21 @@
         self._send_orders()
         self._schedule_plan()
 
+    def _log_loss(
+        self, worker: worker_module.Worker, evidence: loss.Evidence
+    ) -> None:
+        if not worker.tasks:
+            return
+        metrics.TASKS_RELEASED.labels(evidence).inc(len(worker.tasks))
+        events.emit(
+            cell_events.WORKER_LOST,
+            worker=worker.worker_id,
+            tasks=len(worker.tasks),
+            evidence=evidence,
+            epoch=self.claim.epoch,
+            confirmed_age_ms=self._confirmed_age_ms,
+        )
+
     def lose_leadership(
         self,
         reason: str,
@@ -466,6 +484,7 @@
                 reason=reason,
                 cause=cause,
                 led_ms=self._clock.now_ms() - self._started_ms,
+                confirmed_age_ms=self._confirmed_age_ms,
                 workers_read=self._worker_tracker.has_read_registry,
             )
             self.lost.set()
@@ -559,6 +578,7 @@
             worker=start.worker_id,
             task=start.task.name,
             run=start.run,
+            epoch=self.claim.epoch,
             cpu_millicores=start.task.step_run.step.reserved.cpu_millicores,
         )
         session.send_start(start)
@@ -569,7 +589,8 @@
             await self._clock.sleep_ms(_TICK_INTERVAL_MS)
             now_ms = self._clock.now_ms()
             metrics.LOOP_DELAY_SECONDS.set(max(0, now_ms - due_ms) / 1000)
-            if now_ms - self._journal.confirmed_ms > STORE_TIMEOUT_MS:
+            metrics.UNCONFIRMED_SECONDS.set(self._confirmed_age_ms / 1000)
+            if self._confirmed_age_ms > STORE_TIMEOUT_MS:
                 self.lose_leadership(
                     'the store is not responding',
                     leadership.EndCause.STORE_SILENT,
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -74,6 +74,16 @@
     'Leaderships of this daemon that ended, by cause.',
     ['cause'],
 )
+TASKS_RELEASED = prometheus.Counter(
+    'basilspindle_tasks_released_total',
+    'Tasks that are started again although their worker lists no end of '
+    'their runs, by evidence.',
+    ['evidence'],
+)
+UNCONFIRMED_SECONDS = prometheus.Gauge(
+    'basilspindle_unconfirmed_seconds',
+    'Time since the store has confirmed an append of the leader.',
+)
 LEADERS_LAST_MINUTE = prometheus.Gauge(
     'basilspindle_leaders_last_minute',
     'Claims of leadership in the cell in the last minute.',
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -8,6 +8,7 @@
 from basilspindle.cell import guard
 from basilspindle.cell import leadership
 from basilspindle.cell import lease_clock
+from basilspindle.cell import loss
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import ports
 from basilspindle.cell import report as report_module
@@ -80,7 +81,7 @@
         """Note that a worker has accepted a stop order."""
         ...
 
-    def lose_worker(self, session: 'Session') -> None:
+    def lose_worker(self, session: 'Session', evidence: loss.Evidence) -> None:
         """Release the tasks of a worker whose lease or process has ended."""
         ...
 
@@ -245,7 +246,7 @@
                 )
             expiry_ms = self._lease.expiry_ms()
             if expiry_ms is not None and self._clock.now_ms() > expiry_ms:
-                self._owner.lose_worker(self)
+                self._owner.lose_worker(self, loss.Evidence.LEASE)
             await self._clock.sleep_ms(pause_ms)
             pause_ms = min(
                 2 * pause_ms,
@@ -283,7 +284,7 @@
             # Only where the worker has answered before, another one shows
             # that it has ended: its entry may name a wrong address.
             if address == worker.answered_address:
-                self._owner.lose_worker(self)
+                self._owner.lose_worker(self, loss.Evidence.REPLACED)
             return error.message
         except errors.WorkerError as error:
             return error.message
--- a/tests/test_cell_first_calls.py
+++ b/tests/test_cell_first_calls.py
@@ -57,7 +57,7 @@
         self.reports[name] = self.reports.get(name, 0) + 1
         return False
 
-    def lose_worker(self, session):
+    def lose_worker(self, session, evidence):
         raise AssertionError('a worker without a lease is lost')
 
 
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -10,7 +10,10 @@
 from basilspindle.cell import configuration_index
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import leader as leader_module
+from basilspindle.cell import loss
 from basilspindle.cell import messages
+from basilspindle.cell import state as state_module
+from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from tests import cell_case
@@ -53,6 +56,24 @@
         return asyncio.run(self.leader.handle(request))
 
 
+class LostWorkerTest(LeaderCase):
+    """Guard what the log tells of tasks that are started again."""
+
+    def test_the_evidence_and_the_age_of_the_confirmation_are_logged(self):
+        """Guard against losses of a worker whose cause cannot be told."""
+        worker = worker_module.Worker(
+            'w', 'w:1', '', '', '', frozenset(), state_module.NO_NEED
+        )
+        worker.tasks['t'] = mock.Mock()
+        self.clock.now += 6_000
+        with mock.patch.object(leader_module.events, 'emit') as emit:
+            self.leader._log_loss(worker, loss.Evidence.LEASE)
+        fields = emit.call_args.kwargs
+        self.assertEqual('lease', fields['evidence'])
+        self.assertEqual(1, fields['epoch'])
+        self.assertEqual(6_000, fields['confirmed_age_ms'])
+
+
 class PausedLeaderTest(LeaderCase):
     """Guard callers against a leader that was paused for some seconds."""
 
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -149,7 +149,7 @@
     def handle_report(self, session, report, sent_ms):
         return False
 
-    def lose_worker(self, session):
+    def lose_worker(self, session, evidence):
         self.lost_ms.append(self.clock.now)
 
 
@@ -419,7 +419,7 @@
     def lose_leadership(self, reason, cause=None):
         self.lost.append(reason)
 
-    def lose_worker(self, session):
+    def lose_worker(self, session, evidence):
         return
 
 
