--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -59,6 +59,7 @@
         self.root = _ROOT
         link, metrics, self.frontend_port, self.readiness_port = free_ports(4)
         self.metrics_port = metrics
+        self.link_address = f'127.0.0.1:{link}'
         self._path = folder / f'{node}.toml'
         self._path.write_text(
             SETTINGS_TEMPLATE.format(
--- a/tests/standins/platform/__init__.py
+++ b/tests/standins/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from tests.standins.platform.addresses import DeadAddresses
 from tests.standins.platform.advice import StandinAdvice
+from tests.standins.platform.network import Network
 from tests.standins.platform.operator import make_configuration
 from tests.standins.platform.server import Server
 from tests.standins.platform.store import StandinStore
@@ -9,6 +10,7 @@
 
 __all__ = [
     'DeadAddresses',
+    'Network',
     'Server',
     'StandinAdvice',
     'StandinStore',
--- /dev/null
+++ b/tests/standins/platform/network.py
@@ -0,0 +1,193 @@
+"""Stand-in for a network in which machines can be cut off from each other."""
+
+import asyncio
+import collections.abc
+import contextlib
+import re
+import time
+import typing
+
+_SEGMENT_BYTES = 65_536
+_LISTEN_TIMEOUT_S = 30.0
+# All ports of stand-ins and daemons have five digits, so that an address can
+# be replaced without a change of the length of what holds it.
+_ADDRESS = re.compile(rb'127\.0\.0\.1:(\d{5})')
+
+
+class _Path:
+    """Way from one machine to the server of another one."""
+
+    __slots__ = ('_is_open', '_server', '_tasks', 'address', 'target')
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ''
+        self._server: asyncio.Server | None = None
+        self._is_open = asyncio.Event()
+        self._is_open.set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        port = int(self.address.rpartition(':')[2] or 0)
+        self._server = await asyncio.start_server(
+            self._connect, '127.0.0.1', port, limit=_SEGMENT_BYTES
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def cut(self, resets: bool) -> None:
+        self._is_open.clear()
+        if resets:
+            self._refuse()
+
+    async def heal(self) -> None:
+        self._is_open.set()
+        until_s = time.monotonic() + _LISTEN_TIMEOUT_S
+        while self._server is None:
+            try:
+                await self.listen()
+            except OSError:
+                # A connection of another process has the port for now.
+                if time.monotonic() > until_s:
+                    raise
+                await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        tasks = self._refuse()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _refuse(self) -> list[asyncio.Task[None]]:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        return tasks
+
+    async def _connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._carry_both(reader, writer)
+        except OSError:
+            # Either end has closed the connection or refuses it.
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _carry_both(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._is_open.wait()
+        host, _, port = self.target.rpartition(':')
+        far_reader, far_writer = await asyncio.open_connection(
+            host, int(port), limit=_SEGMENT_BYTES
+        )
+        both = [
+            asyncio.ensure_future(self._carry(reader, far_writer)),
+            asyncio.ensure_future(self._carry(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for each in both:
+                each.cancel()
+            await asyncio.gather(*both, return_exceptions=True)
+            far_writer.transport.abort()
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(_SEGMENT_BYTES):
+            # What is sent during a silent cut arrives once it has healed, as
+            # the kernel sends it again.
+            await self._is_open.wait()
+            writer.write(data)
+            await writer.drain()
+
+
+class Network(contextlib.AsyncExitStack):
+    """Network with a path from each machine to each server.
+
+    Machines are named; a machine may have several servers. The store has to
+    ``translate`` what a machine reads and ``restore`` what it writes, so that
+    machines learn the addresses of their own paths only.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._names: dict[str, str] = {}
+        self._paths: dict[tuple[str, str], _Path] = {}
+        self._targets: dict[str, str] = {}
+        # Pairs of machines that are cut off from each other, and whether
+        # connections between them are reset.
+        self._cuts: dict[frozenset[str], bool] = {}
+
+    def add(self, name: str, address: str) -> None:
+        """Add a server of a machine."""
+        self._names[address] = name
+
+    async def path(self, machine: str, address: str) -> str:
+        """Return the address at which a machine reaches a server."""
+        key = (machine, address)
+        if key not in self._paths:
+            path = self._paths[key] = _Path(address)
+            await path.listen()
+            self.push_async_callback(path.close)
+            self._targets[path.address] = address
+            pair = frozenset((machine, self._names[address]))
+            if pair in self._cuts:
+                path.cut(self._cuts[pair])
+        return self._paths[key].address
+
+    async def translate(self, machine: str, value: bytes) -> bytes:
+        """Replace the addresses of other machines by those of the paths."""
+        parts = []
+        end = 0
+        for match in _ADDRESS.finditer(value):
+            address = match[0].decode()
+            if self._names.get(address, machine) == machine:
+                continue
+            path = await self.path(machine, address)
+            parts += [value[end : match.start()], path.encode()]
+            end = match.end()
+        return b''.join([*parts, value[end:]])
+
+    def restore(self, value: bytes) -> bytes:
+        """Replace the addresses of paths by those of their servers."""
+
+        def replace(match: re.Match[bytes]) -> bytes:
+            address = match[0].decode()
+            return self._targets.get(address, address).encode()
+
+        return _ADDRESS.sub(replace, value)
+
+    def cut(
+        self,
+        machines: collections.abc.Iterable[str],
+        others: collections.abc.Iterable[str],
+        resets: bool = False,
+    ) -> None:
+        """Cut all paths between two groups of machines."""
+        others = list(others)
+        for machine in machines:
+            for other in others:
+                self._cuts[frozenset((machine, other))] = resets
+        for (machine, address), path in self._paths.items():
+            pair = frozenset((machine, self._names[address]))
+            if pair in self._cuts:
+                path.cut(self._cuts[pair])
+
+    async def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+        for path in list(self._paths.values()):
+            await path.heal()
+
+    async def __aenter__(self) -> typing.Self:
+        return self
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import base64
+import functools
 import json
 import struct
 
+from tests.standins.platform import network as network_module
 from tests.standins.platform import server as server_module
 
 _PAGE_SIZE = 500
@@ -37,6 +39,8 @@
         self.newest: dict[str, dict[str, tuple[bytes, int]]] = {}
         self.server = server_module.Server(self._handle)
         self._doors: list[server_module.Server] = []
+        # If set, each door has the addresses of one machine's paths.
+        self.network: network_module.Network | None = None
 
     async def __aenter__(self) -> 'StandinStore':
         await self.server.__aenter__()
@@ -46,9 +50,14 @@
         for server in (self.server, *self._doors):
             await server.__aexit__(*error)
 
-    async def open_door(self) -> server_module.Server:
-        """Return a server of this store that may fail for some only."""
-        door = server_module.Server(self._handle)
+    async def open_door(self, machine: str = '') -> server_module.Server:
+        """Return a server of this store that may fail for some only.
+
+        With a network, it serves the machine of that name.
+        """
+        door = server_module.Server(
+            functools.partial(self._handle, machine=machine)
+        )
         await door.__aenter__()
         self._doors.append(door)
         return door
@@ -89,15 +98,22 @@
         return offset
 
     async def _handle(
-        self, request: server_module.Request
+        self, request: server_module.Request, machine: str = ''
     ) -> server_module.Reply:
         call = request.path.rpartition('/')[2]
         topic = request.query['topic']
         if call == 'log-append':
+            if self.network is not None:
+                body = self.network.restore(request.body)
+                request = request._replace(body=body)
             return self._serve_append(request, topic)
         if call == 'log-newest':
-            return self._serve_newest(request, topic)
-        return await self._serve_read(request, topic)
+            return await self._serve_newest(request, topic, machine)
+        reply = await self._serve_read(request, topic)
+        if self.network is not None and machine:
+            body = await self.network.translate(machine, reply.body)
+            reply = reply._replace(body=body)
+        return reply
 
     def _serve_append(
         self, request: server_module.Request, topic: str
@@ -134,8 +150,8 @@
             del partition.responses[old]
         return response
 
-    def _serve_newest(
-        self, request: server_module.Request, topic: str
+    async def _serve_newest(
+        self, request: server_module.Request, topic: str, machine: str
     ) -> server_module.Reply:
         partition = self._topic(topic)
         after = request.query.get('after', '')
@@ -144,18 +160,15 @@
             for key, newest in self.newest[topic].items()
             if key > after
         )
-        items = [
-            {
-                'key': key,
-                'value': base64.b64encode(value).decode(),
-                'offset': offset,
-            }
-            for key, (value, offset) in newest_items[:_PAGE_SIZE]
-        ]
+        end = partition.end
+        items = []
+        for key, (value, offset) in newest_items[:_PAGE_SIZE]:
+            if self.network is not None and machine:
+                value = await self.network.translate(machine, value)
+            encoded = base64.b64encode(value).decode()
+            items.append({'key': key, 'value': encoded, 'offset': offset})
         more = len(newest_items) > _PAGE_SIZE
-        return _reply(
-            200, {'items': items, 'more': more, 'end': partition.end}
-        )
+        return _reply(200, {'items': items, 'more': more, 'end': end})
 
     async def _serve_read(
         self, request: server_module.Request, topic: str
