Count a leader's time from when a confirmed call began

A leader steps down 15 s after the store confirmed a call, and its successor starts tasks again of workers that it does not hear after that time and one lease. The time counted from when the answer was read: with an answer that was long on its way, or read by a process that had stood still, the leader led on, and renewed leases, beyond the wait of its successor. Renewals and starts also went out before the periodic check noticed that the time was over.

The time counts from the call now, and the session looks at it before each renewal and start. tests.test_cell_confirmation.TermTest holds both; the class does not exist before.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from basilspindle.cell import confirmation as confirmation_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import hedged_call as hedged_call_module
 from basilspindle.cell import ports
@@ -170,8 +171,7 @@
 class Journal:
     """Append batches in order, one at a time, under one epoch.
 
-    ``confirmed_ms`` is when the store last confirmed a call, and
-    ``pending_since_ms`` when the append under way was first sent, None if
+    ``pending_since_ms`` is when the append under way was first sent, None if
     there is none.
     """
 
@@ -183,7 +183,7 @@
         '_wake',
         '_collect',
         '_on_confirmed',
-        'confirmed_ms',
+        '_confirmation',
         'pending_since_ms',
         '_store_failing',
         '_mean_append_ms',
@@ -194,6 +194,7 @@
         store: ports.Store,
         clock: clock_module.Clock,
         epoch: int,
+        confirmation: confirmation_module.Confirmation,
         collect: collections.abc.Callable[[], Batch],
         on_confirmed: collections.abc.Callable[[Batch], None],
     ) -> None:
@@ -204,7 +205,7 @@
         self._wake = asyncio.Event()
         self._collect = collect
         self._on_confirmed = on_confirmed
-        self.confirmed_ms = clock.now_ms()
+        self._confirmation = confirmation
         self.pending_since_ms: int | None = None
         self._store_failing = False
         self._mean_append_ms = 0.0
@@ -218,6 +219,7 @@
 
         Raises ``Deposed`` if a later leader has fenced off this one.
         """
+        begun_ms = self._clock.now_ms()
         # Fence and read at the same time, to shorten the change of leader.
         fencing = asyncio.ensure_future(
             self._call_until_answered(
@@ -238,7 +240,7 @@
             )
         except errors.LogTrimmed:
             values, _ = await self._read_all()
-        self._note_store_success()
+        self._note_store_success(begun_ms)
         return _decode(values)
 
     async def run(self) -> None:
@@ -285,7 +287,7 @@
         self._mean_append_ms += _NEWEST_WEIGHT * (
             took_ms - self._mean_append_ms
         )
-        self._note_store_success()
+        self._note_store_success(begun_ms)
 
     async def _read_all(self) -> tuple[dict[str, bytes], int]:
         hedged_call = hedged_call_module.HedgedCall(
@@ -330,8 +332,10 @@
                 cell_events.STORE_FAILED, call='append', error=error.message
             )
 
-    def _note_store_success(self) -> None:
-        self.confirmed_ms = self._clock.now_ms()
+    def _note_store_success(self, begun_ms: int) -> None:
+        # The answer may have been on its way for long, or this process may
+        # have stood still: it tells only what held when the call began.
+        self._confirmation.extend(begun_ms)
         if self._store_failing:
             self._store_failing = False
             events.emit(cell_events.STORE_REGAINED, call='append')
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -8,6 +8,7 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell import confirmation as confirmation_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import first_calls
 from basilspindle.cell import guard
@@ -47,10 +48,6 @@
 _PLAN_DELAY_MS = 4
 _PLAN_DELAY_PER_STEP_MS = 0.05
 _MAX_PLAN_DELAY_MS = 50
-# The leader steps down after this time without a confirmed append. A later
-# leader waits for this time and one lease before it restarts tasks that may
-# still be running on workers that have not reported to it.
-STORE_TIMEOUT_MS = 15_000
 # Time that a lease may take at most, allowing for a slow worker clock.
 _LEASE_DURATION_PERCENT = 103
 # Job states are kept this much longer than the configured retention time.
@@ -109,10 +106,12 @@
             self._intake,
             self._schedule_plan,
         )
+        self._confirmation = confirmation_module.Confirmation(clock)
         self._journal = journal_module.Journal(
             store,
             clock,
             claim.epoch,
+            self._confirmation,
             self._recorder.collect,
             self._recorder.apply,
         )
@@ -170,11 +169,11 @@
 
     def _await_workers(self) -> None:
         # Workers that have not reported yet may still run tasks of an earlier
-        # leader. The previous one steps down within STORE_TIMEOUT_MS, and the
+        # leader. The previous one steps down within TIMEOUT_MS, and the
         # last leases that it has granted expire within the longest one.
         now_ms = self._clock.now_ms()
         awaited = self.state.awaited_workers
-        full_ms = STORE_TIMEOUT_MS + self._max_lease_duration_ms
+        full_ms = confirmation_module.TIMEOUT_MS + self._max_lease_duration_ms
         remaining_ms = self._recorder.recovered_waits_ms(
             self._previous, full_ms
         )
@@ -246,10 +245,6 @@
         since_ms = self._journal.pending_since_ms
         return self._clock.now_ms() - since_ms if since_ms is not None else 0
 
-    @property
-    def _confirmed_age_ms(self) -> int:
-        return self._clock.now_ms() - self._journal.confirmed_ms
-
     async def _submit(self, request: messages.Submit) -> messages.Reply:
         definition = request.definition
         if self.store_age_ms > _STORE_UNRESPONSIVE_MS:
@@ -308,7 +303,7 @@
             )
         # A leader that was paused or is cut off may have a successor, which
         # may know the job.
-        if self._confirmed_age_ms > _MAX_UNCONFIRMED_MS:
+        if self._confirmation.age_ms > _MAX_UNCONFIRMED_MS:
             return messages.Refused(
                 errors.NotReady.kind,
                 'the leader has no recent answer of the store; ask again',
@@ -466,7 +461,7 @@
             tasks=len(worker.tasks),
             evidence=evidence,
             epoch=self.claim.epoch,
-            confirmed_age_ms=self._confirmed_age_ms,
+            confirmed_age_ms=self._confirmation.age_ms,
         )
 
     def lose_leadership(
@@ -484,11 +479,20 @@
                 reason=reason,
                 cause=cause,
                 led_ms=self._clock.now_ms() - self._started_ms,
-                confirmed_age_ms=self._confirmed_age_ms,
+                confirmed_age_ms=self._confirmation.age_ms,
                 workers_read=self._worker_tracker.has_read_registry,
             )
             self.lost.set()
 
+    def has_expired(self) -> bool:
+        """Step down if the store has not confirmed for too long."""
+        if not self._confirmation.has_expired:
+            return False
+        self.lose_leadership(
+            'the store is not responding', leadership.EndCause.STORE_SILENT
+        )
+        return True
+
     async def wait_for_ends(
         self, worker: worker_module.Worker, timeout_ms: int
     ) -> None:
@@ -589,12 +593,8 @@
             await self._clock.sleep_ms(_TICK_INTERVAL_MS)
             now_ms = self._clock.now_ms()
             metrics.LOOP_DELAY_SECONDS.set(max(0, now_ms - due_ms) / 1000)
-            metrics.UNCONFIRMED_SECONDS.set(self._confirmed_age_ms / 1000)
-            if self._confirmed_age_ms > STORE_TIMEOUT_MS:
-                self.lose_leadership(
-                    'the store is not responding',
-                    leadership.EndCause.STORE_SILENT,
-                )
+            metrics.UNCONFIRMED_SECONDS.set(self._confirmation.age_ms / 1000)
+            if self.has_expired():
                 return
             self._run_housekeeping(now_ms)
 
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -99,6 +99,10 @@
         """Wait up to a timeout until all run ends of a worker are recorded."""
         ...
 
+    def has_expired(self) -> bool:
+        """Tell whether this daemon may no longer lead."""
+        ...
+
 
 class Session:
     """Renew the lease of one worker, and send it orders, until closed.
@@ -255,6 +259,8 @@
 
     async def _renew_once(self) -> str | None:
         """Renew the lease; returns the error message if that fails."""
+        if self._owner.has_expired():
+            return 'this daemon no longer leads'
         worker = self.worker
         address = worker.address
         sent_ms = self._clock.now_ms()
@@ -387,6 +393,8 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
+        if self._owner.has_expired():
+            return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
             return start_outcome.StartOutcome.NOT_SENT
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -81,6 +81,18 @@
     )
 
 
+class ConfirmedOwner:
+    """Owner of sessions whose leadership the store confirms at once."""
+
+    def has_expired(self):
+        """Tell whether the owner may no longer lead."""
+        return False
+
+    async def wait_confirmed(self, at_ms, timeout_ms):
+        """Tell whether no later leader can have led at a time."""
+        return True
+
+
 class CellCase(unittest.TestCase):
     """State of a leader whose workers are simulated by the test."""
 
--- /dev/null
+++ b/tests/test_cell_confirmation.py
@@ -0,0 +1,165 @@
+"""Test what a leader does before the store confirms that it still leads."""
+
+import asyncio
+import unittest
+
+from basilspindle.cell import confirmation
+from basilspindle.cell import first_calls
+from basilspindle.cell import journal as journal_module
+from basilspindle.cell import report as report_module
+from basilspindle.cell import session as session_module
+from basilspindle.cell import start_outcome
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from tests import cell_case
+from tests.standins import manual_clock
+
+_JOB = '00000000000000aa'
+_OLD_CLOCK_MS = 60_000
+_LATE_ANSWER_MS = 5_000
+_UNKNOWN = errors.WorkerOutcomeUnknown('no answer; ask again')
+_Outcome = start_outcome.StartOutcome
+
+
+class _Clock(clock_module.Clock):
+    __slots__ = ('now',)
+
+    def __init__(self):
+        self.now = 0
+
+    def now_ms(self):
+        return self.now
+
+    async def sleep_ms(self, duration_ms):
+        self.now += duration_ms
+        await asyncio.sleep(0)
+
+
+class _Worker:
+    """Gives the answers of a list to renewals and starts."""
+
+    def __init__(self, clock, renewals, starts=()):
+        self.clock = clock
+        self.renewals = list(renewals)
+        self.starts = list(starts)
+        self.deadlines_ms = []
+        self.start_count = 0
+
+    async def renew(self, address, worker_id, token, deadline_ms, *values):
+        self.deadlines_ms.append(deadline_ms)
+        answer = self.renewals.pop(0) if self.renewals else _UNKNOWN
+        if answer is _UNKNOWN:
+            await self.clock.sleep_ms(1_500)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def start(self, *values):
+        self.start_count += 1
+        answer = self.starts.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return start_outcome.StartAnswer(answer)
+
+
+class _Owner:
+    """Owner of a session that the store may no longer answer."""
+
+    def __init__(self, is_confirmed, is_over=False):
+        self.is_confirmed = is_confirmed
+        self.is_over = is_over
+        self.asked_ms = []
+        self.reports = []
+        self.losses = []
+        self.outcomes = []
+
+    def has_expired(self):
+        return self.is_over
+
+    async def wait_confirmed(self, at_ms, timeout_ms):
+        self.asked_ms.append(at_ms)
+        return self.is_confirmed
+
+    def handle_report(self, session, report, sent_ms):
+        self.reports.append(report)
+        session.worker.born_wall_ms = report.born_wall_ms
+        session.worker.reported = True
+        return False
+
+    def lose_worker(self, session, evidence):
+        self.losses.append(evidence.value)
+
+    def handle_start_outcome(self, order, outcome):
+        self.outcomes.append(outcome)
+
+
+def _report(born_ms, clock_ms=_OLD_CLOCK_MS):
+    return report_module.Report(clock_ms, born_ms, (), ())
+
+
+class _LateStore:
+    """Store whose answers to appends are long on their way."""
+
+    def __init__(self, clock):
+        self.clock = clock
+
+    async def append(self, *values):
+        await self.clock.sleep_ms(_LATE_ANSWER_MS)
+
+    async def probe_end(self, stream):
+        await self.clock.sleep_ms(_LATE_ANSWER_MS)
+
+
+class TermTest(unittest.IsolatedAsyncioTestCase):
+    """Guard the time for which a successor waits for this leader."""
+
+    async def test_an_answer_counts_from_its_call(self):
+        """Guard against a leader that leads on after its successor's wait.
+
+        The answer of the store was on its way for long, or the process stood
+        still before it read it.
+        """
+        clock = manual_clock.ManualClock()
+        begun_ms = clock.now_ms()
+        confirmed = confirmation.Confirmation(clock)
+        journal = journal_module.Journal(
+            _LateStore(clock),
+            clock,
+            1,
+            confirmed,
+            journal_module.Batch,
+            lambda batch: None,
+        )
+        running = asyncio.ensure_future(journal.run())
+        journal.request_append()
+        await clock.advance_ms(_LATE_ANSWER_MS + 100)
+        self.assertLessEqual(confirmed.confirmed_ms, begun_ms + 100)
+        self.assertGreaterEqual(confirmed.age_ms, _LATE_ANSWER_MS)
+        running.cancel()
+
+    async def test_a_leader_whose_time_is_over_orders_nothing(self):
+        """Guard against orders of a process that stood still.
+
+        They went out before the periodic check noticed.
+        """
+        owner = _Owner(is_confirmed=False, is_over=True)
+        case = cell_case.CellCase()
+        case.setUp()
+        worker = case.add_worker('w1')
+        case.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [order] = case.plan().starts
+        silent = _Worker(_Clock(), [])
+        session = session_module.Session(
+            worker,
+            silent,
+            owner,
+            silent.clock,
+            1,
+            10_000,
+            first_calls.FirstCalls(clock_module.Clock()),
+        )
+        session._lease.observe(0, 0)
+        self.assertIsNotNone(await session._renew_once())
+        await session._start(order)
+        self.assertEqual([], silent.deadlines_ms)
+        self.assertEqual(0, silent.start_count)
--- a/tests/test_cell_first_calls.py
+++ b/tests/test_cell_first_calls.py
@@ -48,7 +48,7 @@
         raise errors.WorkerUnavailable('no connection; try again')
 
 
-class _Owner:
+class _Owner(cell_case.ConfirmedOwner):
     def __init__(self):
         self.reports = {}
 
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from basilspindle.cell import confirmation
 from basilspindle.cell import hedged_call
 from basilspindle.cell import journal as journal_module
 from basilspindle import clock as clock_module
@@ -89,7 +90,12 @@
             self.confirmed.set()
 
         return journal_module.Journal(
-            store, store.clock, 1, journal_module.Batch, confirmed
+            store,
+            store.clock,
+            1,
+            confirmation.Confirmation(store.clock),
+            journal_module.Batch,
+            confirmed,
         )
 
     async def run_until_confirmed(self, store, limit_ms):
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -35,7 +35,7 @@
         return start_outcome.StartAnswer(answer)
 
 
-class _Owner:
+class _Owner(cell_case.ConfirmedOwner):
     def __init__(self):
         self.outcomes = []
 
@@ -141,7 +141,7 @@
         raise self.error
 
 
-class _Losses:
+class _Losses(cell_case.ConfirmedOwner):
     def __init__(self, clock):
         self.clock = clock
         self.lost_ms = []
@@ -325,7 +325,7 @@
         return start_outcome.StartAnswer(_Outcome.RUNS, self.start_clock_ms)
 
 
-class _RecordingOwner:
+class _RecordingOwner(cell_case.ConfirmedOwner):
     def handle_report(self, session, report, sent_ms):
         worker = session.worker
         worker.reported = True
@@ -407,7 +407,7 @@
         self.assertEqual([0, 0, 7], orders.acknowledged)
 
 
-class _FailingOwner:
+class _FailingOwner(cell_case.ConfirmedOwner):
     def __init__(self):
         self.reports = 0
         self.lost = []
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -14,6 +14,7 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell import confirmation
 from basilspindle.cell import leader as leader_module
 from basilspindle.cell import messages
 from basilspindle.cell import session as session_module
@@ -251,7 +252,7 @@
         asyncio.get_running_loop().set_debug(False)
         for target, name, value in (
             (session_module, 'LEASE_MS', _LEASE_MS),
-            (leader_module, 'STORE_TIMEOUT_MS', _STORE_TIMEOUT_MS),
+            (confirmation, 'TIMEOUT_MS', _STORE_TIMEOUT_MS),
             (standin_worker, '_MAX_LEASE_MS', _LEASE_MS),
             (standin_worker, '_MAX_LISTED_ENDS', _ENDS_PER_REPORT),
             (workers_module, '_MAX_ENDS_PER_REPORT', _ENDS_PER_REPORT),
