Believe the end of a lease only once no successor can have renewed it

A leader that was cut off from the store and the other daemons together with a part of the workers took the leases of all other workers for run out 5.1 s later. Its successor had renewed them and acknowledged the ends of their runs. The old leader leads on for 15 s without the store, and started these tasks again on the workers that it reached.

The end of a lease counts only once an append that began after it is confirmed. The store then had not admitted a later leader, so nobody else renewed the lease before it ran out. If the store does not answer, tasks of a lost worker wait until it does; all other work goes on.

--- a/basilspindle/cell/confirmation.py
+++ b/basilspindle/cell/confirmation.py
@@ -1,5 +1,7 @@
 """Tell since when a later leader may have taken over."""
 
+import asyncio
+
 from basilspindle import clock as clock_module
 
 # The leader steps down after this time without a confirmed append. A later
@@ -16,10 +18,11 @@
     not been continued by a successor.
     """
 
-    __slots__ = ('_clock', 'confirmed_ms')
+    __slots__ = ('_clock', '_waiters', 'confirmed_ms')
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self.confirmed_ms = clock.now_ms()
 
     @property
@@ -35,3 +38,30 @@
     def extend(self, begun_ms: int) -> None:
         """Note that a call that began at a time is confirmed."""
         self.confirmed_ms = max(self.confirmed_ms, begun_ms)
+        waiters, self._waiters = self._waiters, []
+        for at_ms, waiter in waiters:
+            if waiter.done():
+                continue
+            if self.covers(at_ms):
+                waiter.set_result(None)
+            else:
+                self._waiters.append((at_ms, waiter))
+
+    def covers(self, at_ms: int) -> bool:
+        """Tell whether a call that began after a time is confirmed."""
+        return at_ms < self.confirmed_ms
+
+    async def wait(self, at_ms: int, timeout_ms: int) -> bool:
+        """Wait until a time is covered, or for the timeout; tell which."""
+        if self.covers(at_ms):
+            return True
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append((at_ms, waiter))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await waiter
+        except TimeoutError:
+            return False
+        finally:
+            waiter.cancel()
+        return True
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -493,6 +493,15 @@
         )
         return True
 
+    async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
+        """Wait until it is certain that no later leader led at a time.
+
+        Returns False if the store does not tell before the timeout.
+        """
+        if not self._confirmation.covers(at_ms):
+            self._journal.request_append()
+        return await self._confirmation.wait(at_ms, timeout_ms)
+
     async def wait_for_ends(
         self, worker: worker_module.Worker, timeout_ms: int
     ) -> None:
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -43,6 +43,9 @@
 # A worker whose report could not be applied gets no new tasks for this long.
 _FAULT_PAUSE_MS = 2_000
 _STOP_RETRY_MS = 250
+# Longest wait for the store to confirm that no later leader knows more about
+# a worker. An append takes far less, unless the store does not answer.
+_CONFIRM_WAIT_MS = 300
 
 
 # The outcomes of a repeated start that also settle an earlier unanswered
@@ -103,6 +106,10 @@
         """Tell whether this daemon may no longer lead."""
         ...
 
+    async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
+        """Wait until no later leader can have led at a time; tell whether."""
+        ...
+
 
 class Session:
     """Renew the lease of one worker, and send it orders, until closed.
@@ -250,7 +257,9 @@
                 )
             expiry_ms = self._lease.expiry_ms()
             if expiry_ms is not None and self._clock.now_ms() > expiry_ms:
-                self._owner.lose_worker(self, loss.Evidence.LEASE)
+                # A successor may have renewed the lease meanwhile.
+                if await self._is_confirmed(expiry_ms):
+                    self._owner.lose_worker(self, loss.Evidence.LEASE)
             await self._clock.sleep_ms(pause_ms)
             pause_ms = min(
                 2 * pause_ms,
@@ -328,6 +337,9 @@
             await self._clock.sleep_ms(_UNRECORDED_PAUSE_MS)
         return None
 
+    async def _is_confirmed(self, at_ms: int) -> bool:
+        return await self._owner.wait_confirmed(at_ms, _CONFIRM_WAIT_MS)
+
     def _acknowledgeable_end_number(self) -> int:
         # End numbers start anew with each incarnation, and the call names
         # only the id of the worker. One that has restarted under its id would
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -18,6 +18,7 @@
 _OLD_CLOCK_MS = 60_000
 _LATE_ANSWER_MS = 5_000
 _UNKNOWN = errors.WorkerOutcomeUnknown('no answer; ask again')
+_REPLACED = errors.WorkerReplaced('another worker; look it up')
 _Outcome = start_outcome.StartOutcome
 
 
@@ -97,6 +98,59 @@
     return report_module.Report(clock_ms, born_ms, (), ())
 
 
+class SuccessorTest(unittest.TestCase):
+    """Guard tasks whose ends a successor may have acknowledged.
+
+    The leader is cut off with a part of the workers (issue 35: TWICE).
+    """
+
+    def session(self, owner, renewals, starts=()):
+        """Open nothing; return the session of a worker with its orders."""
+        case = cell_case.CellCase()
+        case.setUp()
+        worker = case.add_worker('w1')
+        case.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [self.order] = case.plan().starts
+        self.clock = _Clock()
+        self.worker = _Worker(self.clock, renewals, starts)
+        return session_module.Session(
+            worker,
+            self.worker,
+            owner,
+            self.clock,
+            1,
+            10_000,
+            first_calls.FirstCalls(clock_module.Clock()),
+        )
+
+    def play_silence(self, owner):
+        """Play a worker that answers once and then no more."""
+        session = self.session(owner, [_report(cell_case.BORN_MS)])
+
+        async def play():
+            session.open()
+            while self.clock.now < 20_000:
+                await asyncio.sleep(0)
+            session.close()
+
+        asyncio.run(play())
+
+    def test_a_lease_that_a_successor_may_have_renewed(self):
+        """Guard against leases taken for run out by a leader cut off."""
+        owner = _Owner(is_confirmed=False)
+        self.play_silence(owner)
+        self.assertEqual([], owner.losses)
+        # An append has to begin after the lease has run out.
+        self.assertTrue(owner.asked_ms)
+        self.assertGreater(min(owner.asked_ms), session_module.LEASE_MS)
+
+    def test_a_lease_that_no_successor_has_renewed(self):
+        """Guard against tasks that wait for a lost worker for ever."""
+        owner = _Owner(is_confirmed=True)
+        self.play_silence(owner)
+        self.assertEqual('lease', owner.losses[0])
+
+
 class _LateStore:
     """Store whose answers to appends are long on their way."""
 
@@ -137,6 +191,20 @@
         self.assertGreaterEqual(confirmed.age_ms, _LATE_ANSWER_MS)
         running.cancel()
 
+    async def test_only_a_call_that_began_later_covers_a_time(self):
+        """Guard against a confirmation that was under way before."""
+        clock = manual_clock.ManualClock()
+        at_ms = clock.now_ms()
+        confirmed = confirmation.Confirmation(clock)
+        waiting = asyncio.ensure_future(confirmed.wait(at_ms, 60_000))
+        await asyncio.sleep(0)
+        confirmed.extend(at_ms)
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        confirmed.extend(at_ms + 1)
+        self.assertTrue(await waiting)
+        self.assertFalse(await confirmed.wait(at_ms + 2, 0))
+
     async def test_a_leader_whose_time_is_over_orders_nothing(self):
         """Guard against orders of a process that stood still.
 
