Believe the end of a life only once no successor can have known it

The new life knows no fence and lists nothing, so the old leader released the tasks of the earlier life, also those whose ends the successor had acknowledged. The same holds for a start without an answer if the repeat is answered by another id.

A later life, or another id at the address, releases tasks only once an append that began after the answer is confirmed. Until then the session sends the new life no lease and no start. Unit tests in tests.test_cell_confirmation; no run of the daemons has shown this one.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -134,6 +134,7 @@
         '_is_life_certain',
         '_open_starts',
         '_acknowledged_end_number',
+        '_has_later_life',
     )
 
     def __init__(
@@ -164,6 +165,8 @@
         # Number of start orders without an answer.
         self._open_starts = 0
         self._acknowledged_end_number = 0
+        # Set while a later life has answered and its report is not applied.
+        self._has_later_life = False
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -299,7 +302,9 @@
             # Only where the worker has answered before, another one shows
             # that it has ended: its entry may name a wrong address.
             if address == worker.answered_address:
-                self._owner.lose_worker(self, loss.Evidence.REPLACED)
+                # A successor may have noted ends before the worker ended.
+                if await self._is_confirmed(self._clock.now_ms()):
+                    self._owner.lose_worker(self, loss.Evidence.REPLACED)
             return error.message
         except errors.WorkerError as error:
             return error.message
@@ -307,10 +312,17 @@
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
         is_known = self._lease.expiry_ms() is not None
-        if not is_known or worker.born_wall_ms not in (
+        self._has_later_life = worker.born_wall_ms not in (
             0,
             report.born_wall_ms,
-        ):
+        )
+        if self._has_later_life:
+            # A successor may have noted ends of the earlier life.
+            if not await self._is_confirmed(now_ms):
+                return 'the store has not confirmed the end of a life'
+            self._has_later_life = False
+            is_known = False
+        if not is_known:
             self._acknowledged_end_number = 0
             self._lease.begin_life(
                 report.clock_ms, now_ms, self._lease_ms, self._max_lease_ms
@@ -351,7 +363,7 @@
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A later leader would not wait for a lease of a worker that the log
         # does not name.
-        if not self.worker.is_recorded:
+        if not self.worker.is_recorded or self._has_later_life:
             return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
@@ -398,6 +410,12 @@
             # The worker may have carried out the unanswered attempt, or may
             # still do so.
             outcome = start_outcome.StartOutcome.UNKNOWN
+        if has_unanswered and (
+            outcome is start_outcome.StartOutcome.WORKER_REPLACED
+        ):
+            # A successor may have noted the end of that attempt's run.
+            if not await self._is_confirmed(self._clock.now_ms()):
+                outcome = start_outcome.StartOutcome.UNKNOWN
         if outcome is start_outcome.StartOutcome.FENCED:
             self._owner.lose_leadership('a worker has seen a later leader')
         self._owner.handle_start_outcome(order, outcome)
@@ -405,7 +423,7 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
-        if self._owner.has_expired():
+        if self._has_later_life or self._owner.has_expired():
             return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -150,6 +150,58 @@
         self.play_silence(owner)
         self.assertEqual('lease', owner.losses[0])
 
+    def test_another_worker_that_took_the_place_of_one(self):
+        """Guard against ends noted by a successor before the worker ended."""
+        for is_confirmed, losses in ((False, []), (True, ['replaced'])):
+            with self.subTest(is_confirmed=is_confirmed):
+                owner = _Owner(is_confirmed)
+                session = self.session(owner, [_REPLACED])
+                session.worker.answered_address = session.worker.address
+                asyncio.run(session._renew_once())
+                self.assertEqual(losses, owner.losses)
+
+    def test_a_later_life_of_a_worker(self):
+        """Guard against ends noted by a successor before a restart.
+
+        The new life knows no fence and lists nothing.
+        """
+        owner = _Owner(is_confirmed=True)
+        later = _report(cell_case.BORN_MS + 9_000, 500)
+        session = self.session(
+            owner, [_report(cell_case.BORN_MS), later, later, later]
+        )
+        session.worker.is_recorded = True
+
+        async def play():
+            await session._renew_once()
+            owner.is_confirmed = False
+            await session._renew_once()
+            self.assertEqual(1, len(owner.reports))
+            await session._start(self.order)
+            await session._renew_once()
+            owner.is_confirmed = True
+            await session._renew_once()
+
+        asyncio.run(play())
+        self.assertEqual(2, len(owner.reports))
+        # It takes part in nothing until then.
+        self.assertEqual(0, self.worker.start_count)
+        self.assertEqual([_Outcome.NOT_SENT], owner.outcomes)
+        self.assertEqual([None, None], self.worker.deadlines_ms[2:])
+
+    def test_a_start_without_an_answer_and_then_another_worker(self):
+        """Guard against a run that a successor has seen end."""
+        for is_confirmed, outcome in (
+            (False, _Outcome.UNKNOWN),
+            (True, _Outcome.WORKER_REPLACED),
+        ):
+            with self.subTest(is_confirmed=is_confirmed):
+                owner = _Owner(is_confirmed)
+                session = self.session(owner, [], [_UNKNOWN, _REPLACED])
+                session._lease.observe(0, 0)
+                asyncio.run(session._start(self.order))
+                self.assertEqual([outcome], owner.outcomes)
+
 
 class _LateStore:
     """Store whose answers to appends are long on their way."""
