End the wait for a worker only once no successor can have heard it

A successor of its own may have heard the worker meanwhile and acknowledged the ends.

The wait ends once an append that began after it is confirmed. A unit test in tests.test_cell_confirmation; no run of the daemons has shown this one.

--- a/basilspindle/cell/awaited.py
+++ b/basilspindle/cell/awaited.py
@@ -10,13 +10,17 @@
     lease of a run there alive any more. Workers that the predecessor was
     awaiting itself are continued: it granted them nothing, so that the rest
     of its wait is enough, whatever has become of it.
+
+    A wait ends only once the store has confirmed this leadership after it,
+    at ``confirmed_ms``: otherwise a successor may have heard of the worker.
     """
 
-    __slots__ = ('_until_ms', '_continued_ids')
+    __slots__ = ('_until_ms', '_continued_ids', 'confirmed_ms')
 
     def __init__(self) -> None:
         self._until_ms: dict[str, int] = {}
         self._continued_ids: set[str] = set()
+        self.confirmed_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self._until_ms)
@@ -46,11 +50,16 @@
 
     def awaits(self, worker_id: str, now_ms: int) -> bool:
         """Tell whether a worker is awaited."""
-        return now_ms < self._until_ms.get(worker_id, 0)
+        return self._proven_ms(now_ms) < self._until_ms.get(worker_id, 0)
 
     def any(self, now_ms: int) -> bool:
         """Tell whether any worker is awaited."""
-        return now_ms < max(self._until_ms.values(), default=0)
+        return self._proven_ms(now_ms) < max(
+            self._until_ms.values(), default=0
+        )
+
+    def _proven_ms(self, now_ms: int) -> int:
+        return now_ms if self.confirmed_ms is None else self.confirmed_ms
 
     def remaining_ms(self, now_ms: int) -> dict[str, int]:
         """Return how long each worker is still awaited, by worker id."""
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -113,7 +113,7 @@
             claim.epoch,
             self._confirmation,
             self._recorder.collect,
-            self._recorder.apply,
+            self._apply_append,
         )
         self._worker_tracker = worker_tracker_module.WorkerTracker(
             self.state, clock, registry, self._recorder, self._make_session
@@ -502,6 +502,14 @@
             self._journal.request_append()
         return await self._confirmation.wait(at_ms, timeout_ms)
 
+    def _apply_append(self, batch: journal_module.Batch) -> None:
+        awaited = self.state.awaited_workers
+        was_awaited = awaited.any(self._clock.now_ms())
+        awaited.confirmed_ms = self._confirmation.confirmed_ms
+        self._recorder.apply(batch)
+        if was_awaited and not awaited.any(self._clock.now_ms()):
+            self._schedule_plan()
+
     async def wait_for_ends(
         self, worker: worker_module.Worker, timeout_ms: int
     ) -> None:
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from basilspindle.cell import awaited
 from basilspindle.cell import confirmation
 from basilspindle.cell import first_calls
 from basilspindle.cell import journal as journal_module
@@ -202,6 +203,17 @@
                 asyncio.run(session._start(self.order))
                 self.assertEqual([outcome], owner.outcomes)
 
+    def test_a_wait_for_a_worker_that_a_successor_may_have_heard(self):
+        """Guard against a new leader that is cut off while it waits."""
+        workers = awaited.AwaitedWorkers()
+        workers.expect('w1', 1_000)
+        workers.confirmed_ms = 900
+        self.assertTrue(workers.any(5_000))
+        self.assertTrue(workers.awaits('w1', 5_000))
+        workers.confirmed_ms = 1_000
+        self.assertFalse(workers.any(5_000))
+        self.assertFalse(workers.awaits('w1', 5_000))
+
 
 class _LateStore:
     """Store whose answers to appends are long on their way."""
