Follow the lease of a later life before its report is applied

An append that a wait asks for begins in the same millisecond as the evidence and does not cover it, and nothing asked for another one, so the report of the later life was put off for 4 s. Meanwhile the lease was reckoned by the clock of the earlier life, although the later one may hold the longest lease. After its end the tasks were released.

--- a/basilspindle/cell/confirmation.py
+++ b/basilspindle/cell/confirmation.py
@@ -35,8 +35,11 @@
         """Tell whether this daemon must no longer act as the leader."""
         return self.age_ms > TIMEOUT_MS
 
-    def extend(self, begun_ms: int) -> None:
-        """Note that a call that began at a time is confirmed."""
+    def extend(self, begun_ms: int) -> bool:
+        """Note that a call that began at a time is confirmed.
+
+        Returns whether some wait for a call that begins later.
+        """
         self.confirmed_ms = max(self.confirmed_ms, begun_ms)
         waiters, self._waiters = self._waiters, []
         for at_ms, waiter in waiters:
@@ -46,6 +49,7 @@
                 waiter.set_result(None)
             else:
                 self._waiters.append((at_ms, waiter))
+        return bool(self._waiters)
 
     def covers(self, at_ms: int) -> bool:
         """Tell whether a call that began after a time is confirmed."""
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -335,7 +335,8 @@
     def _note_store_success(self, begun_ms: int) -> None:
         # The answer may have been on its way for long, or this process may
         # have stood still: it tells only what held when the call began.
-        self._confirmation.extend(begun_ms)
+        if self._confirmation.extend(begun_ms):
+            self._wake.set()
         if self._store_failing:
             self._store_failing = False
             events.emit(cell_events.STORE_REGAINED, call='append')
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -134,7 +134,8 @@
         '_is_life_certain',
         '_open_starts',
         '_acknowledged_end_number',
-        '_has_later_life',
+        '_later_born_wall_ms',
+        '_later_seen_ms',
     )
 
     def __init__(
@@ -165,8 +166,10 @@
         # Number of start orders without an answer.
         self._open_starts = 0
         self._acknowledged_end_number = 0
-        # Set while a later life has answered and its report is not applied.
-        self._has_later_life = False
+        # Start time of a later life that has answered, 0 if there is none or
+        # if its report is applied, and when it answered first.
+        self._later_born_wall_ms = 0
+        self._later_seen_ms = 0
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -312,15 +315,10 @@
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
         is_known = self._lease.expiry_ms() is not None
-        self._has_later_life = worker.born_wall_ms not in (
-            0,
-            report.born_wall_ms,
-        )
-        if self._has_later_life:
-            # A successor may have noted ends of the earlier life.
-            if not await self._is_confirmed(now_ms):
-                return 'the store has not confirmed the end of a life'
-            self._has_later_life = False
+        is_later = worker.born_wall_ms not in (0, report.born_wall_ms)
+        if is_later and report.born_wall_ms != self._later_born_wall_ms:
+            self._later_born_wall_ms = report.born_wall_ms
+            self._later_seen_ms = now_ms
             is_known = False
         if not is_known:
             self._acknowledged_end_number = 0
@@ -333,6 +331,11 @@
             )
             self._lease.observe(report.clock_ms, now_ms)
         worker.answered_address = address
+        if is_later:
+            # A successor may have noted ends of the earlier life.
+            if not await self._is_confirmed(self._later_seen_ms):
+                return 'the store has not confirmed the end of a life'
+            self._later_born_wall_ms = 0
         try:
             lacks_ends = self._owner.handle_report(self, report, sent_ms)
         except Exception as error:
@@ -363,7 +366,7 @@
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A later leader would not wait for a lease of a worker that the log
         # does not name.
-        if not self.worker.is_recorded or self._has_later_life:
+        if not self.worker.is_recorded or self._later_born_wall_ms:
             return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
@@ -423,7 +426,7 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
-        if self._has_later_life or self._owner.has_expired():
+        if self._later_born_wall_ms or self._owner.has_expired():
             return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -190,6 +190,31 @@
         self.assertEqual([_Outcome.NOT_SENT], owner.outcomes)
         self.assertEqual([None, None], self.worker.deadlines_ms[2:])
 
+    def test_the_lease_of_a_later_life_that_is_not_confirmed(self):
+        """Guard against tasks that the later life has accepted.
+
+        It may have taken the longest lease, and its report waits for the
+        store for longer than the lease of the earlier life.
+        """
+        owner = _Owner(is_confirmed=False)
+        later = _report(cell_case.BORN_MS + 9_000, 500)
+        session = self.session(
+            owner, [_report(cell_case.BORN_MS), later, later]
+        )
+        session.worker.is_recorded = True
+
+        async def play():
+            await session._renew_once()
+            await session._renew_once()
+            seen_ms = self.clock.now
+            self.clock.now += 1_000
+            await session._renew_once()
+            self.assertGreater(session.lease_expiry_ms, seen_ms + 10_000)
+            # The evidence is as old as the first answer of the later life.
+            self.assertEqual([seen_ms, seen_ms], owner.asked_ms)
+
+        asyncio.run(play())
+
     def test_a_start_without_an_answer_and_then_another_worker(self):
         """Guard against a run that a successor has seen end."""
         for is_confirmed, outcome in (
@@ -215,6 +240,16 @@
         self.assertFalse(workers.awaits('w1', 5_000))
 
 
+class _PromptStore:
+    """Store that answers at once."""
+
+    async def append(self, *values):
+        return
+
+    async def probe_end(self, stream):
+        return
+
+
 class _LateStore:
     """Store whose answers to appends are long on their way."""
 
@@ -255,6 +290,30 @@
         self.assertGreaterEqual(confirmed.age_ms, _LATE_ANSWER_MS)
         running.cancel()
 
+    async def test_a_wait_ends_with_an_append_of_the_next_millisecond(self):
+        """Guard against waits of 300 ms for a store that answers at once.
+
+        The append that a wait asks for begins in the same millisecond.
+        """
+        clock = manual_clock.ManualClock()
+        confirmed = confirmation.Confirmation(clock)
+        journal = journal_module.Journal(
+            _PromptStore(),
+            clock,
+            1,
+            confirmed,
+            journal_module.Batch,
+            lambda batch: None,
+        )
+        running = asyncio.ensure_future(journal.run())
+        await clock.advance_ms(50)
+        at_ms = clock.now_ms()
+        journal.request_append()
+        waiting = asyncio.ensure_future(confirmed.wait(at_ms, 60_000))
+        await clock.advance_ms(100)
+        self.assertTrue(waiting.done())
+        running.cancel()
+
     async def test_only_a_call_that_began_later_covers_a_time(self):
         """Guard against a confirmation that was under way before."""
         clock = manual_clock.ManualClock()
@@ -262,10 +321,11 @@
         confirmed = confirmation.Confirmation(clock)
         waiting = asyncio.ensure_future(confirmed.wait(at_ms, 60_000))
         await asyncio.sleep(0)
-        confirmed.extend(at_ms)
+        # The journal has to append once more.
+        self.assertTrue(confirmed.extend(at_ms))
         await asyncio.sleep(0)
         self.assertFalse(waiting.done())
-        confirmed.extend(at_ms + 1)
+        self.assertFalse(confirmed.extend(at_ms + 1))
         self.assertTrue(await waiting)
         self.assertFalse(await confirmed.wait(at_ms + 2, 0))
 
