Replace a leader whose address closes connections at once

A follower that connected to a leader's address and had the connection closed before any answer connected again without a pause, and logged event 907 for each attempt. It never looked whether the leader still appends: a leader that had ended behind a proxy was not replaced, and callers got 503.

Cause: a closed connection counted as a connection that has failed, to a leader that answers. A connection over which the leader answered is opened anew at once, as before.

Evidence: tests.test_cell_election.ClosedConnectionTest.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -64,15 +64,19 @@
 
     ``GONE``: the leader stopped, lost leadership or cannot reach the store,
     and has to be replaced. ``CLOSED``: only the connection is known to have
-    failed. ``SILENT``: the leader could not be reached or gave no valid
-    answer.
+    failed. ``UNANSWERED``: so has the connection, before the leader answered.
+    ``SILENT``: the leader could not be reached or gave no valid answer.
     """
 
     GONE = 'gone'
     CLOSED = 'closed'
+    UNANSWERED = 'unanswered'
     SILENT = 'silent'
 
 
+_CLOSED_RESULTS = frozenset({_FollowResult.CLOSED, _FollowResult.UNANSWERED})
+
+
 class Election:
     """Follow the current leader, or become the leader.
 
@@ -301,13 +305,13 @@
             return
         result = await self._follow(claim)
         self._set_link(None)
-        if result is _FollowResult.CLOSED and await self._has_exited(claim):
+        if result in _CLOSED_RESULTS and await self._has_exited(claim):
             result = _FollowResult.GONE
         if result is _FollowResult.GONE:
             # A second read could take long and is not needed: the store
             # rejects the claim if another one was made meanwhile.
             await self._claim(claim, end)
-        elif result is _FollowResult.SILENT:
+        elif result is not _FollowResult.CLOSED:
             await self._check_silent_leader(claim)
 
     async def _check_silent_leader(self, claim: claim_module.Claim) -> None:
@@ -404,7 +408,7 @@
                     error=error.message,
                 )
                 if link.closed.is_set():
-                    return _FollowResult.CLOSED
+                    return self._closed_result()
                 if await self._is_log_idle():
                     return _FollowResult.GONE
                 misses += 1
@@ -443,6 +447,12 @@
                 await self._clock.wait_for(link.closed.wait(), pause_ms)
             except errors.DeadlineExceeded:
                 continue
+        return self._closed_result()
+
+    def _closed_result(self) -> '_FollowResult':
+        # What closes connections at once may be a proxy before the leader.
+        if self.link is None:
+            return _FollowResult.UNANSWERED
         return _FollowResult.CLOSED
 
     async def _is_leader_cut_off(self) -> bool:
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -6,6 +6,7 @@
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import election as election_module
 from basilspindle.cell import identity as identity_module
+from basilspindle.cell import ports
 from basilspindle import clock as clock_module
 
 
@@ -170,3 +171,66 @@
         await election._run_round()
         # The stream holds nothing but claims, so none has a higher term.
         self.assertEqual([7], election._register.terms)
+
+
+class _Store:
+    """Store whose leader appends nothing, or soon."""
+
+    def __init__(self, records):
+        self.records = records
+
+    async def probe_end(self, stream):
+        return 3
+
+    async def read(self, stream, start, wait_ms):
+        return ports.StoreChunk(self.records, 0, start)
+
+
+class ClosedConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a leader whose address closes connections at once.
+
+    A proxy in front of a leader that has ended does so.
+    """
+
+    async def asyncSetUp(self):
+        self.connections = 0
+        self.server = await asyncio.start_server(
+            self.close_connection, '127.0.0.1', 0
+        )
+        self.addAsyncCleanup(self.server.wait_closed)
+        self.addCleanup(self.server.close)
+
+    def close_connection(self, reader, writer):
+        self.connections += 1
+        writer.close()
+
+    def election(self, records):
+        host, port = self.server.sockets[0].getsockname()
+        election = election_module.Election(
+            identity_module.Identity('me', '1:1', 'a'),
+            _Store(records),
+            clock_module.Clock(),
+            None,
+            None,
+            lambda link, pong, sent_ms: None,
+        )
+        election._register = _Register(
+            claim_module.Claim('n', f'{host}:{port}', 'i', 0, epoch=5)
+        )
+        return election
+
+    async def test_it_is_replaced_once_the_log_is_idle(self):
+        """Guard against a cell without a leader."""
+        election = self.election(records=())
+        await election._run_round()
+        self.assertEqual([7], election._register.claimed_at)
+
+    async def test_it_is_not_tried_without_a_pause(self):
+        """Guard against 70 connections and log lines a second."""
+        election = self.election(records=(('beat', b''),))
+        running = asyncio.ensure_future(election.run())
+        await asyncio.sleep(1.0)
+        running.cancel()
+        self.assertEqual([], election._register.claimed_at)
+        # Two connections a round, and five rounds a second.
+        self.assertLessEqual(self.connections, 12)
