Allow for stale orders that arrive after the first answer of a life

A worker that restarts under its id takes a deadline on its earlier clock as a lease of hold_max_ms from the arrival of the order. Such orders are reckoned with for 4 s of the new life. The leader counted from the clock in the first answer instead, when that was less: an order of its own that was still on its way then extended the leases by up to 3.5 s more than it believed. If the worker fell silent, its tasks started again while they ran (TWICE, at the same time).

Found by reading; no run of the daemons has shown it.

--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -55,13 +55,13 @@
         """Note the first answer of an incarnation, which any leader may get.
 
         An earlier leader may have granted it a lease until a moment ago. Soon
-        after its start it may have taken an order with a deadline on the clock
-        of the incarnation before it, which it shortens to its longest possible
-        lease.
+        after its start it may take an order with a deadline on the clock of
+        the incarnation before it, which it shortens to its longest possible
+        lease. Such an order may still arrive after this answer.
         """
         self.observe(clock_ms, now_ms)
         self._deadline_ms = max(
-            clock_ms + lease_ms, min(clock_ms, _STALE_ORDER_MS) + max_lease_ms
+            clock_ms + lease_ms, _STALE_ORDER_MS + max_lease_ms
         )
 
     def is_earlier(self, clock_ms: int) -> bool:
--- a/tests/test_cell_housekeeping.py
+++ b/tests/test_cell_housekeeping.py
@@ -191,6 +191,17 @@
         clock.grant(5_000)
         self.assertGreaterEqual(clock.expiry_ms(), 1_000 + 10_000)
 
+    def test_a_new_life_may_yet_take_a_deadline_of_the_old_one(self):
+        """Guard against an order that arrives after the first answer.
+
+        The runs of a worker that then falls silent were started again while
+        they still ran.
+        """
+        clock = lease_clock.LeaseClock()
+        clock.begin_life(500, 0, 5_000, 10_000)
+        # The order arrives when 4 s of the life have passed.
+        self.assertGreaterEqual(clock.expiry_ms(), 4_000 + 10_000 - 500)
+
     def test_a_later_leader_does_not_know_of_that_deadline(self):
         """Guard against an early end of a lease after a change of leader.
 
