Count steps that become ready on workers that are not seen

A new leader keeps room in the limit of a workspace for what may run on workers that have not reported: the waiting tasks of the steps that are ready. A predecessor that is cut off with these workers sees the tasks of a step end there and starts the steps after it, which the successor did not count. Both together then run more than the limit of the workspace allows (QUOTA), for as long as 15 s and a lease.

The steps after count as well, unless a task of an earlier step is on a worker that has reported: the predecessor cannot see that one end. The sum stays bounded by the capacity of the workers that are awaited.

No run of the daemons has shown it.

--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -34,9 +34,8 @@
     for job in state.table.jobs.values():
         if job.recovered and not job.state.is_final:
             workspace = job.definition.workspace
-            for run in job.runs.values():
-                if run.waiting and job.is_ready(run):
-                    _add(unseen, workspace, _waiting_need(run))
+            for run in _steps_that_may_run(job):
+                _add(unseen, workspace, _waiting_need(run))
     capacity = _unseen_capacity(state)
     for workspace, need in unseen.items():
         _add(
@@ -47,6 +46,24 @@
     return usage
 
 
+def _steps_that_may_run(
+    job: job_module.Job,
+) -> list[step_run_module.StepRun]:
+    # A predecessor that still leads starts the steps that become ready by
+    # ends on workers that only it reaches. A task on a known worker keeps it
+    # from starting the steps after.
+    seen = {task.step_run.key for task in job.occupying_tasks}
+    found: list[step_run_module.StepRun] = []
+    may_end: set[str] = set()
+    for (occurrence, _), run in job.runs.items():
+        before = [job.runs[occurrence, index] for index in run.step.after]
+        if all(step.is_done or step.key in may_end for step in before):
+            found.append(run)
+            if run.key not in seen:
+                may_end.add(run.key)
+    return found
+
+
 def _waiting_need(run: step_run_module.StepRun) -> need_module.Need:
     return need_module.Need().plus(run.step.reserved, len(run.waiting))
 
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -291,6 +291,33 @@
         self.submit_other()
         self.assertEqual(2, len(self.plan().starts))
 
+    def test_steps_that_become_ready_unseen_count(self):
+        """Guard against a predecessor that is cut off and starts them.
+
+        The steps before end on workers that only it reaches (issue 35).
+        """
+        first = cell_case.make_step(1, cpu=1_000)
+        second = cell_case.make_step(2, cpu=1_000, after=(0,))
+        job = self.submit(cell_case.make_definition(_JOB, first, second))
+        job.recovered = True
+        self.state.awaited_workers.expect('w9', self.now_ms + 5_000)
+        self.submit_other()
+        self.assertEqual([], self.plan().starts)
+        self.add_worker('w9')
+        # Only the first step is ready, and it goes first.
+        self.assertEqual(3, len(self.plan().starts))
+
+    def test_steps_behind_a_task_that_is_seen_do_not_count(self):
+        """Guard against limits that are kept for what cannot run."""
+        first = cell_case.make_step(1, cpu=1_000)
+        second = cell_case.make_step(2, cpu=1_000, after=(0,))
+        job = self.submit(cell_case.make_definition(_JOB, first, second))
+        job.recovered = True
+        self.state.awaited_workers.expect('w9', self.now_ms + 5_000)
+        self.report('w1', [(f'{_JOB}.0.0.0', 1)])
+        self.submit_other()
+        self.assertEqual(2, len(self.plan().starts))
+
     def test_members_of_a_gang_seen_in_part_count(self):
         """Guard against ignoring members on a worker not seen yet."""
         step = cell_case.make_step(3, gang=True)
