Count cancelled jobs that may still run on workers not seen

A new leader forgot a recovered job as soon as its cancellation was recorded, and gave its room in the limit of the workspace to other jobs. Together with the new tasks they are more than the limit allows (QUOTA).

Such a job is kept, and counts, as long as workers are awaited. Its state is shown as before.

No run of the daemons has shown it.

--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -405,7 +405,7 @@
                 took_ms=took_ms,
             )
         job.durable_state = state
-        if state.is_final and not job.occupying_tasks:
+        if state.is_final and not self._may_run(job):
             self.forget(job)
         # If the job has ended since this batch was collected, its waiters wait
         # for the append of the final state.
@@ -414,19 +414,26 @@
                 if not future.done():
                     future.set_result(None)
 
+    def _may_run(self, job: job_module.Job) -> bool:
+        # Tasks of a recovered job may run on workers that have not reported.
+        return bool(job.occupying_tasks) or (
+            job.recovered
+            and self._state.awaited_workers.any(self._clock.now_ms())
+        )
+
     def forget(self, job: job_module.Job) -> None:
         """Drop an ended job, except for its final state."""
         self._state.table.archive(job, job.final_wall_ms)
         self._state.due_times_ms.pop(job.job_id, None)
 
     def forget_ended(self) -> None:
-        """Drop the recorded ended jobs that no longer occupy a worker."""
+        """Drop the recorded ended jobs that no longer run anywhere."""
         ended = [
             job
             for job in self._state.table.jobs.values()
             if job.durable_state is not None
             and job.durable_state.is_final
-            and not job.occupying_tasks
+            and not self._may_run(job)
             and job.job_id not in self._state.changed_jobs
         ]
         for job in ended:
--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -32,7 +32,8 @@
         return usage
     unseen: dict[str, need_module.Need] = {}
     for job in state.table.jobs.values():
-        if job.recovered and not job.state.is_final:
+        # A job that has ended meanwhile runs on where no stop has arrived.
+        if job.recovered:
             workspace = job.definition.workspace
             for run in _steps_that_may_run(job):
                 _add(unseen, workspace, _waiting_need(run))
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from basilspindle.cell import claim as claim_module
+from basilspindle.cell import configuration_index
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import recorder as recorder_module
 from basilspindle import decoding
@@ -16,6 +17,7 @@
 
 _JOB = '00000000000000aa'
 _OTHER_JOB = '00000000000000bb'
+_NEW = '00000000000000cc'
 
 
 class Clock:
@@ -59,6 +61,37 @@
         self.assertEqual(1, self.plans)
         self.assertEqual(1, len(self.plan().starts))
 
+    def test_a_cancelled_job_that_may_run_unseen_counts(self):
+        """Guard the limit of a workspace after a change of the leader.
+
+        Tasks of a cancelled job run on where no stop arrives, with leases of
+        a predecessor that is cut off, or until these end.
+        """
+        limit = workflow.Need(cpu_millicores=3_000)
+        self.state.configuration_index = (
+            configuration_index.ConfigurationIndex(
+                cell_case.make_configuration(limit=limit)
+            )
+        )
+        self.recorder.apply(self.recorder.collect())
+        self.start_all(self.plan())
+        self.report_end('w1', f'{_JOB}.0.0.0', 1)
+        job = self.submit(
+            cell_case.make_definition(_OTHER_JOB, cell_case.make_step(2))
+        )
+        job.recovered = True
+        self.state.awaited_workers.expect('w9', self.now_ms + 5_000)
+        self.intake.cancel(_OTHER_JOB, cell_case.WORKSPACE)
+        self.recorder.apply(self.recorder.collect())
+        self.recorder.forget_ended()
+        self.submit(cell_case.make_definition(_NEW, cell_case.make_step(4)))
+        self.assertEqual(1, len(self.plan().starts))
+        self.now_ms += 5_000
+        self.report('w1')
+        self.recorder.forget_ended()
+        self.assertNotIn(_OTHER_JOB, self.state.table.jobs)
+        self.assertEqual(2, len(self.plan().starts))
+
     def test_a_new_address_is_recorded_before_more_tasks(self):
         """Guard against a later leader that asks at the earlier address."""
         self.recorder.apply(self.recorder.collect())
