Ask once for the confirmation that a life has ended

The end of a life is believed once an append that began after the first sign of it is confirmed. Each answer of the later life, and each 421, asked anew for an append that began after itself, within 300 ms. While appends take longer, as with a slow store, no answer was ever confirmed: a worker that had restarted got no lease and no task, and the tasks of one that had been replaced waited for its lease to run out.

The session keeps the time of the first sign. What ended by then has ended for good, so that any append that began after it will do.

Two unit tests in tests.test_cell_confirmation.SuccessorTest fail on the code before. No run of the daemons has shown it.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -134,7 +134,8 @@
         '_is_life_certain',
         '_open_starts',
         '_acknowledged_end_number',
-        '_has_later_life',
+        '_later_life_since_ms',
+        '_replaced_since_ms',
     )
 
     def __init__(
@@ -165,8 +166,10 @@
         # Number of start orders without an answer.
         self._open_starts = 0
         self._acknowledged_end_number = 0
-        # Set while a later life has answered and its report is not applied.
-        self._has_later_life = False
+        # When a later life, or another worker at the address, first answered;
+        # None once that is applied, or if there is none.
+        self._later_life_since_ms: int | None = None
+        self._replaced_since_ms: int | None = None
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -303,25 +306,26 @@
             # that it has ended: its entry may name a wrong address.
             if address == worker.answered_address:
                 # A successor may have noted ends before the worker ended.
-                if await self._is_confirmed(self._clock.now_ms()):
+                if self._replaced_since_ms is None:
+                    self._replaced_since_ms = self._clock.now_ms()
+                if await self._is_confirmed(self._replaced_since_ms):
                     self._owner.lose_worker(self, loss.Evidence.REPLACED)
             return error.message
         except errors.WorkerError as error:
             return error.message
         now_ms = self._clock.now_ms()
+        self._replaced_since_ms = None
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
         is_known = self._lease.expiry_ms() is not None
-        self._has_later_life = worker.born_wall_ms not in (
-            0,
-            report.born_wall_ms,
-        )
-        if self._has_later_life:
+        if worker.born_wall_ms not in (0, report.born_wall_ms):
+            if self._later_life_since_ms is None:
+                self._later_life_since_ms = now_ms
             # A successor may have noted ends of the earlier life.
-            if not await self._is_confirmed(now_ms):
+            if not await self._is_confirmed(self._later_life_since_ms):
                 return 'the store has not confirmed the end of a life'
-            self._has_later_life = False
             is_known = False
+        self._later_life_since_ms = None
         if not is_known:
             self._acknowledged_end_number = 0
             self._lease.begin_life(
@@ -363,7 +367,10 @@
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A later leader would not wait for a lease of a worker that the log
         # does not name.
-        if not self.worker.is_recorded or self._has_later_life:
+        if (
+            not self.worker.is_recorded
+            or self._later_life_since_ms is not None
+        ):
             return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
@@ -423,7 +430,7 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
-        if self._has_later_life or self._owner.has_expired():
+        if self._later_life_since_ms is not None or self._owner.has_expired():
             return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -95,6 +95,18 @@
         self.outcomes.append(outcome)
 
 
+class _SlowOwner(_Owner):
+    """Owner whose appends take longer than a session waits for one."""
+
+    def __init__(self, clock):
+        super().__init__(is_confirmed=False)
+        self.clock = clock
+
+    async def wait_confirmed(self, at_ms, timeout_ms):
+        await self.clock.sleep_ms(timeout_ms)
+        return at_ms < self.clock.now - 2 * timeout_ms
+
+
 def _report(born_ms, clock_ms=_OLD_CLOCK_MS):
     return report_module.Report(clock_ms, born_ms, (), ())
 
@@ -190,6 +202,39 @@
         self.assertEqual([_Outcome.NOT_SENT], owner.outcomes)
         self.assertEqual([None, None], self.worker.deadlines_ms[2:])
 
+    def test_a_worker_that_restarts_while_the_store_is_slow(self):
+        """Guard against a worker that gets no lease until an append is fast.
+
+        Each answer asked for an append that began after it.
+        """
+        later = _report(cell_case.BORN_MS + 9_000, 500)
+        owner = _SlowOwner(None)
+        session = self.session(
+            owner, [_report(cell_case.BORN_MS), later, later, later, later]
+        )
+        owner.clock = self.clock
+
+        async def play():
+            for _ in range(5):
+                await session._renew_once()
+
+        asyncio.run(play())
+        self.assertGreater(len(owner.reports), 1)
+
+    def test_a_worker_that_is_replaced_while_the_store_is_slow(self):
+        """Guard against tasks that wait until an append is fast."""
+        owner = _SlowOwner(None)
+        session = self.session(owner, [_REPLACED] * 4)
+        owner.clock = self.clock
+        session.worker.answered_address = session.worker.address
+
+        async def play():
+            for _ in range(4):
+                await session._renew_once()
+
+        asyncio.run(play())
+        self.assertIn('replaced', owner.losses)
+
     def test_a_start_without_an_answer_and_then_another_worker(self):
         """Guard against a run that a successor has seen end."""
         for is_confirmed, outcome in (
