--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -10,10 +10,17 @@
 # Longer than a lease, shorter than a leader goes on without the store.
 _CUT_S = 9.0
 _LIFE_S = 60.0
+# Longer than daemons take to read a change of the registry.
+_REGISTRY_S = 1.5
+# Longer than a leader that is cut off is without a successor.
+_TAKEOVER_S = 3.0
+# Tasks that the workspace may run, and the CPU of each.
+_LIMIT = 8
+_TASK_CPU = 1_000
 
 
-class CutOffLeaderTest(platform_case.PlatformCase):
-    """Guard tasks against a leader that does not hear of its successor."""
+class CutOffLeaderCase(platform_case.PlatformCase):
+    """Daemons and workers that can be cut off from each other."""
 
     worker_count = 4
 
@@ -37,28 +44,32 @@
             # The first seconds of a life allow for a longer lease.
             worker.age(_LIFE_S)
 
-    async def submit(self, number: int, duration_ms: int, count: int) -> str:
-        """Submit a job of one step and return its id."""
+    async def submit(self, number: int, duration_ms: int, *counts: int) -> str:
+        """Submit a job with a step of each count and return its id."""
         job_id = _JOB_ID_FORMAT.format(number)
-        body = platform_case.make_job(duration_ms, count)
+        body = platform_case.make_job(duration_ms, *counts)
         self.assertEqual(200, await self.call_any('POST', job_id, body))
         return job_id
 
-    async def cut_off_leader(self, resets: bool) -> None:
+    def cut_off_leader(self, resets: bool = False) -> None:
         """Cut off the leader and a worker from all other machines."""
         leader = self.leader().node
         others = {daemon.node for daemon in self.daemons} - {leader}
         others |= {worker.worker_id for worker in self.workers[1:]}
         cut_off = (leader, self.workers[0].worker_id)
         self.network.cut(cut_off, {*others, _STORE}, resets)
-        await asyncio.sleep(_CUT_S)
-        await self.network.heal()
+
+
+class CutOffLeaderTest(CutOffLeaderCase):
+    """Guard tasks against a leader that does not hear of its successor."""
 
     async def check_cut(self, resets: bool) -> None:
         job_ids = [await self.submit(number, 1_500, 12) for number in range(2)]
         for job_id in job_ids:
             await self.wait_state(job_id, 'running', 'completed')
-        await self.cut_off_leader(resets)
+        self.cut_off_leader(resets)
+        await asyncio.sleep(_CUT_S)
+        await self.network.heal()
         for job_id in job_ids:
             await self.wait_state(job_id, 'completed')
         # Until the old leader has heard of its successor.
@@ -76,3 +87,74 @@
     async def test_tasks_run_once_after_a_cut_with_resets(self):
         """Guard against the same where connections are refused."""
         await self.check_cut(resets=True)
+
+
+class TwoSidesLimitTest(CutOffLeaderCase):
+    """Guard the limit of a workspace that two leaders keep at a time.
+
+    One of them is cut off with a worker on which all its tasks run.
+    """
+
+    def choose_builds(self) -> None:
+        """Add the machines to the network, and limit the workspace."""
+        super().choose_builds()
+        self.store.put(
+            'keyed.op',
+            'config',
+            platform.make_configuration(
+                2, cap_cpu=_LIMIT * _TASK_CPU, advice=False
+            ),
+        )
+
+    async def submit_to_cut_off_worker(
+        self, duration_ms: int, *counts: int
+    ) -> str:
+        """Submit a job that starts on the worker that is to be cut off."""
+        for worker in self.workers[1:]:
+            worker.state = 'draining'
+        await asyncio.sleep(_REGISTRY_S)
+        job_id = await self.submit(0, duration_ms, *counts)
+        await self.wait_state(job_id, 'running')
+        for worker in self.workers[1:]:
+            worker.state = 'ready'
+        await asyncio.sleep(_REGISTRY_S)
+        self.assertTrue(self.workers[0].history)
+        for worker in self.workers[1:]:
+            self.assertEqual([], worker.history)
+        return job_id
+
+    def most_running(self) -> int:
+        """Return the highest number of tasks that ran at a time."""
+        rows = sorted(
+            (row for worker in self.workers for row in worker.history),
+        )
+        running = most = 0
+        for _, what, _, _ in rows:
+            if what != 'forgotten':
+                running += 1 if what == 'start' else -1
+            most = max(most, running)
+        return most
+
+    async def check_limit(self, job_id: str, is_cancelled: bool) -> None:
+        self.cut_off_leader()
+        await asyncio.sleep(_TAKEOVER_S)
+        if is_cancelled:
+            self.assertEqual(200, await self.call_any('DELETE', job_id))
+        other_id = await self.submit(1, 1_000, _LIMIT)
+        await asyncio.sleep(_CUT_S - _TAKEOVER_S)
+        await self.network.heal()
+        await self.wait_state(other_id, 'completed')
+        if not is_cancelled:
+            await self.wait_state(job_id, 'completed')
+        self.assertLessEqual(self.most_running(), _LIMIT)
+        self.check_runs()
+
+    async def test_steps_that_only_the_leader_cut_off_can_start(self):
+        """Guard against steps that the successor does not count (QUOTA)."""
+        job_id = await self.submit_to_cut_off_worker(4_000, 1, _LIMIT)
+        await self.check_limit(job_id, is_cancelled=False)
+
+    async def test_a_job_that_only_the_successor_has_cancelled(self):
+        """Guard against tasks of it that no stop reaches (QUOTA)."""
+        job_id = await self.submit_to_cut_off_worker(9_000, _LIMIT)
+        await self.check_limit(job_id, is_cancelled=True)
