Order and answer nothing after a leader has stepped down

A leader that hears of its successor answers the announcement, and the successor counts the last leases from that answer. Renewals, starts and requests of callers that were due in the same pass of the event loop still went out: the sessions close only once the task of the leader runs. After a pause of the process many are due at once.

The leases that these could grant end well within the wait of the successor, so this is not known to have broken a rule; it makes what the answer says true. tests.test_cell_leader.LostLeadershipTest fails on the code before.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -222,7 +222,7 @@
 
     async def handle(self, request: messages.Request) -> messages.Reply:
         """Handle a job request from a caller or a forwarding daemon."""
-        if not self.ready:
+        if not self.ready or self.lost.is_set():
             return messages.NotLeading()
         if isinstance(request, messages.Submit):
             return await self._submit(request)
@@ -485,7 +485,9 @@
             self.lost.set()
 
     def has_expired(self) -> bool:
-        """Step down if the store has not confirmed for too long."""
+        """Tell whether this daemon no longer leads; step down if it must."""
+        if self.lost.is_set():
+            return True
         if not self._confirmation.has_expired:
             return False
         self.lose_leadership(
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -74,6 +74,21 @@
         self.assertEqual(6_000, fields['confirmed_age_ms'])
 
 
+class LostLeadershipTest(LeaderCase):
+    """Guard what follows the answer that a leader has stepped down.
+
+    Its successor counts the last leases from that answer.
+    """
+
+    def test_nothing_is_ordered_or_answered_any_more(self):
+        """Guard against orders and requests that were already waiting."""
+        self.assertFalse(self.leader.has_expired())
+        self.leader.lose_leadership('another daemon leads')
+        self.assertTrue(self.leader.has_expired())
+        request = messages.CountWaiting(cell_case.QUEUE)
+        self.assertIsInstance(self.ask(request), messages.NotLeading)
+
+
 class PausedLeaderTest(LeaderCase):
     """Guard callers against a leader that was paused for some seconds."""
 
