Count a new leader's time from the fence that was answered

For a new leader that was the begin of its whole recovery: if the store went away between its claim and its fence and came back after 15 s, it recovered and stepped down at once, and the cell needed one more change of the leader.

The attempt to fence that was answered tells as much: an empty append of an epoch is accepted only if no higher one has been seen. Its begin counts now.

Found by reading; tests.test_cell_journal.OutageTest fails on the code before (confirmed at 0 s in place of 20 s). No run of the daemons has shown it.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -219,16 +219,11 @@
 
         Raises ``Deposed`` if a later leader has fenced off this one.
         """
-        begun_ms = self._clock.now_ms()
         # Fence and read at the same time, to shorten the change of leader.
-        fencing = asyncio.ensure_future(
-            self._call_until_answered(
-                lambda: self._store.fence(STREAM, self._epoch)
-            )
-        )
+        fencing = asyncio.ensure_future(self._call_until_answered(self._fence))
         try:
             values, end = await self._read_all()
-            await fencing
+            begun_ms = await fencing
         finally:
             fencing.cancel()
         try:
@@ -243,6 +238,13 @@
         self._note_store_success(begun_ms)
         return _decode(values)
 
+    async def _fence(self) -> int:
+        # Returns when the attempt began: it tells that no later leader had
+        # fenced off this one by then.
+        begun_ms = self._clock.now_ms()
+        await self._store.fence(STREAM, self._epoch)
+        return begun_ms
+
     async def run(self) -> None:
         """Append until cancelled; raises ``Deposed`` if fenced off."""
         while True:
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -213,6 +213,52 @@
         self.assertEqual(2, len(recovered.jobs))
 
 
+class _AbsentStore(_Store):
+    """Store that is down until a time."""
+
+    def __init__(self, clock, until_ms):
+        super().__init__()
+        self.clock = clock
+        self.until_ms = until_ms
+
+    def _check(self):
+        if self.clock.now_ms() < self.until_ms:
+            raise errors.LogUnavailable('the store is down; retry')
+
+    async def fence(self, stream, epoch):
+        self._check()
+
+    async def read_latest(self, stream, on_progress=None):
+        self._check()
+        return {}, 10
+
+
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    """Guard a new leader whose store was down when it began."""
+
+    async def test_it_does_not_step_down_once_the_store_is_back(self):
+        """Guard against another change of the leader after an outage.
+
+        Its time counted from before the outage.
+        """
+        clock = manual_clock.ManualClock()
+        until_ms = clock.now_ms() + confirmation.TIMEOUT_MS + 5_000
+        confirmed = confirmation.Confirmation(clock)
+        journal = journal_module.Journal(
+            _AbsentStore(clock, until_ms),
+            clock,
+            1,
+            confirmed,
+            journal_module.Batch,
+            lambda batch: None,
+        )
+        loading = asyncio.ensure_future(journal.load())
+        await clock.advance_ms(confirmation.TIMEOUT_MS + 7_000)
+        self.assertTrue(loading.done())
+        self.assertGreaterEqual(confirmed.confirmed_ms, until_ms)
+        self.assertFalse(confirmed.has_expired)
+
+
 class ArrivingAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Test attempts beside an answer that is arriving."""
 
