Believe a first report only once no successor can have known more

If that worker has restarted behind the cut, it lists nothing, and the report ended the wait. A successor of this leader may have adopted its runs and noted their ends in the life before; this leader started them again.

Every life that a leader hears for the first time now has to be older than the latest confirmation of the store: a successor that has used it has left its fence there, and none led before. For a younger life the session waits for one more append, as it did for a later life of a known worker. The age of a life is its clock, which starts with it.

A unit test in tests.test_cell_confirmation fails on the code before. No run of the daemons has shown this one.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -134,7 +134,7 @@
         '_is_life_certain',
         '_open_starts',
         '_acknowledged_end_number',
-        '_later_life_since_ms',
+        '_has_later_life',
         '_replaced_since_ms',
     )
 
@@ -166,9 +166,9 @@
         # Number of start orders without an answer.
         self._open_starts = 0
         self._acknowledged_end_number = 0
-        # When a later life, or another worker at the address, first answered;
-        # None once that is applied, or if there is none.
-        self._later_life_since_ms: int | None = None
+        # Set while a later life has answered and its report is not applied.
+        self._has_later_life = False
+        # When another worker first answered at the address.
         self._replaced_since_ms: int | None = None
 
     def open(self) -> None:
@@ -318,15 +318,16 @@
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
         is_known = self._lease.expiry_ms() is not None
-        if worker.born_wall_ms not in (0, report.born_wall_ms):
-            if self._later_life_since_ms is None:
-                self._later_life_since_ms = now_ms
-            # A successor may have noted ends of the earlier life.
-            if not await self._is_confirmed(self._later_life_since_ms):
-                return 'the store has not confirmed the end of a life'
-            is_known = False
-        self._later_life_since_ms = None
-        if not is_known:
+        self._has_later_life = worker.born_wall_ms not in (
+            0,
+            report.born_wall_ms,
+        )
+        if self._has_later_life or not is_known:
+            # A successor may have noted ends of the life before this one,
+            # unless the store has confirmed a call since this one began.
+            if not await self._is_confirmed(now_ms - report.clock_ms):
+                return 'the store has not confirmed a life of the worker'
+            self._has_later_life = False
             self._acknowledged_end_number = 0
             self._lease.begin_life(
                 report.clock_ms, now_ms, self._lease_ms, self._max_lease_ms
@@ -367,10 +368,7 @@
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A later leader would not wait for a lease of a worker that the log
         # does not name.
-        if (
-            not self.worker.is_recorded
-            or self._later_life_since_ms is not None
-        ):
+        if not self.worker.is_recorded or self._has_later_life:
             return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
@@ -430,7 +428,7 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
-        if self._later_life_since_ms is not None or self._owner.has_expired():
+        if self._has_later_life or self._owner.has_expired():
             return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -18,6 +18,8 @@
 _JOB = '00000000000000aa'
 _OLD_CLOCK_MS = 60_000
 _LATE_ANSWER_MS = 5_000
+# When the store last confirmed the leader, unless it does so once more.
+_CONFIRMED_MS = 0
 _UNKNOWN = errors.WorkerOutcomeUnknown('no answer; ask again')
 _REPLACED = errors.WorkerReplaced('another worker; look it up')
 _Outcome = start_outcome.StartOutcome
@@ -79,6 +81,8 @@
         return self.is_over
 
     async def wait_confirmed(self, at_ms, timeout_ms):
+        if at_ms < _CONFIRMED_MS:
+            return True
         self.asked_ms.append(at_ms)
         return self.is_confirmed
 
@@ -188,6 +192,7 @@
         async def play():
             await session._renew_once()
             owner.is_confirmed = False
+            self.clock.now += 9_000
             await session._renew_once()
             self.assertEqual(1, len(owner.reports))
             await session._start(self.order)
@@ -202,20 +207,40 @@
         self.assertEqual([_Outcome.NOT_SENT], owner.outcomes)
         self.assertEqual([None, None], self.worker.deadlines_ms[2:])
 
+    def test_a_life_that_this_leader_hears_for_the_first_time(self):
+        """Guard against a new leader that is cut off while it waits.
+
+        Its own successor has noted ends of the life before, and the report
+        of the next one ended the wait for the worker.
+        """
+        owner = _Owner(is_confirmed=False)
+        session = self.session(owner, [])
+        session.worker.born_wall_ms = 0
+        self.clock.now = 10_000
+        # One life began 1 s after the last confirmation, one 1 s before.
+        for age_ms, count in ((9_000, 0), (11_000, 1)):
+            self.worker.renewals = [_report(cell_case.BORN_MS, age_ms)]
+            asyncio.run(session._renew_once())
+            self.assertEqual(count, len(owner.reports))
+
     def test_a_worker_that_restarts_while_the_store_is_slow(self):
         """Guard against a worker that gets no lease until an append is fast.
 
         Each answer asked for an append that began after it.
         """
-        later = _report(cell_case.BORN_MS + 9_000, 500)
         owner = _SlowOwner(None)
-        session = self.session(
-            owner, [_report(cell_case.BORN_MS), later, later, later, later]
-        )
+        session = self.session(owner, [_report(cell_case.BORN_MS)])
         owner.clock = self.clock
 
         async def play():
-            for _ in range(5):
+            await session._renew_once()
+            began_ms = self.clock.now
+            for _ in range(4):
+                self.worker.renewals = [
+                    _report(
+                        cell_case.BORN_MS + 9_000, self.clock.now - began_ms
+                    )
+                ]
                 await session._renew_once()
 
         asyncio.run(play())
