--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -134,8 +134,9 @@
         '_is_life_certain',
         '_open_starts',
         '_acknowledged_end_number',
-        '_later_born_wall_ms',
-        '_later_seen_ms',
+        '_observed_born_wall_ms',
+        '_has_unconfirmed_life',
+        '_replaced_since_ms',
     )
 
     def __init__(
@@ -166,10 +167,12 @@
         # Number of start orders without an answer.
         self._open_starts = 0
         self._acknowledged_end_number = 0
-        # Start time of a later life that has answered, 0 if there is none or
-        # if its report is applied, and when it answered first.
-        self._later_born_wall_ms = 0
-        self._later_seen_ms = 0
+        # The life whose lease is tracked; its report is not applied while the
+        # store has not confirmed a call since it began.
+        self._observed_born_wall_ms: int | None = None
+        self._has_unconfirmed_life = False
+        # When another worker first answered at the address.
+        self._replaced_since_ms: int | None = None
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -306,21 +309,20 @@
             # that it has ended: its entry may name a wrong address.
             if address == worker.answered_address:
                 # A successor may have noted ends before the worker ended.
-                if await self._is_confirmed(self._clock.now_ms()):
+                if self._replaced_since_ms is None:
+                    self._replaced_since_ms = self._clock.now_ms()
+                if await self._is_confirmed(self._replaced_since_ms):
                     self._owner.lose_worker(self, loss.Evidence.REPLACED)
             return error.message
         except errors.WorkerError as error:
             return error.message
         now_ms = self._clock.now_ms()
+        self._replaced_since_ms = None
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
-        is_known = self._lease.expiry_ms() is not None
-        is_later = worker.born_wall_ms not in (0, report.born_wall_ms)
-        if is_later and report.born_wall_ms != self._later_born_wall_ms:
-            self._later_born_wall_ms = report.born_wall_ms
-            self._later_seen_ms = now_ms
-            is_known = False
-        if not is_known:
+        if report.born_wall_ms != self._observed_born_wall_ms:
+            self._observed_born_wall_ms = report.born_wall_ms
+            self._has_unconfirmed_life = True
             self._acknowledged_end_number = 0
             self._lease.begin_life(
                 report.clock_ms, now_ms, self._lease_ms, self._max_lease_ms
@@ -331,11 +333,12 @@
             )
             self._lease.observe(report.clock_ms, now_ms)
         worker.answered_address = address
-        if is_later:
-            # A successor may have noted ends of the earlier life.
-            if not await self._is_confirmed(self._later_seen_ms):
-                return 'the store has not confirmed the end of a life'
-            self._later_born_wall_ms = 0
+        if self._has_unconfirmed_life:
+            # A successor may have noted ends of the life before this one,
+            # unless the store has confirmed a call since this one began.
+            if not await self._is_confirmed(now_ms - report.clock_ms):
+                return 'the store has not confirmed a life of the worker'
+            self._has_unconfirmed_life = False
         try:
             lacks_ends = self._owner.handle_report(self, report, sent_ms)
         except Exception as error:
@@ -366,7 +369,7 @@
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A later leader would not wait for a lease of a worker that the log
         # does not name.
-        if not self.worker.is_recorded or self._later_born_wall_ms:
+        if not self.worker.is_recorded or self._has_unconfirmed_life:
             return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
@@ -426,7 +429,7 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
-        if self._later_born_wall_ms or self._owner.has_expired():
+        if self._has_unconfirmed_life or self._owner.has_expired():
             return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
