--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -1,6 +1,7 @@
 """Test leaders that are cut off together with a part of the workers."""
 
 import asyncio
+import signal
 
 from tests import platform_case
 from tests.standins import platform
@@ -89,6 +90,39 @@
         await self.check_cut(resets=True)
 
 
+class PausedLeaderTest(CutOffLeaderCase):
+    """Guard tasks against a leader whose process stood still."""
+
+    async def test_workers_that_restarted_meanwhile(self):
+        """Guard against lives that know nothing of the successor.
+
+        The leader goes on beside workers that have restarted, and cut off
+        from all else: no fence tells it of the successor, which has noted
+        the ends of the lives before.
+        """
+        job_id = await self.submit(0, 1_500, 12)
+        await self.wait_state(job_id, 'running')
+        leader = self.leader()
+        leader.send(signal.SIGSTOP)
+        self.daemons.remove(leader)
+        others = {daemon.node for daemon in self.daemons}
+        # No announcement of the successor waits for it.
+        self.network.cut({leader.node}, {*others, _STORE})
+        await self.wait_state(job_id, 'completed')
+        # Until the last ends are acknowledged.
+        await asyncio.sleep(1.0)
+        worker_ids = {worker.worker_id for worker in self.workers}
+        self.network.cut(worker_ids, others)
+        for worker in self.workers:
+            worker.lose_power()
+            worker.start_again()
+        leader.send(signal.SIGCONT)
+        await asyncio.sleep(_TAKEOVER_S)
+        await self.network.heal()
+        await asyncio.sleep(1.0)
+        self.check_runs()
+
+
 class TwoSidesLimitTest(CutOffLeaderCase):
     """Guard the limit of a workspace that two leaders keep at a time.
 
