Fence once more after a long recovery

A leader's time counts from when a confirmed call began. A new leader that read the log for longer than 15 s stepped down as soon as it had recovered, and the next one with it.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -40,6 +40,9 @@
 _UNATTRIBUTED_END_PREFIX = 'e'
 # Records without which a job is not known as it is.
 _JOB_PREFIXES = (_DEFINITION_PREFIX, _ENDED_PREFIX)
+# A new leader fences once more if its first fence is older than this once it
+# has read the log.
+_MAX_FENCE_AGE_MS = 2_000
 # Timeout of each attempt, longer than a slow store takes to answer. After a
 # lost answer the next attempt does not wait for this timeout.
 _APPEND_TIMEOUT_MS = 1_500
@@ -235,6 +238,9 @@
             )
         except errors.LogTrimmed:
             values, _ = await self._read_all()
+        if self._clock.now_ms() - begun_ms > _MAX_FENCE_AGE_MS:
+            # The reads took long and must not use up the leader's time.
+            begun_ms = await self._call_until_answered(self._fence)
         self._note_store_success(begun_ms)
         return _decode(values)
 
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -17,6 +17,7 @@
 # A lost answer must not make a job miss its latency objective; the shortest
 # objective on the users' sites is 250 ms.
 _SHORTEST_OBJECTIVE_MS = 250
+_LONG_READ_MS = confirmation.TIMEOUT_MS + 1_000
 
 
 class _Store:
@@ -259,6 +260,42 @@
         self.assertFalse(confirmed.has_expired)
 
 
+class _NarrowStore(_Store):
+    """Store whose records take long to read."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+
+    async def fence(self, stream, epoch):
+        return
+
+    async def read_latest(self, stream, on_progress=None):
+        await self.clock.sleep_ms(_LONG_READ_MS)
+        return {}, 10
+
+
+class LongReadTest(unittest.IsolatedAsyncioTestCase):
+    """Guard a new leader that has much to read."""
+
+    async def test_it_does_not_step_down_once_it_has_read(self):
+        """Guard against leaders that each end when they have recovered."""
+        clock = manual_clock.ManualClock()
+        confirmed = confirmation.Confirmation(clock)
+        journal = journal_module.Journal(
+            _NarrowStore(clock),
+            clock,
+            1,
+            confirmed,
+            journal_module.Batch,
+            lambda batch: None,
+        )
+        loading = asyncio.ensure_future(journal.load())
+        await clock.advance_ms(_LONG_READ_MS + 500)
+        self.assertTrue(loading.done())
+        self.assertLess(confirmed.age_ms, 1_000)
+
+
 class ArrivingAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Test attempts beside an answer that is arriving."""
 
