Start nothing where another worker answers, and test the confirmations

While a session waits for the confirmation that a worker was replaced, its entry may get a new address, and a task that was started there was released together with the others. The session sends no start until the worker answers again.

The review's mutants of the leader's part survived all tests: that a wait asks for an append, and that waits for workers end with a confirmed one. Both have a test now. has_expired, which may step down, is end_if_expired.

--- a/basilspindle/cell/awaited.py
+++ b/basilspindle/cell/awaited.py
@@ -13,6 +13,7 @@
 
     A wait ends only once the store has confirmed this leadership after it,
     at ``confirmed_ms``: otherwise a successor may have heard of the worker.
+    While that is None, for decisions without a store, the clock decides.
     """
 
     __slots__ = ('_until_ms', '_continued_ids', 'confirmed_ms')
--- a/basilspindle/cell/confirmation.py
+++ b/basilspindle/cell/confirmation.py
@@ -15,7 +15,8 @@
 
     ``confirmed_ms`` is when the latest confirmed call to the store began. No
     later leader had fenced off this one by then: what had ended before has
-    not been continued by a successor.
+    not been continued by a successor. Before the fence of this leader is
+    confirmed, it is when the leader began, which acts on nothing until then.
     """
 
     __slots__ = ('_clock', '_waiters', 'confirmed_ms')
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -126,6 +126,9 @@
 
     async def __aenter__(self) -> typing.Self:
         recovered = await self._journal.load()
+        self.state.awaited_workers.confirmed_ms = (
+            self._confirmation.confirmed_ms
+        )
         try:
             self._recorder.recover(recovered)
             self._await_workers()
@@ -484,8 +487,8 @@
             )
             self.lost.set()
 
-    def has_expired(self) -> bool:
-        """Tell whether this daemon no longer leads; step down if it must."""
+    def end_if_expired(self) -> bool:
+        """Step down if the store is silent; tell whether this leader ended."""
         if self.lost.is_set():
             return True
         if not self._confirmation.has_expired:
@@ -613,7 +616,7 @@
             now_ms = self._clock.now_ms()
             metrics.LOOP_DELAY_SECONDS.set(max(0, now_ms - due_ms) / 1000)
             metrics.UNCONFIRMED_SECONDS.set(self._confirmation.age_ms / 1000)
-            if self.has_expired():
+            if self.end_if_expired():
                 return
             self._run_housekeeping(now_ms)
 
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -102,8 +102,8 @@
         """Wait up to a timeout until all run ends of a worker are recorded."""
         ...
 
-    def has_expired(self) -> bool:
-        """Tell whether this daemon may no longer lead."""
+    def end_if_expired(self) -> bool:
+        """Step down if the time to lead is over; tell whether it is."""
         ...
 
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
@@ -277,7 +277,7 @@
 
     async def _renew_once(self) -> str | None:
         """Renew the lease; returns the error message if that fails."""
-        if self._owner.has_expired():
+        if self._owner.end_if_expired():
             return 'this daemon no longer leads'
         worker = self.worker
         address = worker.address
@@ -429,7 +429,10 @@
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartOutcome:
-        if self._has_unconfirmed_life or self._owner.has_expired():
+        if self._has_unconfirmed_life or self._replaced_since_ms is not None:
+            # The tasks of the worker are about to be released.
+            return start_outcome.StartOutcome.NOT_SENT
+        if self._owner.end_if_expired():
             return start_outcome.StartOutcome.NOT_SENT
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -84,7 +84,7 @@
 class ConfirmedOwner:
     """Owner of sessions whose leadership the store confirms at once."""
 
-    def has_expired(self):
+    def end_if_expired(self):
         """Tell whether the owner may no longer lead."""
         return False
 
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -77,7 +77,7 @@
         self.losses = []
         self.outcomes = []
 
-    def has_expired(self):
+    def end_if_expired(self):
         return self.is_over
 
     async def wait_confirmed(self, at_ms, timeout_ms):
@@ -287,6 +287,24 @@
         asyncio.run(play())
         self.assertIn('replaced', owner.losses)
 
+    def test_no_start_while_another_worker_answers_at_the_address(self):
+        """Guard against a start whose task is about to be released.
+
+        The entry of the worker may name a new address by then.
+        """
+        owner = _Owner(is_confirmed=False)
+        session = self.session(owner, [_REPLACED])
+        session.worker.answered_address = session.worker.address
+        session._lease.observe(0, 0)
+
+        async def play():
+            await session._renew_once()
+            await session._start(self.order)
+
+        asyncio.run(play())
+        self.assertEqual(0, self.worker.start_count)
+        self.assertEqual([_Outcome.NOT_SENT], owner.outcomes)
+
     def test_a_start_without_an_answer_and_then_another_worker(self):
         """Guard against a run that a successor has seen end."""
         for is_confirmed, outcome in (
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -82,13 +82,43 @@
 
     def test_nothing_is_ordered_or_answered_any_more(self):
         """Guard against orders and requests that were already waiting."""
-        self.assertFalse(self.leader.has_expired())
+        self.assertFalse(self.leader.end_if_expired())
         self.leader.lose_leadership('another daemon leads')
-        self.assertTrue(self.leader.has_expired())
+        self.assertTrue(self.leader.end_if_expired())
         request = messages.CountWaiting(cell_case.QUEUE)
         self.assertIsInstance(self.ask(request), messages.NotLeading)
 
 
+class ConfirmedLeaderTest(LeaderCase):
+    """Guard a leader that is cut off from the store (issue 35)."""
+
+    def test_a_wait_for_a_confirmation_asks_for_an_append(self):
+        """Guard against waits until the next heartbeat of the log."""
+
+        async def wait():
+            self.assertFalse(
+                await self.leader.wait_confirmed(self.clock.now, 0)
+            )
+
+        self.assertFalse(self.leader._journal._wake.is_set())
+        asyncio.run(wait())
+        self.assertTrue(self.leader._journal._wake.is_set())
+
+    def test_a_wait_for_workers_ends_with_a_confirmed_append(self):
+        """Guard against waits that end by the clock of a leader cut off."""
+        awaited = self.leader.state.awaited_workers
+        awaited.expect('w', self.clock.now + 1_000)
+        self.clock.now += 5_000
+        self.leader._apply_append(journal_module.Batch())
+        self.assertTrue(self.leader.awaits_workers)
+        self.leader._confirmation.extend(self.clock.now)
+        with mock.patch.object(self.leader, '_schedule_plan') as plan:
+            self.leader._apply_append(journal_module.Batch())
+        self.assertFalse(self.leader.awaits_workers)
+        # Tasks that waited for it may start.
+        plan.assert_called_once()
+
+
 class PausedLeaderTest(LeaderCase):
     """Guard callers against a leader that was paused for some seconds."""
 
