Play cuts of the leader together with workers in the bench of leaders

Cuts of the network may now overlap, and workers that are cut off from the store no longer publish their entries.

--- a/bench/short_leaders.py
+++ b/bench/short_leaders.py
@@ -8,9 +8,13 @@
 the worker had not run out.
 
 Usage: ``python -m bench.short_leaders SCENARIO [--root PATH] [--site NAME]
-[--seed N] [--duration-s S] [--read-ms MS] [--logs FOLDER]``; ``--root`` runs
-the daemons of another checkout. Scenarios: ``entry`` (short leaders by an
-unreadable entry), ``kills``, ``joins``, ``everything``, ``changes``.
+[--seed N] [--duration-s S] [--read-ms MS] [--cut-s S] [--resets]
+[--logs FOLDER]``; ``--root`` runs the daemons of another checkout. Scenarios:
+``entry`` (short leaders by an unreadable entry), ``kills``, ``joins``,
+``everything``, ``changes``, ``cut`` (the leader and a third of the workers are
+cut off from the store and all other machines), ``cut-restart`` (some workers
+of the other side restart meanwhile), ``pause`` (the leader is stopped in place
+of the cut, and its successors do not reach a third of the workers).
 """
 
 import asyncio
@@ -58,6 +62,14 @@
 # Time in which an accepted job may still be unknown to other daemons.
 _VISIBLE_S = 3.0
 _POLLS_AT_ONCE = 12
+# A store that does not answer is given up after 15 s, a lease after 5 s.
+_CUT_S = 11.0
+_CUT_SHARE = 1 / 3
+# Time for a leader of before a cut to act before it hears of its successor.
+_RESUMED_S = 1.5
+_CALM_S = 6.0
+# The first seconds of a life allow for a longer lease.
+_LIFE_S = 60.0
 _MIN_DAEMONS_UP = 3
 _ENDED_STATES = frozenset({'completed', 'failed', 'cancelled'})
 _SERVERS = 'keyed.servers'
@@ -98,11 +110,11 @@
         return ''
 
     async def _handle(
-        self, request: server_module.Request
+        self, request: server_module.Request, machine: str = ''
     ) -> server_module.Reply:
         is_append = request.path.endswith('log-append')
         await asyncio.sleep(self.append_s if is_append else self.read_s)
-        reply = await super()._handle(request)
+        reply = await super()._handle(request, machine)
         if is_append and request.query.get('topic') == _CLAIMS:
             self.claim_count += reply.status == 200
         return reply
@@ -235,11 +247,21 @@
     """Daemons, a store, workers and clients of one run."""
 
     def __init__(
-        self, root: pathlib.Path, site: _Site, seed: int, read_s: float
+        self,
+        root: pathlib.Path,
+        site: _Site,
+        seed: int,
+        read_s: float,
+        cut_s: float = _CUT_S,
+        resets: bool = False,
     ) -> None:
         super().__init__()
         self.random = random.Random(seed)
         self.store = _Store(read_s)
+        self.network = platform.Network()
+        self.store.network = self.network
+        self.cut_s = cut_s
+        self.resets = resets
         self.workers: list[_Worker] = []
         self.daemons: dict[str, platform_case.Daemon] = {}
         self.doors: dict[str, server_module.Server] = {}
@@ -262,11 +284,13 @@
     async def __aenter__(self) -> typing.Self:
         folder = self.enter_context(tempfile.TemporaryDirectory())
         self.folder = pathlib.Path(folder)
+        await self.enter_async_context(self.network)
         await self.enter_async_context(self.store)
         value = platform.make_configuration(advice=False)
         self.store.put('keyed.op', 'config', value)
         for _ in range(_WORKER_COUNT):
-            await self.add_worker()
+            worker = await self.add_worker()
+            worker.age(_LIFE_S)
         for number in range(_DAEMON_COUNT):
             await self._add_daemon(f'd{number}')
         for daemon in self.daemons.values():
@@ -274,11 +298,17 @@
         return self
 
     async def _add_daemon(self, node: str) -> None:
-        self.doors[node] = await self.store.open_door()
+        self.doors[node] = await self.store.open_door(node)
         self.reset_door(node)
+        store_address = self.doors[node].address
+        self.network.add(platform.STORE, store_address)
         daemon = platform_case.Daemon(
-            node, self.folder, self.doors[node].address, ''
+            node,
+            self.folder,
+            await self.network.path(node, store_address),
+            '',
         )
+        self.network.add(node, daemon.link_address)
         path = self.folder / f'{node}.toml'
         text = path.read_text()
         for old, new in (
@@ -313,6 +343,7 @@
         worker.server.delay_s = share * _FARTHEST_WORKER_S
         self.workers.append(worker)
         await self.enter_async_context(worker)
+        self.network.add(worker.worker_id, worker.server.address)
         return worker
 
     @property
@@ -379,6 +410,15 @@
             await asyncio.sleep(duration_s)
             process.send_signal(signal.SIGCONT)
 
+    def cut_off(
+        self, nodes: list[str], workers: list[_Worker], resets: bool
+    ) -> platform.Cut:
+        """Cut some machines off from the store and all other machines."""
+        chosen = {*nodes, *(worker.worker_id for worker in workers)}
+        others = {platform.STORE, *self.daemons}
+        others |= {worker.worker_id for worker in self.workers}
+        return self.network.cut(chosen, others - chosen, resets)
+
     async def warm(self, count: int) -> None:
         """Have some daemons lead in turn until they have read the registry.
 
@@ -639,6 +679,7 @@
     await asyncio.sleep(3.0)
     async with asyncio.TaskGroup() as group:
         group.create_task(_keep_refusing(rig_, until_s))
+        group.create_task(_keep_cutting(rig_, until_s))
         while time.monotonic() < until_s:
             group.create_task(_change_leader(rig_, 'kill freeze freeze away'))
             await asyncio.sleep(rig_.random.uniform(0.05, 0.35))
@@ -653,6 +694,94 @@
         await asyncio.sleep(chance.uniform(0.1, 0.8))
 
 
+def _pick_nodes(rig_: Deployment) -> list[str]:
+    """Return the leader, perhaps with one more daemon."""
+    others = sorted(set(rig_.daemons) - {rig_.leader})
+    return [
+        rig_.leader,
+        *rig_.random.sample(others, rig_.random.randint(0, 1)),
+    ]
+
+
+async def play_cut(rig_: Deployment, duration_s: float) -> None:
+    """Cut the leader and some workers off, several times."""
+    await _play_cuts(rig_, duration_s, restarts=False)
+
+
+async def play_cut_restart(rig_: Deployment, duration_s: float) -> None:
+    """Restart workers of the other side while the leader is cut off."""
+    await _play_cuts(rig_, duration_s, restarts=True)
+
+
+async def _play_cuts(
+    rig_: Deployment, duration_s: float, restarts: bool
+) -> None:
+    until_s = time.monotonic() + duration_s
+    await asyncio.sleep(4.0)
+    while time.monotonic() < until_s - rig_.cut_s:
+        workers = rig_.pick_workers(_CUT_SHARE)
+        cut = rig_.cut_off(_pick_nodes(rig_), workers, rig_.resets)
+        end_s = time.monotonic() + rig_.cut_s
+        if restarts:
+            others = [each for each in rig_.workers if each not in workers]
+            await asyncio.sleep(rig_.cut_s * rig_.random.uniform(0.2, 0.5))
+            for worker in rig_.random.sample(others, len(others) // 2):
+                await _restart(rig_, worker)
+        await asyncio.sleep(max(0.0, end_s - time.monotonic()))
+        await rig_.network.heal(cut)
+        await asyncio.sleep(_CALM_S)
+    await asyncio.sleep(max(0.0, until_s - time.monotonic()))
+
+
+async def _restart(rig_: Deployment, worker: _Worker) -> None:
+    worker.lose_power()
+    await asyncio.sleep(rig_.random.uniform(0.05, 0.3))
+    worker.start_again()
+
+
+async def play_pause(rig_: Deployment, duration_s: float) -> None:
+    """Stop the leader while its successors do not reach some workers.
+
+    Every second time the leader is cut off together with these workers, and
+    it goes on before the cut heals.
+    """
+    until_s = time.monotonic() + duration_s
+    await asyncio.sleep(4.0)
+    is_cut_off = False
+    while time.monotonic() < until_s - rig_.cut_s:
+        node = rig_.leader
+        workers = rig_.pick_workers(_CUT_SHARE)
+        if is_cut_off:
+            cut = rig_.cut_off([node], workers, rig_.resets)
+        else:
+            cut = rig_.network.cut(
+                [worker.worker_id for worker in workers],
+                set(rig_.daemons) - {node},
+                rig_.resets,
+            )
+        is_cut_off = not is_cut_off
+        await rig_.freeze(node, rig_.cut_s)
+        await asyncio.sleep(_RESUMED_S)
+        await rig_.network.heal(cut)
+        await asyncio.sleep(_CALM_S)
+    await asyncio.sleep(max(0.0, until_s - time.monotonic()))
+
+
+async def _keep_cutting(rig_: Deployment, until_s: float) -> None:
+    chance = rig_.random
+    while time.monotonic() < until_s:
+        await asyncio.sleep(chance.uniform(0.2, 2.0))
+        nodes = _pick_nodes(rig_)
+        if chance.random() < 0.3:
+            nodes = chance.sample(sorted(rig_.daemons), chance.randint(1, 2))
+        workers = rig_.pick_workers(chance.uniform(0.1, 0.5))
+        cut = rig_.cut_off(nodes, workers, chance.random() < 0.5)
+        duration_s = chance.uniform(1.0, rig_.cut_s)
+        left_s = max(0.0, until_s - time.monotonic())
+        await asyncio.sleep(min(duration_s, left_s))
+        await rig_.network.heal(cut)
+
+
 async def play_everything(rig_: Deployment, duration_s: float) -> None:
     """Play all disruptions at the same time, then some calm."""
     until_s = time.monotonic() + duration_s - 6.0
@@ -666,6 +795,8 @@
             _keep_restarting,
             _keep_store_slow,
             _keep_changing,
+            _keep_cutting,
+            _keep_cutting,
         ):
             group.create_task(work(rig_, until_s))
     rig_.remove_odd_entry()
@@ -728,6 +859,9 @@
     'joins': (play_joins, 1),
     'everything': (play_everything, 3),
     'changes': (play_changes, 1),
+    'cut': (play_cut, 1),
+    'cut-restart': (play_cut_restart, 1),
+    'pause': (play_pause, 1),
 }
 
 
@@ -771,12 +905,16 @@
     seed: int,
     duration_s: float,
     read_ms: float,
+    cut_s: float,
+    resets: bool,
     logs: pathlib.Path | None,
 ) -> dict[str, object]:
     """Play a scenario and return what happened."""
     play, warm_count = _SCENARIOS[scenario]
     load_before = os.getloadavg()[0]
-    async with Deployment(root, _SITES[site], seed, read_ms / 1_000) as rig_:
+    async with Deployment(
+        root, _SITES[site], seed, read_ms / 1_000, cut_s, resets
+    ) as rig_:
         await rig_.warm(warm_count)
         claims_before = rig_.store.claim_count
         begun_s = time.monotonic()
@@ -817,6 +955,8 @@
         'seed': seed,
         'duration_s': duration_s,
         'read_ms': read_ms,
+        'cut_s': cut_s,
+        'resets': resets,
         'claims': claims,
         'claims_after': rig_.store.claim_count - claims_before - claims,
         'sent': len(rig_.jobs),
@@ -856,6 +996,10 @@
 @click.option(
     '--read-ms', type=float, default=_READ_MS, help='Time of a read.'
 )
+@click.option('--cut-s', type=float, default=_CUT_S, help='Time of a cut.')
+@click.option(
+    '--resets', is_flag=True, help='Refuse connections during a cut.'
+)
 @click.option('--logs', type=click.Path(path_type=pathlib.Path))
 def main(
     scenario: str,
@@ -864,6 +1008,8 @@
     seed: int,
     duration_s: float,
     read_ms: float,
+    cut_s: float,
+    resets: bool,
     logs: pathlib.Path | None,
 ) -> None:
     """Play a scenario once and print its result."""
@@ -872,7 +1018,15 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     result = asyncio.run(
         measure(
-            scenario, root.resolve(), site, seed, duration_s, read_ms, logs
+            scenario,
+            root.resolve(),
+            site,
+            seed,
+            duration_s,
+            read_ms,
+            cut_s,
+            resets,
+            logs,
         )
     )
     print(json.dumps(result), flush=True)
--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -7,6 +7,8 @@
 import time
 import typing
 
+# Name of the machine of the store.
+STORE = 'store'
 _SEGMENT_BYTES = 65_536
 _LISTEN_TIMEOUT_S = 30.0
 # All ports of stand-ins and daemons have five digits, so that an address can
@@ -17,7 +19,15 @@
 class _Path:
     """Way from one machine to the server of another one."""
 
-    __slots__ = ('_is_open', '_server', '_tasks', 'address', 'target')
+    __slots__ = (
+        '_is_open',
+        '_is_refused',
+        '_listening',
+        '_server',
+        '_tasks',
+        'address',
+        'target',
+    )
 
     def __init__(self, target: str) -> None:
         self.target = target
@@ -25,9 +35,30 @@
         self._server: asyncio.Server | None = None
         self._is_open = asyncio.Event()
         self._is_open.set()
+        self._is_refused = False
+        # Cuts may begin and end while another one is being healed.
+        self._listening = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self) -> None:
+        """Accept connections unless they are to be refused."""
+        until_s = time.monotonic() + _LISTEN_TIMEOUT_S
+        async with self._listening:
+            while self._server is None:
+                # A path gets its address before it is refused.
+                if self._is_refused and self.address:
+                    return
+                try:
+                    await self._bind()
+                except OSError:
+                    # A connection of another process has the port for now.
+                    if time.monotonic() > until_s:
+                        raise
+                    await asyncio.sleep(0.05)
+            if self._is_refused:
+                self._refuse()
+
+    async def _bind(self) -> None:
         port = int(self.address.rpartition(':')[2] or 0)
         self._server = await asyncio.start_server(
             self._connect, '127.0.0.1', port, limit=_SEGMENT_BYTES
@@ -35,23 +66,16 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
 
-    def cut(self, resets: bool) -> None:
-        self._is_open.clear()
-        if resets:
+    def set_cuts(self, cuts: list['Cut']) -> None:
+        """Set the cuts that hold; listen() has to follow when one ends."""
+        self._is_refused = any(cut.resets for cut in cuts)
+        if cuts:
+            self._is_open.clear()
+        else:
+            self._is_open.set()
+        if self._is_refused:
             self._refuse()
 
-    async def heal(self) -> None:
-        self._is_open.set()
-        until_s = time.monotonic() + _LISTEN_TIMEOUT_S
-        while self._server is None:
-            try:
-                await self.listen()
-            except OSError:
-                # A connection of another process has the port for now.
-                if time.monotonic() > until_s:
-                    raise
-                await asyncio.sleep(0.05)
-
     async def close(self) -> None:
         tasks = self._refuse()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -111,6 +135,16 @@
             await writer.drain()
 
 
+class Cut:
+    """Cut of all paths between two groups of machines."""
+
+    __slots__ = ('pairs', 'resets')
+
+    def __init__(self, pairs: frozenset[frozenset[str]], resets: bool) -> None:
+        self.pairs = pairs
+        self.resets = resets
+
+
 class Network(contextlib.AsyncExitStack):
     """Network with a path from each machine to each server.
 
@@ -124,9 +158,9 @@
         self._names: dict[str, str] = {}
         self._paths: dict[tuple[str, str], _Path] = {}
         self._targets: dict[str, str] = {}
-        # Pairs of machines that are cut off from each other, and whether
-        # connections between them are reset.
-        self._cuts: dict[frozenset[str], bool] = {}
+        # May overlap: a path is open once the last cut of its pair of
+        # machines has ended.
+        self._cuts: list[Cut] = []
 
     def add(self, name: str, address: str) -> None:
         """Add a server of a machine."""
@@ -137,13 +171,13 @@
         key = (machine, address)
         if key not in self._paths:
             path = self._paths[key] = _Path(address)
-            await path.listen()
             self.push_async_callback(path.close)
+            path.set_cuts(self._find_cuts(machine, self._names[address]))
+        path = self._paths[key]
+        if not path.address:
+            await path.listen()
             self._targets[path.address] = address
-            pair = frozenset((machine, self._names[address]))
-            if pair in self._cuts:
-                path.cut(self._cuts[pair])
-        return self._paths[key].address
+        return path.address
 
     async def translate(self, machine: str, value: bytes) -> bytes:
         """Replace the addresses of other machines by those of the paths."""
@@ -167,27 +201,51 @@
 
         return _ADDRESS.sub(replace, value)
 
+    def is_cut(self, machine: str, other: str) -> bool:
+        """Return whether two machines are cut off from each other."""
+        return bool(self._find_cuts(machine, other))
+
+    def _find_cuts(self, machine: str, other: str) -> list[Cut]:
+        pair = frozenset((machine, other))
+        return [cut for cut in self._cuts if pair in cut.pairs]
+
     def cut(
         self,
         machines: collections.abc.Iterable[str],
         others: collections.abc.Iterable[str],
         resets: bool = False,
-    ) -> None:
+    ) -> Cut:
         """Cut all paths between two groups of machines."""
         others = list(others)
-        for machine in machines:
-            for other in others:
-                self._cuts[frozenset((machine, other))] = resets
+        cut = Cut(
+            frozenset(
+                frozenset((machine, other))
+                for machine in machines
+                for other in others
+            ),
+            resets,
+        )
+        self._cuts.append(cut)
+        self._set_cuts([cut])
+        return cut
+
+    async def heal(self, cut: Cut | None = None) -> None:
+        """End one cut, or all of them."""
+        ended = self._cuts if cut is None else [cut]
+        self._cuts = [each for each in self._cuts if each not in ended]
+        paths = self._set_cuts(ended)
+        await asyncio.gather(*(path.listen() for path in paths))
+
+    def _set_cuts(self, changed: list[Cut]) -> list[_Path]:
+        """Set the cuts of the paths that a change concerns."""
+        paths = []
         for (machine, address), path in self._paths.items():
-            pair = frozenset((machine, self._names[address]))
-            if pair in self._cuts:
-                path.cut(self._cuts[pair])
-
-    async def heal(self) -> None:
-        """End all cuts."""
-        self._cuts.clear()
-        for path in list(self._paths.values()):
-            await path.heal()
+            other = self._names[address]
+            pair = frozenset((machine, other))
+            if any(pair in cut.pairs for cut in changed):
+                path.set_cuts(self._find_cuts(machine, other))
+                paths.append(path)
+        return paths
 
     async def __aenter__(self) -> typing.Self:
         return self
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from tests.standins.platform import network as network_module
 from tests.standins.platform import server as server_module
 from tests.standins.platform import store as store_module
 
@@ -116,13 +117,20 @@
     async def _publish_entry(self) -> None:
         seq = 0
         while True:
-            if not self.is_up:
+            if not self.is_up or self._is_cut_off:
                 await asyncio.sleep(_PUBLISH_INTERVAL_S)
                 continue
             seq += 1
             self._store.put('keyed.servers', self.worker_id, self.entry(seq))
             await asyncio.sleep(_PUBLISH_INTERVAL_S)
 
+    @property
+    def _is_cut_off(self) -> bool:
+        network = self._store.network
+        return network is not None and network.is_cut(
+            self.worker_id, network_module.STORE
+        )
+
     def entry(self, seq: int = 0) -> bytes:
         """Return the registry entry of the worker."""
         entry = {
--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -6,7 +6,6 @@
 from tests.standins import platform
 
 _JOB_ID_FORMAT = '00000000000000{:02x}'
-_STORE = 'store'
 # Longer than a lease, shorter than a leader goes on without the store.
 _CUT_S = 9.0
 _LIFE_S = 60.0
@@ -25,7 +24,7 @@
             )
         door = await self.store.open_door(node)
         self.network = self.store.network
-        self.network.add(_STORE, door.address)
+        self.network.add(platform.STORE, door.address)
         return await self.network.path(node, door.address)
 
     def choose_builds(self) -> None:
@@ -50,7 +49,7 @@
         others = {daemon.node for daemon in self.daemons} - {leader}
         others |= {worker.worker_id for worker in self.workers[1:]}
         cut_off = (leader, self.workers[0].worker_id)
-        self.network.cut(cut_off, {*others, _STORE}, resets)
+        self.network.cut(cut_off, {*others, platform.STORE}, resets)
         await asyncio.sleep(_CUT_S)
         await self.network.heal()
 
