--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -119,10 +119,11 @@
         try:
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            # First, as this task may be cancelled once more.
+            far_writer.transport.abort()
             for each in both:
                 each.cancel()
             await asyncio.gather(*both, return_exceptions=True)
-            far_writer.transport.abort()
 
     async def _carry(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
