Cut daemons and workers off from each other in the soak

Each daemon reaches the store, the other daemons and the workers on paths of its own, and a part of the machines is cut off from the rest, in series and overlapping with the other faults. Paths hold their ports while they refuse connections, as another process could take them.

--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -8,6 +8,7 @@
 import collections
 import functools
 import json
+import pathlib
 import random
 import signal
 import time
@@ -40,6 +41,19 @@
 _LEADER_FAULTS = ('kill', 'pause', 'stop', 'cut', 'reset', '503')
 _LEADER_SERIES = (2, 3, 4, 5)
 _LEADER_PAUSE_S = (0.05, 0.8)
+# Cuts that follow each other or overlap, and the pauses between them.
+_CUT_SERIES = (1, 1, 2, 3)
+_CUT_PAUSE_S = (0.1, 2.5)
+# The upper bound is longer than a lease, shorter than a leader goes on
+# without the store.
+_CUT_STAY_S = (1.0, 9.0)
+_CUT_PARTS = ('all', 'all', 'all', 'store', 'daemons', 'workers')
+# In part of the seeds, few faults beside the cuts leave time for leases to
+# run out while a cut holds.
+_FEW_FAULTS = 3
+_LONG_FAULT_PHASE_S = 20.0
+# The first seconds of a life allow for a longer lease.
+_LIFE_S = 60.0
 # Without further faults, one leader leads for this long while odd entries are
 # in the registry, and completes a short job within the limit.
 _STEADY_PHASE_S = 3.0
@@ -60,14 +74,30 @@
 
     daemon_count = 4
     worker_count = 4
+    # Source tree of the daemons, if not this one.
+    root: pathlib.Path | None = None
 
     async def store_address(self, node: str) -> str:
-        """Return the address of a door of the store for one daemon."""
+        """Return the address at which one daemon reaches the store."""
         self.doors: dict[str, server_module.Server] = getattr(
             self, 'doors', {}
         )
-        self.doors[node] = await self.store.open_door()
-        return self.doors[node].address
+        if self.store.network is None:
+            self.store.network = await self.enterAsyncContext(
+                platform.Network()
+            )
+            self.network = self.store.network
+        door = self.doors[node] = await self.store.open_door(node)
+        self.network.add(platform.STORE, door.address)
+        return await self.network.path(node, door.address)
+
+    def choose_builds(self) -> None:
+        """Add the daemons and workers to the network."""
+        for daemon in self.daemons:
+            self.network.add(daemon.node, daemon.link_address)
+            daemon.root = self.root or daemon.root
+        for worker in self.workers:
+            self.network.add(worker.worker_id, worker.server.address)
 
     async def soak(self, seed: int) -> None:
         """Run the schedule of one seed and check the invariants."""
@@ -85,24 +115,34 @@
         self.joined_workers = 0
         self.steady_jobs = 0
         self.dead = self.enterContext(platform.DeadAddresses())
-        end_s = time.monotonic() + _FAULT_PHASE_S
+        faults = [
+            self._fail_daemons,
+            self._fail_store,
+            self._fail_workers,
+            self._change_configuration,
+            self._fail_worker_machines,
+            self._leave_odd_entries,
+            self._leave_odd_entries,
+            self._write_under_worker_ids,
+            self._leave_dead_entries,
+            self._join_workers,
+            self._change_leaders,
+        ]
+        # Drawn apart from the schedules of the other faults.
+        self.cut_random = random.Random(seed * 31 + 7)
+        phase_s = _FAULT_PHASE_S
+        if self.cut_random.random() < 0.5:
+            faults = self.cut_random.sample(faults, _FEW_FAULTS)
+            phase_s = _LONG_FAULT_PHASE_S
+        if self.cut_random.random() < 0.7:
+            for worker in self.workers:
+                worker.age(_LIFE_S)
+        end_s = time.monotonic() + phase_s
         try:
             async with asyncio.TaskGroup() as group:
                 for client in range(3):
                     group.create_task(self._submit_jobs(seed, client, end_s))
-                for work in (
-                    self._fail_daemons,
-                    self._fail_store,
-                    self._fail_workers,
-                    self._change_configuration,
-                    self._fail_worker_machines,
-                    self._leave_odd_entries,
-                    self._leave_odd_entries,
-                    self._write_under_worker_ids,
-                    self._leave_dead_entries,
-                    self._join_workers,
-                    self._change_leaders,
-                ):
+                for work in (*faults, self._cut_machines):
                     group.create_task(work(end_s))
             await self._recover()
             await self._check_configuration()
@@ -416,6 +456,7 @@
             f'joined-{self.joined_workers}', self.store
         )
         await self.enterAsyncContext(worker)
+        self.network.add(worker.worker_id, worker.server.address)
         self.workers.append(worker)
 
     def _newest_leader(self) -> platform_case.Daemon:
@@ -457,6 +498,48 @@
             duration_s, setattr, door, 'fault', lambda request: ''
         )
 
+    async def _cut_machines(self, end_s: float) -> None:
+        while time.monotonic() < end_s:
+            await asyncio.sleep(self.cut_random.uniform(0.2, 2.0))
+            for _ in range(self.cut_random.choice(_CUT_SERIES)):
+                await self._cut_some()
+                await asyncio.sleep(self.cut_random.uniform(*_CUT_PAUSE_S))
+
+    async def _cut_some(self) -> None:
+        """Cut some daemons and workers off from the others for some time."""
+        chance = self.cut_random
+        part = chance.choice(_CUT_PARTS)
+        resets = chance.random() < 0.4
+        duration_s = chance.uniform(*_CUT_STAY_S)
+        chosen = chance.sample(self.daemons, chance.choice((1, 1, 2)))
+        leader = self._newest_leader()
+        if chance.random() < 0.7:
+            chosen[0] = leader
+        workers = chance.sample(self.workers, chance.choice((1, 2)))
+        pauses = chance.random() < 0.2
+        pause_s = chance.uniform(0.2, duration_s)
+
+        daemons = {daemon.node for daemon in chosen}
+        cut_off = {worker.worker_id for worker in workers}
+        other_daemons = {daemon.node for daemon in self.daemons} - daemons
+        other_workers = {worker.worker_id for worker in self.workers} - cut_off
+        if part == 'all':
+            others = {platform.STORE, *other_daemons, *other_workers}
+            cut = self.network.cut(daemons | cut_off, others, resets)
+        elif part == 'store':
+            cut = self.network.cut(daemons, [platform.STORE], resets)
+        elif part == 'daemons':
+            cut = self.network.cut(daemons, other_daemons, resets)
+        else:
+            cut = self.network.cut(daemons, other_workers, resets)
+        asyncio.ensure_future(self._end_cut(cut, duration_s))
+        if pauses:
+            await self._fail_daemon(leader, 'pause', pause_s)
+
+    async def _end_cut(self, cut: platform.Cut, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        await self.network.heal(cut)
+
     async def _change_configuration(self, end_s: float) -> None:
         while time.monotonic() < end_s:
             await asyncio.sleep(self.random.uniform(0.2, 1.0))
@@ -479,6 +562,7 @@
         for worker in self.workers:
             if worker not in self.failed_workers:
                 worker.server.fault = lambda request: ''
+        await self.network.heal()
         while self.down or self.failed_workers - self.gone_workers:
             await asyncio.sleep(0.1)
         for daemon in self.daemons:
--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -1,9 +1,11 @@
 """Run the soak test with the seeds from FIRST, COUNT of them.
 
-Usage: ``python -m tests.soak_platform [FIRST [COUNT]]``. FIRST is by default
-the current Unix time and COUNT 10.
+Usage: ``python -m tests.soak_platform [FIRST [COUNT [ROOT]]]``. FIRST is by
+default the current Unix time and COUNT 10. ROOT is the source tree of the
+daemons, by default this one.
 """
 
+import pathlib
 import sys
 import time
 import unittest
@@ -26,6 +28,8 @@
     """Run the seeds one after the other; exit with 1 if one failed."""
     first = int(sys.argv[1]) if len(sys.argv) > 1 else int(time.time())
     count = int(sys.argv[2]) if len(sys.argv) > 2 else 10
+    if len(sys.argv) > 3:
+        soak_case.SoakCase.root = pathlib.Path(sys.argv[3]).resolve()
     failed = []
     for seed in range(first, first + count):
         result = unittest.TextTestRunner(verbosity=0).run(_make_case(seed))
--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -4,13 +4,13 @@
 import collections.abc
 import contextlib
 import re
-import time
+import socket
 import typing
 
 # Name of the machine of the store.
 STORE = 'store'
 _SEGMENT_BYTES = 65_536
-_LISTEN_TIMEOUT_S = 30.0
+_TARGET_POLL_S = 0.05
 # All ports of stand-ins and daemons have five digits, so that an address can
 # be replaced without a change of the length of what holds it.
 _ADDRESS = re.compile(rb'127\.0\.0\.1:(\d{5})')
@@ -20,10 +20,13 @@
     """Way from one machine to the server of another one."""
 
     __slots__ = (
+        '_holder',
+        '_is_down',
         '_is_open',
         '_is_refused',
         '_listening',
         '_server',
+        '_target_wait',
         '_tasks',
         'address',
         'target',
@@ -31,40 +34,37 @@
 
     def __init__(self, target: str) -> None:
         self.target = target
-        self.address = ''
+        # Holds the port while nothing listens there.
+        self._holder = socket.socket()
+        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._holder.bind(('127.0.0.1', 0))
+        host, port = self._holder.getsockname()
+        self.address = f'{host}:{port}'
         self._server: asyncio.Server | None = None
         self._is_open = asyncio.Event()
         self._is_open.set()
         self._is_refused = False
+        # Whether the target refuses connections.
+        self._is_down = False
+        self._target_wait: asyncio.Task[None] | None = None
         # Cuts may begin and end while another one is being healed.
         self._listening = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self) -> None:
         """Accept connections unless they are to be refused."""
-        until_s = time.monotonic() + _LISTEN_TIMEOUT_S
         async with self._listening:
-            while self._server is None:
-                # A path gets its address before it is refused.
-                if self._is_refused and self.address:
-                    return
-                try:
-                    await self._bind()
-                except OSError:
-                    # A connection of another process has the port for now.
-                    if time.monotonic() > until_s:
-                        raise
-                    await asyncio.sleep(0.05)
-            if self._is_refused:
-                self._refuse()
-
-    async def _bind(self) -> None:
-        port = int(self.address.rpartition(':')[2] or 0)
-        self._server = await asyncio.start_server(
-            self._connect, '127.0.0.1', port, limit=_SEGMENT_BYTES
-        )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
+            if self._server is None and not self._refuses:
+                host, _, port = self.address.rpartition(':')
+                self._server = await asyncio.start_server(
+                    self._connect, host, int(port), limit=_SEGMENT_BYTES
+                )
+                if self._refuses:
+                    self._stop_listening()
+
+    @property
+    def _refuses(self) -> bool:
+        return self._is_refused or self._is_down
 
     def set_cuts(self, cuts: list['Cut']) -> None:
         """Set the cuts that hold; listen() has to follow when one ends."""
@@ -78,12 +78,19 @@
 
     async def close(self) -> None:
         tasks = self._refuse()
+        if self._target_wait is not None:
+            self._target_wait.cancel()
+            tasks.append(self._target_wait)
         await asyncio.gather(*tasks, return_exceptions=True)
+        self._holder.close()
 
-    def _refuse(self) -> list[asyncio.Task[None]]:
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
+
+    def _refuse(self) -> list[asyncio.Task[None]]:
+        self._stop_listening()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -108,10 +115,18 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await self._is_open.wait()
-        host, _, port = self.target.rpartition(':')
-        far_reader, far_writer = await asyncio.open_connection(
-            host, int(port), limit=_SEGMENT_BYTES
-        )
+        try:
+            far_reader, far_writer = await self._connect_to_target()
+        except ConnectionRefusedError:
+            # A caller tells a connection that is refused from one that is
+            # accepted and closed.
+            if not self._is_down:
+                self._is_down = True
+                self._stop_listening()
+                self._target_wait = asyncio.ensure_future(
+                    self._wait_for_target()
+                )
+            raise
         both = [
             asyncio.ensure_future(self._carry(reader, far_writer)),
             asyncio.ensure_future(self._carry(far_reader, writer)),
@@ -125,6 +140,25 @@
                 each.cancel()
             await asyncio.gather(*both, return_exceptions=True)
 
+    async def _connect_to_target(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.target.rpartition(':')
+        return await asyncio.open_connection(
+            host, int(port), limit=_SEGMENT_BYTES
+        )
+
+    async def _wait_for_target(self) -> None:
+        while self._is_down:
+            await asyncio.sleep(_TARGET_POLL_S)
+            try:
+                _, writer = await self._connect_to_target()
+            except OSError:
+                continue
+            writer.transport.abort()
+            self._is_down = False
+        await self.listen()
+
     async def _carry(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -172,12 +206,11 @@
         key = (machine, address)
         if key not in self._paths:
             path = self._paths[key] = _Path(address)
+            self._targets[path.address] = address
             self.push_async_callback(path.close)
             path.set_cuts(self._find_cuts(machine, self._names[address]))
         path = self._paths[key]
-        if not path.address:
-            await path.listen()
-            self._targets[path.address] = address
+        await path.listen()
         return path.address
 
     async def translate(self, machine: str, value: bytes) -> bytes:
