Count an end as forgotten only when its own run is forgotten

The check of tasks that ran twice dropped the noted end of a task when another worker forgot an earlier run of it, so that a later start passed.

--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -237,24 +237,31 @@
         return found[0][1]
 
     def check_runs(self) -> None:
-        """Check that no task ran twice at once or again once it was done."""
+        """Check that no task ran twice at once or again once it was done.
+
+        An end counts from its time on, whether it is acknowledged or not,
+        until its own worker forgets it.
+        """
         rows = sorted(
-            (row for worker in self.workers for row in worker.history),
+            (*row, worker.worker_id)
+            for worker in self.workers
+            for row in worker.history
         )
         running: typing.Counter[str] = collections.Counter()
-        done: set[str] = set()
-        for _, what, name, _ in rows:
+        done: dict[str, set[tuple[str, int]]] = collections.defaultdict(set)
+        for _, what, name, number, worker_id in rows:
+            run = (worker_id, number)
             if what == 'forgotten':
                 # The daemons cannot know of this end.
-                done.discard(name)
+                done[name].discard(run)
             elif what == 'start':
-                self.assertNotIn(name, done, f'{name} ran again: {rows}')
+                self.assertFalse(done[name], f'{name} ran again: {rows}')
                 running[name] += 1
                 self.assertEqual(1, running[name], f'{name} runs twice')
             else:
                 running[name] -= 1
                 if what == 'done':
-                    done.add(name)
+                    done[name].add(run)
 
 
 def make_job(duration_ms: int, *counts: int) -> dict[str, object]:
