--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -8,8 +8,10 @@
 import collections
 import functools
 import json
+import os
 import pathlib
 import random
+import shutil
 import signal
 import time
 
@@ -20,6 +22,8 @@
 from tests.standins import platform
 from tests.standins.platform import server as server_module
 
+# Folder to which the logs of a seed that failed are copied.
+_LOGS_VARIABLE = 'BASILSPINDLE_SOAK_LOGS'
 _FAULT_PHASE_S = 8.0
 _COMPLETION_TIMEOUT_S = 40.0
 _SUBMIT_PAUSE_S = 0.12
@@ -150,11 +154,23 @@
             await self._check(seed)
             await self._check_steady(seed)
         except BaseException:
-            for daemon in self.daemons:
-                print(f'--- {daemon.node}, seed {seed}')
-                print(daemon.log_path.read_text()[-6_000:])
+            self._keep_logs(seed)
             raise
 
+    def _keep_logs(self, seed: int) -> None:
+        for daemon in self.daemons:
+            print(f'--- {daemon.node}, seed {seed}')
+            print(daemon.log_path.read_text()[-6_000:])
+        if _LOGS_VARIABLE in os.environ:
+            folder = pathlib.Path(os.environ[_LOGS_VARIABLE]) / f'seed-{seed}'
+            folder.mkdir(parents=True, exist_ok=True)
+            for daemon in self.daemons:
+                shutil.copy(daemon.log_path, folder)
+            history = {
+                worker.worker_id: worker.history for worker in self.workers
+            }
+            (folder / 'history.json').write_text(json.dumps(history))
+
     async def _submit_jobs(self, seed: int, client: int, end_s: float) -> None:
         # Requests reuse open connections until the process is gone.
         number = 0
--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -2,7 +2,8 @@
 
 Usage: ``python -m tests.soak_platform [FIRST [COUNT [ROOT]]]``. FIRST is by
 default the current Unix time and COUNT 10. ROOT is the source tree of the
-daemons, by default this one.
+daemons, by default this one. Logs of seeds that fail are copied to the folder
+in BASILSPINDLE_SOAK_LOGS, if that is set.
 """
 
 import pathlib
