--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -48,10 +48,12 @@
 # Cuts that follow each other or overlap, and the pauses between them.
 _CUT_SERIES = (1, 1, 2, 3)
 _CUT_PAUSE_S = (0.1, 2.5)
-# The upper bound is longer than a lease, shorter than a leader goes on
-# without the store.
-_CUT_STAY_S = (1.0, 9.0)
-_CUT_PARTS = ('all', 'all', 'all', 'store', 'daemons', 'workers')
+# Shorter than the lease of a worker, and longer than it but shorter than a
+# leader goes on without the store.
+_CUT_STAY_S = ((1.0, 5.0), (5.5, 9.0))
+# What the machines on one side are cut off from; 'answers' has workers that
+# only the daemons on their side reach.
+_CUT_PARTS = ('all', 'all', 'all', 'store', 'daemons', 'workers', 'answers')
 # In part of the seeds, few faults beside the cuts leave time for leases to
 # run out while a cut holds.
 _FEW_FAULTS = 3
@@ -527,7 +529,7 @@
         chance = self.cut_random
         part = chance.choice(_CUT_PARTS)
         resets = chance.random() < 0.4
-        duration_s = chance.uniform(*_CUT_STAY_S)
+        duration_s = chance.uniform(*chance.choice(_CUT_STAY_S))
         chosen = chance.sample(self.daemons, chance.choice((1, 1, 2)))
         leader = self._newest_leader()
         if chance.random() < 0.7:
@@ -540,15 +542,15 @@
         cut_off = {worker.worker_id for worker in workers}
         other_daemons = {daemon.node for daemon in self.daemons} - daemons
         other_workers = {worker.worker_id for worker in self.workers} - cut_off
-        if part == 'all':
-            others = {platform.STORE, *other_daemons, *other_workers}
-            cut = self.network.cut(daemons | cut_off, others, resets)
-        elif part == 'store':
-            cut = self.network.cut(daemons, [platform.STORE], resets)
-        elif part == 'daemons':
-            cut = self.network.cut(daemons, other_daemons, resets)
-        else:
-            cut = self.network.cut(daemons, other_workers, resets)
+        all_others = {platform.STORE, *other_daemons, *other_workers}
+        groups = {
+            'all': (daemons | cut_off, all_others),
+            'store': (daemons | cut_off, {platform.STORE}),
+            'daemons': (daemons, other_daemons),
+            'workers': (daemons, other_workers),
+            'answers': (cut_off, other_daemons),
+        }
+        cut = self.network.cut(*groups[part], resets)
         asyncio.ensure_future(self._end_cut(cut, duration_s))
         if pauses:
             await self._fail_daemon(leader, 'pause', pause_s)
