--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -9,6 +9,8 @@
 from tests.standins.platform import store as store_module
 
 _PUBLISH_INTERVAL_S = 0.5
+# Three heartbeats of the users' workers.
+_EXPIRY_S = 4.5
 _MAX_LISTED_ENDS = 500
 # The values of the settings that the tests give to daemons.
 _MAX_LEASE_MS = 10_000
@@ -116,12 +118,20 @@
 
     async def _publish_entry(self) -> None:
         seq = 0
+        published_s = time.monotonic()
+        is_listed = False
         while True:
-            if not self.is_up or self._is_cut_off:
-                await asyncio.sleep(_PUBLISH_INTERVAL_S)
-                continue
-            seq += 1
-            self._store.put('keyed.servers', self.worker_id, self.entry(seq))
+            now_s = time.monotonic()
+            if self.is_up and not self._is_cut_off:
+                seq += 1
+                entry = self.entry(seq)
+                self._store.put('keyed.servers', self.worker_id, entry)
+                published_s = now_s
+                is_listed = True
+            elif self.is_up and is_listed and now_s - published_s > _EXPIRY_S:
+                # The platform removes it, though the worker is sound.
+                self._store.put('keyed.servers', self.worker_id, b'')
+                is_listed = False
             await asyncio.sleep(_PUBLISH_INTERVAL_S)
 
     @property
