--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -8,7 +8,10 @@
 import collections
 import functools
 import json
+import os
+import pathlib
 import random
+import shutil
 import signal
 import time
 
@@ -19,6 +22,8 @@
 from tests.standins import platform
 from tests.standins.platform import server as server_module
 
+# Folder to which the logs of a seed that failed are copied.
+_LOGS_VARIABLE = 'BASILSPINDLE_SOAK_LOGS'
 _FAULT_PHASE_S = 8.0
 _COMPLETION_TIMEOUT_S = 40.0
 _SUBMIT_PAUSE_S = 0.12
@@ -40,6 +45,20 @@
 _LEADER_FAULTS = ('kill', 'pause', 'stop', 'cut', 'reset', '503')
 _LEADER_SERIES = (2, 3, 4, 5)
 _LEADER_PAUSE_S = (0.05, 0.8)
+# Cuts that follow each other or overlap, and the pauses between them.
+_CUT_SERIES = (1, 1, 2, 3)
+_CUT_PAUSE_S = (0.1, 2.5)
+# Shorter than the lease of a worker, and longer than it but shorter than a
+# leader goes on without the store.
+_CUT_STAY_S = ((1.0, 5.0), (5.5, 9.0))
+# What the machines on one side are cut off from; 'answers' has workers that
+# only the daemons on their side reach.
+_CUT_PARTS = ('all', 'all', 'all', 'store', 'daemons', 'workers', 'answers')
+# In part of the seeds, few faults beside the cuts leave time for leases to
+# run out while a cut holds.
+_FEW_FAULTS = 3
+_LONG_FAULT_PHASE_S = 20.0
+_LIFE_S = 60.0
 # Without further faults, one leader leads for this long while odd entries are
 # in the registry, and completes a short job within the limit.
 _STEADY_PHASE_S = 3.0
@@ -60,14 +79,35 @@
 
     daemon_count = 4
     worker_count = 4
+    # Source tree of the daemons, if not this one.
+    root: pathlib.Path | None = None
+    # Whether the first workers are past the seconds in which a life allows
+    # for a longer lease.
+    ages_workers = True
 
     async def store_address(self, node: str) -> str:
-        """Return the address of a door of the store for one daemon."""
+        """Return the address at which one daemon reaches the store."""
         self.doors: dict[str, server_module.Server] = getattr(
             self, 'doors', {}
         )
-        self.doors[node] = await self.store.open_door()
-        return self.doors[node].address
+        if self.store.network is None:
+            self.store.network = await self.enterAsyncContext(
+                platform.Network()
+            )
+            self.network = self.store.network
+        door = self.doors[node] = await self.store.open_door(node)
+        self.network.add(platform.STORE, door.address)
+        return await self.network.path(node, door.address)
+
+    def choose_builds(self) -> None:
+        """Add the daemons and workers to the network."""
+        for daemon in self.daemons:
+            self.network.add(daemon.node, daemon.link_address)
+            daemon.root = self.root or daemon.root
+        for worker in self.workers:
+            self.network.add(worker.worker_id, worker.server.address)
+            if self.ages_workers:
+                worker.age(_LIFE_S)
 
     async def soak(self, seed: int) -> None:
         """Run the schedule of one seed and check the invariants."""
@@ -85,35 +125,54 @@
         self.joined_workers = 0
         self.steady_jobs = 0
         self.dead = self.enterContext(platform.DeadAddresses())
-        end_s = time.monotonic() + _FAULT_PHASE_S
+        faults = [
+            self._fail_daemons,
+            self._fail_store,
+            self._fail_workers,
+            self._change_configuration,
+            self._fail_worker_machines,
+            self._leave_odd_entries,
+            self._leave_odd_entries,
+            self._write_under_worker_ids,
+            self._leave_dead_entries,
+            self._join_workers,
+            self._change_leaders,
+        ]
+        # Drawn apart from the schedules of the other faults.
+        self.cut_random = random.Random(seed * 31 + 7)
+        phase_s = _FAULT_PHASE_S
+        if self.cut_random.random() < 0.5:
+            faults = self.cut_random.sample(faults, _FEW_FAULTS)
+            phase_s = _LONG_FAULT_PHASE_S
+        end_s = time.monotonic() + phase_s
         try:
             async with asyncio.TaskGroup() as group:
                 for client in range(3):
                     group.create_task(self._submit_jobs(seed, client, end_s))
-                for work in (
-                    self._fail_daemons,
-                    self._fail_store,
-                    self._fail_workers,
-                    self._change_configuration,
-                    self._fail_worker_machines,
-                    self._leave_odd_entries,
-                    self._leave_odd_entries,
-                    self._write_under_worker_ids,
-                    self._leave_dead_entries,
-                    self._join_workers,
-                    self._change_leaders,
-                ):
+                for work in (*faults, self._cut_machines):
                     group.create_task(work(end_s))
             await self._recover()
             await self._check_configuration()
             await self._check(seed)
             await self._check_steady(seed)
         except BaseException:
-            for daemon in self.daemons:
-                print(f'--- {daemon.node}, seed {seed}')
-                print(daemon.log_path.read_text()[-6_000:])
+            self._keep_logs(seed)
             raise
 
+    def _keep_logs(self, seed: int) -> None:
+        for daemon in self.daemons:
+            print(f'--- {daemon.node}, seed {seed}')
+            print(daemon.log_path.read_text()[-6_000:])
+        if _LOGS_VARIABLE in os.environ:
+            folder = pathlib.Path(os.environ[_LOGS_VARIABLE]) / f'seed-{seed}'
+            folder.mkdir(parents=True, exist_ok=True)
+            for daemon in self.daemons:
+                shutil.copy(daemon.log_path, folder)
+            history = {
+                worker.worker_id: worker.history for worker in self.workers
+            }
+            (folder / 'history.json').write_text(json.dumps(history))
+
     async def _submit_jobs(self, seed: int, client: int, end_s: float) -> None:
         # Requests reuse open connections until the process is gone.
         number = 0
@@ -416,6 +475,7 @@
             f'joined-{self.joined_workers}', self.store
         )
         await self.enterAsyncContext(worker)
+        self.network.add(worker.worker_id, worker.server.address)
         self.workers.append(worker)
 
     def _newest_leader(self) -> platform_case.Daemon:
@@ -457,6 +517,48 @@
             duration_s, setattr, door, 'fault', lambda request: ''
         )
 
+    async def _cut_machines(self, end_s: float) -> None:
+        while time.monotonic() < end_s:
+            await asyncio.sleep(self.cut_random.uniform(0.2, 2.0))
+            for _ in range(self.cut_random.choice(_CUT_SERIES)):
+                await self._cut_some()
+                await asyncio.sleep(self.cut_random.uniform(*_CUT_PAUSE_S))
+
+    async def _cut_some(self) -> None:
+        """Cut some daemons and workers off from the others for some time."""
+        chance = self.cut_random
+        part = chance.choice(_CUT_PARTS)
+        resets = chance.random() < 0.4
+        duration_s = chance.uniform(*chance.choice(_CUT_STAY_S))
+        chosen = chance.sample(self.daemons, chance.choice((1, 1, 2)))
+        leader = self._newest_leader()
+        if chance.random() < 0.7:
+            chosen[0] = leader
+        workers = chance.sample(self.workers, chance.choice((1, 2)))
+        pauses = chance.random() < 0.2
+        pause_s = chance.uniform(0.2, duration_s)
+
+        daemons = {daemon.node for daemon in chosen}
+        cut_off = {worker.worker_id for worker in workers}
+        other_daemons = {daemon.node for daemon in self.daemons} - daemons
+        other_workers = {worker.worker_id for worker in self.workers} - cut_off
+        all_others = {platform.STORE, *other_daemons, *other_workers}
+        groups = {
+            'all': (daemons | cut_off, all_others),
+            'store': (daemons | cut_off, {platform.STORE}),
+            'daemons': (daemons, other_daemons),
+            'workers': (daemons, other_workers),
+            'answers': (cut_off, other_daemons),
+        }
+        cut = self.network.cut(*groups[part], resets)
+        asyncio.ensure_future(self._end_cut(cut, duration_s))
+        if pauses:
+            await self._fail_daemon(leader, 'pause', pause_s)
+
+    async def _end_cut(self, cut: platform.Cut, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        await self.network.heal(cut)
+
     async def _change_configuration(self, end_s: float) -> None:
         while time.monotonic() < end_s:
             await asyncio.sleep(self.random.uniform(0.2, 1.0))
@@ -479,6 +581,7 @@
         for worker in self.workers:
             if worker not in self.failed_workers:
                 worker.server.fault = lambda request: ''
+        await self.network.heal()
         while self.down or self.failed_workers - self.gone_workers:
             await asyncio.sleep(0.1)
         for daemon in self.daemons:
