Believe an expired task lease only once no silent member can renew it

A daemon that is cut off together with a part of the workers, without the log, takes over these workers and renews the leases of their tasks.

A loss that no answer of the worker shows is marked as such, and the owner believes it only once every member that must reply has been heard for lost_after_ms without a break; a pause of the owner counts as a break. By then another holder has reported the tasks as found, or has stopped renewing their leases for longer than they last. It is the rule that takeovers follow.

Losses that a worker shows (a new incarnation, an inventory) are applied at once, as before.

--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -77,6 +77,7 @@
         '_gone_incarnations',
         '_heartbeat_tasks',
         '_last_review_ms',
+        '_last_silence_ms',
         '_listeners',
         '_listening_since_ms',
         '_members',
@@ -116,6 +117,8 @@
         self._self_member = member_module.Member('')
         self._started_ms = 0
         self._last_review_ms = 0
+        # When a required member was last silent, as far as reviews show.
+        self._last_silence_ms = 0
         self._listening_since_ms = 0
         self._demand_replies_until_ms = 0
 
@@ -124,6 +127,7 @@
         self._started_ms = now_ms
         self._last_review_ms = now_ms
         self._listening_since_ms = now_ms
+        self._last_silence_ms = now_ms
         self._refresh_own_heartbeat()
         self._vm_list.on_change(self._apply_vm_list)
         for address in self._seeds:
@@ -162,6 +166,15 @@
             return False
         return now_ms - self._listening_since_ms >= self._timing.suspect_ms
 
+    def all_heard_since_ms(self) -> int:
+        """Return since when no member that must reply has been silent.
+
+        A pause of this process counts as silence of all members.
+        """
+        now_ms = self._clock.now_ms()
+        paused = now_ms - self._last_review_ms > self._pause_threshold_ms()
+        return now_ms if paused else self._last_silence_ms
+
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Register a callback for changes of members, states or claims."""
         self._listeners.append(listener)
@@ -550,12 +563,15 @@
                 # This process was paused: heartbeats missed meanwhile do
                 # not make the other members suspect.
                 self._listening_since_ms = now_ms
+                self._last_silence_ms = now_ms
             self._last_review_ms = now_ms
             with log_and_suppress.LogAndSuppress('review'):
                 if self._is_log_silent():
                     self.demand_replies()
                 self._call_disconnected()
             changed = [self._update_state(member) for member in self.members()]
+            if not all(member.state.responsive for member in self.members()):
+                self._last_silence_ms = now_ms
             if any(changed):
                 self._notify()
 
--- a/basilspindle/coordinator/holder.py
+++ b/basilspindle/coordinator/holder.py
@@ -24,6 +24,9 @@
     def is_lost(self, holder_id: str) -> bool:
         """Tell whether a holder has failed, has left or is unknown."""
 
+    def all_heard_since_ms(self) -> int:
+        """Return since when no daemon that may hold workers was silent."""
+
     def lowest_waiting_shares(self) -> list[float]:
         """Return the lowest waiting share elsewhere by priority class.
 
--- a/basilspindle/coordinator/recovery.py
+++ b/basilspindle/coordinator/recovery.py
@@ -335,5 +335,6 @@
     known.rack = task.rack
     known.worker_epoch = max(known.worker_epoch, task.worker_epoch)
     known.missed_inventories = 0
+    known.expired_end = None
     if holder_id:
         known.holder_id = holder_id
--- a/basilspindle/coordinator/sweeper.py
+++ b/basilspindle/coordinator/sweeper.py
@@ -84,17 +84,32 @@
                     yield tracked, task
 
     def _end_lost_tasks(self) -> None:
-        """End the tasks of holders lost for longer than ``lost_after_ms``."""
+        """End the tasks that ran out of their lease, also with a holder.
+
+        A member that is silent may have taken over their worker and renew
+        their leases. It reports them once it is heard again, so nothing ends
+        until all members were heard for longer than ``lost_after_ms``.
+        """
         now_ms = self._clock.now_ms()
+        heard_ms = now_ms - self._holders.all_heard_since_ms()
+        all_heard = heard_ms > self._timing.lost_after_ms
         lost_holder_ids = set()
         for tracked, task in self._started_tasks():
+            if task.expired_end is not None:
+                if all_heard:
+                    with log_and_skip.LogAndSkip(
+                        'end', task.expired_end.task_id
+                    ):
+                        self._on_end(tracked, task.index, task.expired_end)
+                continue
             # An adopted task has no holder until one reports it.
             holder_id = task.holder_id
             if holder_id and not self._holders.is_lost(holder_id):
                 continue
             lost_holder_ids.add(holder_id)
             since_ms = self._lost_since_ms.setdefault(holder_id, now_ms)
-            if holder_id and now_ms - since_ms > self._timing.lost_after_ms:
+            expired = now_ms - since_ms > self._timing.lost_after_ms
+            if holder_id and expired and all_heard:
                 end = lost_task_end(tracked, task)
                 with log_and_skip.LogAndSkip('end', end.task_id):
                     self._on_end(tracked, task.index, end)
--- a/basilspindle/coordinator/task_end_handler.py
+++ b/basilspindle/coordinator/task_end_handler.py
@@ -133,6 +133,10 @@
         if task is not None and task.attempt == end.attempt:
             if _is_outdated(task, end):
                 return None
+            if end.lease_expired:
+                # The sweeper ends it once no other holder can run it.
+                task.expired_end = end
+                return None
             self.end_attempt(tracked, index, end)
         result = tracked.ended.get(index)
         if result is None or not tracked.job.durable:
--- a/basilspindle/coordinator/tracked_task.py
+++ b/basilspindle/coordinator/tracked_task.py
@@ -8,7 +8,9 @@
 
     ``worker_epoch`` is the highest epoch of the worker's lease under which
     a holder reported it. ``missed_inventories`` counts the consecutive
-    complete inventories that did not contain it.
+    complete inventories that did not contain it. ``expired_end`` is the end
+    that a holder reports because it has not renewed the task lease; another
+    holder may have.
     """
 
     __slots__ = (
@@ -22,6 +24,7 @@
         'worker_epoch',
         'placed_at_ms',
         'missed_inventories',
+        'expired_end',
     )
 
     def __init__(self, index: int, attempt: int) -> None:
@@ -35,3 +38,4 @@
         self.worker_epoch = 0
         self.placed_at_ms = 0
         self.missed_inventories = 0
+        self.expired_end: model.TaskEnd | None = None
--- a/basilspindle/daemon/holder_directory.py
+++ b/basilspindle/daemon/holder_directory.py
@@ -83,6 +83,10 @@
             return False
         return member is None or member.state is cluster.MemberState.GONE
 
+    def all_heard_since_ms(self) -> int:
+        """Return since when no member that may hold workers was silent."""
+        return self._membership.all_heard_since_ms()
+
     def lowest_waiting_shares(self) -> list[float]:
         """Return the lowest waiting share elsewhere by priority class.
 
--- a/basilspindle/fleet/worker_controller.py
+++ b/basilspindle/fleet/worker_controller.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+import msgspec
+
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
@@ -691,17 +693,24 @@
         )
 
     def _report_lost_task(
-        self, allocation: allocation_module.Allocation, error: str, epoch: int
+        self,
+        allocation: allocation_module.Allocation,
+        error: str,
+        epoch: int,
+        *,
+        lease_expired: bool = False,
     ) -> None:
         """Report an attempt as ended without a known outcome.
 
         ``epoch`` is the lease epoch under which it was found to be over.
         The report is ignored if a holder with a higher epoch has found the
-        task running.
+        task running. ``lease_expired`` tells that no answer of the worker
+        shows the end.
         """
         self._close(allocation)
+        end = allocation.lost_task_end(error, max(epoch, allocation.epoch))
         self._reporter.report_end(
-            allocation.lost_task_end(error, max(epoch, allocation.epoch))
+            msgspec.structs.replace(end, lease_expired=lease_expired)
         )
 
     def _report_all_lost(self, epoch: int) -> None:
@@ -721,7 +730,10 @@
         for allocation in list(self._worker.allocations.values()):
             if now_ms >= self._expiry_ms(allocation):
                 self._report_lost_task(
-                    allocation, 'task lease expired', allocation.epoch
+                    allocation,
+                    'task lease expired',
+                    allocation.epoch,
+                    lease_expired=True,
                 )
                 lost += 1
         if lost:
--- a/basilspindle/model/task_end.py
+++ b/basilspindle/model/task_end.py
@@ -19,6 +19,10 @@
     reporter knew the task. A report that the attempt was lost (QUEUED or
     UNKNOWN) is out of date if a holder with a higher epoch has found the
     task on the worker.
+
+    ``lease_expired`` tells that the worker has not confirmed the end: the
+    reporter has not renewed the task lease for as long as it lasts. Another
+    daemon may have renewed it.
     """
 
     task_id: str
@@ -33,3 +37,4 @@
     run_time_ms: int = 0
     used: resources_module.Resources = resources_module.Resources()
     worker_epoch: int = 0
+    lease_expired: bool = False
--- a/tests/coordinator_case.py
+++ b/tests/coordinator_case.py
@@ -48,6 +48,7 @@
         self.stopped: list[tuple[str, int]] = []
         self.requests: list[messages.Place] = []
         self.lost = False
+        self.heard_since_ms = -(1 << 62)
         self.place_error: Exception | None = None
         self.commit_error: Exception | None = None
         self.lose_next_answer = False
@@ -75,6 +76,9 @@
     def is_lost(self, holder_id: str) -> bool:
         return self.lost
 
+    def all_heard_since_ms(self) -> int:
+        return self.heard_since_ms
+
     def lowest_waiting_shares(self):
         return [-1.0, -1.0, -1.0]
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -283,6 +283,51 @@
         await self.step(1_000)
         self.assertEqual(2, len(self.holders.started))
 
+    async def test_silent_member_may_hold_the_tasks_of_a_lost_holder(self):
+        """Guard against a second run beside that of a silent holder."""
+        self.activate()
+        await self.submit(self.job())
+        self.holders.lost = True
+        await self.step(self.timing.lost_after_ms)
+        self.holders.heard_since_ms = self.clock.now_ms()
+        self.holders.running.clear()
+        await self.step(self.timing.lost_after_ms)
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+        await self.step(2_000)
+        self.assertEqual({'queued': 1}, (await self.view()).counts)
+
+    async def test_expired_lease_waits_for_silent_members(self):
+        """Guard against a second run beside that of a silent holder."""
+        self.activate()
+        await self.submit(self.job())
+        self.holders.heard_since_ms = self.clock.now_ms()
+        key = self.holders.started[0]
+        await self.end(key, _State.QUEUED, lease_expired=True)
+        await self.step(self.timing.lost_after_ms - 1_000)
+        self.assertEqual(1, len(self.holders.started))
+        await self.step(2_000)
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_expired_lease_that_another_holder_renews(self):
+        """Guard against a second run beside that of the next holder."""
+        self.activate()
+        await self.submit(self.job())
+        self.holders.heard_since_ms = self.clock.now_ms()
+        key = self.holders.started[0]
+        await self.end(key, _State.QUEUED, lease_expired=True)
+        found = self.running_task(key[0], key[1], worker_epoch=2)
+        await self.coordinator.report(
+            messages.Report(
+                holder_id=coordinator_case.HOLDER,
+                partition=0,
+                ends=[],
+                found=[found],
+            )
+        )
+        await self.step(2 * self.timing.lost_after_ms)
+        self.assertEqual(1, len(self.holders.started))
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+
     async def test_failed_task_is_repeated_elsewhere_up_to_its_bound(self):
         self.activate()
         await self.submit(self.job(max_attempts=2))
--- a/tests/test_daemon_parts.py
+++ b/tests/test_daemon_parts.py
@@ -64,6 +64,9 @@
     def live(self):
         return [m for m in self.all if m.state is _LIVE]
 
+    def all_heard_since_ms(self):
+        return 0
+
     def get(self, member_id):
         found = [m for m in self.all if m.member_id == member_id]
         return max(found, key=lambda m: m.incarnation, default=None)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -159,6 +159,31 @@
         await self.rig.run_ms(3_000)
         self.assertIs(_State.LEAVING, self.state())
 
+    async def test_silence_and_pauses_of_members(self):
+        """Guard against a loss that is believed while one may know better."""
+        self.assertLess(self.heard_for_ms(), 5_100)
+        self.assertGreater(self.heard_for_ms(), 4_000)
+        self.b.pause()
+        await self.rig.run_ms(3_000)
+        self.assertLess(self.heard_for_ms(), 200)
+        self.b.resume()
+        await self.rig.run_ms(3_000)
+        self.assertGreater(self.heard_for_ms(), 2_000)
+        self.a.pause()
+        await self.rig.run_ms(2_000)
+        # The first callback after a pause may be any.
+        self.assertEqual(0, self.heard_for_ms())
+        self.a.resume()
+        await self.rig.run_ms(1_000)
+        self.assertLess(self.heard_for_ms(), 1_100)
+        del self.rig.source.vms['b']
+        self.b.pause()
+        await self.rig.run_ms(10_000)
+        self.assertGreater(self.heard_for_ms(), 6_000)
+
+    def heard_for_ms(self):
+        return self.a.clock.now_ms() - self.membership.all_heard_since_ms()
+
     async def test_lower_incarnation_is_refused(self):
         """Guard against late heartbeats of a replaced process."""
         old = self.b.build_heartbeat()
