Repeat an unanswered order only while the ownership is confirmed

An owner checked that it may start tasks before the first send of an order and of a commit, and then repeated an unanswered one every 200 ms for as long as the holder was not gone. A repeated order names the holder's latest time, so the holder takes it for a fresh one. An owner that is cut off together with a holder, and whose first order was lost, so went on to start tasks long after the wait of its successor was over.

Found by reading; no run of whole daemons has shown a second run from it. The repeats wait now until the ownership is confirmed again. Both tests in tests.test_coordinator.RetryTest fail on the code before.

--- a/basilspindle/coordinator/dispatcher.py
+++ b/basilspindle/coordinator/dispatcher.py
@@ -42,9 +42,9 @@
     """Place queued tasks of active partitions on holders.
 
     An assigned task counts as started until its end is known. Right before
-    a request that starts tasks is sent, ``may_start`` must be true for their
-    partition; it is not checked again when an unanswered request is
-    repeated. ``key_valid`` tells whether the API key of a job is valid.
+    a request that starts tasks is sent, also to repeat an unanswered one,
+    ``may_start`` must be true for their partition. ``key_valid`` tells
+    whether the API key of a job is valid.
     """
 
     __slots__ = (
@@ -309,8 +309,7 @@
             # have expired.
             if self._holders.is_lost(holder_id):
                 return
-            await self._clock.sleep_ms(_RESEND_PAUSE_MS)
-            batch = [each for each in batch if _is_current(each)]
+            batch = await self._wait_to_resend(partition, holder_id, batch)
             keys = {_task_key(assignment) for assignment in batch}
             request = msgspec.structs.replace(
                 request,
@@ -321,6 +320,25 @@
                 ],
             )
 
+    async def _wait_to_resend(
+        self,
+        partition: owned_partition.OwnedPartition,
+        holder_id: str,
+        batch: list[_Assignment],
+    ) -> list[_Assignment]:
+        """Wait until a request may be repeated; return what is left of it.
+
+        A holder takes a repeated order for a fresh one, so it is not sent
+        while this daemon may have a successor. Nothing is left if the holder
+        is lost meanwhile.
+        """
+        while batch and not self._holders.is_lost(holder_id):
+            await self._clock.sleep_ms(_RESEND_PAUSE_MS)
+            batch = [each for each in batch if _is_current(each)]
+            if self._may_start(partition.number):
+                return batch
+        return []
+
     def _apply_answer(
         self,
         holder_id: str,
@@ -517,8 +535,7 @@
                 batch = self._apply_answer(holder_id, batch, reply.placements)
             if not batch or self._holders.is_lost(holder_id):
                 return
-            await self._clock.sleep_ms(_RESEND_PAUSE_MS)
-            batch = [each for each in batch if _is_current(each)]
+            batch = await self._wait_to_resend(partition, holder_id, batch)
 
     def _start_gang(
         self,
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -270,6 +270,34 @@
         self.assertEqual(orders[0].attempt, orders[1].attempt)
         self.assertEqual(1, len(self.holders.started))
 
+    async def test_unanswered_order_is_not_repeated_without_assurance(self):
+        """Guard against a start long after a successor may have one."""
+        self.activate()
+        self.holders.place_error = errors.PeerOutcomeUnknown('lost')
+        await self.submit(self.job())
+        self.assured = False
+        sent = len(self.holders.requests)
+        self.holders.place_error = None
+        await self.step(10_000)
+        self.assertEqual(sent, len(self.holders.requests))
+        self.assertEqual([], self.holders.started)
+        self.assured = True
+        await self.step(1_000)
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_unanswered_commit_is_not_repeated_without_assurance(self):
+        """Guard against a start long after a successor may have one."""
+        self.activate()
+        self.holders.commit_error = errors.PeerOutcomeUnknown('lost')
+        await self.submit(self.job(idempotent=False, durable=True))
+        self.assured = False
+        self.holders.commit_error = None
+        await self.step(10_000)
+        self.assertEqual([], self.holders.started)
+        self.assured = True
+        await self.step(1_000)
+        self.assertEqual(1, len(self.holders.started))
+
     async def test_task_of_a_lost_holder_waits_for_all_leases(self):
         self.activate()
         await self.submit(self.job())
