Deny that a job exists only while the ownership is confirmed

An owner that is cut off from the log and the other daemons answers callers on its side for as long as the cut lasts. It answered 404, with "ran": "no", for jobs that its successor had accepted and was running, and listed jobs without them. A caller that submits again under another key gets the work twice.

Cause: no answer about an unknown job looked at the ownership.

tests/test_site_interleaving.py draws cuts that take a part of the daemons together with a part of the workers, with and without the log, silent or with resets, and pauses of 0.8 to 40 s. Neither the test of the cluster (no workers) nor that of the fleet (no owners) could draw them.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -50,6 +50,7 @@
         '_clock',
         '_queue',
         '_holders',
+        '_may_start',
         '_partitions',
         '_capacity',
         '_end_handler',
@@ -71,6 +72,7 @@
     ) -> None:
         self._clock = clock
         self._holders = holders
+        self._may_start = may_start
         self._queue = policy.FairQueue()
         self._partitions: dict[int, owned_partition.OwnedPartition] = {}
         self._capacity = capacity_tracker.CapacityTracker()
@@ -318,7 +320,8 @@
     async def view(self, request: messages.View) -> messages.Viewed:
         """Return a job once it has ended or ``wait_ms`` has passed.
 
-        Raises ``NotFound``.
+        Raises ``NotFound``, or ``NotReady`` if another daemon may know the
+        job.
         """
         view = await self._await_end(
             request.partition,
@@ -343,8 +346,12 @@
         return tracked.view(with_results=True)
 
     async def list_jobs(self, request: messages.ListJobs) -> messages.JobList:
-        """List the jobs of a workspace, ordered by id."""
+        """List the jobs of a workspace, ordered by id.
+
+        Raises ``NotReady`` while the list may lack jobs.
+        """
         partition = self._get_partition(request.partition)
+        self._check_confirmed(request.partition)
         job_ids = sorted(
             job_id
             for job_id, tracked in partition.jobs.items()
@@ -414,12 +421,24 @@
     ) -> tracked_job.TrackedJob:
         tracked = self._get_partition(number).jobs.get(job_id)
         if tracked is None or tracked.job.workspace != workspace:
+            self._check_confirmed(number)
             raise errors.NotFound(
                 f'workspace {workspace!r} has no job {job_id!r}; list the '
                 'jobs to see those that are retained'
             )
         return tracked
 
+    def _check_confirmed(self, number: int) -> None:
+        """Raise ``NotReady`` if another daemon may own the partition.
+
+        It may have accepted jobs that are not known here.
+        """
+        if not self._may_start(number):
+            raise errors.NotReady(
+                f'the ownership of partition {number} is not confirmed; '
+                'retry later'
+            )
+
     async def _run_dispatch(self) -> None:
         while True:
             with contextlib.suppress(errors.DeadlineExceeded):
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -257,6 +257,31 @@
         self.assertEqual(_State.UNKNOWN, (await self.view()).state)
 
 
+class ConfirmationTest(coordinator_case.CoordinatorCase):
+    """Guard callers against what an owner says that may have a successor."""
+
+    async def test_unknown_job_is_not_denied_without_assurance(self):
+        """Guard against 404 for a job that the successor has accepted."""
+        self.activate()
+        await self.submit(self.job())
+        self.assured = False
+        fields = {'partition': 0, 'workspace': 'red'}
+        for request in (
+            messages.View(job_id='j2', **fields),
+            messages.Cancel(job_id='j2', **fields),
+            messages.ListJobs(after='', limit=10, **fields),
+        ):
+            name = {'ListJobs': 'list_jobs'}.get(
+                type(request).__name__, type(request).__name__.lower()
+            )
+            with self.assertRaises(errors.NotReady):
+                await getattr(self.coordinator, name)(request)
+        self.assertEqual(_State.RUNNING, (await self.view()).state)
+        self.assured = True
+        with self.assertRaises(errors.NotFound):
+            await self.view('j2')
+
+
 class RetryTest(coordinator_case.CoordinatorCase):
     """Guard against duplicate runs and lost tasks after failures."""
 
--- /dev/null
+++ b/tests/test_site_interleaving.py
@@ -0,0 +1,204 @@
+"""Cut daemons off together with workers, at random, while jobs run."""
+
+import asyncio
+import os
+import random
+import unittest
+
+from basilspindle import errors
+from basilspindle import model
+from basilspindle.peer import messages
+from tests.standins import site_rig
+
+_SEEDS = int(os.environ.get('BASILSPINDLE_SITE_SEEDS', '4'))
+_FIRST_SEED = int(os.environ.get('BASILSPINDLE_SITE_FIRST_SEED', '0'))
+_MEMBERS = ('a', 'b', 'c', 'd')
+_WORKERS = 5
+_LIMIT_TASKS = 12
+_FAULTS = 7
+# Longer than the waits after a fault: assurance, worker and task leases.
+_MAX_WAIT_MS = 60_000
+_FINISH_MS = 400_000
+_CALL_MS = 2_000
+
+
+class _Run:
+    """Apply random faults to a site, submit jobs and record breaches."""
+
+    def __init__(self, rig: site_rig.SiteRig, seed: int) -> None:
+        self.rig = rig
+        self.rng = random.Random(seed)
+        self.jobs: dict[str, model.Job] = {}
+        self.accepted: set[str] = set()
+        self.breaches: list[str] = []
+        self.final_states: dict[str, model.State] = {}
+        self.steps: list[str] = []
+
+    async def play(self) -> None:
+        for number in range(_WORKERS):
+            self.rig.add_worker(f'w{number}')
+        for member_id in _MEMBERS:
+            await self.rig.add(member_id)
+        await self.rig.wait_until(lambda: self.rig.owner() is not None)
+        await self.run_ms(2_000)
+        for _ in range(_FAULTS):
+            for _ in range(self.rng.randint(0, 3)):
+                await self.submit()
+            name = self.rng.choice(
+                ('cut', 'cut', 'cut', 'heal', 'pause', 'restart', 'kill')
+            )
+            self.steps.append(f'{self.rig.clock.now_ms()} {name}')
+            await getattr(self, name)()
+            await self.run_ms(self.rng.randint(50, 2_000))
+            await self.look()
+            short = self.rng.random() < 0.5
+            await self.run_ms(
+                self.rng.randint(100, 8_000 if short else _MAX_WAIT_MS)
+            )
+            await self.look()
+        await self.finish()
+
+    async def finish(self) -> None:
+        await self.heal()
+        for daemon in self.rig.daemons.values():
+            daemon.resume()
+        end_ms = self.rig.clock.now_ms() + _FINISH_MS
+        while self.accepted - set(self.final_states):
+            await self.run_ms(2_000)
+            await self.look()
+            if self.rig.clock.now_ms() > end_ms:
+                left = sorted(self.accepted - set(self.final_states))
+                self.breaches.append(f'{left} did not end')
+                return
+
+    async def run_ms(self, duration_ms: int) -> None:
+        end_ms = self.rig.clock.now_ms() + duration_ms
+        while self.rig.clock.now_ms() < end_ms:
+            await self.rig.run_ms(min(500, end_ms - self.rig.clock.now_ms()))
+            running = sum(
+                run.end_ms < 0
+                for worker in self.rig.workers.values()
+                for run in worker.runs
+            )
+            if running > _LIMIT_TASKS:
+                self.breaches.append(f'{running} tasks run')
+
+    def daemon(self) -> site_rig.SiteDaemon:
+        return self.rng.choice(list(self.rig.daemons.values()))
+
+    # Callers
+
+    async def submit(self) -> None:
+        job = self.rig.job(
+            f'j{len(self.jobs)}',
+            self.rng.choice((200, 3_000, 20_000, 90_000)),
+            tasks=self.rng.randint(1, 5),
+            idempotent=self.rng.random() < 0.7,
+            deadline_ms=self.rng.choice((0, 0, 20_000)),
+        )
+        self.jobs[job.job_id] = job
+        asyncio.ensure_future(self.call_submit(self.daemon(), job))
+        await self.run_ms(self.rng.randint(1, 500))
+
+    async def call_submit(self, daemon, job) -> None:
+        request = messages.Submit(partition=0, job=job)
+        try:
+            await daemon.router.call(request, _CALL_MS)
+        except errors.BasilspindleError as error:
+            if error.ran is errors.Ran.NO and self.rig.runs(f'{job.job_id}/0'):
+                self.breaches.append(f'{job.job_id} ran, {error.kind}')
+            return
+        self.accepted.add(job.job_id)
+
+    async def look(self) -> None:
+        """Ask a daemon for each accepted job."""
+        daemons = list(self.rig.daemons.values())
+        daemon = self.rng.choice(daemons)
+        calls = [
+            asyncio.ensure_future(self.look_up(daemon, self.jobs[job_id]))
+            for job_id in sorted(self.accepted)
+        ]
+        await self.run_ms(_CALL_MS + 500)
+        for call in calls:
+            call.cancel()
+
+    async def look_up(self, daemon, job) -> None:
+        request = messages.View(
+            partition=0, workspace=job.workspace, job_id=job.job_id, wait_ms=0
+        )
+        try:
+            view = (await daemon.router.call(request, _CALL_MS)).view
+        except errors.NotFound:
+            self.breaches.append(f'{job.job_id} is not found')
+            return
+        except errors.BasilspindleError:
+            return
+        self.check_view(view)
+
+    def check_view(self, view: model.JobView) -> None:
+        job_id = view.job_id
+        if not view.state.final:
+            if job_id in self.final_states:
+                self.breaches.append(f'{job_id} is {view.state} after its end')
+            return
+        before = self.final_states.setdefault(job_id, view.state)
+        if before is not view.state:
+            self.breaches.append(f'{job_id} is {view.state}, was {before}')
+        for result in view.results:
+            runs = self.rig.runs(f'{job_id}/{result.index}')
+            if result.state is model.State.EXPIRED and any(
+                run.outcome in ('', 'succeeded') for run in runs
+            ):
+                self.breaches.append(f'{job_id} is expired and runs')
+
+    # Faults
+
+    async def cut(self) -> None:
+        await self.heal()
+        members = self.rng.sample(_MEMBERS, self.rng.randint(1, 2))
+        workers = self.rng.sample(
+            sorted(self.rig.workers), self.rng.randint(0, _WORKERS)
+        )
+        log, resets = self.rng.random() < 0.4, self.rng.random() < 0.4
+        self.steps.append(f'{members} {workers} {log} {resets}')
+        self.rig.split(members, workers, log=log, resets=resets)
+
+    async def heal(self) -> None:
+        self.rig.heal()
+
+    async def pause(self) -> None:
+        daemon = self.daemon()
+        self.steps.append(daemon.member_id)
+        daemon.pause()
+        await self.run_ms(self.rng.choice((800, 2_000, 4_000, 10_000, 40_000)))
+        daemon.resume()
+
+    async def restart(self) -> None:
+        self.rng.choice(list(self.rig.workers.values())).restart()
+
+    async def kill(self) -> None:
+        daemon = self.daemon()
+        await daemon.kill()
+        await self.rig.add(daemon.member_id)
+
+
+async def _play(seed: int) -> _Run:
+    async with site_rig.SiteRig(limit_tasks=_LIMIT_TASKS) as rig:
+        run = _Run(rig, seed)
+        await run.play()
+        run.breaches += rig.breaches()
+        return run
+
+
+class SiteInterleavingTest(unittest.TestCase):
+    """Guard runs and answers while two sides of a cut know different things.
+
+    A daemon that is cut off, or has stood still, may have a successor.
+    """
+
+    def test_cuts_and_pauses(self):
+        for seed in range(_FIRST_SEED, _FIRST_SEED + _SEEDS):
+            with self.subTest(seed=seed):
+                run = asyncio.run(_play(seed))
+                self.assertEqual([], sorted(set(run.breaches)), run.steps)
+                self.assertTrue(run.accepted)
