End waiting jobs only while the ownership is confirmed

An owner that stood still, or is cut off, ended waiting jobs whose deadline had passed as expired, and those whose key had been withdrawn or that no worker fitted as cancelled or unschedulable. These states say that the job has not run; its successor may be running it.

Found by reading; no run of whole daemons has shown it. Both tests in tests.test_coordinator.ConfirmationTest fail on the code before.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -116,6 +116,7 @@
             self._end_handler,
             self._admission.unschedulable_reason,
             key_valid,
+            may_start,
         )
 
     async def __aenter__(self) -> typing.Self:
--- a/basilspindle/coordinator/housekeeping.py
+++ b/basilspindle/coordinator/housekeeping.py
@@ -7,6 +7,7 @@
 from basilspindle import clock as clock_module
 from basilspindle.coordinator import log_and_skip
 from basilspindle.coordinator import owned_partition
+from basilspindle.coordinator import recovery
 from basilspindle.coordinator import sweeper
 from basilspindle.coordinator import task_end_handler
 from basilspindle.coordinator import timing as timing_module
@@ -35,7 +36,9 @@
 
     ``unschedulable_reason`` returns why no worker can run a task of a job,
     or ''. ``key_valid`` tells whether the API key that a job was submitted
-    with is still valid for its workspace.
+    with is still valid for its workspace. Jobs that wait end only while
+    ``may_start`` is true for their partition: a later owner may have started
+    them.
     """
 
     __slots__ = (
@@ -46,6 +49,7 @@
         '_end_handler',
         '_unschedulable_reason',
         '_key_valid',
+        '_may_start',
         '_pending_appends',
     )
 
@@ -58,6 +62,7 @@
         end_handler: task_end_handler.TaskEndHandler,
         unschedulable_reason: collections.abc.Callable[[model.Job], str],
         key_valid: collections.abc.Callable[[model.Job], bool],
+        may_start: collections.abc.Callable[[int], bool],
     ) -> None:
         self._clock = clock
         self._queue = queue
@@ -66,6 +71,7 @@
         self._end_handler = end_handler
         self._unschedulable_reason = unschedulable_reason
         self._key_valid = key_valid
+        self._may_start = may_start
         self._pending_appends: dict[str, asyncio.Task[None]] = {}
 
     async def close(self) -> None:
@@ -78,9 +84,9 @@
     def sweep(self) -> None:
         """Check every job once."""
         now_ms = self._clock.now_ms()
-        for job_id, _ in self._queue.remove_expired(now_ms):
+        for job_id, count in self._queue.remove_expired(now_ms):
             with log_and_skip.LogAndSkip('expire', job_id):
-                self._end_job(job_id, model.State.EXPIRED, 'deadline passed')
+                self._expire(job_id, count)
         for partition in list(self._partitions.values()):
             for tracked in list(partition.jobs.values()):
                 with log_and_skip.LogAndSkip('sweep', tracked.job.job_id):
@@ -89,6 +95,15 @@
                 if now_ms - since_ms > self._timing.lost_after_ms:
                     del partition.orphan_ends[task_id]
 
+    def _expire(self, job_id: str, count: int) -> None:
+        for partition in self._partitions.values():
+            tracked = partition.jobs.get(job_id)
+            if tracked is None or self._may_start(partition.number):
+                continue
+            recovery.enqueue_tasks(tracked, count, self._queue, self._clock)
+            return
+        self._end_job(job_id, model.State.EXPIRED, 'deadline passed')
+
     def _sweep_job(
         self,
         partition: owned_partition.OwnedPartition,
@@ -98,7 +113,8 @@
         if tracked.state.final:
             self._forget_ended(partition, tracked, now_ms)
         elif not tracked.started and not tracked.ended:
-            self._sweep_unstarted(tracked, now_ms)
+            if self._may_start(partition.number):
+                self._sweep_unstarted(tracked, now_ms)
 
     def _forget_ended(
         self,
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -260,6 +260,30 @@
 class ConfirmationTest(coordinator_case.CoordinatorCase):
     """Guard callers against what an owner says that may have a successor."""
 
+    async def test_waiting_job_does_not_expire_without_assurance(self):
+        """Guard against 'expired' for a job that the successor runs."""
+        self.holders.slots = 0
+        self.activate()
+        await self.submit(self.job(deadline_ms=2_000))
+        self.assured = False
+        await self.step(10_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        self.assured = True
+        await self.step(2_000)
+        self.assertEqual(_State.EXPIRED, (await self.view()).state)
+
+    async def test_withdrawn_key_ends_no_job_without_assurance(self):
+        """Guard against 'cancelled' for a job that the successor runs."""
+        self.holders.slots = 0
+        self.activate()
+        await self.submit(self.job())
+        self.assured = self.key_valid = False
+        await self.step(2_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        self.assured = True
+        await self.step(2_000)
+        self.assertEqual(_State.CANCELLED, (await self.view()).state)
+
     async def test_unknown_job_is_not_denied_without_assurance(self):
         """Guard against 404 for a job that the successor has accepted."""
         self.activate()
