Call a job unschedulable only once all workers have reported

With a part of the workers behind a cut, the largest worker may be there; the new owner starts nothing until it has heard from all, but ended such jobs nevertheless.

The 120 s begin once all workers have reported, the rule that the admission of jobs follows already. ConfirmationTest.test_job_that_fits_a_worker_that_has_not_reported fails on the code before.

--- a/basilspindle/coordinator/housekeeping.py
+++ b/basilspindle/coordinator/housekeeping.py
@@ -114,7 +114,7 @@
             self._forget_ended(partition, tracked, now_ms)
         elif not tracked.started and not tracked.ended:
             if self._may_start(partition.number):
-                self._sweep_unstarted(tracked, now_ms)
+                self._sweep_unstarted(partition, tracked, now_ms)
 
     def _forget_ended(
         self,
@@ -130,7 +130,10 @@
             partition.jobs.pop(tracked.job.job_id, None)
 
     def _sweep_unstarted(
-        self, tracked: tracked_job.TrackedJob, now_ms: int
+        self,
+        partition: owned_partition.OwnedPartition,
+        tracked: tracked_job.TrackedJob,
+        now_ms: int,
     ) -> None:
         job = tracked.job
         if not self._key_valid(job):
@@ -141,7 +144,9 @@
             )
             return
         tracked.reason = self._unschedulable_reason(job)
-        if not tracked.reason:
+        # Until all workers have reported, the largest one may be unknown.
+        may_fit = not tracked.reason or not partition.dispatching
+        if may_fit or not tracked.last_schedulable_ms:
             tracked.last_schedulable_ms = now_ms
         elif now_ms - tracked.last_schedulable_ms > _UNSCHEDULABLE_AFTER_MS:
             self._end_job(
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -284,6 +284,19 @@
         await self.step(2_000)
         self.assertEqual(_State.CANCELLED, (await self.view()).state)
 
+    async def test_job_that_fits_a_worker_that_has_not_reported(self):
+        """Guard against 'unschedulable' while a cut hides the worker."""
+        self.activate(dispatch_in_ms=300_000)
+        large = model.Resources(8_001, 100, 0, 1)
+        await self.submit(self.job(resources=large))
+        await self.step(200_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        self.coordinator.apply_full_inventory(0, [], [])
+        await self.step(100_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        await self.step(30_000)
+        self.assertEqual(_State.UNSCHEDULABLE, (await self.view()).state)
+
     async def test_unknown_job_is_not_denied_without_assurance(self):
         """Guard against 404 for a job that the successor has accepted."""
         self.activate()
