Tell an end that is not recorded only while the ownership is confirmed

An owner that is cut off applies the ends that the holders on its side report, and showed durable jobs as ended, with results, although the log had not confirmed the records and a successor had taken the partition over. Callers saw 'succeeded' and then 'running' or 'queued'; if the holder or the worker was lost before the cut healed, the job ran again after its end had been told.

An owner whose claim is not confirmed waits for the record or the confirmation until the caller's deadline, and then answers that it is not ready. While it is confirmed, also by its peers in an outage of the log, it answers as before.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -34,6 +34,8 @@
 _CANCEL_TIMEOUT_MS = 5_000
 _HANDOVER_SEND_TIMEOUT_MS = 3_000
 _NEVER_MS = 1 << 62
+# Interval for checking whether the end of a job has been recorded.
+_RECORD_POLL_MS = 200
 _MAX_DUMPED_JOB_IDS = 1_000
 
 
@@ -313,7 +315,7 @@
                 request.job.job_id,
                 request.wait_ms,
             )
-        except errors.NotOwner as error:
+        except (errors.NotOwner, errors.NotReady) as error:
             # The job was accepted here and may have been started.
             error.ran = errors.Ran.UNKNOWN
             raise
@@ -337,15 +339,29 @@
     ) -> model.JobView:
         tracked = self._get_job(number, workspace, job_id)
         deadline_ms = self._clock.now_ms() + wait_ms
-        while not tracked.state.final:
+        while not (tracked.state.final and self._is_certain(number, tracked)):
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 break
+            if tracked.state.final:
+                left_ms = min(left_ms, _RECORD_POLL_MS)
             with contextlib.suppress(errors.DeadlineExceeded):
                 await self._clock.wait_for(tracked.changed.wait(), left_ms)
             tracked = self._get_job(number, workspace, job_id)
+        if tracked.state.final and not self._is_certain(number, tracked):
+            raise self._unconfirmed_error(number)
         return tracked.view(with_results=True)
 
+    def _is_certain(
+        self, number: int, tracked: tracked_job.TrackedJob
+    ) -> bool:
+        """Tell whether no other owner can take an ended job for open."""
+        if not tracked.job.durable or self._may_start(number):
+            return True
+        entries = self._get_partition(number).journal.state.jobs
+        entry = entries.get(tracked.job.job_id)
+        return entry is None or entry.state.final
+
     async def list_jobs(self, request: messages.ListJobs) -> messages.JobList:
         """List the jobs of a workspace, ordered by id.
 
@@ -435,10 +451,13 @@
         It may have accepted jobs that are not known here.
         """
         if not self._may_start(number):
-            raise errors.NotReady(
-                f'the ownership of partition {number} is not confirmed; '
-                'retry later'
-            )
+            raise self._unconfirmed_error(number)
+
+    def _unconfirmed_error(self, number: int) -> errors.NotReady:
+        return errors.NotReady(
+            f'the ownership of partition {number} is not confirmed; '
+            'retry later'
+        )
 
     async def _run_dispatch(self) -> None:
         while True:
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -297,6 +297,24 @@
         await self.step(30_000)
         self.assertEqual(_State.UNSCHEDULABLE, (await self.view()).state)
 
+    async def test_unrecorded_end_is_not_told_without_assurance(self):
+        """Guard against a result that the successor does not know."""
+        self.activate()
+        job = self.job(durable=True)
+        await self.submit(job)
+        self.journal.state.jobs['j1'] = journal.JobEntry(job)
+        self.journal.error = errors.Deposed('a later claim')
+        self.assured = False
+        with self.assertRaises(errors.Deposed):
+            await self.end(self.holders.started[0])
+        with self.assertRaises(errors.NotReady):
+            await self.view()
+        self.assured = True
+        self.assertEqual(_State.SUCCEEDED, (await self.view()).state)
+        self.assured = False
+        self.journal.state.jobs['j1'].state = _State.SUCCEEDED
+        self.assertEqual(_State.SUCCEEDED, (await self.view()).state)
+
     async def test_unknown_job_is_not_denied_without_assurance(self):
         """Guard against 404 for a job that the successor has accepted."""
         self.activate()
