Begin the wait of a takeover anew after a pause of the new owner

A new owner waits for task leases on workers that no holder has reported, and begins the wait anew when a member was silent. It looked at its clock only: if it stood still until the wait was over, it started the tasks at its next timer, without asking again. A member that had taken a worker over meanwhile was renewing the leases of its tasks, and its reports waited in the sockets of the owner. This needs an owner that nobody replaces during the pause, as while the others do not reach the log.

Found by reading; no run of whole daemons has shown it. The wait counts from when all members were last heard, of which a pause is an end, and the inventories are collected once more before it ends. PartitionHostTest.test_pause_of_the_owner fails on the code before.

--- a/basilspindle/cluster/inventory_collector.py
+++ b/basilspindle/cluster/inventory_collector.py
@@ -29,10 +29,17 @@
     ``unseen_until_ms`` is the monotonic time until which tasks may still
     run on workers that no holder reported. It holds only if
     ``has_silent_member`` is False: a member that does not answer may renew
-    their task leases for as long as it reaches the workers.
+    their task leases for as long as it reaches the workers. The same holds
+    for members that were silent before ``heard_since_ms``.
     """
 
-    __slots__ = ('ends', 'has_silent_member', 'running', 'unseen_until_ms')
+    __slots__ = (
+        'ends',
+        'has_silent_member',
+        'heard_since_ms',
+        'running',
+        'unseen_until_ms',
+    )
 
     def __init__(
         self,
@@ -40,8 +47,10 @@
         ends: list[model.TaskEnd],
         unseen_until_ms: int,
         has_silent_member: bool,
+        heard_since_ms: int = 0,
     ) -> None:
         self.has_silent_member = has_silent_member
+        self.heard_since_ms = heard_since_ms
         self.running = running
         self.ends = ends
         self.unseen_until_ms = unseen_until_ms
@@ -163,4 +172,5 @@
             list(ends.values()),
             until_ms,
             has_silent_member,
+            self._membership.all_heard_since_ms(),
         )
--- a/basilspindle/daemon/partition_host.py
+++ b/basilspindle/daemon/partition_host.py
@@ -115,21 +115,27 @@
 
         A member that does not answer may still renew the task leases of
         workers that only it can reach. The waiting time therefore starts
-        again whenever a member was silent.
+        again whenever a member was silent, or this process was paused. The
+        inventories are collected once more at its end.
         """
         wait_ms = until_ms - self._clock.now_ms()
-        while self._clock.now_ms() < until_ms:
+        if wait_ms <= 0:
+            return
+        while True:
             inventory = await self._try_collect(partition, epoch)
             if inventory is None or inventory.has_silent_member:
                 until_ms = self._clock.now_ms() + wait_ms
+            else:
+                until_ms = max(until_ms, inventory.heard_since_ms + wait_ms)
             if inventory is not None and self._is_complete(inventory):
                 self._coordinator.apply_full_inventory(
                     partition, inventory.running, inventory.ends
                 )
                 return
+            if self._clock.now_ms() >= until_ms:
+                break
             await self._clock.sleep_ms(_COLLECT_INTERVAL_MS)
-        if wait_ms > 0:
-            self._coordinator.apply_full_inventory(partition, [], [])
+        self._coordinator.apply_full_inventory(partition, [], [])
 
     def _is_complete(
         self, inventory: inventory_collector.CollectedInventory
--- a/tests/test_daemon_parts.py
+++ b/tests/test_daemon_parts.py
@@ -415,6 +415,7 @@
         self.reconciled = []
         self.all_covered = False
         self.silent = False
+        self.heard_since_ms = 0
         self.error = None
         self.collect_count = 0
         self.host = await self.enterAsyncContext(
@@ -438,7 +439,7 @@
             raise self.error
         until_ms = self.clock.now_ms() + (0 if self.all_covered else 30_000)
         return inventory_collector.CollectedInventory(
-            ['task'], ['end'], until_ms, self.silent
+            ['task'], ['end'], until_ms, self.silent, self.heard_since_ms
         )
 
     async def activate_partition(self, unseen_ms=30_000):
@@ -470,6 +471,17 @@
         await self.clock.advance_ms(2_000)
         self.assertEqual([(2, [], [])], self.dispatched)
 
+    async def test_pause_of_the_owner(self):
+        """Guard against a task that another member took over meanwhile."""
+        await self.activate_partition()
+        self.clock._now_ms += 40_000
+        self.heard_since_ms = self.clock.now_ms()
+        await self.clock.advance_ms(28_000)
+        self.assertEqual([], self.dispatched)
+        self.all_covered = True
+        await self.clock.advance_ms(1_000)
+        self.assertEqual([(2, ['task'], ['end'])], self.dispatched)
+
     async def test_silent_member_may_renew_the_leases_of_unseen_workers(self):
         """Guard against a task that runs twice behind a network partition.
 
