--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -257,6 +257,86 @@
         self.assertEqual(_State.UNKNOWN, (await self.view()).state)
 
 
+class ConfirmationTest(coordinator_case.CoordinatorCase):
+    """Guard callers against what an owner says that may have a successor."""
+
+    async def test_waiting_job_does_not_expire_without_assurance(self):
+        """Guard against 'expired' for a job that the successor runs."""
+        self.holders.slots = 0
+        self.activate()
+        await self.submit(self.job(deadline_ms=2_000))
+        self.assured = False
+        await self.step(10_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        self.assured = True
+        await self.step(2_000)
+        self.assertEqual(_State.EXPIRED, (await self.view()).state)
+
+    async def test_withdrawn_key_ends_no_job_without_assurance(self):
+        """Guard against 'cancelled' for a job that the successor runs."""
+        self.holders.slots = 0
+        self.activate()
+        await self.submit(self.job())
+        self.assured = self.key_valid = False
+        await self.step(2_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        self.assured = True
+        await self.step(2_000)
+        self.assertEqual(_State.CANCELLED, (await self.view()).state)
+
+    async def test_job_that_fits_a_worker_that_has_not_reported(self):
+        """Guard against 'unschedulable' while a cut hides the worker."""
+        self.activate(dispatch_in_ms=300_000)
+        large = model.Resources(8_001, 100, 0, 1)
+        await self.submit(self.job(resources=large))
+        await self.step(200_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        self.coordinator.apply_full_inventory(0, [], [])
+        await self.step(100_000)
+        self.assertEqual(_State.QUEUED, (await self.view()).state)
+        await self.step(30_000)
+        self.assertEqual(_State.UNSCHEDULABLE, (await self.view()).state)
+
+    async def test_unrecorded_end_is_not_told_without_assurance(self):
+        """Guard against a result that the successor does not know."""
+        self.activate()
+        job = self.job(durable=True)
+        await self.submit(job)
+        self.journal.state.jobs['j1'] = journal.JobEntry(job)
+        self.journal.error = errors.Deposed('a later claim')
+        self.assured = False
+        with self.assertRaises(errors.Deposed):
+            await self.end(self.holders.started[0])
+        with self.assertRaises(errors.NotReady):
+            await self.view()
+        self.assured = True
+        self.assertEqual(_State.SUCCEEDED, (await self.view()).state)
+        self.assured = False
+        self.journal.state.jobs['j1'].state = _State.SUCCEEDED
+        self.assertEqual(_State.SUCCEEDED, (await self.view()).state)
+
+    async def test_unknown_job_is_not_denied_without_assurance(self):
+        """Guard against 404 for a job that the successor has accepted."""
+        self.activate()
+        await self.submit(self.job())
+        self.assured = False
+        fields = {'partition': 0, 'workspace': 'red'}
+        for request in (
+            messages.View(job_id='j2', **fields),
+            messages.Cancel(job_id='j2', **fields),
+            messages.ListJobs(after='', limit=10, **fields),
+        ):
+            name = {'ListJobs': 'list_jobs'}.get(
+                type(request).__name__, type(request).__name__.lower()
+            )
+            with self.assertRaises(errors.NotReady):
+                await getattr(self.coordinator, name)(request)
+        self.assertEqual(_State.RUNNING, (await self.view()).state)
+        self.assured = True
+        with self.assertRaises(errors.NotFound):
+            await self.view('j2')
+
+
 class RetryTest(coordinator_case.CoordinatorCase):
     """Guard against duplicate runs and lost tasks after failures."""
 
@@ -270,6 +350,34 @@
         self.assertEqual(orders[0].attempt, orders[1].attempt)
         self.assertEqual(1, len(self.holders.started))
 
+    async def test_unanswered_order_is_not_repeated_without_assurance(self):
+        """Guard against a start long after a successor may have one."""
+        self.activate()
+        self.holders.place_error = errors.PeerOutcomeUnknown('lost')
+        await self.submit(self.job())
+        self.assured = False
+        sent = len(self.holders.requests)
+        self.holders.place_error = None
+        await self.step(10_000)
+        self.assertEqual(sent, len(self.holders.requests))
+        self.assertEqual([], self.holders.started)
+        self.assured = True
+        await self.step(1_000)
+        self.assertEqual(1, len(self.holders.started))
+
+    async def test_unanswered_commit_is_not_repeated_without_assurance(self):
+        """Guard against a start long after a successor may have one."""
+        self.activate()
+        self.holders.commit_error = errors.PeerOutcomeUnknown('lost')
+        await self.submit(self.job(idempotent=False, durable=True))
+        self.assured = False
+        self.holders.commit_error = None
+        await self.step(10_000)
+        self.assertEqual([], self.holders.started)
+        self.assured = True
+        await self.step(1_000)
+        self.assertEqual(1, len(self.holders.started))
+
     async def test_task_of_a_lost_holder_waits_for_all_leases(self):
         self.activate()
         await self.submit(self.job())
@@ -283,6 +391,51 @@
         await self.step(1_000)
         self.assertEqual(2, len(self.holders.started))
 
+    async def test_silent_member_may_hold_the_tasks_of_a_lost_holder(self):
+        """Guard against a second run beside that of a silent holder."""
+        self.activate()
+        await self.submit(self.job())
+        self.holders.lost = True
+        await self.step(self.timing.lost_after_ms)
+        self.holders.heard_since_ms = self.clock.now_ms()
+        self.holders.running.clear()
+        await self.step(self.timing.lost_after_ms)
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+        await self.step(2_000)
+        self.assertEqual({'queued': 1}, (await self.view()).counts)
+
+    async def test_expired_lease_waits_for_silent_members(self):
+        """Guard against a second run beside that of a silent holder."""
+        self.activate()
+        await self.submit(self.job())
+        self.holders.heard_since_ms = self.clock.now_ms()
+        key = self.holders.started[0]
+        await self.end(key, _State.QUEUED, lease_expired=True)
+        await self.step(self.timing.lost_after_ms - 1_000)
+        self.assertEqual(1, len(self.holders.started))
+        await self.step(2_000)
+        self.assertEqual(2, len(self.holders.started))
+
+    async def test_expired_lease_that_another_holder_renews(self):
+        """Guard against a second run beside that of the next holder."""
+        self.activate()
+        await self.submit(self.job())
+        self.holders.heard_since_ms = self.clock.now_ms()
+        key = self.holders.started[0]
+        await self.end(key, _State.QUEUED, lease_expired=True)
+        found = self.running_task(key[0], key[1], worker_epoch=2)
+        await self.coordinator.report(
+            messages.Report(
+                holder_id=coordinator_case.HOLDER,
+                partition=0,
+                ends=[],
+                found=[found],
+            )
+        )
+        await self.step(2 * self.timing.lost_after_ms)
+        self.assertEqual(1, len(self.holders.started))
+        self.assertEqual({'running': 1}, (await self.view()).counts)
+
     async def test_failed_task_is_repeated_elsewhere_up_to_its_bound(self):
         self.activate()
         await self.submit(self.job(max_attempts=2))
