Check that two leaders led in the tests of cuts

A stand-in that cuts nothing would have passed them. They check now that the old leader led until the cut healed, and that its successor saw tasks end.

--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -63,12 +63,27 @@
 class CutOffLeaderTest(CutOffLeaderCase):
     """Guard tasks against a leader that does not hear of its successor."""
 
+    def check_two_leaders(self, old: platform_case.Daemon) -> None:
+        """Check that a successor has seen ends and the old leader leads."""
+        self.assertNotIn('"name":"leader_lost"', old.log_path.read_text())
+        texts = [
+            daemon.log_path.read_text()
+            for daemon in self.daemons
+            if daemon is not old
+        ]
+        [successor] = [
+            text for text in texts if '"name":"leader_ready"' in text
+        ]
+        self.assertIn('"how":"done"', successor)
+
     async def check_cut(self, resets: bool) -> None:
         job_ids = [await self.submit(number, 1_500, 12) for number in range(2)]
         for job_id in job_ids:
             await self.wait_state(job_id, 'running', 'completed')
+        old = self.leader()
         self.cut_off_leader(resets)
         await asyncio.sleep(_CUT_S)
+        self.check_two_leaders(old)
         await self.network.heal()
         for job_id in job_ids:
             await self.wait_state(job_id, 'completed')
@@ -106,7 +121,7 @@
         self.daemons.remove(leader)
         others = {daemon.node for daemon in self.daemons}
         # No announcement of the successor waits for it.
-        self.network.cut({leader.node}, {*others, _STORE})
+        self.network.cut({leader.node}, {*others, platform.STORE})
         await self.wait_state(job_id, 'completed')
         # Until the last ends are acknowledged.
         await asyncio.sleep(1.0)
