--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -4,9 +4,10 @@
 import collections.abc
 import contextlib
 import re
-import socket
 import typing
 
+from tests.standins.platform import server as server_module
+
 # Name of the machine of the store.
 STORE = 'store'
 _SEGMENT_BYTES = 65_536
@@ -35,9 +36,7 @@
     def __init__(self, target: str) -> None:
         self.target = target
         # Holds the port while nothing listens there.
-        self._holder = socket.socket()
-        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._holder.bind(('127.0.0.1', 0))
+        self._holder = server_module.hold_port()
         host, port = self._holder.getsockname()
         self.address = f'{host}:{port}'
         self._server: asyncio.Server | None = None
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import json
+import socket
 import typing
 import urllib.parse
 
@@ -44,6 +45,17 @@
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Reply]]
 
 
+def hold_port() -> socket.socket:
+    """Return a socket that keeps a port on loopback from other processes.
+
+    Others may listen there; as long as nobody does, connections are refused.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(('127.0.0.1', 0))
+    return holder
+
+
 class Server:
     """HTTP server that injects the faults chosen by ``fault``."""
 
@@ -58,6 +70,8 @@
         self.requests: list[Request] = []
         self._handler = handler
         self._server: asyncio.Server | None = None
+        # Holds the port while the server refuses connections.
+        self._holder: socket.socket | None = None
         self._port = 0
         self.connections: set[_Connection] = set()
         self._late_tasks: set[asyncio.Task[None]] = set()
@@ -73,10 +87,12 @@
 
     async def listen(self) -> None:
         """Accept connections, after ``refuse`` at the same port again."""
+        if self._holder is None:
+            self._holder = hold_port()
+            self._port = self._holder.getsockname()[1]
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Connection(self), '127.0.0.1', self._port
         )
-        self._port = self._server.sockets[0].getsockname()[1]
 
     def refuse(self) -> None:
         """Reset all connections and refuse new ones."""
@@ -104,6 +120,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         self.refuse()
+        if self._holder is not None:
+            self._holder.close()
         for task in self._late_tasks:
             task.cancel()
 
--- a/tests/test_standin_network.py
+++ b/tests/test_standin_network.py
@@ -1,6 +1,7 @@
 """Test the stand-in network."""
 
 import asyncio
+import socket
 import unittest
 
 from tests.standins import platform
@@ -106,3 +107,14 @@
         self.assertEqual(
             other.address.encode(), self.network.restore(values[0])
         )
+
+    async def test_the_port_of_a_server_that_refuses_connections(self):
+        """Guard against a path that gets the port of a server.
+
+        Messages between daemons then reached a worker.
+        """
+        self.server.refuse()
+        host, port = self.server.address.split(':')
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind((host, int(port)))
+        self.assertIn(await self.call(), ('closed', 'refused'))
