--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -264,7 +264,7 @@
 
     async def heal(self, cut: Cut | None = None) -> None:
         """End one cut, or all of them."""
-        ended = self._cuts if cut is None else [cut]
+        ended = [each for each in self._cuts if cut in (None, each)]
         self._cuts = [each for each in self._cuts if each not in ended]
         paths = self._set_cuts(ended)
         await asyncio.gather(*(path.listen() for path in paths))
