--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -13,3 +13,16 @@
     async def test_seed_1(self):
         """Run a seed that has never failed."""
         await self.soak(1)
+
+
+class YoungWorkersSoakTest(soak_case.SoakCase):
+    """Guard against the same while lives of workers have just begun."""
+
+    ages_workers = False
+
+    async def test_seed_3(self):
+        """Run a seed in which tasks ran again that a successor saw end.
+
+        A leader that was cut off with a worker started them (issue 35).
+        """
+        await self.soak(3)
