Tell an end only once it is recorded or confirmed after it

An end that a holder on its side reported then was told to callers although its record could not reach the log. With the daemons and the worker of that side lost before the cut heals, the job runs again after its end was told: tests.test_cut_holders.CutHolderTest.test_end_told_right_after_a_cut, which fails on the code before with two runs.

The end of a durable job is told once it is recorded. While the log does not answer, a confirmation by all peers to calls that began after the end takes the place of the record, so that callers get results in an outage. Callers that wait are woken by the record.

--- a/basilspindle/cluster/ownership.py
+++ b/basilspindle/cluster/ownership.py
@@ -179,11 +179,12 @@
             return None
         return member if epoch >= self._fences.epoch(partition) else None
 
-    def may_start(self, partition: int) -> bool:
+    def may_start(self, partition: int, since_ms: int = 0) -> bool:
         """Tell whether tasks of the partition may be started now.
 
         True while this daemon is the active owner and the log, or the
-        replies of all required members, confirmed it within assurance_ms.
+        replies of all required members, confirmed it within assurance_ms
+        and to calls that began at ``since_ms`` or later.
         """
         own_claim = self._own_claims.get(partition)
         if own_claim is None or own_claim.phase is not _Phase.ACTIVE:
@@ -194,9 +195,11 @@
             self._mark_lost(own_claim)
             return False
         oldest_ms = self._clock.now_ms() - self._timing.assurance_ms
+        if journal.assured_at_ms < oldest_ms:
+            self._membership.demand_replies()
+        oldest_ms = max(oldest_ms, since_ms)
         if journal.assured_at_ms >= oldest_ms:
             return True
-        self._membership.demand_replies()
         replied_ms = self._membership.oldest_answered_send_ms(
             region=self._home_region(partition),
             accept=lambda reply: not _knows_higher_epoch(reply, own_claim),
--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -35,9 +35,13 @@
 _HANDOVER_SEND_TIMEOUT_MS = 3_000
 _NEVER_MS = 1 << 62
 # Interval for checking whether the end of a job has been recorded.
-_RECORD_POLL_MS = 200
+_RECORD_POLL_MS = 100
 _MAX_DUMPED_JOB_IDS = 1_000
 
+# Tells whether the ownership of a partition is confirmed, with a second
+# argument by calls that began at that time or later.
+MayStart = collections.abc.Callable[..., bool]
+
 
 class Coordinator:
     """Accept, queue, place and end the jobs of owned partitions.
@@ -69,7 +73,7 @@
         clock: clock_module.Clock,
         holders: holder.Holders,
         timing: timing_module.Timing,
-        may_start: collections.abc.Callable[[int], bool],
+        may_start: MayStart,
         key_valid: collections.abc.Callable[[model.Job], bool],
     ) -> None:
         self._clock = clock
@@ -355,12 +359,18 @@
     def _is_certain(
         self, number: int, tracked: tracked_job.TrackedJob
     ) -> bool:
-        """Tell whether no other owner can take an ended job for open."""
-        if not tracked.job.durable or self._may_start(number):
+        """Tell whether no other owner can take an ended job for open.
+
+        That is so once its end is recorded. While the log does not answer,
+        the peers have to confirm that there was no other owner at its end.
+        """
+        if not tracked.job.durable:
             return True
         entries = self._get_partition(number).journal.state.jobs
         entry = entries.get(tracked.job.job_id)
-        return entry is None or entry.state.final
+        if entry is None or entry.state.final:
+            return True
+        return self._may_start(number, tracked.ended_at_ms)
 
     async def list_jobs(self, request: messages.ListJobs) -> messages.JobList:
         """List the jobs of a workspace, ordered by id.
--- a/basilspindle/coordinator/task_end_handler.py
+++ b/basilspindle/coordinator/task_end_handler.py
@@ -102,6 +102,10 @@
                 ends=len(records),
             )
             raise
+        for job_id in {record.job_id for record in records}:
+            tracked = partition.jobs.get(job_id)
+            if tracked is not None:
+                tracked.notify()
 
     def apply(
         self, partition: owned_partition.OwnedPartition, end: model.TaskEnd
--- a/basilspindle/coordinator/tracked_job.py
+++ b/basilspindle/coordinator/tracked_job.py
@@ -127,9 +127,13 @@
         self._derive_state()
         if self.state.final:
             self.ended_at_ms = now_ms
+        self.notify()
+        return self.state.final
+
+    def notify(self) -> None:
+        """Wake the callers that wait for a change of the job."""
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
-        return self.state.final
 
     def _derive_state(self) -> None:
         if len(self.ended) < self.job.tasks:
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -417,10 +417,10 @@
             ),
         )
 
-    def _may_start(self, partition: int) -> bool:
+    def _may_start(self, partition: int, since_ms: int = 0) -> bool:
         return (
             self._components.ownership is not None
-            and self._components.ownership.may_start(partition)
+            and self._components.ownership.may_start(partition, since_ms)
         )
 
     def _is_key_valid(self, job: model.Job) -> bool:
--- a/tests/coordinator_case.py
+++ b/tests/coordinator_case.py
@@ -145,13 +145,16 @@
         self.holders = HoldersStandIn(self.slots)
         self.journal = JournalStandIn()
         self.assured = True
+        self.confirmed_at_ms = 1 << 62
         self.key_valid = True
         self.timing = coordinator.Timing()
         self.coordinator = coordinator.Coordinator(
             self.clock,
             self.holders,
             self.timing,
-            lambda partition: self.assured,
+            lambda partition, since_ms=0: (
+                self.assured and since_ms <= self.confirmed_at_ms
+            ),
             lambda job: self.key_valid,
         )
         self.set_limit(-1)
--- a/tests/standins/cluster_rig.py
+++ b/tests/standins/cluster_rig.py
@@ -211,9 +211,9 @@
         """Record that a partition is no longer active."""
         self.active_epochs.pop(partition, None)
 
-    def may_start(self, partition: int) -> bool:
+    def may_start(self, partition: int, since_ms: int = 0) -> bool:
         """Tell whether the daemon may start tasks of a partition now."""
-        return self.ownership.may_start(partition)
+        return self.ownership.may_start(partition, since_ms)
 
 
 class ClusterRig:
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -309,7 +309,12 @@
             await self.end(self.holders.started[0])
         with self.assertRaises(errors.NotReady):
             await self.view()
+        # A confirmation from before the end does not count.
         self.assured = True
+        self.confirmed_at_ms = self.clock.now_ms() - 500
+        with self.assertRaises(errors.NotReady):
+            await self.view()
+        self.confirmed_at_ms = self.clock.now_ms()
         self.assertEqual(_State.SUCCEEDED, (await self.view()).state)
         self.assured = False
         self.journal.state.jobs['j1'].state = _State.SUCCEEDED
--- a/tests/test_cut_holders.py
+++ b/tests/test_cut_holders.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from basilspindle import errors
+from basilspindle.peer import messages
 from tests.standins import site_rig
 
 
@@ -56,3 +58,44 @@
     async def test_holder_is_cut_off_with_resets(self):
         """Guard against a lease that the former holder takes for run out."""
         await self.check_one_run(log=False, resets=True)
+
+    async def test_end_told_right_after_a_cut(self):
+        """Guard against a result that is told, lost and worked out again."""
+        owner = self.rig.owner()
+        job = self.rig.job('j', 1_500)
+        await self.rig.submit(owner, job)
+        await self.rig.wait_until(lambda: self.rig.runs('j/0'))
+        [run] = self.rig.runs('j/0')
+        inside = {owner.member_id} | {
+            daemon.member_id
+            for daemon in self.rig.daemons.values()
+            for status in daemon.fleet.workers()
+            if status.info.worker_id == run.worker_id and status.ready
+        }
+        await self.rig.wait_until(
+            lambda: self.rig.clock.now_ms() >= run.due_ms - 200
+        )
+        self.rig.split(inside, [run.worker_id], log=False)
+        await self.rig.run_ms(400)
+        request = messages.View(
+            partition=0, workspace=job.workspace, job_id='j', wait_ms=0
+        )
+        told = False
+        try:
+            reply = await self.rig.run_until_complete(
+                owner.router.call(request, 500)
+            )
+            told = reply.view.state.final
+        except errors.BasilspindleError:
+            pass
+        # The daemons and the worker are lost before the cut heals.
+        for member_id in inside:
+            await self.rig.daemons[member_id].kill()
+            await self.rig.add(member_id)
+        self.rig.workers[run.worker_id].restart()
+        self.rig.heal()
+        await self.rig.wait_until(
+            lambda: self.rig.recorded_state('j').final, 120_000
+        )
+        if told:
+            self.assertEqual(1, len(self.rig.runs('j/0')))
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -456,7 +456,7 @@
             self.clock,
             self.holders,
             self.timing,
-            lambda partition: True,
+            lambda partition, since_ms=0: True,
             lambda job: True,
         )
         self.set_limit(-1)
@@ -765,7 +765,7 @@
             self.clock,
             self.holders,
             self.timing,
-            lambda partition: True,
+            lambda partition, since_ms=0: True,
             lambda job: True,
         )
         self.set_limit(-1)
@@ -899,7 +899,7 @@
                 fleet,
             ),
             self.timing,
-            lambda partition: True,
+            lambda partition, since_ms=0: True,
             lambda job: True,
         )
         self.set_limit(-1)
--- a/tests/test_owner_churn.py
+++ b/tests/test_owner_churn.py
@@ -229,7 +229,7 @@
             self.clock,
             self.holders,
             coordinator.Timing(),
-            lambda _: self.log.state.epoch == journal_.epoch,
+            lambda *_: self.log.state.epoch == journal_.epoch,
             lambda _: True,
         )
         owner.set_workspaces({'red': policy.WorkspacePolicy()})
--- a/tests/test_repeated_orders.py
+++ b/tests/test_repeated_orders.py
@@ -58,7 +58,7 @@
             self.clock,
             self.holders,
             self.timing,
-            lambda partition: True,
+            lambda partition, since_ms=0: True,
             lambda job: True,
         )
         self.set_limit(-1)
