--- a/tests/test_cluster_interleaving.py
+++ b/tests/test_cluster_interleaving.py
@@ -27,6 +27,7 @@
                 'replace',
                 'vanish',
                 'isolate',
+                'lose_log',
                 'hand_over',
             )
         ),
@@ -53,7 +54,9 @@
 _OWNER_LOSS = strategies.tuples(
     strategies.just('lose_owner'),
     strategies.tuples(
-        strategies.sampled_from(('isolate', 'pause', 'kill', 'vanish')),
+        strategies.sampled_from(
+            ('isolate', 'cut_off', 'pause', 'kill', 'vanish')
+        ),
         strategies.sampled_from(
             ('heal', 'log_down', 'pause_owner', 'lose_append')
         ),
@@ -123,6 +126,10 @@
     def isolate(self, slot):
         self.rig.network.isolate(self.address(slot))
 
+    def cut_off(self, slot):
+        self.isolate(slot)
+        self.lose_log(slot)
+
     def hand_over(self, slot):
         for own_claim in self.daemon(slot).ownership._own_claims.values():
             own_claim.request_handover()
@@ -138,6 +145,12 @@
 
     def heal(self, _):
         self.rig.network.heal()
+        for daemon in self.rig.daemons.values():
+            daemon.log.down = False
+
+    def lose_log(self, slot):
+        # With ``isolate``, the daemon is cut off from everything but workers.
+        self.daemon(slot).log.down = True
 
     def log_down(self, _):
         self.rig.log.down = True
