Run the network of the cut-off tests without asyncio's debug mode

All that daemons, workers and the store exchange passes through the test process. Four runs of tests.test_cut_off_leader beside each other and two busy processes failed in 5 of 20 tests, each while it waited for a job: the stand-ins answered no daemon for seconds, before any cut (from their logs).

--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -25,6 +25,12 @@
 
     worker_count = 4
 
+    async def asyncSetUp(self) -> None:
+        # All that daemons and workers exchange passes through this process,
+        # and the debug mode of the event loop takes most of its time.
+        asyncio.get_running_loop().set_debug(False)
+        await super().asyncSetUp()
+
     async def store_address(self, node: str) -> str:
         """Return the address at which one daemon reaches the store."""
         if self.store.network is None:
