--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -9,6 +9,8 @@
 
 import httptools
 
+from tests.standins import local_cluster
+
 # A limited link carries responses in pieces of this size.
 _SEGMENT_BYTES = 4_096
 _GARBLED_BYTES = 7
@@ -49,10 +51,13 @@
     """Return a socket that keeps a port on loopback from other processes.
 
     Others may listen there; as long as nobody does, connections are refused.
+    The port is drawn from those of this process: a test process that listens
+    again at an ephemeral port could take it (soak seed 13, where a daemon
+    then reached the daemons of another test).
     """
     holder = socket.socket()
     holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind(('127.0.0.1', 0))
+    holder.bind(('127.0.0.1', local_cluster.free_port()))
     return holder
 
 
