--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -186,15 +186,16 @@
                 pass
         if start < partition.first:
             return _reply(410, {'first': partition.first})
-        body = struct.pack('>QQ', partition.end, partition.first)
+        body = bytearray(struct.pack('>QQ', partition.end, partition.first))
         max_bytes = int(request.query.get('max_kb', _DEFAULT_MAX_KB)) * 1_024
         for key, value in partition.records[max(0, start - partition.first) :]:
             content = bytes([len(key)]) + key.encode() + value
             record = struct.pack('>I', len(content)) + content
-            if len(body) > _HEADER_BYTES and len(body + record) > max_bytes:
+            size_bytes = len(body) + len(record)
+            if len(body) > _HEADER_BYTES and size_bytes > max_bytes:
                 break
             body += record
-        return server_module.Reply(200, body)
+        return server_module.Reply(200, bytes(body))
 
 
 def _decode_records(body: bytes) -> list[tuple[str, bytes]]:
