Name the job in the test of a swept job again

The test picks the job that fails by the position of an argument of Housekeeping._sweep_unstarted, which now takes the partition first. It checks the same; it failed since that commit.

--- a/tests/test_odd_coordinator.py
+++ b/tests/test_odd_coordinator.py
@@ -161,7 +161,7 @@
         with _fail_for(
             housekeeping.Housekeeping,
             '_sweep_unstarted',
-            lambda _, tracked, __: tracked.job.job_id,
+            lambda _, __, tracked, ___: tracked.job.job_id,
         ):
             await self.step(1_000)
         self.assertEqual(model.State.CANCELLED, (await self.view('j1')).state)
