Take a process that claims again after a refusal for alive

Leaders replaced each other up to 9 times a second where the leader and the other daemons refused each other's connections while both reached the store: each took the refused connection for the end of the other's process and claimed at once. Callers got 503 or 504 meanwhile; no task ran twice.

A process that has claimed again since it first refused this daemon is alive. It is replaced like a leader that does not answer, once the log is idle.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -34,6 +34,8 @@
 # A leader appends at least twice a second. Without an append for this long
 # it counts as dead, even if its address does not refuse connections.
 _LOG_IDLE_MS = 900
+# Bounds what is remembered of processes that refused connections.
+_MAX_REFUSED_PROCESSES = 100
 _RETRY_INTERVAL_MS = 200
 # Random delay, so that followers that lose the leader at the same time do
 # not all claim at once.
@@ -104,6 +106,7 @@
         '_store_failed_ms',
         '_observe_leader',
         '_announced_claim',
+        '_refused_epochs',
         '_is_registered',
         '_claim_after_ms',
     )
@@ -133,6 +136,9 @@
         self._store_failed_ms = -_STORE_RECOVERY_MS
         self._observe_leader = observe_leader
         self._announced_claim: claim_module.Claim | None = None
+        # Epochs of the claims under which processes first refused this
+        # daemon, by incarnation.
+        self._refused_epochs: dict[str, int] = {}
         self._is_registered = False
         self._claim_after_ms = 0
 
@@ -330,12 +336,23 @@
                 claim.address, self._handler, _REFUSAL_TIMEOUT_MS
             )
         except ConnectionRefusedError:
-            return True
+            return self._has_ended(claim)
         except errors.PeerError:
             return False
         link.close()
         return False
 
+    def _has_ended(self, claim: claim_module.Claim) -> bool:
+        # A process that refused this daemon and has claimed again since then
+        # is cut off from it and reaches the store. To take it for ended once
+        # more would let the two replace each other without an end.
+        first_epoch = self._refused_epochs.setdefault(
+            claim.incarnation, claim.epoch
+        )
+        if len(self._refused_epochs) > _MAX_REFUSED_PROCESSES:
+            self._refused_epochs.pop(next(iter(self._refused_epochs)))
+        return claim.epoch == first_epoch
+
     def _is_own_claim(self, claim: claim_module.Claim) -> bool:
         # True also for a claim that this process made and no longer acts on,
         # and for one of an earlier process at the same address.
@@ -377,7 +394,9 @@
                 claim.address, self._handler, _CONNECT_TIMEOUT_MS
             )
         except ConnectionRefusedError:
-            return _FollowResult.GONE
+            if self._has_ended(claim):
+                return _FollowResult.GONE
+            return _FollowResult.SILENT
         except errors.PeerError as error:
             events.emit(
                 cell_events.LEADER_SILENT,
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -186,6 +186,50 @@
         return ports.StoreChunk(self.records, 0, start)
 
 
+class RefusingLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against two daemons that replace each other without an end.
+
+    They refuse each other's connections, and both reach the store.
+    """
+
+    async def asyncSetUp(self):
+        server = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        host, port = server.sockets[0].getsockname()
+        server.close()
+        await server.wait_closed()
+        self.address = f'{host}:{port}'
+        self.election = election_module.Election(
+            identity_module.Identity('me', '1:1', 'a'),
+            _Store((('beat', b''),)),
+            clock_module.Clock(),
+            None,
+            None,
+            lambda link, pong, sent_ms: None,
+        )
+        self.election._register = _Register(None)
+
+    async def count_claims(self, incarnation, epoch):
+        """Return how many claims there are after a round."""
+        self.election._register.claim = claim_module.Claim(
+            'n', self.address, incarnation, 0, epoch=epoch
+        )
+        await self.election._run_round()
+        return len(self.election._register.claimed_at)
+
+    async def test_a_process_that_claims_again_has_not_ended(self):
+        self.assertEqual(1, await self.count_claims('i', 5))
+        # This daemon led, and that process claimed again.
+        self.assertEqual(1, await self.count_claims('i', 7))
+        self.assertEqual(1, await self.count_claims('i', 7))
+
+    async def test_a_process_that_has_ended_is_replaced_at_once(self):
+        self.assertEqual(1, await self.count_claims('i', 5))
+        self.assertEqual(2, await self.count_claims('i', 5))
+        self.assertEqual(3, await self.count_claims('later', 7))
+
+
 class ClosedConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guard against a leader whose address closes connections at once.
 
