--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -161,6 +161,7 @@
         self.ready = False
         self.lost.set()
         metrics.LEADER_CHANGES.labels('lost').inc()
+        metrics.UNCONFIRMED_SECONDS.set(0)
         self._worker_tracker.close()
         self.advice_calls.close()
         for task in self._tasks:
@@ -499,7 +500,7 @@
         return True
 
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
-        """Wait until it is certain that no later leader led at a time.
+        """Wait until it is certain that no later leader had fenced by a time.
 
         Returns False if the store does not tell before the timeout.
         """
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -44,7 +44,7 @@
 _FAULT_PAUSE_MS = 2_000
 _STOP_RETRY_MS = 250
 # Longest wait for the store to confirm that no later leader knows more about
-# a worker. An append takes far less, unless the store does not answer.
+# a worker. If an append takes longer, a later attempt finds it confirmed.
 _CONFIRM_WAIT_MS = 300
 
 
@@ -107,7 +107,7 @@
         ...
 
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
-        """Wait until no later leader can have led at a time; tell whether."""
+        """Wait until no later leader had fenced the log at a time; tell."""
         ...
 
 
