Number a claim by its offset, whatever the newest one says

No bound on the term of the newest record can exclude all such terms.

A claim's term is the number of records before it, which is above all earlier terms. Planned ends are records too, so terms skip one after them; the count of leaders in the last minute leaves those out that a daemon has seen.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -147,7 +147,7 @@
 
         Closes the link to the current leader if the claim is newer.
         """
-        self.claim_rate.observe(claim.term, self._clock.now_ms())
+        self._count_claim(claim)
         known = max(_epoch(self.claim), _epoch(self._announced_claim))
         if claim.epoch <= known or claim.resigned:
             return
@@ -305,7 +305,7 @@
             # It would hide all later announcements.
             self._announced_claim = None
         if claim is not None:
-            self.claim_rate.observe(claim.term, self._clock.now_ms())
+            self._count_claim(claim)
         if claim is None or claim.resigned or self._is_own_claim(claim):
             await self._claim(claim, end)
             return
@@ -353,6 +353,12 @@
             self._refused_epochs.pop(next(iter(self._refused_epochs)))
         return claim.epoch == first_epoch
 
+    def _count_claim(self, claim: claim_module.Claim) -> None:
+        if claim.resigned:
+            self.claim_rate.note_planned_end(claim.epoch)
+        else:
+            self.claim_rate.observe(claim.term, self._clock.now_ms())
+
     def _is_own_claim(self, claim: claim_module.Claim) -> bool:
         # True also for a claim that this process made and no longer acts on,
         # and for one of an earlier process at the same address.
@@ -373,7 +379,7 @@
                 self._identity.node,
                 self._identity.address,
                 self._identity.incarnation,
-                next_term(previous, end),
+                next_term(end),
             ),
             end,
         )
@@ -383,7 +389,7 @@
             cell_events.LEADER_GAINED, epoch=claim.epoch, term=claim.term
         )
         self.claim = claim
-        self.claim_rate.observe(claim.term, self._clock.now_ms())
+        self._count_claim(claim)
         self.notify()
         await self._lead(claim, previous)
         self.notify()
@@ -516,11 +522,13 @@
         changed.set()
 
 
-def next_term(previous: claim_module.Claim | None, end: int) -> int:
-    """Return the term of the claim after ``previous`` at an offset."""
-    # No earlier term is higher than the number of claims, whatever the newest
-    # record says.
-    return min(previous.term + 1, end) if previous else end
+def next_term(end: int) -> int:
+    """Return the term of a claim at an offset of the stream of claims.
+
+    It is above all earlier ones, whatever the newest record says: a term is
+    at most the number of the records before its claim.
+    """
+    return end
 
 
 def _epoch(claim: claim_module.Claim | None) -> int:
--- a/basilspindle/cell/leadership.py
+++ b/basilspindle/cell/leadership.py
@@ -20,17 +20,28 @@
 class ClaimRate:
     """Count the leaders of the last minute by the terms of their claims.
 
-    Terms are consecutive, so claims that this daemon did not see count too.
+    A term counts the earlier records, so claims that this daemon did not see
+    count too. A planned end that it did not see counts as well.
     """
 
-    __slots__ = ('_samples',)
+    __slots__ = ('_samples', '_planned_ends', '_planned_epoch')
 
     def __init__(self) -> None:
         # Time at which a term was first known, and the term.
         self._samples: collections.deque[tuple[int, int]] = collections.deque()
+        # Number of the planned ends seen, and the epoch of the latest.
+        self._planned_ends = 0
+        self._planned_epoch = 0
+
+    def note_planned_end(self, epoch: int) -> None:
+        """Note the record by which a leader ended, which is no claim."""
+        if epoch > self._planned_epoch:
+            self._planned_epoch = epoch
+            self._planned_ends += 1
 
     def observe(self, term: int, now_ms: int) -> None:
         """Note the term of a claim."""
+        term -= self._planned_ends
         if not self._samples or term > self._samples[-1][1]:
             self._samples.append((now_ms, term))
         self._trim(now_ms)
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import unittest
 
 import loguru
 
@@ -42,6 +43,18 @@
         self.assertEqual(1, rate.count(200_000))
 
 
+class PlannedEndTest(unittest.TestCase):
+    """Guard against an alarm after a rolling restart of all daemons."""
+
+    def test_planned_ends_do_not_count(self):
+        rate = leadership.ClaimRate()
+        rate.observe(3, 1_000)
+        rate.note_planned_end(5)
+        rate.note_planned_end(5)
+        rate.observe(5, 2_000)
+        self.assertEqual(1, rate.count(2_000))
+
+
 class StalledWorkTest(cell_case.CellCase):
     """Guard the time for which accepted jobs have had nothing running."""
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -447,10 +447,10 @@
                 store = _ClaimStore(raw)
                 register = claim_module.ClaimRegister(store)
                 for _ in range(2):
-                    previous, end = await register.read()
+                    _, end = await register.read()
                     made = await register.try_claim(
                         claim_module.Claim(
-                            'd1', 'a:2', 'i', election.next_term(previous, end)
+                            'd1', 'a:2', 'i', election.next_term(end)
                         ),
                         end,
                     )
