--- a/review/rig.py
+++ b/review/rig.py
@@ -11,7 +11,6 @@
 import json
 import os
 import pathlib
-import re
 import resource
 import signal
 import socket
@@ -44,7 +43,6 @@
 # How long the store takes to answer.
 _STORE_ANSWER_S = 0.004
 _EXPIRY_HEARTBEATS = 3
-_ADDRESS = re.compile(rb'127\.0\.0\.1:\d{5}')
 
 
 class Record:
@@ -172,156 +170,6 @@
             writer.transport.abort()
 
 
-class _Wire:
-    """The way from one machine to a server of another one."""
-
-    def __init__(self, target: str) -> None:
-        self.address = ''
-        self.is_cut = False
-        self._resets = False
-        self._target = target
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, backlog=1_024
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-
-    def close(self) -> None:
-        """Stop listening and drop all connections."""
-        if self._server is not None:
-            self._server.close()
-        self._reset()
-
-    def cut(self, resets: bool) -> None:
-        """Carry nothing, or reset connections, from now on."""
-        self.is_cut = True
-        self._resets = resets
-        if resets:
-            self._reset()
-
-    def heal(self) -> None:
-        """Carry what was sent meanwhile, and what follows."""
-        self.is_cut = False
-
-    def _reset(self) -> None:
-        for task in list(self._tasks):
-            task.cancel()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            if not (self.is_cut and self._resets):
-                await self._carry_both(reader, writer)
-        except OSError:
-            # Either end refuses the connection or has closed it.
-            return
-        finally:
-            self._tasks.discard(task)
-            writer.transport.abort()
-
-    async def _carry_both(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await self._wait()
-        host, _, port = self._target.rpartition(':')
-        far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        both = [
-            asyncio.ensure_future(self._carry(reader, far_writer)),
-            asyncio.ensure_future(self._carry(far_reader, writer)),
-        ]
-        try:
-            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            far_writer.transport.abort()
-            for each in both:
-                each.cancel()
-            await asyncio.gather(*both, return_exceptions=True)
-
-    async def _carry(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        while data := await reader.read(65_536):
-            await self._wait()
-            writer.write(data)
-            await writer.drain()
-
-    async def _wait(self) -> None:
-        while self.is_cut:
-            await asyncio.sleep(0.01)
-
-
-class Wires:
-    """The ways between machines, some of which can be cut off together.
-
-    The store gives each daemon the addresses of its own wires. Addresses have
-    ports of five digits, so that the length of a record does not change.
-    """
-
-    def __init__(self) -> None:
-        self._owners: dict[str, str] = {}
-        self._wires: dict[tuple[str, str], _Wire] = {}
-        self._targets: dict[bytes, bytes] = {}
-        self._cut_off: frozenset[str] = frozenset()
-
-    async def add(self, machine: str, address: str, owner: str) -> str:
-        """Return the address at which a machine reaches a server."""
-        wire = _Wire(address)
-        await wire.start()
-        self._owners[address] = owner
-        self._wires[machine, address] = wire
-        self._targets[wire.address.encode()] = address.encode()
-        return wire.address
-
-    def to_machine(self, machine: str, value: bytes) -> bytes:
-        """Replace addresses of servers by those of a machine's wires."""
-
-        def replace(match: re.Match[bytes]) -> bytes:
-            wire = self._wires.get((machine, match[0].decode()))
-            return match[0] if wire is None else wire.address.encode()
-
-        return _ADDRESS.sub(replace, value)
-
-    def from_machine(self, value: bytes) -> bytes:
-        """Replace addresses of wires by those of the servers."""
-        return _ADDRESS.sub(
-            lambda match: self._targets.get(match[0], match[0]), value
-        )
-
-    def is_cut_off(self, machine: str) -> bool:
-        """Return whether a machine is cut off from the store."""
-        return machine in self._cut_off
-
-    def cut(
-        self, machines: collections.abc.Iterable[str], resets: bool
-    ) -> None:
-        """Cut machines off from the store and from all other machines."""
-        self._cut_off = frozenset(machines)
-        for (machine, address), wire in self._wires.items():
-            ends = (machine, self._owners[address])
-            if len(self._cut_off.intersection(ends)) == 1:
-                wire.cut(resets)
-
-    def heal(self) -> None:
-        """End the cut."""
-        self._cut_off = frozenset()
-        for wire in self._wires.values():
-            wire.heal()
-
-    def close(self) -> None:
-        """Drop all connections."""
-        for wire in self._wires.values():
-            wire.close()
-
-
 class _Topic:
     def __init__(self) -> None:
         self.records: list[bytes] = []
@@ -356,7 +204,6 @@
         # Names of the daemons that the store turns away with 503.
         self.turned_away: set[str] = set()
         self.refused_appends = 0
-        self.wires = Wires()
         self._record = record
         self._topics: dict[str, _Topic] = {}
         self._doors: list[HttpServer] = []
@@ -386,8 +233,7 @@
             if node in self.turned_away:
                 await asyncio.sleep(_STORE_ANSWER_S)
                 return 503, b'{}'
-            body = self.wires.from_machine(request.body)
-            return await self._handle(request._replace(body=body), node)
+            return await self._handle(request)
 
         door = HttpServer(handle)
         await door.start()
@@ -398,9 +244,8 @@
         """Stop serving."""
         for server in (self.server, *self._doors):
             server.close()
-        self.wires.close()
 
-    async def _handle(self, request: Request, node: str = '') -> Reply | None:
+    async def _handle(self, request: Request) -> Reply | None:
         call = request.path.rpartition('/')[2]
         topic = self.topic(request.query['topic'])
         if call == 'log-append':
@@ -408,9 +253,9 @@
             return self._append(topic, request)
         if call == 'log-newest':
             await asyncio.sleep(_STORE_ANSWER_S)
-            return self._newest(topic, request.query.get('after', ''), node)
+            return self._newest(topic, request.query.get('after', ''))
         if call == 'log-read':
-            return await self._read(topic, request.query, node)
+            return await self._read(topic, request.query)
         return 404, b'{}'
 
     def _append(self, topic: _Topic, request: Request) -> Reply:
@@ -456,13 +301,12 @@
         topic.answers.pop(seq - 5, None)
         return topic.answers[seq]
 
-    def _newest(self, topic: _Topic, after: str, node: str) -> Reply:
+    def _newest(self, topic: _Topic, after: str) -> Reply:
         items = []
         size = 0
         more = False
         for key in sorted(key for key in topic.newest if key > after):
             value, offset = topic.newest[key]
-            value = self.wires.to_machine(node, value)
             if len(items) == _PAGE_ITEMS or size > _PAGE_BYTES:
                 more = True
                 break
@@ -471,9 +315,7 @@
             items.append({'key': key, 'value': text, 'offset': offset})
         return 200, _json(items=items, more=more, end=len(topic.records))
 
-    async def _read(
-        self, topic: _Topic, query: dict[str, str], node: str
-    ) -> Reply:
+    async def _read(self, topic: _Topic, query: dict[str, str]) -> Reply:
         start = int(query['from'])
         if start >= len(topic.records) and 'wait_ms' in query:
             try:
@@ -490,7 +332,7 @@
             if len(body) > 16 and len(body) + len(framed) > limit:
                 break
             body += framed
-        return 200, self.wires.to_machine(node, body)
+        return 200, body
 
 
 class Run:
@@ -604,8 +446,7 @@
     async def _beat(self) -> None:
         while True:
             now_s = time.monotonic()
-            is_cut = self.server.cut or self._store.wires.is_cut_off(self.name)
-            beats = self._is_up and not is_cut
+            beats = self._is_up and not self.server.cut
             if beats and now_s - self._beat_s >= HEARTBEAT_MS / 1000:
                 self._beat_s = now_s
                 self._seq += 1
@@ -768,7 +609,6 @@
         self._folder = folder
         self._record = record
         ports = free_ports(4)
-        self.link = f'127.0.0.1:{ports[2]}'
         self.frontend = f'127.0.0.1:{ports[0]}'
         self.readiness = f'127.0.0.1:{ports[1]}'
         self.settings = folder / f'{name}.toml'
@@ -860,17 +700,9 @@
         self._folder = folder
 
     async def start(
-        self,
-        daemons: int,
-        workers: int,
-        cpu: int = 8_000,
-        stop_ms: int = 600,
-        wired: bool = False,
+        self, daemons: int, workers: int, cpu: int = 8_000, stop_ms: int = 600
     ) -> None:
-        """Start everything and wait until all daemons are ready.
-
-        Only a ``wired`` deployment can be cut in two.
-        """
+        """Start everything and wait until all daemons are ready."""
         await self.store.server.start()
         self.configure(1)
         for number in range(workers):
@@ -881,45 +713,14 @@
             await worker.start()
         for number in range(daemons):
             name = f'node-{number}'
-            address = (await self.store.open_door(name)).address
-            if wired:
-                address = await self.store.wires.add(name, address, 'store')
-            daemon = Daemon(name, self._folder, address, self.record)
+            door = await self.store.open_door(name)
+            daemon = Daemon(name, self._folder, door.address, self.record)
             self.daemons[daemon.name] = daemon
-        if wired:
-            await self._add_wires()
-        for daemon in self.daemons.values():
             daemon.start()
         for daemon in self.daemons.values():
             await self.wait_ready(daemon)
         await asyncio.sleep(1.5)
 
-    async def _add_wires(self) -> None:
-        servers = {each.name: each.server.address for each in self.workers}
-        servers.update(
-            (each.name, each.link) for each in self.daemons.values()
-        )
-        for node in self.daemons:
-            for name, address in servers.items():
-                if name != node:
-                    await self.store.wires.add(node, address, name)
-
-    def cut_off(
-        self, machines: list[Daemon | Worker], resets: bool = False
-    ) -> None:
-        """Cut machines off from the store and from all other machines.
-
-        They still reach each other.
-        """
-        names = [machine.name for machine in machines]
-        self.store.wires.cut(names, resets)
-        self.record.note(f'{", ".join(names)}: cut off from all others')
-
-    def join(self) -> None:
-        """End the cut; what was sent silently during it arrives now."""
-        self.store.wires.heal()
-        self.record.note('the cut has ended')
-
     def configure(self, version: int) -> None:
         """Write a version of the configuration, as the operator does."""
         route = {
