--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -18,7 +18,6 @@
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
-from basilspindle.workflow import need as need_module
 from basilspindle.workflow import progress as progress_module
 
 _T = typing.TypeVar('_T')
@@ -62,17 +61,12 @@
 
 
 class EndedJobRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Stored record of an ended job.
-
-    ``stopping`` are the resources of its tasks that may still have been
-    running. Records of earlier builds lack it.
-    """
+    """Stored record of an ended job."""
 
     workspace: str
     queue: str
     state: job_state.JobState
     ended_wall_ms: decoding.Count
-    stopping: need_module.Need = need_module.Need()
 
 
 class WaitsRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -356,16 +350,8 @@
             events.emit(cell_events.STORE_REGAINED, call='append')
 
 
-def put_job(
-    batch: Batch,
-    job: job_module.Job,
-    now_wall_ms: int,
-    stopping: need_module.Need = need_module.Need(),
-) -> None:
-    """Add the records that store the current state of a job.
-
-    ``stopping`` are the resources of the tasks that it may still run.
-    """
+def put_job(batch: Batch, job: job_module.Job, now_wall_ms: int) -> None:
+    """Add the records that store the current state of a job."""
     job_id = job.job_id
     state = job.state
     occurrences = job.next_occurrence
@@ -376,11 +362,7 @@
             _put_progress(batch, job, [])
         job.final_wall_ms = job.final_wall_ms or now_wall_ms
         record = EndedJobRecord(
-            definition.workspace,
-            definition.queue,
-            state,
-            job.final_wall_ms,
-            stopping,
+            definition.workspace, definition.queue, state, job.final_wall_ms
         )
         batch.put(_ENDED_PREFIX + job_id, msgspec.msgpack.encode(record))
     elif job.durable_state is None:
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -13,23 +13,18 @@
 from basilspindle.cell import metrics
 from basilspindle.cell import report as report_module
 from basilspindle.cell import state as state_module
-from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
-from basilspindle.workflow import need as need_module
 from basilspindle.workflow import progress as progress_module
 from basilspindle.workflow import task as task_module
 
 # A job whose records could not be written is tried again after this time.
 _FAILED_JOB_RETRY_MS = 1_000
 _MAX_ERROR_CHARS = 200
-# A predecessor that is cut off ends all leases 25.3 s after its successor
-# began. Until then a stop may not have arrived.
-_MAX_STOPPING_MS = 30_000
 
 
 class Recorder:
@@ -138,13 +133,6 @@
                 record.state,
                 record.ended_wall_ms,
             )
-            if wall_ms - record.ended_wall_ms < _MAX_STOPPING_MS:
-                need = state.stopping_usage.get(
-                    record.workspace, state_module.NO_NEED
-                )
-                state.stopping_usage[record.workspace] = need.plus(
-                    record.stopping
-                )
         for job_id, workspaces in recovered.early_cancels.items():
             self._intake.early_cancels.restore(job_id, workspaces, now_ms)
         self.worker_addresses = dict(recovered.worker_addresses)
@@ -237,12 +225,7 @@
         for job_id in list(self._state.changed_jobs):
             job = self._state.changed_jobs.pop(job_id)
             if self._try_put(
-                batch,
-                job_id,
-                journal_module.put_job,
-                job,
-                wall_ms,
-                self._stopping_need(job),
+                batch, job_id, journal_module.put_job, job, wall_ms
             ):
                 self._failed_jobs.pop(job_id, None)
             else:
@@ -431,16 +414,6 @@
                 if not future.done():
                     future.set_result(None)
 
-    def _stopping_need(self, job: job_module.Job) -> need_module.Need:
-        need = state_module.NO_NEED
-        if not job.state.is_final:
-            return need
-        for task in job.occupying_tasks:
-            need = need.plus(task.step_run.step.reserved)
-        if job.recovered and self._may_run(job):
-            need = need.plus(unseen.job_need(job))
-        return need
-
     def _may_run(self, job: job_module.Job) -> bool:
         # Tasks of a recovered job may run on workers that have not reported.
         return bool(job.occupying_tasks) or (
--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -34,9 +34,9 @@
     for job in state.table.jobs.values():
         # A job that has ended meanwhile runs on where no stop has arrived.
         if job.recovered:
-            _add(unseen, job.definition.workspace, job_need(job))
-    for workspace, need in state.stopping_usage.items():
-        _add(unseen, workspace, need)
+            workspace = job.definition.workspace
+            for run in _steps_that_may_run(job):
+                _add(unseen, workspace, _waiting_need(run))
     capacity = _unseen_capacity(state)
     for workspace, need in unseen.items():
         _add(
@@ -47,14 +47,6 @@
     return usage
 
 
-def job_need(job: job_module.Job) -> need_module.Need:
-    """Return an upper bound on what a recovered job runs unseen."""
-    need = need_module.Need()
-    for run in _steps_that_may_run(job):
-        need = need.plus(run.step.reserved, len(run.waiting))
-    return need
-
-
 def _steps_that_may_run(
     job: job_module.Job,
 ) -> list[step_run_module.StepRun]:
@@ -73,6 +65,10 @@
     return found
 
 
+def _waiting_need(run: step_run_module.StepRun) -> need_module.Need:
+    return need_module.Need().plus(run.step.reserved, len(run.waiting))
+
+
 def _add_unexpected(
     state: state_module.CellState,
     usage: dict[str, need_module.Need],
