--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -92,6 +92,32 @@
         self.assertNotIn(_OTHER_JOB, self.state.table.jobs)
         self.assertEqual(2, len(self.plan().starts))
 
+    def test_a_job_that_ended_under_the_predecessor_counts(self):
+        """Guard the limit of a workspace while its tasks are being stopped.
+
+        The record of the ended job did not tell how much they use.
+        """
+        self.recorder.apply(self.recorder.collect())
+        self.start_all(self.plan())
+        self.intake.cancel(_JOB, cell_case.WORKSPACE)
+        batch = self.recorder.collect()
+        limit = workflow.Need(cpu_millicores=3_000)
+        self.make_state(
+            configuration=cell_case.make_configuration(limit=limit)
+        )
+        successor = recorder_module.Recorder(
+            self.state, Clock(self), 1, self.intake, self.count_plan
+        )
+        records = {key: value for key, value in batch.records if value}
+        successor.recover(journal_module._decode(records))
+        self.add_worker('w2')
+        self.state.awaited_workers.expect('w1', self.now_ms + 5_000)
+        self.submit(cell_case.make_definition(_NEW, cell_case.make_step(4)))
+        self.assertEqual(2, len(self.plan().starts))
+        self.now_ms += 5_000
+        self.report('w2')
+        self.assertEqual(1, len(self.plan().starts))
+
     def test_a_new_address_is_recorded_before_more_tasks(self):
         """Guard against a later leader that asks at the earlier address."""
         self.recorder.apply(self.recorder.collect())
