Count of each chain of steps only the largest as running unseen

The estimate added up the steps of a job that come one after the other, so that workspaces near their limit waited for room that nothing could use.

--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -4,6 +4,8 @@
 the previous leader, and unexpected runs take a moment to stop.
 """
 
+import collections.abc
+
 from basilspindle.cell import state as state_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import need as need_module
@@ -34,9 +36,7 @@
     for job in state.table.jobs.values():
         # A job that has ended meanwhile runs on where no stop has arrived.
         if job.recovered:
-            workspace = job.definition.workspace
-            for run in _steps_that_may_run(job):
-                _add(unseen, workspace, _waiting_need(run))
+            _add(unseen, job.definition.workspace, _job_need(job))
     capacity = _unseen_capacity(state)
     for workspace, need in unseen.items():
         _add(
@@ -47,22 +47,31 @@
     return usage
 
 
-def _steps_that_may_run(
-    job: job_module.Job,
-) -> list[step_run_module.StepRun]:
+def _job_need(job: job_module.Job) -> need_module.Need:
     # A predecessor that still leads starts the steps that become ready by
     # ends on workers that only it reaches. A task on a known worker keeps it
-    # from starting the steps after.
+    # from starting the steps after. A step and one after it never run at the
+    # same time, so of each chain of steps only the largest counts.
     seen = {task.step_run.key for task in job.occupying_tasks}
-    found: list[step_run_module.StepRun] = []
+    chains: list[need_module.Need] = []
+    chain_by_last_step: dict[str, int] = {}
     may_end: set[str] = set()
     for (occurrence, _), run in job.runs.items():
         before = [job.runs[occurrence, index] for index in run.step.after]
-        if all(step.is_done or step.key in may_end for step in before):
-            found.append(run)
-            if run.key not in seen:
-                may_end.add(run.key)
-    return found
+        if not all(step.is_done or step.key in may_end for step in before):
+            continue
+        if run.key not in seen:
+            may_end.add(run.key)
+        number = len(chains)
+        for step in before:
+            if step.key in chain_by_last_step:
+                number = chain_by_last_step.pop(step.key)
+                break
+        else:
+            chains.append(need_module.Need())
+        chains[number] = _max_need(chains[number], _waiting_need(run))
+        chain_by_last_step[run.key] = number
+    return _sum_needs(chains)
 
 
 def _waiting_need(run: step_run_module.StepRun) -> need_module.Need:
@@ -101,6 +110,25 @@
     return total
 
 
+def _sum_needs(
+    needs: collections.abc.Iterable[need_module.Need],
+) -> need_module.Need:
+    total = need_module.Need()
+    for need in needs:
+        total = total.plus(need)
+    return total
+
+
+def _max_need(
+    need: need_module.Need, other: need_module.Need
+) -> need_module.Need:
+    return need_module.Need(
+        max(need.cpu_millicores, other.cpu_millicores),
+        max(need.memory_mb, other.memory_mb),
+        max(need.accelerators, other.accelerators),
+    )
+
+
 def _min_need(
     need: need_module.Need, capacity: need_module.Need
 ) -> need_module.Need:
