--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -42,7 +42,7 @@
         _add(
             usage,
             workspace,
-            need if capacity is None else _min_need(need, capacity),
+            need if capacity is None else _combine(min, need, capacity),
         )
     return usage
 
@@ -69,7 +69,7 @@
                 break
         else:
             chains.append(need_module.Need())
-        chains[number] = _max_need(chains[number], _waiting_need(run))
+        chains[number] = _combine(max, chains[number], _waiting_need(run))
         chain_by_last_step[run.key] = number
     return _sum_needs(chains)
 
@@ -119,21 +119,13 @@
     return total
 
 
-def _max_need(
-    need: need_module.Need, other: need_module.Need
+def _combine(
+    choose: collections.abc.Callable[[int, int], int],
+    need: need_module.Need,
+    other: need_module.Need,
 ) -> need_module.Need:
     return need_module.Need(
-        max(need.cpu_millicores, other.cpu_millicores),
-        max(need.memory_mb, other.memory_mb),
-        max(need.accelerators, other.accelerators),
-    )
-
-
-def _min_need(
-    need: need_module.Need, capacity: need_module.Need
-) -> need_module.Need:
-    return need_module.Need(
-        min(need.cpu_millicores, capacity.cpu_millicores),
-        min(need.memory_mb, capacity.memory_mb),
-        min(need.accelerators, capacity.accelerators),
+        choose(need.cpu_millicores, other.cpu_millicores),
+        choose(need.memory_mb, other.memory_mb),
+        choose(need.accelerators, other.accelerators),
     )
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -1,5 +1,6 @@
 """Test fixtures that run the decisions of a leader without I/O."""
 
+import asyncio
 import unittest
 
 from basilspindle.cell import bounds as bounds_module
@@ -7,6 +8,7 @@
 from basilspindle.cell import configuration_index
 from basilspindle.cell import ends as ends_module
 from basilspindle.cell import intake as intake_module
+from basilspindle.cell import journal as journal_module
 from basilspindle.cell import plan as plan_module
 from basilspindle.cell import reconcile
 from basilspindle.cell import report as report_module
@@ -14,6 +16,7 @@
 from basilspindle.cell import starts as starts_module
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
+from basilspindle import clock as clock_module
 from basilspindle import workflow
 
 POOL = 'pool'
@@ -81,6 +84,36 @@
     )
 
 
+class ManualClock(clock_module.Clock):
+    """Clock that advances only while something sleeps."""
+
+    __slots__ = ('now',)
+
+    def __init__(self):
+        self.now = 0
+
+    def now_ms(self):
+        """Return the time."""
+        return self.now
+
+    async def sleep_ms(self, duration_ms):
+        """Let other tasks run once and advance the time."""
+        await asyncio.sleep(0)
+        self.now += duration_ms
+
+
+def make_journal(store, clock, confirmed):
+    """Return a journal without records that extends a confirmation."""
+    return journal_module.Journal(
+        store,
+        clock,
+        1,
+        confirmed,
+        journal_module.Batch,
+        lambda batch: None,
+    )
+
+
 class ConfirmedOwner:
     """Owner of sessions whose leadership the store confirms at once."""
 
--- a/tests/standins/cluster_rig.py
+++ b/tests/standins/cluster_rig.py
@@ -223,6 +223,8 @@
     answered, so daemons exchange fewer heartbeats while it answers.
     """
 
+    daemon_class: type[Daemon] = Daemon
+
     def __init__(
         self,
         partitions: int = 1,
@@ -260,7 +262,7 @@
     async def add(self, member_id: str, region: str = 'r1') -> Daemon:
         """Add a VM to the list and start a daemon of the same id on it."""
         self._serial += 1
-        daemon = Daemon(self, member_id, self._serial, region)
+        daemon = self.daemon_class(self, member_id, self._serial, region)
         self._started_daemons.append(daemon)
         self.daemons[member_id] = daemon
         self.source.vms[member_id] = cluster.VirtualMachine(
--- a/tests/standins/site_rig.py
+++ b/tests/standins/site_rig.py
@@ -365,6 +365,8 @@
     recorded by the task id.
     """
 
+    daemon_class = SiteDaemon
+
     def __init__(self, partitions: int = 1, limit_tasks: int = -1) -> None:
         super().__init__(partitions)
         self.limit_tasks = limit_tasks
@@ -379,21 +381,6 @@
         for worker in self.workers.values():
             await worker.close()
 
-    async def add(self, member_id: str, region: str = 'r1') -> SiteDaemon:
-        """Add a VM to the list and start a whole daemon on it."""
-        self._serial += 1
-        daemon = SiteDaemon(self, member_id, self._serial, region)
-        self._started_daemons.append(daemon)
-        self.daemons[member_id] = daemon
-        self.source.vms[member_id] = cluster.VirtualMachine(
-            id=member_id,
-            address=daemon.node.address,
-            role=cluster.Role.ENTRY,
-            region=region,
-        )
-        await daemon.start()
-        return daemon
-
     def add_worker(self, worker_id: str) -> worker_module.StandinWorker:
         """Add a worker and its entry on the VM list."""
         worker = worker_module.StandinWorker(worker_id, self.clock, _CAPACITY)
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -6,7 +6,6 @@
 from basilspindle.cell import awaited
 from basilspindle.cell import confirmation
 from basilspindle.cell import first_calls
-from basilspindle.cell import journal as journal_module
 from basilspindle.cell import report as report_module
 from basilspindle.cell import session as session_module
 from basilspindle.cell import start_outcome
@@ -25,20 +24,6 @@
 _Outcome = start_outcome.StartOutcome
 
 
-class _Clock(clock_module.Clock):
-    __slots__ = ('now',)
-
-    def __init__(self):
-        self.now = 0
-
-    def now_ms(self):
-        return self.now
-
-    async def sleep_ms(self, duration_ms):
-        self.now += duration_ms
-        await asyncio.sleep(0)
-
-
 class _Worker:
     """Gives the answers of a list to renewals and starts."""
 
@@ -128,7 +113,7 @@
         worker = case.add_worker('w1')
         case.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
         [self.order] = case.plan().starts
-        self.clock = _Clock()
+        self.clock = cell_case.ManualClock()
         self.worker = _Worker(self.clock, renewals, starts)
         return session_module.Session(
             worker,
@@ -365,14 +350,7 @@
         clock = manual_clock.ManualClock()
         begun_ms = clock.now_ms()
         confirmed = confirmation.Confirmation(clock)
-        journal = journal_module.Journal(
-            _LateStore(clock),
-            clock,
-            1,
-            confirmed,
-            journal_module.Batch,
-            lambda batch: None,
-        )
+        journal = cell_case.make_journal(_LateStore(clock), clock, confirmed)
         running = asyncio.ensure_future(journal.run())
         journal.request_append()
         await clock.advance_ms(_LATE_ANSWER_MS + 100)
@@ -387,14 +365,7 @@
         """
         clock = manual_clock.ManualClock()
         confirmed = confirmation.Confirmation(clock)
-        journal = journal_module.Journal(
-            _PromptStore(),
-            clock,
-            1,
-            confirmed,
-            journal_module.Batch,
-            lambda batch: None,
-        )
+        journal = cell_case.make_journal(_PromptStore(), clock, confirmed)
         running = asyncio.ensure_future(journal.run())
         await clock.advance_ms(50)
         at_ms = clock.now_ms()
@@ -430,7 +401,7 @@
         worker = case.add_worker('w1')
         case.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
         [order] = case.plan().starts
-        silent = _Worker(_Clock(), [])
+        silent = _Worker(cell_case.ManualClock(), [])
         session = session_module.Session(
             worker,
             silent,
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -245,13 +245,8 @@
         clock = manual_clock.ManualClock()
         until_ms = clock.now_ms() + confirmation.TIMEOUT_MS + 5_000
         confirmed = confirmation.Confirmation(clock)
-        journal = journal_module.Journal(
-            _AbsentStore(clock, until_ms),
-            clock,
-            1,
-            confirmed,
-            journal_module.Batch,
-            lambda batch: None,
+        journal = cell_case.make_journal(
+            _AbsentStore(clock, until_ms), clock, confirmed
         )
         loading = asyncio.ensure_future(journal.load())
         await clock.advance_ms(confirmation.TIMEOUT_MS + 7_000)
@@ -282,14 +277,7 @@
         """Guard against leaders that each end when they have recovered."""
         clock = manual_clock.ManualClock()
         confirmed = confirmation.Confirmation(clock)
-        journal = journal_module.Journal(
-            _NarrowStore(clock),
-            clock,
-            1,
-            confirmed,
-            journal_module.Batch,
-            lambda batch: None,
-        )
+        journal = cell_case.make_journal(_NarrowStore(clock), clock, confirmed)
         loading = asyncio.ensure_future(journal.load())
         await clock.advance_ms(_LONG_READ_MS + 500)
         self.assertTrue(loading.done())
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -162,7 +162,7 @@
         case.setUp()
         worker = case.add_worker('w1')
         worker.is_recorded = is_recorded
-        clock = _ManualClock()
+        clock = cell_case.ManualClock()
         silent = _SilentWorker(clock, error)
         owner = _Losses(clock)
         session = session_module.Session(
@@ -234,7 +234,7 @@
         case = cell_case.CellCase()
         case.setUp()
         worker = case.add_worker('w1')
-        clock = _ManualClock()
+        clock = cell_case.ManualClock()
         silent = _SilentWorker(clock, None)
         waits_ms = []
 
@@ -277,7 +277,7 @@
         case.setUp()
         worker = case.add_worker('w1')
         worker.address = address
-        owner = _Losses(_ManualClock())
+        owner = _Losses(cell_case.ManualClock())
         session = session_module.Session(
             worker,
             _SilentWorker(owner.clock, None),
@@ -356,7 +356,7 @@
             self.worker,
             orders,
             _RecordingOwner(),
-            _ManualClock(),
+            cell_case.ManualClock(),
             1,
             10_000,
             first_calls.FirstCalls(clock_module.Clock()),
@@ -472,19 +472,3 @@
 
     async def sleep_ms(self, duration_ms):
         return
-
-
-class _ManualClock(clock_module.Clock):
-    """Advances only while something sleeps."""
-
-    __slots__ = ('now',)
-
-    def __init__(self):
-        self.now = 0
-
-    def now_ms(self):
-        return self.now
-
-    async def sleep_ms(self, duration_ms):
-        await asyncio.sleep(0)
-        self.now += duration_ms
