--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -56,7 +56,7 @@
 _CUT_PARTS = ('all', 'all', 'all', 'store', 'daemons', 'workers', 'answers')
 # In part of the seeds, few faults beside the cuts leave time for leases to
 # run out while a cut holds.
-_FEW_FAULTS = 3
+_FEW_FAULT_COUNT = 3
 _LONG_FAULT_PHASE_S = 20.0
 _LIFE_S = 60.0
 # Without further faults, one leader leads for this long while odd entries are
@@ -142,7 +142,7 @@
         self.cut_random = random.Random(seed * 31 + 7)
         phase_s = _FAULT_PHASE_S
         if self.cut_random.random() < 0.5:
-            faults = self.cut_random.sample(faults, _FEW_FAULTS)
+            faults = self.cut_random.sample(faults, _FEW_FAULT_COUNT)
             phase_s = _LONG_FAULT_PHASE_S
         end_s = time.monotonic() + phase_s
         try:
--- a/tests/test_cut_off_leader.py
+++ b/tests/test_cut_off_leader.py
@@ -16,7 +16,7 @@
 # Longer than a leader that is cut off is without a successor.
 _TAKEOVER_S = 3.0
 # Tasks that the workspace may run, and the CPU of each.
-_LIMIT = 8
+_LIMIT_TASKS = 8
 _TASK_CPU = 1_000
 
 
@@ -174,7 +174,7 @@
             'keyed.op',
             'config',
             platform.make_configuration(
-                2, cap_cpu=_LIMIT * _TASK_CPU, advice=False
+                2, cap_cpu=_LIMIT_TASKS * _TASK_CPU, advice=False
             ),
         )
 
@@ -212,21 +212,21 @@
         await asyncio.sleep(_TAKEOVER_S)
         if is_cancelled:
             self.assertEqual(200, await self.call_any('DELETE', job_id))
-        other_id = await self.submit(1, 1_000, _LIMIT)
+        other_id = await self.submit(1, 1_000, _LIMIT_TASKS)
         await asyncio.sleep(_CUT_S - _TAKEOVER_S)
         await self.network.heal()
         await self.wait_state(other_id, 'completed')
         if not is_cancelled:
             await self.wait_state(job_id, 'completed')
-        self.assertLessEqual(self.most_running(), _LIMIT)
+        self.assertLessEqual(self.most_running(), _LIMIT_TASKS)
         self.check_runs()
 
     async def test_steps_that_only_the_leader_cut_off_can_start(self):
         """Guard against steps that the successor does not count (QUOTA)."""
-        job_id = await self.submit_to_cut_off_worker(4_000, 1, _LIMIT)
+        job_id = await self.submit_to_cut_off_worker(4_000, 1, _LIMIT_TASKS)
         await self.check_limit(job_id, is_cancelled=False)
 
     async def test_a_job_that_only_the_successor_has_cancelled(self):
         """Guard against tasks of it that no stop reaches (QUOTA)."""
-        job_id = await self.submit_to_cut_off_worker(9_000, _LIMIT)
+        job_id = await self.submit_to_cut_off_worker(9_000, _LIMIT_TASKS)
         await self.check_limit(job_id, is_cancelled=True)
--- a/tests/test_site_interleaving.py
+++ b/tests/test_site_interleaving.py
@@ -13,9 +13,9 @@
 _SEEDS = int(os.environ.get('BASILSPINDLE_SITE_SEEDS', '4'))
 _FIRST_SEED = int(os.environ.get('BASILSPINDLE_SITE_FIRST_SEED', '0'))
 _MEMBERS = ('a', 'b', 'c', 'd')
-_WORKERS = 5
+_WORKER_COUNT = 5
 _LIMIT_TASKS = 12
-_FAULTS = 7
+_FAULT_COUNT = 7
 # Longer than the waits after a fault: assurance, worker and task leases.
 _MAX_WAIT_MS = 60_000
 _FINISH_MS = 400_000
@@ -35,13 +35,13 @@
         self.steps: list[str] = []
 
     async def play(self) -> None:
-        for number in range(_WORKERS):
+        for number in range(_WORKER_COUNT):
             self.rig.add_worker(f'w{number}')
         for member_id in _MEMBERS:
             await self.rig.add(member_id)
         await self.rig.wait_until(lambda: self.rig.owner() is not None)
         await self.run_ms(2_000)
-        for _ in range(_FAULTS):
+        for _ in range(_FAULT_COUNT):
             for _ in range(self.rng.randint(0, 3)):
                 await self.submit()
             name = self.rng.choice(
@@ -161,7 +161,7 @@
         await self.heal()
         members = self.rng.sample(_MEMBERS, self.rng.randint(1, 2))
         workers = self.rng.sample(
-            sorted(self.rig.workers), self.rng.randint(0, _WORKERS)
+            sorted(self.rig.workers), self.rng.randint(0, _WORKER_COUNT)
         )
         log, resets = self.rng.random() < 0.4, self.rng.random() < 0.4
         self.steps.append(f'{members} {workers} {log} {resets}')
