Log who refused a submission, after which copies

One line, submission_failed, for each 429, 502, 503 or 504 answer to a submission: the status, the reason, the daemon that refused, and for each copy the leader, its epoch, the time and the outcome. request_failed names the job of a path also if the configuration does not allow the request. Three tests, which fail without the line. The decisions are unchanged.

--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -277,6 +277,14 @@
     'a request of a client failed',
     'see the status and the reason',
 )
+SUBMISSION_FAILED = _Event(
+    948,
+    'submission_failed',
+    _Level.INFO,
+    'a caller was answered that a job was not accepted, or may have been',
+    'see the copies of the submission and their outcomes; a status of 429 or '
+    '503 promises that the job never runs',
+)
 TASK_PACED = _Event(
     918,
     'task_paced',
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -7,6 +7,7 @@
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
 from basilspindle.cell import configuration_sync
+from basilspindle.cell import copies as copies_module
 from basilspindle.cell import election as election_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import guard
@@ -138,6 +139,11 @@
         for link in list(self._links):
             link.close()
 
+    @property
+    def name(self) -> str:
+        """Return the name of this daemon."""
+        return self._identity.node
+
     @property
     def index(self) -> configuration_index.ConfigurationIndex | None:
         """Return the configuration in force, None if there is none yet."""
@@ -178,14 +184,18 @@
             )
 
     async def request(
-        self, request: messages.Request, timeout_ms: int
+        self,
+        request: messages.Request,
+        timeout_ms: int,
+        copies: copies_module.Copies | None = None,
     ) -> messages.Reply:
         """Return the leader's reply, asking again if the leader changes.
 
         If none comes, raises ``OutcomeUnknown`` if the request may have taken
-        effect, else ``NotReady``.
+        effect, else ``NotReady``. ``copies`` gets the outcome of each copy.
         """
         begun_ms = self._clock.now_ms()
+        copies = copies or copies_module.Copies(self._clock)
         sent = False
         while True:
             remaining_ms = begun_ms + timeout_ms - self._clock.now_ms()
@@ -193,6 +203,8 @@
                 raise _no_answer_error(sent and _is_write(request))
             leader_changed = self._election.leader_changed
             link = self._election.link
+            sent_ms = self._clock.now_ms()
+            leader = self._current_leader
             try:
                 if self._leads and self.leader is not None:
                     sent = True
@@ -210,7 +222,12 @@
                         leader_changed, remaining_ms, spent_ms
                     )
                     continue
+                if isinstance(reply, messages.Refused):
+                    copies.note_refusal(*leader, sent_ms, reply.kind)
+                elif isinstance(reply, messages.NotLeading):
+                    copies.note(*leader, sent_ms, copies_module.NOT_LEADING)
             except (errors.PeerError, errors.DeadlineExceeded):
+                copies.note(*leader, sent_ms, copies_module.NO_REPLY)
                 reply = messages.NotLeading()
             if not isinstance(reply, messages.NotLeading):
                 spent_ms = self._clock.now_ms() - begun_ms
@@ -226,6 +243,14 @@
                 continue
             await self._clock.sleep_ms(_RECONNECT_PAUSE_MS)
 
+    @property
+    def _current_leader(self) -> tuple[str, int]:
+        """Return the node that leads, as far as known, and its epoch."""
+        if self._leads and self.leader is not None:
+            return self._identity.node, self.leader.claim.epoch
+        claim = self._election.claim
+        return (claim.node, claim.epoch) if claim is not None else ('', 0)
+
     @property
     def _store_age_ms(self) -> int:
         if self.leader is not None and self._leads:
--- a/basilspindle/platform/frontend.py
+++ b/basilspindle/platform/frontend.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from basilspindle.cell import configuration as configuration_module
+from basilspindle.cell import copies as copies_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
@@ -29,6 +30,8 @@
 _MAX_DEADLINE_MS = 30_000
 # Statuses which promise that the job was not accepted and will never run.
 _REFUSAL_STATUSES = frozenset({429, 503})
+# Statuses of submissions after which callers may ask what became of the job.
+_UNACCEPTED_STATUSES = _REFUSAL_STATUSES | {502, 504}
 _STATUS_BY_REFUSAL_KIND = {
     errors.KeyReused.kind: errors.KeyReused.status,
     errors.NotReady.kind: errors.NotReady.status,
@@ -92,7 +95,8 @@
 
     async def _handle(self, scope: _Scope, receive: _Receive) -> Response:
         headers = {name: value for name, value in scope['headers']}
-        job_id = ''
+        job_id = _find_job_id(scope['path'])
+        copies = copies_module.Copies(self._clock)
         try:
             queue, workspace = self._authorize(scope['path'], headers)
             path_tail = scope['path'][len(queue.prefix) :]
@@ -118,7 +122,10 @@
                 request = messages.Cancel(job_id, workspace)
             else:
                 return _error_response(405, 'use POST, GET or DELETE')
-            return _to_response(await self._node.request(request, timeout_ms))
+            reply = await self._node.request(request, timeout_ms, copies)
+            response = _to_response(reply)
+            reason = getattr(reply, 'kind', '')
+            refused_by = copies.refused_by
         except errors.BasilspindleError as error:
             events.emit(
                 cell_events.REQUEST_FAILED,
@@ -127,9 +134,26 @@
                 status=error.status,
                 reason=error.kind,
             )
-            return _error_response(
+            response = _error_response(
                 error.status, error.message, error.retry_after_ms
             )
+            reason = error.kind
+            refused_by = (
+                self._node.name if error.status in _REFUSAL_STATUSES else ''
+            )
+        if scope['method'] == 'POST':
+            if response.status in _UNACCEPTED_STATUSES:
+                events.emit(
+                    cell_events.SUBMISSION_FAILED,
+                    job=job_id,
+                    status=response.status,
+                    reason=reason,
+                    refused_by=refused_by,
+                    copies=copies.count,
+                    outcomes=copies.describe(),
+                    spent_ms=copies.spent_ms,
+                )
+        return response
 
     def _authorize(
         self, path: str, headers: dict[bytes, bytes]
@@ -188,6 +212,12 @@
         return _to_response(reply)
 
 
+def _find_job_id(path: str) -> str:
+    """Return the job id at the end of a path, '' if there is none."""
+    tail = path.rpartition('/')[2]
+    return tail if _JOB_ID.fullmatch(tail) else ''
+
+
 def _timeout_from_headers_ms(headers: dict[bytes, bytes]) -> int:
     try:
         deadline_ms = int(headers.get(b'x-deadline-ms', b'') or b'0')
--- a/tests/test_platform_frontend.py
+++ b/tests/test_platform_frontend.py
@@ -9,6 +9,8 @@
 
 
 class _Node:
+    name = 'd0'
+
     def __init__(self, is_behind):
         self.index = configuration_index.ConfigurationIndex(
             cell_case.make_configuration()
--- /dev/null
+++ b/tests/test_refused_copies.py
@@ -0,0 +1,178 @@
+"""Test what a daemon answers after it has sent copies of a submission."""
+
+import io
+import json
+import unittest
+from unittest import mock
+
+from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell import claim as claim_module
+from basilspindle.cell import copies as copies_module
+from basilspindle.cell import identity as identity_module
+from basilspindle.cell import messages
+from basilspindle.cell import node as node_module
+from basilspindle import clock as clock_module
+from basilspindle import errors
+from basilspindle.platform import frontend as frontend_module
+from tests import cell_case
+
+_JOB = '00000000000000aa'
+_TIMEOUT_MS = 5_000
+_NO_REPLY = errors.PeerOutcomeUnknown('no reply; ask again')
+_NOT_SENT = errors.PeerUnavailable('the connection was closed; ask again')
+_OVERLOADED = messages.Refused(errors.Overloaded.kind, 'too much work', 1_000)
+_STORE_SILENT = messages.Refused(errors.NotReady.kind, 'no store', 1_000)
+
+
+class _Clock(clock_module.Clock):
+    """Clock that a sleep moves on."""
+
+    __slots__ = ('now',)
+
+    def __init__(self):
+        self.now = 100_000
+
+    def now_ms(self):
+        return self.now
+
+    async def sleep_ms(self, duration_ms):
+        self.now += duration_ms
+
+    async def wait_for(self, waiting, timeout_ms):
+        # Nothing that is waited for comes in these tests.
+        waiting.close()
+        self.now += timeout_ms
+        raise errors.DeadlineExceeded('nothing came; try again')
+
+
+class _Link:
+    """Link to a leader with a given answer to each copy."""
+
+    def __init__(self, clock, *answers, epoch=1):
+        self.node = 'leader'
+        self.epoch = epoch
+        self.sent = []
+        self._clock = clock
+        self._answers = list(answers)
+
+    async def call(self, request, timeout_ms):
+        self.sent.append(request)
+        self._clock.now += 10
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class CopiesCase(unittest.IsolatedAsyncioTestCase):
+    """A daemon that forwards a submission over links made by the test."""
+
+    def setUp(self):
+        self.clock = _Clock()
+        self.node = node_module.Node(
+            identity_module.Identity('follower', 'n:1', 'a'),
+            node_module.Platform(*[mock.Mock()] * 5),
+            bounds_module.Bounds(),
+            self.clock,
+        )
+        self.copies = copies_module.Copies(self.clock)
+        self.submission = messages.Submit(
+            cell_case.make_definition(_JOB, cell_case.make_step()), 4_000
+        )
+
+    def follow(self, *answers, epoch=1):
+        """Follow a leader that gives these answers."""
+        election = self.node._election
+        election.claim = claim_module.Claim(
+            'leader', 'l:1', 'i', 0, epoch=epoch
+        )
+        election.link = _Link(self.clock, *answers, epoch=epoch)
+        return election.link
+
+    async def submit(self):
+        """Return the reply, or the error that the submission raised."""
+        try:
+            return await self.node.request(
+                self.submission, _TIMEOUT_MS, self.copies
+            )
+        except errors.BasilspindleError as error:
+            return error
+
+
+class SubmissionLineTest(CopiesCase):
+    """Guard the line that tells who refused a submission."""
+
+    async def post(self):
+        """Post a job and return the status and the lines that name it."""
+        index = mock.Mock()
+        index.queue_of.return_value = cell_case.make_queue(
+            prefix='/jobs/', is_open=True
+        )
+        index.configuration.limits.max_body_bytes = 1_000
+        sent = []
+
+        async def receive():
+            return {'type': 'http.request', 'body': b'{}'}
+
+        async def send(message):
+            sent.append(message)
+
+        stream = io.StringIO()
+        scope = {
+            'type': 'http',
+            'method': 'POST',
+            'path': f'/jobs/{_JOB}',
+            'headers': [],
+        }
+        with (
+            mock.patch.object(node_module.Node, 'index', index),
+            mock.patch.object(
+                frontend_module.job_body,
+                'decode',
+                return_value=self.submission.definition,
+            ),
+            mock.patch.object(
+                frontend_module.events,
+                'emit',
+                lambda event, **fields: print(
+                    json.dumps({'name': event.name, **fields}), file=stream
+                ),
+            ),
+        ):
+            await frontend_module.Frontend(self.node, self.clock)(
+                scope, receive, send
+            )
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        return sent[0]['status'], [
+            line for line in lines if line['name'] == 'submission_failed'
+        ]
+
+    async def test_a_refusal_passed_on_names_the_leader_and_its_copies(self):
+        """Guard against a refused job that no line of a daemon names."""
+        self.follow(_NO_REPLY, _OVERLOADED)
+        _, (line,) = await self.post()
+        self.assertEqual(_JOB, line['job'])
+        self.assertEqual(2, line['copies'])
+        self.assertEqual(
+            [
+                'leader epoch 1 after 0 ms: no_reply',
+                'leader epoch 1 after 30 ms: overloaded',
+            ],
+            line['outcomes'],
+        )
+
+    async def test_a_refusal_at_once_names_who_refused(self):
+        """Guard against a refusal whose sender cannot be told."""
+        self.follow(_OVERLOADED)
+        status, (line,) = await self.post()
+        self.assertEqual(429, status)
+        self.assertEqual(429, line['status'])
+        self.assertEqual('overloaded', line['reason'])
+        self.assertEqual('leader', line['refused_by'])
+
+    async def test_a_daemon_without_a_leader_names_itself(self):
+        """Guard against a refusal whose sender cannot be told."""
+        status, (line,) = await self.post()
+        self.assertEqual(503, status)
+        self.assertEqual('follower', line['refused_by'])
+        self.assertEqual(0, line['copies'])
