--- a/tests/test_refused_copies.py
+++ b/tests/test_refused_copies.py
@@ -1,5 +1,6 @@
 """Test what a daemon answers after it has sent copies of a submission."""
 
+import asyncio
 import io
 import json
 import unittest
@@ -9,15 +10,20 @@
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import copies as copies_module
 from basilspindle.cell import identity as identity_module
+from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
 from basilspindle.cell import node as node_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle.platform import frontend as frontend_module
 from tests import cell_case
+from tests.standins import late_path
+from tests.standins import narrow_cell
 
 _JOB = '00000000000000aa'
 _TIMEOUT_MS = 5_000
+# Longer than a leader takes to read a connection.
+_LATE_S = 0.5
 _NO_REPLY = errors.PeerOutcomeUnknown('no reply; ask again')
 _NOT_SENT = errors.PeerUnavailable('the connection was closed; ask again')
 _OVERLOADED = messages.Refused(errors.Overloaded.kind, 'too much work', 1_000)
@@ -176,3 +182,99 @@
         self.assertEqual(503, status)
         self.assertEqual('follower', line['refused_by'])
         self.assertEqual(0, line['copies'])
+
+
+class RefusalAfterUnknownCopyTest(CopiesCase):
+    """Guard the promise of a refusal where an earlier copy may arrive."""
+
+    async def test_a_refusal_of_another_copy_is_no_promise(self):
+        """Guard against a refused job that runs (issue 38, REFUSED)."""
+        for refusals in (
+            (_OVERLOADED,),
+            (_STORE_SILENT, _OVERLOADED),
+        ):
+            with self.subTest(refusals=refusals):
+                self.follow(_NO_REPLY, *refusals)
+                answer = await self.submit()
+                self.assertIsInstance(answer, errors.OutcomeUnknown)
+
+    async def test_a_daemon_that_loses_its_leader_makes_no_promise(self):
+        """Guard against a copy that a later refusal lets one forget."""
+        link = self.follow(_NO_REPLY, _STORE_SILENT)
+        call = link.call
+
+        async def lose_leader(request, timeout_ms):
+            reply = await call(request, timeout_ms)
+            if not link._answers:
+                self.node._election.link = None
+            return reply
+
+        link.call = lose_leader
+        answer = await self.submit()
+        self.assertIsInstance(answer, errors.OutcomeUnknown)
+
+    async def test_the_refusal_of_the_only_copy_is_a_promise(self):
+        """Guard against refusals that tell callers less than is known."""
+        self.follow(_OVERLOADED)
+        answer = await self.submit()
+        self.assertEqual(_OVERLOADED.kind, answer.kind)
+
+
+class LateCopyTest(unittest.IsolatedAsyncioTestCase):
+    """Guard refused jobs against copies that the network delivers late."""
+
+    async def test_a_refused_job_is_not_accepted_late(self):
+        """Guard against a refused job that runs (issue 38, REFUSED).
+
+        The connection of the first copy is closed before the copy arrives,
+        and the copy that follows it over a new one is refused.
+        """
+        cell = await self.enterAsyncContext(narrow_cell.NarrowCell())
+        cell.publish(1)
+        leading = (await cell.start_leader()).node
+        following = (
+            await cell.start('follower', narrow_cell.WIDE_LINK_BYTES_S)
+        ).node
+        await narrow_cell.wait_until(lambda: following.is_ready)
+        path = await self.enterAsyncContext(
+            late_path.LatePath(leading._identity.address)
+        )
+        await self.take_path(following, path)
+        intake = leading.leader._intake
+        definition = cell_case.make_definition(_JOB, cell_case.make_step())
+        path.hold()
+        with mock.patch.object(
+            type(intake),
+            '_check_backlog',
+            side_effect=errors.Overloaded('too much work', retry_after_ms=1),
+        ) as check:
+            try:
+                reply = await following.request(
+                    messages.Submit(definition, 4_000), _TIMEOUT_MS
+                )
+                is_refused = isinstance(reply, messages.Refused)
+            except errors.OutcomeUnknown:
+                is_refused = False
+            self.assertEqual(1, check.call_count)
+        path.release()
+        await asyncio.sleep(_LATE_S)
+        is_accepted = leading.leader.state.table.knows(_JOB)
+        self.assertFalse(is_refused and is_accepted)
+
+    async def take_path(self, following, path):
+        """Have a daemon reach its leader over another path."""
+        connect = link_module.connect
+
+        async def connect_through_path(address, handler, timeout_ms):
+            if handler == following.handle:
+                address = path.address
+            return await connect(address, handler, timeout_ms)
+
+        self.enterContext(
+            mock.patch.object(link_module, 'connect', connect_through_path)
+        )
+        link = following._election.link
+        link.close()
+        await narrow_cell.wait_until(
+            lambda: following._election.link not in (None, link)
+        )
