Let a refusal speak for all copies of a submission, or for none

The daemon that they asked had no reply to one copy, sent another over a new connection, and passed on the refusal of that one; the first copy reached the leader later and was accepted. A refusal that lets the daemon ask again made it forget the copies before it, and it then refused by itself.

A daemon now keeps the highest epoch of the copies that it knows no outcome of. A refusal is a promise only if it comes from a leader of that epoch or a later one, which makes it true: - A submission names the epoch of the leader it is meant for, and no other leader accepts it. A later leader has fenced the earlier ones off the log and has read it, so what it does not know was not and will not be recorded. - Before a daemon answers the first ping of a connection, it closes those that the same process has opened before. The follower sends nothing over a connection that has no answer yet, so the leader has read or dropped all earlier copies when it refuses the later one. Otherwise the answer is 504. Callers so keep an early 429 or 503 in most cases where a copy has no known outcome. A copy that was never sent leaves nothing open. A cancellation without a known outcome is answered 504 as well, as its refusal speaks for one copy only.

Messages get fields with defaults: builds without them are answered as before, and their refusals count for one copy only.

--- a/basilspindle/cell/copies.py
+++ b/basilspindle/cell/copies.py
@@ -2,7 +2,8 @@
 
 from basilspindle import clock as clock_module
 
-# Outcomes of copies that no leader refused.
+# Outcomes of copies that no leader refused. Only the first had no effect.
+NOT_SENT = 'not_sent'
 NO_REPLY = 'no_reply'
 NOT_LEADING = 'not_leading'
 # A longer list is cut in log lines; the newest copies stay.
@@ -16,7 +17,7 @@
     none.
     """
 
-    __slots__ = ('refused_by', '_clock', '_begun_ms', '_rows')
+    __slots__ = ('refused_by', '_clock', '_begun_ms', '_rows', '_open_epoch')
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self.refused_by = ''
@@ -24,6 +25,13 @@
         self._begun_ms = clock.now_ms()
         # Leader, its epoch, when the copy was sent and its outcome.
         self._rows: list[tuple[str, int, int, str]] = []
+        # Highest epoch of the copies that may still have an effect.
+        self._open_epoch: int | None = None
+
+    @property
+    def may_have_effect(self) -> bool:
+        """Tell whether a copy may have had an effect or may have one yet."""
+        return self._open_epoch is not None
 
     @property
     def spent_ms(self) -> int:
@@ -37,14 +45,31 @@
 
     def note(self, node: str, epoch: int, sent_ms: int, outcome: str) -> None:
         """Record what became of a copy that no leader refused."""
-        self._rows.append((node, epoch, sent_ms - self._begun_ms, outcome))
+        self._add(node, epoch, sent_ms, outcome)
+        if outcome != NOT_SENT:
+            self._open_epoch = max(epoch, self._open_epoch or 0)
 
     def note_refusal(
-        self, node: str, epoch: int, sent_ms: int, kind: str
+        self,
+        node: str,
+        epoch: int,
+        sent_ms: int,
+        kind: str,
+        covered_epoch: int = 0,
     ) -> None:
-        """Record that a leader refused a copy."""
+        """Record that a leader refused a copy.
+
+        With it, it refused all copies to leaders of epochs up to
+        ``covered_epoch``: it has read what those could record, and they can
+        record no more.
+        """
         self.refused_by = node
-        self.note(node, epoch, sent_ms, kind)
+        self._add(node, epoch, sent_ms, kind)
+        if self._open_epoch is not None and covered_epoch >= self._open_epoch:
+            self._open_epoch = None
+
+    def _add(self, node: str, epoch: int, sent_ms: int, outcome: str) -> None:
+        self._rows.append((node, epoch, sent_ms - self._begun_ms, outcome))
 
     def describe(self) -> list[str]:
         """Return a text for each of the newest copies."""
--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import enum
+import itertools
 import random
 
 from basilspindle.cell import claim as claim_module
@@ -109,6 +110,7 @@
         '_refused_epochs',
         '_is_registered',
         '_claim_after_ms',
+        '_link_numbers',
     )
 
     def __init__(
@@ -141,6 +143,7 @@
         self._refused_epochs: dict[str, int] = {}
         self._is_registered = False
         self._claim_after_ms = 0
+        self._link_numbers = itertools.count(1)
 
     def observe_claim(self, claim: claim_module.Claim) -> None:
         """Note a claim that another daemon announced.
@@ -411,6 +414,8 @@
             )
             return _FollowResult.SILENT
         link.node = claim.node
+        link.epoch = claim.epoch
+        link.number = next(self._link_numbers)
         try:
             return await self._ping_leader(claim, link)
         finally:
@@ -419,7 +424,9 @@
     async def _ping_leader(
         self, claim: claim_module.Claim, link: link_module.Link
     ) -> '_FollowResult':
-        ping = messages.Ping(self._identity.node)
+        ping = messages.Ping(
+            self._identity.node, self._identity.incarnation, link.number
+        )
         begun_ms = self._clock.now_ms()
         misses = 0
         while not link.closed.is_set():
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import msgspec
+
 from basilspindle.cell import admission
 from basilspindle.cell import advice_calls
 from basilspindle.cell import bounds as bounds_module
@@ -229,7 +231,15 @@
         if not self.ready or self.lost.is_set():
             return messages.NotLeading()
         if isinstance(request, messages.Submit):
-            return await self._submit(request)
+            if request.epoch not in (0, self.claim.epoch):
+                # Late, or meant for another leader: the refusal of a later
+                # copy may have promised that this one is not accepted.
+                return messages.NotLeading()
+            reply = await self._submit(request)
+            if isinstance(reply, messages.Refused):
+                # This leader has read all that earlier ones could record.
+                return msgspec.structs.replace(reply, epoch=self.claim.epoch)
+            return reply
         if isinstance(request, messages.Find):
             state = self._intake.find_state(request.job_id, request.workspace)
             if state is None:
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -37,8 +37,11 @@
 class Link(asyncio.Protocol):
     """One connection between two daemons; both ends may send requests.
 
-    ``node`` is the name of the node at the other end, empty until it is
-    known. ``received_bytes`` counts what the other end has sent.
+    ``node`` is the name of the node at the other end and ``incarnation`` its
+    process, empty until they are known; ``number`` orders the links that this
+    process has opened. ``epoch`` is that of the leader at the other end, 0
+    unless it is followed. ``received_bytes`` counts what the other end has
+    sent. ``on_ping`` is called once the other end has named itself.
     ``pending_ms`` is for users of the link: the expected duration of the
     advice calls in flight at the other end.
     """
@@ -48,10 +51,12 @@
         handler: Handler,
         on_open: collections.abc.Callable[['Link'], None] | None = None,
         on_close: collections.abc.Callable[['Link'], None] | None = None,
+        on_ping: collections.abc.Callable[['Link'], None] | None = None,
     ) -> None:
         self._handler = handler
         self._on_open = on_open
         self._on_close = on_close
+        self._on_ping = on_ping
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._request_numbers = itertools.count(1)
@@ -60,6 +65,9 @@
         self.closed = asyncio.Event()
         self.received_bytes = 0
         self.node = ''
+        self.incarnation = ''
+        self.number = 0
+        self.epoch = 0
         self.pending_ms = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -120,10 +128,18 @@
     ) -> messages.Reply:
         """Send a request and return the reply.
 
-        Raises ``PeerOutcomeUnknown`` if no reply comes.
+        Raises ``PeerOutcomeUnknown`` if no reply comes and
+        ``PeerUnavailable`` if the connection was closed before the call.
         """
-        if self.closed.is_set() or self._transport is None:
-            raise _connection_lost()
+        if (
+            self.closed.is_set()
+            or self._transport is None
+            or self._transport.is_closing()
+        ):
+            raise errors.PeerUnavailable(
+                'the connection to the daemon is closed; connect again',
+                ran=errors.Ran.NO,
+            )
         number = next(self._request_numbers)
         future = asyncio.get_running_loop().create_future()
         self._pending_replies[number] = future
@@ -166,7 +182,12 @@
 
     async def _answer(self, number: int, request: messages.Request) -> None:
         if isinstance(request, messages.Ping):
+            is_first = not self.node
             self.node = request.node
+            self.incarnation = request.incarnation
+            self.number = request.link_number
+            if is_first and self._on_ping is not None:
+                self._on_ping(self)
         try:
             reply = await self._handler(request)
         except Exception as error:
--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -13,10 +13,15 @@
 
 
 class Submit(_Message):
-    """Ask the leader to accept a job within ``accept_timeout_ms``."""
+    """Ask the leader to accept a job within ``accept_timeout_ms``.
+
+    Only a leader under the claim with ``epoch`` may accept it; 0 if the
+    sender does not tell, as in builds that know no epoch here.
+    """
 
     definition: definition_module.JobDefinition
     accept_timeout_ms: int
+    epoch: int = 0
 
 
 class Find(_Message):
@@ -40,9 +45,16 @@
 
 
 class Ping(_Message):
-    """Ask a daemon whether it is alive and leads; ``node`` is the sender."""
+    """Ask a daemon whether it is alive and leads; ``node`` is the sender.
+
+    ``link_number`` counts the connections to leaders that the process with
+    this ``incarnation`` has made. A daemon closes those with lower numbers
+    before it answers. Builds that send neither are not known by them.
+    """
 
     node: str
+    incarnation: str = ''
+    link_number: int = 0
 
 
 class Advise(_Message):
@@ -135,11 +147,17 @@
 
 
 class Refused(_Message):
-    """The request had no effect; retry after ``retry_after_ms``."""
+    """The request had no effect; retry after ``retry_after_ms``.
+
+    ``epoch`` is that of the leader that refused a submission. No copy that
+    the same daemon has sent to a leader of this epoch or an earlier one, and
+    that has not been accepted, will be. With 0, nothing is said of others.
+    """
 
     kind: str
     text: str
     retry_after_ms: int
+    epoch: int = 0
 
 
 class NotLeading(_Message):
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import msgspec
+
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
@@ -113,7 +115,10 @@
         host, _, port = self._identity.address.rpartition(':')
         self._server = await asyncio.get_running_loop().create_server(
             lambda: link_module.Link(
-                self.handle, self._on_link_open, self._on_link_close
+                self.handle,
+                self._on_link_open,
+                self._on_link_close,
+                self._close_replaced_links,
             ),
             host,
             int(port),
@@ -192,64 +197,77 @@
         """Return the leader's reply, asking again if the leader changes.
 
         If none comes, raises ``OutcomeUnknown`` if the request may have taken
-        effect, else ``NotReady``. ``copies`` gets the outcome of each copy.
+        effect, else ``NotReady``. A refusal is returned only if no other copy
+        of the request can have an effect. ``copies`` gets the outcome of each
+        copy.
         """
         begun_ms = self._clock.now_ms()
         copies = copies or copies_module.Copies(self._clock)
-        sent = False
         while True:
             remaining_ms = begun_ms + timeout_ms - self._clock.now_ms()
             if remaining_ms <= 0:
-                raise _no_answer_error(sent and _is_write(request))
+                raise _no_answer_error(
+                    copies.may_have_effect and _is_write(request)
+                )
             leader_changed = self._election.leader_changed
             link = self._election.link
             sent_ms = self._clock.now_ms()
-            leader = self._current_leader
             try:
                 if self._leads and self.leader is not None:
-                    sent = True
+                    node = self._identity.node
+                    epoch = self.leader.claim.epoch
                     reply = await self._clock.wait_for(
-                        self.leader.handle(request), remaining_ms
+                        self.leader.handle(_address(request, epoch)),
+                        remaining_ms,
                     )
                 elif link is not None:
-                    sent = True
-                    reply = await link.call(request, remaining_ms)
+                    node, epoch = link.node, link.epoch
+                    reply = await link.call(
+                        _address(request, epoch), remaining_ms
+                    )
                 else:
                     spent_ms = self._clock.now_ms() - begun_ms
-                    if not sent and spent_ms > _LEADER_WAIT_MS:
+                    if (
+                        not copies.may_have_effect
+                        and spent_ms > _LEADER_WAIT_MS
+                    ):
                         raise _no_answer_error(False)
                     await self._wait_for_leader_change(
                         leader_changed, remaining_ms, spent_ms
                     )
                     continue
-                if isinstance(reply, messages.Refused):
-                    copies.note_refusal(*leader, sent_ms, reply.kind)
-                elif isinstance(reply, messages.NotLeading):
-                    copies.note(*leader, sent_ms, copies_module.NOT_LEADING)
+            except errors.PeerUnavailable:
+                copies.note(node, epoch, sent_ms, copies_module.NOT_SENT)
+                reply = messages.NotLeading()
             except (errors.PeerError, errors.DeadlineExceeded):
-                copies.note(*leader, sent_ms, copies_module.NO_REPLY)
+                copies.note(node, epoch, sent_ms, copies_module.NO_REPLY)
                 reply = messages.NotLeading()
-            if not isinstance(reply, messages.NotLeading):
-                spent_ms = self._clock.now_ms() - begun_ms
-                if not _is_retryable(reply) or spent_ms > _LEADER_WAIT_MS:
-                    return reply
-                if self._store_age_ms > _STORE_OUTAGE_MS:
-                    return reply
-                # The request had no effect; another leader may soon accept it.
-                sent = False
-                await self._wait_for_leader_change(
-                    leader_changed, remaining_ms, spent_ms
-                )
+            else:
+                if isinstance(reply, messages.NotLeading):
+                    copies.note(
+                        node, epoch, sent_ms, copies_module.NOT_LEADING
+                    )
+            if isinstance(reply, messages.NotLeading):
+                await self._clock.sleep_ms(_RECONNECT_PAUSE_MS)
                 continue
-            await self._clock.sleep_ms(_RECONNECT_PAUSE_MS)
-
-    @property
-    def _current_leader(self) -> tuple[str, int]:
-        """Return the node that leads, as far as known, and its epoch."""
-        if self._leads and self.leader is not None:
-            return self._identity.node, self.leader.claim.epoch
-        claim = self._election.claim
-        return (claim.node, claim.epoch) if claim is not None else ('', 0)
+            if not isinstance(reply, messages.Refused):
+                return reply
+            copies.note_refusal(
+                node, epoch, sent_ms, reply.kind, covered_epoch=reply.epoch
+            )
+            spent_ms = self._clock.now_ms() - begun_ms
+            if (
+                not _is_retryable(reply)
+                or spent_ms > _LEADER_WAIT_MS
+                or self._store_age_ms > _STORE_OUTAGE_MS
+            ):
+                if copies.may_have_effect and _is_write(request):
+                    raise _no_answer_error(True)
+                return reply
+            # Another leader may soon accept the request.
+            await self._wait_for_leader_change(
+                leader_changed, remaining_ms, spent_ms
+            )
 
     @property
     def _store_age_ms(self) -> int:
@@ -437,10 +455,29 @@
         if self.leader is not None:
             self.leader.advice_calls.remove_link(link)
 
+    def _close_replaced_links(self, link: link_module.Link) -> None:
+        # What the other process sent over an earlier link may still arrive.
+        # It has given up waiting for that, and goes by the answers to what it
+        # sends over the newest link.
+        for other in list(self._links):
+            if (
+                link.incarnation
+                and other.incarnation == link.incarnation
+                and other.number < link.number
+            ):
+                other.close()
+
     def _on_fault(self, error: Exception) -> None:
         self.failed.set()
 
 
+def _address(request: messages.Request, epoch: int) -> messages.Request:
+    """Return a copy of a submission that one leader only may accept."""
+    if isinstance(request, messages.Submit):
+        return msgspec.structs.replace(request, epoch=epoch)
+    return request
+
+
 def _is_write(request: messages.Request) -> bool:
     return isinstance(request, (messages.Submit, messages.Cancel))
 
--- a/tests/standins/late_path.py
+++ b/tests/standins/late_path.py
@@ -60,6 +60,9 @@
         back = asyncio.ensure_future(self._carry_back(far_reader, writer))
         try:
             await self._carry(reader, far_writer, gate)
+        except asyncio.CancelledError:
+            # The path is closed; streams log tasks that are cancelled.
+            return
         finally:
             back.cancel()
             far_writer.transport.abort()
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -146,6 +146,36 @@
         self.check_asked_again(self.ask(request))
 
 
+class AddressedSubmissionTest(LeaderCase):
+    """Guard refused jobs against copies for another leader (issue 38)."""
+
+    def submit(self, epoch):
+        definition = cell_case.make_definition(_JOB, cell_case.make_step())
+        return self.ask(messages.Submit(definition, 1_000, epoch))
+
+    def test_only_the_leader_that_a_copy_names_accepts_it(self):
+        """Guard against a late copy that a process accepts as it leads again.
+
+        A leader in between has refused a later copy, for this one as well.
+        """
+        for epoch in (3, 5):
+            self.assertIsInstance(self.submit(epoch), messages.NotLeading)
+        self.assertFalse(self.leader.state.table.knows(_JOB))
+
+    def test_a_refusal_names_the_epoch_of_the_leader(self):
+        """Guard against callers that are told less than is known."""
+        with mock.patch.object(
+            type(self.leader._intake),
+            'submit',
+            side_effect=errors.Overloaded('too much work', retry_after_ms=1),
+        ):
+            # Daemons of other builds name no epoch.
+            for epoch in (0, 1):
+                reply = self.submit(epoch)
+                self.assertIsInstance(reply, messages.Refused)
+                self.assertEqual(1, reply.epoch)
+
+
 class CancelTest(LeaderCase):
     """Guard callers that cancel an ended job once more."""
 
--- a/tests/test_refused_copies.py
+++ b/tests/test_refused_copies.py
@@ -6,6 +6,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import copies as copies_module
@@ -213,6 +215,51 @@
         answer = await self.submit()
         self.assertIsInstance(answer, errors.OutcomeUnknown)
 
+    async def test_a_leader_refuses_for_the_copies_that_it_outdates(self):
+        """Guard against callers that are told less than is known."""
+        for epoch, refused_epoch in ((1, 1), (1, 2)):
+            with self.subTest(epoch=epoch, refused_epoch=refused_epoch):
+                self.copies = copies_module.Copies(self.clock)
+                refusal = msgspec.structs.replace(
+                    _OVERLOADED, epoch=refused_epoch
+                )
+                link = self.follow(_NO_REPLY, refusal, epoch=epoch)
+                answer = await self.submit()
+                self.assertEqual(refusal, answer)
+                self.assertEqual([epoch] * 2, [c.epoch for c in link.sent])
+
+    async def test_an_earlier_leader_cannot_refuse_for_its_successor(self):
+        """Guard against a refused job that a successor has accepted."""
+        link = self.follow(_NO_REPLY, _OVERLOADED, epoch=4)
+        call = link.call
+
+        async def return_to_predecessor(request, timeout_ms):
+            try:
+                return await call(request, timeout_ms)
+            finally:
+                self.follow(
+                    msgspec.structs.replace(_OVERLOADED, epoch=2), epoch=2
+                )
+
+        link.call = return_to_predecessor
+        answer = await self.submit()
+        self.assertIsInstance(answer, errors.OutcomeUnknown)
+
+    async def test_a_copy_that_was_not_sent_leaves_nothing_open(self):
+        """Guard against callers that are told less than is known."""
+        self.follow(_NOT_SENT, _OVERLOADED)
+        answer = await self.submit()
+        self.assertEqual(_OVERLOADED, answer)
+
+    async def test_a_refused_cancellation_covers_no_other_copy(self):
+        """Guard against a 503 for a cancellation that has an effect."""
+        self.submission = messages.Cancel(_JOB, '')
+        refusal = messages.Refused(errors.NotReady.kind, 'ask again', 1_000)
+        self.clock.now += 10
+        self.follow(_NO_REPLY, *[refusal] * 9)
+        answer = await self.submit()
+        self.assertIsInstance(answer, errors.OutcomeUnknown)
+
     async def test_the_refusal_of_the_only_copy_is_a_promise(self):
         """Guard against refusals that tell callers less than is known."""
         self.follow(_OVERLOADED)
@@ -220,6 +267,47 @@
         self.assertEqual(_OVERLOADED.kind, answer.kind)
 
 
+class ReplacedLinkTest(CopiesCase):
+    """Guard links that a daemon closes as the other end has a newer one."""
+
+    async def is_older_closed(self, older, newer):
+        """Tell whether the ping of a newer link closes an older one."""
+        links = []
+        for ping in (older, newer):
+            link = link_module.Link(
+                self.node.handle,
+                self.node._on_link_open,
+                self.node._on_link_close,
+                self.node._close_replaced_links,
+            )
+            link.connection_made(mock.Mock(spec=asyncio.Transport))
+            await link._answer(1, ping)
+            links.append(link)
+        abort = [link._transport.abort for link in links]
+        abort[1].assert_not_called()
+        return abort[0].called
+
+    async def test_an_earlier_link_of_the_process_is_closed(self):
+        """Guard against what it still carries (issue 38, REFUSED)."""
+        self.assertTrue(
+            await self.is_older_closed(
+                messages.Ping('d1', 'p1', 1), messages.Ping('d1', 'p1', 2)
+            )
+        )
+
+    async def test_links_of_other_processes_stay(self):
+        """Guard against daemons that cut each other off."""
+        for older, newer in (
+            (messages.Ping('d1', 'p1', 1), messages.Ping('d2', 'p2', 2)),
+            (messages.Ping('d1', 'p1', 1), messages.Ping('d1', 'p2', 2)),
+            # Builds that name no process.
+            (messages.Ping('d1'), messages.Ping('d1')),
+            (messages.Ping('d1'), messages.Ping('d1', 'p1', 1)),
+        ):
+            with self.subTest(older=older, newer=newer):
+                self.assertFalse(await self.is_older_closed(older, newer))
+
+
 class LateCopyTest(unittest.IsolatedAsyncioTestCase):
     """Guard refused jobs against copies that the network delivers late."""
 
@@ -260,6 +348,9 @@
         await asyncio.sleep(_LATE_S)
         is_accepted = leading.leader.state.table.knows(_JOB)
         self.assertFalse(is_refused and is_accepted)
+        # The leader takes no more from the connection of the first copy, so
+        # the caller is told what is known.
+        self.assertTrue(is_refused)
 
     async def take_path(self, following, path):
         """Have a daemon reach its leader over another path."""
