Let a process that only calls correct its address

A process whose first two heartbeats name the same wrong address is refused until it restarts, as two that agree count as its identity.

Cause: that was taken as certain although the address had never answered.

Change: while a member has not answered a call at its address, an identity that its process repeats without one that agrees in between replaces the first one. A member that has answered keeps its identity, and a single odd heartbeat still displaces nobody.

--- a/basilspindle/cluster/member.py
+++ b/basilspindle/cluster/member.py
@@ -16,13 +16,16 @@
     one, from a call or a reply; ``reply`` is the newest reply only.
     ``last_answered_send_ms`` is when the request for that reply was sent.
     ``confirmed`` is true once two heartbeats of the process had the same id
-    and address. ``last_call_ms`` is when the member last called this daemon.
+    and address, and ``disputed_identity`` is the id and address of the last
+    heartbeat of the process that differed, None once one agrees.
+    ``last_call_ms`` is when the member last called this daemon.
     Times are monotonic ms of this process; None means never.
     """
 
     __slots__ = (
         'address',
         'confirmed',
+        'disputed_identity',
         'failure_domain',
         'heartbeat',
         'incarnation',
@@ -43,6 +46,7 @@
         self.member_id = ''
         self.incarnation = ''
         self.confirmed = False
+        self.disputed_identity: tuple[str, str] | None = None
         self.failure_domain = ''
         self.region = ''
         self.state = member_state.MemberState.SUSPECT
@@ -89,6 +93,7 @@
             heartbeat.member_id,
             heartbeat.incarnation,
         )
+        self.disputed_identity = None
         self.member_id = heartbeat.member_id
         self.incarnation = heartbeat.incarnation
         self.failure_domain = heartbeat.failure_domain
--- a/basilspindle/cluster/membership.py
+++ b/basilspindle/cluster/membership.py
@@ -308,7 +308,9 @@
         )
         for member in self.members():
             if not reason and self._differs(member, heartbeat):
-                if member.confirmed:
+                if member.confirmed and not self._is_corrected(
+                    member, heartbeat
+                ):
                     reason = (
                         f'this process is {member.member_id} at '
                         f'{member.address}'
@@ -332,6 +334,21 @@
             or member.address != heartbeat.address
         )
 
+    def _is_corrected(
+        self, member: member_module.Member, heartbeat: messages.Heartbeat
+    ) -> bool:
+        """Tell whether a process repeats an identity that differs.
+
+        One that has answered at its address is there, so only that of a
+        process that merely calls can be corrected.
+        """
+        if member.last_answered_send_ms is not None:
+            return False
+        identity_now = (heartbeat.member_id, heartbeat.address)
+        is_repeated = member.disputed_identity == identity_now
+        member.disputed_identity = identity_now
+        return is_repeated
+
     def _refuse_stale(self, heartbeat: messages.Heartbeat) -> None:
         at_address = self._members.get(heartbeat.address)
         gone_incarnation = self._gone_incarnations.get(heartbeat.member_id, '')
--- a/tests/test_repeated_identity.py
+++ b/tests/test_repeated_identity.py
@@ -52,3 +52,27 @@
         the process, and nothing corrects it later.
         """
         await self.check(2)
+
+    async def test_odd_heartbeats_of_a_process_that_only_calls(self):
+        """Guard against a member that an odd heartbeat displaces.
+
+        Its address has never answered a call, so a repeated one corrects it.
+        """
+        rig = await self.enterAsyncContext(cluster_rig.ClusterRig())
+        for member_id in 'ab':
+            await rig.add(member_id)
+        await rig.run_ms(2_000)
+        receiver = rig.daemons['b'].membership
+        sample = rig.daemons['a'].build_heartbeat()
+        receiver.get('a').last_answered_send_ms = None
+        for address in ('z:9', 'y:9', 'z:9'):
+            with self.assertRaises(errors.BadRequest):
+                await receiver.handle(
+                    msgspec.structs.replace(sample, address=address)
+                )
+        await receiver.handle(sample)
+        with self.assertRaises(errors.BadRequest):
+            await receiver.handle(
+                msgspec.structs.replace(sample, address='z:9')
+            )
+        self.assertEqual('a:1', receiver.get('a').address)
