Let a claim be answered while it is looked up

Callers waited 0.25 s longer for a leader while the store was slow.

Cause: a claim without an answer after 0.25 s is read back, and until that read ended the answer to the claim was not looked at. With a store that takes 500 ms, each leader gained its claim 0.77 s after the kill of the one before.

Change: the claim and its look-up are waited for at the same time.

The new test failed before.

--- a/basilspindle/cell/claim.py
+++ b/basilspindle/cell/claim.py
@@ -87,18 +87,25 @@
         appending = asyncio.ensure_future(
             self._store.append_at(STREAM, [record], at)
         )
+        looking_up = asyncio.ensure_future(self._look_up(written))
         try:
-            await asyncio.wait({appending}, timeout=_LOOKUP_DELAY_MS / 1000)
-            if not appending.done() and await self._is_recorded(written):
+            await asyncio.wait(
+                {appending, looking_up},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not appending.done() and looking_up.result():
                 return written
             offset = await appending
         except errors.LogOutcomeUnknown:
             return written if await self._is_current(written) else None
         finally:
             appending.cancel()
+            looking_up.cancel()
         return written if offset is not None else None
 
-    async def _is_recorded(self, claim: Claim) -> bool:
+    async def _look_up(self, claim: Claim) -> bool:
+        """Tell whether a claim is recorded, once its answer is late."""
+        await asyncio.sleep(_LOOKUP_DELAY_MS / 1000)
         try:
             return await self._is_current(claim)
         except errors.LogError as error:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -300,6 +300,17 @@
         claim = await register.try_claim(self.claim('a'), end)
         self.assertEqual('a', claim.node)
 
+    async def test_the_answer_to_a_claim_does_not_wait_for_a_look_up(self):
+        """Guard against a leader that begins late while the store is slow."""
+        register = claim_module.ClaimRegister(self.store)
+        _, end = await register.read()
+        self.standin.server.delay_s = 0.4
+        started_s = time.monotonic()
+        claim = await register.try_claim(self.claim('a'), end)
+        self.assertEqual('a', claim.node)
+        # A look-up begins after 0.25 s and takes 0.4 s.
+        self.assertLess(time.monotonic() - started_s, 0.6)
+
     async def test_a_term_that_cannot_be_counted_on_is_unreadable(self):
         """Guard against a claim after which no daemon can claim."""
         claim = ('a', 'a:1', 'a', 2**64 - 1, False, 1)
