Record what jobs that have ended may still run

Now one record of its own, written when it changes, tells by workspace what ended jobs may still run. It counts while workers are awaited, at most 30 s after it was written, which is longer than a predecessor that is cut off can keep leases alive. Builds before ignore it.

Found by reading; no run of daemons has shown the fault.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -18,6 +18,7 @@
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
+from basilspindle.workflow import need as need_module
 from basilspindle.workflow import progress as progress_module
 
 _T = typing.TypeVar('_T')
@@ -34,6 +35,7 @@
 _ENDED_PREFIX = 'f'
 _WORKER_ADDRESSES_KEY = 'roster'
 _WAITS_KEY = 'waits'
+_STOPPING_KEY = 'stopping'
 _EARLY_CANCEL_PREFIX = 'c'
 # Before the task and the run. One record each, as a job may have more ends
 # than fit into one.
@@ -80,6 +82,16 @@
     remaining_ms: dict[str, decoding.Count]
 
 
+class StoppingRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Stored record of what ended jobs may still run, by workspace.
+
+    It counts for a limited time from ``wall_ms`` on.
+    """
+
+    wall_ms: decoding.Count
+    usage: dict[str, need_module.Need]
+
+
 class RecoveredState:
     """State of the cell as read from the store.
 
@@ -88,7 +100,8 @@
     ``ended_jobs`` the ended ones by job id, and ``worker_addresses`` the
     addresses by worker id. ``waits`` is what the latest leader that recorded
     it was waiting for, and ``early_cancels`` are, by job id, the workspaces
-    that have cancelled a job before it arrived. ``unreadable_job_ids`` are the
+    that have cancelled a job before it arrived. ``stopping`` is what jobs that
+    have ended may still run, as last recorded. ``unreadable_job_ids`` are the
     jobs whose records cannot be decoded, and ``unattributed_ends`` the run
     ends noted by leaders that could not read the job.
     """
@@ -100,6 +113,7 @@
         'worker_addresses',
         'waits',
         'early_cancels',
+        'stopping',
         'unreadable_job_ids',
         'unattributed_ends',
     )
@@ -116,6 +130,7 @@
         self.worker_addresses: dict[str, str] = {}
         self.waits: WaitsRecord | None = None
         self.early_cancels: dict[str, list[str]] = {}
+        self.stopping: StoppingRecord | None = None
         self.unreadable_job_ids: set[str] = set()
         self.unattributed_ends: list[report_module.RunEnd] = []
 
@@ -455,6 +470,14 @@
     batch.put(_WAITS_KEY, msgspec.msgpack.encode(waits))
 
 
+def put_stopping(batch: Batch, record: StoppingRecord) -> None:
+    """Add a record of what ended jobs may still run, or remove it."""
+    batch.put(
+        _STOPPING_KEY,
+        msgspec.msgpack.encode(record) if record.usage else None,
+    )
+
+
 def is_full(batch: Batch) -> bool:
     """Tell whether a batch has reached the size limit of an append."""
     return batch.size_bytes >= _MAX_BATCH_BYTES
@@ -483,6 +506,8 @@
         recovered.worker_addresses = decode(raw, type=dict[str, str])
     elif key == _WAITS_KEY:
         recovered.waits = decode(raw, type=WaitsRecord)
+    elif key == _STOPPING_KEY:
+        recovered.stopping = decode(raw, type=StoppingRecord)
     elif key.startswith(_EARLY_CANCEL_PREFIX):
         recovered.early_cancels[key[1:]] = decode(raw, type=list[str])
     elif key.startswith(_UNATTRIBUTED_END_PREFIX):
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -13,18 +13,23 @@
 from basilspindle.cell import metrics
 from basilspindle.cell import report as report_module
 from basilspindle.cell import state as state_module
+from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
+from basilspindle.workflow import need as need_module
 from basilspindle.workflow import progress as progress_module
 from basilspindle.workflow import task as task_module
 
 # A job whose records could not be written is tried again after this time.
 _FAILED_JOB_RETRY_MS = 1_000
 _MAX_ERROR_CHARS = 200
+# A predecessor that is cut off ends all leases 25.3 s after its successor
+# began. Until then a stop may not have arrived.
+_MAX_STOPPING_MS = 30_000
 
 
 class Recorder:
@@ -49,6 +54,8 @@
         '_append_waiters',
         '_all_append_waiters',
         '_attributed_ends',
+        '_ended_jobs',
+        '_stopping_in_log',
         '_failed_jobs',
         '_failed_job_retry_ms',
         'expired_job_ids',
@@ -77,6 +84,13 @@
         self._all_append_waiters: set[asyncio.Future[None]] = set()
         # Those of which the log holds records that are to be deleted.
         self._attributed_ends: list[report_module.RunEnd] = []
+        # Jobs that have ended and may still run tasks, by id, and what they
+        # may run on workers that have not reported.
+        self._ended_jobs: dict[
+            str, tuple[job_module.Job, need_module.Need]
+        ] = {}
+        # What the newest record tells of them, by workspace.
+        self._stopping_in_log: dict[str, need_module.Need] = {}
         # Jobs whose records could not be written, by id, and when they are
         # tried again.
         self._failed_jobs: dict[str, job_module.Job] = {}
@@ -135,6 +149,10 @@
             )
         for job_id, workspaces in recovered.early_cancels.items():
             self._intake.early_cancels.restore(job_id, workspaces, now_ms)
+        if stopping := recovered.stopping:
+            self._stopping_in_log = stopping.usage
+            if wall_ms - stopping.wall_ms < _MAX_STOPPING_MS:
+                state.stopping_usage = dict(stopping.usage)
         self.worker_addresses = dict(recovered.worker_addresses)
         self._confirmed_addresses = dict(recovered.worker_addresses)
         self._confirmed_waits = recovered.waits
@@ -230,6 +248,8 @@
                 self._failed_jobs.pop(job_id, None)
             else:
                 self._failed_jobs[job_id] = job
+            if job.state.is_final:
+                self._note_ended(job)
             if journal_module.is_full(batch):
                 # Acknowledge no run ends yet: some may belong to jobs that
                 # did not fit into this batch.
@@ -259,6 +279,7 @@
             journal_module.put_worker_addresses(batch, self.worker_addresses)
             batch.worker_addresses = dict(self.worker_addresses)
         self._collect_waits(batch)
+        self._collect_stopping(batch, wall_ms)
         batch.waiters, self._append_waiters = self._append_waiters, []
         return batch
 
@@ -307,6 +328,40 @@
         batch.add(part)
         return True
 
+    def _note_ended(self, job: job_module.Job) -> None:
+        need = state_module.NO_NEED
+        if job.recovered and self._may_run(job):
+            need = unseen.job_need(job)
+        if job.occupying_tasks or need != state_module.NO_NEED:
+            self._ended_jobs[job.job_id] = (job, need)
+
+    def _collect_stopping(
+        self, batch: journal_module.Batch, wall_ms: int
+    ) -> None:
+        """Record what a successor cannot tell from the jobs that it reads."""
+        state = self._state
+        if not state.awaited_workers.any(self._clock.now_ms()):
+            state.stopping_usage = {}
+        usage = dict(state.stopping_usage)
+        for job_id, (job, unseen_need) in list(self._ended_jobs.items()):
+            if not self._may_run(job):
+                del self._ended_jobs[job_id]
+                continue
+            workspace = job.definition.workspace
+            need = usage.get(workspace, state_module.NO_NEED)
+            for task in job.occupying_tasks:
+                need = need.plus(task.step_run.step.reserved)
+            usage[workspace] = need.plus(unseen_need)
+        if usage == self._stopping_in_log:
+            return
+        self._stopping_in_log = usage
+        self._try_put(
+            batch,
+            'stopping',
+            journal_module.put_stopping,
+            journal_module.StoppingRecord(wall_ms, usage),
+        )
+
     def _collect_waits(self, batch: journal_module.Batch) -> None:
         # A successor waits for these workers for the rest of the time only,
         # so none of them gets a lease or a task until the log names it as one
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -39,6 +39,8 @@
 
     ``awaited_workers`` are workers of earlier leaders that have not reported
     to this one and may run tasks that it does not know of.
+    ``stopping_usage`` is, by workspace, what jobs that ended under an earlier
+    leader may still run on such workers.
     ``unattributed_ends`` are run ends of jobs whose records cannot be read,
     and have yet to be recorded.
     """
@@ -55,6 +57,7 @@
         'freed_workspaces',
         'term',
         'awaited_workers',
+        'stopping_usage',
         'unattributed_ends',
         'due_times_ms',
         'duration_factors',
@@ -75,6 +78,7 @@
         self.freed_workspaces: set[str] = set()
         self.term = term
         self.awaited_workers = awaited.AwaitedWorkers()
+        self.stopping_usage: dict[str, need_module.Need] = {}
         self.unattributed_ends: list[report_module.RunEnd] = []
         self.due_times_ms: dict[str, int] = {}
         self.duration_factors: dict[str, float] = {}
--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -36,7 +36,9 @@
     for job in state.table.jobs.values():
         # A job that has ended meanwhile runs on where no stop has arrived.
         if job.recovered:
-            _add(unseen, job.definition.workspace, _job_need(job))
+            _add(unseen, job.definition.workspace, job_need(job))
+    for workspace, need in state.stopping_usage.items():
+        _add(unseen, workspace, need)
     capacity = _unseen_capacity(state)
     for workspace, need in unseen.items():
         _add(
@@ -47,7 +49,8 @@
     return usage
 
 
-def _job_need(job: job_module.Job) -> need_module.Need:
+def job_need(job: job_module.Job) -> need_module.Need:
+    """Return an upper bound on what a recovered job may run unseen."""
     # A predecessor that still leads starts the steps that become ready by
     # ends on workers that only it reaches. A task on a known worker keeps it
     # from starting the steps after. A step and one after it never run at the
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -118,6 +118,47 @@
         self.report('w2')
         self.assertEqual(1, len(self.plan().starts))
 
+    def test_what_is_being_stopped_is_recorded_until_it_has_stopped(self):
+        """Guard against workspaces that wait for room that is free."""
+        self.recorder.apply(self.recorder.collect())
+        [start] = self.start_all(self.plan())
+        self.intake.cancel(_JOB, cell_case.WORKSPACE)
+        record = self.take_stopping_record()
+        need = record.usage[cell_case.WORKSPACE]
+        self.assertEqual(1_000, need.cpu_millicores)
+        # Nothing has changed.
+        self.assertNotIn('stopping', dict(self.recorder.collect().records))
+        self.report_end('w1', start.task.name, start.run)
+        self.assertIsNone(self.take_stopping_record())
+
+    def take_stopping_record(self):
+        """Return the record of the next append, None if it is removed."""
+        records = dict(self.recorder.collect().records)
+        return journal_module._decode(
+            {k: v for k, v in records.items() if v and k == 'stopping'}
+        ).stopping
+
+    def test_a_record_of_what_was_being_stopped_counts_for_a_while(self):
+        """Guard against a record that a build which knows none leaves."""
+        usage = {cell_case.WORKSPACE: workflow.Need(cpu_millicores=1_000)}
+        for age_ms, expected in ((29_000, usage), (31_000, {})):
+            recovered = journal_module.RecoveredState()
+            recovered.stopping = journal_module.StoppingRecord(
+                self.now_ms - age_ms, usage
+            )
+            self.make_state()
+            successor = recorder_module.Recorder(
+                self.state, Clock(self), 1, self.intake, self.count_plan
+            )
+            self.state.awaited_workers.expect('w1', self.now_ms + 5_000)
+            successor.recover(recovered)
+            self.assertEqual(expected, self.state.stopping_usage)
+            # The next successor waits for the same workers.
+            records = dict(successor.collect().records)
+            self.assertEqual(
+                age_ms > 30_000, records.get('stopping', b'') is None
+            )
+
     def test_a_new_address_is_recorded_before_more_tasks(self):
         """Guard against a later leader that asks at the earlier address."""
         self.recorder.apply(self.recorder.collect())
