Withdraw a job only for the last request that waits for it

A POST waits for its append, its DELETE cancels the job and waits for the record of that, and the POST gives up first: it took the job out of the leader's memory and was answered 503. The waiters are listed by job id, so the record of the next submission under this id answered the DELETE, and that job ran. In the same way, a request with a short deadline withdrew the job that another one still waited for.

A request now withdraws a job only if no other one waits for it; else its outcome is unknown. Costs: that request is told 504 in place of 503. The list of waiters of a withdrawn job is dropped as well; it stayed for as long as the leader led.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -282,7 +282,7 @@
         self._schedule_plan()
         reply = await self._reply_when_recorded(job, request.accept_timeout_ms)
         if isinstance(reply, messages.NotLeading):
-            if self._intake.withdraw(job):
+            if self._recorder.withdraw(job):
                 # No append includes the job, so it is certainly not recorded.
                 return self._refuse_unrecorded(definition)
         return reply
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -476,6 +476,21 @@
                 # The worker reports the run ends again, so none is lost.
                 return
 
+    def withdraw(self, job: job_module.Job) -> bool:
+        """Remove a new job for which no other request waits.
+
+        Returns whether it certainly never runs. Another request that waits
+        for it, such as its cancellation, would be answered by the record of
+        the next job under its id.
+        """
+        waiters = self._waiters.get(job.job_id, ())
+        if any(not future.done() for future in waiters):
+            return False
+        if not self._intake.withdraw(job):
+            return False
+        self._waiters.pop(job.job_id, None)
+        return True
+
     def withdraw_unsent(self) -> None:
         """Refuse the new jobs that are not part of any append yet.
 
