Answer all waiters when a leader steps down

A caller's DELETE could be answered up to 10 s late, and a daemon that stepped down logged an internal fault: if the connection of a request that waits for an append is lost in the turn of the event loop in which the leader ends, its future is cancelled and still listed. Setting an error on it raised InvalidStateError out of Leader.__aexit__, and the waiters after it were never told.

Found by reading. The new test raised InvalidStateError before and passes now. A waiter that has given up is left alone, as those of jobs already were.

--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -508,15 +508,18 @@
         for job_id in list(self._waiters):
             self._fail(job_id, deposed)
         for future in list(self._all_append_waiters):
-            future.set_exception(deposed)
-            # Keeps asyncio from logging an exception that was never
-            # retrieved, in case the waiter has given up.
-            future.exception()
+            _fail_waiter(future, deposed)
 
     def _fail(self, job_id: str, error: errors.BasilspindleError) -> None:
         for future in self._waiters.pop(job_id):
-            if not future.done():
-                future.set_exception(error)
-                # Keeps asyncio from logging an exception that was never
-                # retrieved, in case the waiter has given up.
-                future.exception()
+            _fail_waiter(future, error)
+
+
+def _fail_waiter(
+    future: asyncio.Future[None], error: errors.BasilspindleError
+) -> None:
+    if not future.done():
+        future.set_exception(error)
+        # Keeps asyncio from logging an exception that was never retrieved, in
+        # case the waiter has given up.
+        future.exception()
--- a/tests/test_refusal_promises.py
+++ b/tests/test_refusal_promises.py
@@ -16,6 +16,7 @@
 from tests import cell_case
 
 _JOB = '00000000000000aa'
+_OTHER = '00000000000000bb'
 _LONG_MS = 5_000
 # Shorter than any append of these tests.
 _SHORT_MS = 10
@@ -99,3 +100,21 @@
         self.assertFalse(self.table.knows(_JOB))
         self.assertEqual([], self.recorder.collect().jobs)
         self.assertEqual({}, self.recorder._waiters)
+
+
+class EndOfLeadershipTest(LeaderCase):
+    """Guard requests that wait when their leader steps down."""
+
+    async def test_a_waiter_that_has_just_given_up_holds_up_no_other(self):
+        """Guard against a DELETE that is answered seconds after the end.
+
+        The connection of one request is lost in the turn of the event loop
+        in which the leader ends.
+        """
+        first = await self.begin(messages.Cancel(_JOB, cell_case.WORKSPACE))
+        other = await self.begin(messages.Cancel(_OTHER, cell_case.WORKSPACE))
+        first.cancel()
+        self.recorder.close()
+        self.assertIsInstance(
+            await asyncio.wait_for(other, 1), messages.NotLeading
+        )
