Don't refuse a job that is submitted again before its refusal is sent

A leader whose store is silent withdraws the jobs that no append has, and the requests that wait for them are answered one turn of the event loop later. A copy of the same job that came in between was taken up, and the earlier request was still answered 503, "not accepted", though the job was known then.

The leader looks the id up when it answers, as a request that gives up by itself already did. The new test draws submissions, cancellations, appends, timeouts, lost connections and withdrawals for two jobs in 200 orders, and checks that no refused job gets into an append and that no cancelled one stays.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -361,6 +361,9 @@
             await self._recorder.wait_for_job(job, timeout_ms)
         except errors.NotReady:
             # The job was withdrawn before an append included it.
+            if self.state.table.knows(job.job_id):
+                # Another request has submitted it again since.
+                return messages.NotLeading()
             return self._refuse_unrecorded(job.definition)
         except (errors.Deposed, errors.DeadlineExceeded):
             # The append may still succeed. The calling daemon asks again or
--- a/tests/test_refusal_promises.py
+++ b/tests/test_refusal_promises.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import unittest
 from unittest import mock
@@ -38,30 +39,36 @@
 _READ_COPIES = 400
 _FIRST = 'x' * 4_000
 _SECOND = 'second'
+_PLAYS = 200
+_STEPS = 40
 # Longer than a leader takes to read a connection.
 _LATE_S = 0.5
 # Shorter than any append of these tests.
 _SHORT_MS = 10
 
 
+def make_leader(clock):
+    """Return a leader without a store that is ready."""
+    leader = leader_module.Leader(
+        claim_module.Claim('n', 'n:1', 'i', 0, epoch=1),
+        None,
+        None,
+        None,
+        None,
+        clock,
+        bounds_module.Bounds(),
+        configuration_index.ConfigurationIndex(cell_case.make_configuration()),
+        None,
+    )
+    leader.ready = True
+    return leader
+
+
 class LeaderCase(unittest.IsolatedAsyncioTestCase):
     """A leader whose appends are collected and confirmed by the test."""
 
     def setUp(self):
-        self.leader = leader_module.Leader(
-            claim_module.Claim('n', 'n:1', 'i', 0, epoch=1),
-            None,
-            None,
-            None,
-            None,
-            clock_module.Clock(),
-            bounds_module.Bounds(),
-            configuration_index.ConfigurationIndex(
-                cell_case.make_configuration()
-            ),
-            None,
-        )
-        self.leader.ready = True
+        self.leader = make_leader(clock_module.Clock())
         self.recorder = self.leader._recorder
         self.table = self.leader.state.table
 
@@ -590,3 +597,158 @@
 def _refuse_second(intake, definition, is_beyond_share):
     if definition.payload == _SECOND:
         raise errors.Overloaded('full', retry_after_ms=1)
+
+
+class _GateClock(clock_module.Clock):
+    """Clock whose waits time out when the test says so."""
+
+    __slots__ = ('now', 'gates')
+
+    def __init__(self):
+        self.now = 100_000
+        self.gates = []
+
+    def now_ms(self):
+        return self.now
+
+    async def wait_for(self, awaitable, timeout_ms):
+        waiting = asyncio.ensure_future(awaitable)
+        gate = asyncio.get_running_loop().create_future()
+        self.gates.append(gate)
+        try:
+            await asyncio.wait(
+                {waiting, gate}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            self.gates.remove(gate)
+            if not waiting.done():
+                waiting.cancel()
+        if not waiting.done() or waiting.cancelled():
+            raise errors.DeadlineExceeded('the test ended the wait; go on')
+        return waiting.result()
+
+
+class _Play:
+    """Requests for two jobs at one leader, in an order drawn from a seed.
+
+    ``faults`` names each answer that was not true.
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.clock = _GateClock()
+        self.leader = make_leader(self.clock)
+        self.recorder = self.leader._recorder
+        self.table = self.leader.state.table
+        self.batch = None
+        self.tasks = []
+        self.faults = []
+        # Jobs that are refused, and jobs that are cancelled, for good.
+        self.refused = set()
+        self.cancelled = set()
+
+    async def run(self):
+        """Draw steps, then confirm all that waits."""
+        steps = (
+            self.submit,
+            self.submit,
+            self.cancel,
+            self.collect,
+            self.confirm,
+            self.expire,
+            self.expire,
+            self.lose_connection,
+            self.withdraw_unsent,
+        )
+        for _ in range(_STEPS):
+            self.random.choice(steps)()
+            # Several steps may fall into one turn of the event loop.
+            for _ in range(self.random.randrange(4)):
+                await asyncio.sleep(0)
+                self.check()
+        for _ in range(3):
+            self.collect()
+            self.confirm()
+            await asyncio.sleep(0)
+        if self.random.random() < 0.5:
+            self.leader.lose_leadership('the play ends')
+        self.recorder.close()
+        for task in self.tasks:
+            await asyncio.wait({task}, timeout=1)
+        self.check()
+        self.leader.lost.set()
+
+    def begin(self, request):
+        self.tasks.append(
+            asyncio.ensure_future(self.handle(request, request.__class__))
+        )
+
+    async def handle(self, request, kind):
+        reply = await self.leader.handle(request)
+        if kind is messages.Cancel:
+            job_id = request.job_id
+            if isinstance(reply, messages.Accepted | messages.Gone):
+                self.note(job_id, self.cancelled)
+        else:
+            job_id = request.definition.job_id
+            if isinstance(reply, messages.Refused):
+                self.note(job_id, self.refused)
+            elif isinstance(reply, messages.Accepted):
+                if not self.table.knows(job_id):
+                    self.faults.append('accepted and unknown')
+        return reply
+
+    def note(self, job_id, promised):
+        # What comes after the answer is another submission.
+        if job := self.table.jobs.get(job_id):
+            promised.add(job)
+
+    def check(self):
+        for job in self.refused:
+            if job.append_started:
+                self.faults.append('refused and in an append')
+        for job in self.cancelled:
+            if not job.state.is_final:
+                self.faults.append('cancelled and live')
+
+    def submit(self):
+        definition = cell_case.make_definition(
+            self.random.choice((_JOB, _OTHER)), cell_case.make_step()
+        )
+        self.begin(messages.Submit(definition, _LONG_MS, 1))
+
+    def cancel(self):
+        job_id = self.random.choice((_JOB, _OTHER))
+        self.begin(messages.Cancel(job_id, cell_case.WORKSPACE))
+
+    def collect(self):
+        if self.batch is None:
+            self.batch = self.recorder.collect()
+
+    def confirm(self):
+        if self.batch is not None:
+            self.recorder.apply(self.batch)
+            self.batch = None
+
+    def expire(self):
+        gates = [gate for gate in self.clock.gates if not gate.done()]
+        if gates:
+            self.random.choice(gates).set_result(None)
+
+    def lose_connection(self):
+        if self.tasks:
+            self.random.choice(self.tasks).cancel()
+
+    def withdraw_unsent(self):
+        self.recorder.withdraw_unsent()
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """Guard the answers of a leader in all orders of what may happen."""
+
+    async def test_answers_are_true_in_any_order(self):
+        """Guard against refused jobs that are recorded, in orders drawn."""
+        for seed in range(_PLAYS):
+            play = _Play(seed)
+            await play.run()
+            self.assertEqual([], play.faults, f'seed {seed}')
