--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -282,7 +282,7 @@
         self._schedule_plan()
         reply = await self._reply_when_recorded(job, request.accept_timeout_ms)
         if isinstance(reply, messages.NotLeading):
-            if self._intake.withdraw(job):
+            if self._recorder.withdraw(job):
                 # No append includes the job, so it is certainly not recorded.
                 return self._refuse_unrecorded(definition)
         return reply
@@ -361,6 +361,9 @@
             await self._recorder.wait_for_job(job, timeout_ms)
         except errors.NotReady:
             # The job was withdrawn before an append included it.
+            if self.state.table.knows(job.job_id):
+                # Another request has submitted it again since.
+                return messages.NotLeading()
             return self._refuse_unrecorded(job.definition)
         except (errors.Deposed, errors.DeadlineExceeded):
             # The append may still succeed. The calling daemon asks again or
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -531,6 +531,21 @@
                 # The worker reports the run ends again, so none is lost.
                 return
 
+    def withdraw(self, job: job_module.Job) -> bool:
+        """Remove a new job for which no other request waits.
+
+        Returns whether it certainly never runs. Another request that waits
+        for it, such as its cancellation, would be answered by the record of
+        the next job under its id.
+        """
+        waiters = self._waiters.get(job.job_id, ())
+        if any(not future.done() for future in waiters):
+            return False
+        if not self._intake.withdraw(job):
+            return False
+        self._waiters.pop(job.job_id, None)
+        return True
+
     def withdraw_unsent(self) -> None:
         """Refuse the new jobs that are not part of any append yet.
 
@@ -548,15 +563,18 @@
         for job_id in list(self._waiters):
             self._fail(job_id, deposed)
         for future in list(self._all_append_waiters):
-            future.set_exception(deposed)
-            # Keeps asyncio from logging an exception that was never
-            # retrieved, in case the waiter has given up.
-            future.exception()
+            _fail_waiter(future, deposed)
 
     def _fail(self, job_id: str, error: errors.BasilspindleError) -> None:
         for future in self._waiters.pop(job_id):
-            if not future.done():
-                future.set_exception(error)
-                # Keeps asyncio from logging an exception that was never
-                # retrieved, in case the waiter has given up.
-                future.exception()
+            _fail_waiter(future, error)
+
+
+def _fail_waiter(
+    future: asyncio.Future[None], error: errors.BasilspindleError
+) -> None:
+    if not future.done():
+        future.set_exception(error)
+        # Keeps asyncio from logging an exception that was never retrieved, in
+        # case the waiter has given up.
+        future.exception()
