Report each gap of the log at its place, also for a reader that stays slow

The leader's lines on that job, which it must have written (job_accepted, task_started and others), are missing in the record, and no line reports a gap. By reading, a gap could stay unreported: lines_dropped waited for an empty buffer, which a reader that is always too slow never leaves; buffered lines and the report waited for the next event of the process; and a normal exit lost up to 256 KB of lines.

The report is now written as soon as there is room for 16 KB, before the next line. Once a second the buffer is written as far as the reader takes it. An exit waits up to 0.5 s for the reader.

--- a/basilspindle/events/emit.py
+++ b/basilspindle/events/emit.py
@@ -1,5 +1,6 @@
 """Write each event as one line of JSON."""
 
+import atexit
 import io
 import typing
 
@@ -10,6 +11,10 @@
 from basilspindle.events import rate_limiter
 from basilspindle.events import sink as sink_module
 
+# Most time that the exit of the process waits for the reader of its log; below
+# the part of the grace period that is left for the exit.
+_EXIT_TIMEOUT_S = 0.5
+
 LINES_SUPPRESSED = event_module.Event(
     10,
     'lines_suppressed',
@@ -74,6 +79,8 @@
         # An in-memory stream has no file descriptor and never blocks.
         target = stream
     loguru.logger.add(target, format=_format, level=level)
+    atexit.unregister(_finish)
+    atexit.register(_finish)
 
 
 def emit(event: event_module.Event, **fields: typing.Any) -> None:
@@ -84,22 +91,20 @@
     """
     if not _output.limiter.allows(event.number):
         return
-    sink = _output.sink
-    if sink is not None and sink.dropped:
-        sink.flush()
-        if sink.is_empty:
-            # While lines are buffered, this report could be dropped too.
-            dropped, sink.dropped = sink.dropped, 0
-            _write(LINES_DROPPED, {'lines': dropped})
+    _report_dropped()
     _write(event, fields)
 
 
 def report_suppressed() -> int:
-    """Log how many lines of each event were suppressed.
+    """Log how many lines of each event were suppressed or dropped.
 
-    Returns how many lines were suppressed or dropped since the last call.
+    Also writes the lines that the reader has room for by now. Returns how many
+    lines were suppressed or dropped since the last call.
     """
     lines = 0
+    if _output.sink is not None:
+        _output.sink.flush()
+    _report_dropped()
     for number, count in _output.limiter.take_suppressed().items():
         lines += count
         name = event_module.Event.catalogue[number].name
@@ -109,6 +114,24 @@
     return lines
 
 
+def _report_dropped() -> None:
+    """Log how many lines are missing at this place."""
+    sink = _output.sink
+    if sink is None or not sink.dropped:
+        return
+    sink.flush()
+    if sink.has_room:
+        dropped, sink.dropped = sink.dropped, 0
+        _write(LINES_DROPPED, {'lines': dropped})
+
+
+def _finish() -> None:
+    """Hand the last lines to the reader before the process exits."""
+    if _output.sink is not None:
+        report_suppressed()
+        _output.sink.drain(_EXIT_TIMEOUT_S)
+
+
 def _write(event: event_module.Event, fields: dict[str, typing.Any]) -> None:
     loguru.logger.bind(event=event.number, name=event.name, fields=fields).log(
         event.level.value, event.text
--- a/basilspindle/events/sink.py
+++ b/basilspindle/events/sink.py
@@ -2,9 +2,14 @@
 
 import collections
 import os
+import select
+import time
 import typing
 
 _MAX_BUFFER_BYTES = 256 * 1024
+# After a gap, lines are taken again once there is room for this much, so that
+# a slow reader gets some lines between two reports of a gap.
+_MIN_ROOM_BYTES = 16 * 1024
 
 
 class Sink:
@@ -19,10 +24,12 @@
         '_lines',
         '_size_bytes',
         '_dropped_since_take',
+        '_is_full',
     )
 
     def __init__(self, stream: typing.TextIO) -> None:
         self.dropped = 0
+        self._is_full = False
         # Lines dropped since the last call of take_dropped().
         self._dropped_since_take = 0
         self._fd = stream.fileno()
@@ -31,9 +38,12 @@
         os.set_blocking(self._fd, False)
 
     @property
-    def is_empty(self) -> bool:
-        """Tell whether no lines are buffered."""
-        return not self._lines
+    def has_room(self) -> bool:
+        """Tell whether the next lines are written or buffered."""
+        if self._is_full:
+            free_bytes = _MAX_BUFFER_BYTES - self._size_bytes
+            self._is_full = free_bytes < _MIN_ROOM_BYTES
+        return not self._is_full
 
     def write(self, message: str) -> None:
         """Write a line, or buffer it until the reader catches up."""
@@ -41,6 +51,8 @@
         if self._size_bytes + len(line) > _MAX_BUFFER_BYTES:
             self.flush()
         if self._size_bytes + len(line) > _MAX_BUFFER_BYTES:
+            self._is_full = True
+        if not self.has_room:
             self._count_dropped(1)
             return
         self._lines.append(line)
@@ -67,6 +79,19 @@
                 return
             self._lines.popleft()
 
+    def drain(self, timeout_s: float) -> None:
+        """Wait for the reader until all buffered lines are written."""
+        until_s = time.monotonic() + timeout_s
+        poll = select.poll()
+        poll.register(self._fd, select.POLLOUT)
+        self.flush()
+        while self._lines:
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                return
+            poll.poll(left_s * 1_000)
+            self.flush()
+
     def take_dropped(self) -> int:
         """Return the number of lines dropped since the last call."""
         taken, self._dropped_since_take = self._dropped_since_take, 0
--- a/tests/test_event_output.py
+++ b/tests/test_event_output.py
@@ -3,6 +3,8 @@
 import io
 import json
 import os
+import subprocess
+import sys
 import time
 import unittest
 
@@ -14,6 +16,16 @@
 from basilspindle.events import rate_limiter
 
 _JOB = '00000000000000aa'
+# Writes more than a pipe holds, and less than the buffer.
+_EXITING_PROGRAM = """
+import sys
+from basilspindle.cell import events as cell_events
+from basilspindle import events
+events.configure_logging(sys.stdout)
+for _ in range(50):
+    events.emit(cell_events.NODE_STOPPED, node='x' * 4_000)
+sys.exit()
+"""
 
 
 class PipeCase(unittest.TestCase):
@@ -68,6 +80,53 @@
         # The return value, which feeds a metric, includes the dropped lines.
         self.assertEqual(dropped, events.report_suppressed())
 
+    def test_a_reader_that_never_catches_up(self):
+        """Guard against a gap that no line reports.
+
+        The report waited for an empty buffer, which a reader that is always
+        too slow does not leave.
+        """
+        data = b''
+        number = 0
+        for _ in range(40):
+            for _ in range(20):
+                self.emit(number)
+                number += 1
+            data += self.reader.read(40_000) or b''
+        while chunk := self.read():
+            data += chunk
+            events.report_suppressed()
+        lines = [json.loads(row) for row in data.splitlines()]
+        names = [line['name'] for line in lines]
+        self.assertGreater(names.count('lines_dropped'), 5)
+        dropped = sum(line.get('lines', 0) for line in lines)
+        self.assertEqual(
+            number, len(lines) - names.count('lines_dropped') + dropped
+        )
+
+    def test_lines_of_a_process_that_logs_nothing_more(self):
+        """Guard against lines and a count that wait for the next event."""
+        for number in range(500):
+            self.emit(number)
+        data = b''
+        while chunk := self.read():
+            data += chunk
+            events.report_suppressed()
+        lines = [json.loads(row) for row in data.splitlines()]
+        self.assertEqual('lines_dropped', lines[-1]['name'])
+        self.assertEqual(500, len(lines) - 1 + lines[-1]['lines'])
+
+    def test_the_last_lines_before_the_exit(self):
+        """Guard against buffered lines that a normal exit loses."""
+        process = subprocess.Popen(
+            [sys.executable, '-c', _EXITING_PROGRAM], stdout=subprocess.PIPE
+        )
+        time.sleep(0.2)
+        output, _ = process.communicate(timeout=10.0)
+        lines = [json.loads(row) for row in output.splitlines()]
+        self.assertEqual(50, len(lines))
+        self.assertEqual(0, process.returncode)
+
     def emit(self, number):
         # Alternate between events to stay below the rate limit of each.
         event = (
