Count the refusals that callers got in report

report counted the refusals that leaders send (job_refused): also those of copies that the asking daemon sent again, but not the 503 of a daemon without a leader.

It counts submission_failed lines with 429 or 503 from the first one on, and job_refused before, for builds that do not have the line.

--- a/basilspindle/cli/log_report.py
+++ b/basilspindle/cli/log_report.py
@@ -6,6 +6,8 @@
 from basilspindle.cli import log_lines
 
 _UNKNOWN = 'unknown'
+# Statuses which promise callers that the job never runs.
+_REFUSAL_STATUSES = (429, 503)
 
 
 class Series:
@@ -33,8 +35,9 @@
     ``waiting_jobs`` counts, by queue, the accepted jobs that have not
     started, ``used_cores`` the cores of running tasks by workspace,
     ``capacity_cores`` the cores of the known workers, and ``refusals`` the
-    refused jobs by reason, all per time step. ``leader_ready_s`` holds the
-    times at which a leader became ready, from the start of the period.
+    submissions that callers were refused, by reason, all per time step.
+    ``leader_ready_s`` holds the times at which a leader became ready, from
+    the start of the period.
     """
 
     __slots__ = (
@@ -79,6 +82,29 @@
         self.cores = cores
 
 
+class _FailedSubmissions:
+    """Tell which refusals of a leader are in the lines on callers' answers.
+
+    A leader refuses copies of a submission. A daemon that gets such a refusal
+    may ask again, and refuses by itself without a leader. Builds without lines
+    on the answers are known by the refusals of leaders only.
+    """
+
+    __slots__ = ('_begin_s', '_job_ids')
+
+    def __init__(self, lines: list[log_lines.LogLine]) -> None:
+        found = [line for line in lines if line.name == 'submission_failed']
+        self._begin_s = min(
+            (line.time_s for line in found), default=float('inf')
+        )
+        self._job_ids = {line.fields.get('job') for line in found}
+
+    def covers(self, line: log_lines.LogLine) -> bool:
+        """Tell whether a refusal of a leader must not be counted."""
+        is_later = line.time_s >= self._begin_s
+        return is_later or line.fields.get('job') in self._job_ids
+
+
 class _ReplayState:
     """The waiting jobs, runs and workers after the events read so far."""
 
@@ -88,9 +114,11 @@
         'runs',
         'capacity_cores',
         'refusals',
+        '_submissions',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, submissions: '_FailedSubmissions') -> None:
+        self._submissions = submissions
         # Queues of the waiting jobs and workspaces of all jobs, by job id.
         self.waiting_jobs: dict[str, str] = {}
         self.workspaces_by_job: dict[str, str] = {}
@@ -103,13 +131,20 @@
         handler = _HANDLERS.get(line.name)
         if handler is not None:
             handler(self, line.fields)
+        elif line.name == 'job_refused':
+            if not self._submissions.covers(line):
+                self._count_refusal(line.fields)
 
     def note_job_accepted(self, fields: log_lines.Fields) -> None:
         job_id = str(fields.get('job'))
         self.waiting_jobs[job_id] = str(fields.get('queue', _UNKNOWN))
         self.workspaces_by_job[job_id] = str(fields.get('workspace', _UNKNOWN))
 
-    def note_job_refused(self, fields: log_lines.Fields) -> None:
+    def note_submission_failed(self, fields: log_lines.Fields) -> None:
+        if fields.get('status') in _REFUSAL_STATUSES:
+            self._count_refusal(fields)
+
+    def _count_refusal(self, fields: log_lines.Fields) -> None:
         self.refusals[str(fields.get('reason', _UNKNOWN))] += 1
 
     def note_job_ended(self, fields: log_lines.Fields) -> None:
@@ -155,7 +190,7 @@
     str, collections.abc.Callable[[_ReplayState, log_lines.Fields], None]
 ] = {
     'job_accepted': _ReplayState.note_job_accepted,
-    'job_refused': _ReplayState.note_job_refused,
+    'submission_failed': _ReplayState.note_submission_failed,
     'job_ended': _ReplayState.note_job_ended,
     'task_started': _ReplayState.note_task_started,
     'task_ended': _ReplayState.note_task_ended,
@@ -175,7 +210,7 @@
         return None
     report = Report(lines[0].time_s, step_s)
     report.unreadable_count = reader.unreadable_count
-    state = _ReplayState()
+    state = _ReplayState(_FailedSubmissions(lines))
     end_s = report.begin_s + step_s
     for line in lines:
         while line.time_s >= end_s:
