Show silences of the leader and missing lines in explain

explain prints all fields of submission_failed (checked, now with a test). What led to the answer was not shown: silences of the leader come before the first line of the job, and were in no timeline.

The timeline begins with the first request of the job and includes leader_silent and leader_followed. explain says on standard error how many lines of the logs were not written.

--- a/basilspindle/cli/log_timeline.py
+++ b/basilspindle/cli/log_timeline.py
@@ -13,22 +13,30 @@
         'leader_gained',
         'leader_ready',
         'leader_lost',
+        'leader_silent',
+        'leader_followed',
         'store_failed',
         'store_regained',
         'lines_suppressed',
         'lines_dropped',
     }
 )
+_GAP_EVENTS = frozenset({'lines_suppressed', 'lines_dropped'})
 
 
 class Timeline:
-    """The log lines of a job in order of time, and a count of bad lines."""
+    """The log lines of a job in order of time, and a count of bad lines.
 
-    __slots__ = ('lines', 'unreadable_count')
+    ``missing_count`` is how many lines of all jobs the daemons report as not
+    written.
+    """
+
+    __slots__ = ('lines', 'missing_count', 'unreadable_count')
 
     def __init__(self) -> None:
         self.lines: list[log_lines.LogLine] = []
         self.unreadable_count = 0
+        self.missing_count = 0
 
 
 def collect(
@@ -37,12 +45,15 @@
     """Return the timeline of a job from pairs of source and log line.
 
     Also includes the events that affect all jobs, such as a change of
-    leader or a store failure, between the first and last line of the job.
+    leader or a store failure, from the beginning of its first request to its
+    last line.
     """
     timeline = Timeline()
     context_lines = []
     reader = log_lines.LogReader(raw_lines)
     for line in reader:
+        if line.name in _GAP_EVENTS:
+            timeline.missing_count += _as_int(line.fields.get('lines'))
         if _concerns(line.fields, job_id):
             timeline.lines.append(line)
         elif line.name in _CONTEXT_EVENTS:
@@ -50,7 +61,8 @@
     timeline.unreadable_count = reader.unreadable_count
     timeline.lines.sort(key=_time_s)
     if timeline.lines:
-        first_s, last_s = timeline.lines[0].time_s, timeline.lines[-1].time_s
+        first_s = min(_begin_s(line) for line in timeline.lines)
+        last_s = timeline.lines[-1].time_s
         timeline.lines += [
             line for line in context_lines if first_s <= line.time_s <= last_s
         ]
@@ -82,6 +94,15 @@
     return line.time_s
 
 
+def _begin_s(line: log_lines.LogLine) -> float:
+    # The line on an answer comes at the end of the request.
+    return line.time_s - _as_int(line.fields.get('spent_ms')) / 1000
+
+
+def _as_int(value: object) -> int:
+    return value if isinstance(value, int) else 0
+
+
 def _concerns(fields: log_lines.Fields, job_id: str) -> bool:
     if fields.get('job') == job_id:
         return True
--- a/tests/test_cli_files.py
+++ b/tests/test_cli_files.py
@@ -69,6 +69,52 @@
         self.assertEqual(1, result.exit_code)
         self.assertIn('no log line mentions job', result.output)
 
+    def test_a_submission_that_failed(self):
+        """Guard against an answer to a caller without what led to it.
+
+        The silence of the leader came before the first line of the job.
+        """
+        fields = {
+            'job': _JOB,
+            'status': 429,
+            'reason': 'overloaded',
+            'refused_by': 'd2',
+            'copies': 2,
+            'outcomes': ['d2 epoch 1 after 3 ms: no_reply', 'd2 epoch 1 x'],
+            'spent_ms': 900,
+        }
+        path = self.write(
+            'a.log',
+            self.make_log(
+                (1.0, 'leader_silent', {'node': 'before'}),
+                (1.5, 'leader_silent', {'node': 'd2'}),
+                (1.8, 'leader_followed', {'node': 'd2', 'epoch': 1}),
+                (2.0, 'submission_failed', fields),
+            ),
+        )
+        result = self.run_command('explain', _JOB, path)
+        self.assertEqual(0, result.exit_code)
+        self.assertNotIn('before', result.output)
+        self.assertIn('leader_silent        node=d2', result.output)
+        self.assertIn('leader_followed      node=d2 epoch=1', result.output)
+        del fields['job']
+        for name, value in fields.items():
+            self.assertIn(f'{name}={value}', result.output)
+
+    def test_lines_that_were_not_written(self):
+        """Guard against a missing line of a job that nothing tells of."""
+        text = self.make_log(
+            (1, 'lines_suppressed', {'of': 'submission_failed', 'lines': 3}),
+            (2, 'lines_dropped', {'lines': 4}),
+        )
+        result = self.run_command('explain', _JOB, text=text)
+        self.assertEqual(1, result.exit_code)
+        self.assertIn('7 lines of the logs were not written', result.output)
+        text += '\n' + self.make_log((0.5, 'one', {'job': _JOB}))
+        result = self.run_command('explain', _JOB, text=text)
+        self.assertEqual(0, result.exit_code)
+        self.assertIn('7 lines of the logs were not written', result.output)
+
     def test_tasks_that_gave_way_are_shown(self):
         """Guard against a stop without a cause in the timeline."""
         fields = {'step': 'other.0.0', 'tasks': [f'{_JOB}.0.0.1', 7]}
@@ -205,6 +251,45 @@
         )
         self.assertEqual(1, report.unreadable_count)
 
+    def make_answer(self, at_s, job, status):
+        reason = {429: 'overloaded', 503: 'not_ready'}.get(status, 'unknown')
+        return self.make_line(
+            at_s, 'submission_failed', job=job, status=status, reason=reason
+        )
+
+    def test_refusals_are_those_that_callers_got(self):
+        """Guard against refusals of copies counted as those of callers.
+
+        A leader refuses copies that are sent again, and a daemon without a
+        leader refuses by itself.
+        """
+
+        def refusal(at_s, job):
+            return self.make_line(
+                at_s, 'job_refused', job=job, reason='overloaded'
+            )
+
+        report = self.collect(
+            [
+                # Of a build without lines on answers.
+                refusal(0.1, 'a'),
+                refusal(1.1, 'b'),
+                self.make_answer(1.2, 'b', 429),
+                # Accepted from a later copy.
+                refusal(2.1, 'c'),
+                self.make_answer(3.1, 'd', 503),
+                refusal(4.1, 'e'),
+                self.make_answer(4.2, 'e', 504),
+            ]
+        )
+        self.assertEqual(
+            [1, 1, 0, 0, 0], report.refusals.values_of('overloaded')
+        )
+        self.assertEqual(
+            [0, 0, 0, 1, 0], report.refusals.values_of('not_ready')
+        )
+        self.assertEqual({'overloaded', 'not_ready'}, report.refusals.names)
+
     def test_image_is_written(self):
         """Guard against a report without an image file."""
         log = self.write('a.log', '\n'.join(self.make_lines()))
