Deliver late what a cut of the stand-in network holds, or cut one way

No rig could deliver what a daemon had sent over a connection that it has closed since, after something that it sent later: the stand-in network delivered all at the end of a cut, and lost what a reset stream had not handed out yet.

A cut has two more options. With late_s, what is sent over open connections while it lasts arrives so much later than its end, also if the sender has closed the connection; new connections are prompt. With one_way, only what the first group of machines sends is held. A path reads ahead of the delivery, so a reset of the client's end no longer loses what it has sent before.

--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import re
+import time
 import typing
 
 from tests.standins.platform import server as server_module
@@ -11,19 +12,59 @@
 # Name of the machine of the store.
 STORE = 'store'
 _SEGMENT_BYTES = 65_536
+# Segments of one direction of a connection that a cut holds; senders wait
+# beyond that, as for a full socket buffer.
+_QUEUED_SEGMENTS = 32
 _TARGET_POLL_S = 0.05
 # All ports of stand-ins and daemons have five digits, so that an address can
 # be replaced without a change of the length of what holds it.
 _ADDRESS = re.compile(rb'127\.0\.0\.1:(\d{5})')
 
 
+class _Gate:
+    """One direction of a path; holds what is sent while a cut lasts."""
+
+    __slots__ = ('_is_open', '_late_s', '_late_until_s')
+
+    def __init__(self) -> None:
+        self._is_open = asyncio.Event()
+        self._is_open.set()
+        self._late_s = 0.0
+        self._late_until_s = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        return self._is_open.is_set()
+
+    def set_cuts(self, cuts: list['Cut']) -> None:
+        """Set the cuts that hold in this direction."""
+        self._late_s = max((self._late_s, *(cut.late_s for cut in cuts)))
+        if cuts:
+            self._is_open.clear()
+        elif not self.is_open:
+            self._late_until_s = time.monotonic() + self._late_s
+            self._late_s = 0.0
+            self._is_open.set()
+
+    async def wait_open(self) -> None:
+        """Wait until no cut holds."""
+        await self._is_open.wait()
+
+    async def pass_on(self) -> None:
+        """Wait until what was read may be delivered."""
+        while not self.is_open:
+            await self._is_open.wait()
+            await asyncio.sleep(self._late_until_s - time.monotonic())
+
+
 class _Path:
     """Way from one machine to the server of another one."""
 
     __slots__ = (
+        '_back',
+        '_forward',
         '_holder',
         '_is_down',
-        '_is_open',
         '_is_refused',
         '_listening',
         '_server',
@@ -40,8 +81,8 @@
         host, port = self._holder.getsockname()
         self.address = f'{host}:{port}'
         self._server: asyncio.Server | None = None
-        self._is_open = asyncio.Event()
-        self._is_open.set()
+        self._forward = _Gate()
+        self._back = _Gate()
         self._is_refused = False
         # Whether the target refuses connections.
         self._is_down = False
@@ -65,13 +106,14 @@
     def _refuses(self) -> bool:
         return self._is_refused or self._is_down
 
-    def set_cuts(self, cuts: list['Cut']) -> None:
+    def set_cuts(
+        self, forward_cuts: list['Cut'], back_cuts: list['Cut']
+    ) -> None:
         """Set the cuts that hold; listen() has to follow when one ends."""
+        self._forward.set_cuts(forward_cuts)
+        self._back.set_cuts(back_cuts)
+        cuts = [*forward_cuts, *back_cuts]
         self._is_refused = any(cut.resets for cut in cuts)
-        if cuts:
-            self._is_open.clear()
-        else:
-            self._is_open.set()
         if self._is_refused:
             self._refuse()
 
@@ -106,6 +148,9 @@
         except OSError:
             # Either end has closed the connection or refuses it.
             pass
+        except asyncio.CancelledError:
+            # The path is closed; streams log tasks that are cancelled.
+            return
         finally:
             self._tasks.discard(task)
             writer.transport.abort()
@@ -113,7 +158,10 @@
     async def _carry_both(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await self._is_open.wait()
+        # Each direction carries a part of the handshake.
+        while not (self._forward.is_open and self._back.is_open):
+            await self._forward.wait_open()
+            await self._back.wait_open()
         try:
             far_reader, far_writer = await self._connect_to_target()
         except ConnectionRefusedError:
@@ -126,12 +174,22 @@
                     self._wait_for_target()
                 )
             raise
-        both = [
-            asyncio.ensure_future(self._carry(reader, far_writer)),
-            asyncio.ensure_future(self._carry(far_reader, writer)),
-        ]
+        forward = asyncio.ensure_future(
+            self._carry(reader, far_writer, self._forward)
+        )
+        back = asyncio.ensure_future(
+            self._carry(far_reader, writer, self._back)
+        )
+        both = [forward, back]
         try:
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            if not forward.done() and back.exception() is not None:
+                # The client has gone. What it sent before arrives all the
+                # same.
+                await asyncio.wait([forward])
+            if forward.done() and forward.exception() is None:
+                far_writer.close()
+                await far_writer.wait_closed()
         finally:
             # First, as this task may be cancelled once more.
             far_writer.transport.abort()
@@ -159,24 +217,58 @@
         await self.listen()
 
     async def _carry(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        gate: _Gate,
     ) -> None:
-        while data := await reader.read(_SEGMENT_BYTES):
-            # What is sent during a silent cut arrives once it has healed, as
-            # the kernel sends it again.
-            await self._is_open.wait()
-            writer.write(data)
-            await writer.drain()
+        segments: asyncio.Queue[bytes] = asyncio.Queue(_QUEUED_SEGMENTS)
+        reading = asyncio.ensure_future(self._read(reader, segments))
+        try:
+            while data := await segments.get():
+                # What is sent during a silent cut arrives once it has healed,
+                # as the kernel sends it again.
+                await gate.pass_on()
+                writer.write(data)
+                await writer.drain()
+        finally:
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+
+    async def _read(
+        self, reader: asyncio.StreamReader, segments: asyncio.Queue[bytes]
+    ) -> None:
+        # Ahead of the delivery: a stream that is reset loses what it has not
+        # handed out.
+        try:
+            while data := await reader.read(_SEGMENT_BYTES):
+                await segments.put(data)
+        except OSError:
+            # The end of the stream, as for one that is closed.
+            pass
+        await segments.put(b'')
 
 
 class Cut:
-    """Cut of all paths between two groups of machines."""
+    """Cut of all paths between two groups of machines.
 
-    __slots__ = ('pairs', 'resets')
+    ``senders`` are the machines whose messages it holds. What they send while
+    it lasts arrives ``late_s`` after its end.
+    """
 
-    def __init__(self, pairs: frozenset[frozenset[str]], resets: bool) -> None:
+    __slots__ = ('late_s', 'pairs', 'resets', 'senders')
+
+    def __init__(
+        self,
+        pairs: frozenset[frozenset[str]],
+        resets: bool,
+        senders: frozenset[str],
+        late_s: float,
+    ) -> None:
         self.pairs = pairs
         self.resets = resets
+        self.senders = senders
+        self.late_s = late_s
 
 
 class Network(contextlib.AsyncExitStack):
@@ -207,7 +299,7 @@
             path = self._paths[key] = _Path(address)
             self._targets[path.address] = address
             self.push_async_callback(path.close)
-            path.set_cuts(self._find_cuts(machine, self._names[address]))
+            self._set_path_cuts(path, machine, self._names[address])
         path = self._paths[key]
         await path.listen()
         return path.address
@@ -235,7 +327,7 @@
         return _ADDRESS.sub(replace, value)
 
     def is_cut(self, machine: str, other: str) -> bool:
-        """Return whether two machines are cut off from each other."""
+        """Return whether a cut holds between two machines, either way."""
         return bool(self._find_cuts(machine, other))
 
     def _find_cuts(self, machine: str, other: str) -> list[Cut]:
@@ -247,8 +339,18 @@
         machines: collections.abc.Iterable[str],
         others: collections.abc.Iterable[str],
         resets: bool = False,
+        one_way: bool = False,
+        late_s: float = 0.0,
     ) -> Cut:
-        """Cut all paths between two groups of machines."""
+        """Cut all paths between two groups of machines.
+
+        With ``one_way``, only what ``machines`` send is held, and no new
+        connection between the groups is made. What is sent over connections
+        that are open at the cut arrives ``late_s`` after it has healed, also
+        if the sender has closed them meanwhile; other connections are not
+        late.
+        """
+        machines = list(machines)
         others = list(others)
         cut = Cut(
             frozenset(
@@ -257,6 +359,8 @@
                 for other in others
             ),
             resets,
+            frozenset(machines if one_way else (*machines, *others)),
+            late_s,
         )
         self._cuts.append(cut)
         self._set_cuts([cut])
@@ -276,9 +380,16 @@
             other = self._names[address]
             pair = frozenset((machine, other))
             if any(pair in cut.pairs for cut in changed):
-                path.set_cuts(self._find_cuts(machine, other))
+                self._set_path_cuts(path, machine, other)
                 paths.append(path)
         return paths
 
+    def _set_path_cuts(self, path: _Path, machine: str, other: str) -> None:
+        cuts = self._find_cuts(machine, other)
+        path.set_cuts(
+            [cut for cut in cuts if machine in cut.senders],
+            [cut for cut in cuts if other in cut.senders],
+        )
+
     async def __aenter__(self) -> typing.Self:
         return self
--- a/tests/test_standin_network.py
+++ b/tests/test_standin_network.py
@@ -10,6 +10,11 @@
 _TIMEOUT_S = 0.3
 _SETTLE_S = 0.3
 _REQUEST = b'GET / HTTP/1.1\r\n\r\n'
+_LATE_S = 0.6
+
+
+def _request(name):
+    return f'GET /{name} HTTP/1.1\r\n\r\n'.encode()
 
 
 class NetworkTest(unittest.IsolatedAsyncioTestCase):
@@ -26,6 +31,9 @@
     async def answer(self, request):
         return server_module.Reply(200)
 
+    def paths(self):
+        return [request.path for request in self.server.requests]
+
     async def call(self):
         """Return what a call of the server ends with."""
         try:
@@ -84,6 +92,72 @@
             self.assertTrue(await reader.read(100))
         writer.transport.abort()
 
+    async def test_what_arrives_after_its_connection_was_closed(self):
+        """Guard against a late cut that loses what a closed connection sent.
+
+        A new connection must not wait for it.
+        """
+        _, first = await asyncio.open_connection(*self.address.split(':'))
+        # Their replies are on the way when the connection is closed.
+        self.server.delay_s = 2 * _SETTLE_S
+        for name in ('before', 'again'):
+            first.write(_request(name))
+            await asyncio.sleep(_SETTLE_S / 2)
+        self.network.cut(['a'], ['b'], one_way=True, late_s=_LATE_S)
+        self.network.cut(['b'], ['a'], one_way=True)
+        self.server.delay_s = 0.0
+        first.write(_request('late'))
+        await asyncio.sleep(2 * _SETTLE_S)
+        first.write(_request('last'))
+        first.transport.abort()
+        await self.network.heal()
+        self.assertEqual('answered', await self.call())
+        prompt = ['/before', '/again', '/']
+        self.assertEqual(prompt, self.paths())
+        await asyncio.sleep(_LATE_S)
+        self.assertEqual([*prompt, '/late', '/last'], self.paths())
+
+    async def test_a_cut_while_data_is_late(self):
+        """Guard against late data that a second cut does not hold."""
+        _, writer = await asyncio.open_connection(*self.address.split(':'))
+        writer.write(_request('before'))
+        await asyncio.sleep(_SETTLE_S)
+        first = self.network.cut(['a'], ['b'], late_s=_LATE_S)
+        writer.write(_request('late'))
+        await asyncio.sleep(_SETTLE_S)
+        await self.network.heal(first)
+        second = self.network.cut(['a'], ['b'])
+        await asyncio.sleep(_LATE_S + _SETTLE_S)
+        self.assertEqual(['/before'], self.paths())
+        await self.network.heal(second)
+        await asyncio.sleep(_SETTLE_S)
+        self.assertEqual(['/before', '/late'], self.paths())
+        writer.transport.abort()
+
+    async def test_a_cut_one_way(self):
+        """Guard against a one-way cut that holds the other direction."""
+        reader, writer = await asyncio.open_connection(
+            *self.address.split(':')
+        )
+        writer.write(_REQUEST)
+        self.assertTrue(await reader.read(100))
+        cut = self.network.cut(['b'], ['a'], one_way=True)
+        writer.write(_request('held'))
+        await asyncio.sleep(_SETTLE_S)
+        self.assertEqual(['/', '/held'], self.paths())
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(_TIMEOUT_S):
+                await reader.read(100)
+        self.assertEqual('silent', await self.call())
+        await self.network.heal(cut)
+        async with asyncio.timeout(_TIMEOUT_S):
+            self.assertTrue(await reader.read(100))
+        cut = self.network.cut(['a'], ['b'], one_way=True)
+        writer.write(_request('lost'))
+        await asyncio.sleep(_SETTLE_S)
+        self.assertNotIn('/lost', self.paths())
+        writer.transport.abort()
+
     async def test_a_server_that_refuses_connections(self):
         """Guard against paths that accept what their server refuses."""
         self.server.refuse()
