Lose packets of the stand-in network in the kernel

A silent cut of the stand-in network accepts connections and what is sent over them, and delivers all of it at its end. On a network the kernels do that work: they repeat what is lost at growing intervals, also for a connection that its process has closed, and a connection attempt stays unanswered. Neither could be played.

With the option drops, a cut attaches a packet filter to the sockets of its paths that drops what arrives for them.

--- a/tests/standins/platform/network.py
+++ b/tests/standins/platform/network.py
@@ -3,7 +3,10 @@
 import asyncio
 import collections.abc
 import contextlib
+import ctypes
 import re
+import socket
+import struct
 import time
 import typing
 
@@ -19,6 +22,31 @@
 # All ports of stand-ins and daemons have five digits, so that an address can
 # be replaced without a change of the length of what holds it.
 _ADDRESS = re.compile(rb'127\.0\.0\.1:(\d{5})')
+# Options of Linux sockets that the socket module has no names for, and the
+# instruction of a packet filter that returns how many bytes to keep.
+_SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
+_RETURN_CONSTANT = 0x06
+
+
+def _set_packet_loss(sock: socket.socket, is_lost: bool) -> None:
+    """Have the kernel drop all packets that arrive for a socket, or none.
+
+    The kernel of the sender sends again what is lost, also for a connection
+    that has been closed.
+    """
+    if sock.fileno() < 0:
+        return
+    if not is_lost:
+        with contextlib.suppress(FileNotFoundError):
+            # It has no filter.
+            sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+        return
+    instruction = ctypes.create_string_buffer(
+        struct.pack('HBBI', _RETURN_CONSTANT, 0, 0, 0)
+    )
+    program = struct.pack('HxxxxxxP', 1, ctypes.addressof(instruction))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
 
 
 class _Gate:
@@ -62,6 +90,10 @@
 
     __slots__ = (
         '_back',
+        '_client_sockets',
+        '_drops_client',
+        '_drops_far',
+        '_far_sockets',
         '_forward',
         '_holder',
         '_is_down',
@@ -84,6 +116,11 @@
         self._forward = _Gate()
         self._back = _Gate()
         self._is_refused = False
+        # Sockets of the connections, by the end whose packets they take.
+        self._client_sockets: set[socket.socket] = set()
+        self._far_sockets: set[socket.socket] = set()
+        self._drops_client = False
+        self._drops_far = False
         # Whether the target refuses connections.
         self._is_down = False
         self._target_wait: asyncio.Task[None] | None = None
@@ -99,6 +136,7 @@
                 self._server = await asyncio.start_server(
                     self._connect, host, int(port), limit=_SEGMENT_BYTES
                 )
+                self._filter_packets()
                 if self._refuses:
                     self._stop_listening()
 
@@ -114,9 +152,22 @@
         self._back.set_cuts(back_cuts)
         cuts = [*forward_cuts, *back_cuts]
         self._is_refused = any(cut.resets for cut in cuts)
+        self._drops_client = any(cut.drops for cut in forward_cuts)
+        self._drops_far = any(cut.drops for cut in back_cuts)
+        self._filter_packets()
         if self._is_refused:
             self._refuse()
 
+    def _filter_packets(self) -> None:
+        # A part of the handshake is lost in either direction.
+        drops_any = self._drops_client or self._drops_far
+        for sock in self._server.sockets if self._server is not None else ():
+            _set_packet_loss(sock, drops_any)
+        for sock in self._client_sockets:
+            _set_packet_loss(sock, self._drops_client)
+        for sock in self._far_sockets:
+            _set_packet_loss(sock, self._drops_far)
+
     async def close(self) -> None:
         tasks = self._refuse()
         if self._target_wait is not None:
@@ -143,6 +194,10 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        client = writer.get_extra_info('socket')
+        self._client_sockets.add(client)
+        # It has the filter that the listening socket had at the handshake.
+        _set_packet_loss(client, self._drops_client)
         try:
             await self._carry_both(reader, writer)
         except OSError:
@@ -153,6 +208,7 @@
             return
         finally:
             self._tasks.discard(task)
+            self._client_sockets.discard(client)
             writer.transport.abort()
 
     async def _carry_both(
@@ -181,6 +237,9 @@
             self._carry(far_reader, writer, self._back)
         )
         both = [forward, back]
+        far = far_writer.get_extra_info('socket')
+        self._far_sockets.add(far)
+        _set_packet_loss(far, self._drops_far)
         try:
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
             if not forward.done() and back.exception() is not None:
@@ -192,6 +251,7 @@
                 await far_writer.wait_closed()
         finally:
             # First, as this task may be cancelled once more.
+            self._far_sockets.discard(far)
             far_writer.transport.abort()
             for each in both:
                 each.cancel()
@@ -253,10 +313,11 @@
     """Cut of all paths between two groups of machines.
 
     ``senders`` are the machines whose messages it holds. What they send while
-    it lasts arrives ``late_s`` after its end.
+    it lasts arrives ``late_s`` after its end. If it ``drops``, the kernels of
+    the machines lose the packets and send them again.
     """
 
-    __slots__ = ('late_s', 'pairs', 'resets', 'senders')
+    __slots__ = ('drops', 'late_s', 'pairs', 'resets', 'senders')
 
     def __init__(
         self,
@@ -264,7 +325,9 @@
         resets: bool,
         senders: frozenset[str],
         late_s: float,
+        drops: bool,
     ) -> None:
+        self.drops = drops
         self.pairs = pairs
         self.resets = resets
         self.senders = senders
@@ -341,6 +404,7 @@
         resets: bool = False,
         one_way: bool = False,
         late_s: float = 0.0,
+        drops: bool = False,
     ) -> Cut:
         """Cut all paths between two groups of machines.
 
@@ -348,7 +412,8 @@
         connection between the groups is made. What is sent over connections
         that are open at the cut arrives ``late_s`` after it has healed, also
         if the sender has closed them meanwhile; other connections are not
-        late.
+        late. With ``drops``, packets are lost as on a network: connections are
+        not set up, and the kernel of the sender sends again what was lost.
         """
         machines = list(machines)
         others = list(others)
@@ -361,6 +426,7 @@
             resets,
             frozenset(machines if one_way else (*machines, *others)),
             late_s,
+            drops,
         )
         self._cuts.append(cut)
         self._set_cuts([cut])
--- a/tests/test_standin_network.py
+++ b/tests/test_standin_network.py
@@ -11,6 +11,8 @@
 _SETTLE_S = 0.3
 _REQUEST = b'GET / HTTP/1.1\r\n\r\n'
 _LATE_S = 0.6
+# Linux sends lost data again after 0.2, 0.6, 1.4 and 3 s.
+_RESEND_S = 5.0
 
 
 def _request(name):
@@ -158,6 +160,51 @@
         self.assertNotIn('/lost', self.paths())
         writer.transport.abort()
 
+    async def test_packets_that_are_lost(self):
+        """Guard against a cut that kernels do not see as lost packets.
+
+        Theirs sends again what a process sent before it closed.
+        """
+        _, first = await asyncio.open_connection(*self.address.split(':'))
+        first.write(_request('before'))
+        await asyncio.sleep(_SETTLE_S)
+        cut = self.network.cut(['a'], ['b'], drops=True)
+        first.write(_request('late'))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(_TIMEOUT_S):
+                await asyncio.open_connection(*self.address.split(':'))
+        first.transport.abort()
+        await first.wait_closed()
+        await self.network.heal(cut)
+        self.assertEqual('answered', await self.call())
+        self.assertEqual(['/before', '/'], self.paths())
+        until_s = asyncio.get_running_loop().time() + _RESEND_S
+        while asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(0.05)
+            if '/late' in self.paths():
+                return
+        self.fail(f'not sent again within {_RESEND_S} s: {self.paths()}')
+
+    async def test_lost_packets_of_one_direction(self):
+        """Guard against lost packets that were not asked for."""
+        reader, writer = await asyncio.open_connection(
+            *self.address.split(':')
+        )
+        writer.write(_REQUEST)
+        self.assertTrue(await reader.read(100))
+        cut = self.network.cut(['b'], ['a'], one_way=True, drops=True)
+        writer.write(_request('held'))
+        await asyncio.sleep(_SETTLE_S)
+        self.assertEqual(['/', '/held'], self.paths())
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(_TIMEOUT_S):
+                await reader.read(100)
+        self.assertEqual('silent', await self.call())
+        await self.network.heal(cut)
+        async with asyncio.timeout(_RESEND_S):
+            self.assertTrue(await reader.read(100))
+        writer.transport.abort()
+
     async def test_a_server_that_refuses_connections(self):
         """Guard against paths that accept what their server refuses."""
         self.server.refuse()
