Leave open the outcome of a batch that was trimmed unread

A submission could be answered 503 not_ready, "ran": "no", although a later owner had its record and ran it. An owner whose append has no answer reads the stream; if the log had trimmed it up to a later claim meanwhile, the rebuilt state made the owner raise Deposed, whose ran is "no", for the batch in flight. The batch may be among the trimmed records. The router then calls the new owner, and says "not run" if there is none until its deadline.

The counter of the batch is compared first; a batch that the new state does not show is Deposed with ran unknown. Records that were never sent are refused as before, with an error of their own: the one in flight says something else.

--- a/basilspindle/journal/partition_journal.py
+++ b/basilspindle/journal/partition_journal.py
@@ -297,7 +297,8 @@
         Raises ``NotOwner`` without a claim or after a release, ``Deposed``
         after a later claim by another writer, ``LogUnavailable`` if the
         records had no effect and ``LogOutcomeUnknown`` if they were sent
-        but not confirmed in time and may still take effect.
+        but not confirmed in time and may still take effect. ``ran`` of a
+        ``Deposed`` is unknown if the records may precede the later claim.
         """
         if not self.is_owner or self._releasing:
             raise self._not_owner_error()
@@ -640,12 +641,14 @@
         self._state = state
         self._next_offset = next_offset
         self._counter = max(self._counter, state.writers.get(self._writer, 0))
-        if self._epoch and self._epoch != state.epoch:
-            self._depose()
         in_flight = self._in_flight
         counter = state.writers.get(self._writer, 0)
         if in_flight is not None and in_flight.batch.counter <= counter:
             self._confirm_in_flight(in_flight, next_offset - 1)
+        if self._epoch and self._epoch != state.epoch:
+            # A batch that is still in flight may be among the records that
+            # were trimmed unread before the later claim.
+            self._depose(ran=errors.Ran.UNKNOWN)
 
     def _make_state(self, complete: bool) -> partition_state.PartitionState:
         return partition_state.PartitionState(
@@ -665,16 +668,20 @@
         self.assured_at_ms = NEVER_MS
         self._wake_follower.set()
 
-    def _depose(self) -> None:
+    def _depose(self, ran: errors.Ran = errors.Ran.NO) -> None:
+        """End the ownership; ``ran`` is the outcome of a batch in flight.
+
+        A batch that was not read before the later claim does not precede it
+        in the stream, and after it readers ignore the batch for its epoch.
+        """
         claimed = self._claim_returned
         self._deposed = True
         self._end_ownership()
-        error = self._deposed_error()
         if self._in_flight is not None and not self._in_flight.is_claim:
-            # The batch does not precede the later claim in the stream, and
-            # after that claim readers ignore it because of its epoch.
+            error = self._deposed_error()
+            error.ran = ran
             self._fail_in_flight(error)
-        self._fail_queued(error)
+        self._fail_queued(self._deposed_error())
         events.emit(
             journal_events.DEPOSED,
             partition=self.partition,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -372,6 +372,27 @@
         self.assertEqual(['j1'], list(reader.state.jobs))
         self.assertEqual('b', reader.latest_claimant)
 
+    async def test_batch_that_was_trimmed_unread_is_not_called_void(self):
+        """Guard against ``ran: no`` for records that a later owner has read.
+
+        They took effect without an answer, and were trimmed with the records
+        before the later claim.
+        """
+        owner = await self.open_owner('a')
+        await self.clock.advance_ms(self.timing.poll_interval_ms)
+        await self.run_ms(owner.append(accept('j0')))
+        self.service.faults.late_effects = 1
+        self.service.faults.late_effect_ms = 20
+        sent = asyncio.ensure_future(owner.append(accept('j1')))
+        await self.clock.advance_ms(100)
+        other = await self.open_owner('b')
+        self.service.trim(owner.stream, other.epoch)
+        self.assertFalse(sent.done())
+        with self.assertRaises(errors.Deposed) as caught:
+            await self.run_ms(sent)
+        self.assertEqual(['j0', 'j1'], list(other.state.jobs))
+        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+
     async def test_half_written_snapshot_is_ignored(self):
         """Guard against jobs lost when a claim interrupts a snapshot."""
         timing = journal.Timing(batch_bytes=70_000, linger_ms=100)
