Change the outcome of a refusal for one caller only

An answer could carry the job id of another caller, and "ran": "unknown" for a job of which no call had an unknown outcome. Where the owner is the daemon that was asked, the next caller got the same object.

They now raise a copy. Two new tests, one error raised for two calls, in tests/test_routing.py and tests/test_api.py: both failed before (the second answer was "unknown" with the first job's id) and pass now. test_routing 13, test_api 14, test_api_errors 9 pass.

--- a/basilspindle/api/job_waiter.py
+++ b/basilspindle/api/job_waiter.py
@@ -73,13 +73,15 @@
             else:
                 return view
         except errors.BasilspindleError as error:
-            if self._may_have_run_elsewhere:
-                error.ran = errors.Ran.UNKNOWN
-                error.job_id = self._job.job_id
             # A refused job need not be cancelled.
-            if error.ran is not errors.Ran.NO:
-                await self._cancel()
-            raise
+            if error.ran is errors.Ran.NO and not self._may_have_run_elsewhere:
+                raise
+            await self._cancel()
+            raise errors.restate(
+                error,
+                errors.Ran.UNKNOWN,
+                error.job_id or self._job.job_id,
+            ) from error
         except BaseException:
             await self._cancel()
             raise
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -383,3 +383,17 @@
         job_id=job_id,
     )
     return error
+
+
+def restate(
+    error: BasilspindleError, ran: Ran, job_id: str
+) -> BasilspindleError:
+    """Return a copy of an error for one caller.
+
+    The same instance may be raised to others, as by a batch that fails.
+    """
+    copy = type(error).__new__(type(error), error.message)
+    copy.__dict__.update(error.__dict__)
+    copy.ran = ran
+    copy.job_id = job_id
+    return copy
--- a/basilspindle/routing/router.py
+++ b/basilspindle/routing/router.py
@@ -117,8 +117,11 @@
                 self._take_retry(request)
             except errors.BasilspindleError as error:
                 if may_have_run and error.ran is errors.Ran.NO:
-                    error.ran = errors.Ran.UNKNOWN
-                    error.job_id = error.job_id or _job_id(request)
+                    raise errors.restate(
+                        error,
+                        errors.Ran.UNKNOWN,
+                        error.job_id or _job_id(request),
+                    ) from error
                 raise
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -283,6 +283,25 @@
         self.assertIn(error['job_id'], self.router.jobs)
         self.assertEqual(1, len(self.router.requests_of(messages.Cancel)))
 
+    async def test_error_of_several_jobs_is_changed_for_one(self):
+        """Guard against an answer with the job id of another caller."""
+        shared = errors.Unschedulable('too large; request less')
+
+        async def refuse(_):
+            raise shared
+
+        self.router.handlers[messages.Submit] = refuse
+        self.router.repeats = True
+        error = self.assert_error(
+            await self.post(1), 422, 'unschedulable', 'unknown'
+        )
+        self.assertTrue(error['job_id'])
+        self.router.repeats = False
+        error = self.assert_error(
+            await self.post(1), 422, 'unschedulable', 'no'
+        )
+        self.assertEqual('', error['job_id'])
+
     async def test_refused_job_is_not_cancelled(self):
         """Guard against doubling the calls of refused requests in overload."""
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -182,6 +182,21 @@
             self.assertEqual(errors.Ran.UNKNOWN, error.ran)
             self.assertEqual('r1', error.job_id)
 
+    async def test_error_of_several_calls_is_changed_for_one(self):
+        """Guard against the job id and the outcome of another caller.
+
+        An owner refuses all records that wait for the log with one error.
+        """
+        shared = errors.LogUnavailable('down', retry_after_ms=700)
+        error = await self.run_call(300, shared)
+        self.assertEqual(
+            (errors.Ran.UNKNOWN, 'r1', 700),
+            (error.ran, error.job_id, error.retry_after_ms),
+        )
+        self.assertIsInstance(error, errors.LogUnavailable)
+        self.assertIs(shared, await self.run_call(shared))
+        self.assertEqual((errors.Ran.NO, ''), (shared.ran, shared.job_id))
+
 
 class BudgetTest(RouterCase):
     """Guard against retries that multiply the load on slow owners."""
