Promise nothing by a look-up that fails after the acceptance

A request that waits for its result was answered "ran": "no" although an owner had accepted its job: an error of the look-up that follows was passed on with the outcome of the look-up, "no" by default, and the job was not cancelled either. A look-up is refused like this by a daemon of another build that cannot decode it.

Once a submission is accepted, the answer says "unknown" with the job's id, and a job that is not durable is cancelled, as after other errors.

New test in tests/test_api.py: failed before for both errors, passes now; test_api 15, test_api_errors 9 pass.

--- a/basilspindle/api/job_waiter.py
+++ b/basilspindle/api/job_waiter.py
@@ -24,6 +24,7 @@
         '_job',
         '_deadline_ms',
         '_may_have_run_elsewhere',
+        '_accepted',
     )
 
     def __init__(
@@ -40,6 +41,7 @@
         self._deadline_ms = clock.now_ms() + timeout_ms
         # Whether an earlier owner may have received and run the job.
         self._may_have_run_elsewhere = False
+        self._accepted = False
 
     async def submit(self, wait_ms: int = 0) -> messages.Submitted:
         """Submit to the workspace's owner, which waits for the job's end.
@@ -49,11 +51,13 @@
         request = messages.Submit(
             partition=self._partition, job=self._job, wait_ms=wait_ms
         )
-        return await self._router.call(
+        reply = await self._router.call(
             request,
             max(_MIN_CALL_TIMEOUT_MS, self._remaining_ms()),
             self._note_repeated_call,
         )
+        self._accepted = True
+        return reply
 
     def _note_repeated_call(self) -> None:
         self._may_have_run_elsewhere = True
@@ -74,7 +78,8 @@
                 return view
         except errors.BasilspindleError as error:
             # A refused job need not be cancelled.
-            if error.ran is errors.Ran.NO and not self._may_have_run_elsewhere:
+            may_have_run = self._accepted or self._may_have_run_elsewhere
+            if error.ran is errors.Ran.NO and not may_have_run:
                 raise
             await self._cancel()
             raise errors.restate(
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -283,6 +283,29 @@
         self.assertIn(error['job_id'], self.router.jobs)
         self.assertEqual(1, len(self.router.requests_of(messages.Cancel)))
 
+    async def test_error_after_the_acceptance_has_unknown_outcome(self):
+        """Guard against ``ran: no`` for a job that was accepted.
+
+        A look-up that fails tells nothing of the job.
+        """
+        for error in (
+            errors.BadRequest('cannot be decoded; run compatible versions'),
+            errors.Overloaded('too many requests; try again later'),
+        ):
+            with self.subTest(error.kind):
+                self.hold_jobs(model.State.RUNNING)
+                self.router.requests.clear()
+
+                async def fail(_, error=error):
+                    raise error
+
+                self.router.handlers[messages.View] = fail
+                answer = (await self.post(1)).json()['error']
+                self.assertEqual('unknown', answer['ran'])
+                self.assertIn(answer['job_id'], self.router.jobs)
+                cancels = self.router.requests_of(messages.Cancel)
+                self.assertEqual(1, len(cancels))
+
     async def test_error_of_several_jobs_is_changed_for_one(self):
         """Guard against an answer with the job id of another caller."""
         shared = errors.Unschedulable('too large; request less')
