Say unknown for a job that is dropped while its submission waits

A submission that waits for the end of its job could be answered 404 with "ran": "no" after the job had started: if the owner no longer knows the job when the wait goes on, for one because the partition was lost and taken back in the meantime, NotFound kept its default outcome. Only NotOwner and NotReady were changed to unknown there.

Every error after the acceptance says unknown now, with the job's id.

--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -319,10 +319,11 @@
                 request.job.job_id,
                 request.wait_ms,
             )
-        except (errors.NotOwner, errors.NotReady) as error:
+        except errors.BasilspindleError as error:
             # The job was accepted here and may have been started.
-            error.ran = errors.Ran.UNKNOWN
-            raise
+            raise errors.restate(
+                error, errors.Ran.UNKNOWN, request.job.job_id
+            ) from error
 
     async def view(self, request: messages.View) -> messages.Viewed:
         """Return a job once it has ended or ``wait_ms`` has passed.
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -570,6 +570,22 @@
         with self.assertRaises(errors.NotOwner):
             await waiting
 
+    async def test_job_that_is_dropped_during_the_wait_may_have_run(self):
+        """Guard against ``ran: no`` for a job that was accepted."""
+        self.activate()
+        request = messages.Submit(partition=0, job=self.job(), wait_ms=10_000)
+        waiting = asyncio.ensure_future(self.coordinator.submit(request))
+        await self.step()
+        self.assertEqual(1, len(self.holders.started))
+        # The partition comes back before the waiting submission goes on.
+        await self.coordinator.deactivate(0, False)
+        self.activate()
+        await self.step()
+        with self.assertRaises(errors.NotFound) as caught:
+            await waiting
+        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+        self.assertEqual('j1', caught.exception.job_id)
+
 
 class GangTest(coordinator_case.CoordinatorCase):
     """Guard against starting only a part of a gang."""
