--- a/tests/test_api_errors.py
+++ b/tests/test_api_errors.py
@@ -232,6 +232,38 @@
                 self.assertEqual(error.job_id, body['job_id'])
                 self.assertEqual(wait, answer.headers.get('Retry-After'))
 
+    async def test_status_of_a_refusal_is_a_promise(self):
+        """Guard against 429 or 503 for work that may have been run.
+
+        Callers and proxies repeat such a request by its status alone.
+        """
+        unknown = errors.Ran.UNKNOWN
+        for error in (
+            errors.QueueFull('full', ran=unknown, retry_after_ms=1_500),
+            errors.LogUnavailable('down', ran=unknown, job_id='r7'),
+            errors.LogOutcomeUnknown('not confirmed', job_id='r7'),
+            errors.NotReady('not confirmed', ran=unknown),
+        ):
+            for method, path, request_type in (
+                ('POST', '/v1/requests', messages.Submit),
+                ('POST', '/v1/jobs', messages.Submit),
+                ('DELETE', '/v1/jobs/r7', messages.Cancel),
+            ):
+
+                async def fail(_, error=error):
+                    raise error
+
+                self.router.handlers[request_type] = fail
+                body = _JOB if method == 'POST' else None
+                answer = await self.send(method, path, body)
+                found = self.assert_error(
+                    answer, 504, 'outcome_unknown', 'unknown'
+                )
+                self.assertIn(error.message, found['message'])
+                self.assertEqual(error.retry_after_ms, found['retry_after_ms'])
+                if error.job_id:
+                    self.assertEqual(error.job_id, found['job_id'])
+
     async def test_unexpected_error_has_unknown_outcome(self):
         """Guard against ``ran: no`` after an unexpected error.
 
