Log who refused a submission in basilspindled, after which calls

One line, submit_failed (812), for each submission that is answered with an error after its job had an id: job, status, kind, ran, who refused ("local" for the daemon itself), and for each call the owner, the time and the outcome. The status that a caller gets is chosen in one place for the answer and the line. The decisions are unchanged.

--- a/basilspindle/api/app.py
+++ b/basilspindle/api/app.py
@@ -18,8 +18,6 @@
 from basilspindle import events
 
 _MAX_TRACEBACK_FRAMES = 4
-# Statuses by which callers and proxies take a request for not run.
-_REFUSAL_STATUSES = frozenset({429, 503})
 
 
 def create_app(services: services_module.Services) -> litestar.Litestar:
@@ -73,13 +71,7 @@
 def _error_response(
     error: errors.BasilspindleError,
 ) -> litestar.Response[problem.ProblemBody]:
-    if error.status in _REFUSAL_STATUSES and error.ran is not errors.Ran.NO:
-        error = errors.OutcomeUnknown(
-            f'{error.message}; the request may have taken effect all the '
-            'same, so look up the job before submitting it again',
-            retry_after_ms=error.retry_after_ms,
-            job_id=error.job_id,
-        )
+    error = problem.as_answered(error)
     headers = {}
     if error.retry_after_ms:
         headers['Retry-After'] = str(-(-error.retry_after_ms // 1000))
--- a/basilspindle/api/callers.py
+++ b/basilspindle/api/callers.py
@@ -1,16 +1,22 @@
 """Serve the HTTP routes for callers: submit, show, list and cancel jobs."""
 
 import asyncio
+import contextlib
+import typing
 
 import litestar
 import msgspec
 
+from basilspindle.api import events as api_events
 from basilspindle.api import job_body
 from basilspindle.api import job_waiter
+from basilspindle.api import problem
 from basilspindle.api import services as services_module
 from basilspindle import errors
+from basilspindle import events
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import routing
 
 _SUBMIT_TIMEOUT_MS = 8_000
 # Longer than another daemon needs to take over from a failed owner.
@@ -61,9 +67,17 @@
             caller_waits=True,
         )
         timing = services.store.current.document.timing
-        with services.request_limiter.admit():
+        calls = routing.Calls(services.clock)
+        with (
+            _log_failed_submission(job, calls),
+            services.request_limiter.admit(),
+        ):
             waiter = job_waiter.JobWaiter(
-                services.clock, services.router, job, timing.request_max_ms
+                services.clock,
+                services.router,
+                job,
+                timing.request_max_ms,
+                calls,
             )
             return make_body(
                 await _result_unless_disconnected(request, waiter)
@@ -78,10 +92,12 @@
             request.headers.get('idempotency-key', ''),
             caller_waits=False,
         )
+        calls = routing.Calls(services.clock)
         waiter = job_waiter.JobWaiter(
-            services.clock, services.router, job, _SUBMIT_TIMEOUT_MS
+            services.clock, services.router, job, _SUBMIT_TIMEOUT_MS, calls
         )
-        reply = await waiter.submit()
+        with _log_failed_submission(job, calls):
+            reply = await waiter.submit()
         return SubmittedBody(
             job_id=reply.job_id,
             workspace=job.workspace,
@@ -155,6 +171,29 @@
     return [run_request, submit_job, list_jobs, show_job, cancel_job]
 
 
+@contextlib.contextmanager
+def _log_failed_submission(
+    job: model.Job, calls: routing.Calls
+) -> typing.Iterator[None]:
+    """Log who refused a submission, or left it open, after which calls."""
+    try:
+        yield
+    except errors.BasilspindleError as error:
+        answered = problem.as_answered(error)
+        events.emit(
+            api_events.SUBMIT_FAILED,
+            job=job.job_id,
+            status=answered.status,
+            kind=error.kind,
+            ran=answered.ran,
+            refused_by=calls.refused_by,
+            calls=calls.count,
+            outcomes=calls.describe(),
+            spent_ms=calls.spent_ms,
+        )
+        raise
+
+
 async def _call_for_view(
     services: services_module.Services,
     request: messages.View | messages.Cancel,
--- a/basilspindle/api/job_waiter.py
+++ b/basilspindle/api/job_waiter.py
@@ -15,7 +15,10 @@
 
 
 class JobWaiter:
-    """Submit the job of one caller and wait for it to end."""
+    """Submit the job of one caller and wait for it to end.
+
+    ``calls`` receives the calls that submit the job.
+    """
 
     __slots__ = (
         '_clock',
@@ -25,6 +28,7 @@
         '_deadline_ms',
         '_may_have_run_elsewhere',
         '_accepted',
+        '_calls',
     )
 
     def __init__(
@@ -33,8 +37,10 @@
         router: routing.Router,
         job: model.Job,
         timeout_ms: int,
+        calls: routing.Calls,
     ) -> None:
         self._clock = clock
+        self._calls = calls
         self._router = router
         self._partition = router.partition_of(job.workspace)
         self._job = job
@@ -55,6 +61,7 @@
             request,
             max(_MIN_CALL_TIMEOUT_MS, self._remaining_ms()),
             self._note_repeated_call,
+            self._calls,
         )
         self._accepted = True
         return reply
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -498,9 +498,12 @@
         request: typing.Any,
         timeout_ms: int,
         on_retry: collections.abc.Callable[[], None] | None = None,
+        calls: routing.Calls | None = None,
     ) -> typing.Any:
         """Forward a request to the owner and return its reply."""
-        return await self._daemon.router.call(request, timeout_ms, on_retry)
+        return await self._daemon.router.call(
+            request, timeout_ms, on_retry, calls
+        )
 
 
 # By priority class; -1.0 stands for a class in which no workspace waits.
--- a/basilspindle/routing/router.py
+++ b/basilspindle/routing/router.py
@@ -11,6 +11,7 @@
 from basilspindle import errors
 from basilspindle import events
 from basilspindle.peer import messages
+from basilspindle.routing import calls as calls_module
 from basilspindle.routing import events as routing_events
 from basilspindle.routing import retry_budget
 
@@ -82,6 +83,7 @@
         request: typing.Any,
         timeout_ms: int,
         on_retry: collections.abc.Callable[[], None] | None = None,
+        calls: calls_module.Calls | None = None,
     ) -> typing.Any:
         """Forward a request to the owner of its partition; return the reply.
 
@@ -89,8 +91,10 @@
         request within ``timeout_ms``, and ``OutcomeUnknown`` if one may have
         run it and none answered. If an earlier attempt may have run, an error
         that says "not run" is changed to "unknown". ``on_retry`` is called
-        before a request that may have run is sent again.
+        before a request that may have run is sent again. ``calls`` receives
+        the outcome of each call.
         """
+        calls = calls or calls_module.Calls(self._clock)
         deadline_ms = self._clock.now_ms() + timeout_ms
         may_have_run = False
         self._retry_budget.count_call()
@@ -101,8 +105,11 @@
             remaining_ms = deadline_ms - self._clock.now_ms()
             if may_have_run and on_retry is not None:
                 on_retry()
+            sent_ms = self._clock.now_ms()
             try:
-                return await self._call_owner(address, request, remaining_ms)
+                reply = await self._call_owner(address, request, remaining_ms)
+                calls.note_answer(address, sent_ms)
+                return reply
             except (
                 errors.PeerUnavailable,
                 errors.NotOwner,
@@ -111,11 +118,17 @@
             ) as error:
                 # Not charged to the retry budget, which limits the load on
                 # owners: refusing a request costs an owner no work.
+                calls.note_error(address, sent_ms, error)
                 may_have_run = may_have_run or error.ran is not errors.Ran.NO
-            except (errors.PeerOutcomeUnknown, errors.DeadlineExceeded):
+            except (
+                errors.PeerOutcomeUnknown,
+                errors.DeadlineExceeded,
+            ) as error:
+                calls.note_error(address, sent_ms, error)
                 may_have_run = True
                 self._take_retry(request)
             except errors.BasilspindleError as error:
+                calls.note_refusal(address, sent_ms, error)
                 if may_have_run and error.ran is errors.Ran.NO:
                     raise errors.restate(
                         error,
--- a/tests/api_case.py
+++ b/tests/api_case.py
@@ -104,7 +104,8 @@
     call looks as if an earlier owner may have received it.
     """
 
-    def __init__(self):
+    def __init__(self, now_ms):
+        self.now_ms = now_ms
         self.requests = []
         self.repeats = False
         self.handlers = {
@@ -118,11 +119,17 @@
     def partition_of(self, workspace):
         return len(workspace)
 
-    async def call(self, request, timeout_ms, on_retry=None):
+    async def call(self, request, timeout_ms, on_retry=None, calls=None):
         self.requests.append(request)
         if self.repeats and on_retry is not None:
             on_retry()
-        return await self.handlers[type(request)](request)
+        if calls is None:
+            return await self.handlers[type(request)](request)
+        try:
+            return await self.handlers[type(request)](request)
+        except errors.BasilspindleError as error:
+            calls.note_refusal('o:1', self.now_ms(), error)
+            raise
 
     def requests_of(self, request_type):
         return [r for r in self.requests if isinstance(r, request_type)]
@@ -190,7 +197,7 @@
     async def asyncSetUp(self):
         self.clock = manual_clock.ManualClock()
         self.store = FakeConfigStore()
-        self.router = FakeRouter()
+        self.router = FakeRouter(self.clock.now_ms)
         self.metrics = api.Metrics()
         self.app = api.create_app(
             api.Services(
