--- a/basilspindle/api/app.py
+++ b/basilspindle/api/app.py
@@ -71,6 +71,7 @@
 def _error_response(
     error: errors.BasilspindleError,
 ) -> litestar.Response[problem.ProblemBody]:
+    error = problem.as_answered(error)
     headers = {}
     if error.retry_after_ms:
         headers['Retry-After'] = str(-(-error.retry_after_ms // 1000))
--- a/basilspindle/api/job_waiter.py
+++ b/basilspindle/api/job_waiter.py
@@ -15,7 +15,10 @@
 
 
 class JobWaiter:
-    """Submit the job of one caller and wait for it to end."""
+    """Submit the job of one caller and wait for it to end.
+
+    ``calls`` receives the calls that submit the job.
+    """
 
     __slots__ = (
         '_clock',
@@ -24,6 +27,8 @@
         '_job',
         '_deadline_ms',
         '_may_have_run_elsewhere',
+        '_accepted',
+        '_calls',
     )
 
     def __init__(
@@ -32,14 +37,17 @@
         router: routing.Router,
         job: model.Job,
         timeout_ms: int,
+        calls: routing.Calls,
     ) -> None:
         self._clock = clock
+        self._calls = calls
         self._router = router
         self._partition = router.partition_of(job.workspace)
         self._job = job
         self._deadline_ms = clock.now_ms() + timeout_ms
         # Whether an earlier owner may have received and run the job.
         self._may_have_run_elsewhere = False
+        self._accepted = False
 
     async def submit(self, wait_ms: int = 0) -> messages.Submitted:
         """Submit to the workspace's owner, which waits for the job's end.
@@ -49,11 +57,14 @@
         request = messages.Submit(
             partition=self._partition, job=self._job, wait_ms=wait_ms
         )
-        return await self._router.call(
+        reply = await self._router.call(
             request,
             max(_MIN_CALL_TIMEOUT_MS, self._remaining_ms()),
             self._note_repeated_call,
+            self._calls,
         )
+        self._accepted = True
+        return reply
 
     def _note_repeated_call(self) -> None:
         self._may_have_run_elsewhere = True
@@ -73,13 +84,16 @@
             else:
                 return view
         except errors.BasilspindleError as error:
-            if self._may_have_run_elsewhere:
-                error.ran = errors.Ran.UNKNOWN
-                error.job_id = self._job.job_id
             # A refused job need not be cancelled.
-            if error.ran is not errors.Ran.NO:
-                await self._cancel()
-            raise
+            may_have_run = self._accepted or self._may_have_run_elsewhere
+            if error.ran is errors.Ran.NO and not may_have_run:
+                raise
+            await self._cancel()
+            raise errors.restate(
+                error,
+                errors.Ran.UNKNOWN,
+                error.job_id or self._job.job_id,
+            ) from error
         except BaseException:
             await self._cancel()
             raise
