Count refused jobs that run in the bench of short leaders

The callers of bench.short_leaders repeat a submission at random daemons until it is accepted, and the bench did not keep the answers, so that no scenario could show it.

It keeps them and counts jobs that ran though each submission was answered 429 or 503. The scenario refusals has callers that ask once, at a follower, four times the traffic of the site, and pauses of the leader and cuts of 0.3 to 1.6 s between it and other daemons; half of the cuts deliver late what they held, in the others the kernels lose packets and send them again.

--- a/bench/short_leaders.py
+++ b/bench/short_leaders.py
@@ -3,9 +3,10 @@
 Six daemons of a source tree run as processes against stand-ins of the store
 and of 24 workers. The record of the runs of tasks is that of the stand-in
 workers. Prints one JSON line: claims of the leadership, accepted jobs, how
-many of them ended, tasks that ran twice at the same time, and tasks that were
+many of them ended, tasks that ran twice at the same time, tasks that were
 started after an end as ``done`` that a leader acknowledged while the lease of
-the worker had not run out.
+the worker had not run out, and jobs that ran though each of their submissions
+was answered 429 or 503.
 
 Usage: ``python -m bench.short_leaders SCENARIO [--root PATH] [--site NAME]
 [--seed N] [--duration-s S] [--read-ms MS] [--cut-s S] [--resets]
@@ -14,7 +15,9 @@
 ``everything``, ``changes``, ``cut`` (the leader and a third of the workers are
 cut off from the store and all other machines), ``cut-restart`` (some workers
 of the other side restart meanwhile), ``pause`` (the leader is stopped in place
-of the cut, and its successors do not reach a third of the workers).
+of the cut, and its successors do not reach a third of the workers),
+``refusals`` (callers ask once, and the overloaded leader is paused or cut off
+from other daemons for a short time, again and again).
 """
 
 import asyncio
@@ -71,6 +74,15 @@
 # The first seconds of a life allow for a longer lease.
 _LIFE_S = 60.0
 _MIN_DAEMONS_UP = 3
+# The traffic that overloads the leader, in multiples of the site's.
+_OVERLOAD_FACTOR = 4.0
+_ONCE_DEADLINE_S = (1.5, 5.0)
+# About as long as it takes the followers to replace a leader.
+_SHORT_LOSS_S = (0.3, 1.6)
+_MAX_DELIVERY_S = 1.5
+# Cuts in which the kernels lose packets and send them again.
+_DROP_SHARE = 0.5
+_REFUSALS = (429, 503)
 _ENDED_STATES = frozenset({'completed', 'failed', 'cancelled'})
 _SERVERS = 'keyed.servers'
 _CLAIMS = 'keyed.lead'
@@ -211,7 +223,15 @@
 
 
 class _Job:
-    __slots__ = ('accepted_s', 'body', 'gone_s', 'job_id', 'state', 'tasks')
+    __slots__ = (
+        'accepted_s',
+        'body',
+        'gone_s',
+        'job_id',
+        'state',
+        'statuses',
+        'tasks',
+    )
 
     def __init__(
         self, job_id: str, body: dict[str, object], tasks: int
@@ -223,12 +243,21 @@
         # When a daemon answered 410, later than the job has to be visible.
         self.gone_s: float | None = None
         self.state = ''
+        # Answers to the submissions; 0 for none.
+        self.statuses: list[int] = []
 
     @property
     def has_ended(self) -> bool:
         """Return whether a daemon has shown the job as ended."""
         return self.state in _ENDED_STATES
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether each submission was answered as not accepted."""
+        return bool(self.statuses) and all(
+            status in _REFUSALS for status in self.statuses
+        )
+
 
 async def _listen_again(worker: _Worker) -> None:
     until_s = time.monotonic() + _START_TIMEOUT_S
@@ -270,6 +299,10 @@
         self.is_over = False
         # Share of the appends whose answers the store loses.
         self.lost_share = 0.0
+        # Whether callers make one attempt, at a follower.
+        self.asks_once = False
+        # Multiples of the traffic of the site.
+        self.traffic_factor = 1.0
         # Until when the store turns each daemon away.
         self._away_until_s: dict[str, float] = {}
         self._root = root
@@ -488,7 +521,8 @@
             duration_ms = chance.randint(_MIN_TASK_MS, _MAX_TASK_MS)
             width = max(1, round(count * chance.uniform(0.5, 1.5)))
             self.send(self.make_job(width, cpu, duration_ms))
-            next_s += chance.expovariate(self._site.jobs_per_s)
+            rate_s = self._site.jobs_per_s * self.traffic_factor
+            next_s += chance.expovariate(rate_s)
             await asyncio.sleep(next_s - time.monotonic())
 
     def open_jobs(self) -> list[_Job]:
@@ -526,9 +560,14 @@
             task.cancel()
 
     async def _request(
-        self, method: str, job: _Job, body: bytes
+        self,
+        method: str,
+        job: _Job,
+        body: bytes,
+        deadline_s: float = _REQUEST_S,
+        avoided: str = '',
     ) -> tuple[int, bytes]:
-        nodes = self.up_nodes()
+        nodes = [node for node in self.up_nodes() if node != avoided]
         if not nodes:
             await asyncio.sleep(0.2)
             return 0, b''
@@ -541,18 +580,27 @@
             {
                 'Host': platform_case.HOST,
                 'Authorization': 'Bearer key-a',
-                'X-Deadline-Ms': str(round(_REQUEST_S * 1_000)),
+                'X-Deadline-Ms': str(round(deadline_s * 1_000)),
             },
-            _REQUEST_S,
+            deadline_s,
         )
 
     async def _watch(self, job: _Job) -> None:
         raw = json.dumps(job.body).encode()
         while not self.is_over:
-            status, _ = await self._request('POST', job, raw)
+            if self.asks_once:
+                deadline_s = self._node_random.uniform(*_ONCE_DEADLINE_S)
+                status, _ = await self._request(
+                    'POST', job, raw, deadline_s, self.leader
+                )
+            else:
+                status, _ = await self._request('POST', job, raw)
+            job.statuses.append(status)
             if status == 200:
                 job.accepted_s = time.monotonic()
                 break
+            if self.asks_once:
+                return
             await asyncio.sleep(0.3)
         wait_s = 1.5
         while not self.is_over and not job.has_ended:
@@ -767,6 +815,34 @@
     await asyncio.sleep(max(0.0, until_s - time.monotonic()))
 
 
+async def play_refusals(rig_: Deployment, duration_s: float) -> None:
+    """Lose an overloaded leader briefly while callers ask once."""
+    until_s = time.monotonic() + duration_s
+    chance = rig_.random
+    rig_.asks_once = True
+    rig_.traffic_factor = _OVERLOAD_FACTOR
+    await asyncio.sleep(4.0)
+    while time.monotonic() < until_s - _CALM_S:
+        leader = rig_.leader
+        lost_s = chance.uniform(*_SHORT_LOSS_S)
+        if chance.random() < 0.25:
+            await rig_.freeze(leader, lost_s)
+        else:
+            others = sorted(set(rig_.daemons) - {leader})
+            count = chance.choice((len(others), len(others), 1, 2))
+            drops = chance.random() < _DROP_SHARE
+            cut = rig_.network.cut(
+                chance.sample(others, count),
+                [leader],
+                late_s=0.0 if drops else chance.uniform(0.0, _MAX_DELIVERY_S),
+                drops=drops,
+            )
+            await asyncio.sleep(lost_s)
+            await rig_.network.heal(cut)
+        await asyncio.sleep(chance.uniform(0.2, 1.5))
+    await asyncio.sleep(max(0.0, until_s - time.monotonic()))
+
+
 async def _keep_cutting(rig_: Deployment, until_s: float) -> None:
     chance = rig_.random
     while time.monotonic() < until_s:
@@ -862,6 +938,7 @@
     'cut': (play_cut, 1),
     'cut-restart': (play_cut_restart, 1),
     'pause': (play_pause, 1),
+    'refusals': (play_refusals, 1),
 }
 
 
@@ -898,6 +975,14 @@
     )
 
 
+def find_refused(jobs: list[_Job], runs: dict[str, list[_Run]]) -> list[str]:
+    """Return refused jobs of which a task was started."""
+    started = {name.partition('.')[0] for name in runs}
+    return [
+        job.job_id for job in jobs if job.is_refused and job.job_id in started
+    ]
+
+
 async def measure(
     scenario: str,
     root: pathlib.Path,
@@ -948,6 +1033,7 @@
             }
             (logs / 'history.json').write_text(json.dumps(history))
     accepted = [job for job in rig_.jobs if job.accepted_s is not None]
+    refused_ran = find_refused(rig_.jobs, runs)
     late_jobs = [job for job in open_jobs if job.has_ended]
     return {
         'name': f'short_leaders.{scenario}',
@@ -970,13 +1056,19 @@
         'runs': sum(len(found) for found in runs.values()),
         'at_once': len(at_once),
         'after_noted_end': len(after_end),
+        'refused': sum(job.is_refused for job in rig_.jobs),
+        'refused_ran': len(refused_ran),
         'load_before': round(load_before, 1),
         'load_after': round(os.getloadavg()[0], 1),
         'max_lag_ms': round(meter.max_ms),
         'late_s': round(meter.late_s, 1),
         'finish_s': round(taken_s - (calm_s - begun_s), 1),
         'open': [(job.job_id, job.state) for job in open_jobs][:20],
-        'concerned': {'at_once': at_once, 'after_noted_end': after_end},
+        'concerned': {
+            'at_once': at_once,
+            'after_noted_end': after_end,
+            'refused_ran': refused_ran,
+        },
     }
 
 
--- a/tests/test_bench_short_leaders.py
+++ b/tests/test_bench_short_leaders.py
@@ -57,3 +57,19 @@
             (2.5, 'noted', 'a', 1),
         ]
         self.assertEqual((0, 0), count(lapsed, second))
+
+
+class RefusalTest(unittest.TestCase):
+    """Test what counts as a refused job that ran."""
+
+    def find(self, *statuses: int) -> list[str]:
+        """Return the job with these answers if it counts; a task ran."""
+        job = short_leaders._Job('a', {}, 1)
+        job.statuses = list(statuses)
+        return short_leaders.find_refused([job], {'a.0.0.0': []})
+
+    def test_only_jobs_whose_submissions_were_all_refused(self):
+        """Guard against unknown outcomes that are counted as refusals."""
+        self.assertEqual(['a'], self.find(429, 503))
+        for statuses in ((), (200,), (429, 504), (503, 0), (429, 200)):
+            self.assertEqual([], self.find(*statuses), statuses)
