Draw late copies of submissions in the site runs

The network now breaks the connection of a call and delivers its request later (draw_late), the site rig takes a limit of queued tasks, and a check at the end finds each refused job that ran or is recorded. New runs (test_refused_jobs_never_run): each job is submitted once at any daemon, with late submissions, look-ups and cancellations, a queue that is often full, cuts, pauses and kills; half of the jobs wait for their end.

--- a/tests/standins/cluster_rig.py
+++ b/tests/standins/cluster_rig.py
@@ -255,6 +255,7 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
+        await self.network.close()
         for daemon in self._started_daemons:
             await daemon.kill()
         loguru.logger.enable('basilspindle')
--- a/tests/standins/peer_network.py
+++ b/tests/standins/peer_network.py
@@ -1,6 +1,7 @@
 """Simulate the network between daemons, with its faults, in one process."""
 
 import asyncio
+import contextlib
 import typing
 
 import msgspec
@@ -26,6 +27,17 @@
         self.resumed.set()
 
 
+class Late(typing.NamedTuple):
+    """Fate of a request whose connection breaks before it arrives.
+
+    Its caller learns after ``break_ms`` that the connection was lost; the
+    request arrives after ``arrive_ms`` all the same, from a buffer.
+    """
+
+    break_ms: int
+    arrive_ms: int
+
+
 class PeerNetwork:
     """Network that delivers calls between nodes unless a fault prevents it.
 
@@ -33,9 +45,21 @@
     source to target are lost. ``lost_replies`` holds (caller, callee) pairs
     whose next reply is lost. ``resets`` holds (source, target) pairs whose
     packets are answered with a reset, as if nothing listened at the target.
+    ``draw_late`` returns whether a request is late; it gets the addresses of
+    the caller and the callee, and the request. ``late_count`` counts the
+    requests that a handler got after their caller had given up on them.
     """
 
-    __slots__ = ('clock', 'cuts', 'lost_replies', 'nodes', 'resets')
+    __slots__ = (
+        '_late_tasks',
+        'clock',
+        'cuts',
+        'draw_late',
+        'late_count',
+        'lost_replies',
+        'nodes',
+        'resets',
+    )
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self.clock = clock
@@ -43,6 +67,11 @@
         self.cuts: set[tuple[str, str]] = set()
         self.lost_replies: set[tuple[str, str]] = set()
         self.resets: set[tuple[str, str]] = set()
+        self.draw_late: typing.Callable[
+            [str, str, msgspec.Struct], Late | None
+        ] = lambda source, target, request: None
+        self.late_count = 0
+        self._late_tasks: set[asyncio.Task[None]] = set()
 
     def add(self, address: str) -> Node:
         """Add a node, which replaces any other at the address."""
@@ -86,6 +115,9 @@
         assert node is not None
         if not node.listening or (source.address, target) in self.resets:
             return None
+        late = self.draw_late(source.address, target, request)
+        if late is not None:
+            await self._break(source, node, request, late)
         await node.resumed.wait()
         if not node.listening:
             return None
@@ -99,15 +131,50 @@
         await source.resumed.wait()
         return reply
 
+    async def _break(
+        self,
+        source: Node,
+        node: Node,
+        request: msgspec.Struct,
+        late: Late,
+    ) -> typing.NoReturn:
+        """Lose the connection of a request that arrives late."""
+        task = asyncio.ensure_future(
+            self._arrive_late(node, request, late.arrive_ms)
+        )
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+        await self.clock.sleep_ms(late.break_ms)
+        await source.resumed.wait()
+        raise errors.PeerOutcomeUnknown('the connection was lost; try again')
+
+    async def _arrive_late(
+        self, node: Node, request: msgspec.Struct, arrive_ms: int
+    ) -> None:
+        await self.clock.sleep_ms(arrive_ms)
+        await node.resumed.wait()
+        if not node.listening:
+            return
+        self.late_count += 1
+        with contextlib.suppress(errors.BasilspindleError):
+            await self._answer(node, request)
+
+    async def close(self) -> None:
+        """Drop the requests that have not arrived."""
+        tasks = list(self._late_tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _answer(
         self, node: Node, request: msgspec.Struct
     ) -> msgspec.Struct:
         handler = node.handlers.get(type(request))
         if handler is None:
             raise errors.NotReady('no handler for this request; try again')
-        return await asyncio.shield(
-            asyncio.ensure_future(handler(_copy(request)))
-        )
+        task = asyncio.ensure_future(handler(_copy(request)))
+        task.add_done_callback(_retrieve_exception)
+        return await asyncio.shield(task)
 
 
 class NetworkClient:
@@ -167,5 +234,11 @@
     return msgspec.msgpack.decode(data, type=type(message))
 
 
+def _retrieve_exception(task: asyncio.Task[msgspec.Struct]) -> None:
+    # Without a caller that waits, asyncio would report it as unhandled.
+    if not task.cancelled():
+        task.exception()
+
+
 async def _wait_forever() -> None:
     await asyncio.get_running_loop().create_future()
--- a/tests/standins/site_rig.py
+++ b/tests/standins/site_rig.py
@@ -230,7 +230,12 @@
             lambda job: True,
         )
         self.coordinator.set_workspaces(
-            {_WORKSPACE: policy.WorkspacePolicy(limit_tasks=rig.limit_tasks)}
+            {
+                _WORKSPACE: policy.WorkspacePolicy(
+                    limit_tasks=rig.limit_tasks,
+                    max_queued_tasks=rig.max_queued_tasks,
+                )
+            }
         )
         opened.on_capacity_freed = self.coordinator.wake
         self._host = partition_host.PartitionHost(
@@ -367,9 +372,15 @@
 
     daemon_class = SiteDaemon
 
-    def __init__(self, partitions: int = 1, limit_tasks: int = -1) -> None:
+    def __init__(
+        self,
+        partitions: int = 1,
+        limit_tasks: int = -1,
+        max_queued_tasks: int = -1,
+    ) -> None:
         super().__init__(partitions)
         self.limit_tasks = limit_tasks
+        self.max_queued_tasks = max_queued_tasks
         self.workers: dict[str, worker_module.StandinWorker] = {}
         self.worker_cuts: set[tuple[str, str]] = set()
         self.worker_resets: set[tuple[str, str]] = set()
@@ -486,6 +497,13 @@
         entry = state.jobs.get(job_id)
         return entry.state if entry else model.State.QUEUED
 
+    def recorded_jobs(self) -> set[str]:
+        """Return the ids of the jobs of partition 0 that the log holds."""
+        state = journal.PartitionState()
+        for offset, entry in enumerate(self.log.read(0), 1):
+            entry.apply_to(state, offset)
+        return set(state.jobs)
+
     def is_known_to_owner(self, job_id: str) -> bool:
         """Tell whether the daemon that may start tasks knows of an end."""
         owner = self.owner()
@@ -502,6 +520,15 @@
             if run.task.task_id == task_id
         ]
 
+    def job_runs(self, job_id: str) -> list:
+        """Return the runs of all tasks of a job on all workers."""
+        return [
+            run
+            for worker in self.workers.values()
+            for run in worker.runs
+            if run.task.task_id.rpartition('/')[0] == job_id
+        ]
+
     def breaches(self) -> list[str]:
         """Return what breaks an invariant on any worker."""
         found = fleet_record.FleetRecord(list(self.workers.values()))
--- a/tests/test_site_interleaving.py
+++ b/tests/test_site_interleaving.py
@@ -5,13 +5,17 @@
 import random
 import unittest
 
+from basilspindle.api import job_waiter
 from basilspindle import errors
 from basilspindle import model
 from basilspindle.peer import messages
+from basilspindle import routing
+from tests.standins import peer_network
 from tests.standins import site_rig
 
 _SEEDS = int(os.environ.get('BASILSPINDLE_SITE_SEEDS', '4'))
 _FIRST_SEED = int(os.environ.get('BASILSPINDLE_SITE_FIRST_SEED', '0'))
+_REFUSAL_SEEDS = int(os.environ.get('BASILSPINDLE_REFUSAL_SEEDS', '3'))
 _MEMBERS = ('a', 'b', 'c', 'd')
 _WORKER_COUNT = 5
 _LIMIT_TASKS = 12
@@ -20,6 +24,10 @@
 _MAX_WAIT_MS = 60_000
 _FINISH_MS = 400_000
 _CALL_MS = 2_000
+_MAX_QUEUED_TASKS = 4
+_REFUSAL_LIMIT_TASKS = 4
+# Longer than any late request and any task of a run with refusals.
+_ALL_ARRIVED_MS = 60_000
 
 
 class _Run:
@@ -30,6 +38,8 @@
         self.rng = random.Random(seed)
         self.jobs: dict[str, model.Job] = {}
         self.accepted: set[str] = set()
+        # Kind of the error by the id of each job that was refused for good.
+        self.refused: dict[str, str] = {}
         self.breaches: list[str] = []
         self.final_states: dict[str, model.State] = {}
         self.steps: list[str] = []
@@ -105,11 +115,20 @@
         try:
             await daemon.router.call(request, _CALL_MS)
         except errors.BasilspindleError as error:
-            if error.ran is errors.Ran.NO and self.rig.runs(f'{job.job_id}/0'):
-                self.breaches.append(f'{job.job_id} ran, {error.kind}')
+            if error.ran is errors.Ran.NO:
+                self.refused[job.job_id] = error.kind
             return
         self.accepted.add(job.job_id)
 
+    def check_refused(self) -> None:
+        """Check that no refused job has run, or is recorded and may run."""
+        recorded = self.rig.recorded_jobs()
+        for job_id, kind in self.refused.items():
+            if self.rig.job_runs(job_id):
+                self.breaches.append(f'{job_id} ran, {kind}')
+            elif job_id in recorded:
+                self.breaches.append(f'{job_id} is recorded, {kind}')
+
     async def look(self) -> None:
         """Ask a daemon for each accepted job."""
         daemons = list(self.rig.daemons.values())
@@ -186,10 +205,82 @@
         await self.rig.add(daemon.member_id)
 
 
+class _RefusalRun(_Run):
+    """Submit each job once, at a workspace whose queue is often full.
+
+    Connections break, and what was sent over them arrives late.
+    """
+
+    def __init__(self, rig: site_rig.SiteRig, seed: int) -> None:
+        super().__init__(rig, seed)
+        # Draws for the network must not depend on what callers draw.
+        self.network_rng = random.Random(seed + 1_000_000)
+        self.late_share = self.network_rng.choice((0.2, 0.4, 0.6))
+        rig.network.draw_late = self.draw_late
+
+    def draw_late(self, source, target, request) -> peer_network.Late | None:
+        if not isinstance(
+            request, messages.Submit | messages.View | messages.Cancel
+        ):
+            return None
+        if self.network_rng.random() >= self.late_share:
+            return None
+        return peer_network.Late(
+            self.network_rng.choice((0, 50, 300)),
+            self.network_rng.choice((5, 500, 1_000, 3_000)),
+        )
+
+    async def submit(self) -> None:
+        for _ in range(self.rng.randint(4, 14)):
+            waits = self.rng.random() < 0.5
+            job = self.rig.job(
+                f'j{len(self.jobs)}',
+                self.rng.choice((100, 500, 1_500)),
+                tasks=self.rng.randint(1, 2),
+                durable=not waits,
+                idempotent=waits or self.rng.random() < 0.7,
+            )
+            self.jobs[job.job_id] = job
+            call = self.call_waiting if waits else self.call_submit
+            asyncio.ensure_future(call(self.daemon(), job))
+            await self.run_ms(self.rng.randint(1, 200))
+
+    async def call_waiting(self, daemon, job) -> None:
+        """Submit a job that is not durable and wait for its end."""
+        waiter = job_waiter.JobWaiter(
+            daemon.clock,
+            daemon.router,
+            job,
+            self.rng.choice((500, 3_000, 10_000)),
+            routing.Calls(daemon.clock),
+        )
+        try:
+            await waiter.wait_for_result()
+        except errors.BasilspindleError as error:
+            if error.ran is errors.Ran.NO:
+                self.refused[job.job_id] = error.kind
+
+    async def finish(self) -> None:
+        await super().finish()
+        await self.run_ms(_ALL_ARRIVED_MS)
+
+
 async def _play(seed: int) -> _Run:
     async with site_rig.SiteRig(limit_tasks=_LIMIT_TASKS) as rig:
         run = _Run(rig, seed)
         await run.play()
+        run.check_refused()
+        run.breaches += rig.breaches()
+        return run
+
+
+async def _play_refusals(seed: int) -> _RefusalRun:
+    async with site_rig.SiteRig(
+        limit_tasks=_REFUSAL_LIMIT_TASKS, max_queued_tasks=_MAX_QUEUED_TASKS
+    ) as rig:
+        run = _RefusalRun(rig, seed)
+        await run.play()
+        run.check_refused()
         run.breaches += rig.breaches()
         return run
 
@@ -206,3 +297,19 @@
                 run = asyncio.run(_play(seed))
                 self.assertEqual([], sorted(set(run.breaches)), run.steps)
                 self.assertTrue(run.accepted)
+
+
+class RefusalInterleavingTest(unittest.TestCase):
+    """Guard the promise of a refusal while copies of a submission are late."""
+
+    def test_refused_jobs_never_run(self):
+        refused, late_count = 0, 0
+        for seed in range(_FIRST_SEED, _FIRST_SEED + _REFUSAL_SEEDS):
+            with self.subTest(seed=seed):
+                run = asyncio.run(_play_refusals(seed))
+                self.assertEqual([], sorted(set(run.breaches)), run.steps)
+                refused += len(run.refused)
+                late_count += run.rig.network.late_count
+        # Without either, the runs have not drawn what they are for.
+        self.assertTrue(refused)
+        self.assertTrue(late_count)
