Test who may say that a submission never runs

Several mechanisms that make a refusal true could be taken out of basilspindled without a failing test.

Two of the mechanisms had no test that failed without them before: the old test of a late reply lets the handler end before its connection is closed, and none needed the flag that a waiting request sets when a new owner does not know its job. The old tests stay as they are.

--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -265,6 +265,34 @@
         self.assertEqual(2, len(jobs))
         self.assertEqual(jobs[0], jobs[1])
 
+    async def test_deadline_after_an_owner_was_lost_says_unknown(self):
+        """Guard against ``ran: no`` for a job that the first owner ran.
+
+        The second owner has cancelled it before it started there.
+        """
+        self.hold_jobs(model.State.QUEUED)
+        look_up = self.router.handlers[messages.View]
+
+        async def forget(_):
+            self.router.handlers[messages.View] = look_up
+            raise errors.NotFound('no such job; check the id')
+
+        async def cancel(request):
+            job = self.router.jobs[request.job_id]
+            view = self.router.make_view(job, model.State.CANCELLED, 0)
+            return messages.Cancelled(view=view)
+
+        self.router.handlers[messages.View] = forget
+        self.router.handlers[messages.Cancel] = cancel
+        task, _, sent = await self.start('/v1/requests', _NOT_DURABLE)
+        await self.clock.advance_ms(_AFTER_TIMEOUT_MS)
+        await task
+        error = json.loads(sent[1]['body'])['error']
+        self.assertEqual(
+            ('deadline_exceeded', 'unknown'), (error['kind'], error['ran'])
+        )
+        self.assertEqual(2, len(self.router.requests_of(messages.Submit)))
+
     async def test_refusal_after_an_owner_was_lost_has_unknown_outcome(self):
         """Guard against ``ran: no`` for a job that an owner may have run."""
         self.hold_jobs(model.State.RUNNING)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -136,6 +136,58 @@
         self.assertEqual(errors.Ran.NO, caught.exception.ran)
         self.assertGreater(caught.exception.retry_after_ms, 0)
 
+    async def test_copy_of_a_job_that_is_being_recorded_is_not_refused(self):
+        """Guard against ``ran: no`` to one copy of a job that then runs."""
+        self.set_limit(-1, queued=1)
+        self.activate()
+        self.journal.gate = asyncio.Event()
+        request = messages.Submit(partition=0, job=self.job(durable=True))
+        first = asyncio.ensure_future(self.coordinator.submit(request))
+        await self.clock.settle()
+        second = asyncio.ensure_future(self.coordinator.submit(request))
+        await self.clock.settle()
+        self.assertFalse(second.done())
+        self.journal.gate.set()
+        self.assertFalse((await first).repeated)
+        self.assertTrue((await second).repeated)
+        # A job that is known is not refused for the limit either.
+        self.set_limit(-1, queued=0)
+        self.assertTrue((await self.submit(request.job)).repeated)
+
+    async def test_lost_partition_leaves_what_is_being_recorded_open(self):
+        """Guard against ``ran: no`` for a job that a new owner may find."""
+        self.activate()
+        self.journal.gate = asyncio.Event()
+        request = messages.Submit(partition=0, job=self.job(durable=True))
+        both = [
+            asyncio.ensure_future(self.coordinator.submit(request))
+            for _ in range(2)
+        ]
+        await self.clock.settle()
+        await self.coordinator.deactivate(0, False)
+        await self.step()
+        for submission in both:
+            with self.assertRaises(errors.Deposed) as caught:
+                await submission
+            self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+            self.assertEqual('j1', caught.exception.job_id)
+
+    async def test_caller_that_is_gone_does_not_end_the_record(self):
+        """Guard against a refusal of another copy of a job that then runs."""
+        self.activate()
+        self.journal.gate = asyncio.Event()
+        request = messages.Submit(partition=0, job=self.job(durable=True))
+        first = asyncio.ensure_future(self.coordinator.submit(request))
+        await self.clock.settle()
+        second = asyncio.ensure_future(self.coordinator.submit(request))
+        await self.clock.settle()
+        first.cancel()
+        await self.clock.settle()
+        self.journal.gate.set()
+        self.assertTrue((await second).repeated)
+        await self.step()
+        self.assertEqual(1, len(self.holders.started))
+
     async def test_size_above_every_worker_is_unschedulable(self):
         self.activate()
         await self.step()
@@ -537,6 +589,21 @@
         self.assertEqual(_State.CANCELLED, view.state)
         self.assertEqual({'cancelled': 5}, view.counts)
 
+    async def test_cancellation_that_is_not_recorded_has_no_effect(self):
+        """Guard against a refused cancellation that ends a job."""
+        self.set_limit(0)
+        self.activate()
+        await self.submit(self.job(durable=True))
+        cancel = messages.Cancel(partition=0, workspace='red', job_id='j1')
+        self.journal.error = errors.LogUnavailable('down')
+        with self.assertRaises(errors.LogUnavailable) as caught:
+            await self.coordinator.cancel(cancel)
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        self.journal.error = None
+        self.set_limit(-1)
+        await self.step(1_000)
+        self.assertEqual(1, len(self.holders.started))
+
     async def test_withdrawn_key_cancels_what_has_not_started(self):
         self.set_limit(1)
         self.activate()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -289,6 +289,43 @@
         self.assertEqual(['sent', 'next'], list(owner.state.jobs))
         self.assertEqual([accept('sent')], late)
 
+    async def test_closed_journal_promises_only_what_it_did_not_send(self):
+        """Guard against ``ran: no`` for a batch that arrives at the log."""
+        owner = await self.open_owner('a')
+        await self.clock.advance_ms(self.timing.linger_ms)
+        self.service.faults.late_effects = 1
+        sent = asyncio.ensure_future(owner.append(accept('sent')))
+        await self.clock.settle()
+        waiting = asyncio.ensure_future(owner.append(accept('waiting')))
+        await self.clock.settle()
+        await owner.__aexit__(None, None, None)
+        with self.assertRaises(errors.LogOutcomeUnknown) as caught:
+            await sent
+        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+        with self.assertRaises(errors.LogUnavailable) as caught:
+            await waiting
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        await self.clock.advance_ms(10_000)
+        reader = await self.replay()
+        self.assertEqual(['sent'], list(reader.state.jobs))
+
+    async def test_append_that_was_not_sent_in_time_is_never_sent(self):
+        """Guard against ``ran: no`` for records that are sent afterwards."""
+        owner = await self.open_owner('a')
+        await self.clock.advance_ms(self.timing.linger_ms)
+        self.service.faults.delay_ms = 900
+        kept = []
+        for job_id in ('first', 'second'):
+            kept.append(asyncio.ensure_future(owner.append(accept(job_id))))
+            await self.clock.settle()
+        with self.assertRaises(errors.LogUnavailable) as caught:
+            await self.run_ms(owner.append(accept('late'), timeout_ms=200))
+        self.assertEqual(errors.Ran.NO, caught.exception.ran)
+        await self.run_ms(asyncio.gather(*kept))
+        await self.run_ms(owner.append(accept('next')))
+        reader = await self.replay()
+        self.assertEqual(['first', 'second', 'next'], list(reader.state.jobs))
+
     async def test_batches_are_spaced(self):
         """Guard against one append per record under load."""
         owner = await self.open_owner('a')
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -3,15 +3,18 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import peer
+from basilspindle.peer import connection as connection_module
 from basilspindle.peer import messages
 
 _FENCE = messages.Fence(partition=1, epoch=7, member_id='a')
 _LIMIT_MS = 5_000
 _SHORT_MS = 60
+_SETTLE_S = 0.2
 
 
 async def _fenced(request):
@@ -190,6 +193,50 @@
         self.assertEqual(errors.Ran.NO, caught.exception.ran)
         self.assertTrue(self.client.refused(self.address))
 
+    async def test_connection_that_is_late_carries_no_request(self):
+        """Guard against ``ran: no`` for a request that is sent afterwards."""
+        requests = []
+
+        async def record(request):
+            requests.append(request)
+            return messages.Fenced(epoch=1)
+
+        self.server.set_handler(messages.Fence, record)
+        gate = asyncio.Event()
+        connect = connection_module.Connection.connect
+
+        async def connect_late(connection):
+            await gate.wait()
+            await connect(connection)
+
+        with mock.patch.object(
+            connection_module.Connection, 'connect', connect_late
+        ):
+            with self.assertRaises(errors.PeerUnavailable) as caught:
+                await self.client.call(self.address, _FENCE, _SHORT_MS)
+            self.assertEqual(errors.Ran.NO, caught.exception.ran)
+            gate.set()
+            await self.client.call(self.address, _FENCE, _LIMIT_MS)
+        self.assertEqual(1, len(requests))
+
+    async def test_server_that_stops_during_a_call_leaves_it_open(self):
+        """Guard against ``ran: no`` for a call whose handler has begun."""
+        begun = asyncio.Event()
+
+        async def hang(request):
+            begun.set()
+            await asyncio.Event().wait()
+
+        self.server.set_handler(messages.Fence, hang)
+        call = asyncio.ensure_future(
+            self.client.call(self.address, _FENCE, _LIMIT_MS)
+        )
+        await begun.wait()
+        await self.server.__aexit__(None, None, None)
+        with self.assertRaises(errors.PeerOutcomeUnknown) as caught:
+            await call
+        self.assertEqual(errors.Ran.UNKNOWN, caught.exception.ran)
+
     async def test_malformed_address_is_refused(self):
         """Guard against a heartbeat task that ends on a malformed address."""
         for address in ('', 'host', ':1', '1.2.3.4:x'):
@@ -212,6 +259,28 @@
         gate.set()
         await asyncio.wait_for(ended.wait(), 5)
 
+    async def test_handler_goes_on_after_its_connection_closed(self):
+        """Guard against a refusal while a cancelled copy is half done."""
+        ended = []
+
+        async def slow(request):
+            try:
+                await gate.wait()
+            finally:
+                ended.append(asyncio.current_task().cancelling())
+            return messages.Fenced(epoch=1)
+
+        gate = asyncio.Event()
+        self.server.set_handler(messages.Fence, slow)
+        with self.assertRaises(errors.PeerOutcomeUnknown):
+            await self.client.call(self.address, _FENCE, _SHORT_MS)
+        # Longer than the server takes to see that the connection is closed.
+        await asyncio.sleep(_SETTLE_S)
+        self.assertEqual([], ended)
+        gate.set()
+        self.assertTrue(await self.server.drain(_LIMIT_MS))
+        self.assertEqual([0], ended)
+
     async def test_timeout_does_not_end_other_calls(self):
         """Guard against a timeout that fails other calls of the connection."""
         gate = asyncio.Event()
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,16 +1,21 @@
 """Test which submissions a daemon answers that they never run."""
 
+import asyncio
 import json
+import logging
 import types
 
+import httpx
 import loguru
 
+from basilspindle.daemon import api_server
 from basilspindle import errors
 from basilspindle import model
 from basilspindle.peer import messages
 from basilspindle import routing
 from basilspindle import settings
 from tests import api_case
+from tests.standins import local_cluster
 
 _BODY = {'kind': 'query'}
 _AFTER_TIMEOUT_MS = 70_000
@@ -159,3 +164,45 @@
         status, _, (line,) = await self.post()
         self.assertEqual(504, status)
         self.assertEqual(['a:1 after 0 ms: accepted'], line['outcomes'])
+
+
+class StopTest(api_case.ApiCase):
+    """Guard what a daemon answers to requests that its stop ends."""
+
+    async def test_request_that_a_stop_ends_is_not_refused(self):
+        """Guard against 503 for a submission that an owner may have."""
+        begun = asyncio.Event()
+
+        async def hang(_):
+            begun.set()
+            await asyncio.Event().wait()
+
+        self.router.handlers[messages.Submit] = hang
+        self.router.handlers[messages.Cancel] = hang
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+        for path in ('/v1/jobs', '/v1/requests'):
+            with self.subTest(path=path):
+                begun.clear()
+                address = f'127.0.0.1:{local_cluster.free_port()}'
+                server = api_server.ApiServer(self.app, address, 0)
+                await server.__aenter__()
+                async with httpx.AsyncClient() as client:
+                    post = asyncio.ensure_future(
+                        client.post(
+                            f'http://{address}{path}',
+                            json=_BODY,
+                            headers=api_case.bearer('red-1'),
+                        )
+                    )
+                    await begun.wait()
+                    await server.__aexit__(None, None, None)
+                    self.assertNotIn(await _status(post), (429, 503))
+
+
+async def _status(post):
+    """Return the status of a request, 0 if its connection was closed."""
+    try:
+        return (await post).status_code
+    except httpx.TransportError:
+        return 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -182,6 +182,30 @@
             self.assertEqual(errors.Ran.UNKNOWN, error.ran)
             self.assertEqual('r1', error.job_id)
 
+    async def test_reply_of_another_job_promises_nothing(self):
+        """Guard against ``ran: no`` after a reply that tells of no outcome."""
+        loguru.logger.disable('basilspindle')
+        self.addCleanup(loguru.logger.enable, 'basilspindle')
+        other = messages.Submitted(job_id='r2', repeated=False)
+        error = await self.run_call(other, errors.QueueFull('full'))
+        self.assertEqual(errors.Ran.UNKNOWN, error.ran)
+        self.assertEqual(2, len(self.calls))
+
+    async def test_local_call_that_timed_out_promises_nothing(self):
+        """Guard against ``ran: no`` while the handler of this daemon runs."""
+
+        async def time_out(_):
+            raise errors.DeadlineExceeded('the log is slow')
+
+        self.owner = ''
+        self.handlers[messages.Submit] = time_out
+        task = asyncio.ensure_future(self.router.call(_submit(), _TIMEOUT_MS))
+        await self.clock.settle()
+        self.owner = None
+        await self.clock.advance_ms(_TIMEOUT_MS + 100)
+        error = task.exception()
+        self.assertEqual('outcome_unknown', error.kind)
+
     async def test_error_of_several_calls_is_changed_for_one(self):
         """Guard against the job id and the outcome of another caller.
 
