Repeat the pace of a task after an order without an answer

After an order without an answer, the pace is ordered again with each report for 5 s, which is longer than a system goes on to send what it holds of a closed connection (3 s).

--- a/basilspindle/cell/pacing.py
+++ b/basilspindle/cell/pacing.py
@@ -23,6 +23,10 @@
 # previous one. It is lowered at once.
 _RAISE_PERCENT = 20
 _RAISE_INTERVAL_MS = 1_500
+# A worker may carry out an order without an answer after later ones, so these
+# are repeated with each report for this long: longer than a system goes on to
+# send what it holds of a closed connection (3 s).
+_REPEAT_MS = 5_000
 
 
 def pace(
@@ -38,10 +42,15 @@
         return
     ratio = _max_target_ratio(worker)
     for task in backfill:
+        if task.has_unanswered_pace:
+            task.has_unanswered_pace = False
+            task.pace_repeated_until_ms = now_ms + _REPEAT_MS
         percent = _next_percent(task, ratio, now_ms)
-        if percent != task.pace_percent:
+        is_changed = percent != task.pace_percent
+        if is_changed:
             task.pace_percent = percent
             task.paced_ms = now_ms
+        if is_changed or now_ms < task.pace_repeated_until_ms:
             state.orders.paces.append(
                 orders_module.PaceOrder(worker.worker_id, task, percent)
             )
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -485,6 +485,7 @@
             # unknown. It is chosen again after the next report.
             if order.task.run == order.run:
                 order.task.pace_percent = None
+                order.task.has_unanswered_pace = True
 
     async def _stop(self, order: orders_module.StopOrder) -> None:
         for _ in range(_MAX_STOP_ATTEMPTS):
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -135,6 +135,7 @@
         task.stop_sent_ms = 0
         task.load = 0
         task.pace_percent, task.paced_ms = 100, 0
+        task.has_unanswered_pace, task.pace_repeated_until_ms = False, 0
         task.percent = task.sampled_ms = task.sampled_percent = 0
         worker.add_task(task)
         job.occupying_tasks.add(task)
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -30,6 +30,8 @@
     taken from the latest report: the response time in ms of a service, the
     CPU usage of any other task. ``pace_percent`` is the speed ordered at
     ``paced_ms``, in percent of full speed; None if it is unknown.
+    ``has_unanswered_pace`` is set by an order without an answer, after which
+    orders are repeated until ``pace_repeated_until_ms``.
     ``preemptions`` counts the stops in favour of more urgent work.
     """
 
@@ -52,6 +54,8 @@
         'load',
         'pace_percent',
         'paced_ms',
+        'has_unanswered_pace',
+        'pace_repeated_until_ms',
         'preemptions',
     )
 
@@ -76,6 +80,8 @@
         self.load = 0
         self.pace_percent: int | None = 100
         self.paced_ms = 0
+        self.has_unanswered_pace = False
+        self.pace_repeated_until_ms = 0
         self.preemptions = 0
 
     @property
