--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -122,18 +122,20 @@
             del buffer[:start]
 
     def close(self) -> None:
-        """Close the connection; the system may still deliver what it holds."""
+        """Close the connection; the system still delivers what it holds.
+
+        For a connection whose replies the other end may wait for.
+        """
         if self._transport is not None:
             self._transport.abort()
 
     def discard(self) -> None:
-        """Close the connection and drop what was not delivered."""
-        if self._transport is None or self.closed.is_set():
-            return
-        sock = self._transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        self._transport.abort()
+        """Close the connection and drop what was not delivered.
+
+        For a connection over which nothing sent is of use any more.
+        """
+        if self._transport is not None and not self.closed.is_set():
+            abort_undelivered(self._transport)
 
     async def call(
         self, request: messages.Request, timeout_ms: int
@@ -250,6 +252,17 @@
     )
 
 
+def abort_undelivered(transport: asyncio.Transport) -> None:
+    """Close a connection and drop what the other end has not received.
+
+    After a plain abort, the system goes on to send what it holds.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
+
+
 def _connection_lost() -> errors.PeerOutcomeUnknown:
     return errors.PeerOutcomeUnknown(
         'the connection to the leading daemon was lost; ask again',
--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -131,11 +131,17 @@
         return self._response
 
     def close(self) -> None:
-        """Close the connection without flushing its send buffer."""
+        """Close the connection; the system still delivers what it holds."""
         self.closed = True
         if self.transport is not None:
             self.transport.abort()
 
+    def discard(self) -> None:
+        """Close the connection and drop what was not delivered."""
+        if self.transport is not None and not self.closed:
+            link_module.abort_undelivered(self.transport)
+        self.closed = True
+
     def _fail_request(self, reason: str) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(CallFailed(reason, sent=True))
@@ -232,7 +238,9 @@
                 try:
                     response = await connection.send(data)
                 except BaseException:
-                    connection.close()
+                    # The call may be repeated, and what has not arrived yet
+                    # would come after that.
+                    connection.discard()
                     raise
                 finally:
                     connection.on_progress = None
