--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -149,9 +149,9 @@
 class Refused(_Message):
     """The request had no effect; retry after ``retry_after_ms``.
 
-    ``epoch`` is that of the leader that refused a submission. No copy that
-    the same daemon has sent to a leader of this epoch or an earlier one, and
-    that has not been accepted, will be. With 0, nothing is said of others.
+    ``epoch`` is that of the leader that refused a submission. Copies that the
+    same process sent to leaders of epochs up to it are not accepted either.
+    With 0, nothing is said of other copies.
     """
 
     kind: str
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -217,13 +217,13 @@
                     node = self._identity.node
                     epoch = self.leader.claim.epoch
                     reply = await self._clock.wait_for(
-                        self.leader.handle(_address(request, epoch)),
+                        self.leader.handle(_with_epoch(request, epoch)),
                         remaining_ms,
                     )
                 elif link is not None:
                     node, epoch = link.node, link.epoch
                     reply = await link.call(
-                        _address(request, epoch), remaining_ms
+                        _with_epoch(request, epoch), remaining_ms
                     )
                 else:
                     spent_ms = self._clock.now_ms() - begun_ms
@@ -456,9 +456,9 @@
             self.leader.advice_calls.remove_link(link)
 
     def _close_replaced_links(self, link: link_module.Link) -> None:
-        # What the other process sent over an earlier link may still arrive.
-        # It has given up waiting for that, and goes by the answers to what it
-        # sends over the newest link.
+        # A refusal over the newest link promises that copies on earlier ones
+        # are not accepted, so nothing more may be read from them
+        # (docs/decisions/refusals.md).
         for other in list(self._links):
             if (
                 link.incarnation
@@ -471,7 +471,7 @@
         self.failed.set()
 
 
-def _address(request: messages.Request, epoch: int) -> messages.Request:
+def _with_epoch(request: messages.Request, epoch: int) -> messages.Request:
     """Return a copy of a submission that one leader only may accept."""
     if isinstance(request, messages.Submit):
         return msgspec.structs.replace(request, epoch=epoch)
@@ -492,7 +492,8 @@
 def _no_answer_error(sent: bool) -> errors.BasilspindleError:
     if sent:
         return errors.OutcomeUnknown(
-            'the leading daemon changed before it answered; ask again',
+            'a copy of the request that was not answered may still take '
+            'effect; ask again',
             ran=errors.Ran.UNKNOWN,
             retry_after_ms=_RETRY_AFTER_MS,
         )
