Have the plays of submissions find copies of several leaders

Without the check of a copy's epoch, or with a refusal that covers later leaders too, the 40 plays found nothing: leaders seldom overlapped. Claims are now twice as frequent as ends, and there are 120 plays. On a scratch copy the first mutation leaves 1 refused job in the log and the second 3, connections that are read on 29; the code as it is leaves none (17.6 s for the test beside other work).

--- a/tests/test_refusal_plays.py
+++ b/tests/test_refusal_plays.py
@@ -19,7 +19,7 @@
 from tests import cell_case
 from tests.standins import manual_clock
 
-_PLAYS = 40
+_PLAYS = 120
 _RECONNECT_MS = 300
 _STEPS = 80
 _PROCESSES = 3
@@ -205,7 +205,7 @@
         steps = [self.submit] * 3 + [self.wait] * 2 + [self.connect]
         # Many copies are for one leader, or leaders change all the time.
         steps = steps * self.random.choice((1, 10))
-        steps += [self.claim, self.step_down]
+        steps += [self.claim] * 2 + [self.step_down]
         for _ in range(_STEPS):
             done = self.random.choice(steps)()
             if done is not None:
