Let a leader refuse a later copy before its daemon gives up

Callers were answered 504 where 503 would have been true: each copy of a submission carried the time of the first one, so a leader waited for the append of a later copy longer than the daemon waited for the leader. It withdrew the job when nobody listened, and until then its wait kept other requests for the job from withdrawing it.

The daemon now sends with each copy what is left of its time, less the margin for the reply that the first copy already had. The rule moves from the frontend to Node, which knows the rest of the time; the first copy carries the same as before.

The new test failed before.

--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -28,6 +28,9 @@
 
 _CHANGE_POLL_MS = 500
 _RECONNECT_PAUSE_MS = 20
+# Time for the leader's reply to reach this daemon before the request times
+# out here.
+_LEADER_MARGIN_MS = 200
 # Log lines are rate limited per second; dropped lines are reported as often.
 _REPORT_INTERVAL_MS = 1_000
 # More leaders in a minute than planned stops and lost VMs explain.
@@ -217,13 +220,15 @@
                     node = self._identity.node
                     epoch = self.leader.claim.epoch
                     reply = await self._clock.wait_for(
-                        self.leader.handle(_address(request, epoch)),
+                        self.leader.handle(
+                            _address(request, epoch, remaining_ms)
+                        ),
                         remaining_ms,
                     )
                 elif link is not None:
                     node, epoch = link.node, link.epoch
                     reply = await link.call(
-                        _address(request, epoch), remaining_ms
+                        _address(request, epoch, remaining_ms), remaining_ms
                     )
                 else:
                     spent_ms = self._clock.now_ms() - begun_ms
@@ -471,11 +476,22 @@
         self.failed.set()
 
 
-def _address(request: messages.Request, epoch: int) -> messages.Request:
-    """Return a copy of a submission that one leader only may accept."""
-    if isinstance(request, messages.Submit):
-        return msgspec.structs.replace(request, epoch=epoch)
-    return request
+def _address(
+    request: messages.Request, epoch: int, remaining_ms: int
+) -> messages.Request:
+    """Return a copy of a submission for one leader and the rest of the time.
+
+    Only the leader with this epoch may accept it. Its wait ends before that of
+    this daemon, so that it can still refuse the job.
+    """
+    if not isinstance(request, messages.Submit):
+        return request
+    timeout_ms = max(remaining_ms - _LEADER_MARGIN_MS, remaining_ms // 2)
+    return msgspec.structs.replace(
+        request,
+        epoch=epoch,
+        accept_timeout_ms=min(request.accept_timeout_ms, timeout_ms),
+    )
 
 
 def _is_write(request: messages.Request) -> bool:
--- a/basilspindle/platform/frontend.py
+++ b/basilspindle/platform/frontend.py
@@ -22,9 +22,6 @@
 _JOB_ID = re.compile(r'[0-9a-f]{16}')
 # Time for the response to reach the caller before the caller's deadline.
 _CALLER_MARGIN_MS = 150
-# Time for the leader's reply to reach this daemon before the request times
-# out here.
-_LEADER_MARGIN_MS = 200
 _DEFAULT_DEADLINE_MS = 3_000
 _BEHIND_RETRY_MS = 1_000
 _MAX_DEADLINE_MS = 30_000
@@ -112,9 +109,8 @@
                 definition = job_body.decode(
                     body, job_id, workspace, queue, self._clock.wall_ms()
                 )
-                leader_timeout_ms = timeout_ms - _LEADER_MARGIN_MS
                 request: messages.Request = messages.Submit(
-                    definition, max(leader_timeout_ms, timeout_ms // 2)
+                    definition, timeout_ms
                 )
             elif scope['method'] == 'GET':
                 request = messages.Find(job_id, workspace)
--- a/tests/test_refusal_promises.py
+++ b/tests/test_refusal_promises.py
@@ -314,6 +314,36 @@
                 self.assertIsInstance(await self.submit(), expected)
 
 
+class LaterCopyTest(test_refused_copies.CopiesCase):
+    """Guard what a daemon asks for once a part of its time is used."""
+
+    async def test_no_copy_waits_longer_than_its_daemon(self):
+        """Guard against a leader that cannot refuse a job in time.
+
+        It waited for the time of the first copy, so that the daemon gave up
+        before, and its wait kept others from withdrawing the job.
+        """
+        link = self.follow(
+            *[test_refused_copies._NO_REPLY] * 2, messages.Accepted()
+        )
+        call = link.call
+        remaining = []
+
+        async def take_long(request, timeout_ms):
+            remaining.append(timeout_ms)
+            self.clock.now += 1_500
+            return await call(request, timeout_ms)
+
+        link.call = take_long
+        await self.submit()
+        self.assertEqual(3, len(link.sent))
+        for copy, timeout_ms in zip(link.sent, remaining, strict=True):
+            self.assertLess(copy.accept_timeout_ms, timeout_ms)
+            self.assertGreaterEqual(
+                copy.accept_timeout_ms, min(4_000, timeout_ms // 2)
+            )
+
+
 class FrontendPromiseTest(test_refused_copies.CopiesCase):
     """Guard the answers that a daemon gives callers by itself."""
 
