--- a/basilspindle/events/sink.py
+++ b/basilspindle/events/sink.py
@@ -50,9 +50,9 @@
         line = str(message).encode()
         if self._size_bytes + len(line) > _MAX_BUFFER_BYTES:
             self.flush()
-        if self._size_bytes + len(line) > _MAX_BUFFER_BYTES:
+        is_too_long = self._size_bytes + len(line) > _MAX_BUFFER_BYTES
+        if is_too_long or not self.has_room:
             self._is_full = True
-        if not self.has_room:
             self._count_dropped(1)
             return
         self._lines.append(line)
--- a/tests/test_event_output.py
+++ b/tests/test_event_output.py
@@ -104,6 +104,13 @@
             number, len(lines) - names.count('lines_dropped') + dropped
         )
 
+    def test_a_line_that_is_longer_than_the_buffer(self):
+        """Guard against one long line that takes any amount of memory."""
+        events.emit(cell_events.STATE_DUMPED, state='x' * 1_000_000)
+        self.emit(0)
+        names = [json.loads(row)['name'] for row in self.read().splitlines()]
+        self.assertEqual(['lines_dropped', 'leader_gained'], names)
+
     def test_lines_of_a_process_that_logs_nothing_more(self):
         """Guard against lines and a count that wait for the next event."""
         for number in range(500):
