Take up jobs and cancellations that are recorded late

A submission answered "unknown" could be recorded and then run by nobody until its partition changed owner, when it ran after all: a look-up by its id was answered 404 meanwhile, and a repetition under its key could be refused for a limit while the record stood. This came about if a batch was in flight when an owner gave up a partition and the log did not answer in time, so that it kept the partition and activated it again: the record was confirmed to nobody. In the same way a cancellation that was recorded after its 5 s did not reach the owner, which ran the job, and the next owner showed it as cancelled.

--- a/basilspindle/coordinator/admission.py
+++ b/basilspindle/coordinator/admission.py
@@ -150,7 +150,8 @@
                 journal_package.JobAccepted(job=job),
                 timeout_ms=_APPEND_TIMEOUT_MS,
             )
-            if not partition.closed:
+            # An earlier record of the job may have been confirmed meanwhile.
+            if not partition.closed and job.job_id not in partition.jobs:
                 self._admit(partition, job)
             return True
         finally:
--- a/basilspindle/coordinator/coordinator.py
+++ b/basilspindle/coordinator/coordinator.py
@@ -407,13 +407,42 @@
                     journal_package.JobCancelled(job_id=request.job_id),
                     timeout_ms=_CANCEL_TIMEOUT_MS,
                 )
-            tracked.cancelled = True
-            self._queue.remove(request.job_id)
-            tracked.end_queued(model.State.CANCELLED, 'cancelled')
-            tracked.update_state(self._clock.now_ms())
-            self._sweeper.wake()
+            self._cancel_tracked(tracked)
         return messages.Cancelled(view=tracked.view(with_results=True))
 
+    def _cancel_tracked(self, tracked: tracked_job.TrackedJob) -> None:
+        tracked.cancelled = True
+        self._queue.remove(tracked.job.job_id)
+        tracked.end_queued(model.State.CANCELLED, 'cancelled')
+        tracked.update_state(self._clock.now_ms())
+        self._sweeper.wake()
+
+    def apply_late_records(
+        self,
+        number: int,
+        records: collections.abc.Iterable[journal_package.Record],
+    ) -> None:
+        """Apply records that were confirmed after their callers gave up.
+
+        Callers were told that the outcome is unknown. The next owner reads
+        these records, so this one has to act on them too.
+        """
+        partition = self._partitions.get(number)
+        if partition is None:
+            return
+        for record in records:
+            if isinstance(record, journal_package.JobAccepted):
+                job_id = record.job.job_id
+                with log_and_skip.LogAndSkip('recover', job_id):
+                    recovery.recover_late(
+                        partition, job_id, self._queue, self._clock
+                    )
+            elif isinstance(record, journal_package.JobCancelled):
+                tracked = partition.jobs.get(record.job_id)
+                if tracked is not None and not tracked.state.final:
+                    self._cancel_tracked(tracked)
+        self.wake()
+
     async def report(self, request: messages.Report) -> messages.Reported:
         """Apply the task ends and running tasks that a holder reports.
 
--- a/basilspindle/coordinator/recovery.py
+++ b/basilspindle/coordinator/recovery.py
@@ -37,6 +37,22 @@
         adopt(partition, task, task.holder_id, queue)
 
 
+def recover_late(
+    partition: owned_partition.OwnedPartition,
+    job_id: str,
+    queue: policy.FairQueue,
+    clock: clock_module.Clock,
+) -> None:
+    """Load a job that was recorded after the partition was activated."""
+    entry = partition.journal.state.jobs.get(job_id)
+    if entry is None or job_id in partition.jobs:
+        return
+    _recover_job(partition, job_id, entry, clock)
+    if partition.dispatching:
+        enqueue_recovered(partition, queue, clock)
+    partition.jobs[job_id].update_state(clock.now_ms())
+
+
 def _recover_job(
     partition: owned_partition.OwnedPartition,
     job_id: str,
--- a/basilspindle/daemon/daemon.py
+++ b/basilspindle/daemon/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import secrets
 import typing
 
@@ -377,6 +378,9 @@
                 log_retention_ms=timing.log_retention_ms,
                 result_keep_ms=timing.result_keep_ms,
             ),
+            on_late_confirmation=functools.partial(
+                self._components.coordinator.apply_late_records, partition
+            ),
             following=False,
         )
 
