--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import types
+import unittest
 
 import httpx
 import loguru
@@ -16,6 +17,8 @@
 from basilspindle import settings
 from tests import api_case
 from tests.standins import local_cluster
+from tests.standins import manual_clock
+from tests.standins import peer_network
 
 _BODY = {'kind': 'query'}
 _AFTER_TIMEOUT_MS = 70_000
@@ -166,6 +169,57 @@
         self.assertEqual(['a:1 after 0 ms: accepted'], line['outcomes'])
 
 
+class LateNetworkTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a stand-in network that delivers nothing late."""
+
+    async def asyncSetUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.network = peer_network.PeerNetwork(self.clock)
+        self.addAsyncCleanup(self.network.close)
+        self.callee = self.network.add('b:1')
+        self.requests = []
+        self.callee.handlers = {messages.Fence: self.handle}
+        self.client = peer_network.NetworkClient(
+            self.network, self.network.add('a:1'), self.clock
+        )
+        self.network.draw_late = lambda *_: peer_network.Late(50, 1_000)
+
+    async def handle(self, request):
+        self.requests.append(request)
+        return messages.Fenced(epoch=request.epoch)
+
+    async def call(self):
+        """Call the callee; return how the call ended after 50 ms."""
+        request = messages.Fence(partition=1, epoch=7, member_id='a')
+        call = asyncio.ensure_future(self.client.call('b:1', request, 5_000))
+        await self.clock.advance_ms(50)
+        return type(call.exception())
+
+    async def test_request_arrives_after_its_caller_gave_up(self):
+        self.assertIs(errors.PeerOutcomeUnknown, await self.call())
+        self.network.isolate('b:1')
+        await self.clock.advance_ms(900)
+        self.assertEqual([], self.requests)
+        await self.clock.advance_ms(100)
+        self.assertEqual(1, len(self.requests))
+        self.assertEqual(1, self.network.late_count)
+
+    async def test_paused_node_handles_it_when_it_resumes(self):
+        await self.call()
+        self.callee.resumed.clear()
+        await self.clock.advance_ms(5_000)
+        self.assertEqual([], self.requests)
+        self.callee.resumed.set()
+        await self.clock.settle()
+        self.assertEqual(1, len(self.requests))
+
+    async def test_ended_node_handles_nothing(self):
+        await self.call()
+        self.callee.listening = False
+        await self.clock.advance_ms(5_000)
+        self.assertEqual([], self.requests)
+
+
 class StopTest(api_case.ApiCase):
     """Guard what a daemon answers to requests that its stop ends."""
 
