--- a/basilspindle/events/emit.py
+++ b/basilspindle/events/emit.py
@@ -120,7 +120,7 @@
     if sink is None or not sink.dropped:
         return
     sink.flush()
-    if sink.has_room:
+    if sink.has_room():
         dropped, sink.dropped = sink.dropped, 0
         _write(LINES_DROPPED, {'lines': dropped})
 
--- a/basilspindle/events/sink.py
+++ b/basilspindle/events/sink.py
@@ -37,7 +37,6 @@
         self._size_bytes = 0
         os.set_blocking(self._fd, False)
 
-    @property
     def has_room(self) -> bool:
         """Tell whether the next lines are written or buffered."""
         if self._is_full:
@@ -51,7 +50,7 @@
         if self._size_bytes + len(line) > _MAX_BUFFER_BYTES:
             self.flush()
         is_too_long = self._size_bytes + len(line) > _MAX_BUFFER_BYTES
-        if is_too_long or not self.has_room:
+        if is_too_long or not self.has_room():
             self._is_full = True
             self._count_dropped(1)
             return
