--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -409,15 +409,12 @@
                 claim.address, self._handler, _CONNECT_TIMEOUT_MS
             )
         except ConnectionRefusedError:
+            _log_silence(claim, f'{claim.address} refuses connections')
             if self._has_ended(claim):
                 return _FollowResult.GONE
             return _FollowResult.SILENT
         except errors.PeerError as error:
-            events.emit(
-                cell_events.LEADER_SILENT,
-                node=claim.node,
-                error=error.message,
-            )
+            _log_silence(claim, error.message)
             return _FollowResult.SILENT
         link.node = claim.node
         link.epoch = claim.epoch
@@ -442,11 +439,7 @@
             try:
                 pong = await link.call(ping, _PING_TIMEOUT_MS)
             except errors.PeerError as error:
-                events.emit(
-                    cell_events.LEADER_SILENT,
-                    node=claim.node,
-                    error=error.message,
-                )
+                _log_silence(claim, error.message)
                 if link.closed.is_set():
                     return self._closed_result()
                 if await self._is_log_idle():
@@ -487,6 +480,7 @@
                 await self._clock.wait_for(link.closed.wait(), pause_ms)
             except errors.DeadlineExceeded:
                 continue
+        _log_silence(claim, 'the connection was closed')
         return self._closed_result()
 
     def _closed_result(self) -> '_FollowResult':
@@ -546,5 +540,9 @@
     return end
 
 
+def _log_silence(claim: claim_module.Claim, error: str) -> None:
+    events.emit(cell_events.LEADER_SILENT, node=claim.node, error=error)
+
+
 def _epoch(claim: claim_module.Claim | None) -> int:
     return claim.epoch if claim is not None else 0
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import election as election_module
@@ -301,6 +302,19 @@
         await election._run_round()
         self.assertEqual([7], election._register.claimed_at)
 
+    async def test_each_end_of_a_connection_leaves_a_line(self):
+        """Guard against a follower without a leader that no line tells of."""
+        for close in (True, False):
+            with self.subTest(close=close):
+                election = self.election(records=(('beat', b''),))
+                if not close:
+                    self.server.close()
+                    await self.server.wait_closed()
+                with mock.patch.object(election_module.events, 'emit') as emit:
+                    await election._follow(election._register.claim)
+                names = [call.args[0].name for call in emit.call_args_list]
+                self.assertEqual(['leader_silent'], names)
+
     async def test_it_is_not_tried_without_a_pause(self):
         """Guard against 70 connections and log lines a second."""
         election = self.election(records=(('beat', b''),))
