Read the log to its end before a new leader answers

Callers could be told 429 or 410 for a job that is recorded, and the job ran: a new leader that had read the log up to an answer without records took this for the end of the log. A response that is cut off within its first record is such an answer, and so is one whose end is below what was read.

An answer without records before the end is repeated now, like a call without an answer, and a lower end has the whole log read again, as the reader of the registry does.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -332,9 +332,21 @@
                     values.pop(key, None)
                 else:
                     values[key] = value
+            if chunk.end < start:
+                raise errors.LogTrimmed(
+                    f'the log ends at {chunk.end}, before the records that '
+                    'were read; read it from its start',
+                    first_offset=chunk.first,
+                )
             start += len(chunk.records)
-            if not chunk.records or start >= chunk.end:
+            if start >= chunk.end:
                 return values
+            if not chunk.records:
+                # Not the end: what follows may be accepted jobs.
+                raise errors.LogUnavailable(
+                    f'the answer has no record from offset {start} on, and '
+                    f'the log ends at {chunk.end}; read it again'
+                )
 
     async def _call_until_answered(
         self,
--- a/tests/test_cell_journal.py
+++ b/tests/test_cell_journal.py
@@ -35,6 +35,8 @@
         self.values = {}
         self.later_records = []
         self.trimmed = False
+        # Replaces the next answer to a read.
+        self.odd_chunk = None
 
     async def append(self, stream, records, epoch, sequence, timeout_ms):
         self.in_flight += 1
@@ -68,6 +70,10 @@
             self.trimmed = False
             self.values.update(self.later_records)
             raise errors.LogTrimmed('gone', first_offset=20)
+        if self.odd_chunk is not None:
+            chunk, self.odd_chunk = self.odd_chunk, None
+            self.values.update(self.later_records)
+            return chunk
         records = self.later_records[start - 10 :]
         return _Chunk(records[:1], 10 + len(self.later_records))
 
@@ -213,6 +219,26 @@
         recovered = await self.open(store).load()
         self.assertEqual(2, len(recovered.jobs))
 
+    async def test_load_reads_on_after_an_answer_without_records(self):
+        """Guard against a refusal of a job that the log holds.
+
+        An answer that is cut off within its first record has none.
+        """
+        store = _Store()
+        store.later_records = [('dbb', self.record)]
+        store.odd_chunk = _Chunk([], 11)
+        recovered = await self.open(store).load()
+        self.assertEqual(1, len(recovered.jobs))
+
+    async def test_load_restarts_if_the_log_ends_before_what_was_read(self):
+        """Guard against the same after an answer with a lower end."""
+        store = _Store()
+        store.values = {'dcc': self.record}
+        store.later_records = [('dbb', self.record)]
+        store.odd_chunk = _Chunk([], 9)
+        recovered = await self.open(store).load()
+        self.assertEqual(2, len(recovered.jobs))
+
 
 class _AbsentStore(_Store):
     """Store that is down until a time."""
