Keep cancellations whose record a leader cannot read

A caller whose DELETE was answered 410 could see its job run: a leader that could not read the record of the cancellation skipped it, and accepted the copy of the submission that came later. A later build, or a damaged record, is enough.

Such a cancellation counts in every workspace now until it expires (60 s). A further cancellation of the id is recorded beside it, in the same format, so that earlier builds read the record.

--- a/basilspindle/cell/early_cancels.py
+++ b/basilspindle/cell/early_cancels.py
@@ -8,6 +8,9 @@
 _KEPT_MS = 60_000
 # Beyond this number the oldest cancellations are forgotten.
 _MAX_COUNT = 10_000
+# Stands for every workspace. The empty name is that of open queues, and the
+# name of a workspace has no control characters.
+ANY_WORKSPACE = '\0'
 
 
 class EarlyCancels:
@@ -46,8 +49,11 @@
 
     def has(self, job_id: str, workspace: str, now_ms: int) -> bool:
         """Tell whether a job was cancelled before it arrived."""
-        noted_ms = self._noted_ms.get((job_id, workspace))
-        return noted_ms is not None and now_ms - noted_ms <= _KEPT_MS
+        for key in ((job_id, workspace), (job_id, ANY_WORKSPACE)):
+            noted_ms = self._noted_ms.get(key)
+            if noted_ms is not None and now_ms - noted_ms <= _KEPT_MS:
+                return True
+        return False
 
     def take_changed(self) -> dict[str, list[str]]:
         """Return the workspaces to record by job id, none to remove it."""
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from basilspindle.cell import confirmation as confirmation_module
+from basilspindle.cell import early_cancels
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import hedged_call as hedged_call_module
 from basilspindle.cell import ports
@@ -507,6 +508,11 @@
             )
             if key.startswith(_JOB_PREFIXES):
                 recovered.unreadable_job_ids.add(key[1:])
+            elif key.startswith(_EARLY_CANCEL_PREFIX):
+                # Its caller was told that the job never runs.
+                recovered.early_cancels[key[1:]] = [
+                    early_cancels.ANY_WORKSPACE
+                ]
     return recovered
 
 
--- a/tests/test_cell_unreadable.py
+++ b/tests/test_cell_unreadable.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from basilspindle.cell import early_cancels
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import messages
 from basilspindle.cell import recorder as recorder_module
@@ -129,6 +130,33 @@
         self.assertEqual({}, self.leader.state.table.jobs)
 
 
+class EarlyCancelTest(test_cell_leader.LeaderCase):
+    """Guard callers whose cancellation this leader cannot read."""
+
+    def test_the_job_is_refused_until_the_cancellation_expires(self):
+        """Guard against a job that runs after 410 to its cancellation."""
+        recorder = self.leader._recorder
+        recovered = journal_module._decode({f'c{_JOB}': b'?'})
+        recorder.recover(recovered)
+        definition = cell_case.make_definition(_JOB, cell_case.make_step())
+        reply = self.ask(messages.Submit(definition, 1_000))
+        self.assertIsInstance(reply, messages.Refused)
+        self.assertEqual(errors.AlreadyCancelled.kind, reply.kind)
+        # Another cancellation of the id is recorded beside it.
+        cancels = self.leader._intake.early_cancels
+        now_ms = self.leader._clock.now_ms()
+        cancels.note(_JOB, 'beta', now_ms)
+        records = dict(recorder.collect().records)
+        recovered = journal_module._decode(records)
+        self.assertEqual(
+            {_JOB: [early_cancels.ANY_WORKSPACE, 'beta']},
+            recovered.early_cancels,
+        )
+        cancels.expire(now_ms + 61_000)
+        records = dict(recorder.collect().records)
+        self.assertIsNone(records[f'c{_JOB}'])
+
+
 class TaskCountTest(cell_case.CellCase):
     """Guard the memory of each new leader against a single record."""
 
