Follow an announced leader before the store answers

Callers of a daemon that was told of a new leader could be answered 504: it closed its connection to the earlier leader at once, and followed the new one only after the store had answered two reads, up to 0.7 s later if the store loses answers.

The daemon follows the announced claim at once now and reads the store beside. A claim that the store does not hold is dropped as before. A claim announced while it follows or reads ends the round, so that the daemon does not claim over it.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -302,22 +302,34 @@
             )
             self._is_registered = True
         announced_claim = self._announced_claim
-        (claim, end), _ = await asyncio.gather(
-            self._register.read(), self._register.read_members()
-        )
+        reading = asyncio.ensure_future(self._read_claim())
+        try:
+            # The store may answer later than the daemon that announced it.
+            result = await self._follow_announced(announced_claim)
+            claim, end = await reading
+        finally:
+            reading.cancel()
         self._store_failing = False
         self.claim = claim
         if announced_claim is not None and announced_claim.epoch > end:
             # The store holds no such claim, and had to at the announcement.
             # It would hide all later announcements.
-            self._announced_claim = None
+            if self._announced_claim is announced_claim:
+                self._announced_claim = None
         if claim is not None:
             self._count_claim(claim)
+        if (
+            self._announced_claim is not announced_claim
+            and self.newest_claim() is not claim
+        ):
+            # A newer one was announced meanwhile.
+            return
         if claim is None or claim.resigned or self._is_own_claim(claim):
             await self._claim(claim, end)
             return
-        result = await self._follow(claim)
-        self._set_link(None)
+        if result is None or claim != announced_claim:
+            result = await self._follow(claim)
+            self._set_link(None)
         if result in _CLOSED_RESULTS and await self._has_exited(claim):
             result = _FollowResult.GONE
         if result is _FollowResult.GONE:
@@ -327,6 +339,25 @@
         elif result is not _FollowResult.CLOSED:
             await self._check_silent_leader(claim)
 
+    async def _read_claim(self) -> tuple[claim_module.Claim | None, int]:
+        newest, _ = await asyncio.gather(
+            self._register.read(), self._register.read_members()
+        )
+        return newest
+
+    async def _follow_announced(
+        self, claim: claim_module.Claim | None
+    ) -> _FollowResult | None:
+        """Follow a claim if it is newer than the known one, else None."""
+        if claim is None or claim.epoch <= _epoch(self.claim):
+            return None
+        if self._is_own_claim(claim):
+            return None
+        self.claim = claim
+        result = await self._follow(claim)
+        self._set_link(None)
+        return result
+
     async def _check_silent_leader(self, claim: claim_module.Claim) -> None:
         current, end = await self._register.read()
         if current != claim:
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -174,6 +174,59 @@
         self.assertEqual([7], election._register.terms)
 
 
+class AnnouncedLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """Guard callers of a daemon that is told of a new leader."""
+
+    def election(self, *results):
+        election = _Election()
+        election._register = _Register(_claim(6))
+        election.claim = _claim(5)
+        election.observe_claim(_claim(6))
+        waiting = list(results)
+
+        async def follow(claim):
+            election.followed.append(claim.epoch)
+            return waiting.pop(0)
+
+        election._follow = follow
+        return election
+
+    async def test_it_is_followed_before_the_store_answers(self):
+        """Guard against 504 at a daemon that waits for a slow store."""
+        election = self.election(election_module._FollowResult.CLOSED)
+        election._register.read = asyncio.Event().wait
+        running = asyncio.ensure_future(election._run_round())
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual([6], election.followed)
+        self.assertFalse(running.done())
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    async def test_it_is_replaced_without_another_read(self):
+        """Guard against a slower change of a leader that was announced."""
+        election = self.election(election_module._FollowResult.GONE)
+        await election._run_round()
+        self.assertEqual([6], election.followed)
+        self.assertEqual(1, election._register.reads)
+        self.assertEqual([7], election._register.claimed_at)
+
+    async def test_its_successor_is_followed_at_once(self):
+        """Guard against a claim that replaces a leader announced since."""
+        election = self.election(election_module._FollowResult.GONE)
+        follow = election._follow
+
+        async def follow_until_replaced(claim):
+            election.observe_claim(_claim(7))
+            return await follow(claim)
+
+        election._follow = follow_until_replaced
+        await election._run_round()
+        self.assertEqual([6], election.followed)
+        self.assertEqual([], election._register.claimed_at)
+        self.assertEqual(7, election.newest_claim().epoch)
+
+
 class _Store:
     """Store whose leader appends nothing, or soon."""
 
