End a claim once another daemon has announced its own

All daemons claim at the same time, and one whose append had no answer waited for the outcome for 0.5 to 0.75 s, although the winner had announced itself.

The announced claim shows that the stream is longer than the own claim needs it to be, so the claim cannot succeed, or is replaced already; it is given up then. Its test failed before (TimeoutError).

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -110,6 +110,7 @@
         '_store_failed_ms',
         '_observe_leader',
         '_announced_claim',
+        '_announced',
         '_refused_epochs',
         '_is_registered',
         '_claim_after_ms',
@@ -141,6 +142,8 @@
         self._store_failed_ms = -_STORE_RECOVERY_MS
         self._observe_leader = observe_leader
         self._announced_claim: claim_module.Claim | None = None
+        # Set at each announcement.
+        self._announced = asyncio.Event()
         # Epochs of the claims under which processes first refused this
         # daemon, by incarnation.
         self._refused_epochs: dict[str, int] = {}
@@ -158,6 +161,7 @@
         if claim.epoch <= known or claim.resigned:
             return
         self._announced_claim = claim
+        self._announced.set()
         if self.link is not None:
             self.link.discard()
 
@@ -414,15 +418,7 @@
         if self._identity.leads_last:
             delay_ms += _SMALL_VM_DELAY_MS
         await self._clock.sleep_ms(delay_ms)
-        claim = await self._register.try_claim(
-            claim_module.Claim(
-                self._identity.node,
-                self._identity.address,
-                self._identity.incarnation,
-                next_term(end),
-            ),
-            end,
-        )
+        claim = await self._try_claim(end)
         if claim is None:
             return
         events.emit(
@@ -434,6 +430,35 @@
         await self._lead(claim, previous)
         self.notify()
 
+    async def _try_claim(self, end: int) -> claim_module.Claim | None:
+        # An announced claim shows that the stream no longer ends at ``end``,
+        # while a store that loses answers may tell so only later.
+        claiming = asyncio.ensure_future(
+            self._register.try_claim(
+                claim_module.Claim(
+                    self._identity.node,
+                    self._identity.address,
+                    self._identity.incarnation,
+                    next_term(end),
+                ),
+                end,
+            )
+        )
+        announcing = asyncio.ensure_future(self._wait_for_claim_after(end))
+        try:
+            await asyncio.wait(
+                {claiming, announcing}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return claiming.result() if claiming.done() else None
+        finally:
+            claiming.cancel()
+            announcing.cancel()
+
+    async def _wait_for_claim_after(self, end: int) -> None:
+        while _epoch(self._announced_claim) <= end:
+            self._announced.clear()
+            await self._announced.wait()
+
     async def _follow(self, claim: claim_module.Claim) -> '_FollowResult':
         try:
             link = await link_module.connect(
--- a/tests/test_cell_election.py
+++ b/tests/test_cell_election.py
@@ -100,6 +100,7 @@
 
     def __init__(self, claim):
         self.claim = claim
+        self.end = 7
         self.members = {}
         self.reads = 0
         self.claimed_at = []
@@ -110,7 +111,7 @@
 
     async def read(self):
         self.reads += 1
-        return self.claim, 7
+        return self.claim, self.end
 
     async def read_members(self):
         return
@@ -174,6 +175,11 @@
         self.assertEqual([7], election._register.terms)
 
 
+async def _let_tasks_run():
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
 class AnnouncedLeaderTest(unittest.IsolatedAsyncioTestCase):
     """Guard callers of a daemon that is told of a new leader."""
 
@@ -188,7 +194,11 @@
             election.followed.append(claim.epoch)
             return waiting.pop(0)
 
+        async def has_exited(claim):
+            return False
+
         election._follow = follow
+        election._has_exited = has_exited
         return election
 
     async def test_it_is_followed_before_the_store_answers(self):
@@ -196,8 +206,7 @@
         election = self.election(election_module._FollowResult.CLOSED)
         election._register.read = asyncio.Event().wait
         running = asyncio.ensure_future(election._run_round())
-        for _ in range(5):
-            await asyncio.sleep(0)
+        await _let_tasks_run()
         self.assertEqual([6], election.followed)
         self.assertFalse(running.done())
         running.cancel()
@@ -211,6 +220,25 @@
         self.assertEqual(1, election._register.reads)
         self.assertEqual([7], election._register.claimed_at)
 
+    async def test_a_claim_ends_once_another_one_is_announced(self):
+        """Guard against 504 at a daemon whose claim is not answered."""
+        results = election_module._FollowResult
+        election = self.election(results.GONE, results.CLOSED)
+        register = election._register
+        register.try_claim = lambda claim, at: asyncio.sleep(60)
+        running = asyncio.ensure_future(election._run_round())
+        await _let_tasks_run()
+        # It is no newer than the end at which the claim is made.
+        election.observe_claim(_claim(7))
+        await _let_tasks_run()
+        self.assertFalse(running.done())
+        election.observe_claim(_claim(8))
+        async with asyncio.timeout(1):
+            await running
+            register.claim, register.end = _claim(8), 8
+            await election._run_round()
+        self.assertEqual([6, 8], election.followed)
+
     async def test_its_successor_is_followed_at_once(self):
         """Guard against a claim that replaces a leader announced since."""
         election = self.election(election_module._FollowResult.GONE)
