Have the soak cancel jobs and ask several daemons at once

A job whose cancellation was answered 410 never runs, one whose was answered 200 starts no task later than the users' 3 s, and an accepted one whose cancellation was refused completes.

--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -19,6 +19,7 @@
 
 from tests import odd_values
 from tests import platform_case
+from tests import soak_cancellations
 from tests import soak_refusals
 from tests.standins import platform
 from tests.standins.platform import server as server_module
@@ -143,6 +144,7 @@
         # Drawn apart from the schedules of the other faults.
         self.cut_random = random.Random(seed * 31 + 7)
         refusals = soak_refusals.Refusals(self, seed)
+        cancellations = soak_cancellations.Cancellations(self, seed)
         phase_s = _FAULT_PHASE_S
         if self.cut_random.random() < 0.5:
             faults = self.cut_random.sample(faults, _FEW_FAULT_COUNT)
@@ -159,20 +161,23 @@
             await self._recover()
             if refusals.mode == soak_refusals.APART:
                 end_s = time.monotonic() + soak_refusals.PHASE_S
-                await refusals.play(end_s)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(refusals.play(end_s))
+                    group.create_task(cancellations.play(end_s))
                 await self._recover()
             await self._check_configuration()
             await self._check(seed)
             await self._check_steady(seed)
             await self._check_late_starts(refusals)
+            cancellations.check()
         except BaseException:
             self._keep_logs(seed)
             raise
         finally:
             ran = self._refused_that_ran()
             print(
-                f'seed {seed}: {refusals.describe()}; refused and run:'
-                f' {sorted(ran)}'
+                f'seed {seed}: {refusals.describe()};'
+                f' {cancellations.describe()}; refused and run: {sorted(ran)}'
             )
 
     def _keep_logs(self, seed: int) -> None:
@@ -257,11 +262,7 @@
             answer = await session.post(
                 f'http://127.0.0.1:{daemon.frontend_port}/jobs/{job_id}',
                 json=body,
-                headers={
-                    'Host': platform_case.HOST,
-                    'Authorization': 'Bearer key-a',
-                    'X-Deadline-Ms': str(deadline_ms),
-                },
+                headers=_headers(deadline_ms),
                 timeout=timeout_s,
             )
         except httpx.TransportError:
@@ -275,6 +276,25 @@
             self.unknown.add(job_id)
         return answer.status_code
 
+    async def send_cancellation(
+        self,
+        session: httpx.AsyncClient,
+        daemon: platform_case.Daemon,
+        job_id: str,
+        deadline_ms: int,
+        timeout_s: float,
+    ) -> int:
+        """Send a cancellation once; return the status, 0 without one."""
+        try:
+            answer = await session.delete(
+                f'http://127.0.0.1:{daemon.frontend_port}/jobs/{job_id}',
+                headers=_headers(deadline_ms),
+                timeout=timeout_s,
+            )
+        except httpx.TransportError:
+            return 0
+        return answer.status_code
+
     async def _submit(
         self,
         session: httpx.AsyncClient,
@@ -778,3 +798,11 @@
                 self.assertLessEqual(
                     sum(used.values()) * 1_000, worker.capacity
                 )
+
+
+def _headers(deadline_ms: int) -> dict[str, str]:
+    return {
+        'Host': platform_case.HOST,
+        'Authorization': 'Bearer key-a',
+        'X-Deadline-Ms': str(deadline_ms),
+    }
--- a/tests/soak_refusals.py
+++ b/tests/soak_refusals.py
@@ -47,6 +47,9 @@
 # Workers have 8 cores each; at most ten of them are up.
 _TASK_CPU = (1_000, 2_000, 4_000)
 _AT_LEADER_SHARE = 0.1
+# Jobs per second that callers send to several daemons at once.
+_SEVERAL_RATE_S = 5.0
+_SEVERAL_COUNTS = (2, 3)
 # Shorter than it takes the followers to replace the leader, or little longer.
 _LOSS_S = (0.3, 1.6)
 _LOSS_SERIES = (1, 2, 3, 4)
@@ -114,7 +117,7 @@
 
     async def play(self, end_s: float) -> None:
         """Play the faults and the callers until the given time."""
-        works = [self._submit_jobs, self._lose_leaders]
+        works = [self._submit_jobs, self._ask_several, self._lose_leaders]
         if self._overloads:
             works.append(self._overload)
         if self._slows_store:
@@ -162,6 +165,36 @@
             )
         ] += 1
 
+    async def _ask_several(self, end_s: float) -> None:
+        # Each daemon answers for its own copies.
+        chance = random.Random(self._seed * 31 + 17)
+        number = 0
+        async with (
+            httpx.AsyncClient(timeout=None) as session,
+            asyncio.TaskGroup() as group,
+        ):
+            while time.monotonic() < end_s:
+                number += 1
+                job_id = f'{self._seed % 0xFFFF:04x}dddd{number:08x}'
+                deadline_ms = chance.randint(*_DEADLINE_MS)
+                body = platform_case.make_job(
+                    chance.choice(_TASK_MS), 1, cpu=chance.choice(_TASK_CPU)
+                )
+                for daemon in chance.sample(
+                    self._case.daemons, chance.choice(_SEVERAL_COUNTS)
+                ):
+                    group.create_task(
+                        self._case.send_submission(
+                            session,
+                            daemon,
+                            job_id,
+                            body,
+                            deadline_ms,
+                            deadline_ms / 1000 + _CLIENT_MARGIN_S,
+                        )
+                    )
+                await asyncio.sleep(chance.expovariate(_SEVERAL_RATE_S))
+
     def _leader(self) -> platform_case.Daemon:
         """Return the daemon that made the newest claim."""
         claims = self._case.store.newest.get(_CLAIMS, {})
