Log on which life of a worker a start was sent, answered and listed

When a task ran twice after a worker had come back under its id, the logs could not tell which life of the worker had taken a start: task_started names the id only, a positive answer left no line, and no line said in which report a run was first listed.

task_started, worker_gained, task_ended and worker_lost now name the start time of the worker that the leader has heard of. New: start_answered, with the clock of the answer and the one expected of that life; runs_reported, the runs that a life lists for the first time, unexpected ones included; worker_restarted, a later start time with both clocks.

--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -127,6 +127,29 @@
     'see step_waits of the job; with workers_read false, the leader has not '
     'read the worker registry yet, and nothing can start',
 )
+START_ANSWERED = _Event(
+    949,
+    'start_answered',
+    _Level.INFO,
+    'a worker answered the order to start a task',
+    'nothing to do; born_wall_ms is the life that the leader has heard of, '
+    'and a clock_ms far from expected_clock_ms is that of another one',
+)
+RUNS_REPORTED = _Event(
+    950,
+    'runs_reported',
+    _Level.INFO,
+    'a worker listed runs for the first time since it started',
+    'nothing to do; unexpected runs are stopped',
+)
+WORKER_RESTARTED = _Event(
+    951,
+    'worker_restarted',
+    _Level.WARNING,
+    'a worker reports a later start time under its id',
+    'its earlier runs are requeued once the store has confirmed that this '
+    'daemon still leads',
+)
 TASKS_PREEMPTED = _Event(
     938,
     'tasks_preempted',
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -390,11 +390,15 @@
                 cpu_millicores=worker.capacity.cpu_millicores,
                 running=len(report.running),
                 ends=len(report.ends),
+                born_wall_ms=report.born_wall_ms,
+                clock_ms=report.clock_ms,
             )
         previous_end_number = worker.applied_end_number
         if worker.born_wall_ms != report.born_wall_ms:
             self._log_loss(worker, loss.Evidence.RESTARTED)
+        first_listed = reconcile.unlisted_runs(worker, report)
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
+        self._log_runs(worker, report, first_listed)
         self._recorder.note_report(worker)
         speed.check_progress(self.state, worker, now_ms)
         pacing.pace(self.state, worker, now_ms)
@@ -407,6 +411,27 @@
         self._schedule_plan()
         return worker.applied_end_number != worker.recorded_end_number
 
+    def _log_runs(
+        self,
+        worker: worker_module.Worker,
+        report: report_module.Report,
+        first_listed: list[report_module.ActiveRun],
+    ) -> None:
+        if not first_listed:
+            return
+        events.emit(
+            cell_events.RUNS_REPORTED,
+            worker=worker.worker_id,
+            born_wall_ms=report.born_wall_ms,
+            clock_ms=report.clock_ms,
+            runs=[f'{run.name} run {run.run}' for run in first_listed],
+            unexpected=[
+                run.name
+                for run in first_listed
+                if run.name in worker.unexpected_runs
+            ],
+        )
+
     def _log_ends(
         self,
         worker: worker_module.Worker,
@@ -423,6 +448,7 @@
                     task=end.name,
                     run=end.run,
                     how=end.kind,
+                    born_wall_ms=report.born_wall_ms,
                 )
 
     def handle_start_outcome(
@@ -479,6 +505,7 @@
             evidence=evidence,
             epoch=self.claim.epoch,
             confirmed_age_ms=self._confirmation.age_ms,
+            born_wall_ms=worker.born_wall_ms,
         )
 
     def lose_leadership(
@@ -619,6 +646,8 @@
             task=start.task.name,
             run=start.run,
             epoch=self.claim.epoch,
+            born_wall_ms=session.worker.born_wall_ms,
+            clock_ms=session.worker_clock_ms,
             cpu_millicores=start.task.step_run.step.reserved.cpu_millicores,
         )
         session.send_start(start)
--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -27,6 +27,15 @@
         self._clock_ms = clock_ms
         self._observed_ms = now_ms
 
+    def expected_ms(self, now_ms: int) -> int | None:
+        """Return what the worker's clock shows now if it has not restarted.
+
+        None while that clock is not known.
+        """
+        if self._clock_ms is None:
+            return None
+        return self._clock_ms + now_ms - self._observed_ms
+
     def grant(self, lease_ms: int) -> int | None:
         """Return the deadline, on the worker's clock, of a lease.
 
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -53,6 +53,31 @@
     )
 
 
+def unlisted_runs(
+    worker: worker_module.Worker, report: report_module.Report
+) -> list[report_module.ActiveRun]:
+    """Return the runs that no earlier report of the worker's life lists."""
+    return [
+        active_run
+        for active_run in report.running
+        if not _is_listed(worker, active_run, report.born_wall_ms)
+    ]
+
+
+def _is_listed(
+    worker: worker_module.Worker,
+    active_run: report_module.ActiveRun,
+    born_wall_ms: int,
+) -> bool:
+    task = worker.tasks.get(active_run.name)
+    if task is None or task.run != active_run.run:
+        return (
+            worker.born_wall_ms == born_wall_ms
+            and worker.unexpected_runs.get(active_run.name) == active_run.run
+        )
+    return task.listed_born_wall_ms == born_wall_ms
+
+
 def _apply_running(
     state: state_module.CellState,
     worker: worker_module.Worker,
@@ -70,6 +95,7 @@
             worker.tasks.get(active_run.name) is task
             and task.run == active_run.run
         ):
+            task.listed_born_wall_ms = report.born_wall_ms
             task.percent = active_run.percent
             task.load = active_run.load
             if active_run.checkpoint:
@@ -81,6 +107,7 @@
         if _may_adopt(task, active_run):
             state.occupy(task, worker, active_run.run, _State.RUNNING)
             task.started_ms = now_ms
+            task.listed_born_wall_ms = report.born_wall_ms
             task.checkpoint = active_run.checkpoint or task.checkpoint
             task.load = active_run.load
             task.pace_percent = None
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -194,6 +194,11 @@
         """
         return self._lease.expiry_ms()
 
+    @property
+    def worker_clock_ms(self) -> int | None:
+        """Return what the worker's clock shows unless it has restarted."""
+        return self._lease.expected_ms(self._clock.now_ms())
+
     def send_start(self, order: orders_module.StartOrder) -> None:
         """Send a start order and report its outcome to the owner."""
         self._spawn(self._start(order))
@@ -321,6 +326,16 @@
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
         if report.born_wall_ms != self._observed_born_wall_ms:
+            if self._observed_born_wall_ms is not None:
+                events.emit(
+                    cell_events.WORKER_RESTARTED,
+                    worker=worker.worker_id,
+                    born_wall_ms=report.born_wall_ms,
+                    clock_ms=report.clock_ms,
+                    earlier_born_wall_ms=self._observed_born_wall_ms,
+                    earlier_clock_ms=self._lease.expected_ms(now_ms),
+                    tasks=len(worker.tasks),
+                )
             self._observed_born_wall_ms = report.born_wall_ms
             self._has_unconfirmed_life = True
             self._acknowledged_end_number = 0
@@ -400,18 +415,34 @@
         # without an answer.
         address = self.worker.address
         has_unanswered = False
+        attempts = 0
         while True:
             self._open_starts += 1
+            attempts += 1
             try:
-                outcome = await self._try_start(order, address, payload)
+                answer = await self._try_start(order, address, payload)
             finally:
                 self._open_starts -= 1
+            outcome = answer.outcome
             spent_ms = self._clock.now_ms() - begun_ms
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
             has_unanswered = True
             if spent_ms > _START_RETRY_LIMIT_MS:
                 break
+        if outcome is not start_outcome.StartOutcome.NOT_SENT:
+            events.emit(
+                cell_events.START_ANSWERED,
+                worker=self.worker.worker_id,
+                task=order.task.name,
+                run=order.run,
+                outcome=outcome.value,
+                attempts=attempts,
+                born_wall_ms=self.worker.born_wall_ms,
+                clock_ms=answer.clock_ms,
+                expected_clock_ms=self.worker_clock_ms,
+                took_ms=spent_ms,
+            )
         if has_unanswered and outcome not in _CONCLUSIVE_OUTCOMES:
             # The worker may have carried out the unanswered attempt, or may
             # still do so.
@@ -428,15 +459,21 @@
 
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
-    ) -> start_outcome.StartOutcome:
+    ) -> start_outcome.StartAnswer:
         if self._has_unconfirmed_life or self._replaced_since_ms is not None:
             # The tasks of the worker are about to be released.
-            return start_outcome.StartOutcome.NOT_SENT
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
         if self._owner.end_if_expired():
-            return start_outcome.StartOutcome.NOT_SENT
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
-            return start_outcome.StartOutcome.NOT_SENT
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
         try:
             answer = await self._orders.start(
                 address,
@@ -453,19 +490,27 @@
             if answer.clock_ms is not None:
                 if self._lease.is_earlier(answer.clock_ms):
                     self._is_life_certain = False
-            return answer.outcome
+            return answer
         except errors.StaleEpoch:
-            return start_outcome.StartOutcome.FENCED
+            return start_outcome.StartAnswer(start_outcome.StartOutcome.FENCED)
         except errors.WorkerReplaced:
-            return start_outcome.StartOutcome.WORKER_REPLACED
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.WORKER_REPLACED
+            )
         except errors.WorkerUnavailable:
-            return start_outcome.StartOutcome.NOT_SENT
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
         except errors.WorkerOutcomeUnknown:
-            return start_outcome.StartOutcome.UNKNOWN
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.UNKNOWN
+            )
         except Exception as error:
             # Without an outcome, the task would keep its room for ever.
             self._log_fault('start', error)
-            return start_outcome.StartOutcome.UNKNOWN
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.UNKNOWN
+            )
 
     async def _pace(self, order: orders_module.PaceOrder) -> None:
         try:
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -133,6 +133,7 @@
         task.worker_id = worker.worker_id
         task.run = run
         task.stop_sent_ms = 0
+        task.listed_born_wall_ms = 0
         task.load = 0
         task.pace_percent, task.paced_ms = 100, 0
         task.has_unanswered_pace, task.pace_repeated_until_ms = False, 0
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -33,6 +33,8 @@
     ``has_unanswered_pace`` is set by an order without an answer, after which
     orders are repeated until ``pace_repeated_until_ms``.
     ``preemptions`` counts the stops in favour of more urgent work.
+    ``listed_born_wall_ms`` is the start time of the worker that has listed
+    the latest run, 0 if none has.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         'has_unanswered_pace',
         'pace_repeated_until_ms',
         'preemptions',
+        'listed_born_wall_ms',
     )
 
     def __init__(
@@ -83,6 +86,7 @@
         self.has_unanswered_pace = False
         self.pace_repeated_until_ms = 0
         self.preemptions = 0
+        self.listed_born_wall_ms = 0
 
     @property
     def occupies_worker(self) -> bool:
