Reproduce TWICE on workers that start again under their ids

Callers saw tasks in two places at once after a worker had come back under its id and was cut off. tests/test_worker_lives.py plays the real leader, sessions and planner on virtual time with workers that have several lives, clocks that begin anywhere, and calls that are lost, answered in vain or carried out late by the next life. What is judged is what the workers ran.

The two tests of the price pass: tasks of a worker that is lost without a restart start again within a lease, an attempt and a pause.

--- /dev/null
+++ b/tests/test_worker_lives.py
@@ -0,0 +1,256 @@
+"""Test what a leader does with workers that start again under their ids."""
+
+from tests import lives_case
+from tests.standins import worker_lives
+
+_JOB = '00000000000000aa'
+_OTHER_JOB = '00000000000000bb'
+# Where the clock of a later life begins: far behind that of the first one,
+# just behind it, just ahead and far ahead.
+_CLOCKS_MS = (0, 2_000_000, 4_999_000, 5_007_000, 9_000_000)
+_BEHIND_MS = 2_000_000
+
+
+class LaterLifeTest(lives_case.LivesCase):
+    """Guard tasks of workers that restart and are cut off soon after."""
+
+    def restart(self, clock_ms):
+        """Return the worker, back under its id."""
+        [worker] = self.workers
+        worker.crash()
+        worker.begin_life(clock_ms)
+        return worker
+
+    def fail_renewals(self, worker):
+        """Let no renewal reach the worker any more."""
+        worker.fate = lambda call: (
+            worker_lives.LOST if call == 'renew' else worker_lives.OK
+        )
+
+    def test_a_reported_life_may_hold_the_longest_lease(self):
+        """Guard against a run that goes on while it is started elsewhere.
+
+        The later life shortens a deadline on the clock of the earlier one to
+        its longest lease (issue 43: TWICE at kwpa-refunds).
+        """
+        for clock_ms in _CLOCKS_MS:
+            with self.subTest(clock_ms=clock_ms):
+                self.setUp()
+
+                async def steps(play, clock_ms=clock_ms):
+                    await self.clock.advance_ms(2_000)
+                    [worker] = self.workers
+                    worker.crash()
+                    await self.clock.advance_ms(600)
+                    worker.begin_life(clock_ms)
+                    await self.clock.advance_ms(2_300)
+                    play.submit(_JOB)
+                    await self.clock.advance_ms(300)
+                    self.assertTrue(worker.life.runs)
+                    worker.is_cut = True
+                    self.add_spare(play)
+                    await self.clock.advance_ms(20_000)
+
+                self.play(steps)
+                self.check_runs()
+
+    def test_a_life_that_never_reported_may_have_acknowledged_a_start(self):
+        """Guard against a lease reckoned on a life that has ended.
+
+        The start is answered, the renewals are not (issue 40: TWICE).
+        """
+        for clock_ms in _CLOCKS_MS:
+            with self.subTest(clock_ms=clock_ms):
+                self.setUp()
+
+                async def steps(play, clock_ms=clock_ms):
+                    await self.clock.advance_ms(2_000)
+                    worker = self.restart(clock_ms)
+                    self.fail_renewals(worker)
+                    await self.clock.advance_ms(600)
+                    play.submit(_JOB)
+                    await self.clock.advance_ms(400)
+                    worker.is_cut = True
+                    self.add_spare(play)
+                    await self.clock.advance_ms(20_000)
+
+                self.play(steps)
+                self.check_runs()
+
+    def test_a_life_that_never_answered_may_have_taken_a_start(self):
+        """Guard against a start that counts as one of an ended life."""
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            worker = self.restart(_BEHIND_MS)
+            worker.fate = lambda call: (
+                worker_lives.LOST
+                if call == 'renew'
+                else worker_lives.ANSWER_LOST
+            )
+            await self.clock.advance_ms(600)
+            play.submit(_JOB)
+            await self.clock.advance_ms(400)
+            self.assertTrue(worker.life.runs)
+            worker.is_cut = True
+            self.add_spare(play)
+            await self.clock.advance_ms(20_000)
+
+        self.play(steps)
+        self.check_runs()
+
+    def test_a_start_may_be_carried_out_late_by_the_next_life(self):
+        """Guard against a start that was sent to a life that has ended."""
+        for late_ms in (1_000, 2_000, 3_000):
+            with self.subTest(late_ms=late_ms):
+                self.setUp()
+
+                async def steps(play, late_ms=late_ms):
+                    await self.clock.advance_ms(2_000)
+                    [worker] = self.workers
+                    worker.fate = lambda call: (
+                        late_ms if call == 'start' else worker_lives.LOST
+                    )
+                    play.submit(_JOB)
+                    await self.clock.advance_ms(300)
+                    worker.crash()
+                    await self.clock.advance_ms(600)
+                    worker.begin_life(_BEHIND_MS)
+                    worker.fate = lambda call: worker_lives.LOST
+                    await self.clock.advance_ms(300)
+                    self.add_spare(play)
+                    await self.clock.advance_ms(25_000)
+
+                self.play(steps)
+                self.check_runs()
+
+    def test_an_attempt_without_an_answer_may_reach_the_next_life(self):
+        """Guard against a task that is released with the life that ran it.
+
+        A later attempt was acknowledged, and the next life reports before the
+        first attempt arrives. It knows no stop and no end of the earlier one.
+        """
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            fates = [3_400]
+            worker.fate = lambda call: (
+                fates.pop() if call == 'start' and fates else worker_lives.OK
+            )
+            play.submit(_JOB)
+            await self.clock.advance_ms(600)
+            self.assertTrue(worker.life.runs)
+            play.leader.state.workers['w1'].ready = False
+            self.add_spare(play)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+
+    def test_a_late_acknowledgement_may_reach_the_next_life(self):
+        """Guard against the end of a run that is forgotten unread."""
+        self.run_ms = 400
+
+        async def steps(play):
+            [worker] = self.workers
+            play.submit(_JOB, 4)
+            await self.clock.advance_ms(350)
+            # The renewal that acknowledges these ends is carried out late.
+            fates = [1_500]
+            worker.fate = lambda call: (
+                fates.pop()
+                if call == 'renew' and worker.life.ended and fates
+                else worker_lives.OK
+            )
+            await self.clock.advance_ms(150)
+            self.assertFalse(fates)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            play.submit(_OTHER_JOB, 2)
+            await self.clock.advance_ms(1_000)
+            # The ends of the next life are not reported before that.
+            worker.fate = lambda call: (
+                worker_lives.ANSWER_LOST
+                if call == 'renew'
+                else worker_lives.OK
+            )
+            await self.clock.advance_ms(1_500)
+            worker.fate = lambda call: worker_lives.OK
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+
+    def test_a_successor_does_not_know_what_a_later_life_holds(self):
+        """Guard against a longest lease that the predecessor's orders gave.
+
+        The successor hears of the life first, after such an order.
+        """
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            worker = self.restart(_BEHIND_MS)
+            # A renewal of the predecessor reaches the later life.
+            worker.fate = lambda call: worker_lives.ANSWER_LOST
+            await self.clock.advance_ms(1_700)
+            worker.fate = lambda call: worker_lives.OK
+            play.end()
+            async with self.successor(play) as successor:
+                await self.clock.advance_ms(200)
+                successor.submit(_JOB)
+                await self.clock.advance_ms(200)
+                self.assertTrue(worker.life.runs)
+                worker.is_cut = True
+                self.add_spare(successor)
+                await self.clock.advance_ms(20_000)
+
+        self.play(steps)
+        self.check_runs()
+
+
+class LostWorkerTest(lives_case.LivesCase):
+    """Guard tasks of a worker that is lost and does not come back."""
+
+    def restarted_ms(self, prepare):
+        """Return how long after the loss a task starts again."""
+        lost_ms = []
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            await prepare(play, worker)
+            worker.crash()
+            lost_ms.append(self.clock.now_ms())
+            self.add_spare(play)
+            await self.clock.advance_ms(30_000)
+
+        self.play(steps)
+        self.check_runs()
+        starts = [
+            row[0] for row in self.workers[1].history if row[1] == 'start'
+        ]
+        self.assertTrue(starts)
+        return starts[0] - lost_ms[0]
+
+    def test_a_listed_run_starts_again_when_its_lease_is_over(self):
+        """Guard against waits for lives that cannot hold the run."""
+
+        async def prepare(play, worker):
+            play.submit(_JOB)
+            await self.clock.advance_ms(1_500)
+
+        # A lease on a slow clock, and at most one attempt and one pause.
+        self.assertLess(self.restarted_ms(prepare), 5_103 + 2_100)
+
+    def test_an_acknowledged_run_starts_again_when_its_lease_is_over(self):
+        """Guard against waits for a report after an answered start."""
+
+        async def prepare(play, worker):
+            play.submit(_JOB)
+            await self.clock.advance_ms(50)
+            self.assertTrue(worker.life.runs)
+
+        self.assertLess(self.restarted_ms(prepare), 5_103 + 2_100)
