Believe a later life once confirmed since it was heard

"Since it began" was reckoned as the time of the answer less the worker's clock.

The time of the first answer takes its place: when the life began is not known. It costs one append at the first answer of each life.

Tests: test_a_life_that_this_leader_hears_for_the_first_time took the clock for the age; it asks the same on four clocks, and failed before. test_the_lease_of_a_later_life_that_is_not_confirmed expects the time of the answer in place of one that is 500 ms earlier. The silence that two other tests play begins before the last confirmation, so that they ask what they asked before.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -136,6 +136,7 @@
         '_acknowledged_end_number',
         '_observed_born_wall_ms',
         '_has_unconfirmed_life',
+        '_life_heard_ms',
         '_replaced_since_ms',
         '_orders_until_ms',
         '_settled_at_ms',
@@ -173,6 +174,8 @@
         # store has not confirmed a call since it began.
         self._observed_born_wall_ms: int | None = None
         self._has_unconfirmed_life = False
+        # When that life first answered.
+        self._life_heard_ms = 0
         # When another worker first answered at the address.
         self._replaced_since_ms: int | None = None
         # Until when the orders with a deadline that got no answer may arrive.
@@ -349,6 +352,7 @@
             held_ms = self._longest_held_ms(report.born_wall_ms, now_ms)
             self._observed_born_wall_ms = report.born_wall_ms
             self._has_unconfirmed_life = True
+            self._life_heard_ms = now_ms
             self._acknowledged_end_number = 0
             self._lease.begin_life(
                 report.clock_ms, now_ms, max(held_ms, self._lease_ms)
@@ -364,8 +368,9 @@
         worker.answered_address = address
         if self._has_unconfirmed_life:
             # A successor may have noted ends of the life before this one,
-            # unless the store has confirmed a call since this one began.
-            if not await self._is_confirmed(now_ms - report.clock_ms):
+            # unless the store has confirmed a call since this one began. When
+            # it began is not known, its clock does not tell.
+            if not await self._is_confirmed(self._life_heard_ms):
                 return 'the store has not confirmed a life of the worker'
             self._has_unconfirmed_life = False
         worker.has_settled_life = now_ms >= self._settled_at_ms
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -128,6 +128,8 @@
     def play_silence(self, owner):
         """Play a worker that answers once and then no more."""
         session = self.session(owner, [_report(cell_case.BORN_MS)])
+        # The first answer comes before the last confirmation.
+        self.clock.now = _CONFIRMED_MS - 1
 
         async def play():
             session.open()
@@ -214,8 +216,8 @@
             self.clock.now += 1_000
             await session._renew_once()
             self.assertGreater(session.lease_expiry_ms, seen_ms + 10_000)
-            # The evidence is as old as the later life.
-            self.assertEqual([seen_ms - 500] * 2, owner.asked_ms[1:])
+            # The evidence is as old as the first answer of the later life.
+            self.assertEqual([seen_ms] * 2, owner.asked_ms[1:])
 
         asyncio.run(play())
 
@@ -225,15 +227,17 @@
         Its own successor has noted ends of the life before, and the report
         of the next one ended the wait for the worker.
         """
-        owner = _Owner(is_confirmed=False)
-        session = self.session(owner, [])
-        session.worker.born_wall_ms = 0
-        self.clock.now = 10_000
-        # One life began 1 s after the last confirmation, one 1 s before.
-        for age_ms, count in ((9_000, 0), (11_000, 1)):
-            self.worker.renewals = [_report(cell_case.BORN_MS, age_ms)]
-            asyncio.run(session._renew_once())
-            self.assertEqual(count, len(owner.reports))
+        # Where its clock begins tells nothing about when the life began.
+        for clock_ms in (0, 9_000, 11_000, 7_000_000):
+            for is_confirmed in (False, True):
+                owner = _Owner(is_confirmed)
+                session = self.session(owner, [])
+                session.worker.born_wall_ms = 0
+                self.clock.now = 10_000
+                self.worker.renewals = [_report(cell_case.BORN_MS, clock_ms)]
+                asyncio.run(session._renew_once())
+                self.assertEqual([10_000], owner.asked_ms)
+                self.assertEqual(is_confirmed, bool(owner.reports))
 
     def test_a_worker_that_restarts_while_the_store_is_slow(self):
         """Guard against a worker that gets no lease until an append is fast.
