Hold runs that a life which has not reported may have taken

Cause: a start's answer does not tell which life of the worker gave it, and an attempt without an answer may be carried out seconds later. The leader reckoned the lease on the last life that had reported, so that it released tasks of a silent worker whose runs were on a later life, under its longest lease.

Change: each task keeps what its attempts tell, and a silent worker's tasks are released one by one (run_expiry.py). A run that the present life has listed, or whose start was answered by a clock that agrees with it, ends with the known lease as before. An answer with an earlier clock counts by that clock: the deadlines mean there what the clock says. An attempt without an answer counts until the latest order with a deadline is 4 s old and the longest lease has passed. No more than two renewals without an answer carry a deadline, since a life that is not known may take each of them. worker_lost tells how many tasks are held back.

Listed and acknowledged runs of a worker that is lost for good start again no later than before; a start that was sent into the dark waits 14.3 s from the latest order with a deadline in place of 5.1 s from the last answer.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -43,6 +43,7 @@
 from basilspindle import events
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
+from basilspindle.workflow import task as task_module
 
 _TICK_INTERVAL_MS = 100
 # A scheduling pass is delayed by this time so that it covers several events,
@@ -395,7 +396,9 @@
             )
         previous_end_number = worker.applied_end_number
         if worker.born_wall_ms != report.born_wall_ms:
-            self._log_loss(worker, loss.Evidence.RESTARTED)
+            self._log_loss(
+                worker, list(worker.tasks.values()), loss.Evidence.RESTARTED
+            )
         first_listed = reconcile.unlisted_runs(worker, report)
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
         self._log_runs(worker, report, first_listed)
@@ -482,7 +485,7 @@
     ) -> None:
         """Requeue the tasks of a worker that ended or lost its lease."""
         worker = session.worker
-        self._log_loss(worker, evidence)
+        self._log_loss(worker, list(worker.tasks.values()), evidence)
         worker.reported = False
         self.state.requeue_worker_tasks(worker)
         self.state.awaited_workers.discard(worker.worker_id)
@@ -492,16 +495,34 @@
         self._send_orders()
         self._schedule_plan()
 
+    def lose_tasks(
+        self, session: session_module.Session, tasks: list[task_module.Task]
+    ) -> None:
+        """Requeue those tasks of a silent worker whose runs have ended.
+
+        Others may go on at a life of it that has not reported.
+        """
+        worker = session.worker
+        self._log_loss(worker, tasks, loss.Evidence.LEASE)
+        worker.reported = False
+        self.state.requeue_tasks(tasks)
+        self._send_orders()
+        self._schedule_plan()
+
     def _log_loss(
-        self, worker: worker_module.Worker, evidence: loss.Evidence
+        self,
+        worker: worker_module.Worker,
+        tasks: list[task_module.Task],
+        evidence: loss.Evidence,
     ) -> None:
-        if not worker.tasks:
+        if not tasks:
             return
-        metrics.TASKS_RELEASED.labels(evidence).inc(len(worker.tasks))
+        metrics.TASKS_RELEASED.labels(evidence).inc(len(tasks))
         events.emit(
             cell_events.WORKER_LOST,
             worker=worker.worker_id,
-            tasks=len(worker.tasks),
+            tasks=len(tasks),
+            held=len(worker.tasks) - len(tasks),
             evidence=evidence,
             epoch=self.claim.epoch,
             confirmed_age_ms=self._confirmation.age_ms,
--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -8,6 +8,11 @@
 _MIN_CLOCK_RATE = 0.98
 
 
+def duration_ms(lease_ms: int) -> int:
+    """Return how long a lease may last on the leader's clock."""
+    return int(lease_ms / _MIN_CLOCK_RATE) + 1
+
+
 class LeaseClock:
     """Translate between the leader's clock and that of one worker, in ms.
 
@@ -56,8 +61,14 @@
         """
         if self._clock_ms is None:
             return None
-        remaining_ms = max(0, self._deadline_ms - self._clock_ms)
-        return self._observed_ms + int(remaining_ms / _MIN_CLOCK_RATE) + 1
+        return self.expiry_on_ms(self._clock_ms, self._observed_ms)
+
+    def expiry_on_ms(self, clock_ms: int, now_ms: int) -> int:
+        """Return when all granted deadlines have passed on another clock.
+
+        That clock was read in an answer received at ``now_ms``.
+        """
+        return now_ms + duration_ms(max(0, self._deadline_ms - clock_ms))
 
     def begin_life(self, clock_ms: int, now_ms: int, held_ms: int) -> None:
         """Note the first answer of an incarnation, which any leader may get.
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -1,6 +1,7 @@
 """Reconcile the state of the leader with the report of a worker."""
 
 from basilspindle.cell import ends as ends_module
+from basilspindle.cell import lease_clock
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import report as report_module
 from basilspindle.cell import state as state_module
@@ -38,6 +39,7 @@
             ends_module.apply_end(state, worker, end, now_ms)
             worker.applied_end_number = end.number
             has_ends = True
+    _forget_late_attempts(worker, sent_ms)
     _apply_running(state, worker, report, now_ms)
     if report.is_full:
         _release_missing(state, worker, report, sent_ms)
@@ -53,6 +55,13 @@
     )
 
 
+def _forget_late_attempts(worker: worker_module.Worker, sent_ms: int) -> None:
+    # What was not carried out before this report was asked for never will be.
+    for task in worker.tasks.values():
+        if task.unanswered_start_ms + lease_clock.LATE_ORDER_MS < sent_ms:
+            task.unanswered_start_ms = 0
+
+
 def unlisted_runs(
     worker: worker_module.Worker, report: report_module.Report
 ) -> list[report_module.ActiveRun]:
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -12,11 +12,13 @@
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import ports
 from basilspindle.cell import report as report_module
+from basilspindle.cell import run_expiry
 from basilspindle.cell import start_outcome
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
+from basilspindle.workflow import task as task_module
 
 # Long enough to outlast a change of leader, short enough that the tasks of an
 # unreachable worker are soon restarted elsewhere.
@@ -40,6 +42,8 @@
 _START_RETRY_LIMIT_MS = 1_500
 _ORDER_TIMEOUT_MS = 350
 _MAX_STOP_ATTEMPTS = 6
+# So many renewals without an answer in a row carry a deadline.
+_MAX_UNANSWERED_GRANTS = 2
 # A worker whose report could not be applied gets no new tasks for this long.
 _FAULT_PAUSE_MS = 2_000
 _STOP_RETRY_MS = 250
@@ -88,6 +92,12 @@
         """Release the tasks of a worker whose lease or process has ended."""
         ...
 
+    def lose_tasks(
+        self, session: 'Session', tasks: list[task_module.Task]
+    ) -> None:
+        """Release tasks of a silent worker, which may still run others."""
+        ...
+
     def lose_leadership(
         self,
         reason: str,
@@ -139,6 +149,8 @@
         '_life_heard_ms',
         '_replaced_since_ms',
         '_orders_until_ms',
+        '_lease_sent_ms',
+        '_unanswered_renewals',
         '_settled_at_ms',
     )
 
@@ -180,6 +192,10 @@
         self._replaced_since_ms: int | None = None
         # Until when the orders with a deadline that got no answer may arrive.
         self._orders_until_ms = 0
+        # When the latest order with a deadline was sent.
+        self._lease_sent_ms = 0
+        # Number of renewals sent since the last answer to one.
+        self._unanswered_renewals = 0
         # When no order for an earlier life can extend the lease any more.
         self._settled_at_ms = 0
 
@@ -278,17 +294,42 @@
                     worker=self.worker.worker_id,
                     error=fault,
                 )
-            expiry_ms = self._lease.expiry_ms()
-            if expiry_ms is not None and self._clock.now_ms() > expiry_ms:
-                # A successor may have renewed the lease meanwhile.
-                if await self._is_confirmed(expiry_ms):
-                    self._owner.lose_worker(self, loss.Evidence.LEASE)
+            await self._release_expired()
             await self._clock.sleep_ms(pause_ms)
             pause_ms = min(
                 2 * pause_ms,
                 _MAX_RENEW_RETRY_MS if has_answered else _MAX_FIRST_RETRY_MS,
             )
 
+    async def _release_expired(self) -> None:
+        now_ms = self._clock.now_ms()
+        lease_expiry_ms = self._lease.expiry_ms()
+        if lease_expiry_ms is None or now_ms <= lease_expiry_ms:
+            return
+        worker = self.worker
+        expired, expiry_ms = [], lease_expiry_ms
+        for task in worker.tasks.values():
+            task_expiry_ms = run_expiry.expiry_ms(
+                task,
+                worker,
+                self._lease,
+                self._lease_sent_ms,
+                self._max_lease_ms,
+            )
+            if task_expiry_ms < now_ms:
+                expired.append(task)
+                expiry_ms = max(expiry_ms, task_expiry_ms)
+        is_over = len(expired) == len(worker.tasks)
+        if not is_over and not expired:
+            return
+        # A successor may have renewed the lease meanwhile.
+        if not await self._is_confirmed(expiry_ms):
+            return
+        if is_over:
+            self._owner.lose_worker(self, loss.Evidence.LEASE)
+        else:
+            self._owner.lose_tasks(self, expired)
+
     async def _renew_once(self) -> str | None:
         """Renew the lease; returns the error message if that fails."""
         if self._owner.end_if_expired():
@@ -333,8 +374,10 @@
                 error, errors.WorkerUnavailable
             ):
                 self._note_unanswered_order(sent_ms)
+                self._unanswered_renewals += 1
             return error.message
         now_ms = self._clock.now_ms()
+        self._unanswered_renewals = 0
         self._replaced_since_ms = None
         if worker.born_wall_ms and not report.born_wall_ms:
             return 'a report does not tell when the worker started'
@@ -431,11 +474,17 @@
         # does not name.
         if not self.worker.is_recorded or self._has_unconfirmed_life:
             return None
+        # Repeats carry the same deadline. They extend nothing at the life that
+        # answered last, but may do so at a later one.
+        if self._unanswered_renewals >= _MAX_UNANSWERED_GRANTS:
+            return None
         # A deadline that has passed on the worker's clock extends nothing.
         deadline_ms = self._lease.grant(self._lease_ms)
         expiry_ms = self._lease.expiry_ms()
         if expiry_ms is not None and now_ms > expiry_ms:
             return None
+        if deadline_ms is not None:
+            self._lease_sent_ms = now_ms
         return deadline_ms
 
     def _renewal_wait_ms(
@@ -471,8 +520,11 @@
                 self._open_starts -= 1
             outcome = answer.outcome
             spent_ms = self._clock.now_ms() - begun_ms
+            if outcome is not start_outcome.StartOutcome.NOT_SENT:
+                self._lease_sent_ms = max(self._lease_sent_ms, sent_ms)
             if outcome is start_outcome.StartOutcome.UNKNOWN:
                 self._note_unanswered_order(sent_ms)
+            self._note_attempt(order, answer, sent_ms)
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
             has_unanswered = True
@@ -505,6 +557,21 @@
             self._owner.lose_leadership('a worker has seen a later leader')
         self._owner.handle_start_outcome(order, outcome)
 
+    def _note_attempt(
+        self,
+        order: orders_module.StartOrder,
+        answer: start_outcome.StartAnswer,
+        sent_ms: int,
+    ) -> None:
+        task = order.task
+        if task.run != order.run or task.worker_id != order.worker_id:
+            return
+        if answer.outcome is start_outcome.StartOutcome.UNKNOWN:
+            task.unanswered_start_ms = sent_ms
+        else:
+            task.answered_ms = self._clock.now_ms()
+            task.answered_clock_ms = answer.clock_ms
+
     async def _try_start(
         self, order: orders_module.StartOrder, address: str, payload: str
     ) -> start_outcome.StartAnswer:
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -133,7 +133,8 @@
         task.worker_id = worker.worker_id
         task.run = run
         task.stop_sent_ms = 0
-        task.listed_born_wall_ms = 0
+        task.listed_born_wall_ms = task.unanswered_start_ms = 0
+        task.answered_ms, task.answered_clock_ms = 0, None
         task.load = 0
         task.pace_percent, task.paced_ms = 100, 0
         task.has_unanswered_pace, task.pace_repeated_until_ms = False, 0
@@ -233,9 +234,13 @@
 
     def requeue_worker_tasks(self, worker: worker_module.Worker) -> None:
         """Requeue all tasks of a worker that restarted or lost its lease."""
-        for task in list(worker.tasks.values()):
+        self.requeue_tasks(list(worker.tasks.values()))
+        worker.unexpected_runs.clear()
+
+    def requeue_tasks(self, tasks: list[task_module.Task]) -> None:
+        """Requeue tasks whose runs have ended without a report."""
+        for task in tasks:
             task.ended_run = max(task.ended_run, task.run)
             self.release(task)
             if task.step_run.step.gang:
                 self.stop_gang(task.step_run)
-        worker.unexpected_runs.clear()
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -33,6 +33,10 @@
     ``has_unanswered_pace`` is set by an order without an answer, after which
     orders are repeated until ``pace_repeated_until_ms``.
     ``preemptions`` counts the stops in favour of more urgent work.
+    ``answered_ms`` and ``answered_clock_ms`` are when a worker acknowledged
+    the latest start and what its clock showed, None if it did not tell;
+    ``unanswered_start_ms`` is when the latest attempt at it was sent that got
+    no answer and may still be carried out, 0 if there is none.
     ``listed_born_wall_ms`` is the start time of the worker that has listed
     the latest run, 0 if none has.
     """
@@ -59,6 +63,9 @@
         'has_unanswered_pace',
         'pace_repeated_until_ms',
         'preemptions',
+        'answered_ms',
+        'answered_clock_ms',
+        'unanswered_start_ms',
         'listed_born_wall_ms',
     )
 
@@ -86,6 +93,9 @@
         self.has_unanswered_pace = False
         self.pace_repeated_until_ms = 0
         self.preemptions = 0
+        self.answered_ms = 0
+        self.answered_clock_ms: int | None = None
+        self.unanswered_start_ms = 0
         self.listed_born_wall_ms = 0
 
     @property
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -67,7 +67,9 @@
         worker.tasks['t'] = mock.Mock()
         self.clock.now += 6_000
         with mock.patch.object(leader_module.events, 'emit') as emit:
-            self.leader._log_loss(worker, loss.Evidence.LEASE)
+            self.leader._log_loss(
+                worker, list(worker.tasks.values()), loss.Evidence.LEASE
+            )
         fields = emit.call_args.kwargs
         self.assertEqual('lease', fields['evidence'])
         self.assertEqual(1, fields['epoch'])
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -285,14 +285,13 @@
 
     def restarted_ms(self, prepare):
         """Return how long after the loss a task starts again."""
-        lost_ms = []
 
         async def steps(play):
             await self.clock.advance_ms(2_000)
             [worker] = self.workers
             await prepare(play, worker)
             worker.crash()
-            lost_ms.append(self.clock.now_ms())
+            self.lost_ms = self.clock.now_ms()
             self.add_spare(play)
             await self.clock.advance_ms(30_000)
 
@@ -302,7 +301,7 @@
             row[0] for row in self.workers[1].history if row[1] == 'start'
         ]
         self.assertTrue(starts)
-        return starts[0] - lost_ms[0]
+        return starts[0] - self.lost_ms
 
     def test_a_listed_run_starts_again_when_its_lease_is_over(self):
         """Guard against waits for lives that cannot hold the run."""
@@ -314,6 +313,25 @@
         # A lease on a slow clock, and at most one attempt and one pause.
         self.assertLess(self.restarted_ms(prepare), 5_103 + 2_100)
 
+    def test_other_runs_do_not_wait_for_a_start_without_an_answer(self):
+        """Guard against one start that holds all tasks of a lost worker."""
+
+        async def prepare(play, worker):
+            play.submit(_JOB)
+            await self.clock.advance_ms(1_500)
+            worker.fate = lambda call: worker_lives.LOST
+            play.submit(_OTHER_JOB)
+            await self.clock.advance_ms(100)
+
+        self.assertLess(self.restarted_ms(prepare), 5_103 + 2_100)
+        # The other one may run until its attempts are late, under the
+        # longest lease.
+        [_, other_ms] = [
+            row[0] for row in self.workers[1].history if row[1] == 'start'
+        ]
+        self.assertGreater(other_ms, self.lost_ms + 4_000 + 10_000)
+        self.assertLess(other_ms, self.lost_ms + 2_000 + 14_300 + 1_000)
+
     def test_an_acknowledged_run_starts_again_when_its_lease_is_over(self):
         """Guard against waits for a report after an answered start."""
 
