Keep a task on its worker while an attempt to start it may arrive

Cause: a life remembers no stop and no end of the one before. A start attempt without an answer was settled by a later attempt that was acknowledged, or by a stop; then the worker started again, its report listed no run, the task was released and started elsewhere, and the first attempt was carried out by the new life.

A run that the report lists, or whose end it lists, is not affected.

--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -169,6 +169,10 @@
             continue
         if (task.name, task.run) in listed or task.started_ms >= sent_ms:
             continue
+        if task.unanswered_start_ms:
+            # That attempt may yet reach a life that starts after this one,
+            # which knows no stop and no end of the run.
+            continue
         # The worker acknowledged this run before the report was requested, and
         # reports neither the run nor its end.
         task.ended_run = max(task.ended_run, task.run)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -152,6 +152,32 @@
         self.play(steps)
         self.check_runs()
 
+    def test_a_prevented_start_may_be_carried_out_by_the_next_life(self):
+        """Guard against a stop that only the life which took it remembers.
+
+        No attempt is answered, the run is stopped before it arrives, and the
+        worker starts again before the last attempt arrives.
+        """
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            worker.fate = lambda call: (
+                3_900 if call == 'start' else worker_lives.OK
+            )
+            play.submit(_JOB)
+            await self.clock.advance_ms(2_500)
+            play.leader.state.workers['w1'].ready = False
+            self.add_spare(play)
+            await self.clock.advance_ms(1_300)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            worker.fate = lambda call: worker_lives.LOST
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+
     def test_a_late_acknowledgement_may_reach_the_next_life(self):
         """Guard against the end of a run that is forgotten unread."""
         self.run_ms = 400
