Keep late acknowledgements from the ends of a later life

Cause: ack_cursor belongs to a life, the call that carries it names the id only, and a call without an answer may be carried out seconds later. Each renewal repeated the number of the last recorded end, so that any renewal could make a later life forget its first ends unread; the task was then found missing and started again, although it was done.

Change: a renewal acknowledges only what no answered renewal has acknowledged. If one that does so gets no answer and a later life reports, that life gets no tasks until 4 s after the call was sent. An answer to a start whose clock is far ahead of the one expected tells of another life as an earlier clock does: the clock of a life begins anywhere.

Tests: three failed before (a repeated acknowledgement; an answer with a clock that is ahead; the first ends of a later life). The fixture of AcknowledgementTest records one more end with each report, so that each renewal has something to acknowledge, as before.

--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -6,6 +6,9 @@
 LATE_ORDER_MS = 4_000
 # Lowest rate of a worker's clock relative to the leader's.
 _MIN_CLOCK_RATE = 0.98
+# A reading may be further ahead than the time since the last one by as much as
+# an answer was on its way, or this process stood still.
+_MAX_AHEAD_MS = 2_000
 
 
 def duration_ms(lease_ms: int) -> int:
@@ -80,9 +83,12 @@
         self.observe(clock_ms, now_ms)
         self._deadline_ms = clock_ms + held_ms
 
-    def is_earlier(self, clock_ms: int) -> bool:
-        """Tell whether a reading lies before the latest one.
+    def agrees(self, clock_ms: int, now_ms: int) -> bool:
+        """Tell whether a reading received now can be of this incarnation.
 
-        The clock of an incarnation never goes back.
+        Its clock never goes back, and runs on with this one.
         """
-        return self._clock_ms is not None and clock_ms < self._clock_ms
+        if self._clock_ms is None:
+            return True
+        elapsed_ms = now_ms - self._observed_ms + _MAX_AHEAD_MS
+        return 0 <= clock_ms - self._clock_ms <= elapsed_ms
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -152,6 +152,7 @@
         '_lease_sent_ms',
         '_unanswered_renewals',
         '_settled_at_ms',
+        '_acknowledgement_until_ms',
     )
 
     def __init__(
@@ -198,6 +199,8 @@
         self._unanswered_renewals = 0
         # When no order for an earlier life can extend the lease any more.
         self._settled_at_ms = 0
+        # Until when an acknowledgement that got no answer may arrive.
+        self._acknowledgement_until_ms = 0
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -375,6 +378,12 @@
             ):
                 self._note_unanswered_order(sent_ms)
                 self._unanswered_renewals += 1
+            if acknowledged_end_number and not isinstance(
+                error, errors.WorkerUnavailable
+            ):
+                self._acknowledgement_until_ms = (
+                    sent_ms + lease_clock.LATE_ORDER_MS
+                )
             return error.message
         now_ms = self._clock.now_ms()
         self._unanswered_renewals = 0
@@ -397,6 +406,10 @@
             self._has_unconfirmed_life = True
             self._life_heard_ms = now_ms
             self._acknowledged_end_number = 0
+            # It would forget ends of this life that no report has listed.
+            worker.suspect_until_ms = max(
+                worker.suspect_until_ms, self._acknowledgement_until_ms
+            )
             self._lease.begin_life(
                 report.clock_ms, now_ms, max(held_ms, self._lease_ms)
             )
@@ -467,6 +480,9 @@
         # forget the ends of runs that it has accepted since.
         if self._open_starts or not self._is_life_certain:
             return 0
+        if self.worker.recorded_end_number == self._acknowledged_end_number:
+            # Nothing to forget: a repeat could only reach a later life.
+            return 0
         return self.worker.recorded_end_number
 
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
@@ -603,7 +619,9 @@
                 _ORDER_TIMEOUT_MS,
             )
             if answer.clock_ms is not None:
-                if self._lease.is_earlier(answer.clock_ms):
+                if not self._lease.agrees(
+                    answer.clock_ms, self._clock.now_ms()
+                ):
                     self._is_life_certain = False
             return answer
         except errors.StaleEpoch:
--- a/tests/test_cell_session.py
+++ b/tests/test_cell_session.py
@@ -330,7 +330,9 @@
         worker = session.worker
         worker.reported = True
         worker.born_wall_ms = report.born_wall_ms
-        worker.applied_end_number = worker.recorded_end_number = 7
+        # One more end with each report.
+        number = max(7, worker.recorded_end_number + 1)
+        worker.applied_end_number = worker.recorded_end_number = number
         return False
 
     def handle_start_outcome(self, order, outcome):
@@ -372,11 +374,22 @@
                 await session._renew_once()
 
         asyncio.run(play())
-        self.assertEqual([0, 7, 7, 0, 7], orders.acknowledged)
+        self.assertEqual([0, 7, 8, 0, 9], orders.acknowledged)
 
-    def test_an_earlier_clock_tells_of_another_life(self):
-        """Guard against a restart that no renewal has noticed."""
-        for clock_ms, expected in ((50_001, 7), (300, 0), (None, 7)):
+    def test_another_clock_tells_of_another_life(self):
+        """Guard against a restart that no renewal has noticed.
+
+        The clock of the other life begins anywhere, so that it may also be
+        far ahead.
+        """
+        for clock_ms, expected in (
+            (50_001, 7),
+            (300, 0),
+            (49_999, 0),
+            (60_000, 0),
+            (7_000_000, 0),
+            (None, 7),
+        ):
             with self.subTest(clock_ms=clock_ms):
                 self.setUp()
                 orders = _RestartingWorker(failing_call=0)
@@ -391,6 +404,21 @@
                 asyncio.run(play())
                 self.assertEqual([0, expected], orders.acknowledged)
 
+    def test_an_acknowledged_end_is_not_acknowledged_again(self):
+        """Guard against a repeat that reaches the next life late."""
+        orders = _RestartingWorker(failing_call=0)
+        session = self.session(orders)
+
+        async def play():
+            await session._renew_once()
+            self.worker.recorded_end_number = 6
+            await session._renew_once()
+            self.worker.recorded_end_number = 6
+            await session._renew_once()
+
+        asyncio.run(play())
+        self.assertEqual([0, 6, 0], orders.acknowledged)
+
     def test_a_start_in_flight_may_be_taken_by_another_life(self):
         """Guard against an acknowledgement that overtakes an answer."""
         orders = _RestartingWorker(failing_call=0)
@@ -404,7 +432,7 @@
             await session._renew_once()
 
         asyncio.run(play())
-        self.assertEqual([0, 0, 7], orders.acknowledged)
+        self.assertEqual([0, 0, 8], orders.acknowledged)
 
 
 class _FailingOwner(cell_case.ConfirmedOwner):
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -178,7 +178,50 @@
         self.play(steps)
         self.check_runs()
 
-    def test_a_late_acknowledgement_may_reach_the_next_life(self):
+    def test_a_life_gets_no_tasks_while_an_acknowledgement_may_arrive(self):
+        """Guard against the end of a run that is forgotten unread.
+
+        The leader has heard of the later life, whose renewals then get no
+        answer for some time.
+        """
+        self.run_ms = 400
+
+        async def steps(play):
+            [worker] = self.workers
+            play.submit(_JOB, 4)
+            await self.clock.advance_ms(350)
+            late_ms = [3_500]
+            known = play.leader.state.workers['w1']
+
+            def fate(call):
+                if call != 'renew' or worker.life is None:
+                    return worker_lives.OK
+                if worker.life.ended and late_ms:
+                    return late_ms.pop()
+                if worker.lives == 2 and known.born_wall_ms == (
+                    worker.life.born_wall_ms
+                ):
+                    return worker_lives.ANSWER_LOST
+                return worker_lives.OK
+
+            worker.fate = fate
+            await self.clock.advance_ms(150)
+            self.assertFalse(late_ms)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            while known.born_wall_ms != worker.life.born_wall_ms:
+                await self.clock.advance_ms(1)
+            play.submit(_OTHER_JOB, 2)
+            await self.clock.advance_ms(2_200)
+            worker.fate = lambda call: worker_lives.OK
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+        names = {row[2] for row in self.workers[0].history}
+        self.assertIn(f'{_OTHER_JOB}.0.0.1', names)
+
+    def test_a_late_acknowledgement_may_reach_a_life_before_it_reports(self):
         """Guard against the end of a run that is forgotten unread."""
         self.run_ms = 400
 
