Order the stop of a superseded run until it is accepted

Cause: when an earlier run of a task turns out to have ended done, its later run is stopped.

Test: SupersededRunTest, which failed before.

--- a/basilspindle/cell/housekeeping.py
+++ b/basilspindle/cell/housekeeping.py
@@ -87,11 +87,19 @@
     return total_ms * (100 - task.percent) / 100
 
 
+def _awaits_stop(task: task_module.Task) -> bool:
+    # A task that another run of it has ended is being stopped as well, until
+    # its worker has accepted the stop.
+    return task.state is _State.STOPPING or (
+        task.state is _State.DONE and not task.started_ms
+    )
+
+
 def resend_stops(state: state_module.CellState, now_ms: int) -> None:
     """Resend stop orders to tasks that still occupy their worker."""
     for worker in state.workers.values():
         for task in worker.tasks.values():
-            if task.state is not _State.STOPPING:
+            if not _awaits_stop(task):
                 continue
             if not task.stop_sent_ms:
                 task.stop_sent_ms = now_ms
--- a/tests/test_cell_housekeeping.py
+++ b/tests/test_cell_housekeeping.py
@@ -91,6 +91,36 @@
         self.assertEqual({first.run + 1}, {start.run for start in starts})
 
 
+class SupersededRunTest(cell_case.CellCase):
+    """Guard the room of a run that is not needed any more."""
+
+    def test_its_stop_is_ordered_until_it_is_accepted(self):
+        """Guard against room that stays taken once the stop is lost.
+
+        An earlier run of the task ended done; the worker that holds the
+        later one then starts again, and lists it no more.
+        """
+        for name in ('w1', 'w2'):
+            self.add_worker(name, cpu=1_000)
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [first] = self.start_all(self.plan())
+        task = first.task
+        self.state.requeue_worker_tasks(self.state.workers[first.worker_id])
+        [second] = self.start_all(self.plan())
+        self.report_end(first.worker_id, task.name, first.run)
+        [stop] = self.state.take_orders().stops
+        self.assertEqual(second.worker_id, stop.worker_id)
+        for _ in range(2):
+            self.now_ms += 3_000
+            self.report(second.worker_id, born=cell_case.BORN_MS + 1)
+            housekeeping.resend_stops(self.state, self.now_ms)
+        [stop] = self.state.take_orders().stops
+        starts_module.apply_stop_ack(self.state, stop, self.now_ms)
+        self.now_ms += 1
+        self.report(second.worker_id, born=cell_case.BORN_MS + 1)
+        self.assertEqual({}, self.state.workers[second.worker_id].tasks)
+
+
 class OccurrenceTest(cell_case.CellCase):
     """Guard jobs with several occurrences."""
 
