--- a/tests/standins/worker_lives.py
+++ b/tests/standins/worker_lives.py
@@ -39,6 +39,7 @@
         self.blocked: dict[str, int] = {}
         self.ended: list[report_module.RunEnd] = []
         self.last_end = 0
+        self.has_lapsed = True
 
     def clock_ms(self, now_ms: int) -> int:
         return now_ms + self._offset_ms
@@ -68,7 +69,7 @@
         self.lives = 0
         self._clock = clock
         self._max_lease_ms = max_lease_ms
-        self._run_ms = run_ms
+        self.run_ms = run_ms
         self._late_calls: set[asyncio.Task[None]] = set()
 
     def begin_life(self, clock_ms: int) -> None:
@@ -103,9 +104,10 @@
         if life is None:
             return
         lapsed = life.clock_ms(now_ms) > life.deadline_ms
-        if lapsed and life.runs:
+        if lapsed and not life.has_lapsed:
             for end in life.ended:
                 self._note('forgotten', end.name, end.run)
+        life.has_lapsed = lapsed
         for name, (run, _, end_ms) in list(life.runs.items()):
             if lapsed:
                 self._end(life, name, run, _EndKind.LAPSED)
@@ -205,7 +207,7 @@
             return _Outcome.RUNS
         if active is not None or run <= life.blocked.get(name, 0):
             return _Outcome.RUN_TOO_LOW
-        life.runs[name] = (run, now_ms, now_ms + self._run_ms(name))
+        life.runs[name] = (run, now_ms, now_ms + self.run_ms(name))
         self._note('start', name, run)
         return _Outcome.RUNS
 
