Let the soak draw several lives of a worker with clocks that begin anywhere

The clock of the stand-in worker was the time since its start, so that a leader which took it for the age of the life was right; a loss of power dropped the calls that were still to be carried out late; no worker was cut off soon after its return.

Each life now has a clock that begins anywhere up to 8,000,000 ms, late calls are carried out 0.3 to 3.5 s later (1 s before) by whatever life is there, and a worker that is back may end once more within a second and is cut off 0.1 to 2.5 s later in six of ten cases, for 1 to 9 s. The draws are apart from those of the other faults, so that seeds keep their schedules.

--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -143,6 +143,7 @@
         ]
         # Drawn apart from the schedules of the other faults.
         self.cut_random = random.Random(seed * 31 + 7)
+        self.lives_random = random.Random(seed * 37 + 11)
         refusals = soak_refusals.Refusals(self, seed)
         cancellations = soak_cancellations.Cancellations(self, seed)
         phase_s = _FAULT_PHASE_S
@@ -418,7 +419,20 @@
     ) -> None:
         await asyncio.sleep(after_s)
         worker.start_again()
+        chance = self.lives_random
+        if chance.random() < 0.3:
+            # A second life that may end before anybody has heard of it.
+            await asyncio.sleep(chance.uniform(0.05, 1.0))
+            worker.lose_power()
+            await asyncio.sleep(chance.uniform(0.05, 1.0))
+            worker.start_again()
         self.failed_workers.discard(worker)
+        if chance.random() < 0.6:
+            await asyncio.sleep(chance.uniform(0.1, 2.5))
+            cut = self.network.cut(
+                [worker.worker_id], [daemon.node for daemon in self.daemons]
+            )
+            await self._end_cut(cut, chance.uniform(1.0, 9.0))
 
     def _odd_entry(self) -> bytes:
         sample = json.loads(self.workers[0].entry())
--- a/tests/standins/platform/server.py
+++ b/tests/standins/platform/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import json
 import socket
 import typing
@@ -40,7 +41,7 @@
 
 # Returns the fault of a request: '' for none, 'silent' does not handle it and
 # sends no response, 'reset' closes the connection, 'lost' handles it but sends
-# no response, 'late' handles it a second later and sends no response,
+# no response, 'late' handles it ``late_s`` later and sends no response,
 # 'stalled' sends only the first half of the response, 'garbled' only the
 # first few bytes of its body, and a number is the status of the response.
 Fault = collections.abc.Callable[[Request], str]
@@ -68,6 +69,8 @@
         self.fault: Fault = lambda request: ''
         # Delay before each request is handled.
         self.delay_s = 0.0
+        # How long after its arrival a late request is handled.
+        self.late_s: collections.abc.Callable[[], float] = lambda: 1.0
         # Rate of the link that all responses share, 0 for no limit.
         self.link_bytes_s = 0.0
         self._link_free_s = 0.0
@@ -110,11 +113,6 @@
         for connection in list(self.connections):
             connection.close()
 
-    def drop_late(self) -> None:
-        """Forget the requests that would be carried out late."""
-        for task in self._late_tasks:
-            task.cancel()
-
     def lose_connections(self) -> None:
         """Never answer on the open connections again, as after a power loss.
 
@@ -165,8 +163,10 @@
         await asyncio.sleep(self._link_free_s - now_s)
 
     async def _serve_late(self, request: Request) -> None:
-        await asyncio.sleep(1)
-        await self._handler(request)
+        await asyncio.sleep(self.late_s())
+        with contextlib.suppress(ConnectionResetError):
+            # Nobody is there to carry it out.
+            await self._handler(request)
 
 
 class _Connection(asyncio.Protocol):
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import random
 import time
+import zlib
 
 from tests.standins.platform import network as network_module
 from tests.standins.platform import server as server_module
@@ -15,6 +17,9 @@
 # The values of the settings that the tests give to daemons.
 _MAX_LEASE_MS = 10_000
 _STOP_S = 0.15
+# Where the clocks of lives begin, and how late late calls are carried out.
+_MAX_CLOCK_MS = 8_000_000
+_LATE_S = (0.3, 3.5)
 
 
 class _Run:
@@ -55,6 +60,9 @@
         self.is_up = True
         self._end_added = asyncio.Event()
         self.server = server_module.Server(self._handle)
+        late_random = random.Random(worker_id)
+        self.server.late_s = lambda: late_random.uniform(*_LATE_S)
+        self._lives = 0
         self._begin_life()
 
     def _begin_life(self) -> None:
@@ -67,16 +75,23 @@
         self._has_lapsed = True
         self._born = int(time.time() * 1000)
         self._started_s = time.monotonic()
+        # The steady clock of a life begins anywhere, also behind that of the
+        # life before.
+        self._lives += 1
+        name = f'{self.worker_id}/{self._lives}'
+        self._first_clock_ms = zlib.crc32(name.encode()) % _MAX_CLOCK_MS
 
     def age(self, age_s: float) -> None:
         """Count this life as that much older."""
         self._started_s -= age_s
 
     def lose_power(self) -> None:
-        """Crash; connections stay open but nothing answers any more."""
+        """Crash; connections stay open but nothing answers any more.
+
+        Calls that are still to be carried out late reach the next life.
+        """
         self.is_up = False
         self.server.fault = lambda request: 'silent'
-        self.server.drop_late()
         for run in list(self._running.values()):
             self.history.append((time.monotonic(), 'lost', run.name, run.run))
         self._running.clear()
@@ -114,7 +129,8 @@
 
     @property
     def _clock_ms(self) -> int:
-        return int((time.monotonic() - self._started_s) * 1000)
+        age_s = time.monotonic() - self._started_s
+        return self._first_clock_ms + int(age_s * 1000)
 
     async def _publish_entry(self) -> None:
         seq = 0
