Give a worker no tasks while its entry names another life

Cause: capacity, labels and rack come from the registry, reports from the worker. After a restart under the same id the leader placed tasks by the entry of the former life for up to the next heartbeat and read of the registry; the next incarnation may be of a different kind. Before a restart was reported, the new entry already told of it, and tasks were still started there as if the former life went on.

Change: a worker whose entry and reports name different start times gets no tasks. An entry without a start time changes nothing.

--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -35,7 +35,8 @@
 
     ``used`` are the resources of ``tasks``, and ``reserved`` those kept free
     for waiting steps. ``born_wall_ms``, the start time of the worker,
-    identifies its incarnation, which numbers its run ends:
+    identifies its incarnation, which numbers its run ends, and
+    ``entry_born_wall_ms`` the one that wrote the entry, 0 if it is not known:
     ``applied_end_number`` is the number of the latest end that was applied,
     ``recorded_end_number`` that of the latest one in the log.
     ``has_settled_life`` tells whether no order for an earlier incarnation can
@@ -76,6 +77,7 @@
         'born_wall_ms',
         'applied_end_number',
         'recorded_end_number',
+        'entry_born_wall_ms',
         'has_settled_life',
         'settled_born_wall_ms',
         'earlier_orders_until_ms',
@@ -119,6 +121,7 @@
         self.born_wall_ms = 0
         self.applied_end_number = 0
         self.recorded_end_number = 0
+        self.entry_born_wall_ms = 0
         self.has_settled_life = False
         self.settled_born_wall_ms = 0
         self.earlier_orders_until_ms: int | None = None
@@ -154,6 +157,7 @@
         return (
             self.ready
             and self.is_recorded
+            and self._has_own_entry
             and (
                 self.listed
                 or now_ms - self.unlisted_since_ms < _UNLISTED_GRACE_MS
@@ -164,6 +168,16 @@
             and now_ms - self.last_contact_ms <= max_contact_age_ms
         )
 
+    @property
+    def _has_own_entry(self) -> bool:
+        # The next incarnation may be of another kind. An entry of one that
+        # has not answered yet tells that the present one has ended.
+        return (
+            not self.entry_born_wall_ms
+            or not self.born_wall_ms
+            or self.entry_born_wall_ms == self.born_wall_ms
+        )
+
     def record_unanswered_start(self) -> None:
         """Raise the failure score for a start that was not answered."""
         self.failure_score += 1.0
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -193,6 +193,7 @@
         worker.listed = entry is not None
         worker.unlisted_since_ms = self._clock.now_ms()
         worker.ready = entry is not None and entry.is_ready
+        worker.entry_born_wall_ms = entry.born_wall_ms if entry else 0
         dropped_ms = self._dropped_ms.pop(worker_id, None)
         if dropped_ms is not None:
             worker.earlier_orders_until_ms = (
@@ -216,8 +217,13 @@
                 worker=worker.worker_id,
                 remaining_ms=entry.remaining_ms,
             )
-        if not worker.listed or worker.ready != entry.is_ready:
+        if (
+            not worker.listed
+            or worker.ready != entry.is_ready
+            or worker.entry_born_wall_ms != entry.born_wall_ms
+        ):
             self._state.freed_workers.add(worker.worker_id)
+        worker.entry_born_wall_ms = entry.born_wall_ms
         worker.pool = entry.pool
         worker.rack = entry.rack
         worker.failure_domain = entry.failure_domain
--- a/tests/lives_case.py
+++ b/tests/lives_case.py
@@ -17,6 +17,8 @@
 
 _APPEND_MS = 20
 _HOUSEKEEPING_MS = 100
+# From the start of a worker until the leader has read its entry, at most.
+_ENTRY_MS = 1_500
 FIRST_CLOCK_MS = 5_000_000
 
 
@@ -70,6 +72,8 @@
         for worker in self._case.workers:
             leader._worker_tracker._apply(self._case.entry(worker))
         self._tasks.append(asyncio.ensure_future(self._append()))
+        if self._case.entries_tell_lives:
+            self._tasks.append(asyncio.ensure_future(self._follow_entries()))
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -104,6 +108,14 @@
                 self.leader._run_housekeeping(now_ms)
             self.leader._plan()
 
+    async def _follow_entries(self) -> None:
+        while not self.leader.lost.is_set():
+            await self._case.clock.sleep_ms(_ENTRY_MS)
+            for worker in self._case.workers:
+                if worker.life is not None:
+                    entry = self._case.entry(worker)
+                    self.leader._worker_tracker._apply(entry)
+
     def submit(self, job_id: str, count: int = 1, **changes: object) -> None:
         """Hand in a job of one step."""
         step = cell_case.make_step(count, **changes)
@@ -122,6 +134,8 @@
 
     max_lease_ms = 10_000
     run_ms = 12_000
+    # Whether registry entries name the start time of their worker.
+    entries_tell_lives = False
 
     def setUp(self) -> None:
         self.clock = manual_clock.ManualClock()
@@ -150,7 +164,7 @@
             workflow.Need(8_000, 100_000),
             True,
             0,
-            life.born_wall_ms if life is not None else 0,
+            life.born_wall_ms if life and self.entries_tell_lives else 0,
             0,
         )
 
--- a/tests/test_lives_interleaving.py
+++ b/tests/test_lives_interleaving.py
@@ -130,6 +130,7 @@
     def play_seed(self, seed: int) -> list[str]:
         """Return what ran twice, and which tasks have not ended."""
         self.setUp()
+        self.entries_tell_lives = bool(seed % 2)
         draw = random.Random(seed)
         durations_ms = [
             draw.choice((400, 1_000, 3_000, 12_000)) for _ in range(_JOBS)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -349,6 +349,53 @@
         self.play(steps)
 
 
+class EntryTest(lives_case.LivesCase):
+    """Guard workers whose registry entry is of another life."""
+
+    entries_tell_lives = True
+
+    def test_a_later_life_gets_no_tasks_before_its_own_entry(self):
+        """Guard against a start on a worker of another kind.
+
+        The entry of the earlier life names the capacity and the labels.
+        """
+
+        async def steps(play):
+            [worker] = self.workers
+            known = play.leader.state.workers['w1']
+            self.assertTrue(known.accepts(self.clock.now_ms()))
+            entry = self.entry(worker)
+            self.entry = lambda worker: entry
+            await self.clock.advance_ms(1_100)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            while known.born_wall_ms != worker.life.born_wall_ms:
+                await self.clock.advance_ms(1)
+            self.assertFalse(known.accepts(self.clock.now_ms()))
+            del self.entry
+            await self.clock.advance_ms(1_500)
+            self.assertTrue(known.accepts(self.clock.now_ms()))
+
+        self.play(steps)
+
+    def test_a_life_that_only_its_entry_tells_of_gets_no_tasks(self):
+        """Guard against starts on a life that has not reported."""
+
+        async def steps(play):
+            [worker] = self.workers
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            worker.fate = lambda call: (
+                worker_lives.LOST if call == 'renew' else worker_lives.OK
+            )
+            await self.clock.advance_ms(1_600)
+            play.submit(_JOB)
+            await self.clock.advance_ms(1_000)
+            self.assertEqual({}, worker.life.runs)
+
+        self.play(steps)
+
+
 class LostWorkerTest(lives_case.LivesCase):
     """Guard tasks of a worker that is lost and does not come back."""
 
