--- a/tests/standins/site_rig.py
+++ b/tests/standins/site_rig.py
@@ -49,11 +49,12 @@
     def is_claim(self) -> bool:
         return isinstance(self.records[0], journal.Claim)
 
-    def apply_to(self, state: journal.PartitionState, offset: int) -> None:
+    def apply_to(self, state: journal.PartitionState, offset: int) -> bool:
+        """Apply the records; returns whether they took effect."""
         batch = journal.Batch(
             f'{self.member_id}-{offset}', 1, self.epoch, 0, self.records
         )
-        state.apply(offset, journal.decode(journal.encode(batch)))
+        return state.apply(offset, journal.decode(journal.encode(batch)))
 
 
 class _Journal(memory_log.MemoryJournal):
@@ -63,7 +64,7 @@
     its reader stood still meanwhile.
     """
 
-    __slots__ = ('_applied', '_rig')
+    __slots__ = ('_applied', '_effective', '_rig')
 
     def __init__(self, rig: 'SiteRig', daemon: 'SiteDaemon', partition: int):
         super().__init__(
@@ -75,16 +76,19 @@
         )
         self._rig = rig
         self._applied = 0
+        # Offsets of the own appends that took effect.
+        self._effective: set[int] = set()
         self.state = journal.PartitionState()
 
     async def append(self, *records, timeout_ms=0) -> None:
         """Append records; raises as ``PartitionJournal`` does."""
         if not self.is_owner:
             raise errors.NotOwner('not the owner; try the owner')
-        await self._append_records(self.epoch, list(records))
         epoch = self.epoch
+        offset = await self._append_records(epoch, list(records))
         await self._read()
-        if self.latest_epoch != epoch:
+        if self.latest_epoch != epoch and offset not in self._effective:
+            # A record before the later claim is confirmed.
             raise errors.Deposed('a later claim; try its owner')
 
     async def claim(self) -> int:
@@ -134,7 +138,9 @@
         for offset, entry in enumerate(entries, 1):
             if offset > self._applied:
                 self._applied = offset
-                entry.apply_to(self.state, offset)
+                took_effect = entry.apply_to(self.state, offset)
+                if took_effect and entry.member_id == self._member_id:
+                    self._effective.add(offset)
         self.latest_epoch = self.state.epoch
         self.latest_claimant = self.state.claimant
         if owned and not self.is_owner and self.on_deposed is not None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -46,6 +46,22 @@
         self.assertEqual([1], deposals)
         self.assertEqual(journal.NEVER_MS, old.assured_at_ms)
 
+    async def test_a_batch_before_a_later_claim_is_confirmed(self):
+        """Guard against ``ran: no`` for a record that took effect.
+
+        Its answer is lost, and the next owner claims the partition.
+        """
+        old = await self.open_owner('a')
+        await self.clock.advance_ms(self.timing.linger_ms)
+        self.service.faults.lose_answers = 1
+        sent = asyncio.ensure_future(old.append(accept('j1')))
+        await self.clock.settle()
+        new = await self.open_owner('b')
+        await self.run_ms(sent)
+        self.assertIn('j1', new.state.jobs)
+        await self.clock.advance_ms(600)
+        self.assertFalse(old.is_owner)
+
     async def test_release_ends_ownership(self):
         """Guard against records of an owner after its release."""
         old = await self.open_owner('a')
--- a/tests/test_site_interleaving.py
+++ b/tests/test_site_interleaving.py
@@ -16,6 +16,8 @@
 _SEEDS = int(os.environ.get('BASILSPINDLE_SITE_SEEDS', '4'))
 _FIRST_SEED = int(os.environ.get('BASILSPINDLE_SITE_FIRST_SEED', '0'))
 _REFUSAL_SEEDS = int(os.environ.get('BASILSPINDLE_REFUSAL_SEEDS', '3'))
+# Seeds that failed once, with their causes in docs/incidents.
+_KEPT_SEEDS = (217,)
 _MEMBERS = ('a', 'b', 'c', 'd')
 _WORKER_COUNT = 5
 _LIMIT_TASKS = 12
@@ -292,7 +294,7 @@
     """
 
     def test_cuts_and_pauses(self):
-        for seed in range(_FIRST_SEED, _FIRST_SEED + _SEEDS):
+        for seed in (*range(_FIRST_SEED, _FIRST_SEED + _SEEDS), *_KEPT_SEEDS):
             with self.subTest(seed=seed):
                 run = asyncio.run(_play(seed))
                 self.assertEqual([], sorted(set(run.breaches)), run.steps)
