Bound unseen work by capacities that the log tells

The log names a worker by its address only, and one that has left has no registry entry; a single worker of unknown capacity made the bound the whole of what recovered jobs could run.

Change: a leader records the capacity of each worker beside its address, in a record of its own that older builds skip, and places tasks on a worker only as far as the recorded capacity covers it. A later leader counts the larger of the recorded one and that of the entry, which may be of a later life. A change of the capacity stops no renewal.

Tests: test_a_worker_that_has_left_is_bounded_by_the_log, test_a_later_entry_does_not_lower_that_bound and test_a_larger_capacity_is_recorded_before_more_tasks; none can pass before, as there was no such record.

--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -35,6 +35,7 @@
 _PROGRESS_PREFIX = 'p'
 _ENDED_PREFIX = 'f'
 _WORKER_ADDRESSES_KEY = 'roster'
+_CAPACITIES_KEY = 'rooms'
 _SETTLED_LIVES_KEY = 'lives'
 _WAITS_KEY = 'waits'
 _STOPPING_KEY = 'stopping'
@@ -102,7 +103,8 @@
     ``ended_jobs`` the ended ones by job id, and ``worker_addresses`` the
     addresses by worker id. ``settled_lives`` are the start times of workers
     whose leases orders for earlier incarnations cannot extend any more, by
-    worker id. ``waits`` is what the latest leader that recorded
+    worker id, and ``capacities`` what workers had room for when a leader gave
+    them tasks. ``waits`` is what the latest leader that recorded
     it was waiting for, and ``early_cancels`` are, by job id, the workspaces
     that have cancelled a job before it arrived. ``stopping`` is what jobs that
     have ended may still run, as last recorded. ``unreadable_job_ids`` are the
@@ -116,6 +118,7 @@
         'ended_jobs',
         'worker_addresses',
         'settled_lives',
+        'capacities',
         'waits',
         'early_cancels',
         'stopping',
@@ -134,6 +137,7 @@
         self.ended_jobs: dict[str, EndedJobRecord] = {}
         self.worker_addresses: dict[str, str] = {}
         self.settled_lives: dict[str, int] = {}
+        self.capacities: dict[str, need_module.Need] = {}
         self.waits: WaitsRecord | None = None
         self.early_cancels: dict[str, list[str]] = {}
         self.stopping: StoppingRecord | None = None
@@ -153,6 +157,7 @@
         'jobs',
         'ends',
         'worker_addresses',
+        'capacities',
         'waits',
         'waiters',
         'size_bytes',
@@ -164,8 +169,10 @@
         # By worker id: start time that identifies the worker's incarnation,
         # and the highest number of its run ends that the batch covers.
         self.ends: dict[str, tuple[int, int]] = {}
-        # The addresses by worker id, and the waits, if the batch records them.
+        # The addresses and the capacities by worker id, and the waits, if the
+        # batch records them.
         self.worker_addresses: dict[str, str] | None = None
+        self.capacities: dict[str, need_module.Need] | None = None
         self.waits: WaitsRecord | None = None
         # Resolved once the batch is confirmed.
         self.waiters: list[asyncio.Future[None]] = []
@@ -464,6 +471,13 @@
     batch.put(_SETTLED_LIVES_KEY, msgspec.msgpack.encode(settled_lives))
 
 
+def put_capacities(
+    batch: Batch, capacities: dict[str, need_module.Need]
+) -> None:
+    """Add a record of what workers have room for, by worker id."""
+    batch.put(_CAPACITIES_KEY, msgspec.msgpack.encode(capacities))
+
+
 def put_early_cancel(batch: Batch, job_id: str, workspaces: list[str]) -> None:
     """Add the cancellations of a job that has not arrived, or remove them."""
     batch.put(
@@ -534,6 +548,8 @@
         recovered.worker_addresses = decode(raw, type=dict[str, str])
     elif key == _SETTLED_LIVES_KEY:
         recovered.settled_lives = decode(raw, type=dict[str, decoding.Count])
+    elif key == _CAPACITIES_KEY:
+        recovered.capacities = decode(raw, type=dict[str, need_module.Need])
     elif key == _WAITS_KEY:
         recovered.waits = decode(raw, type=WaitsRecord)
     elif key == _STOPPING_KEY:
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -63,6 +63,8 @@
         'worker_addresses_changed',
         'settled_lives',
         '_settled_lives_changed',
+        'capacities',
+        '_capacities_changed',
     )
 
     def __init__(
@@ -105,6 +107,9 @@
         # Start times of the workers with a settled life, by worker id.
         self.settled_lives: dict[str, int] = {}
         self._settled_lives_changed = False
+        # What the workers have room for, by worker id.
+        self.capacities: dict[str, need_module.Need] = {}
+        self._capacities_changed = False
         # The addresses that the log holds.
         self._confirmed_addresses: dict[str, str] = {}
         self._confirmed_waits: journal_module.WaitsRecord | None = None
@@ -161,6 +166,7 @@
         self.worker_addresses = dict(recovered.worker_addresses)
         self._confirmed_addresses = dict(recovered.worker_addresses)
         self.settled_lives = dict(recovered.settled_lives)
+        self.capacities = dict(recovered.capacities)
         self._confirmed_waits = recovered.waits
         if recovered.waits is not None:
             self._awaited_in_log = set(recovered.waits.remaining_ms)
@@ -192,6 +198,7 @@
         """Tell whether the log has yet to tell of a worker's report."""
         return (
             self.worker_addresses_changed
+            or self._capacities_changed
             or worker.worker_id in self._awaited_in_log
         )
 
@@ -214,6 +221,7 @@
             return
         if worker.has_settled_life and worker.born_wall_ms:
             self._note_settled_life(worker)
+        self._note_capacity(worker)
         address = worker.answered_address
         if self.worker_addresses.get(worker.worker_id) != address:
             self.worker_addresses[worker.worker_id] = address
@@ -227,6 +235,13 @@
             self.settled_lives[worker.worker_id] = worker.born_wall_ms
             self._settled_lives_changed = True
 
+    def _note_capacity(self, worker: worker_module.Worker) -> None:
+        # A later leader bounds by it what may run on a worker that has left.
+        known = self.capacities.get(worker.worker_id)
+        if worker.capacity.cpu_millicores and worker.capacity != known:
+            self.capacities[worker.worker_id] = worker.capacity
+            self._capacities_changed = True
+
     def forget_worker(self, worker: worker_module.Worker) -> None:
         """Have the log not name a worker that certainly has no runs."""
         worker.is_recorded = False
@@ -234,6 +249,9 @@
             self.worker_addresses_changed = True
         if self.settled_lives.pop(worker.worker_id, None) is not None:
             self._settled_lives_changed = True
+        if self.capacities.pop(worker.worker_id, None) is not None:
+            self._capacities_changed = True
+        worker.recorded_capacity = None
 
     def collect(self) -> journal_module.Batch:
         """Return the records of the next append."""
@@ -298,6 +316,10 @@
         if self._settled_lives_changed:
             self._settled_lives_changed = False
             journal_module.put_settled_lives(batch, self.settled_lives)
+        if self._capacities_changed:
+            self._capacities_changed = False
+            journal_module.put_capacities(batch, self.capacities)
+            batch.capacities = dict(self.capacities)
         self._collect_waits(batch)
         self._collect_stopping(batch, wall_ms)
         batch.waiters, self._append_waiters = self._append_waiters, []
@@ -435,6 +457,12 @@
         # Returns whether a worker may get tasks from now on.
         if batch.worker_addresses is not None:
             self._confirmed_addresses = batch.worker_addresses
+        if batch.capacities is not None:
+            for worker_id, capacity in batch.capacities.items():
+                worker = self._state.workers.get(worker_id)
+                if worker is not None:
+                    worker.recorded_capacity = capacity
+                    self._state.freed_workers.add(worker_id)
         if batch.waits is not None:
             self._confirmed_waits = batch.waits
             self._awaited_in_log = set(batch.waits.remaining_ms)
--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -107,9 +107,14 @@
     total = need_module.Need()
     for worker_id in state.awaited_workers:
         worker = state.workers.get(worker_id)
-        if worker is None or not worker.capacity.cpu_millicores:
+        if worker is None:
             return None
-        total = total.plus(worker.capacity)
+        # The entry may be of a later life than the tasks.
+        recorded = worker.recorded_capacity or state_module.NO_NEED
+        capacity = _combine(max, worker.capacity, recorded)
+        if not capacity.cpu_millicores:
+            return None
+        total = total.plus(capacity)
     return total
 
 
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -27,9 +27,10 @@
     worker has an entry there and ``unlisted_since_ms`` since when it has
     none. ``answered_address`` is where it last answered this leader or an
     earlier one; ``is_recorded`` tells whether the log names it there, so that
-    a later leader waits for its report. ``reported`` tells whether a report
-    to this leader has listed all runs and ends of the present incarnation,
-    and ``last_contact_ms`` when the latest report came.
+    a later leader waits for its report, and ``recorded_capacity`` is the
+    capacity that the log tells, None if it tells none. ``reported`` tells
+    whether a report to this leader has listed all runs and ends of the
+    present incarnation, and ``last_contact_ms`` when the latest report came.
     ``unexpected_runs`` are reported runs that must be stopped, as run numbers
     by task name.
 
@@ -62,6 +63,7 @@
         'address',
         'answered_address',
         'is_recorded',
+        'recorded_capacity',
         'pool',
         'rack',
         'failure_domain',
@@ -106,6 +108,7 @@
         self.address = address
         self.answered_address = ''
         self.is_recorded = False
+        self.recorded_capacity: need_module.Need | None = None
         self.pool = pool
         self.rack = rack
         self.failure_domain = failure_domain
@@ -158,6 +161,10 @@
             self.ready
             and self.is_recorded
             and self._has_own_entry
+            and (
+                self.recorded_capacity is None
+                or self.capacity.fits(self.recorded_capacity)
+            )
             and (
                 self.listed
                 or now_ms - self.unlisted_since_ms < _UNLISTED_GRACE_MS
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -72,6 +72,7 @@
             worker.settled_born_wall_ms = self._recorder.settled_lives.get(
                 worker_id, 0
             )
+            worker.recorded_capacity = self._recorder.capacities.get(worker_id)
             worker.is_recorded = not self._recorder.is_awaited_in_log(
                 worker_id
             )
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -291,6 +291,28 @@
         self.submit_other()
         self.assertEqual(2, len(self.plan().starts))
 
+    def test_a_worker_that_has_left_is_bounded_by_the_log(self):
+        """Guard against workspaces that look full after a change of leader.
+
+        A worker without a registry entry made the bound unlimited
+        (kwpa-refunds-large, trouble-3).
+        """
+        self.recover(50)
+        worker = self.add_worker('w9', cpu=0, reported=False)
+        self.submit_other()
+        self.assertEqual([], self.plan().starts)
+        worker.recorded_capacity = workflow.Need(1_000, 100_000)
+        self.state.freed_workspaces.add(cell_case.WORKSPACE)
+        self.assertEqual(2, len(self.plan().starts))
+
+    def test_a_later_entry_does_not_lower_that_bound(self):
+        """Guard against a smaller worker that starts under the same id."""
+        self.recover(50)
+        worker = self.add_worker('w9', cpu=1_000, reported=False)
+        worker.recorded_capacity = workflow.Need(2_000, 100_000)
+        self.submit_other()
+        self.assertEqual(1, len(self.plan().starts))
+
     def test_steps_that_become_ready_unseen_count(self):
         """Guard against a predecessor that is cut off and starts them.
 
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -168,6 +168,24 @@
         self.recorder.apply(self.recorder.collect())
         self.assertEqual(1, len(self.plan().starts))
 
+    def test_a_larger_capacity_is_recorded_before_more_tasks(self):
+        """Guard against tasks that a later leader does not reckon with."""
+        self.recorder.apply(self.recorder.collect())
+        self.recorder.note_report(self.worker)
+        self.recorder.apply(self.recorder.collect())
+        self.assertEqual(
+            {'w1': self.worker.capacity}, self.recorder.capacities
+        )
+        self.worker.capacity = self.worker.capacity.plus(self.worker.capacity)
+        self.recorder.note_report(self.worker)
+        self.assertEqual([], self.plan().starts)
+        # Its lease is renewed all the same.
+        self.assertTrue(self.worker.is_recorded)
+        batch = self.recorder.collect()
+        self.assertEqual({'w1': self.worker.capacity}, batch.capacities)
+        self.recorder.apply(batch)
+        self.assertEqual(1, len(self.plan().starts))
+
     def test_a_draining_worker_without_runs_is_not_named(self):
         """Guard against a later leader that waits for a worker that has left.
 
--- a/tests/test_cell_worker_tracker.py
+++ b/tests/test_cell_worker_tracker.py
@@ -42,6 +42,7 @@
         self.worker_addresses = {}
         self.worker_addresses_changed = False
         self.settled_lives = {}
+        self.capacities = {}
 
     def is_awaited_in_log(self, worker_id):
         return False
