Have the soak run tasks that outlive the lease of a lost worker

Its longest task ran 0.9 s, so that a run on a life that no leader knew of was mostly over before a task could be released too early. A client of its own submits tasks of 7 s.

--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -29,6 +29,9 @@
 _FAULT_PHASE_S = 8.0
 _COMPLETION_TIMEOUT_S = 40.0
 _SUBMIT_PAUSE_S = 0.12
+_LONG_RUN_MS = 7_000
+_LONG_PAUSE_S = (0.5, 1.5)
+_LONG_CLIENT = 0x77
 _REQUEST_TIMEOUT_S = 4.0
 # A confirmed change of the configuration is in force within this time.
 _IN_FORCE_LIMIT_S = 3.0
@@ -155,6 +158,7 @@
             async with asyncio.TaskGroup() as group:
                 for client in range(3):
                     group.create_task(self._submit_jobs(seed, client, end_s))
+                group.create_task(self._submit_long_jobs(seed, end_s))
                 for work in (*faults, self._cut_machines):
                     group.create_task(work(end_s))
                 if refusals.mode == soak_refusals.BESIDE:
@@ -220,6 +224,20 @@
                     await self._submit(session, client_random, job_id, body)
                 await asyncio.sleep(_SUBMIT_PAUSE_S)
 
+    async def _submit_long_jobs(self, seed: int, end_s: float) -> None:
+        # Runs that outlive the lease of a worker that is cut off.
+        chance = random.Random(seed * 41 + 13)
+        number = 0
+        async with httpx.AsyncClient() as session:
+            while time.monotonic() < end_s:
+                number += 1
+                job_id = f'{seed % 0xFFFF:04x}{_LONG_CLIENT:04x}{number:08x}'
+                body = platform_case.make_job(
+                    _LONG_RUN_MS, chance.choice((1, 2))
+                )
+                await self._submit(session, chance, job_id, body)
+                await asyncio.sleep(chance.uniform(*_LONG_PAUSE_S))
+
     async def _submit_copies(
         self,
         session: httpx.AsyncClient,
