Tell in the log which tasks a lost worker gives up

worker_lost told how many tasks were released, not which, and after a restart it counted those as well that the new report still lists. It names the tasks that were released now, and explain shows the line for each of their jobs; runs_reported names tasks and runs apart, so that explain finds it. LogTest follows a start from its id: the life that the leader took the worker for, the clock that answered, the life that listed the run and the one it was lost with.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -395,13 +395,17 @@
                 clock_ms=report.clock_ms,
             )
         previous_end_number = worker.applied_end_number
-        if worker.born_wall_ms != report.born_wall_ms:
-            self._log_loss(
-                worker, list(worker.tasks.values()), loss.Evidence.RESTARTED
-            )
+        is_later_life = worker.born_wall_ms != report.born_wall_ms
+        earlier_tasks = list(worker.tasks.values()) if is_later_life else []
         first_listed = reconcile.unlisted_runs(worker, report)
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
         self._log_runs(worker, report, first_listed)
+        released = [
+            task
+            for task in earlier_tasks
+            if worker.tasks.get(task.name) is not task
+        ]
+        self._log_loss(worker, released, loss.Evidence.RESTARTED)
         self._recorder.note_report(worker)
         speed.check_progress(self.state, worker, now_ms)
         pacing.pace(self.state, worker, now_ms)
@@ -427,7 +431,8 @@
             worker=worker.worker_id,
             born_wall_ms=report.born_wall_ms,
             clock_ms=report.clock_ms,
-            runs=[f'{run.name} run {run.run}' for run in first_listed],
+            tasks=[run.name for run in first_listed],
+            runs=[run.run for run in first_listed],
             unexpected=[
                 run.name
                 for run in first_listed
@@ -522,6 +527,7 @@
             cell_events.WORKER_LOST,
             worker=worker.worker_id,
             tasks=len(tasks),
+            released=[task.name for task in tasks],
             held=len(worker.tasks) - len(tasks),
             evidence=evidence,
             epoch=self.claim.epoch,
--- a/basilspindle/cli/log_timeline.py
+++ b/basilspindle/cli/log_timeline.py
@@ -106,9 +106,10 @@
 def _concerns(fields: log_lines.Fields, job_id: str) -> bool:
     if fields.get('job') == job_id:
         return True
-    tasks = fields.get('tasks')
     names = [fields.get('task'), fields.get('step')]
-    names += tasks if isinstance(tasks, list) else []
+    for part in ('tasks', 'released'):
+        tasks = fields.get(part)
+        names += tasks if isinstance(tasks, list) else []
     return any(
         isinstance(name, str) and name.partition('.')[0] == job_id
         for name in names
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -1,7 +1,9 @@
 """Test what a leader does with workers that start again under their ids."""
 
 import functools
+from unittest import mock
 
+from basilspindle import events
 from tests import lives_case
 from tests.standins import worker_lives
 
@@ -396,6 +398,57 @@
         self.play(steps)
 
 
+class LogTest(lives_case.LivesCase):
+    """Guard what the log tells of a run and the lives of its worker."""
+
+    def test_the_log_tells_which_life_took_a_start(self):
+        """Guard against second runs whose cause cannot be told (issue 43).
+
+        The start is answered by a life that has not reported.
+        """
+        lines = []
+
+        def emit(event, **fields):
+            lines.append((event.name, fields))
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            first = worker.life.born_wall_ms
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            await self.clock.advance_ms(500)
+            play.submit(_JOB)
+            await self.clock.advance_ms(4_000)
+            self.lives = (first, worker.life.born_wall_ms)
+            worker.crash()
+            self.add_spare(play)
+            await self.clock.advance_ms(20_000)
+
+        with mock.patch.object(events, 'emit', emit):
+            self.play(steps)
+        name = f'{_JOB}.0.0.0'
+        first, second = self.lives
+        sent, answered, listed = (
+            next(fields for line, fields in lines if line == wanted)
+            for wanted in ('task_started', 'start_answered', 'runs_reported')
+        )
+        [lost] = [fields for line, fields in lines if line == 'worker_lost']
+        self.assertEqual((name, first), (sent['task'], sent['born_wall_ms']))
+        self.assertEqual(
+            (name, 'runs'), (answered['task'], answered['outcome'])
+        )
+        self.assertEqual(first, answered['born_wall_ms'])
+        # Another clock than that of the life it was sent to.
+        self.assertLess(answered['clock_ms'], 3_000_000)
+        self.assertGreater(answered['expected_clock_ms'], 5_000_000)
+        self.assertEqual(([name], [1]), (listed['tasks'], listed['runs']))
+        self.assertEqual(second, listed['born_wall_ms'])
+        self.assertLess(listed['clock_ms'], 3_000_000)
+        self.assertEqual([name], lost['released'])
+        self.assertEqual(second, lost['born_wall_ms'])
+
+
 class LostWorkerTest(lives_case.LivesCase):
     """Guard tasks of a worker that is lost and does not come back."""
 
