--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -1,8 +1,8 @@
 """Track a worker's clock and the expiry of its lease."""
 
 # An order without an answer may be carried out until this long after it was
-# sent, also by a later incarnation. The users' page says seconds; waits of
-# 14 s, with the longest lease, are the most that tasks of lost workers bear.
+# sent, also by a later incarnation. The platform says "seconds". Tasks that a
+# lost worker may run wait for this time and its longest lease, 10 s.
 LATE_ORDER_MS = 4_000
 # Lowest rate of a worker's clock relative to the leader's.
 _MIN_CLOCK_RATE = 0.98
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -42,7 +42,8 @@
 _START_RETRY_LIMIT_MS = 1_500
 _ORDER_TIMEOUT_MS = 350
 _MAX_STOP_ATTEMPTS = 6
-# So many renewals without an answer in a row carry a deadline.
+# So many renewals without an answer in a row carry a deadline: one may be
+# lost, and each may extend the lease of a life that has not reported.
 _MAX_UNANSWERED_GRANTS = 2
 # A worker whose report could not be applied gets no new tasks for this long.
 _FAULT_PAUSE_MS = 2_000
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -36,15 +36,15 @@
 
     ``used`` are the resources of ``tasks``, and ``reserved`` those kept free
     for waiting steps. ``born_wall_ms``, the start time of the worker,
-    identifies its incarnation, which numbers its run ends, and
-    ``entry_born_wall_ms`` the one that wrote the entry, 0 if it is not known:
+    identifies its incarnation, which numbers its run ends:
     ``applied_end_number`` is the number of the latest end that was applied,
     ``recorded_end_number`` that of the latest one in the log.
-    ``has_settled_life`` tells whether no order for an earlier incarnation can
-    extend the lease of this one any more, and ``settled_born_wall_ms`` names
-    the incarnation of which the log told so when this leader began.
-    ``earlier_orders_until_ms`` is until when orders of an earlier session may
-    arrive, None if there was none.
+    ``entry_born_wall_ms`` is the start time in the registry entry, 0 if it has
+    none. ``has_settled_life`` tells whether no order for an earlier
+    incarnation can extend the lease of this one any more, and
+    ``settled_born_wall_ms`` names the incarnation of which the log told so
+    when this leader began. ``earlier_orders_until_ms`` is until when orders of
+    an earlier session may arrive, None if there was none.
 
     ``slowness`` is the ratio of task durations here to those elsewhere,
     ``lag`` the same ratio for the tasks that run at present, and
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -14,6 +14,8 @@
 from basilspindle import events
 
 _REFRESH_INTERVAL_MS = 700
+# Longer than orders to a dropped worker may be late and their leases last.
+_LATE_ORDERS_KEPT_MS = 60_000
 # Other work of the leader runs after each so many new workers: 3,000 at once
 # took 90 ms of an idle processor core, and pings have to be answered.
 _ADDED_AT_ONCE = 100
@@ -168,9 +170,16 @@
         session = self.sessions.pop(worker.worker_id, None)
         if session is not None:
             session.close()
-            self._dropped_ms[worker.worker_id] = self._clock.now_ms()
+            self._note_dropped(worker.worker_id)
         self._recorder.forget_worker(worker)
 
+    def _note_dropped(self, worker_id: str) -> None:
+        now_ms = self._clock.now_ms()
+        for other_id, dropped_ms in list(self._dropped_ms.items()):
+            if now_ms - dropped_ms > _LATE_ORDERS_KEPT_MS:
+                del self._dropped_ms[other_id]
+        self._dropped_ms[worker_id] = now_ms
+
     def close(self) -> None:
         """Close all sessions and let the leases of the workers expire."""
         for session in self.sessions.values():
