Release only tasks that are still at a silent worker

A task that had moved to another worker meanwhile would have been released there, and started once more.

Test: test_only_tasks_that_are_still_there_are_released, which failed before.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -508,9 +508,13 @@
         Others may go on at a life of it that has not reported.
         """
         worker = session.worker
-        self._log_loss(worker, tasks, loss.Evidence.LEASE)
+        # One may have left while the session waited for the store.
+        present = [
+            task for task in tasks if worker.tasks.get(task.name) is task
+        ]
+        self._log_loss(worker, present, loss.Evidence.LEASE)
         worker.reported = False
-        self.state.requeue_tasks(tasks)
+        self.state.requeue_tasks(present)
         self._send_orders()
         self._schedule_plan()
 
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -196,7 +196,7 @@
         self._orders_until_ms = 0
         # When the latest order with a deadline was sent.
         self._lease_sent_ms = 0
-        # Number of renewals sent since the last answer to one.
+        # Number of renewals with a deadline that got no answer in a row.
         self._unanswered_renewals = 0
         # When no order for an earlier life can extend the lease any more.
         self._settled_at_ms = 0
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -16,6 +16,7 @@
 from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
+from basilspindle.workflow import task_state
 from tests import cell_case
 
 _JOB = '00000000000000aa'
@@ -75,6 +76,38 @@
         self.assertEqual(1, fields['epoch'])
         self.assertEqual(6_000, fields['confirmed_age_ms'])
 
+    def test_only_tasks_that_are_still_there_are_released(self):
+        """Guard against a second start of a task that has moved meanwhile.
+
+        The session waited for the store before it gave up the tasks.
+        """
+        state = self.leader.state
+        workers = [
+            worker_module.Worker(
+                name,
+                f'{name}:1',
+                '',
+                '',
+                '',
+                frozenset(),
+                state_module.NO_NEED,
+            )
+            for name in ('w1', 'w2')
+        ]
+        for worker in workers:
+            state.workers[worker.worker_id] = worker
+        job = self.leader._intake.submit(
+            cell_case.make_definition(_JOB, cell_case.make_step(2)), 0
+        )
+        moved, left = job.runs[0, 0].tasks
+        state.occupy(moved, workers[1], 2, task_state.TaskState.RUNNING)
+        state.occupy(left, workers[0], 1, task_state.TaskState.RUNNING)
+        session = mock.Mock(worker=workers[0])
+        with mock.patch.object(self.leader, '_schedule_plan'):
+            self.leader.lose_tasks(session, [moved, left])
+        self.assertEqual('w2', moved.worker_id)
+        self.assertEqual('', left.worker_id)
+
 
 class LostLeadershipTest(LeaderCase):
     """Guard what follows the answer that a leader has stepped down.
