Count the tasks that a silent worker holds back

It counts the tasks that stay with the worker.

Test: test_the_log_counts_the_tasks_that_are_held_back.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -532,7 +532,7 @@
             worker=worker.worker_id,
             tasks=len(tasks),
             released=[task.name for task in tasks],
-            held=len(worker.tasks) - len(tasks),
+            held=sum(task not in tasks for task in worker.tasks.values()),
             evidence=evidence,
             epoch=self.claim.epoch,
             confirmed_age_ms=self._confirmation.age_ms,
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -445,7 +445,7 @@
         self.assertEqual(([name], [1]), (listed['tasks'], listed['runs']))
         self.assertEqual(second, listed['born_wall_ms'])
         self.assertLess(listed['clock_ms'], 3_000_000)
-        self.assertEqual([name], lost['released'])
+        self.assertEqual(([name], 0), (lost['released'], lost['held']))
         self.assertEqual(second, lost['born_wall_ms'])
 
 
@@ -482,6 +482,31 @@
         # A lease on a slow clock, and at most one attempt and one pause.
         self.assertLess(self.restarted_ms(prepare), 5_103 + 2_100)
 
+    def test_the_log_counts_the_tasks_that_are_held_back(self):
+        """Guard against a wrong number after a restart and after a loss."""
+        lines = []
+
+        def emit(event, **fields):
+            if event.name == 'worker_lost':
+                lines.append((fields['tasks'], fields['held']))
+
+        async def steps(play):
+            await self.clock.advance_ms(1_000)
+            [worker] = self.workers
+            play.submit(_JOB, 2)
+            await self.clock.advance_ms(1_500)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            await self.clock.advance_ms(4_000)
+            worker.fate = lambda call: worker_lives.LOST
+            play.submit(_OTHER_JOB)
+            await self.clock.advance_ms(30_000)
+
+        with mock.patch.object(events, 'emit', emit):
+            self.play(steps)
+        self.assertEqual((2, 0), lines[0])
+        self.assertEqual([(2, 1), (1, 0)], lines[1:3])
+
     def test_other_runs_do_not_wait_for_a_start_without_an_answer(self):
         """Guard against one start that holds all tasks of a lost worker."""
 
