--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -4,6 +4,7 @@
 import collections
 import os
 import pathlib
+import re
 import signal
 import sys
 import tempfile
@@ -75,6 +76,16 @@
         self.log_path = folder / f'{node}.log'
         self.process: asyncio.subprocess.Process | None = None
 
+    def set_max_lease_ms(self, max_lease_ms: int) -> None:
+        """Set the longest lease of workers, before the process starts."""
+        self._path.write_text(
+            re.sub(
+                'hold_max_ms = .*',
+                f'hold_max_ms = {max_lease_ms}',
+                self._path.read_text(),
+            )
+        )
+
     async def start(self) -> None:
         """Start the process."""
         with self.log_path.open('ab') as log:
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -62,7 +62,9 @@
         self.server = server_module.Server(self._handle)
         late_random = random.Random(worker_id)
         self.server.late_s = lambda: late_random.uniform(*_LATE_S)
+        self.max_lease_ms = _MAX_LEASE_MS
         self._lives = 0
+        self._clock_name = worker_id
         self._begin_life()
 
     def _begin_life(self) -> None:
@@ -78,9 +80,13 @@
         # The steady clock of a life begins anywhere, also behind that of the
         # life before.
         self._lives += 1
-        name = f'{self.worker_id}/{self._lives}'
+        name = f'{self._clock_name}/{self._lives}'
         self._first_clock_ms = zlib.crc32(name.encode()) % _MAX_CLOCK_MS
 
+    def draw_clocks(self, name: str) -> None:
+        """Let the clocks of the later lives begin at times drawn by a name."""
+        self._clock_name = name
+
     def age(self, age_s: float) -> None:
         """Count this life as that much older."""
         self._started_s -= age_s
@@ -247,7 +253,7 @@
 
     def _extend_lease(self, body: dict[str, object]) -> None:
         deadline_ms = min(
-            int(str(body['deadline_ms'])), self._clock_ms + _MAX_LEASE_MS
+            int(str(body['deadline_ms'])), self._clock_ms + self.max_lease_ms
         )
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
 
