Acknowledge no end while its run may still come again

What is not acknowledged is lost with the life, so that no end counts as noted which such an attempt can follow. An end whose run has an unanswered attempt is now acknowledged, with those after it, only once that attempt cannot be carried out any more; the job goes on at once.

--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -1,5 +1,6 @@
 """Apply the end of a run to its task and job."""
 
+from basilspindle.cell import lease_clock
 from basilspindle.cell import report as report_module
 from basilspindle.cell import speed
 from basilspindle.cell import state as state_module
@@ -40,6 +41,11 @@
         # No leader has started it, and no run could follow it.
         return None
     current = worker.tasks.get(end.name) is task and task.run == end.run
+    if current and task.unanswered_start_ms:
+        # A later life of the worker may run it again until then.
+        worker.held_ends[end.number] = (
+            task.unanswered_start_ms + lease_clock.LATE_ORDER_MS
+        )
     task.ended_run = max(task.ended_run, end.run)
     task.run = max(task.run, end.run)
     if end.checkpoint and end.run == task.run:
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -29,6 +29,7 @@
         # released below. Those that it lists were accepted by the new one.
         worker.born_wall_ms = report.born_wall_ms
         worker.applied_end_number = worker.recorded_end_number = 0
+        worker.held_ends.clear()
         worker.reported = False
     # Until a report lists everything, the rest may hold the ends of tasks
     # that this leader would start.
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -343,7 +343,7 @@
         sent_ms = self._clock.now_ms()
         deadline_ms = self._renewal_deadline_ms(sent_ms)
         recorded = worker.applied_end_number == worker.recorded_end_number
-        acknowledged_end_number = self._acknowledgeable_end_number()
+        acknowledged_end_number = self._acknowledgeable_end_number(sent_ms)
         lacks_acknowledgement = (
             max(acknowledged_end_number, self._acknowledged_end_number)
             != worker.recorded_end_number
@@ -475,16 +475,17 @@
     async def _is_confirmed(self, at_ms: int) -> bool:
         return await self._owner.wait_confirmed(at_ms, _CONFIRM_WAIT_MS)
 
-    def _acknowledgeable_end_number(self) -> int:
+    def _acknowledgeable_end_number(self, now_ms: int) -> int:
         # End numbers start anew with each incarnation, and the call names
         # only the id of the worker. One that has restarted under its id would
         # forget the ends of runs that it has accepted since.
         if self._open_starts or not self._is_life_certain:
             return 0
-        if self.worker.recorded_end_number == self._acknowledged_end_number:
+        number = self.worker.acknowledgeable_end_number(now_ms)
+        if number <= self._acknowledged_end_number:
             # Nothing to forget: a repeat could only reach a later life.
             return 0
-        return self.worker.recorded_end_number
+        return number
 
     def _renewal_deadline_ms(self, now_ms: int) -> int | None:
         # A later leader would not wait for a lease of a worker that the log
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -38,7 +38,8 @@
     for waiting steps. ``born_wall_ms``, the start time of the worker,
     identifies its incarnation, which numbers its run ends:
     ``applied_end_number`` is the number of the latest end that was applied,
-    ``recorded_end_number`` that of the latest one in the log.
+    ``recorded_end_number`` that of the latest one in the log. ``held_ends``
+    are the numbers of ends that are not to be acknowledged, and until when.
     ``entry_born_wall_ms`` is the start time in the registry entry, 0 if it has
     none. ``has_settled_life`` tells whether no order for an earlier
     incarnation can extend the lease of this one any more, and
@@ -79,6 +80,7 @@
         'born_wall_ms',
         'applied_end_number',
         'recorded_end_number',
+        'held_ends',
         'entry_born_wall_ms',
         'has_settled_life',
         'settled_born_wall_ms',
@@ -124,6 +126,7 @@
         self.born_wall_ms = 0
         self.applied_end_number = 0
         self.recorded_end_number = 0
+        self.held_ends: dict[int, int] = {}
         self.entry_born_wall_ms = 0
         self.has_settled_life = False
         self.settled_born_wall_ms = 0
@@ -185,6 +188,14 @@
             or self.entry_born_wall_ms == self.born_wall_ms
         )
 
+    def acknowledgeable_end_number(self, now_ms: int) -> int:
+        """Return up to which number the worker may forget its ends."""
+        for number, until_ms in list(self.held_ends.items()):
+            if until_ms < now_ms:
+                del self.held_ends[number]
+        first_held = min(self.held_ends, default=self.recorded_end_number + 1)
+        return min(self.recorded_end_number, first_held - 1)
+
     def record_unanswered_start(self) -> None:
         """Raise the failure score for a start that was not answered."""
         self.failure_score += 1.0
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -180,6 +180,54 @@
         self.play(steps)
         self.check_runs()
 
+    def test_an_earlier_attempt_may_arrive_after_the_run_was_done(self):
+        """Guard against an end that is noted while its run may come again.
+
+        The next life carries out an attempt without an answer after the run
+        has ended (seeds 155 and 217 of test_lives_interleaving).
+        """
+        self.run_ms = 400
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            fates = [2_500]
+            worker.fate = lambda call: (
+                fates.pop() if call == 'start' and fates else worker_lives.OK
+            )
+            play.submit(_JOB)
+            await self.clock.advance_ms(1_200)
+            self.assertIn('done', [row[1] for row in worker.history])
+            worker.crash()
+            await self.clock.advance_ms(200)
+            worker.begin_life(_BEHIND_MS)
+            worker.fate = lambda call: worker_lives.LOST
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+
+    def test_ends_are_noted_once_no_earlier_attempt_may_arrive(self):
+        """Guard against ends that are listed for ever."""
+        self.run_ms = 400
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            fates = [worker_lives.LOST]
+            worker.fate = lambda call: (
+                fates.pop() if call == 'start' and fates else worker_lives.OK
+            )
+            play.submit(_JOB)
+            await self.clock.advance_ms(1_200)
+            play.submit(_OTHER_JOB)
+            await self.clock.advance_ms(2_500)
+            self.assertEqual(2, len(worker.life.ended))
+            await self.clock.advance_ms(2_000)
+            self.assertEqual([], worker.life.ended)
+
+        self.play(steps)
+
     def test_a_life_gets_no_tasks_while_an_acknowledgement_may_arrive(self):
         """Guard against the end of a run that is forgotten unread.
 
