Hold a task whose ended run may still come again

A task whose run ends other than done keeps its place on the worker while an attempt at that run may be carried out, like one whose run is not listed: its stop is ordered again, which also reaches the next life, and a report that was asked for 4 s after the attempt releases it. Attempts that are that old when a report is asked for are forgotten before its ends are applied, so that no task is held for them.

--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -41,7 +41,8 @@
         # No leader has started it, and no run could follow it.
         return None
     current = worker.tasks.get(end.name) is task and task.run == end.run
-    if current and task.unanswered_start_ms:
+    may_come_again = current and task.unanswered_start_ms > 0
+    if may_come_again:
         # A later life of the worker may run it again until then.
         worker.held_ends[end.number] = (
             task.unanswered_start_ms + lease_clock.LATE_ORDER_MS
@@ -65,7 +66,9 @@
             _attribute_failure(state, worker, task.step_run.job, now_ms)
         task.avoided_worker_ids.add(worker.worker_id)
         _count_failure(state, task, end)
-    if current:
+    if may_come_again and task.state is not _State.DONE:
+        _hold(task, now_ms)
+    elif current:
         state.release(task)
     if task.step_run.step.gang and end.kind in _STOPS_GANG:
         state.stop_gang(task.step_run)
@@ -73,6 +76,16 @@
     return task
 
 
+def _hold(task: task_module.Task, now_ms: int) -> None:
+    # The next life of the worker would know neither this end nor the stops.
+    # A report that is asked for later releases the task.
+    if task.state is _State.STARTING:
+        # The outcome of the start is not known yet.
+        return
+    task.state = _State.STOPPING
+    task.started_ms = now_ms
+
+
 def apply_recorded_end(
     state: state_module.CellState, end: report_module.RunEnd, now_ms: int
 ) -> None:
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -35,12 +35,12 @@
     # that this leader would start.
     is_first_report = report.is_full and not worker.reported
     has_ends = False
+    _forget_late_attempts(worker, sent_ms)
     for end in report.ends:
         if end.number > worker.applied_end_number:
             ends_module.apply_end(state, worker, end, now_ms)
             worker.applied_end_number = end.number
             has_ends = True
-    _forget_late_attempts(worker, sent_ms)
     _apply_running(state, worker, report, now_ms)
     if report.is_full:
         _release_missing(state, worker, report, sent_ms)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -228,6 +228,43 @@
 
         self.play(steps)
 
+    def test_an_earlier_attempt_may_arrive_after_the_run_was_stopped(self):
+        """Guard against a task that starts elsewhere after its stop.
+
+        Only the life that stopped it knows of the stop (seed 207 of
+        test_lives_interleaving).
+        """
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            fates = [worker_lives.ANSWER_LOST, 3_900]
+
+            def fate(call):
+                if call == 'start' and fates:
+                    return fates.pop()
+                return worker_lives.OK if call == 'stop' else worker_lives.LOST
+
+            worker.fate = fate
+            # The renewal that was under way lists no run.
+            await self.clock.advance_ms(1_000)
+            play.submit(_JOB)
+            await self.clock.advance_ms(600)
+            self.assertTrue(worker.life.runs)
+            play.leader.state.workers['w1'].ready = False
+            self.add_spare(play)
+            await self.clock.advance_ms(1_600)
+            worker.fate = lambda call: worker_lives.OK
+            await self.clock.advance_ms(1_000)
+            self.assertIn('stopped', [row[1] for row in worker.history])
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            worker.fate = lambda call: worker_lives.LOST
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+
     def test_a_life_gets_no_tasks_while_an_acknowledgement_may_arrive(self):
         """Guard against the end of a run that is forgotten unread.
 
