Acknowledge ends apart from starts and waits

A renewal with an acknowledgement now waits for nothing, so that it is open for one round trip, and starts wait for it. After one without an answer the worker gets no starts until it cannot arrive any more, or until the next report of the same life shows that it did. A refusal no longer shortens such a pause.

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -154,6 +154,8 @@
         '_unanswered_renewals',
         '_settled_at_ms',
         '_acknowledgement_until_ms',
+        '_unanswered_end_number',
+        '_acknowledged',
     )
 
     def __init__(
@@ -202,6 +204,11 @@
         self._settled_at_ms = 0
         # Until when an acknowledgement that got no answer may arrive.
         self._acknowledgement_until_ms = 0
+        # The number that the latest one carried, 0 once a report came.
+        self._unanswered_end_number = 0
+        # Cleared while an acknowledgement is under way.
+        self._acknowledged = asyncio.Event()
+        self._acknowledged.set()
 
     def open(self) -> None:
         """Start to renew the lease."""
@@ -350,6 +357,11 @@
         )
         wait_ms = self._renewal_wait_ms(deadline_ms, recorded)
         self._is_life_certain = False
+        if acknowledged_end_number or self._unanswered_end_number:
+            # Starts wait for the answer.
+            wait_ms = 0
+        if acknowledged_end_number:
+            self._acknowledged.clear()
         try:
             report = await self._orders.renew(
                 address,
@@ -382,10 +394,12 @@
             if acknowledged_end_number and not isinstance(
                 error, errors.WorkerUnavailable
             ):
-                self._acknowledgement_until_ms = (
-                    sent_ms + lease_clock.LATE_ORDER_MS
+                self._note_unanswered_acknowledgement(
+                    acknowledged_end_number, sent_ms
                 )
             return error.message
+        finally:
+            self._acknowledged.set()
         now_ms = self._clock.now_ms()
         self._unanswered_renewals = 0
         self._replaced_since_ms = None
@@ -407,10 +421,6 @@
             self._has_unconfirmed_life = True
             self._life_heard_ms = now_ms
             self._acknowledged_end_number = 0
-            # It would forget ends of this life that no report has listed.
-            worker.suspect_until_ms = max(
-                worker.suspect_until_ms, self._acknowledgement_until_ms
-            )
             self._lease.begin_life(
                 report.clock_ms, now_ms, max(held_ms, self._lease_ms)
             )
@@ -422,6 +432,8 @@
                 self._acknowledged_end_number, acknowledged_end_number
             )
             self._lease.observe(report.clock_ms, now_ms)
+            self._settle_acknowledgement(report, now_ms)
+        self._unanswered_end_number = 0
         worker.answered_address = address
         if self._has_unconfirmed_life:
             # A successor may have noted ends of the life before this one,
@@ -447,6 +459,29 @@
             await self._clock.sleep_ms(_UNRECORDED_PAUSE_MS)
         return None
 
+    def _note_unanswered_acknowledgement(
+        self, end_number: int, sent_ms: int
+    ) -> None:
+        # A later life that carries it out forgets ends that no report has
+        # listed.
+        worker = self.worker
+        self._unanswered_end_number = end_number
+        self._acknowledgement_until_ms = sent_ms + lease_clock.LATE_ORDER_MS
+        worker.suspect_until_ms = max(
+            worker.suspect_until_ms, self._acknowledgement_until_ms
+        )
+
+    def _settle_acknowledgement(
+        self, report: report_module.Report, now_ms: int
+    ) -> None:
+        # Nothing else can have removed these ends.
+        number = self._unanswered_end_number
+        if not number or any(end.number <= number for end in report.ends):
+            return
+        if self.worker.suspect_until_ms == self._acknowledgement_until_ms:
+            self.worker.suspect_until_ms = now_ms
+        self._acknowledgement_until_ms = 0
+
     def _note_unanswered_order(self, sent_ms: int) -> None:
         self._orders_until_ms = max(
             self._orders_until_ms, sent_ms + lease_clock.LATE_ORDER_MS
@@ -531,8 +566,9 @@
         while True:
             self._open_starts += 1
             attempts += 1
-            sent_ms = self._clock.now_ms()
             try:
+                await self._acknowledged.wait()
+                sent_ms = self._clock.now_ms()
                 answer = await self._try_start(order, address, payload)
             finally:
                 self._open_starts -= 1
@@ -598,6 +634,10 @@
             return start_outcome.StartAnswer(
                 start_outcome.StartOutcome.NOT_SENT
             )
+        if self._clock.now_ms() < self._acknowledgement_until_ms:
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
         if self._owner.end_if_expired():
             return start_outcome.StartAnswer(
                 start_outcome.StartOutcome.NOT_SENT
--- a/basilspindle/cell/starts.py
+++ b/basilspindle/cell/starts.py
@@ -3,6 +3,7 @@
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import start_outcome
 from basilspindle.cell import state as state_module
+from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import task_state
 
 _Outcome = start_outcome.StartOutcome
@@ -53,7 +54,7 @@
         if run.step.gang:
             state.stop_gang(run)
         if worker is not None:
-            worker.suspect_until_ms = now_ms + _REFUSAL_BACKOFF_MS
+            _back_off(worker, now_ms)
             worker.record_unanswered_start()
         return
     if outcome not in _NEVER_STARTED:
@@ -63,7 +64,7 @@
         if ticket is not None:
             ticket.expires_ms = 0
     elif worker is not None:
-        worker.suspect_until_ms = now_ms + _REFUSAL_BACKOFF_MS
+        _back_off(worker, now_ms)
     # The run was never started, but its number is not reused.
     task.ended_run = max(task.ended_run, order.run)
     state.release(task)
@@ -71,6 +72,13 @@
         state.stop_gang(run)
 
 
+def _back_off(worker: worker_module.Worker, now_ms: int) -> None:
+    # It may get no tasks for longer, for another reason.
+    worker.suspect_until_ms = max(
+        worker.suspect_until_ms, now_ms + _REFUSAL_BACKOFF_MS
+    )
+
+
 def apply_stop_ack(
     state: state_module.CellState,
     order: orders_module.StopOrder,
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -308,6 +308,29 @@
         names = {row[2] for row in self.workers[0].history}
         self.assertIn(f'{_OTHER_JOB}.0.0.1', names)
 
+    def test_an_acknowledgement_that_arrived_holds_no_tasks_back(self):
+        """Guard against a pause after each answer that is lost."""
+        self.run_ms = 400
+
+        async def steps(play):
+            [worker] = self.workers
+            play.submit(_JOB, 4)
+            await self.clock.advance_ms(350)
+            fates = [worker_lives.ANSWER_LOST]
+            worker.fate = lambda call: (
+                fates.pop()
+                if call == 'renew' and worker.life.ended and fates
+                else worker_lives.OK
+            )
+            await self.clock.advance_ms(150)
+            self.assertFalse(fates)
+            play.submit(_OTHER_JOB)
+            await self.clock.advance_ms(1_500)
+            self.assertEqual('done', worker.history[-1][1])
+            self.assertEqual(f'{_OTHER_JOB}.0.0.0', worker.history[-1][2])
+
+        self.play(steps)
+
     def test_a_late_acknowledgement_may_reach_a_life_before_it_reports(self):
         """Guard against the end of a run that is forgotten unread."""
         self.run_ms = 400
