Kill leaders at any moment of a restart; state which ends are held

The run of workers that start again killed the leader only between their return and the cut. It does so from before their power loss until the cut holds.

--- a/tests/restarts_case.py
+++ b/tests/restarts_case.py
@@ -32,6 +32,8 @@
 _DOWN_S = (0.2, 1.0)
 _UP_S = (0.8, 2.5)
 _CUT_S = (6.0, 9.0)
+# From before the power loss until the cut holds.
+_KILL_S = (0.0, 6.0)
 # From a disruption of calls until the power loss, at most.
 _LATE_CALLS_S = (0.3, 2.0)
 _LATE_SHARE = 0.3
@@ -54,6 +56,7 @@
         # All that daemons and workers exchange passes through this process.
         asyncio.get_running_loop().set_debug(False)
         self.chance = random.Random(self.seed)
+        self.kill_chance = random.Random(f'{self.seed}/kills')
         self.max_lease_ms = self.chance.choice(_LEASES_MS)
         self.accepted: list[str] = []
         await super().asyncSetUp()
@@ -99,7 +102,10 @@
         chance = self.chance
         workers = self.workers[: len(self.workers) // 2]
         has_late_calls = chance.random() < 0.5
-        kills = bool((self.seed + number) % 2)
+        killing = None
+        if (self.seed + number) % 2:
+            delay_s = self.kill_chance.uniform(*_KILL_S)
+            killing = asyncio.ensure_future(self._kill_leader(delay_s))
         if has_late_calls:
             self._delay_calls(workers)
             await asyncio.sleep(chance.uniform(*_LATE_CALLS_S))
@@ -109,13 +115,7 @@
             await self._restart(workers)
         if has_late_calls and chance.random() < 0.5:
             self._delay_calls(workers)
-        up_s = chance.uniform(*_UP_S)
-        kill_s = up_s * chance.random()
-        await asyncio.sleep(kill_s)
-        leader = self.leader()
-        if kills:
-            await leader.kill()
-        await asyncio.sleep(up_s - kill_s)
+        await asyncio.sleep(chance.uniform(*_UP_S))
         cut = self.network.cut(
             [worker.worker_id for worker in workers],
             [platform.STORE, *(daemon.node for daemon in self.daemons)],
@@ -130,10 +130,17 @@
         for worker in workers:
             worker.server.fault = lambda request: ''
         await self.network.heal(cut)
-        if kills:
+        if killing is not None:
+            leader = await killing
             await leader.start()
             await self.wait_ready(leader)
 
+    async def _kill_leader(self, delay_s: float) -> platform_case.Daemon:
+        await asyncio.sleep(delay_s)
+        leader = self.leader()
+        await leader.kill()
+        return leader
+
     async def _restart(self, workers: list[platform.StandinWorker]) -> None:
         for worker in workers:
             worker.lose_power()
