Tell in the log how long an end is held

An operator saw no reason why the end of a run was listed again and again, or why its task waited: an attempt at the start had no answer. task_ended tells for how long its end is held (held_ms); LogTest has the case.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -457,8 +457,15 @@
                     run=end.run,
                     how=end.kind,
                     born_wall_ms=report.born_wall_ms,
+                    held_ms=self._held_ms(worker, end),
                 )
 
+    def _held_ms(
+        self, worker: worker_module.Worker, end: report_module.RunEnd
+    ) -> int:
+        until_ms = worker.held_ends.get(end.number, 0)
+        return max(0, until_ms - self._clock.now_ms())
+
     def handle_start_outcome(
         self,
         order: orders_module.StartOrder,
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -556,6 +556,32 @@
         self.assertEqual(([name], 0), (lost['released'], lost['held']))
         self.assertEqual(second, lost['born_wall_ms'])
 
+    def test_the_log_tells_how_long_an_end_is_held(self):
+        """Guard against waits whose reason cannot be told."""
+        self.run_ms = 400
+        held = []
+
+        def emit(event, **fields):
+            if event.name == 'task_ended':
+                held.append(fields['held_ms'])
+
+        async def steps(play):
+            [worker] = self.workers
+            fates = [worker_lives.LOST]
+            worker.fate = lambda call: (
+                fates.pop() if call == 'start' and fates else worker_lives.OK
+            )
+            play.submit(_JOB)
+            await self.clock.advance_ms(1_200)
+            play.submit(_OTHER_JOB)
+            await self.clock.advance_ms(1_200)
+
+        with mock.patch.object(events, 'emit', emit):
+            self.play(steps)
+        [first, second] = held
+        self.assertTrue(2_500 < first < 4_000, first)
+        self.assertEqual(0, second)
+
 
 class LostWorkerTest(lives_case.LivesCase):
     """Guard tasks of a worker that is lost and does not come back."""
