Hold an end for an attempt that is under way when it is listed

The attempt was not noted, as the task had left the worker, and the start was repeated for up to 1.5 s for a task that was done.

Attempts end once their task has left, and one without an answer holds back all ends that are not acknowledged yet.

test_an_attempt_may_be_under_way_when_its_run_is_done failed before (run 1 starts again, 'was done').

--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -65,6 +65,11 @@
 )
 
 
+def _is_at_worker(order: orders_module.StartOrder) -> bool:
+    task = order.task
+    return task.run == order.run and task.worker_id == order.worker_id
+
+
 class SessionOwner(typing.Protocol):
     """Receiver of what a session learns about its worker."""
 
@@ -582,7 +587,7 @@
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
             has_unanswered = True
-            if spent_ms > _START_RETRY_LIMIT_MS:
+            if spent_ms > _START_RETRY_LIMIT_MS or not _is_at_worker(order):
                 break
         if outcome is not start_outcome.StartOutcome.NOT_SENT:
             events.emit(
@@ -618,9 +623,15 @@
         sent_ms: int,
     ) -> None:
         task = order.task
-        if task.run != order.run or task.worker_id != order.worker_id:
+        is_unanswered = answer.outcome is start_outcome.StartOutcome.UNKNOWN
+        if not _is_at_worker(order):
+            if is_unanswered:
+                # Its run may have ended meanwhile, at whatever number.
+                self.worker.held_ends[self._acknowledged_end_number + 1] = (
+                    sent_ms + lease_clock.LATE_ORDER_MS
+                )
             return
-        if answer.outcome is start_outcome.StartOutcome.UNKNOWN:
+        if is_unanswered:
             task.unanswered_start_ms = sent_ms
         else:
             task.answered_ms = self._clock.now_ms()
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -207,6 +207,37 @@
         self.play(steps)
         self.check_runs()
 
+    def test_an_attempt_may_be_under_way_when_its_run_is_done(self):
+        """Guard against an end that is noted before the last attempt is late.
+
+        The first attempt is carried out, the second one is under way when
+        the run ends.
+        """
+        self.run_ms = 400
+
+        async def steps(play):
+            await self.clock.advance_ms(2_000)
+            [worker] = self.workers
+            fates = [3_900, 3_900, 3_900, 3_900, 100]
+            worker.fate = lambda call: (
+                fates.pop() if call == 'start' and fates else worker_lives.OK
+            )
+            begun_ms = self.clock.now_ms()
+            play.submit(_JOB)
+            await self.clock.advance_ms(700)
+            self.assertIn('done', [row[1] for row in worker.history])
+            # The end could be noted from 4 s after the first attempt on.
+            await self.clock.advance_ms(begun_ms + 4_250 - self.clock.now_ms())
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            worker.fate = lambda call: worker_lives.LOST
+            await self.clock.advance_ms(25_000)
+
+        self.play(steps)
+        self.check_runs()
+        names = [row[1] for row in self.workers[0].history]
+        self.assertEqual(2, names.count('start'))
+
     def test_ends_are_noted_once_no_earlier_attempt_may_arrive(self):
         """Guard against ends that are listed for ever."""
         self.run_ms = 400
