--- a/basilspindle/cell/advice_calls.py
+++ b/basilspindle/cell/advice_calls.py
@@ -143,8 +143,10 @@
         )
         if isinstance(reply, messages.Advised):
             return ports.AdviceResult(reply.tickets, reply.valid_ms)
+        reason = reply.text if isinstance(reply, messages.Refused) else reply
         raise errors.Overloaded(
-            'the daemon that was asked got no advice; ask another daemon'
+            f'the daemon that was asked got no advice ({reason}); ask another '
+            'daemon'
         )
 
     def _fail(self, order: orders_module.AdviceRequest, reason: str) -> None:
--- a/tests/test_cell_advisers.py
+++ b/tests/test_cell_advisers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from basilspindle.cell import advice_calls
 from basilspindle.cell import advisers
+from basilspindle.cell import messages
 from basilspindle.cell import orders as orders_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
+from basilspindle import events
 from tests import cell_case
 
 
@@ -74,6 +77,13 @@
         raise self.error
 
 
+class _RefusingLink:
+    """Answers each call with the refusal of the other daemon."""
+
+    async def call(self, message, timeout_ms):
+        return messages.Refused('overloaded', '33 calls are waiting', 0)
+
+
 class CallTest(cell_case.CellCase):
     """Guard the steps that wait for a call."""
 
@@ -89,6 +99,27 @@
             asyncio.run(self.ask(run, _FailingAdvice(error)))
             self.assertEqual(0, run.advice_requested_ms)
 
+    def test_the_log_tells_why_another_daemon_got_no_advice(self):
+        """Guard against failures whose reason only the other one knows."""
+        self.submit(cell_case.make_definition('aa', cell_case.make_step()))
+        [run] = self.state.table.ready_steps.values()
+        lines = []
+
+        async def ask():
+            calls = advice_calls.AdviceCalls(
+                self.state, clock_module.Clock(), None, lambda: None
+            )
+            calls.add_link(_RefusingLink())
+            calls._local_adviser.pending_ms = 500.0
+            calls.send(orders_module.AdviceRequest(run, ['w1']))
+            await asyncio.gather(*calls._calls)
+
+        with mock.patch.object(
+            events, 'emit', lambda event, **fields: lines.append(fields)
+        ):
+            asyncio.run(ask())
+        self.assertIn('33 calls are waiting', lines[0]['error'])
+
     async def ask(self, run, advice):
         calls = advice_calls.AdviceCalls(
             self.state, clock_module.Clock(), advice, lambda: None
