Log the ends in the first report of a later life

The comparison now begins anew as well.

test_the_log_tells_the_ends_of_a_life_that_is_new failed before (4 of 5 ends).

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -394,8 +394,9 @@
                 born_wall_ms=report.born_wall_ms,
                 clock_ms=report.clock_ms,
             )
-        previous_end_number = worker.applied_end_number
         is_later_life = worker.born_wall_ms != report.born_wall_ms
+        # A later life numbers its ends anew.
+        previous_end_number = 0 if is_later_life else worker.applied_end_number
         earlier_tasks = list(worker.tasks.values()) if is_later_life else []
         first_listed = reconcile.unlisted_runs(worker, report)
         reconcile.apply_report(self.state, worker, report, sent_ms, now_ms)
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -587,6 +587,40 @@
         self.assertEqual(([name], 0), (lost['released'], lost['held']))
         self.assertEqual(second, lost['born_wall_ms'])
 
+    def test_the_log_tells_the_ends_of_a_life_that_is_new(self):
+        """Guard against ends that only the reports before would explain.
+
+        The later life numbers its ends anew, and has ended a run before its
+        first report.
+        """
+        self.run_ms = 400
+        ended = []
+
+        def emit(event, **fields):
+            if event.name == 'task_ended':
+                ended.append((fields['task'], fields['born_wall_ms']))
+
+        async def steps(play):
+            [worker] = self.workers
+            play.submit(_JOB, 4)
+            await self.clock.advance_ms(2_000)
+            worker.crash()
+            worker.begin_life(_BEHIND_MS)
+            worker.fate = lambda call: (
+                worker_lives.LOST if call == 'renew' else worker_lives.OK
+            )
+            play.submit(_OTHER_JOB)
+            await self.clock.advance_ms(1_000)
+            self.assertEqual(1, len(worker.life.ended))
+            self.born_wall_ms = worker.life.born_wall_ms
+            worker.fate = lambda call: worker_lives.OK
+            await self.clock.advance_ms(2_000)
+
+        with mock.patch.object(events, 'emit', emit):
+            self.play(steps)
+        self.assertEqual(5, len(ended))
+        self.assertEqual((f'{_OTHER_JOB}.0.0.0', self.born_wall_ms), ended[-1])
+
     def test_the_log_tells_how_long_an_end_is_held(self):
         """Guard against waits whose reason cannot be told."""
         self.run_ms = 400
