Give the decisions of the cell a package of their own

Callers saw: nothing; no behaviour changes. Cause: cell/ was one flat folder of 51 modules, in which decisions, sessions and configuration stood side by side. Change: admission, gang_room, limit_hold, packing, pacing, plan, preemption, share, speed and urgency move to cell/decisions; imports and pages follow.

--- a/basilspindle/cell/advice_calls.py
+++ b/basilspindle/cell/advice_calls.py
@@ -4,11 +4,11 @@
 import collections.abc
 
 from basilspindle.cell import advisers as advisers_module
+from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import link as link_module
 from basilspindle.cell import messages
 from basilspindle.cell import orders as orders_module
-from basilspindle.cell import plan as plan_module
 from basilspindle.cell import ports
 from basilspindle.cell import state as state_module
 from basilspindle import clock as clock_module
--- a/basilspindle/cell/gang_room.py
+++ b/basilspindle/cell/decisions/gang_room.py
@@ -5,12 +5,12 @@
 room at once.
 """
 
-from basilspindle.cell import limit_hold
+from basilspindle.cell.decisions import limit_hold
+from basilspindle.cell.decisions import packing
+from basilspindle.cell.decisions import preemption
+from basilspindle.cell.decisions import urgency as urgency_module
 from basilspindle.cell import orders as orders_module
-from basilspindle.cell import packing
-from basilspindle.cell import preemption
 from basilspindle.cell import state as state_module
-from basilspindle.cell import urgency as urgency_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
--- a/basilspindle/cell/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -1,11 +1,11 @@
 """Schedule waiting tasks: decide which start now, and on which workers."""
 
-from basilspindle.cell import gang_room
+from basilspindle.cell.decisions import gang_room
+from basilspindle.cell.decisions import packing
+from basilspindle.cell.decisions import urgency
 from basilspindle.cell import orders as orders_module
-from basilspindle.cell import packing
 from basilspindle.cell import state as state_module
 from basilspindle.cell import unseen
-from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
--- a/basilspindle/cell/preemption.py
+++ b/basilspindle/cell/decisions/preemption.py
@@ -7,8 +7,8 @@
 
 import collections.abc
 
-from basilspindle.cell import packing
-from basilspindle.cell import speed
+from basilspindle.cell.decisions import packing
+from basilspindle.cell.decisions import speed
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -1,8 +1,8 @@
 """Apply the end of a run to its task and job."""
 
+from basilspindle.cell.decisions import speed
 from basilspindle.cell import lease_clock
 from basilspindle.cell import report as report_module
-from basilspindle.cell import speed
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import job as job_module
--- a/basilspindle/cell/housekeeping.py
+++ b/basilspindle/cell/housekeeping.py
@@ -1,7 +1,7 @@
 """Run the periodic checks of the leader."""
 
+from basilspindle.cell.decisions import speed
 from basilspindle.cell import orders as orders_module
-from basilspindle.cell import speed
 from basilspindle.cell import state as state_module
 from basilspindle.workflow import task as task_module
 from basilspindle.workflow import task_state
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -1,9 +1,9 @@
 """Accept, look up and cancel jobs."""
 
-from basilspindle.cell import admission
+from basilspindle.cell.decisions import admission
+from basilspindle.cell.decisions import urgency
 from basilspindle.cell import early_cancels
 from basilspindle.cell import state as state_module
-from basilspindle.cell import urgency
 from basilspindle import errors
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -5,12 +5,16 @@
 
 import msgspec
 
-from basilspindle.cell import admission
 from basilspindle.cell import advice_calls
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import configuration_index
 from basilspindle.cell import confirmation as confirmation_module
+from basilspindle.cell.decisions import admission
+from basilspindle.cell.decisions import pacing
+from basilspindle.cell.decisions import plan as plan_module
+from basilspindle.cell.decisions import speed
+from basilspindle.cell.decisions import urgency
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import first_calls
 from basilspindle.cell import guard
@@ -22,20 +26,16 @@
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
 from basilspindle.cell import orders as orders_module
-from basilspindle.cell import pacing
-from basilspindle.cell import plan as plan_module
 from basilspindle.cell import ports
 from basilspindle.cell import reconcile
 from basilspindle.cell import recorder as recorder_module
 from basilspindle.cell import report as report_module
 from basilspindle.cell import session as session_module
-from basilspindle.cell import speed
 from basilspindle.cell import stalled_work as stalled_work_module
 from basilspindle.cell import start_outcome
 from basilspindle.cell import starts as starts_module
 from basilspindle.cell import state as state_module
 from basilspindle.cell import unseen
-from basilspindle.cell import urgency
 from basilspindle.cell import worker as worker_module
 from basilspindle.cell import worker_tracker as worker_tracker_module
 from basilspindle import clock as clock_module
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -4,10 +4,10 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell.decisions import share
 from basilspindle.cell import job_table
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import report as report_module
-from basilspindle.cell import share
 from basilspindle.cell import usage as usage_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import advice_terms
--- a/bench/planner.py
+++ b/bench/planner.py
@@ -15,8 +15,8 @@
 
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell import intake as intake_module
-from basilspindle.cell import plan as plan_module
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
 from basilspindle import workflow
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -6,10 +6,10 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell import ends as ends_module
 from basilspindle.cell import intake as intake_module
 from basilspindle.cell import journal as journal_module
-from basilspindle.cell import plan as plan_module
 from basilspindle.cell import reconcile
 from basilspindle.cell import report as report_module
 from basilspindle.cell import start_outcome
--- a/tests/test_cell_intake.py
+++ b/tests/test_cell_intake.py
@@ -1,6 +1,6 @@
 """Test acceptance and refusal of jobs, and the states callers see."""
 
-from basilspindle.cell import admission
+from basilspindle.cell.decisions import admission
 from basilspindle.cell import early_cancels
 from basilspindle.cell import journal
 from basilspindle import errors
--- a/tests/test_cell_pacing.py
+++ b/tests/test_cell_pacing.py
@@ -1,7 +1,7 @@
 """Test the throttling of backfill tasks that run beside services."""
 
-from basilspindle.cell import pacing
-from basilspindle.cell import speed
+from basilspindle.cell.decisions import pacing
+from basilspindle.cell.decisions import speed
 from tests import cell_case
 
 _SERVICE = '00000000000000aa'
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -3,8 +3,8 @@
 from unittest import mock
 
 from basilspindle.cell import configuration_index
+from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell import job_table
-from basilspindle.cell import plan as plan_module
 from basilspindle.cell import report as report_module
 from basilspindle import workflow
 from tests import cell_case
--- a/tests/test_cell_preemption.py
+++ b/tests/test_cell_preemption.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from basilspindle.cell import preemption
+from basilspindle.cell.decisions import preemption
 from basilspindle.cell import report as report_module
 from basilspindle import workflow
 from basilspindle.workflow import task_state
--- a/tests/test_cell_share.py
+++ b/tests/test_cell_share.py
@@ -1,7 +1,7 @@
 """Test that a busy workspace does not delay or displace the others."""
 
 from basilspindle.cell import configuration as configuration_module
-from basilspindle.cell import share
+from basilspindle.cell.decisions import share
 from basilspindle import errors
 from basilspindle import workflow
 from tests import cell_case
--- a/tests/test_cell_speed.py
+++ b/tests/test_cell_speed.py
@@ -1,6 +1,6 @@
 """Test the detection of slow and stalled workers."""
 
-from basilspindle.cell import speed
+from basilspindle.cell.decisions import speed
 from tests import cell_case
 
 _JOB = '00000000000000aa'
--- a/tests/test_review_38.py
+++ b/tests/test_review_38.py
@@ -16,6 +16,7 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import claim as claim_module
 from basilspindle.cell import copies as copies_module
+from basilspindle.cell.decisions import pacing
 from basilspindle.cell import election as election_module
 from basilspindle.cell import first_calls
 from basilspindle.cell import identity as identity_module
@@ -24,7 +25,6 @@
 from basilspindle.cell import messages
 from basilspindle.cell import node as node_module
 from basilspindle.cell import orders as orders_module
-from basilspindle.cell import pacing
 from basilspindle.cell import session as session_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
