Read evacuate_ms, and place nothing in closed failure domains

Change: CellState.closed_domains and CellState.accepts; the planner takes its workers by that. A reservation there is released, tasks there do not give way for their workspace's limit, and admission does not count their cores. The settings carry evacuate_ms, 0 by default.

--- a/basilspindle/cell/bounds.py
+++ b/basilspindle/cell/bounds.py
@@ -12,6 +12,9 @@
     ``early_ms`` how long before its due time an occurrence may start,
     ``remote_factor`` the ratio of task durations outside and inside the rack
     of the data, and ``grace_ms`` the time a daemon has to shut down.
+    ``evacuate_ms`` is the time after the acknowledged request to evacuate a
+    failure domain from which no task may start there, 0 in deployments
+    without evacuations.
     """
 
     max_lease_ms: int = 10_000
@@ -21,3 +24,4 @@
     early_ms: int = 250
     remote_factor: float = 1.5
     grace_ms: int = 6_000
+    evacuate_ms: int = 0
--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -74,7 +74,7 @@
         )
         pools: dict[str, list[worker_module.Worker]] = {}
         for worker in state.workers.values():
-            if worker.accepts(now_ms):
+            if state.accepts(worker, now_ms):
                 pools.setdefault(worker.pool, []).append(worker)
         previous_usage, self._unseen_usage = (
             self._unseen_usage,
--- a/basilspindle/cell/decisions/preemption.py
+++ b/basilspindle/cell/decisions/preemption.py
@@ -52,14 +52,16 @@
 ) -> list[task_module.Task]:
     """Return tasks without which a gang is within its workspace's limit.
 
-    They belong to the same workspace; ``unseen`` counts as used. The list is
-    empty if they do not suffice.
+    They belong to the same workspace; ``unseen`` counts as used. What runs in
+    a closed failure domain continues. The list is empty if the others do not
+    suffice.
     """
     workspace = run.job.definition.workspace
     limit = state.workspace_limit(workspace)
     tasks = [
         task
         for worker in state.workers.values()
+        if not state.is_closed(worker)
         for task in worker.tasks.values()
         if task.step_run.job.definition.workspace == workspace
         and _may_give_way(state, run, task, _remaining_ms(state, task), now_ms)
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -170,7 +170,9 @@
         capacities = [
             worker.capacity
             for worker in state.workers.values()
-            if worker.listed and worker.pool == definition.pool
+            if worker.listed
+            and worker.pool == definition.pool
+            and not state.is_closed(worker)
         ]
         kinds = set(capacities)
         waiting_core_ms = 0.0
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -43,6 +43,7 @@
     leader may still run on such workers.
     ``unattributed_ends`` are run ends of jobs whose records cannot be read,
     and have yet to be recorded.
+    ``closed_domains`` are the failure domains in which no task may start.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         'due_times_ms',
         'duration_factors',
         'share_limiter',
+        'closed_domains',
     )
 
     def __init__(self, bounds: bounds_module.Bounds, term: int = 0) -> None:
@@ -83,12 +85,38 @@
         self.due_times_ms: dict[str, int] = {}
         self.duration_factors: dict[str, float] = {}
         self.share_limiter = share.ShareLimiter()
+        self.closed_domains: frozenset[str] = frozenset()
 
     def take_orders(self) -> orders_module.Orders:
         """Return the pending orders and clear them."""
         taken, self.orders = self.orders, orders_module.Orders()
         return taken
 
+    def is_closed(self, worker: worker_module.Worker) -> bool:
+        """Tell whether a worker is in a closed failure domain."""
+        return worker.failure_domain in self.closed_domains
+
+    def accepts(self, worker: worker_module.Worker, now_ms: int) -> bool:
+        """Tell whether new tasks may be placed on a worker now."""
+        return not self.is_closed(worker) and worker.accepts(now_ms)
+
+    def set_closed_domains(self, closed_domains: frozenset[str]) -> None:
+        """Close these failure domains and open all others."""
+        reopened = self.closed_domains - closed_domains
+        self.closed_domains = closed_domains
+        for worker in self.workers.values():
+            if worker.failure_domain in reopened:
+                self.freed_workers.add(worker.worker_id)
+        for run in self.table.ready_steps.values():
+            # A step reserves what it needs as a whole, so the part in open
+            # domains is of no use without the rest.
+            if any(
+                worker_id in self.workers
+                and self.is_closed(self.workers[worker_id])
+                for worker_id in run.reserved_tasks
+            ):
+                self.release_reservation(run)
+
     def duration_factor(self, queue: str) -> float:
         """Return the ratio of actual to estimated durations of a queue."""
         return self.duration_factors.get(queue, 1.0)
--- a/basilspindle/platform/boot_settings.py
+++ b/basilspindle/platform/boot_settings.py
@@ -37,6 +37,9 @@
     # Ratio of task durations outside and inside the rack of the data.
     far_x: float = 1.5
     grace_s: float = 6
+    # From when on no task may start in a failure domain that is evacuated;
+    # 0 in a deployment without evacuations.
+    evacuate_ms: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -112,6 +115,7 @@
             early_ms=int(bounds.early_ms),
             remote_factor=bounds.far_x,
             grace_ms=int(bounds.grace_s * 1000),
+            evacuate_ms=int(bounds.evacuate_ms),
         )
 
 
--- /dev/null
+++ b/tests/test_cell_evacuation.py
@@ -0,0 +1,317 @@
+"""Test that no task starts in a failure domain that is being evacuated."""
+
+import unittest
+
+from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell.decisions import plan as plan_module
+from basilspindle.cell import housekeeping
+from basilspindle.platform import boot_settings
+from basilspindle import workflow
+from basilspindle.workflow import advice_terms
+from tests import cell_case
+from tests import platform_case
+
+_JOB = '00000000000000aa'
+_OTHER_JOB = '00000000000000bb'
+_TICKET_MS = 60_000
+_STEP_MS = 100
+
+
+class SettingsTest(unittest.TestCase):
+    """Test which deployments have evacuations."""
+
+    def parse(self, line):
+        text = platform_case.SETTINGS_TEMPLATE.format(
+            node='n1',
+            link=1,
+            metrics=2,
+            front=3,
+            ready=4,
+            store='127.0.0.1:5',
+            advice='127.0.0.1:6',
+        )
+        text = text.replace('[platform]', f'{line}\n[platform]')
+        return boot_settings.parse(text).bounds.evacuate_ms
+
+    def test_only_a_setting_makes_evacuations_take_effect(self):
+        """Guard against calls to the store where no record is written."""
+        self.assertEqual(0, self.parse(''))
+        self.assertEqual(5_000, self.parse('evacuate_ms = 5000'))
+        self.assertEqual(0, bounds_module.Bounds().evacuate_ms)
+
+
+class ClosedDomainCase(cell_case.CellCase):
+    """A cell of two failure domains, one of which may be closed."""
+
+    def add_workers(self, cpu=4_000):
+        for number in range(2):
+            for domain in ('a', 'b'):
+                worker = self.add_worker(f'{domain}{number}', cpu)
+                worker.failure_domain = domain
+
+    def close(self, *domains):
+        self.state.set_closed_domains(frozenset(domains))
+
+    def domains(self, orders):
+        """Return the failure domains in which tasks were ordered to start."""
+        return {
+            self.state.workers[order.worker_id].failure_domain
+            for order in orders.starts
+        }
+
+    def submit_tasks(self, count, job_id=_JOB, **changes):
+        return self.submit(
+            cell_case.make_definition(
+                job_id, cell_case.make_step(count, **changes)
+            )
+        )
+
+
+class PlacementTest(ClosedDomainCase):
+    """Guard workers of a closed domain against each kind of placement."""
+
+    def test_no_kind_of_step_is_placed_in_a_closed_domain(self):
+        """Guard against starts in a domain that is being evacuated.
+
+        In one run 2,012 tasks were started there.
+        """
+        for changes in (
+            {},
+            {'gang': True},
+            {'service': True},
+            {'fills': True},
+            {'speculative': True},
+            {'checkpoints': True},
+            {'max_per_worker': 2},
+        ):
+            with self.subTest(**changes):
+                self.make_state()
+                self.add_workers()
+                self.close('a')
+                self.submit_tasks(4, **changes)
+                orders = self.plan()
+                self.assertEqual(4, len(orders.starts))
+                self.assertEqual({'b'}, self.domains(orders))
+
+    def test_a_step_larger_than_the_open_domains_waits(self):
+        """Guard against a spill into the closed domain when others are full.
+
+        A gang that fits only with the closed domain starts nowhere.
+        """
+        self.add_workers()
+        self.close('a')
+        self.submit_tasks(12)
+        self.assertEqual(8, len(self.start_all(self.plan())))
+        self.make_state()
+        self.add_workers()
+        self.close('a')
+        self.submit_tasks(12, gang=True)
+        self.assertEqual([], self.plan().starts)
+
+    def test_an_occurrence_starts_in_an_open_domain(self):
+        """Guard against repeated jobs that start by a timer."""
+        self.add_workers()
+        definition = cell_case.make_definition(
+            _JOB, cell_case.make_step(4), max_runs=2, interval_ms=1_000
+        )
+        self.submit(definition)
+        self.close('a')
+        housekeeping.open_due_occurrences(self.state, self.now_ms, 1 << 50)
+        self.record()
+        self.assertEqual({'b'}, self.domains(self.plan()))
+
+    def test_running_tasks_continue(self):
+        """Guard against an evacuation that ends work which runs there."""
+        self.add_workers()
+        self.submit_tasks(16)
+        started = self.start_all(self.plan())
+        self.assertEqual(16, len(started))
+        self.close('a')
+        self.now_ms += _STEP_MS
+        orders = self.plan()
+        self.assertEqual([], orders.stops)
+        self.assertEqual(
+            16, sum(len(w.tasks) for w in self.state.workers.values())
+        )
+
+    def test_tasks_that_end_there_are_followed_by_none(self):
+        """Guard against new work on capacity that is freed by an end."""
+        self.add_workers()
+        self.submit_tasks(20)
+        started = self.start_all(self.plan())
+        self.close('a')
+        for order in started:
+            if order.worker_id.startswith('a'):
+                self.report_end(order.worker_id, order.task.name, order.run)
+        self.now_ms += _STEP_MS
+        self.assertEqual([], self.plan().starts)
+
+    def test_a_worker_that_moves_to_a_closed_domain_is_closed(self):
+        """Guard against a domain that is remembered from an earlier entry."""
+        self.add_workers()
+        worker = self.state.workers['b0']
+        self.close('a')
+        self.assertTrue(self.state.accepts(worker, self.now_ms))
+        worker.failure_domain = 'a'
+        self.assertFalse(self.state.accepts(worker, self.now_ms))
+
+
+class ReopenedDomainTest(ClosedDomainCase):
+    """Test that waiting work goes to a domain that is open again."""
+
+    def test_waiting_steps_are_examined_at_once(self):
+        """Guard against steps that wait for their next periodic check."""
+        self.add_workers()
+        self.close('a')
+        self.submit_tasks(12)
+        self.start_all(self.plan())
+        self.now_ms += 1
+        self.assertEqual([], self.plan().starts)
+        self.close()
+        self.now_ms += 1
+        orders = self.plan()
+        self.assertEqual(4, len(orders.starts))
+        self.assertEqual({'a'}, self.domains(orders))
+
+    def test_a_domain_that_is_closed_again_gets_nothing(self):
+        """Guard against a record that is removed and written again."""
+        self.add_workers()
+        self.close('a')
+        self.submit_tasks(12)
+        self.start_all(self.plan())
+        self.close()
+        self.close('a')
+        self.now_ms += 1
+        self.assertEqual([], self.plan().starts)
+
+
+class ReservationTest(ClosedDomainCase):
+    """Guard capacity that is kept for waiting steps."""
+
+    def test_a_reservation_there_is_released(self):
+        """Guard against room that is kept where nothing may start.
+
+        The step would keep its part of the open domains as well, up to 4 s.
+        """
+        self.add_workers()
+        job = self.submit_tasks(12)
+        run = job.runs[0, 0]
+        self.state.reserve(run, {'a0': 4, 'b0': 4}, self.now_ms + 4_000)
+        run.awaits_preempted = True
+        self.close('a')
+        self.assertEqual({}, run.reserved_tasks)
+        self.assertFalse(run.awaits_preempted)
+        self.assertEqual(0, self.state.workers['b0'].reserved.cpu_millicores)
+        self.assertIn('b0', self.state.freed_workers)
+
+    def test_a_reservation_elsewhere_is_kept(self):
+        """Guard against gangs that lose their room to an evacuation."""
+        self.add_workers()
+        run = self.submit_tasks(4).runs[0, 0]
+        self.state.reserve(run, {'b0': 4}, self.now_ms + 4_000)
+        self.close('a')
+        self.assertEqual({'b0': 4}, run.reserved_tasks)
+
+
+class AdviceTest(ClosedDomainCase):
+    """Guard calls for advice against workers of a closed domain."""
+
+    def make_advised_state(self):
+        terms = advice_terms.AdviceTerms(10.0, 1.0, _TICKET_MS)
+        queue = cell_case.make_queue(advice=terms)
+        self.make_state(configuration=cell_case.make_configuration([queue]))
+        self.add_workers()
+
+    def named_workers(self, orders):
+        return {
+            worker_id
+            for request in orders.advice
+            for worker_id in request.worker_ids
+        }
+
+    def test_workers_there_are_not_named(self):
+        """Guard against tickets for workers that may not be used."""
+        self.make_advised_state()
+        self.close('a')
+        self.submit_tasks(4)
+        self.assertEqual({'b0', 'b1'}, self.named_workers(self.plan()))
+
+    def test_a_ticket_from_before_is_not_used(self):
+        """Guard against starts by tickets that came as the domain closed."""
+        self.make_advised_state()
+        run = self.submit_tasks(4).runs[0, 0]
+        named = sorted(self.named_workers(self.plan()))
+        self.assertEqual(4, len(named))
+        self.close('a')
+        plan_module.apply_advice(
+            run, named, {'a0': 't', 'b0': 't'}, self.now_ms + _TICKET_MS
+        )
+        self.assertEqual({'b'}, self.domains(self.plan()))
+
+
+class PreemptionTest(ClosedDomainCase):
+    """Guard tasks that run in a closed domain against a gang."""
+
+    def crowd(self, limit=workflow.Need()):
+        """Fill the cell with less urgent tasks that may give way."""
+        queues = [
+            cell_case.make_queue('queue', priority=1),
+            cell_case.make_queue('small', priority=2),
+        ]
+        self.make_state(
+            configuration=cell_case.make_configuration(queues, limit)
+        )
+        self.add_workers()
+        self.submit(
+            cell_case.make_definition(
+                _OTHER_JOB,
+                cell_case.make_step(16, estimate_ms=60_000, checkpoints=True),
+                queue='small',
+                priority=2,
+                stretch=8.0,
+            )
+        )
+        self.assertEqual(16, len(self.start_all(self.plan())))
+
+    def stopped_domains(self):
+        self.submit(
+            cell_case.make_definition(
+                _JOB, cell_case.make_step(4, gang=True), priority=1
+            )
+        )
+        stopped = set()
+        for _ in range(30):
+            self.now_ms += _STEP_MS
+            for worker in self.state.workers.values():
+                worker.last_contact_ms = self.now_ms
+            stopped |= {
+                self.state.workers[order.worker_id].failure_domain
+                for order in self.plan().stops
+            }
+        return stopped
+
+    def test_no_task_is_stopped_to_free_capacity_there(self):
+        """Guard against stops that make room where no gang may start."""
+        self.crowd()
+        self.close('a')
+        self.assertEqual({'b'}, self.stopped_domains())
+
+    def test_none_is_stopped_for_the_limit_of_its_workspace(self):
+        """Guard against an evacuation that moves what runs there."""
+        self.crowd(workflow.Need(16_000, 1_000_000))
+        self.close('a')
+        self.assertEqual({'b'}, self.stopped_domains())
+
+
+class ExpectedCapacityTest(ClosedDomainCase):
+    """Guard admission against capacity that may not be used."""
+
+    def test_cores_of_a_closed_domain_do_not_count(self):
+        """Guard against jobs that are accepted and wait for its reopening."""
+        self.add_workers()
+        definition = cell_case.make_definition(_JOB, cell_case.make_step())
+        backlog = self.intake._backlog_ahead(definition, False)
+        self.assertEqual(16.0, backlog.cores)
+        self.close('a')
+        backlog = self.intake._backlog_ahead(definition, False)
+        self.assertEqual(8.0, backlog.cores)
