Read the records that close failure domains

Callers saw: nothing yet; nothing calls the reader before the next commits. Cause: platform/configuration.py skips all keys of stream op but config. A trimmed or reset stream and a record that cannot be read lead to a listing; a record closes its domain whatever its value.

--- a/basilspindle/cell/ports.py
+++ b/basilspindle/cell/ports.py
@@ -280,3 +280,44 @@
         the answer comes. Raises ``LogError``.
         """
         ...
+
+
+class EvacuationPoll:
+    """What one read of the records of evacuations returned.
+
+    ``changes`` tells by failure domain whether it is closed. With
+    ``is_whole``, all others are open; else they are as before.
+    ``next_offset`` is where to read on, and ``is_current`` tells whether
+    there were no later records.
+    """
+
+    __slots__ = ('changes', 'is_whole', 'next_offset', 'is_current')
+
+    def __init__(
+        self,
+        changes: dict[str, bool],
+        is_whole: bool,
+        next_offset: int,
+        is_current: bool,
+    ) -> None:
+        self.changes = changes
+        self.is_whole = is_whole
+        self.next_offset = next_offset
+        self.is_current = is_current
+
+
+class EvacuationSource(typing.Protocol):
+    """The failure domains that operators have evacuated."""
+
+    async def poll(
+        self,
+        next_offset: int | None,
+        wait_ms: int,
+        on_progress: collections.abc.Callable[[], None] | None = None,
+    ) -> EvacuationPoll:
+        """Read what changed from an offset on, or all with None.
+
+        Waits up to ``wait_ms`` for a record at the offset. ``on_progress`` is
+        called whenever a part of the answer comes. Raises ``LogError``.
+        """
+        ...
--- a/tests/test_cell_evacuation.py
+++ b/tests/test_cell_evacuation.py
@@ -1,15 +1,20 @@
 """Test that no task starts in a failure domain that is being evacuated."""
 
+import asyncio
 import unittest
 
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell import housekeeping
 from basilspindle.platform import boot_settings
+from basilspindle.platform import client as client_module
+from basilspindle.platform import evacuation as evacuation_source
+from basilspindle.platform import store as store_module
 from basilspindle import workflow
 from basilspindle.workflow import advice_terms
 from tests import cell_case
 from tests import platform_case
+from tests.standins import platform
 
 _JOB = '00000000000000aa'
 _OTHER_JOB = '00000000000000bb'
@@ -315,3 +320,81 @@
         self.close('a')
         backlog = self.intake._backlog_ahead(definition, False)
         self.assertEqual(8.0, backlog.cores)
+
+
+class SourceTest(unittest.IsolatedAsyncioTestCase):
+    """Test what is read of the records of evacuations."""
+
+    async def asyncSetUp(self):
+        self.store = platform.StandinStore()
+        await self.enterAsyncContext(self.store)
+        client = await self.enterAsyncContext(client_module.Client())
+        self.source = evacuation_source.StoreEvacuationSource(
+            store_module.LogStore(client, self.store.server.address)
+        )
+
+    def put(self, key, value=b'{}'):
+        self.store.put('keyed.op', key, value)
+
+    async def poll(self, next_offset, wait_ms=20):
+        poll = await self.source.poll(next_offset, wait_ms)
+        return poll.changes, poll.is_whole, poll.next_offset, poll.is_current
+
+    async def test_all_records_and_then_the_changes(self):
+        """Guard against records that are missed between two reads."""
+        self.assertEqual(({}, True, 0, True), await self.poll(None))
+        self.put('config')
+        self.put('evacuate/a')
+        self.put('evacuate/b')
+        self.put('evacuate/b', b'')
+        self.assertEqual(({'a': True}, True, 4, True), await self.poll(None))
+        self.assertEqual(({}, False, 4, True), await self.poll(4))
+        self.put('evacuate/c')
+        self.put('wave/1')
+        self.put('evacuate/a', b'')
+        self.assertEqual(
+            ({'c': True, 'a': False}, False, 7, True), await self.poll(4)
+        )
+
+    async def test_the_last_of_several_records_counts(self):
+        """Guard against a record that is removed and written again."""
+        for value in (b'{}', b'', b'{}'):
+            self.put('evacuate/a', value)
+        self.assertEqual(({'a': True}, False, 3, True), await self.poll(0))
+        self.put('evacuate/a', b'')
+        self.assertEqual(({'a': False}, False, 4, True), await self.poll(0))
+
+    async def test_records_of_other_writers(self):
+        """Guard against a reader that stops at what it cannot decode.
+
+        A record closes a domain whatever its value is.
+        """
+        self.put('evacuate/')
+        self.put('evacuate')
+        self.put('evacuated/b')
+        self.put('evacuate/a', b'\xff\x00 no JSON')
+        self.put('\ufffd\ufffd', b'\xff')
+        self.assertEqual({'a': True}, (await self.poll(None))[0])
+        self.assertEqual({'a': True}, (await self.poll(0))[0])
+
+    async def test_a_trimmed_stream(self):
+        """Guard against a domain that opens as its record is trimmed."""
+        self.put('evacuate/a')
+        self.put('evacuate/b')
+        self.put('evacuate/b', b'')
+        self.store.drop_history()
+        self.assertEqual(({'a': True}, True, 3, True), await self.poll(0))
+        self.assertEqual(({}, False, 3, True), await self.poll(3))
+
+    async def test_a_stream_that_was_reset(self):
+        """Guard against a reader that waits beyond the end for ever."""
+        self.put('evacuate/a')
+        self.assertEqual(({'a': True}, True, 1, True), await self.poll(9))
+
+    async def test_a_waiting_read_returns_with_the_record(self):
+        """Guard against domains that are closed only at the next read."""
+        reading = asyncio.ensure_future(self.poll(0, 5_000))
+        await asyncio.sleep(0.05)
+        self.put('evacuate/a')
+        async with asyncio.timeout(1):
+            self.assertEqual({'a': True}, (await reading)[0])
