Follow which failure domains are closed

Cause: nothing followed the records, and a connection may go silent or the store fail while a domain is closed. Starts are held if the records were read more than half of evacuate_ms ago, unless the store is away: two reads in a row have failed lately and no append was confirmed in that time either. Events 960 to 964 and counters.

--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -331,3 +331,43 @@
     'a part of the daemon failed unexpectedly',
     'report it as a bug, with the trace',
 )
+DOMAIN_CLOSED = _Event(
+    960,
+    'domain_closed',
+    _Level.WARNING,
+    'a failure domain is being evacuated: no task starts there any more',
+    'nothing to do; remove the record evacuate/ZONE of stream op to use its '
+    'workers again',
+)
+DOMAIN_REOPENED = _Event(
+    961,
+    'domain_reopened',
+    _Level.INFO,
+    'a failure domain is no longer evacuated; tasks start there again',
+    'nothing to do',
+)
+START_WITHHELD = _Event(
+    962,
+    'start_withheld',
+    _Level.INFO,
+    'an order to start a task was not sent or not repeated',
+    'see the reason: with domain_closed its failure domain was closed since '
+    'the task was placed, with held see starts_held; the task is placed again',
+)
+STARTS_HELD = _Event(
+    963,
+    'starts_held',
+    _Level.WARNING,
+    'the leader starts no tasks until it has read which failure domains are '
+    'closed',
+    'look for store_failed of the call evacuation; if this persists, check '
+    'the reads of stream op',
+)
+STARTS_RESUMED = _Event(
+    964,
+    'starts_resumed',
+    _Level.INFO,
+    'the leader starts tasks again',
+    'nothing to do; age_ms is how long ago the closed failure domains were '
+    'known, more than some seconds if the store does not answer',
+)
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -45,6 +45,23 @@
     'basilspindle_preemptions_total',
     'Tasks stopped to make room for more urgent ones.',
 )
+STARTS_WITHHELD = prometheus.Counter(
+    'basilspindle_starts_withheld_total',
+    'Orders to start a task that were not sent or not repeated, by reason.',
+    ['reason'],
+)
+CLOSED_DOMAINS = prometheus.Gauge(
+    'basilspindle_closed_domains',
+    'Failure domains that are being evacuated, at the leader.',
+)
+CLOSED_DOMAINS_AGE_SECONDS = prometheus.Gauge(
+    'basilspindle_closed_domains_age_seconds',
+    'Time since the closed failure domains were known, at the leader.',
+)
+EVACUATION_READ_FAILURES = prometheus.Counter(
+    'basilspindle_evacuation_read_failures_total',
+    'Reads of the closed failure domains that failed.',
+)
 RUN_ENDS = prometheus.Counter(
     'basilspindle_run_ends_total', 'Ended runs by kind.', ['kind']
 )
--- a/tests/test_cell_evacuation.py
+++ b/tests/test_cell_evacuation.py
@@ -4,8 +4,13 @@
 import unittest
 
 from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell import confirmation as confirmation_module
 from basilspindle.cell.decisions import plan as plan_module
+from basilspindle.cell import evacuation as evacuation_module
 from basilspindle.cell import housekeeping
+from basilspindle.cell import ports
+from basilspindle import clock as clock_module
+from basilspindle import errors
 from basilspindle.platform import boot_settings
 from basilspindle.platform import client as client_module
 from basilspindle.platform import evacuation as evacuation_source
@@ -398,3 +403,240 @@
         self.put('evacuate/a')
         async with asyncio.timeout(1):
             self.assertEqual({'a': True}, (await reading)[0])
+
+
+class _Clock(clock_module.Clock):
+    """Clock that the test sets; what sleeps goes on at once."""
+
+    __slots__ = ('now',)
+
+    def __init__(self):
+        self.now = 100_000
+
+    def now_ms(self):
+        return self.now
+
+    async def sleep_ms(self, duration_ms):
+        await asyncio.sleep(0)
+
+
+class _Source:
+    """Answers each read with the next of the given answers.
+
+    An answer that is a number of ms passes as time first; None is no answer.
+    """
+
+    def __init__(self, clock, answers):
+        self.clock = clock
+        self.answers = list(answers)
+        self.reads = []
+        self.exhausted = asyncio.Event()
+
+    async def poll(self, next_offset, wait_ms, on_progress=None):
+        self.reads.append((next_offset, wait_ms))
+        if not self.answers:
+            self.exhausted.set()
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if isinstance(answer, int):
+            self.clock.now += answer
+            answer = self.answers.pop(0)
+        if answer is None:
+            await asyncio.Event().wait()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def _whole(*closed, end=1):
+    changes = dict.fromkeys(closed, True)
+    return ports.EvacuationPoll(changes, True, end, True)
+
+
+def _later(end, is_current=True, **changes):
+    return ports.EvacuationPoll(changes, False, end, is_current)
+
+
+_NO_ANSWER = errors.LogUnavailable('no answer; retry', retry_after_ms=1)
+
+
+class FollowCase(unittest.IsolatedAsyncioTestCase):
+    """A reader of the closed domains whose store is played by the test."""
+
+    evacuate_ms = 5_000
+
+    def make(self, *answers):
+        self.clock = _Clock()
+        self.source = _Source(self.clock, answers)
+        self.confirmation = confirmation_module.Confirmation(self.clock)
+        self.changes = []
+        self.evacuation = evacuation_module.Evacuation(
+            self.source,
+            self.clock,
+            self.evacuate_ms,
+            self.confirmation,
+            self.changes.append,
+        )
+
+    async def follow(self, load=True):
+        """Read until all answers are used."""
+        if load:
+            await self.evacuation.load()
+        following = asyncio.ensure_future(self.evacuation.follow())
+        try:
+            async with asyncio.timeout(5):
+                await self.source.exhausted.wait()
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+
+
+class FollowTest(FollowCase):
+    """Test which domains are closed after a series of reads."""
+
+    async def test_changes_add_to_what_was_known(self):
+        """Guard against domains that open as another one is closed."""
+        self.make(
+            _whole('a', end=3),
+            _later(4, b=True),
+            _later(6, a=False, c=True),
+            _later(6),
+        )
+        await self.follow()
+        self.assertEqual(
+            [{'a'}, {'a', 'b'}, {'b', 'c'}],
+            [set(closed) for closed in self.changes],
+        )
+        self.assertEqual(
+            [None, 3, 4, 6, 6], [read[0] for read in self.source.reads]
+        )
+
+    async def test_a_listing_replaces_what_was_known(self):
+        """Guard against a domain that stays closed as the stream is trimmed.
+
+        The record that opens it is not in the stream any more.
+        """
+        self.make(_whole('a', 'b'), _whole('b', end=9), _later(9))
+        await self.follow()
+        self.assertEqual({'b'}, self.evacuation.closed_domains)
+        self.assertEqual(9, self.source.reads[-1][0])
+
+    async def test_a_failed_read_leaves_the_domains_closed(self):
+        """Guard against domains that open as the store goes away."""
+        self.make(_whole('a'), _NO_ANSWER, ValueError('odd'), _later(1))
+        await self.follow()
+        self.assertEqual([{'a'}], [set(closed) for closed in self.changes])
+
+    async def test_the_first_read_is_repeated_until_it_is_answered(self):
+        """Guard against a leader that starts tasks without the records."""
+        self.make(_NO_ANSWER, _NO_ANSWER, _whole('a'))
+        await self.follow()
+        self.assertEqual({'a'}, self.evacuation.closed_domains)
+
+    async def test_a_connection_that_went_silent(self):
+        """Guard against a read that is never answered.
+
+        The later records are read on another connection.
+        """
+        self.make(_whole(), None, _later(2, a=True))
+        begun = asyncio.get_running_loop().time()
+        await self.follow()
+        self.assertEqual({'a'}, self.evacuation.closed_domains)
+        self.assertLess(asyncio.get_running_loop().time() - begun, 2)
+
+
+class HoldTest(FollowCase):
+    """Test when no task is started because the records are not known."""
+
+    async def known(self):
+        self.make(_whole('a'))
+        await self.evacuation.load()
+        self.assertFalse(self.evacuation.holds_starts())
+
+    async def test_nothing_starts_before_the_first_read(self):
+        """Guard against a new leader that does not know of an evacuation."""
+        self.make()
+        self.assertTrue(self.evacuation.holds_starts())
+
+    async def test_starts_are_held_while_only_these_reads_fail(self):
+        """Guard against starts by a daemon that is in contact with the store.
+
+        Its appends are confirmed, so the operator may reach the store, too.
+        """
+        await self.known()
+        self.source.answers += [_NO_ANSWER] * 3
+        self.clock.now += 2_500
+        self.assertFalse(self.evacuation.holds_starts())
+        await self.follow(load=False)
+        self.confirmation.extend(self.clock.now)
+        self.clock.now += 1
+        self.assertTrue(self.evacuation.holds_starts())
+        self.source.answers.append(_later(1))
+        self.source.exhausted.clear()
+        await self.follow(load=False)
+        self.assertFalse(self.evacuation.holds_starts())
+
+    async def test_work_goes_on_while_the_store_is_away(self):
+        """Guard against a cell that stops in an outage of the store."""
+        await self.known()
+        self.clock.now += 4_000
+        self.source.answers += [_NO_ANSWER] * 2
+        await self.follow(load=False)
+        self.assertFalse(self.evacuation.holds_starts())
+        self.assertEqual({'a'}, self.evacuation.closed_domains)
+        # The store is back: the records come first.
+        self.confirmation.extend(self.clock.now)
+        self.assertTrue(self.evacuation.holds_starts())
+
+    async def test_a_process_that_stood_still_reads_first(self):
+        """Guard against starts by a leader that was paused.
+
+        The read under way has failed by the clock only, and failures from
+        before the pause do not tell what holds now.
+        """
+        await self.known()
+        self.clock.now += 10_000
+        self.assertTrue(self.evacuation.holds_starts())
+        self.source.answers.append(_NO_ANSWER)
+        await self.follow(load=False)
+        self.assertTrue(self.evacuation.holds_starts())
+        self.source.answers += [_NO_ANSWER] * 2
+        self.source.exhausted.clear()
+        await self.follow(load=False)
+        self.assertFalse(self.evacuation.holds_starts())
+        self.clock.now += 10_000
+        self.assertTrue(self.evacuation.holds_starts())
+
+    async def test_an_answer_counts_from_the_begin_of_its_read(self):
+        """Guard against an answer that was on its way for long."""
+        self.make(_whole(), 3_000, _later(1))
+        await self.follow()
+        self.assertEqual(3_000, self.evacuation.age_ms)
+        self.assertTrue(self.evacuation.holds_starts())
+
+    async def test_records_that_are_not_the_last_do_not_count(self):
+        """Guard against a reader that is behind and takes itself for current.
+
+        The record that closes a domain may be among those not read yet.
+        """
+        self.make(_whole(), 1_000, _later(2, is_current=False))
+        await self.follow()
+        self.assertEqual(1_000, self.evacuation.age_ms)
+
+    async def test_an_old_state_is_confirmed_without_a_wait(self):
+        """Guard against starts that are held by the wait of a read."""
+        self.make(_whole(), 2_000, _later(1), _later(1))
+        await self.follow()
+        self.assertEqual([0, 500, 0], [r[1] for r in self.source.reads][:3])
+
+
+class ShortNoticeTest(FollowCase):
+    """Test a deployment that gives less time."""
+
+    evacuate_ms = 1_000
+
+    async def test_reads_wait_for_less_than_the_records_may_be_old(self):
+        """Guard against starts that are held between any two reads."""
+        self.make(_whole(), _later(1))
+        await self.follow()
+        self.assertEqual(100, self.source.reads[1][1])
