Start no task in a failure domain that is being evacuated

Orders are checked again before each attempt: one that was not sent is placed again, and an unanswered one is not repeated but its run stopped, so that the task moves only once its end is known. Nothing is placed while the records are not known. The state dump names the closed domains.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -15,6 +15,7 @@
 from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell.decisions import speed
 from basilspindle.cell.decisions import urgency
+from basilspindle.cell import evacuation as evacuation_module
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import first_calls
 from basilspindle.cell import guard
@@ -86,6 +87,7 @@
         index: configuration_index.ConfigurationIndex | None,
         previous: claim_module.Claim | None,
         stalled_work: stalled_work_module.StalledWork | None = None,
+        evacuations: ports.EvacuationSource | None = None,
     ) -> None:
         self.claim = claim
         self.lost = asyncio.Event()
@@ -110,6 +112,15 @@
             self._schedule_plan,
         )
         self._confirmation = confirmation_module.Confirmation(clock)
+        self._evacuation: evacuation_module.Evacuation | None = None
+        if evacuations is not None and bounds.evacuate_ms > 0:
+            self._evacuation = evacuation_module.Evacuation(
+                evacuations,
+                clock,
+                bounds.evacuate_ms,
+                self._confirmation,
+                self._apply_closed_domains,
+            )
         self._journal = journal_module.Journal(
             store,
             clock,
@@ -128,7 +139,7 @@
         self._plan_handle: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> typing.Self:
-        recovered = await self._journal.load()
+        recovered = await self._load()
         self.state.awaited_workers.confirmed_ms = (
             self._confirmation.confirmed_ms
         )
@@ -143,11 +154,14 @@
             raise
         # Tells the next leader for which workers this one waits.
         self._journal.request_append()
-        for work in (
+        background = [
             self._journal.run,
             self._tick,
             self._worker_tracker.follow,
-        ):
+        ]
+        if self._evacuation is not None:
+            background.append(self._evacuation.follow)
+        for work in background:
             self._tasks.append(asyncio.ensure_future(self._run_guarded(work)))
         self.ready = True
         metrics.LEADER_CHANGES.labels('gained').inc()
@@ -165,6 +179,8 @@
         self.lost.set()
         metrics.LEADER_CHANGES.labels('lost').inc()
         metrics.UNCONFIRMED_SECONDS.set(0)
+        metrics.CLOSED_DOMAINS.set(0)
+        metrics.CLOSED_DOMAINS_AGE_SECONDS.set(0)
         self._worker_tracker.close()
         self.advice_calls.close()
         for task in self._tasks:
@@ -174,6 +190,23 @@
             self._plan_handle.cancel()
         self._recorder.close()
 
+    async def _load(self) -> journal_module.RecoveredState:
+        if self._evacuation is None:
+            return await self._journal.load()
+        # No task may start before the closed domains are known.
+        reading = asyncio.ensure_future(self._evacuation.load())
+        try:
+            recovered = await self._journal.load()
+            await reading
+        finally:
+            reading.cancel()
+        return recovered
+
+    def _apply_closed_domains(self, closed_domains: frozenset[str]) -> None:
+        self.state.set_closed_domains(closed_domains)
+        if self.ready:
+            self._schedule_plan()
+
     def _await_workers(self) -> None:
         # Workers that have not reported yet may still run tasks of an earlier
         # leader. The previous one steps down within TIMEOUT_MS, and the
@@ -578,6 +611,30 @@
         )
         return True
 
+    def withholds_start(self, order: orders_module.StartOrder) -> bool:
+        """Tell whether a start must not be sent, or sent again, now.
+
+        Its failure domain may have been closed since the task was placed.
+        """
+        if self._evacuation is None:
+            return False
+        worker = self.state.workers.get(order.worker_id)
+        if worker is not None and self.state.is_closed(worker):
+            reason = 'domain_closed'
+        elif self._evacuation.holds_starts():
+            reason = 'held'
+        else:
+            return False
+        metrics.STARTS_WITHHELD.labels(reason).inc()
+        events.emit(
+            cell_events.START_WITHHELD,
+            worker=order.worker_id,
+            task=order.task.name,
+            run=order.run,
+            reason=reason,
+        )
+        return True
+
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
         """Wait until it is certain that no later leader had fenced by a time.
 
@@ -630,6 +687,9 @@
         self._plan_handle = None
         if self.lost.is_set():
             return
+        if self._evacuation is not None and self._evacuation.holds_starts():
+            # The next tick plans again.
+            return
         self._planner.plan(self._clock.now_ms())
         self._send_orders()
 
@@ -698,6 +758,10 @@
             now_ms = self._clock.now_ms()
             metrics.LOOP_DELAY_SECONDS.set(max(0, now_ms - due_ms) / 1000)
             metrics.UNCONFIRMED_SECONDS.set(self._confirmation.age_ms / 1000)
+            if self._evacuation is not None:
+                metrics.CLOSED_DOMAINS_AGE_SECONDS.set(
+                    self._evacuation.age_ms / 1000
+                )
             if self.end_if_expired():
                 return
             self._run_housekeeping(now_ms)
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -57,6 +57,7 @@
         'worker_orders',
         'advice',
         'configuration',
+        'evacuations',
     )
 
     def __init__(
@@ -66,12 +67,14 @@
         worker_orders: ports.WorkerOrders,
         advice: ports.AdviceService,
         configuration: ports.ConfigurationSource,
+        evacuations: ports.EvacuationSource | None = None,
     ) -> None:
         self.store = store
         self.registry = registry
         self.worker_orders = worker_orders
         self.advice = advice
         self.configuration = configuration
+        self.evacuations = evacuations
 
 
 class Node:
@@ -355,6 +358,7 @@
             self.index,
             previous,
             self._stalled_work,
+            self._platform.evacuations,
         )
         self.leader = leader
         try:
--- a/basilspindle/cell/overview.py
+++ b/basilspindle/cell/overview.py
@@ -31,6 +31,7 @@
     fields['store_age_ms'] = leader.store_age_ms
     fields['live_jobs'] = len(jobs)
     fields['ended_jobs'] = len(state.table.ended_jobs)
+    fields['closed_domains'] = sorted(state.closed_domains)
     fields['unseen_workers'] = sorted(state.awaited_workers)
     fields['jobs'] = [_dump_job(job) for job in jobs[:_MAX_ROWS]]
     fields['workers'] = [
@@ -66,6 +67,7 @@
         'worker': worker.worker_id,
         'pool': worker.pool,
         'rack': worker.rack,
+        'failure_domain': worker.failure_domain,
         'ready': worker.ready,
         'listed': worker.listed,
         'reported': worker.reported,
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -122,6 +122,10 @@
         """Step down if the time to lead is over; tell whether it is."""
         ...
 
+    def withholds_start(self, order: orders_module.StartOrder) -> bool:
+        """Tell whether a start must not be sent, or sent again, now."""
+        ...
+
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
         """Wait until no later leader had fenced the log at a time; tell."""
         ...
@@ -653,6 +657,12 @@
             return start_outcome.StartAnswer(
                 start_outcome.StartOutcome.NOT_SENT
             )
+        if self._owner.withholds_start(order):
+            # An earlier attempt without an answer leaves the outcome unknown,
+            # so that the run is stopped.
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
         deadline_ms = self._lease.grant(self._lease_ms)
         if deadline_ms is None:
             return start_outcome.StartAnswer(
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -16,6 +16,7 @@
 from basilspindle.platform import boot_settings
 from basilspindle.platform import client as client_module
 from basilspindle.platform import configuration
+from basilspindle.platform import evacuation
 from basilspindle.platform import frontend as frontend_module
 from basilspindle.platform import listener
 from basilspindle.platform import registry as registry_module
@@ -85,6 +86,7 @@
             workers_module.HttpWorkers(client),
             advice_module.HttpAdvice(client, settings.advice_address),
             configuration.StoreConfigurationSource(store, clock),
+            evacuation.StoreEvacuationSource(store),
         )
         node = node_module.Node(identity, platform, settings.bounds, clock)
         frontend = frontend_module.Frontend(node, clock)
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -121,6 +121,10 @@
         """Tell whether the owner may no longer lead."""
         return False
 
+    def withholds_start(self, order):
+        """Tell whether a start must not be sent now."""
+        return False
+
     async def wait_confirmed(self, at_ms, timeout_ms):
         """Tell whether no later leader can have led at a time."""
         return True
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -65,6 +65,9 @@
     def end_if_expired(self):
         return self.is_over
 
+    def withholds_start(self, order):
+        return False
+
     async def wait_confirmed(self, at_ms, timeout_ms):
         if at_ms < _CONFIRMED_MS:
             return True
--- a/tests/test_cell_evacuation.py
+++ b/tests/test_cell_evacuation.py
@@ -2,13 +2,23 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from basilspindle.cell import bounds as bounds_module
+from basilspindle.cell import claim as claim_module
+from basilspindle.cell import configuration_index
 from basilspindle.cell import confirmation as confirmation_module
 from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell import evacuation as evacuation_module
+from basilspindle.cell import first_calls
 from basilspindle.cell import housekeeping
+from basilspindle.cell import journal as journal_module
+from basilspindle.cell import leader as leader_module
 from basilspindle.cell import ports
+from basilspindle.cell import session as session_module
+from basilspindle.cell import start_outcome
+from basilspindle.cell import state as state_module
+from basilspindle.cell import worker as worker_module
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle.platform import boot_settings
@@ -17,6 +27,7 @@
 from basilspindle.platform import store as store_module
 from basilspindle import workflow
 from basilspindle.workflow import advice_terms
+from basilspindle.workflow import task_state
 from tests import cell_case
 from tests import platform_case
 from tests.standins import platform
@@ -25,6 +36,7 @@
 _OTHER_JOB = '00000000000000bb'
 _TICKET_MS = 60_000
 _STEP_MS = 100
+_Outcome = start_outcome.StartOutcome
 
 
 class SettingsTest(unittest.TestCase):
@@ -640,3 +652,224 @@
         self.make(_whole(), _later(1))
         await self.follow()
         self.assertEqual(100, self.source.reads[1][1])
+
+
+class _Worker:
+    """Answers starts as given; a domain may close while it is asked."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.on_start = lambda: None
+        self.calls = 0
+
+    async def start(self, *values):
+        self.calls += 1
+        self.on_start()
+        answer = self.answers.pop(0) if self.answers else _Outcome.NO_ROOM
+        if isinstance(answer, Exception):
+            raise answer
+        return start_outcome.StartAnswer(answer)
+
+
+class _Owner(cell_case.ConfirmedOwner):
+    def __init__(self):
+        self.is_closed = False
+        self.outcomes = []
+
+    def withholds_start(self, order):
+        return self.is_closed
+
+    def handle_start_outcome(self, order, outcome):
+        self.outcomes.append(outcome)
+
+
+_UNKNOWN = errors.WorkerOutcomeUnknown('no answer; ask again')
+
+
+class OrderTest(ClosedDomainCase):
+    """Test orders to start that are under way as their domain closes."""
+
+    def send(self, *answers, is_closed=False, closes=False, count=1, **step):
+        """Send orders as the domain closes or while the first has no answer.
+
+        Returns the outcomes and the number of calls.
+        """
+        self.add_workers()
+        self.job = self.submit_tasks(count, **step)
+        worker_calls = _Worker(*answers)
+        self.owner = _Owner()
+        self.owner.is_closed = is_closed
+        if closes:
+            worker_calls.on_start = lambda: setattr(
+                self.owner, 'is_closed', True
+            )
+        for order in self.plan().starts:
+            self.order = order
+            session = session_module.Session(
+                self.state.workers[order.worker_id],
+                worker_calls,
+                self.owner,
+                _Clock(),
+                1,
+                10_000,
+                first_calls.FirstCalls(clock_module.Clock()),
+            )
+            session._lease.observe(0, 0)
+            asyncio.run(session._start(order))
+            self.apply_outcome(order, self.owner.outcomes[-1])
+        return self.owner.outcomes, worker_calls.calls
+
+    def test_an_order_that_waits_is_not_sent(self):
+        """Guard against starts that were ordered before the domain closed.
+
+        Orders wait for the answer to an acknowledgement of ends.
+        """
+        outcomes, calls = self.send(_Outcome.RUNS, is_closed=True)
+        self.assertEqual(([_Outcome.NOT_SENT], 0), (outcomes, calls))
+        [task] = self.job.runs[0, 0].tasks
+        self.assertEqual('', task.worker_id)
+        self.close(self.state.workers[self.order.worker_id].failure_domain)
+        self.now_ms += _STEP_MS
+        [order] = self.plan().starts
+        self.assertFalse(
+            self.state.is_closed(self.state.workers[order.worker_id])
+        )
+        self.assertGreater(order.run, self.order.run)
+
+    def test_an_unanswered_start_is_not_repeated(self):
+        """Guard against a repeat that starts the task in a closed domain.
+
+        The first order may have been carried out, or may be carried out
+        later: the run is stopped, and only its end lets the task start
+        elsewhere.
+        """
+        outcomes, calls = self.send(_UNKNOWN, _Outcome.RUNS, closes=True)
+        self.assertEqual(([_Outcome.UNKNOWN], 1), (outcomes, calls))
+        [task] = self.job.runs[0, 0].tasks
+        self.assertIs(task_state.TaskState.STOPPING, task.state)
+        self.assertEqual(self.order.worker_id, task.worker_id)
+        [stop] = self.plan().stops
+        self.assertEqual((task.name, self.order.run), (stop.name, stop.run))
+
+    def test_a_start_that_is_answered_goes_on(self):
+        """Guard against the stop of a task that runs when a domain closes."""
+        outcomes, calls = self.send(_Outcome.RUNS, closes=True)
+        self.assertEqual(([_Outcome.RUNS], 1), (outcomes, calls))
+        [task] = self.job.runs[0, 0].tasks
+        self.assertIs(task_state.TaskState.RUNNING, task.state)
+
+    def test_a_gang_of_which_a_part_was_sent_is_stopped(self):
+        """Guard against members that wait for others which never start."""
+        outcomes, calls = self.send(
+            _Outcome.RUNS, closes=True, count=2, gang=True
+        )
+        self.assertEqual(
+            ([_Outcome.RUNS, _Outcome.NOT_SENT], 1), (outcomes, calls)
+        )
+        self.assertEqual(1, len(self.state.take_orders().stops))
+
+
+class LeaderTest(unittest.IsolatedAsyncioTestCase):
+    """Test what a leader makes of the closed domains."""
+
+    def make(self, *answers, evacuate_ms=5_000):
+        self.clock = _Clock()
+        self.source = _Source(self.clock, answers)
+        self.leader = leader_module.Leader(
+            claim_module.Claim('n', 'n:1', 'i', 0, epoch=1),
+            None,
+            None,
+            None,
+            None,
+            self.clock,
+            bounds_module.Bounds(evacuate_ms=evacuate_ms),
+            configuration_index.ConfigurationIndex(
+                cell_case.make_configuration()
+            ),
+            None,
+            evacuations=self.source,
+        )
+        return self.leader
+
+    async def enter(self):
+        """Let the leader begin with an empty log and no workers."""
+        leader = self.leader
+        for name, value in (
+            ('_journal.load', journal_module.RecoveredState()),
+            ('_journal.run', None),
+            ('_worker_tracker.follow', None),
+        ):
+            owner = getattr(leader, name.partition('.')[0])
+            patch = mock.patch.object(
+                type(owner),
+                name.partition('.')[2],
+                mock.AsyncMock(return_value=value),
+            )
+            patch.start()
+            self.addCleanup(patch.stop)
+        return await self.enterAsyncContext(leader)
+
+    async def test_the_records_are_known_before_it_is_ready(self):
+        """Guard against a leader that starts tasks before it knows them."""
+        leader = self.make(None, None)
+        entering = asyncio.ensure_future(self.enter())
+        await asyncio.sleep(0.05)
+        self.assertFalse(leader.ready)
+        entering.cancel()
+        await asyncio.gather(entering, return_exceptions=True)
+        leader = self.make(_NO_ANSWER, _whole('a'))
+        await self.enter()
+        self.assertTrue(leader.ready)
+        self.assertEqual({'a'}, leader.state.closed_domains)
+
+    async def test_later_records_take_effect_at_once(self):
+        """Guard against a leader that knows only the records it began with."""
+        leader = self.make(_whole('a'))
+        await self.enter()
+        with mock.patch.object(leader, '_schedule_plan') as schedule:
+            leader._evacuation._apply(_later(2, a=False, b=True), 0)
+        schedule.assert_called_once()
+        self.assertEqual({'b'}, leader.state.closed_domains)
+
+    async def test_no_call_without_evacuations(self):
+        """Guard against more calls to the store where none are needed."""
+        leader = self.make(_whole('a'), evacuate_ms=0)
+        await self.enter()
+        await asyncio.sleep(0.05)
+        self.assertEqual([], self.source.reads)
+        self.assertEqual(frozenset(), leader.state.closed_domains)
+        self.clock.now += 60_000
+        self.assertFalse(leader.withholds_start(mock.Mock(worker_id='w')))
+        with mock.patch.object(plan_module.Planner, 'plan') as plan:
+            leader._plan()
+        plan.assert_called_once()
+
+    def withheld(self, domain):
+        worker = worker_module.Worker(
+            'w', 'w:1', '', '', domain, frozenset(), state_module.NO_NEED
+        )
+        self.leader.state.workers['w'] = worker
+        order = mock.Mock(worker_id='w', run=1)
+        order.task.name = 't'
+        return self.leader.withholds_start(order)
+
+    async def test_orders_of_a_closed_domain_are_withheld(self):
+        """Guard against orders that were on their way to a session."""
+        self.make(_whole('a'))
+        await self.enter()
+        self.assertTrue(self.withheld('a'))
+        self.assertFalse(self.withheld('b'))
+
+    async def test_nothing_is_placed_or_sent_while_starts_are_held(self):
+        """Guard against starts by what was known too long ago."""
+        leader = self.make(_whole('a'))
+        await self.enter()
+        self.clock.now += 2_501
+        self.assertTrue(self.withheld('b'))
+        with mock.patch.object(plan_module.Planner, 'plan') as plan:
+            leader._plan()
+            plan.assert_not_called()
+            leader._evacuation._apply(_later(1), self.clock.now)
+            leader._plan()
+            plan.assert_called_once()
+        self.assertFalse(self.withheld('b'))
