Learn the speed of a worker from a few tasks

Callers saw: where a quarter of the workers has a speed of 0.55 and the rest 1.2, the first dozens of tasks on each worker were placed without knowledge of its speed. Cause: the slowness of a worker changed by 0.03 to 0.08 of the difference for each finished task, one task that took seven times as long counted as such, gangs counted for nothing, and tasks outside the rack of their data counted against their worker. Neither siblings nor progress reports were used. Change: the log slowness of a worker is an estimate with a variance, so that the first tasks weigh most. A task is compared with its siblings on other workers, and with the declared duration while there are none; the weight of each follows from what the queue has shown so far. Samples are clipped. A task is measured from 15% of its progress on. The duration of a gang counts for the members that may be the slowest. Tasks that resume from a checkpoint, or that this leader has not started, count for nothing. Workers are placed by speed classes, which differ by more than the noise of the estimates. expected_ms takes a worker, and remaining_ms tells the expected end of a running task.

--- a/basilspindle/cell/decisions/packing.py
+++ b/basilspindle/cell/decisions/packing.py
@@ -13,8 +13,6 @@
 
 Assignment = dict[str, int]
 _NO_LIMIT = 1 << 30
-# Smaller differences in slowness are ignored.
-_SLOWNESS_BUCKET = 0.12
 
 
 def slots(worker: worker_module.Worker, run: step_run_module.StepRun) -> int:
@@ -103,14 +101,13 @@
         placed = min(fitting, count)
         left = worker.available.cpu_millicores - placed * need_cpu
         off_data_rack = bool(step.data_rack) and worker.rack != step.data_rack
-        slowness = round(worker.slowness / _SLOWNESS_BUCKET)
         is_scarce = worker.worker_id in scarce
         failure_score = round(worker.failure_score)
         return (
             off_data_rack,
             is_scarce,
             failure_score,
-            slowness,
+            worker.speed_class,
             left,
             worker.worker_id,
         )
--- a/basilspindle/cell/overview.py
+++ b/basilspindle/cell/overview.py
@@ -74,6 +74,9 @@
         'tasks': len(worker.tasks),
         'cpu_millicores': worker.capacity.cpu_millicores,
         'used_cpu_millicores': worker.used.cpu_millicores,
-        'slowness': round(worker.slowness, 2),
+        'slowness': round(worker.speed.slowness, 2),
+        'slowness_deviation': round(worker.speed.deviation, 2),
+        'speed_samples': worker.speed.samples,
+        'speed_class': worker.speed_class,
         'lag': round(worker.lag, 2),
     }
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -5,8 +5,10 @@
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_index
 from basilspindle.cell.decisions import share
+from basilspindle.cell.decisions import speed_classes
 from basilspindle.cell import job_table
 from basilspindle.cell import orders as orders_module
+from basilspindle.cell import queue_durations
 from basilspindle.cell import report as report_module
 from basilspindle.cell import usage as usage_module
 from basilspindle.cell import worker as worker_module
@@ -34,8 +36,7 @@
     ``freed_workers`` and ``freed_workspaces`` are ids and names of those that
     may take more tasks than at the last scheduling pass. ``term`` numbers the
     leaders of the cell from 0. ``due_times_ms`` holds, by job id, the time by
-    which a job has to end to be on time, and ``duration_factors`` the ratio
-    of actual to estimated task durations of each queue.
+    which a job has to end to be on time.
 
     ``awaited_workers`` are workers of earlier leaders that have not reported
     to this one and may run tasks that it does not know of.
@@ -61,7 +62,8 @@
         'stopping_usage',
         'unattributed_ends',
         'due_times_ms',
-        'duration_factors',
+        'speed_classes',
+        '_queue_durations',
         'share_limiter',
         'closed_domains',
     )
@@ -83,7 +85,8 @@
         self.stopping_usage: dict[str, need_module.Need] = {}
         self.unattributed_ends: list[report_module.RunEnd] = []
         self.due_times_ms: dict[str, int] = {}
-        self.duration_factors: dict[str, float] = {}
+        self.speed_classes = speed_classes.SpeedClasses()
+        self._queue_durations: dict[str, queue_durations.QueueDurations] = {}
         self.share_limiter = share.ShareLimiter()
         self.closed_domains: frozenset[str] = frozenset()
 
@@ -119,7 +122,24 @@
 
     def duration_factor(self, queue: str) -> float:
         """Return the ratio of actual to estimated durations of a queue."""
-        return self.duration_factors.get(queue, 1.0)
+        durations = self._queue_durations.get(queue)
+        return durations.factor if durations is not None else 1.0
+
+    def queue_durations(
+        self, definition: definition_module.JobDefinition
+    ) -> queue_durations.QueueDurations:
+        """Return the task durations of the queue of a job, to be updated."""
+        durations = self._queue_durations.get(definition.queue)
+        if durations is None:
+            durations = queue_durations.QueueDurations(definition.pool)
+            self._queue_durations[definition.queue] = durations
+        return durations
+
+    def classify_workers(self, now_ms: int) -> None:
+        """Divide the workers into speed classes again if it is time."""
+        self.speed_classes.renew(
+            self.workers, self._queue_durations.values(), now_ms
+        )
 
     def advice_terms(
         self, definition: definition_module.JobDefinition
@@ -167,6 +187,7 @@
         task.pace_percent, task.paced_ms = 100, 0
         task.has_unanswered_pace, task.pace_repeated_until_ms = False, 0
         task.percent = task.sampled_ms = task.sampled_percent = 0
+        task.is_timed = state is _State.STARTING and not task.checkpoint
         worker.add_task(task)
         job.occupying_tasks.add(task)
         job.started = True
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -1,5 +1,6 @@
 """Track the state and the resource usage of one worker."""
 
+from basilspindle.cell import speed_estimate
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import task as task_module
 
@@ -47,13 +48,16 @@
     when this leader began. ``earlier_orders_until_ms`` is until when orders of
     an earlier session may arrive, None if there was none.
 
-    ``slowness`` is the ratio of task durations here to those elsewhere,
-    ``lag`` the same ratio for the tasks that run at present, and
+    ``speed`` is what is known of the speed of the worker, ``speed_class`` its
+    class among the workers of its pool, 0 for the fastest, and
+    ``class_slowness`` the mean slowness of that class. ``lag`` is the ratio of
+    actual to expected durations of the tasks that run at present, and
     ``slow_samples`` counts the latest successive samples in which the worker
-    was slow. ``failure_score`` rises with unanswered starts and failed
-    runs and falls with each success. ``failed_job_ids`` are the jobs that had
-    a failed run here since the last successful run of any job here, and have
-    not failed on another worker.
+    was slower than it usually is, the last one at ``slow_seen_ms``.
+    ``failure_score`` rises with unanswered starts and failed runs and falls
+    with each success. ``failed_job_ids`` are the jobs that had a failed run
+    here since the last successful run of any job here, and have not failed on
+    another worker.
 
     The worker gets no new tasks before ``suspect_until_ms``. A draining
     worker may be gone at ``drain_end_ms``; 0 means that the time is unknown.
@@ -89,9 +93,12 @@
         'suspect_until_ms',
         'failure_score',
         'failed_job_ids',
-        'slowness',
+        'speed',
+        'speed_class',
+        'class_slowness',
         'lag',
         'slow_samples',
+        'slow_seen_ms',
         'reserved',
         'drain_end_ms',
     )
@@ -135,9 +142,12 @@
         self.suspect_until_ms = 0
         self.failure_score = 0.0
         self.failed_job_ids: set[str] = set()
-        self.slowness = 1.0
+        self.speed = speed_estimate.SpeedEstimate()
+        self.speed_class = 0
+        self.class_slowness = 1.0
         self.lag = 1.0
         self.slow_samples = 0
+        self.slow_seen_ms = 0
         self.reserved = need_module.Need()
         self.drain_end_ms = 0
 
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -3,6 +3,7 @@
 import typing
 
 from basilspindle.workflow import step as step_module
+from basilspindle.workflow import step_timing
 from basilspindle.workflow import task as task_module
 from basilspindle.workflow import task_state
 from basilspindle.workflow import ticket as ticket_module
@@ -32,8 +33,8 @@
     and ``retry_at_ms`` when it is planned again at the latest.
     ``is_limited_by_workspace`` tells that the limit of its workspace held
     tasks back then. ``gang_failed_runs`` are the numbers of the failed runs
-    of a gang. The durations of ``timed_tasks`` finished tasks, scaled to a
-    worker of normal speed, add up to ``timed_total_ms``.
+    of a gang. ``timing`` holds the measured durations of its tasks, None
+    before the first.
     """
 
     __slots__ = (
@@ -59,8 +60,7 @@
         'wait_reason',
         'is_limited_by_workspace',
         'gang_failed_runs',
-        'timed_tasks',
-        'timed_total_ms',
+        'timing',
     )
 
     def __init__(
@@ -95,8 +95,7 @@
         self.wait_reason = ''
         self.is_limited_by_workspace = False
         self.gang_failed_runs: set[int] = set()
-        self.timed_tasks = 0
-        self.timed_total_ms = 0.0
+        self.timing: step_timing.StepTiming | None = None
 
     @property
     def is_done(self) -> bool:
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -26,7 +26,9 @@
     should not run on again.
 
     ``percent`` is the progress in the latest report, ``sampled_percent`` the
-    progress at ``sampled_ms``, from which its speed is measured. ``load`` is
+    progress at ``sampled_ms``, from which its speed is measured. ``is_timed``
+    tells that the present run began with nothing done, was started by this
+    leader, and has not been measured yet. ``load`` is
     taken from the latest report: the response time in ms of a service, the
     CPU usage of any other task. ``pace_percent`` is the speed ordered at
     ``paced_ms``, in percent of full speed; None if it is unknown.
@@ -55,6 +57,7 @@
         'percent',
         'sampled_ms',
         'sampled_percent',
+        'is_timed',
         'avoided_worker_ids',
         'stop_sent_ms',
         'load',
@@ -85,6 +88,7 @@
         self.percent = 0
         self.sampled_ms = 0
         self.sampled_percent = 0
+        self.is_timed = False
         self.avoided_worker_ids: set[str] = set()
         self.stop_sent_ms = 0
         self.load = 0
--- a/tests/test_cell_speed.py
+++ b/tests/test_cell_speed.py
@@ -87,8 +87,8 @@
                 starts[0].worker_id, starts[0].task.name, starts[0].run
             )
             self.record()
-        slowness = self.state.workers['w1'].slowness
-        self.assertGreater(slowness, self.state.workers['w2'].slowness)
+        slowness = self.state.workers['w1'].speed.slowness
+        self.assertGreater(slowness, self.state.workers['w2'].speed.slowness)
         [start] = self.start_job(999)
         self.assertEqual('w2', start.worker_id)
 
