Place steps by the speed that they need

Callers saw: where workers differ in speed, short urgent work ran on slow workers and was late, while work with time to spare held the fast ones. Cause: every step took the fastest workers with room, in the order of urgency, so that what was left to the next one depended on chance. Change: a step takes the slowest workers on which its job is on time with a margin for the error of the estimate and the longest of its tasks; the time of the steps after it on its chain is left to them. Other steps take the fastest. While half of the fast workers is idle, all do. A step that would be late on a slow worker and on time on a fast one waits for that one until it can no longer be on time; one whose result has lost its value leaves the fast ones. A gang takes workers of one class if one has room. Within a class best fit decides as before, and pools of one class are placed as before.

--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -2,6 +2,7 @@
 
 from basilspindle.cell.decisions import gang_room
 from basilspindle.cell.decisions import packing
+from basilspindle.cell.decisions import speed_need
 from basilspindle.cell.decisions import urgency
 from basilspindle.cell import orders as orders_module
 from basilspindle.cell import state as state_module
@@ -189,9 +190,7 @@
         if not run.reserved_tasks:
             run.awaits_preempted = False
         if advice is None:
-            assignment = packing.assign(
-                run, candidates, count, self._scarce_workers
-            )
+            assignment = self._assign(run, candidates, count, now_ms)
             self._start(run, assignment, now_ms)
             if run.waiting:
                 self._make_room(run, candidates, now_ms)
@@ -228,7 +227,7 @@
             if tickets[worker.worker_id].expires_ms
             > now_ms + _MIN_TICKET_VALIDITY_MS
         ]
-        assignment = packing.assign(run, valid, count, self._scarce_workers)
+        assignment = self._assign(run, valid, count, now_ms)
         if assignment:
             self._start(run, assignment, now_ms)
             count -= sum(assignment.values())
@@ -242,7 +241,7 @@
             to_renew = candidates
         else:
             to_renew = [worker for worker in candidates if worker not in valid]
-        assignment = packing.assign(run, to_renew, count, self._scarce_workers)
+        assignment = self._assign(run, to_renew, count, now_ms)
         if assignment:
             self._record_wait_reason(run, _Reason.TICKET, len(assignment))
             # Holds the capacity until the new tickets arrive.
@@ -251,6 +250,16 @@
         else:
             self._make_room(run, candidates, now_ms)
 
+    def _assign(
+        self,
+        run: step_run_module.StepRun,
+        workers: list[worker_module.Worker],
+        count: int,
+        now_ms: int,
+    ) -> packing.Assignment:
+        need = speed_need.speed_need(self._state, run, now_ms)
+        return packing.assign(run, workers, count, self._scarce_workers, need)
+
     def _make_room(
         self,
         run: step_run_module.StepRun,
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -2,10 +2,15 @@
 
 import math
 
+from basilspindle.cell.decisions import packing
 from basilspindle.cell.decisions import speed
+from basilspindle.cell.decisions import speed_need
 from basilspindle.cell import report as report_module
+from tests import cell_case
 from tests import speed_case
 
+_JOB = 'ffffffffffffffff'
+
 
 class LearningTest(speed_case.SpeedCase):
     """Guard the estimates of the speed of workers."""
@@ -136,6 +141,143 @@
         self.assertEqual(0, samples)
 
 
+class PlacementTest(speed_case.SpeedCase):
+    """Guard which workers a step gets where they differ in speed."""
+
+    def setUp(self):
+        super().setUp()
+        self.estimate_error = self.task_error = self.tail = 0.0
+        self.make_fleet([speed_case.SLOW, speed_case.FAST] * 4)
+        for name, worker in self.state.workers.items():
+            is_slow = name in self.slow_ids
+            worker.speed_class = int(is_slow)
+            worker.class_slowness = 1.8 if is_slow else 0.8
+        self.state.speed_classes.mixed_pools = {cell_case.POOL: 0.8}
+
+    def occupy(self, names, cpu=3_000):
+        """Reserve a part of some workers."""
+        for name in names:
+            worker = self.state.workers[name]
+            worker.reserved = cell_case.workflow.Need(cpu)
+
+    def place(self, count=1, definition=None, **changes):
+        """Return the ids of the workers of a new step."""
+        step = cell_case.make_step(count, **changes)
+        job = cell_case.make_definition(_JOB, step, **(definition or {}))
+        self.submit(job)
+        return [start.worker_id for start in self.plan().starts]
+
+    @property
+    def fast_ids(self):
+        return set(self.speeds) - self.slow_ids
+
+    def test_urgent_work_goes_to_fast_workers(self):
+        """Guard against short urgent jobs that are late on slow workers."""
+        self.occupy(self.fast_ids)
+        urgent = {'stretch': 1.5, 'target_latency_ms': 311}
+        [name] = self.place(definition=urgent)
+        self.assertIn(name, self.fast_ids)
+
+    def test_work_with_slack_leaves_fast_workers_to_others(self):
+        """Guard against fast workers full of work that has time."""
+        self.occupy(self.fast_ids)
+        slack = {'stretch': 5.0, 'target_latency_ms': 3_000}
+        [name] = self.place(definition=slack)
+        self.assertIn(name, self.slow_ids)
+
+    def test_idle_fast_workers_are_used(self):
+        """Guard against work on slow workers while fast ones are idle."""
+        slack = {'stretch': 5.0, 'target_latency_ms': 3_000}
+        [name] = self.place(definition=slack)
+        self.assertIn(name, self.fast_ids)
+
+    def test_a_step_on_the_critical_path_gets_fast_workers(self):
+        """Guard against a chain that is late for its first step."""
+        self.occupy(self.fast_ids)
+        chain = [
+            cell_case.make_step(),
+            cell_case.make_step(estimate_ms=200),
+            cell_case.make_step(estimate_ms=4_000, after=(0,)),
+        ]
+        self.submit(
+            cell_case.make_definition(
+                _JOB, *chain, stretch=1.2, target_latency_ms=400
+            )
+        )
+        workers = {
+            start.task.step_run.index: start.worker_id
+            for start in self.plan().starts
+        }
+        self.assertIn(workers[0], self.fast_ids)
+        self.assertIn(workers[1], self.slow_ids)
+
+    def test_late_work_is_kept_from_slow_workers_while_it_can_be_on_time(self):
+        """Guard against a slow start where a short wait is better."""
+        self.occupy(self.fast_ids, 4_000)
+        urgent = {'stretch': 1.0, 'target_latency_ms': 200}
+        self.assertEqual([], self.place(definition=urgent))
+        self.occupy(self.fast_ids, 0)
+        self.state.freed_workers |= self.fast_ids
+        [start] = self.plan().starts
+        self.assertIn(start.worker_id, self.fast_ids)
+
+    def test_late_work_takes_what_there_is(self):
+        """Guard against a step that waits for a fast worker for ever."""
+        self.occupy(self.fast_ids, 4_000)
+        urgent = {'stretch': 1.0, 'target_latency_ms': 200}
+        self.assertEqual([], self.place(definition=urgent))
+        self.now_ms += 1_000
+        for worker in self.state.workers.values():
+            worker.last_contact_ms = self.now_ms
+        [start] = self.plan().starts
+        self.assertIn(start.worker_id, self.slow_ids)
+
+    def test_gang_has_members_of_one_class(self):
+        """Guard against a gang of fast workers that waits for a slow one."""
+        self.occupy(self.fast_ids, 2_000)
+        for stretch in (1.5, 10.0):
+            with self.subTest(stretch=stretch):
+                changes = {'stretch': stretch}
+                names = set(self.place(8, definition=changes, gang=True))
+                wanted = self.fast_ids if stretch < 2 else self.slow_ids
+                self.assertLessEqual(names, wanted)
+                self.intake.cancel(_JOB, cell_case.WORKSPACE)
+                self.state.table.ended_jobs.clear()
+                self.state.table.jobs.clear()
+
+    def test_gang_is_mixed_if_it_has_to_be(self):
+        """Guard against a gang that waits although there is room."""
+        names = self.place(32, definition={'stretch': 1.5}, gang=True)
+        self.assertEqual(32, len(names))
+
+    def test_best_fit_decides_within_a_class(self):
+        """Guard against tasks spread over half-full workers."""
+        self.occupy(['w003'], 3_000)
+        urgent = {'stretch': 1.5, 'target_latency_ms': 311}
+        self.assertEqual(['w003'], self.place(definition=urgent))
+
+    def test_a_fast_worker_off_the_data_rack_beats_a_slow_one_on_it(self):
+        """Guard against late work beside its data."""
+        for name, worker in self.state.workers.items():
+            worker.rack = 'r1' if name in self.slow_ids else 'r2'
+        urgent = {'stretch': 1.5, 'target_latency_ms': 100}
+        [name] = self.place(definition=urgent, data_rack='r1')
+        self.assertIn(name, self.fast_ids)
+
+    def test_without_classes_nothing_changes(self):
+        """Guard the placement where all workers are alike."""
+        self.state.speed_classes.mixed_pools = {}
+        self.submit(cell_case.make_definition(_JOB, cell_case.make_step()))
+        [run] = self.state.table.ready_steps.values()
+        need = speed_need.speed_need(self.state, run, self.now_ms)
+        self.assertIsNone(need)
+        for worker in self.state.workers.values():
+            worker.speed_class = 0
+        self.occupy(['w004'], 3_000)
+        workers = list(self.state.workers.values())
+        self.assertEqual({'w004': 1}, packing.assign(run, workers, 1))
+
+
 class ExpectedEndTest(speed_case.SpeedCase):
     """Guard the expected end of a running task."""
 
