Judge a worker by the latest samples of all its tasks

Callers saw: work went on to a worker that had become five times slower for 2.25 s and more. Cause: tasks that start at different times are sampled in different reports. A report with samples of one job only counted as healthy, and began the count anew.

--- a/basilspindle/cell/decisions/speed.py
+++ b/basilspindle/cell/decisions/speed.py
@@ -7,7 +7,6 @@
 
 import math
 import statistics
-import typing
 
 from basilspindle.cell import state as state_module
 from basilspindle.cell import worker as worker_module
@@ -265,22 +264,19 @@
     another worker.
     """
     state.classify_workers(now_ms)
-    samples = [
-        sample
-        for task in worker.tasks.values()
-        if (sample := _take_sample(state, worker, task, now_ms)) is not None
-    ]
-    if samples:
-        worker.lag = statistics.median(sample.lag for sample in samples)
-    if not samples or not _is_slow(worker, samples):
-        if samples:
-            worker.slow_samples = 0
-        if not worker.slow_samples:
-            _learn_from_progress(state, worker, now_ms)
-        return
-    worker.slow_seen_ms = now_ms
-    worker.slow_samples += 1
-    if worker.slow_samples < 2:
+    is_sampled = False
+    for task in worker.tasks.values():
+        if _take_sample(state, worker, task, now_ms):
+            is_sampled = True
+    if is_sampled and _is_slow(worker):
+        if now_ms - worker.slow_seen_ms >= _MIN_SAMPLE_MS:
+            worker.slow_seen_ms = now_ms
+            worker.slow_samples += 1
+    elif is_sampled:
+        worker.slow_samples = 0
+    if not worker.slow_samples or now_ms - worker.slow_seen_ms > _SUSPECT_MS:
+        _learn_from_progress(state, worker, now_ms)
+    if not is_sampled or worker.slow_samples < 2:
         return
     worker.suspect_until_ms = max(
         worker.suspect_until_ms, now_ms + _SUSPECT_MS
@@ -305,19 +301,17 @@
             _learn(state, worker, task, elapsed_ms * 100 / task.percent)
 
 
-class _Sample(typing.NamedTuple):
-    """Progress of a task since the previous sample."""
+def _is_slow(worker: worker_module.Worker) -> bool:
+    """Tell whether a worker is slow by the latest samples of its tasks.
 
-    job_id: str
-    lag: float
-    is_stalled: bool
-
-
-def _is_slow(worker: worker_module.Worker, samples: list[_Sample]) -> bool:
-    if all(sample.is_stalled for sample in samples):
+    Tasks that started at different times are sampled in different reports.
+    """
+    sampled = [task for task in worker.tasks.values() if task.lag]
+    worker.lag = statistics.median(task.lag for task in sampled)
+    if all(task.is_stalled for task in sampled):
         return True
     # A single job may just take longer than its estimate.
-    jobs = {sample.job_id for sample in samples}
+    jobs = {task.step_run.job.job_id for task in sampled}
     return len(jobs) >= _MIN_JOBS and worker.lag >= _SLOW_LAG
 
 
@@ -326,32 +320,32 @@
     worker: worker_module.Worker,
     task: task_module.Task,
     now_ms: int,
-) -> _Sample | None:
+) -> bool:
     run = task.step_run
     step = run.step
     if task.state is not _State.RUNNING or step.gang or step.service:
-        return None
+        return False
     if step.fills:
         # The progress of a backfill task depends on its pace.
-        return None
+        return False
     if not task.sampled_ms:
         task.sampled_ms = now_ms
         task.sampled_percent = task.percent
-        return None
+        return False
     elapsed_ms = now_ms - task.sampled_ms
     if elapsed_ms < _MIN_SAMPLE_MS:
-        return None
+        return False
     progress = task.percent - task.sampled_percent
     task.sampled_ms = now_ms
     task.sampled_percent = task.percent
     total_ms = _expected_elsewhere_ms(state, run, worker)
     total_ms *= _usual_factor(state, run, worker)
     expected = elapsed_ms * 100 / total_ms
-    return _Sample(
-        run.job.job_id,
-        expected / max(progress, _MIN_PROGRESS_PERCENT),
-        progress <= 0 and expected >= _MIN_EXPECTED_PROGRESS_PERCENT,
+    task.lag = expected / max(progress, _MIN_PROGRESS_PERCENT)
+    task.is_stalled = (
+        progress <= 0 and expected >= _MIN_EXPECTED_PROGRESS_PERCENT
     )
+    return True
 
 
 def _is_faster_elsewhere(
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -187,6 +187,7 @@
         task.pace_percent, task.paced_ms = 100, 0
         task.has_unanswered_pace, task.pace_repeated_until_ms = False, 0
         task.percent = task.sampled_ms = task.sampled_percent = 0
+        task.lag, task.is_stalled = 0.0, False
         task.is_timed = state is _State.STARTING and not task.checkpoint
         worker.add_task(task)
         job.occupying_tasks.add(task)
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -26,7 +26,9 @@
     should not run on again.
 
     ``percent`` is the progress in the latest report, ``sampled_percent`` the
-    progress at ``sampled_ms``, from which its speed is measured. ``is_timed``
+    progress at ``sampled_ms``, from which its speed is measured. ``lag`` is
+    the ratio of expected to actual progress in the latest sample, 0 before the
+    first, and ``is_stalled`` tells that there was none. ``is_timed``
     tells that the present run began with nothing done, was started by this
     leader, and has not been measured yet. ``load`` is
     taken from the latest report: the response time in ms of a service, the
@@ -58,6 +60,8 @@
         'sampled_ms',
         'sampled_percent',
         'is_timed',
+        'lag',
+        'is_stalled',
         'avoided_worker_ids',
         'stop_sent_ms',
         'load',
@@ -89,6 +93,8 @@
         self.sampled_ms = 0
         self.sampled_percent = 0
         self.is_timed = False
+        self.lag = 0.0
+        self.is_stalled = False
         self.avoided_worker_ids: set[str] = set()
         self.stop_sent_ms = 0
         self.load = 0
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -140,6 +140,30 @@
         samples = self.state.workers[again.worker_id].speed.samples
         self.assertEqual(0, samples)
 
+    def test_slow_seconds_leave_the_estimate_alone(self):
+        """Guard against a worker that stays slow in the books after a fault.
+
+        It is five times slower for two seconds. It gets no work meanwhile,
+        and some again afterwards.
+        """
+        self.tail = 0.0
+        self.make_fleet([1.0] * 8)
+        self.play(6_000, self.keep_busy)
+        worker = self.state.workers['w003']
+        before = worker.speed.log_slowness
+        self.speeds['w003'] = 0.2
+        self.play(2_000, self.keep_busy)
+        self.assertGreater(worker.suspect_until_ms, self.now_ms)
+        names = set(worker.tasks)
+        self.play(500, self.keep_busy)
+        self.assertLessEqual(set(worker.tasks), names)
+        self.speeds['w003'] = 1.0
+        self.play(4_000, self.keep_busy)
+        self.assertTrue(worker.accepts(self.now_ms))
+        self.assertTrue(set(worker.tasks) - names)
+        self.assertLess(worker.speed.log_slowness - before, 0.3)
+        self.assertEqual(0, worker.speed_class)
+
 
 class PlacementTest(speed_case.SpeedCase):
     """Guard which workers a step gets where they differ in speed."""
