Expect the end of a task by its worker and its progress

Callers see, by reading the code (not observed): tasks of a slow worker that was leaving were cut off at its end. Cause: the time that a task still needs was taken from its percentage and the duration on a worker of normal speed. Neither the speed of its worker, nor the distance of its data, nor its own pace counted. Change: preemption and the evacuation of leaving workers use speed.remaining_ms.

--- a/basilspindle/cell/decisions/preemption.py
+++ b/basilspindle/cell/decisions/preemption.py
@@ -64,7 +64,9 @@
         if not state.is_closed(worker)
         for task in worker.tasks.values()
         if task.step_run.job.definition.workspace == workspace
-        and _may_give_way(state, run, task, _remaining_ms(state, task), now_ms)
+        and _may_give_way(
+            state, run, task, _remaining_ms(state, task, now_ms), now_ms
+        )
     ]
     tasks.sort(
         key=lambda task: -state.due_times_ms.get(task.step_run.job.job_id, 0)
@@ -197,7 +199,7 @@
     """Return the tasks that end soon or may give way, the cheapest last."""
     rows: list[_Leaving] = []
     for task in worker.tasks.values():
-        remaining_ms = _remaining_ms(state, task)
+        remaining_ms = _remaining_ms(state, task, now_ms)
         if remaining_ms <= _ENDS_SOON_MS:
             rows.append(_Leaving(task, False, remaining_ms))
         elif _may_give_way(state, run, task, remaining_ms, now_ms):
@@ -207,14 +209,13 @@
 
 
 def _remaining_ms(
-    state: state_module.CellState, task: task_module.Task
+    state: state_module.CellState, task: task_module.Task, now_ms: int
 ) -> float:
     if task.step_run.step.service or task.state is _State.STARTING:
         return float('inf')
     if task.state is _State.STOPPING:
         return 0.0
-    expected_ms = speed.expected_ms(state, task.step_run)
-    return expected_ms * (100 - task.percent) / 100
+    return speed.remaining_ms(state, task, now_ms)
 
 
 def _may_give_way(
--- a/basilspindle/cell/housekeeping.py
+++ b/basilspindle/cell/housekeeping.py
@@ -70,7 +70,7 @@
         for task in list(worker.tasks.values()):
             if task.state is not _State.RUNNING:
                 continue
-            if _remaining_ms(state, task) <= time_left_ms:
+            if speed.remaining_ms(state, task, now_ms) <= time_left_ms:
                 continue
             if task.step_run.step.gang:
                 state.stop_gang(task.step_run)
@@ -78,15 +78,6 @@
                 state.request_stop(task)
 
 
-def _remaining_ms(
-    state: state_module.CellState, task: task_module.Task
-) -> float:
-    if task.step_run.step.service:
-        return float('inf')
-    total_ms = speed.expected_ms(state, task.step_run)
-    return total_ms * (100 - task.percent) / 100
-
-
 def _awaits_stop(task: task_module.Task) -> bool:
     # A task that another run of it has ended is being stopped as well, until
     # its worker has accepted the stop.
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -5,6 +5,7 @@
 from basilspindle.cell.decisions import packing
 from basilspindle.cell.decisions import speed
 from basilspindle.cell.decisions import speed_need
+from basilspindle.cell import housekeeping
 from basilspindle.cell import report as report_module
 from tests import cell_case
 from tests import speed_case
@@ -215,6 +216,24 @@
         [name] = self.place(definition=slack)
         self.assertIn(name, self.fast_ids)
 
+    def test_a_wide_step_needs_faster_workers_than_a_narrow_one(self):
+        """Guard against a wide step that waits for one task on a slow worker.
+
+        The longest of many tasks takes longer than most.
+        """
+        self.occupy(self.fast_ids, 2_500)
+        for count, wanted in ((1, self.slow_ids), (25, self.fast_ids)):
+            with self.subTest(count=count):
+                job_id = f'{count:016x}'
+                step = cell_case.make_step(count, cpu=100)
+                self.submit(
+                    cell_case.make_definition(
+                        job_id, step, stretch=3.5, target_latency_ms=1_000
+                    )
+                )
+                names = {start.worker_id for start in self.plan().starts}
+                self.assertLessEqual(names, wanted)
+
     def test_a_step_on_the_critical_path_gets_fast_workers(self):
         """Guard against a chain that is late for its first step."""
         self.occupy(self.fast_ids)
@@ -345,3 +364,16 @@
             1_000 * self.state.bounds.remote_factor,
             self.remaining_ms(played.task),
         )
+
+    def test_a_slow_worker_that_leaves_needs_more_time(self):
+        """Guard against tasks that are cut off at the end of their worker."""
+        worker = self.state.workers['w000']
+        worker.speed.update(math.log(1.8), 0.0)
+        self.submit_step(8)
+        self.state.take_orders()
+        for other in self.state.workers.values():
+            other.ready = False
+            other.drain_end_ms = self.now_ms + 1_300
+        housekeeping.evacuate(self.state, self.now_ms)
+        stopped = {stop.worker_id for stop in self.state.take_orders().stops}
+        self.assertEqual({'w000'}, stopped)
