--- a/basilspindle/cell/decisions/speed.py
+++ b/basilspindle/cell/decisions/speed.py
@@ -27,6 +27,7 @@
 # A worker is slow if its tasks progress this many times slower than expected
 # and belong to several jobs.
 _SLOW_LAG = 2.5
+MIN_SLOW_SAMPLES = 2
 _MIN_JOBS = 2
 # A worker that is always slower than this is not accepted as normal: what it
 # runs is compared with what a worker of this slowness would do.
@@ -276,7 +277,7 @@
         worker.slow_samples = 0
     if not worker.slow_samples or now_ms - worker.slow_seen_ms > _SUSPECT_MS:
         _learn_from_progress(state, worker, now_ms)
-    if not is_sampled or worker.slow_samples < 2:
+    if not is_sampled or worker.slow_samples < MIN_SLOW_SAMPLES:
         return
     worker.suspect_until_ms = max(
         worker.suspect_until_ms, now_ms + _SUSPECT_MS
--- a/basilspindle/cell/decisions/speed_classes.py
+++ b/basilspindle/cell/decisions/speed_classes.py
@@ -32,16 +32,23 @@
 class SpeedClasses:
     """Speed classes of the workers, renewed from time to time.
 
-    ``mixed_pools`` are the pools with more than one class. Class 0 is the
-    fastest of a pool.
+    Class 0 is the fastest of a pool. ``mixed_pools`` are the pools with more
+    than one class, with the slowness of the fastest. ``changed`` are
+    the workers whose class has changed since they were last taken.
     """
 
-    __slots__ = ('mixed_pools', '_renewed_ms')
+    __slots__ = ('mixed_pools', 'changed', '_renewed_ms')
 
     def __init__(self) -> None:
         self.mixed_pools: dict[str, float] = {}
+        self.changed: list[worker_module.Worker] = []
         self._renewed_ms = 0
 
+    def take_changed(self) -> list[worker_module.Worker]:
+        """Return the workers whose class has changed, and clear them."""
+        taken, self.changed = self.changed, []
+        return taken
+
     def renew(
         self,
         workers: collections.abc.Mapping[str, worker_module.Worker],
@@ -58,11 +65,19 @@
         shifts = {pool: _center(members) for pool, members in pools.items()}
         for queue in queues:
             queue.shift(shifts.get(queue.pool, 0.0))
+        classes = {
+            worker.worker_id: worker.speed_class for worker in workers.values()
+        }
         self.mixed_pools = {
             pool: fastest
             for pool, members in pools.items()
             if (fastest := _classify(members)) is not None
         }
+        self.changed += [
+            worker
+            for worker in workers.values()
+            if worker.speed_class != classes[worker.worker_id]
+        ]
 
 
 def _center(workers: list[worker_module.Worker]) -> float:
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -331,6 +331,23 @@
     'a part of the daemon failed unexpectedly',
     'report it as a bug, with the trace',
 )
+WORKER_SPEED = _Event(
+    955,
+    'worker_speed',
+    _Level.INFO,
+    'the tasks of a worker show that it is of another speed than was assumed',
+    'nothing to do if the workers of the pool differ; otherwise look for what '
+    'slows this one down; class 0 is the fastest',
+)
+WORKER_SLOW = _Event(
+    956,
+    'worker_slow',
+    _Level.WARNING,
+    'the tasks of a worker are far slower than it usually is, or make no '
+    'progress; it gets no new tasks for a while',
+    'nothing to do if it passes; otherwise see the worker; lag is the ratio '
+    'of actual to expected durations',
+)
 DOMAIN_CLOSED = _Event(
     960,
     'domain_closed',
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -441,7 +441,7 @@
         ]
         self._log_loss(worker, released, loss.Evidence.RESTARTED)
         self._recorder.note_report(worker)
-        speed.check_progress(self.state, worker, now_ms)
+        self._check_speed(worker, now_ms)
         pacing.pace(self.state, worker, now_ms)
         self._log_ends(worker, report, previous_end_number)
         self._send_orders()
@@ -452,6 +452,28 @@
         self._schedule_plan()
         return worker.applied_end_number != worker.recorded_end_number
 
+    def _check_speed(self, worker: worker_module.Worker, now_ms: int) -> None:
+        was_slow = worker.slow_samples >= speed.MIN_SLOW_SAMPLES
+        speed.check_progress(self.state, worker, now_ms)
+        if worker.slow_samples >= speed.MIN_SLOW_SAMPLES and not was_slow:
+            metrics.SLOW_PERIODS.inc()
+            events.emit(
+                cell_events.WORKER_SLOW,
+                worker=worker.worker_id,
+                lag=round(worker.lag, 1),
+                tasks=len(worker.tasks),
+            )
+        for changed in self.state.speed_classes.take_changed():
+            metrics.SPEED_CHANGES.inc()
+            events.emit(
+                cell_events.WORKER_SPEED,
+                worker=changed.worker_id,
+                speed_class=changed.speed_class,
+                slowness=round(changed.speed.slowness, 2),
+                deviation=round(changed.speed.deviation, 2),
+                samples=changed.speed.samples,
+            )
+
     def _log_runs(
         self,
         worker: worker_module.Worker,
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -45,6 +45,15 @@
     'basilspindle_preemptions_total',
     'Tasks stopped to make room for more urgent ones.',
 )
+SPEED_CHANGES = prometheus.Counter(
+    'basilspindle_worker_speed_changes_total',
+    'Times that a worker moved to another speed class, at the leader.',
+)
+SLOW_PERIODS = prometheus.Counter(
+    'basilspindle_worker_slow_periods_total',
+    'Times that a worker became far slower than it usually is, or made no '
+    'progress, at the leader.',
+)
 STARTS_WITHHELD = prometheus.Counter(
     'basilspindle_starts_withheld_total',
     'Orders to start a task that were not sent or not repeated, by reason.',
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -60,6 +60,9 @@
                 # About twelve tasks have ended on each worker.
                 self.assertLess(len(self.ended), 16 * 40)
                 self.assertGreater(self.count_right(), 0.9)
+                changed = self.state.speed_classes.take_changed()
+                found = {worker.worker_id for worker in changed}
+                self.assertGreaterEqual(len(found & self.slow_ids), 6)
 
     def test_equal_workers_are_of_one_class(self):
         """Guard against placement by the noise of the estimates."""
