Compute the deviation of an estimate once per sample

Callers saw: nothing. Cause: dividing 1,000 workers into classes, every 500 ms, took 5.4 ms, most of it square roots and reciprocals of unchanged estimates.

--- a/basilspindle/cell/speed_estimate.py
+++ b/basilspindle/cell/speed_estimate.py
@@ -17,27 +17,28 @@
     """Mean and variance of the log slowness of a worker.
 
     ``slowness`` is the ratio of task durations here to those on a worker of
-    normal speed, ``samples`` the number of measured tasks.
+    normal speed, ``samples`` the number of measured tasks. ``deviation`` is
+    the standard deviation of the log slowness, and ``information`` tells how
+    much is known, 0 before the first sample.
     """
 
-    __slots__ = ('log_slowness', 'variance', 'slowness', 'samples')
+    __slots__ = (
+        'log_slowness',
+        'variance',
+        'deviation',
+        'information',
+        'slowness',
+        'samples',
+    )
 
     def __init__(self) -> None:
         self.log_slowness = 0.0
         self.variance = _INITIAL_VARIANCE
+        self.deviation = math.sqrt(_INITIAL_VARIANCE)
+        self.information = 0.0
         self.slowness = 1.0
         self.samples = 0
 
-    @property
-    def deviation(self) -> float:
-        """Return the standard deviation of the log slowness."""
-        return math.sqrt(self.variance)
-
-    @property
-    def information(self) -> float:
-        """Return how much is known, 0 before the first sample."""
-        return max(0.0, 1 / self.variance - 1 / _INITIAL_VARIANCE)
-
     def shift(self, log_ratio: float) -> None:
         """Make up for a change of what counts as normal speed."""
         if self.samples:
@@ -55,5 +56,7 @@
         gain = self.variance / variance
         self.log_slowness += gain * min(max(error, -bound), bound)
         self.variance = self.variance * (1 - gain) + _DRIFT_VARIANCE
+        self.deviation = math.sqrt(self.variance)
+        self.information = max(0.0, 1 / self.variance - 1 / _INITIAL_VARIANCE)
         self.slowness = math.exp(self.log_slowness)
         self.samples += 1
