Expect a measured task to go on at its own pace

Callers saw: nothing yet; found by reading. Cause: a task stopped counting as timed once its worker's speed was learnt from it, so that remaining_ms forgot its pace and expected one that takes seven times as long to end with the others. Tasks that an earlier leader had started were never measured, and their progress stayed at 0 until the next report. Change: a flag of its own tells that a run has been measured. The progress of an adopted run is taken from its first report, and it is measured from there.

--- a/basilspindle/cell/decisions/speed.py
+++ b/basilspindle/cell/decisions/speed.py
@@ -85,7 +85,7 @@
     if _has_measurable_progress(task):
         elapsed_ms = worker.last_contact_ms - task.started_ms
         if elapsed_ms >= _MIN_MEASURED_MS:
-            total_ms = elapsed_ms * 100 / task.percent
+            total_ms = _projected_ms(task, elapsed_ms)
     left_ms = total_ms * (100 - task.percent) / 100
     return max(0.0, left_ms - age_ms)
 
@@ -124,10 +124,14 @@
     return (
         task.is_timed
         and task.started_ms > 0
-        and task.percent >= _MIN_MEASURED_PERCENT
+        and task.percent - task.base_percent >= _MIN_MEASURED_PERCENT
     )
 
 
+def _projected_ms(task: task_module.Task, elapsed_ms: int) -> float:
+    return elapsed_ms * 100 / (task.percent - task.base_percent)
+
+
 def record_duration(
     state: state_module.CellState,
     worker: worker_module.Worker,
@@ -139,8 +143,15 @@
     if task.state is not _State.RUNNING:
         # Another member of the gang has reported the end already.
         return
-    if task.is_timed and task.started_ms:
-        _learn(state, worker, task, max(1, now_ms - task.started_ms))
+    seen_percent = 100 - task.base_percent
+    if (
+        task.is_timed
+        and not task.is_measured
+        and task.started_ms
+        and seen_percent >= _MIN_MEASURED_PERCENT
+    ):
+        duration_ms = max(1, now_ms - task.started_ms) * 100 / seen_percent
+        _learn(state, worker, task, duration_ms)
 
 
 def _learn(
@@ -153,7 +164,7 @@
     run = task.step_run
     step = run.step
     for member in run.tasks if step.gang else (task,):
-        member.is_timed = False
+        member.is_measured = True
     if step.service or step.fills or not duration_ms:
         # The pace of a task that fills spare capacity is ordered.
         return
@@ -295,11 +306,11 @@
 ) -> None:
     # Long before its end, the progress of a task tells when that will be.
     for task in worker.tasks.values():
-        if task.state is not _State.RUNNING:
+        if task.state is not _State.RUNNING or task.is_measured:
             continue
         elapsed_ms = now_ms - task.started_ms
         if _has_measurable_progress(task) and elapsed_ms >= _MIN_MEASURED_MS:
-            _learn(state, worker, task, elapsed_ms * 100 / task.percent)
+            _learn(state, worker, task, _projected_ms(task, elapsed_ms))
 
 
 def _is_slow(worker: worker_module.Worker) -> bool:
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -117,6 +117,9 @@
         if _may_adopt(task, active_run):
             state.occupy(task, worker, active_run.run, _State.RUNNING)
             task.started_ms = now_ms
+            task.percent = task.base_percent = active_run.percent
+            # With a checkpoint, the run may have begun there.
+            task.is_timed = not active_run.checkpoint
             task.listed_born_wall_ms = report.born_wall_ms
             task.checkpoint = active_run.checkpoint or task.checkpoint
             task.load = active_run.load
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -29,10 +29,11 @@
     progress at ``sampled_ms``, from which its speed is measured. ``lag`` is
     the ratio of expected to actual progress in the latest sample, 0 before the
     first, and ``is_stalled`` tells that there was none. ``is_timed``
-    tells that the present run began with nothing done, was started by this
-    leader, and has not been measured yet. ``load`` is
-    taken from the latest report: the response time in ms of a service, the
-    CPU usage of any other task. ``pace_percent`` is the speed ordered at
+    tells that the progress at ``started_ms`` is known: ``base_percent``. It is
+    not if the run may have begun with a checkpoint. ``is_measured`` tells that
+    the speed of the worker has been learnt from this run. ``load`` is taken
+    from the latest report: the response time in ms of a service, the CPU usage
+    of any other task. ``pace_percent`` is the speed ordered at
     ``paced_ms``, in percent of full speed; None if it is unknown.
     ``has_unanswered_pace`` is set by an order without an answer, after which
     orders are repeated until ``pace_repeated_until_ms``.
@@ -60,6 +61,8 @@
         'sampled_ms',
         'sampled_percent',
         'is_timed',
+        'is_measured',
+        'base_percent',
         'lag',
         'is_stalled',
         'avoided_worker_ids',
@@ -93,6 +96,8 @@
         self.sampled_ms = 0
         self.sampled_percent = 0
         self.is_timed = False
+        self.is_measured = False
+        self.base_percent = 0
         self.lag = 0.0
         self.is_stalled = False
         self.avoided_worker_ids: set[str] = set()
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -346,6 +346,41 @@
             expected_ms = self.remaining_ms(played.task)
             self.assertLess(abs(expected_ms - actual_ms), 250)
 
+    def test_a_task_goes_on_at_its_own_pace(self):
+        """Guard against the end of a long task that is expected too early.
+
+        It takes seven times as long as the other tasks of its step.
+        """
+        self.submit_step(8)
+        played = next(iter(self.runs.values()))
+        played.work_ms *= 7
+        self.play(3_000)
+        rest_ms = (played.work_ms - played.done_ms) / self.speed_of(played)
+        self.assertLess(
+            abs(self.remaining_ms(played.task) - rest_ms), 0.15 * rest_ms
+        )
+
+    def test_a_task_of_an_earlier_leader_is_measured(self):
+        """Guard against speeds that a new leader learns from new tasks only.
+
+        It knows neither when the task started nor what was done by then.
+        """
+        step = cell_case.make_step(estimate_ms=10_000)
+        job = self.submit(cell_case.make_definition(_JOB, step))
+        job.recovered = True
+        name = job.runs[0, 0].tasks[0].name
+        self.report('w000', [(name, 3)])
+        [task] = self.state.workers['w000'].tasks.values()
+        self.assertEqual(50, task.percent)
+        self.now_ms += 4_000
+        task.percent = 70
+        worker = self.state.workers['w000']
+        worker.last_contact_ms = self.now_ms
+        speed.check_progress(self.state, worker, self.now_ms)
+        self.assertEqual(1, worker.speed.samples)
+        self.assertGreater(worker.speed.slowness, 1.1)
+        self.assertAlmostEqual(6_000, self.remaining_ms(task), delta=1)
+
     def test_a_task_that_has_just_started_takes_as_long_as_its_worker(self):
         """Guard against ends by the mean speed of the fleet."""
         worker = self.state.workers['w000']
