Do not wait for fast workers that may not run a step

Callers saw: nothing yet; found by reading. Cause: a step for which advice or a label leaves slow workers only was kept from them until its job could not be on time any more. Result: its test fails without this change; 37 tests of placement and planning pass (one known red skipped).

--- a/basilspindle/cell/decisions/packing.py
+++ b/basilspindle/cell/decisions/packing.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import math
 
 from basilspindle.cell.decisions import speed_need
 from basilspindle.cell import worker as worker_module
@@ -66,6 +67,11 @@
     if need is not None:
         if _are_fast_workers_idle(workers, need):
             need = need._replace(preferred=0.0)
+        if all(
+            _slowness(step, worker, need) > need.limit for worker in workers
+        ):
+            # It may run on no worker that is worth waiting for.
+            need = need._replace(limit=math.inf)
         rows = [
             row for row in rows if _slowness(step, row[0], need) <= need.limit
         ]
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -268,6 +268,15 @@
         [start] = self.plan().starts
         self.assertIn(start.worker_id, self.fast_ids)
 
+    def test_a_step_that_may_use_slow_workers_only_starts_there(self):
+        """Guard against a wait for fast workers that may not run the step."""
+        urgent = {'stretch': 1.0, 'target_latency_ms': 200}
+        for name, worker in self.state.workers.items():
+            if name in self.slow_ids:
+                worker.labels = frozenset({'special'})
+        [name] = self.place(definition=urgent, required_label='special')
+        self.assertIn(name, self.slow_ids)
+
     def test_late_work_takes_what_there_is(self):
         """Guard against a step that waits for a fast worker for ever."""
         self.occupy(self.fast_ids, 4_000)
