Compare the progress of a task with its own earlier pace

Callers saw: nothing yet; a play with estimates that are off by 0.9 found it. Cause: the progress of a task was compared with an expected duration that may itself be off by a factor of two and more. With the samples of all tasks taken together two jobs with low estimates made a healthy worker suspect. Change: a task that has been measured is compared with its own pace, others with the expected duration plus one standard deviation of it.

--- a/basilspindle/cell/decisions/speed.py
+++ b/basilspindle/cell/decisions/speed.py
@@ -110,6 +110,19 @@
     return math.exp(run.timing.without(worker.worker_id)[0])
 
 
+def _doubt(
+    state: state_module.CellState,
+    run: step_run_module.StepRun,
+    worker: worker_module.Worker,
+) -> float:
+    # How much longer than expected a task may take, by one standard deviation.
+    if run.timing is None:
+        variance = state.queue_durations(run.job.definition).step_variance
+    else:
+        variance = run.timing.without(worker.worker_id)[1]
+    return math.exp(math.sqrt(variance))
+
+
 def _usual_factor(
     state: state_module.CellState,
     run: step_run_module.StepRun,
@@ -146,7 +159,7 @@
     seen_percent = 100 - task.base_percent
     if (
         task.is_timed
-        and not task.is_measured
+        and not task.measured_ms
         and task.started_ms
         and seen_percent >= _MIN_MEASURED_PERCENT
     ):
@@ -164,7 +177,7 @@
     run = task.step_run
     step = run.step
     for member in run.tasks if step.gang else (task,):
-        member.is_measured = True
+        member.measured_ms = duration_ms
     if step.service or step.fills or not duration_ms:
         # The pace of a task that fills spare capacity is ordered.
         return
@@ -306,7 +319,7 @@
 ) -> None:
     # Long before its end, the progress of a task tells when that will be.
     for task in worker.tasks.values():
-        if task.state is not _State.RUNNING or task.is_measured:
+        if task.state is not _State.RUNNING or task.measured_ms:
             continue
         elapsed_ms = now_ms - task.started_ms
         if _has_measurable_progress(task) and elapsed_ms >= _MIN_MEASURED_MS:
@@ -350,8 +363,11 @@
     progress = task.percent - task.sampled_percent
     task.sampled_ms = now_ms
     task.sampled_percent = task.percent
-    total_ms = _expected_elsewhere_ms(state, run, worker)
-    total_ms *= _usual_factor(state, run, worker)
+    total_ms = task.measured_ms
+    if not total_ms:
+        total_ms = _expected_elsewhere_ms(state, run, worker)
+        total_ms *= _usual_factor(state, run, worker)
+        total_ms *= _doubt(state, run, worker)
     expected = elapsed_ms * 100 / total_ms
     task.lag = expected / max(progress, _MIN_PROGRESS_PERCENT)
     task.is_stalled = (
@@ -368,8 +384,12 @@
     run = task.step_run
     if task.state is not _State.RUNNING or run.step.gang or run.step.service:
         return False
-    total_ms = _expected_elsewhere_ms(state, run, worker)
+    usual_factor = _usual_factor(state, run, worker)
+    if task.measured_ms:
+        total_ms = task.measured_ms / usual_factor
+    else:
+        total_ms = _expected_elsewhere_ms(state, run, worker)
     left_ms = total_ms * (100 - task.percent) / 100
     restart_ms = left_ms if run.step.checkpoints else total_ms
-    left_here_ms = left_ms * worker.lag * _usual_factor(state, run, worker)
+    left_here_ms = left_ms * worker.lag * usual_factor
     return left_here_ms > _MIN_MOVE_SPEEDUP * (restart_ms + _MOVE_OVERHEAD_MS)
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -189,7 +189,7 @@
         task.percent = task.sampled_ms = task.sampled_percent = 0
         task.lag, task.is_stalled = 0.0, False
         task.is_timed = state is _State.STARTING and not task.checkpoint
-        task.base_percent, task.is_measured = 0, False
+        task.base_percent, task.measured_ms = 0, 0.0
         worker.add_task(task)
         job.occupying_tasks.add(task)
         job.started = True
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -30,11 +30,12 @@
     the ratio of expected to actual progress in the latest sample, 0 before the
     first, and ``is_stalled`` tells that there was none. ``is_timed``
     tells that the progress at ``started_ms`` is known: ``base_percent``. It is
-    not if the run may have begun with a checkpoint. ``is_measured`` tells that
-    the speed of the worker has been learnt from this run. ``load`` is taken
-    from the latest report: the response time in ms of a service, the CPU usage
-    of any other task. ``pace_percent`` is the speed ordered at
-    ``paced_ms``, in percent of full speed; None if it is unknown.
+    not if the run may have begun with a checkpoint. ``measured_ms`` is the
+    duration of the whole run as measured when the speed of the worker was
+    learnt from it, 0 before. ``load`` is taken from the latest report: the
+    response time in ms of a service, the CPU usage of any other task.
+    ``pace_percent`` is the speed ordered at ``paced_ms``, in percent of full
+    speed; None if it is unknown.
     ``has_unanswered_pace`` is set by an order without an answer, after which
     orders are repeated until ``pace_repeated_until_ms``.
     ``preemptions`` counts the stops in favour of more urgent work.
@@ -61,7 +62,7 @@
         'sampled_ms',
         'sampled_percent',
         'is_timed',
-        'is_measured',
+        'measured_ms',
         'base_percent',
         'lag',
         'is_stalled',
@@ -96,7 +97,7 @@
         self.sampled_ms = 0
         self.sampled_percent = 0
         self.is_timed = False
-        self.is_measured = False
+        self.measured_ms = 0.0
         self.base_percent = 0
         self.lag = 0.0
         self.is_stalled = False
--- a/tests/test_cell_worker_speed.py
+++ b/tests/test_cell_worker_speed.py
@@ -451,6 +451,40 @@
         self.play(duration_ms, submit)
         return len(seen) - before
 
+    def test_wrong_estimates_make_no_worker_suspect(self):
+        """Guard against healthy workers without work, and needless restarts.
+
+        The durations of steps are off by 0.9.
+        """
+        self.tail = 0.0
+        self.estimate_error = 0.9
+        self.make_fleet([1.0] * 24)
+        suspect = 0
+        for _ in range(40):
+            self.play(250, self.keep_busy_with_any)
+            suspect += sum(
+                worker.suspect_until_ms > self.now_ms
+                for worker in self.state.workers.values()
+            )
+        self.assertLess(suspect, 0.02 * 40 * 24)
+        stopped = [
+            kind
+            for _, kind in self.ended
+            if kind is report_module.EndKind.STOPPED
+        ]
+        self.assertLess(len(stopped), 0.02 * len(self.ended))
+
+    def keep_busy_with_any(self):
+        """Keep 85% of the slots busy with tasks of different lengths."""
+        slots = 4 * len(self.speeds)
+        while len(self.runs) < 0.85 * slots:
+            if self.state.table.ready_steps:
+                return
+            self.submit_step(
+                self.random.choice((1, 1, 2, 6)),
+                estimate_ms=self.random.choice((800, 2_200, 5_000)),
+            )
+
     def test_a_worker_that_is_slow_now_and_then(self):
         """Guard against work for a worker in each of its slow times."""
         self.tail = 0.0
