Start a late step on a slow worker rather than wait

Cause: a step that would be late on a slow worker waited for a fast one. Change: no wait; slow workers come last for such a step.

--- a/basilspindle/cell/decisions/packing.py
+++ b/basilspindle/cell/decisions/packing.py
@@ -8,7 +8,6 @@
 """
 
 import collections.abc
-import math
 
 from basilspindle.cell.decisions import speed_need
 from basilspindle.cell import worker as worker_module
@@ -58,23 +57,14 @@
     """Return the number of tasks by worker id, at most ``count`` in total.
 
     A gang gets either all ``count`` tasks or none. ``scarce`` are the workers
-    that steps with few eligible workers wait for; they are used last. Workers
-    too slow for ``need`` are not used; without one, fast workers come first.
+    that steps with few eligible workers wait for; they are used last. Without
+    ``need``, fast workers come first.
     """
     rows = [(worker, slots(worker, run)) for worker in workers]
     rows = [row for row in rows if row[1] > 0]
     step = run.step
-    if need is not None:
-        if _are_fast_workers_idle(workers, need):
-            need = need._replace(preferred=0.0)
-        if all(
-            _slowness(step, worker, need) > need.limit for worker in workers
-        ):
-            # It may run on no worker that is worth waiting for.
-            need = need._replace(limit=math.inf)
-        rows = [
-            row for row in rows if _slowness(step, row[0], need) <= need.limit
-        ]
+    if need is not None and _are_fast_workers_idle(workers, need):
+        need = need._replace(preferred=0.0)
     if not rows:
         return {}
     if step.same_rack:
--- a/basilspindle/cell/decisions/speed_need.py
+++ b/basilspindle/cell/decisions/speed_need.py
@@ -8,22 +8,16 @@
 from basilspindle.cell import state as state_module
 from basilspindle.workflow import step_run as step_run_module
 
-# A worker is left out if the job would be late there even if the step took
-# this much less than expected.
-_CERTAINLY_LATE = 1.3
-
 
 class SpeedNeed(typing.NamedTuple):
-    """Slowness of workers that a step may use.
+    """Slowness of the workers that a step prefers.
 
     Up to ``preferred`` the job is on time also if the step takes longer than
-    expected. Above ``limit`` it would be late, while it can still be on time
-    on a faster worker. ``remote_factor`` is the ratio of task durations
-    outside and inside the rack of the data.
+    expected. ``remote_factor`` is the ratio of task durations outside and
+    inside the rack of the data.
     """
 
     preferred: float
-    limit: float
     remote_factor: float
 
 
@@ -36,15 +30,13 @@
     due_ms = state.due_times_ms.get(job.job_id)
     if fastest is None or due_ms is None or run.step.service:
         return None
-    step = run.step
     order = urgency.Urgency(now_ms, state.due_times_ms)
     # The steps after this one on the longest chain need the rest of the time.
-    available_ms = step.estimate_ms + order.slack_ms(
+    available_ms = run.step.estimate_ms + order.slack_ms(
         run, state.advice_terms(job.definition)
     )
     expected_ms = speed.expected_ms(state, run)
-    is_late = available_ms < fastest * expected_ms
-    if is_late:
+    if available_ms < fastest * expected_ms:
         # The result keeps some of its value for a while.
         available_ms += (urgency.MAX_LATENESS_FACTOR - 1) * (
             due_ms - job.accepted_ms
@@ -52,14 +44,8 @@
     ratio = available_ms / expected_ms
     if ratio < fastest:
         # Its time is over, so it leaves fast workers to others.
-        return SpeedNeed(math.inf, math.inf, state.bounds.remote_factor)
-    # A gang starts wherever there is room, as room for it is rare.
-    may_wait = not is_late and not step.gang
-    return SpeedNeed(
-        ratio / _margin(state, run),
-        ratio * _CERTAINLY_LATE if may_wait else math.inf,
-        state.bounds.remote_factor,
-    )
+        return SpeedNeed(math.inf, state.bounds.remote_factor)
+    return SpeedNeed(ratio / _margin(state, run), state.bounds.remote_factor)
 
 
 def _margin(
