--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -86,6 +86,14 @@
             )
         )
 
+    def set_evacuate_ms(self, evacuate_ms: int) -> None:
+        """Let failure domains be evacuated, before the process starts."""
+        self._path.write_text(
+            self._path.read_text().replace(
+                '[bounds]', f'[bounds]\nevacuate_ms = {evacuate_ms}'
+            )
+        )
+
     async def start(self) -> None:
         """Start the process."""
         with self.log_path.open('ab') as log:
--- a/tests/standins/platform/worker.py
+++ b/tests/standins/platform/worker.py
@@ -54,6 +54,7 @@
         self.paces: list[tuple[str, int]] = []
         self.loads: dict[str, int] = {}
         self.state = 'ready'
+        self.zone = 'a'
         self._pool = pool
         self._store = store
         self._tasks: list[asyncio.Task[None]] = []
@@ -168,7 +169,7 @@
         entry = {
             'service': self._pool,
             'address': self.server.address,
-            'zone': 'a',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 8,
             'state': self.state,
