Spread the rechecks of waiting steps over their interval

Callers saw: once a second a pass of the leader examined all waiting steps at once, 0.6 s at 270 workers and 1,000 steps, in which it answered nobody. Cause: each step was due again one second after its last examination, so that steps examined in one pass stayed together in all later ones. Change: a step is due at its own time within the interval, taken from its key, and never later than before.

--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -1,5 +1,7 @@
 """Schedule waiting tasks: decide which start now, and on which workers."""
 
+import zlib
+
 from basilspindle.cell.decisions import gang_room
 from basilspindle.cell.decisions import packing
 from basilspindle.cell.decisions import speed_need
@@ -98,7 +100,7 @@
                 run, now_ms, freed_workers, freed_workspaces
             )
             if not skip:
-                run.retry_at_ms = now_ms + _RECHECK_INTERVAL_MS
+                run.retry_at_ms = _next_recheck_ms(run, now_ms)
                 pool = pools.get(run.job.definition.pool, [])
                 self._place(run, pool, now_ms)
             self._gang_room.hold_limit(run, now_ms)
@@ -382,6 +384,13 @@
         self._state.release_reservation(run)
 
 
+def _next_recheck_ms(run: step_run_module.StepRun, now_ms: int) -> int:
+    # Each step has a time of its own within the interval. Otherwise all steps
+    # that were examined together would be due in one pass again and again.
+    phase_ms = zlib.crc32(run.key.encode()) % _RECHECK_INTERVAL_MS
+    return now_ms + 1 + (phase_ms - now_ms - 1) % _RECHECK_INTERVAL_MS
+
+
 def _find_scarce_workers(state: state_module.CellState) -> set[str]:
     # Other tasks avoid these workers. Capacity is freed there in small parts,
     # and small tasks would otherwise take it before a large step can.
