Let the lazy heap and the worker index hold other items

Callers saw: nothing; no behaviour changes. Cause: both were written for entries and views of the product's own deployment, though neither looks inside them; the pass of the cell needs the same. Change: LazyHeap takes any key and any item with a sequence number, WorkerIndex any view and number of dimensions.

--- a/basilspindle/policy/lazy_heap.py
+++ b/basilspindle/policy/lazy_heap.py
@@ -1,16 +1,26 @@
-"""Order queue entries in a heap with lazy deletion."""
+"""Order items in a heap with lazy deletion."""
 
 import heapq
 import typing
 
 from basilspindle.policy import operation_count
-from basilspindle.policy import queue_entry
 
 # Below this length, compacting costs more than the memory it saves.
 _MIN_COMPACTION_LENGTH = 32
 
 
-class LazyHeap:
+class _Entry(typing.Protocol):
+    """What is in a heap; ``sequence`` orders entries with equal keys."""
+
+    sequence: int
+
+
+# A key that orders the items of a heap, such as a time.
+_Key = typing.TypeVar('_Key')
+_Item = typing.TypeVar('_Item', bound=_Entry)
+
+
+class LazyHeap(typing.Generic[_Key, _Item]):
     """Heap of entries with lazy deletion.
 
     Dead items are dropped when they reach the top or when the heap is
@@ -23,10 +33,10 @@
 
     def __init__(
         self,
-        alive: typing.Callable[[int, queue_entry.QueueEntry], bool],
+        alive: typing.Callable[[_Key, _Item], bool],
         operations: operation_count.OperationCount,
     ) -> None:
-        self._heap: list[tuple[int, int, queue_entry.QueueEntry]] = []
+        self._heap: list[tuple[_Key, int, _Item]] = []
         self._alive = alive
         self._dead = 0
         self._operations = operations
@@ -34,12 +44,12 @@
     def __len__(self) -> int:
         return len(self._heap) - self._dead
 
-    def add(self, key: int, entry: queue_entry.QueueEntry) -> None:
+    def add(self, key: _Key, entry: _Item) -> None:
         """Add an entry under a key."""
         self._operations.count += 1
         heapq.heappush(self._heap, (key, entry.sequence, entry))
 
-    def first(self) -> tuple[int, queue_entry.QueueEntry] | None:
+    def first(self) -> tuple[_Key, _Item] | None:
         """Return the live item with the lowest key, or None."""
         while self._heap:
             key, _, entry = self._heap[0]
--- a/basilspindle/policy/shape_queue.py
+++ b/basilspindle/policy/shape_queue.py
@@ -9,7 +9,7 @@
     return entry.count > 0
 
 
-class ShapeQueue(lazy_heap.LazyHeap):
+class ShapeQueue(lazy_heap.LazyHeap[int, queue_entry.QueueEntry]):
     """FIFO queue; a requeued entry returns to its earlier place."""
 
     __slots__ = ()
--- a/basilspindle/policy/worker_index.py
+++ b/basilspindle/policy/worker_index.py
@@ -2,12 +2,15 @@
 
 import bisect
 import collections.abc
+import typing
 
 from basilspindle.policy import amounts as amounts_module
-from basilspindle.policy import worker_view
 
+# What the index knows of a worker, for example its view.
+_View = typing.TypeVar('_View')
 
-class WorkerIndex:
+
+class WorkerIndex(typing.Generic[_View]):
     """One sorted list of (free amount, serial) for each dimension.
 
     The serial number identifies a worker and orders equal amounts.
@@ -15,11 +18,13 @@
 
     __slots__ = ('_sorted_amounts', '_views')
 
-    def __init__(self) -> None:
+    def __init__(
+        self, dimensions: int = len(amounts_module.DIMENSIONS)
+    ) -> None:
         self._sorted_amounts: list[list[tuple[int, int]]] = [
-            [] for _ in amounts_module.DIMENSIONS
+            [] for _ in range(dimensions)
         ]
-        self._views: dict[int, worker_view.WorkerView] = {}
+        self._views: dict[int, _View] = {}
 
     def __len__(self) -> int:
         return len(self._views)
@@ -27,15 +32,15 @@
     def add(
         self,
         serial: int,
-        view: worker_view.WorkerView,
-        free: amounts_module.Amounts,
+        view: _View,
+        free: tuple[int, ...],
     ) -> None:
         """Add a worker with its free amounts."""
         self._views[serial] = view
         for ordered, amount in zip(self._sorted_amounts, free, strict=True):
             bisect.insort(ordered, (amount, serial))
 
-    def remove(self, serial: int, free: amounts_module.Amounts) -> None:
+    def remove(self, serial: int, free: tuple[int, ...]) -> None:
         """Remove a worker that is indexed with these free amounts."""
         del self._views[serial]
         for ordered, amount in zip(self._sorted_amounts, free, strict=True):
@@ -44,8 +49,8 @@
     def move(
         self,
         serial: int,
-        old: amounts_module.Amounts,
-        new: amounts_module.Amounts,
+        old: tuple[int, ...],
+        new: tuple[int, ...],
     ) -> None:
         """Change the free amounts of a worker."""
         for ordered, before, after in zip(
@@ -55,7 +60,7 @@
                 del ordered[bisect.bisect_left(ordered, (before, serial))]
                 bisect.insort(ordered, (after, serial))
 
-    def most_selective(self, need: amounts_module.Amounts) -> int:
+    def most_selective(self, need: tuple[int, ...]) -> int:
         """Return the dimension in which the fewest workers have enough."""
         most_selective = 0
         fewest = len(self._views) + 1
@@ -70,7 +75,7 @@
 
     def least_free_first(
         self, dimension: int, need: int
-    ) -> collections.abc.Iterator[worker_view.WorkerView]:
+    ) -> collections.abc.Iterator[_View]:
         """Yield the workers with at least ``need`` free, least free first."""
         ordered = self._sorted_amounts[dimension]
         views = self._views
@@ -81,7 +86,7 @@
 
     def most_free_first(
         self, dimension: int, need: int
-    ) -> collections.abc.Iterator[worker_view.WorkerView]:
+    ) -> collections.abc.Iterator[_View]:
         """Yield the workers with at least ``need`` free, most free first."""
         ordered = self._sorted_amounts[dimension]
         views = self._views
