--- a/tests/test_cell_plan_changes.py
+++ b/tests/test_cell_plan_changes.py
@@ -275,6 +275,10 @@
         """Guard the same with tickets, and workers where a task failed."""
         self.check(range(_SEEDS), True)
 
+    def test_orders_of_plays_that_differed(self):
+        """Guard the same in the plays that differed in a longer trial."""
+        self.check((21, 24, 36, 38, 47, 83, 89), True)
+
 
 class BoundedPassTest(cell_case.CellCase):
     """Guard steps that a bounded pass leaves to the next one."""
