Measure the former scheduling pass beside the present one

Callers saw: nothing. Change: bench.planner measures the pass that visits all steps as well, up to 100,000 pairs of worker and step.

--- a/bench/planner.py
+++ b/bench/planner.py
@@ -1,15 +1,18 @@
 """Measure a scheduling pass of the cell's leader by size.
 
 Prints one JSON object a line. A fleet that is nearly full, and steps of which
-a tenth are gangs, wait for room; between two passes one task ends.
+a tenth are gangs, wait for room; between two passes one task ends. At small
+sizes the former pass, which visits all steps, is measured beside it.
 
 Usage: ``python -m bench.planner [--quick]``.
 """
 
+import collections.abc
 import json
 import random
 import statistics
 import time
+import typing
 
 import click
 
@@ -22,6 +25,7 @@
 from basilspindle import workflow
 from basilspindle.workflow import task_state
 from tests import cell_case
+from tests import full_pass
 
 _WORKER_COUNTS = (30, 100, 270, 540, 1_000)
 _STEP_COUNTS = (100, 1_000, 5_000)
@@ -36,12 +40,21 @@
 # A pass is made this long after the one before.
 _PASS_INTERVAL_MS = 20
 _SEED = 7
+# The former pass takes 2.2 us for each pair of a worker and a step.
+_MAX_FORMER_PAIRS = 100_000
 
 
 class Fleet:
     """State of a leader with workers that are full and steps that wait."""
 
-    def __init__(self, workers: int, steps: int) -> None:
+    def __init__(
+        self,
+        workers: int,
+        steps: int,
+        make_planner: collections.abc.Callable[
+            [state_module.CellState], typing.Any
+        ] = plan_module.Planner,
+    ) -> None:
         self.now_ms = 1_000_000
         self.random = random.Random(_SEED)
         self.state = state_module.CellState(bounds_module.Bounds())
@@ -51,7 +64,7 @@
             )
         )
         self.intake = intake_module.Intake(self.state)
-        self.planner = plan_module.Planner(self.state)
+        self.planner = make_planner(self.state)
         self._jobs = 0
         for number in range(workers):
             self._add_worker(f'w{number:04}')
@@ -61,7 +74,7 @@
         while len(self.state.table.ready_steps) < steps:
             self._submit()
         self.plan()
-        while self.planner.has_more:
+        while getattr(self.planner, 'has_more', False):
             self.plan()
 
     def _add_worker(self, name: str) -> None:
@@ -115,9 +128,16 @@
         self.state.release(task)
 
 
-def measure(workers: int, steps: int) -> None:
+def measure(
+    workers: int,
+    steps: int,
+    prefix: str = 'planner',
+    make_planner: collections.abc.Callable[
+        [state_module.CellState], typing.Any
+    ] = plan_module.Planner,
+) -> None:
     """Print the time of a pass and of a start at one size."""
-    fleet = Fleet(workers, steps)
+    fleet = Fleet(workers, steps, make_planner)
     times_ms, starts = [], 0
     for _ in range(_PASSES):
         fleet.end_one_task()
@@ -132,7 +152,7 @@
     )
     for name, value, unit, target in rows:
         line = {
-            'name': f'planner.{name}',
+            'name': f'{prefix}.{name}',
             'value': round(value, 3),
             'unit': unit,
             'baseline': target,
@@ -148,6 +168,13 @@
     for workers in _QUICK_WORKER_COUNTS if quick else _WORKER_COUNTS:
         for steps in _QUICK_STEP_COUNTS if quick else _STEP_COUNTS:
             measure(workers, steps)
+            if workers * steps <= _MAX_FORMER_PAIRS:
+                measure(
+                    workers,
+                    steps,
+                    'former_planner',
+                    full_pass.FullPassPlanner,
+                )
 
 
 if __name__ == '__main__':
