Move what both schedulers share to a package of its own

Cause: the pass imported basilspindle.policy, whose package imports the gRPC messages of the other deployment. grpclib is not installed on entry VMs. Evidence: ModuleNotFoundError of grpclib at each start. Change: lazy_heap, worker_index, operation_count and amounts move to basilspindle/indexing. Result: test_only_deployed_libraries_are_imported fails without the move.

--- a/basilspindle/cell/decisions/free_workers.py
+++ b/basilspindle/cell/decisions/free_workers.py
@@ -2,7 +2,7 @@
 
 from basilspindle.cell import worker as worker_module
 from basilspindle.cell import worker_table
-from basilspindle.policy import worker_index
+from basilspindle.indexing import worker_index
 from basilspindle.workflow import need as need_module
 
 _DIMENSIONS = 3
--- a/basilspindle/cell/decisions/waiting_steps.py
+++ b/basilspindle/cell/decisions/waiting_steps.py
@@ -11,8 +11,8 @@
 import typing
 
 from basilspindle.cell import ready_steps as ready_steps_module
-from basilspindle.policy import lazy_heap
-from basilspindle.policy import operation_count
+from basilspindle.indexing import lazy_heap
+from basilspindle.indexing import operation_count
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
 
--- /dev/null
+++ b/basilspindle/indexing/__init__.py
@@ -0,0 +1,1 @@
+"""Data structures that the schedulers of both deployments share."""
--- a/basilspindle/policy/lazy_heap.py
+++ b/basilspindle/indexing/lazy_heap.py
@@ -3,7 +3,7 @@
 import heapq
 import typing
 
-from basilspindle.policy import operation_count
+from basilspindle.indexing import operation_count
 
 # Below this length, compacting costs more than the memory it saves.
 _MIN_COMPACTION_LENGTH = 32
--- a/basilspindle/policy/worker_index.py
+++ b/basilspindle/indexing/worker_index.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from basilspindle.policy import amounts as amounts_module
+from basilspindle.indexing import amounts as amounts_module
 
 # What the index knows of a worker, for example its view.
 _View = typing.TypeVar('_View')
--- a/basilspindle/policy/candidates.py
+++ b/basilspindle/policy/candidates.py
@@ -3,8 +3,8 @@
 import collections.abc
 import functools
 
+from basilspindle.indexing import amounts
 from basilspindle import model
-from basilspindle.policy import amounts
 from basilspindle.policy import least_loaded
 from basilspindle.policy import pack
 from basilspindle.policy import rank
--- a/basilspindle/policy/expected_ends.py
+++ b/basilspindle/policy/expected_ends.py
@@ -3,7 +3,7 @@
 import bisect
 import heapq
 
-from basilspindle.policy import amounts as amounts_module
+from basilspindle.indexing import amounts as amounts_module
 
 
 class ExpectedEnds:
--- a/basilspindle/policy/fair_queue.py
+++ b/basilspindle/policy/fair_queue.py
@@ -5,11 +5,11 @@
 import itertools
 
 from basilspindle import errors
+from basilspindle.indexing import amounts as amounts_module
+from basilspindle.indexing import lazy_heap
+from basilspindle.indexing import operation_count
 from basilspindle import model
-from basilspindle.policy import amounts as amounts_module
 from basilspindle.policy import expected_ends
-from basilspindle.policy import lazy_heap
-from basilspindle.policy import operation_count
 from basilspindle.policy import pick
 from basilspindle.policy import queue_entry
 from basilspindle.policy import reservation as reservation_module
--- a/basilspindle/policy/fit.py
+++ b/basilspindle/policy/fit.py
@@ -2,8 +2,8 @@
 
 import collections.abc
 
+from basilspindle.indexing import amounts as amounts_module
 from basilspindle import model
-from basilspindle.policy import amounts as amounts_module
 
 _DIMENSION_NAMES = ('cpu', 'memory', 'accelerators', 'slots')
 _DIMENSION_UNITS = (' millicores', ' MB', '', '')
--- a/basilspindle/policy/placer.py
+++ b/basilspindle/policy/placer.py
@@ -4,9 +4,9 @@
 import itertools
 import math
 
+from basilspindle.indexing import amounts as amounts_module
 from basilspindle import model
 from basilspindle.peer.messages import room as room_module
-from basilspindle.policy import amounts as amounts_module
 from basilspindle.policy import candidates as candidates_module
 from basilspindle.policy import rank as rank_module
 from basilspindle.policy import size_class
--- a/basilspindle/policy/queue_entry.py
+++ b/basilspindle/policy/queue_entry.py
@@ -1,7 +1,7 @@
 """Track the waiting tasks of one job."""
 
+from basilspindle.indexing import amounts as amounts_module
 from basilspindle import model
-from basilspindle.policy import amounts as amounts_module
 
 
 class QueueEntry:
--- a/basilspindle/policy/reservation.py
+++ b/basilspindle/policy/reservation.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from basilspindle.policy import amounts as amounts_module
+from basilspindle.indexing import amounts as amounts_module
 from basilspindle.policy import expected_ends
 from basilspindle.policy import queue_entry
 
--- a/basilspindle/policy/room_estimate.py
+++ b/basilspindle/policy/room_estimate.py
@@ -1,8 +1,8 @@
 """Estimate how many tasks fit the room that a member advertises."""
 
+from basilspindle.indexing import amounts as amounts_module
 from basilspindle import model
 from basilspindle.peer.messages import room as room_module
-from basilspindle.policy import amounts as amounts_module
 
 
 def max_tasks_in(resources: model.Resources, room: room_module.Room) -> int:
--- a/basilspindle/policy/shape_queue.py
+++ b/basilspindle/policy/shape_queue.py
@@ -1,7 +1,7 @@
 """Queue the waiting jobs of one workspace, priority class and shape."""
 
-from basilspindle.policy import lazy_heap
-from basilspindle.policy import operation_count
+from basilspindle.indexing import lazy_heap
+from basilspindle.indexing import operation_count
 from basilspindle.policy import queue_entry
 
 
--- a/basilspindle/policy/size_class.py
+++ b/basilspindle/policy/size_class.py
@@ -1,7 +1,7 @@
 """Index the workers with the same total resources."""
 
-from basilspindle.policy import amounts as amounts_module
-from basilspindle.policy import worker_index
+from basilspindle.indexing import amounts as amounts_module
+from basilspindle.indexing import worker_index
 from basilspindle.policy import worker_view
 
 
--- a/basilspindle/policy/unplaceable_shapes.py
+++ b/basilspindle/policy/unplaceable_shapes.py
@@ -1,6 +1,6 @@
 """Cache the shapes that no worker has room for."""
 
-from basilspindle.policy import amounts as amounts_module
+from basilspindle.indexing import amounts as amounts_module
 
 # Above this many changed workers, a new search costs no more than checking
 # them.
--- a/basilspindle/policy/workspace_state.py
+++ b/basilspindle/policy/workspace_state.py
@@ -1,8 +1,8 @@
 """Account for the waiting and running tasks of one workspace."""
 
+from basilspindle.indexing import amounts as amounts_module
+from basilspindle.indexing import operation_count
 from basilspindle import model
-from basilspindle.policy import amounts as amounts_module
-from basilspindle.policy import operation_count
 from basilspindle.policy import queue_entry
 from basilspindle.policy import shape_queue as shape_queue_module
 from basilspindle.policy import workspace_policy
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -3,8 +3,8 @@
 import collections
 import heapq
 
+from basilspindle.indexing import amounts
 from basilspindle import model
-from basilspindle.policy import amounts
 from bench import run_metrics
 from bench import workload
 
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -1,6 +1,9 @@
 """Test settings files, job bodies and the selection of queues."""
 
 import json
+import pathlib
+import subprocess
+import sys
 import unittest
 
 from basilspindle import errors
@@ -57,6 +60,37 @@
                 self.assertIn(name, caught.exception.message)
 
 
+class ImportTest(unittest.TestCase):
+    """Test what the daemon of the platform imports."""
+
+    def test_only_deployed_libraries_are_imported(self):
+        """Guard against a daemon that doesn't start where it is deployed."""
+        folder = pathlib.Path(__file__).resolve().parent.parent
+        deployed = (folder / 'deploy/requirements.txt').read_text()
+        libraries = (folder / 'requirements.txt').read_text().split()
+        missing = [
+            name
+            for line in libraries
+            if (name := line.partition('==')[0]) not in deployed
+            # uvicorn depends on it.
+            and name != 'click'
+        ]
+        self.assertIn('grpclib', missing)
+        code = (
+            'import sys\n'
+            f'sys.modules.update(dict.fromkeys({missing}))\n'
+            'import basilspindle.platform.main\n'
+        )
+        done = subprocess.run(
+            [sys.executable, '-c', code],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+
+
 class BodyTest(unittest.TestCase):
     """Test the decoding of submitted jobs."""
 
