Keep totals of waiting and running work, updated with each change

Cause: the sum of the waiting work was made anew for each submission, and running work, work of a workspace and the rate at which tasks free room were in no sum at all. Change: decisions/backlog.py holds cores and core time of waiting work by pool and by workspace, share, priority and queue, and the cores and the rate of running work. The table and the state update it where steps become ready, tasks occupy a worker or leave it, and jobs end. Amounts are integers, so that they don't drift. Tasks that no worker of the pool can hold don't count.

--- /dev/null
+++ b/basilspindle/cell/decisions/backlog.py
@@ -0,0 +1,282 @@
+"""Keep totals of waiting and running work, updated with each change.
+
+Admission reads them for each submission, where a scan of all waiting steps
+would take longer the more work waits.
+"""
+
+import collections.abc
+
+from basilspindle.workflow import need as need_module
+from basilspindle.workflow import step_run as step_run_module
+from basilspindle.workflow import task as task_module
+
+# Shorter tasks don't free their room sooner: the start, the report of the end
+# and the next scheduling pass take this long.
+_MIN_TASK_MS = 50
+# Rates are kept as integers of this fraction of a millicore per ms, so that
+# totals are exact however often tasks are added and removed.
+_RATE_SCALE = 1_000_000
+
+# Beyond share, priority; a lower rank is scheduled first.
+Rank = tuple[bool, int]
+# Ratio of actual to estimated durations of a queue, by its name.
+Factor = collections.abc.Callable[[str], float]
+_Group = tuple[bool, int, str]
+
+
+class Waiting:
+    """Amount of waiting work: tasks, their cores and the core time."""
+
+    __slots__ = ('tasks', 'millicores', 'millicore_ms')
+
+    def __init__(
+        self, tasks: int = 0, millicores: int = 0, millicore_ms: float = 0
+    ) -> None:
+        self.tasks = tasks
+        self.millicores = millicores
+        self.millicore_ms = millicore_ms
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Waiting) and (
+            (self.tasks, self.millicores, self.millicore_ms)
+            == (other.tasks, other.millicores, other.millicore_ms)
+        )
+
+    def __repr__(self) -> str:
+        return f'Waiting({self.tasks}, {self.millicores}, {self.millicore_ms})'
+
+    def add(self, other: 'Waiting', factor: float = 1, sign: int = 1) -> None:
+        """Add another amount, its core time multiplied by a factor."""
+        self.tasks += sign * other.tasks
+        self.millicores += sign * other.millicores
+        self.millicore_ms += sign * other.millicore_ms * factor
+
+
+class Running:
+    """Cores of running tasks, and the rate at which they become free."""
+
+    __slots__ = ('millicores', 'scaled_rate')
+
+    def __init__(self, millicores: int = 0, scaled_rate: int = 0) -> None:
+        self.millicores = millicores
+        self.scaled_rate = scaled_rate
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Running) and (
+            (self.millicores, self.scaled_rate)
+            == (other.millicores, other.scaled_rate)
+        )
+
+    def __repr__(self) -> str:
+        return f'Running({self.millicores}, {self.scaled_rate})'
+
+    @property
+    def millicores_per_ms(self) -> float:
+        """Return the rate for tasks that take as long as declared."""
+        return self.scaled_rate / _RATE_SCALE
+
+    def add(self, other: 'Running', sign: int = 1) -> None:
+        """Add or subtract another amount."""
+        self.millicores += sign * other.millicores
+        self.scaled_rate += sign * other.scaled_rate
+
+
+class _StepEntry:
+    """What a step adds to the totals at present."""
+
+    __slots__ = ('pool', 'workspace', 'group', 'amount')
+
+    def __init__(
+        self, pool: str, workspace: str, group: _Group, amount: Waiting
+    ) -> None:
+        self.pool = pool
+        self.workspace = workspace
+        self.group = group
+        self.amount = amount
+
+
+class _TaskEntry:
+    """What a running task adds to the totals."""
+
+    __slots__ = ('pool', 'workspace', 'queue', 'amount')
+
+    def __init__(
+        self, pool: str, workspace: str, queue: str, amount: Running
+    ) -> None:
+        self.pool = pool
+        self.workspace = workspace
+        self.queue = queue
+        self.amount = amount
+
+
+class Backlog:
+    """Totals of waiting and running work by pool and by workspace."""
+
+    __slots__ = (
+        '_steps',
+        '_pool_waiting',
+        '_workspace_waiting',
+        '_tasks',
+        '_pool_running',
+        '_workspace_running',
+        '_kinds',
+    )
+
+    def __init__(self) -> None:
+        self._steps: dict[str, _StepEntry] = {}
+        self._pool_waiting: dict[str, dict[_Group, Waiting]] = {}
+        self._workspace_waiting: dict[str, dict[_Group, Waiting]] = {}
+        self._tasks: dict[str, _TaskEntry] = {}
+        self._pool_running: dict[str, dict[str, Running]] = {}
+        self._workspace_running: dict[str, dict[str, Running]] = {}
+        # Different capacities of the workers of each pool.
+        self._kinds: dict[str, frozenset[need_module.Need]] = {}
+
+    def set_kinds(
+        self,
+        pool: str,
+        kinds: frozenset[need_module.Need],
+        ready_steps: collections.abc.Iterable[step_run_module.StepRun],
+    ) -> None:
+        """Set the capacities of a pool; recounts its steps if they change.
+
+        Tasks that no worker can hold delay nothing and don't count.
+        """
+        if self._kinds.get(pool) == kinds:
+            return
+        self._kinds[pool] = kinds
+        for run in ready_steps:
+            if run.job.definition.pool == pool:
+                self.update_step(run, True)
+
+    def update_step(
+        self, run: step_run_module.StepRun, is_ready: bool
+    ) -> None:
+        """Count the tasks of a step that are ready to start."""
+        entry = self._steps.pop(run.key, None)
+        if entry is not None:
+            _add_waiting(self._pool_waiting, entry.pool, entry, -1)
+            _add_waiting(self._workspace_waiting, entry.workspace, entry, -1)
+        count = len(run.waiting)
+        if not is_ready or not count or not self._can_hold(run):
+            return
+        definition = run.job.definition
+        millicores = count * run.step.reserved.cpu_millicores
+        entry = _StepEntry(
+            definition.pool,
+            definition.workspace,
+            (run.job.is_beyond_share, definition.priority, definition.queue),
+            Waiting(count, millicores, millicores * run.step.estimate_ms),
+        )
+        self._steps[run.key] = entry
+        _add_waiting(self._pool_waiting, entry.pool, entry, 1)
+        _add_waiting(self._workspace_waiting, entry.workspace, entry, 1)
+
+    def add_running(self, task: task_module.Task) -> None:
+        """Count a task that occupies a worker."""
+        self.remove_running(task)
+        step = task.step_run.step
+        definition = task.step_run.job.definition
+        millicores = step.reserved.cpu_millicores
+        rate = 0
+        if not step.service:
+            rate = millicores * _RATE_SCALE
+            rate //= max(step.estimate_ms, _MIN_TASK_MS)
+        entry = _TaskEntry(
+            definition.pool,
+            definition.workspace,
+            definition.queue,
+            Running(millicores, rate),
+        )
+        self._tasks[task.name] = entry
+        _add_running(self._pool_running, entry.pool, entry, 1)
+        _add_running(self._workspace_running, entry.workspace, entry, 1)
+
+    def remove_running(self, task: task_module.Task) -> None:
+        """Stop counting a task; no effect if it isn't counted."""
+        entry = self._tasks.pop(task.name, None)
+        if entry is not None:
+            _add_running(self._pool_running, entry.pool, entry, -1)
+            _add_running(self._workspace_running, entry.workspace, entry, -1)
+
+    def waiting_in_pool(
+        self, pool: str, last: Rank | None, factor: Factor
+    ) -> Waiting:
+        """Return the work of a pool up to a rank, or all of it."""
+        return _sum_waiting(self._pool_waiting.get(pool), last, factor)
+
+    def waiting_in_workspace(
+        self, workspace: str, last: Rank | None, factor: Factor
+    ) -> Waiting:
+        """Return the work of a workspace up to a rank, or all of it."""
+        return _sum_waiting(
+            self._workspace_waiting.get(workspace), last, factor
+        )
+
+    def running_in_pool(self, pool: str) -> int:
+        """Return the millicores that running tasks of a pool occupy."""
+        queues = self._pool_running.get(pool, {})
+        return sum(amount.millicores for amount in queues.values())
+
+    def freed_in_pool(self, pool: str, factor: Factor) -> float:
+        """Return the rate at which tasks free room, in millicores per ms."""
+        return _sum_rate(self._pool_running.get(pool), factor)
+
+    def freed_in_workspace(self, workspace: str, factor: Factor) -> float:
+        """Return the rate at which tasks free room, in millicores per ms."""
+        return _sum_rate(self._workspace_running.get(workspace), factor)
+
+    def _can_hold(self, run: step_run_module.StepRun) -> bool:
+        kinds = self._kinds.get(run.job.definition.pool)
+        if not kinds:
+            # No worker is known yet.
+            return True
+        need = run.step.reserved
+        return any(need.fits(capacity) for capacity in kinds)
+
+
+def _add_waiting(
+    totals: dict[str, dict[_Group, Waiting]],
+    name: str,
+    entry: _StepEntry,
+    sign: int,
+) -> None:
+    groups = totals.setdefault(name, {})
+    total = groups.setdefault(entry.group, Waiting())
+    total.add(entry.amount, sign=sign)
+    if not total.tasks:
+        del groups[entry.group]
+        if not groups:
+            del totals[name]
+
+
+def _add_running(
+    totals: dict[str, dict[str, Running]],
+    name: str,
+    entry: _TaskEntry,
+    sign: int,
+) -> None:
+    queues = totals.setdefault(name, {})
+    total = queues.setdefault(entry.queue, Running())
+    total.add(entry.amount, sign)
+    if not total.millicores:
+        del queues[entry.queue]
+        if not queues:
+            del totals[name]
+
+
+def _sum_waiting(
+    groups: dict[_Group, Waiting] | None, last: Rank | None, factor: Factor
+) -> Waiting:
+    total = Waiting()
+    for (is_beyond, priority, queue), amount in (groups or {}).items():
+        if last is None or (is_beyond, priority) <= last:
+            total.add(amount, factor(queue))
+    return total
+
+
+def _sum_rate(queues: dict[str, Running] | None, factor: Factor) -> float:
+    return sum(
+        amount.millicores_per_ms / factor(queue)
+        for queue, amount in (queues or {}).items()
+    )
--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -115,8 +115,10 @@
             member.started_ms = now_ms
         run.mark_done(member)
     job = run.job
-    if not run.waiting:
-        state.table.ready_steps.pop(run.key, None)
+    if run.waiting:
+        state.table.count_ready_step(run)
+    else:
+        state.table.remove_ready_step(run)
     if not run.is_done:
         return
     if job.is_complete:
--- a/basilspindle/cell/job_table.py
+++ b/basilspindle/cell/job_table.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from basilspindle.cell.decisions import backlog as backlog_module
 from basilspindle.cell import ready_steps
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import job_state
@@ -31,7 +32,8 @@
     """Jobs by id, tasks by name, and the steps with tasks ready to start.
 
     ``unreadable_job_ids`` are the jobs whose records this build cannot read.
-    They are live or ended, and nothing else is known of them.
+    They are live or ended, and nothing else is known of them. ``backlog``
+    holds the totals of the ready steps and of the running tasks.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         'unreadable_job_ids',
         'tasks',
         'ready_steps',
+        'backlog',
     )
 
     def __init__(self) -> None:
@@ -48,6 +51,7 @@
         self.unreadable_job_ids: set[str] = set()
         self.tasks: dict[str, task_module.Task] = {}
         self.ready_steps = ready_steps.ReadySteps()
+        self.backlog = backlog_module.Backlog()
 
     def add(self, job: job_module.Job) -> None:
         """Add a live job with its tasks."""
@@ -84,12 +88,26 @@
             if not run.ready_ms:
                 run.ready_ms = now_ms
             if run.waiting:
-                self.ready_steps[run.key] = run
+                self.add_ready_step(run)
+
+    def add_ready_step(self, run: step_run_module.StepRun) -> None:
+        """Add a step with tasks ready to start."""
+        self.ready_steps[run.key] = run
+        self.backlog.update_step(run, True)
+
+    def remove_ready_step(self, run: step_run_module.StepRun) -> None:
+        """Remove a step from the ready steps."""
+        self.ready_steps.pop(run.key, None)
+        self.backlog.update_step(run, False)
+
+    def count_ready_step(self, run: step_run_module.StepRun) -> None:
+        """Update the backlog after a change of a step's waiting tasks."""
+        self.backlog.update_step(run, run.key in self.ready_steps)
 
     def remove_ready_steps(self, job: job_module.Job) -> None:
         """Remove the steps of a job from the ready steps."""
         for run in job.runs.values():
-            self.ready_steps.pop(run.key, None)
+            self.remove_ready_step(run)
 
     def remove(self, job: job_module.Job) -> None:
         """Remove a job and its tasks."""
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -124,9 +124,9 @@
             task.checkpoint = active_run.checkpoint or task.checkpoint
             task.load = active_run.load
             task.pace_percent = None
-            state.table.ready_steps.pop(task.step_run.key, None)
+            state.table.remove_ready_step(task.step_run)
             if task.step_run.waiting and not task.step_run.step.gang:
-                state.table.ready_steps[task.step_run.key] = task.step_run
+                state.table.add_ready_step(task.step_run)
             continue
         _stop_unexpected(state, worker, active_run, unexpected_runs)
     if worker.unexpected_runs and not unexpected_runs:
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -197,6 +197,8 @@
         if job.state is job_state.JobState.PENDING:
             job.state = job_state.JobState.RUNNING
         self.usage.add(job.definition.workspace, task.step_run.step.reserved)
+        self.table.count_ready_step(task.step_run)
+        self.table.backlog.add_running(task)
 
     def release(self, task: task_module.Task) -> None:
         """Remove a task from its worker; queue it again unless it is done."""
@@ -210,9 +212,11 @@
             self.freed_workers.add(worker.worker_id)
             self.freed_workspaces.add(job.definition.workspace)
         job.occupying_tasks.discard(task)
+        self.table.backlog.remove_running(task)
         task.worker_id = ''
         if task.state is not _State.DONE:
             step_run.mark_waiting(task)
+            self.table.count_ready_step(step_run)
             if not job.state.is_final and job.is_ready(step_run):
                 self.reopen(step_run)
 
@@ -224,7 +228,7 @@
         ):
             # A gang is restarted only as a whole.
             return
-        self.table.ready_steps[step_run.key] = step_run
+        self.table.add_ready_step(step_run)
 
     def request_stop(self, task: task_module.Task) -> None:
         """Order the stop of a task that occupies a worker."""
