--- a/basilspindle/cell/advice_calls.py
+++ b/basilspindle/cell/advice_calls.py
@@ -126,6 +126,7 @@
             result.tickets,
             self._clock.now_ms() + result.valid_ms,
         )
+        self._state.table.count_ready_step(run)
         self._on_advice()
 
     async def _call(
--- a/basilspindle/cell/decisions/backlog.py
+++ b/basilspindle/cell/decisions/backlog.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import typing
 
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step_run as step_run_module
@@ -21,7 +22,10 @@
 Rank = tuple[bool, int]
 # Ratio of actual to estimated durations of a queue, by its name.
 Factor = collections.abc.Callable[[str], float]
-_Group = tuple[bool, int, str]
+# Beyond share, priority, queue, and whether the first advice is awaited.
+_Group = tuple[bool, int, str, bool]
+# Tells whether work of a queue that awaits its first advice counts.
+CountsPending = collections.abc.Callable[[str], bool]
 
 
 class Waiting:
@@ -110,21 +114,29 @@
 
 
 class Backlog:
-    """Totals of waiting and running work by pool and by workspace."""
+    """Totals of waiting and running work by pool and by workspace.
+
+    ``version`` rises with each change.
+    """
 
     __slots__ = (
         '_steps',
         '_pool_waiting',
+        '_pool_workspaces',
         '_workspace_waiting',
         '_tasks',
         '_pool_running',
         '_workspace_running',
         '_kinds',
+        'version',
     )
 
     def __init__(self) -> None:
+        self.version = 0
         self._steps: dict[str, _StepEntry] = {}
-        self._pool_waiting: dict[str, dict[_Group, Waiting]] = {}
+        # By pool and workspace.
+        self._pool_waiting: dict[tuple[str, str], dict[_Group, Waiting]] = {}
+        self._pool_workspaces: dict[str, set[str]] = {}
         self._workspace_waiting: dict[str, dict[_Group, Waiting]] = {}
         self._tasks: dict[str, _TaskEntry] = {}
         self._pool_running: dict[str, dict[str, Running]] = {}
@@ -145,6 +157,7 @@
         if self._kinds.get(pool) == kinds:
             return
         self._kinds[pool] = kinds
+        self.version += 1
         for run in ready_steps:
             if run.job.definition.pool == pool:
                 self.update_step(run, True)
@@ -155,22 +168,28 @@
         """Count the tasks of a step that are ready to start."""
         entry = self._steps.pop(run.key, None)
         if entry is not None:
-            _add_waiting(self._pool_waiting, entry.pool, entry, -1)
-            _add_waiting(self._workspace_waiting, entry.workspace, entry, -1)
+            self._add_waiting(entry, -1)
         count = len(run.waiting)
         if not is_ready or not count or not self._can_hold(run):
             return
+        if run.tickets is not None and not run.tickets:
+            # The advice service approved no worker.
+            return
         definition = run.job.definition
         millicores = count * run.step.reserved.cpu_millicores
         entry = _StepEntry(
             definition.pool,
             definition.workspace,
-            (run.job.is_beyond_share, definition.priority, definition.queue),
+            (
+                run.job.is_beyond_share,
+                definition.priority,
+                definition.queue,
+                run.tickets is None and definition.advice is not None,
+            ),
             Waiting(count, millicores, millicores * run.step.estimate_ms),
         )
         self._steps[run.key] = entry
-        _add_waiting(self._pool_waiting, entry.pool, entry, 1)
-        _add_waiting(self._workspace_waiting, entry.workspace, entry, 1)
+        self._add_waiting(entry, 1)
 
     def add_running(self, task: task_module.Task) -> None:
         """Count a task that occupies a worker."""
@@ -189,6 +208,7 @@
             Running(millicores, rate),
         )
         self._tasks[task.name] = entry
+        self.version += 1
         _add_running(self._pool_running, entry.pool, entry, 1)
         _add_running(self._workspace_running, entry.workspace, entry, 1)
 
@@ -196,6 +216,7 @@
         """Stop counting a task; no effect if it isn't counted."""
         entry = self._tasks.pop(task.name, None)
         if entry is not None:
+            self.version += 1
             _add_running(self._pool_running, entry.pool, entry, -1)
             _add_running(self._workspace_running, entry.workspace, entry, -1)
 
@@ -203,7 +224,24 @@
         self, pool: str, last: Rank | None, factor: Factor
     ) -> Waiting:
         """Return the work of a pool up to a rank, or all of it."""
-        return _sum_waiting(self._pool_waiting.get(pool), last, factor)
+        total = Waiting()
+        for _, amount in self.waiting_by_workspace(pool, last, factor):
+            total.add(amount)
+        return total
+
+    def waiting_by_workspace(
+        self,
+        pool: str,
+        last: Rank | None,
+        factor: Factor,
+        counts_pending: CountsPending | None = None,
+    ) -> collections.abc.Iterator[tuple[str, Waiting]]:
+        """Yield the work up to a rank of each workspace with any."""
+        for workspace in self._pool_workspaces.get(pool, ()):
+            groups = self._pool_waiting.get((pool, workspace))
+            amount = _sum_waiting(groups, last, factor, counts_pending)
+            if amount.tasks:
+                yield workspace, amount
 
     def waiting_in_workspace(
         self, workspace: str, last: Rank | None, factor: Factor
@@ -226,6 +264,17 @@
         """Return the rate at which tasks free room, in millicores per ms."""
         return _sum_rate(self._workspace_running.get(workspace), factor)
 
+    def _add_waiting(self, entry: _StepEntry, sign: int) -> None:
+        self.version += 1
+        place = (entry.pool, entry.workspace)
+        _add_waiting(self._pool_waiting, place, entry, sign)
+        workspaces = self._pool_workspaces.setdefault(entry.pool, set())
+        if place in self._pool_waiting:
+            workspaces.add(entry.workspace)
+        else:
+            workspaces.discard(entry.workspace)
+        _add_waiting(self._workspace_waiting, entry.workspace, entry, sign)
+
     def _can_hold(self, run: step_run_module.StepRun) -> bool:
         kinds = self._kinds.get(run.job.definition.pool)
         if not kinds:
@@ -236,8 +285,8 @@
 
 
 def _add_waiting(
-    totals: dict[str, dict[_Group, Waiting]],
-    name: str,
+    totals: dict[typing.Any, dict[_Group, Waiting]],
+    name: str | tuple[str, str],
     entry: _StepEntry,
     sign: int,
 ) -> None:
@@ -266,12 +315,19 @@
 
 
 def _sum_waiting(
-    groups: dict[_Group, Waiting] | None, last: Rank | None, factor: Factor
+    groups: dict[_Group, Waiting] | None,
+    last: Rank | None,
+    factor: Factor,
+    counts_pending: CountsPending | None = None,
 ) -> Waiting:
     total = Waiting()
-    for (is_beyond, priority, queue), amount in (groups or {}).items():
-        if last is None or (is_beyond, priority) <= last:
-            total.add(amount, factor(queue))
+    for group, amount in (groups or {}).items():
+        is_beyond, priority, queue, is_pending = group
+        if last is not None and (is_beyond, priority) > last:
+            continue
+        if is_pending and counts_pending and not counts_pending(queue):
+            continue
+        total.add(amount, factor(queue))
     return total
 
 
--- /dev/null
+++ b/basilspindle/cell/decisions/pool_capacity.py
@@ -0,0 +1,182 @@
+"""Sum up the workers of a pool that take work, for a short time."""
+
+from basilspindle.cell.decisions import backlog as backlog_module
+from basilspindle.cell import worker as worker_module
+from basilspindle.workflow import need as need_module
+
+# Room changes with each scheduling pass, and passes are at most this far
+# apart while work waits.
+_VALID_MS = 50
+# Needs are rounded up to this much, so that few sizes are looked for.
+_ROUNDING_MILLICORES = 250
+
+
+class PoolCapacity:
+    """Workers of one pool at one time.
+
+    ``workers`` take work now; ``kinds`` are the different capacities of all
+    known workers. ``total_millicores``, ``used_millicores`` and
+    ``free_millicores`` are of the workers that take work, and ``slowness`` is
+    their mean one. ``running_millicores`` ran on all workers back then.
+    ``ahead`` caches what waits ahead of a rank and of a call for advice, with
+    the version of the backlog.
+    """
+
+    __slots__ = (
+        'made_ms',
+        'known',
+        'workers',
+        'kinds',
+        'total_millicores',
+        'used_millicores',
+        'running_millicores',
+        'free_millicores',
+        'slowness',
+        'ahead',
+        '_slots',
+        '_empty_slots',
+        '_label_millicores',
+    )
+
+    def __init__(
+        self,
+        known: list[worker_module.Worker],
+        workers: list[worker_module.Worker],
+        running_millicores: int,
+        now_ms: int,
+    ) -> None:
+        self.made_ms = now_ms
+        self.known = known
+        self.workers = workers
+        self.kinds = frozenset(worker.capacity for worker in known)
+        self.total_millicores = sum(
+            worker.capacity.cpu_millicores for worker in workers
+        )
+        self.used_millicores = sum(
+            worker.used.cpu_millicores for worker in workers
+        )
+        self.running_millicores = running_millicores
+        self.free_millicores = sum(
+            max(0, worker.available.cpu_millicores) for worker in workers
+        )
+        self.slowness = 1.0
+        if workers:
+            total = sum(worker.speed.slowness for worker in workers)
+            self.slowness = total / len(workers)
+        self.ahead: dict[
+            tuple[backlog_module.Rank, float],
+            tuple[int, backlog_module.Waiting],
+        ] = {}
+        self._slots: dict[tuple[str, need_module.Need], int] = {}
+        self._empty_slots: dict[tuple[str, need_module.Need], int] = {}
+        self._label_millicores: dict[str, int] = {}
+
+    def part(self, label: str) -> float:
+        """Return the fraction of the cores on workers with a label."""
+        if not label or not self.total_millicores:
+            return 1.0
+        cores = self._label_millicores.get(label)
+        if cores is None:
+            cores = self._label_millicores[label] = sum(
+                worker.capacity.cpu_millicores
+                for worker in self.workers
+                if label in worker.labels
+            )
+        return cores / self.total_millicores
+
+    def free_slots(self, label: str, need: need_module.Need) -> int:
+        """Return how many tasks of a need fit in the free room."""
+        key = (label, _round(need))
+        slots = self._slots.get(key)
+        if slots is None:
+            slots = self._slots[key] = sum(
+                count_fitting(worker.available, key[1])
+                for worker in self._labelled(label)
+            )
+        return slots
+
+    def empty_slots(self, label: str, need: need_module.Need) -> int:
+        """Return how many tasks of a need fit if nothing else runs."""
+        key = (label, _round(need))
+        slots = self._empty_slots.get(key)
+        if slots is None:
+            slots = self._empty_slots[key] = sum(
+                count_fitting(worker.capacity, key[1])
+                for worker in self._labelled(label)
+            )
+        return slots
+
+    def _labelled(self, label: str) -> list[worker_module.Worker]:
+        if not label:
+            return self.workers
+        return [worker for worker in self.workers if label in worker.labels]
+
+    def can_ever_hold(
+        self, label: str, need: need_module.Need, count: int
+    ) -> bool:
+        """Tell whether the known workers, when empty, hold so many tasks."""
+        slots = 0
+        for worker in self.known:
+            if not label or label in worker.labels:
+                slots += count_fitting(worker.capacity, need)
+                if slots >= count:
+                    return True
+        return False
+
+
+class PoolCapacities:
+    """Capacity of each pool, made again when it is too old."""
+
+    __slots__ = ('_by_pool', '_known_workers')
+
+    def __init__(self) -> None:
+        self._by_pool: dict[str, PoolCapacity] = {}
+        self._known_workers = 0
+
+    def get(
+        self,
+        workers: dict[str, worker_module.Worker],
+        pool: str,
+        running_millicores: int,
+        closed_domains: frozenset[str],
+        now_ms: int,
+    ) -> PoolCapacity:
+        """Return the capacity of a pool, which runs so many millicores."""
+        if len(workers) != self._known_workers:
+            self._known_workers = len(workers)
+            self._by_pool.clear()
+        found = self._by_pool.get(pool)
+        if found is None or not 0 <= now_ms - found.made_ms < _VALID_MS:
+            known = [
+                worker for worker in workers.values() if worker.pool == pool
+            ]
+            taking = [
+                worker
+                for worker in known
+                if worker.accepts(now_ms)
+                and worker.failure_domain not in closed_domains
+            ]
+            found = self._by_pool[pool] = PoolCapacity(
+                known, taking, running_millicores, now_ms
+            )
+        return found
+
+
+def _round(need: need_module.Need) -> need_module.Need:
+    parts = -(-need.cpu_millicores // _ROUNDING_MILLICORES)
+    return need_module.Need(
+        parts * _ROUNDING_MILLICORES, need.memory_mb, need.accelerators
+    )
+
+
+def count_fitting(available: need_module.Need, need: need_module.Need) -> int:
+    """Return how many tasks of a need fit; a need of nothing fits often."""
+    rows = (
+        (need.cpu_millicores, available.cpu_millicores),
+        (need.memory_mb, available.memory_mb),
+        (need.accelerators, available.accelerators),
+    )
+    return max(
+        0,
+        min((left // each for each, left in rows if each), default=1 << 20),
+    )
--- a/basilspindle/cell/decisions/urgency.py
+++ b/basilspindle/cell/decisions/urgency.py
@@ -7,7 +7,7 @@
 # The result of a job loses its value after this many times its objective.
 MAX_LATENESS_FACTOR = 3
 # The objective of a job includes one call for advice about this many workers.
-_WORKERS_PER_CALL = 30
+WORKERS_PER_CALL = 30
 
 
 def critical_path_ms(
@@ -15,7 +15,7 @@
     advice: advice_terms.AdviceTerms | None,
 ) -> int:
     """Return the estimated time of the longest chain of dependent steps."""
-    call_ms = advice.call_ms(_WORKERS_PER_CALL) if advice else 0.0
+    call_ms = advice.call_ms(WORKERS_PER_CALL) if advice else 0.0
     finish_ms: list[float] = []
     for step in definition.steps:
         start_ms = max((finish_ms[index] for index in step.after), default=0.0)
@@ -29,7 +29,7 @@
     advice: advice_terms.AdviceTerms | None,
 ) -> float:
     # Estimated time from the start of a step to the end of the job.
-    call_ms = advice.call_ms(_WORKERS_PER_CALL) if advice else 0.0
+    call_ms = advice.call_ms(WORKERS_PER_CALL) if advice else 0.0
     finish_ms = {index: float(definition.steps[index].estimate_ms)}
     for number, step in enumerate(definition.steps):
         before = [
@@ -91,8 +91,8 @@
     def is_too_late(self, run: step_run_module.StepRun) -> bool:
         """Tell whether the result has no value by the end of a step."""
         job = run.job
-        span_ms = self._due_ms.get(job.job_id, job.accepted_ms) - (
-            job.accepted_ms
+        span_ms = self._due_ms.get(job.job_id, job.first_sent_ms) - (
+            job.first_sent_ms
         )
-        cutoff_ms = job.accepted_ms + MAX_LATENESS_FACTOR * span_ms
+        cutoff_ms = job.first_sent_ms + MAX_LATENESS_FACTOR * span_ms
         return self._now_ms + run.step.estimate_ms > cutoff_ms
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -4,6 +4,9 @@
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import configuration as configuration_module
 from basilspindle.cell import configuration_index
+from basilspindle.cell.decisions import arrivals
+from basilspindle.cell.decisions import pool_capacity
+from basilspindle.cell.decisions import retry_promises
 from basilspindle.cell.decisions import share
 from basilspindle.cell.decisions import speed_classes
 from basilspindle.cell import job_table
@@ -67,6 +70,9 @@
         '_queue_durations',
         'share_limiter',
         'closed_domains',
+        'capacities',
+        'retry_promises',
+        'arrivals',
     )
 
     def __init__(self, bounds: bounds_module.Bounds, term: int = 0) -> None:
@@ -90,6 +96,9 @@
         self._queue_durations: dict[str, queue_durations.QueueDurations] = {}
         self.share_limiter = share.ShareLimiter()
         self.closed_domains: frozenset[str] = frozenset()
+        self.capacities = pool_capacity.PoolCapacities()
+        self.retry_promises = retry_promises.RetryPromises()
+        self.arrivals = arrivals.Arrivals()
 
     def take_orders(self) -> orders_module.Orders:
         """Return the pending orders and clear them."""
@@ -142,6 +151,13 @@
             self.workers, self._queue_durations.values(), now_ms
         )
 
+    def queue_advice(self, queue: str) -> advice_terms.AdviceTerms | None:
+        """Return the advice terms of a configured queue, or None."""
+        if self.configuration_index is None:
+            return None
+        config = self.configuration_index.queues.get(queue)
+        return config.advice if config is not None else None
+
     def advice_terms(
         self, definition: definition_module.JobDefinition
     ) -> advice_terms.AdviceTerms | None:
--- a/basilspindle/workflow/job.py
+++ b/basilspindle/workflow/job.py
@@ -13,6 +13,8 @@
     committed to the log, the only one shown to callers, and None before the
     first commit. ``append_started`` is set before the first append, after
     which the log may hold the job. ``accepted_ms`` is monotonic time.
+    ``first_sent_ms`` is when the caller first sent the job, from which its
+    objective counts: before ``accepted_ms`` if this leader refused it before.
     ``runs`` maps (occurrence, step index) to a step run. ``next_occurrence``
     is the number of the first occurrence that is not open yet; the log holds
     those below ``durable_occurrences``. ``occupying_tasks`` are the tasks
@@ -28,6 +30,7 @@
         'state',
         'durable_state',
         'accepted_ms',
+        'first_sent_ms',
         'runs',
         'next_occurrence',
         'durable_occurrences',
@@ -50,6 +53,7 @@
         self.state = job_state.JobState.PENDING
         self.durable_state: job_state.JobState | None = None
         self.accepted_ms = accepted_ms
+        self.first_sent_ms = accepted_ms
         self.runs: dict[tuple[int, int], step_run_module.StepRun] = {}
         self.next_occurrence = 0
         self.durable_occurrences = 0
