Refuse what can't be on time, and tell callers when there is room

Cause: a job within its workspace's share was accepted up to three times its objective, by the core time of the waiting work over all cores. Retry-After followed from that backlog alone, and on the wire it was 2 s for nearly all. Change: admission uses the expected start. What would start at once is taken, also beyond a share; what can't be on time is refused, wide work and work beyond a share first; small work that would start within 1 s is not, as a refusal costs it at least that. Retry-After is when there is room for the job after all callers that were told before; a caller that returns then is ahead of new ones of its kind, and its objective counts from the first time. Work that the latest pass could not start doesn't keep others from free room. job_refused tells workspace, queue, reason, expected start and end, what was ahead and what was free; refusals are counted by these reasons.

--- a/basilspindle/cell/decisions/admission.py
+++ b/basilspindle/cell/decisions/admission.py
@@ -1,40 +1,51 @@
 """Decide at submission whether a job can be served in time.
 
-In a burst, or when one workspace submits far more than usual, the backlog is
-compared with what the fleet can process in the time the job has. A refused
-caller thus learns with its first request when to retry.
+Capacity is short if a job can't start at once. A refused caller learns with
+its first request when there is room for its job.
 """
 
+import enum
 import zlib
 
-# Jobs are refused if the backlog exceeds this fraction of what the fleet can
-# process before the result of the job loses its value.
-_MAX_BACKLOG_FRACTION = 1.0
+from basilspindle.cell.decisions import expected_start
+
+# A refusal costs the caller at least this much, as times on the wire are
+# whole seconds of at least 1.
 _MIN_RETRY_MS = 1_000
-_MAX_RETRY_MS = 10_000
-# Callers refused at the same time are spread over this fraction of the delay.
-_RETRY_JITTER_FRACTION = 0.5
+# No caller is told to wait for longer: what is known of the load by now says
+# little about it then, and callers repeat a job four times only.
+_MAX_RETRY_MS = 30_000
+# A repeat helps only once the configuration or the workers have changed.
+_UNSERVABLE_RETRY_MS = 10_000
+# A job that is several times as large as the mean takes the room of as many
+# others, which would be refused in its place. Jobs of one kind differ by about
+# this factor; one above it may use up a smaller part of its slack, so that it
+# yields before the others do. It keeps a quarter, so that it does not starve.
+_USUAL_RELATIVE_WORK = 4.0
+_MIN_SLACK_FRACTION = 0.25
+# Errors of the estimates are borne by the workspace that is beyond its share.
+_BEYOND_SHARE_SLACK_FRACTION = 0.5
 
 # During a store outage a job is retried this many times within its objective.
 _RETRIES_PER_OBJECTIVE = 4
 _MAX_OUTAGE_RETRY_MS = 5_000
 
 
-class Backlog:
-    """Work waiting ahead of a job, in core-ms, and the cores of its pool."""
+class RefusalReason(enum.StrEnum):
+    """Reason why a job is refused."""
 
-    __slots__ = ('waiting_core_ms', 'cores')
+    NO_WORKER = 'no_worker_fits'
+    ABOVE_LIMIT = 'above_limit'
+    LIMIT = 'workspace_limit'
+    CAPACITY = 'capacity'
+    BEYOND_SHARE = 'beyond_share'
+    NO_VALUE = 'no_value_left'
 
-    def __init__(self, waiting_core_ms: float, cores: float) -> None:
-        self.waiting_core_ms = waiting_core_ms
-        self.cores = cores
 
-    @property
-    def wait_ms(self) -> float:
-        """Return the time that the whole fleet needs for the backlog."""
-        if self.cores <= 0:
-            return 0.0
-        return self.waiting_core_ms / self.cores
+_UNSERVABLE = {
+    expected_start.Reason.NO_WORKER: RefusalReason.NO_WORKER,
+    expected_start.Reason.ABOVE_LIMIT: RefusalReason.ABOVE_LIMIT,
+}
 
 
 def outage_retry_ms(objective_ms: int) -> int:
@@ -49,18 +60,70 @@
     )
 
 
-def refusal_retry_ms(
-    backlog: Backlog, usable_ms: float, job_id: str
-) -> int | None:
-    """Return the retry delay of a refused job, or None to accept it.
+def refusal_reason(
+    expectation: expected_start.Expectation,
+    relative_work: float,
+    is_beyond_share: bool,
+    now_ms: int,
+) -> RefusalReason | None:
+    """Return why a job is to be refused, or None to accept it.
 
-    ``usable_ms`` is how long the job may wait and still have value. The
-    delay is the time to process the excess backlog, plus jitter that is
-    derived from the job id.
+    ``relative_work`` is the core time of the job over that of the mean one.
     """
-    excess_ms = backlog.wait_ms - usable_ms * _MAX_BACKLOG_FRACTION
-    if excess_ms <= 0:
+    unservable = _UNSERVABLE.get(expectation.reason)
+    if unservable is not None:
+        return unservable
+    delay_ms = expectation.delay_ms
+    has_value = expectation.end_ms <= expectation.worthless_ms
+    is_new = expectation.first_sent_ms == now_ms
+    if delay_ms <= 0 and (has_value or is_new):
+        # The room would be idle otherwise.
+        return None
+    if not has_value and not is_new:
+        return RefusalReason.NO_VALUE
+    slack_ms = expectation.due_ms - expectation.end_ms + delay_ms
+    part = _slack_fraction(relative_work, is_beyond_share)
+    if delay_ms <= max(slack_ms * part, min(slack_ms, _MIN_RETRY_MS)):
         return None
-    base_ms = min(max(excess_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
-    jitter = zlib.crc32(job_id.encode()) % 1000 / 1000 * _RETRY_JITTER_FRACTION
-    return int(base_ms * (1 + jitter))
+    if is_beyond_share:
+        return RefusalReason.BEYOND_SHARE
+    if has_value and relative_work <= 1 and delay_ms <= _MIN_RETRY_MS:
+        # It would be later still after a refusal, and takes little room.
+        return None
+    if expectation.reason is expected_start.Reason.LIMIT:
+        return RefusalReason.LIMIT
+    return RefusalReason.CAPACITY
+
+
+def refusal_retry_ms(
+    expectation: expected_start.Expectation,
+    reason: RefusalReason,
+    job_id: str,
+    now_ms: int,
+) -> int:
+    """Return the retry delay of a refused job, in whole seconds.
+
+    Callers whose room would come after their results have lost their value
+    are spread over the second half of that time by a hash of the job id.
+    """
+    if reason in _UNSERVABLE.values():
+        return _UNSERVABLE_RETRY_MS
+    path_ms = expectation.end_ms - expectation.start_ms
+    useful_ms = expectation.worthless_ms - path_ms - now_ms
+    longest_ms = min(max(useful_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
+    delay_ms = expectation.room_ms - now_ms
+    if delay_ms > longest_ms:
+        spread = zlib.crc32(job_id.encode()) % 1000 / 1000
+        delay_ms = int(longest_ms * (1 + spread) / 2)
+    seconds = -(-delay_ms // 1000)
+    return max(seconds * 1000, _MIN_RETRY_MS)
+
+
+def _slack_fraction(relative_work: float, is_beyond_share: bool) -> float:
+    fraction = 1.0
+    if relative_work > _USUAL_RELATIVE_WORK:
+        excess = relative_work / _USUAL_RELATIVE_WORK
+        fraction = max(excess**-0.5, _MIN_SLACK_FRACTION)
+    if is_beyond_share:
+        fraction *= _BEYOND_SHARE_SLACK_FRACTION
+    return fraction
--- a/basilspindle/cell/decisions/backlog.py
+++ b/basilspindle/cell/decisions/backlog.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import enum
 import typing
 
 from basilspindle.workflow import need as need_module
@@ -22,10 +23,24 @@
 Rank = tuple[bool, int]
 # Ratio of actual to estimated durations of a queue, by its name.
 Factor = collections.abc.Callable[[str], float]
-# Beyond share, priority, queue, and whether the first advice is awaited.
-_Group = tuple[bool, int, str, bool]
-# Tells whether work of a queue that awaits its first advice counts.
-CountsPending = collections.abc.Callable[[str], bool]
+
+
+class Phase(enum.IntEnum):
+    """What a step with tasks ready to start waits for."""
+
+    # The next scheduling pass.
+    PASS = 0
+    # Its first advice.
+    ADVICE = 1
+    # Room, its workspace's limit or new tickets: the latest pass did not
+    # start all of its tasks, whatever was free.
+    STUCK = 2
+
+
+# Beyond share, priority, queue and phase.
+_Group = tuple[bool, int, str, Phase]
+# Tells whether work of a queue in a phase counts.
+Counts = collections.abc.Callable[[str, Phase], bool]
 
 
 class Waiting:
@@ -184,7 +199,7 @@
                 run.job.is_beyond_share,
                 definition.priority,
                 definition.queue,
-                run.tickets is None and definition.advice is not None,
+                _phase(run),
             ),
             Waiting(count, millicores, millicores * run.step.estimate_ms),
         )
@@ -234,12 +249,12 @@
         pool: str,
         last: Rank | None,
         factor: Factor,
-        counts_pending: CountsPending | None = None,
+        counts: Counts | None = None,
     ) -> collections.abc.Iterator[tuple[str, Waiting]]:
         """Yield the work up to a rank of each workspace with any."""
         for workspace in self._pool_workspaces.get(pool, ()):
             groups = self._pool_waiting.get((pool, workspace))
-            amount = _sum_waiting(groups, last, factor, counts_pending)
+            amount = _sum_waiting(groups, last, factor, counts)
             if amount.tasks:
                 yield workspace, amount
 
@@ -284,6 +299,12 @@
         return any(need.fits(capacity) for capacity in kinds)
 
 
+def _phase(run: step_run_module.StepRun) -> Phase:
+    if run.tickets is None and run.job.definition.advice is not None:
+        return Phase.ADVICE
+    return Phase.STUCK if run.wait_reason else Phase.PASS
+
+
 def _add_waiting(
     totals: dict[typing.Any, dict[_Group, Waiting]],
     name: str | tuple[str, str],
@@ -318,14 +339,14 @@
     groups: dict[_Group, Waiting] | None,
     last: Rank | None,
     factor: Factor,
-    counts_pending: CountsPending | None = None,
+    counts: Counts | None = None,
 ) -> Waiting:
     total = Waiting()
     for group, amount in (groups or {}).items():
-        is_beyond, priority, queue, is_pending = group
+        is_beyond, priority, queue, phase = group
         if last is not None and (is_beyond, priority) > last:
             continue
-        if is_pending and counts_pending and not counts_pending(queue):
+        if counts is not None and not counts(queue, phase):
             continue
         total.add(amount, factor(queue))
     return total
--- a/basilspindle/cell/decisions/expected_start.py
+++ b/basilspindle/cell/decisions/expected_start.py
@@ -18,6 +18,7 @@
 from basilspindle.workflow import need as need_module
 from basilspindle.workflow import step as step_module
 
+_Phase = backlog_module.Phase
 # The advice service approves at least this fraction of the workers.
 _APPROVED_FRACTION = 0.3
 # The work that arrives later and is more urgent takes at most all but this
@@ -28,8 +29,9 @@
 _MIN_PART = 0.1
 # No estimate is longer; nothing of value waits for ten minutes.
 _MAX_WAIT_MS = 600_000
-# Callers that return by then compete with a job that is submitted now.
-_NEXT_RETRY_MS = 1_000
+# Callers that return by then compete with a job that is submitted now: later
+# ones find the room that becomes free until then.
+_NEXT_RETRY_MS = 250
 
 
 class Reason(enum.StrEnum):
@@ -163,6 +165,7 @@
         'rank',
         'ahead',
         'free_millicores',
+        '_next',
         '_total',
         '_rate',
         '_own',
@@ -179,13 +182,15 @@
     ) -> None:
         backlog = state.table.backlog
         self.rank = (is_beyond_share, definition.priority)
-        self.ahead = _work_ahead(
+        ahead = _work_ahead(
             state,
             definition.pool,
             pool,
             self.rank,
             _call_ms(state, definition),
         )
+        self.ahead = ahead.waiting
+        self._next = ahead.takes_free_room
         self._total = pool.total_millicores
         running = backlog.running_in_pool(definition.pool)
         started = running - pool.running_millicores
@@ -219,6 +224,12 @@
         if not self._total:
             # No worker has reported, so nothing is known of the room.
             return 0.0
+        left = self.free_millicores - (
+            self._next.millicores + promised_millicores
+        )
+        if left >= 0 and max(self._own_missing, self._own - left) <= 0:
+            # What else is ahead found no use for this room.
+            return 0.0
         ahead = self.ahead.millicores + promised_millicores
         free = min(self.free_millicores, ahead)
         if ahead <= self.free_millicores:
@@ -254,24 +265,43 @@
     pool: pool_capacity.PoolCapacity,
     rank: backlog_module.Rank,
     call_ms: float,
-) -> backlog_module.Waiting:
-    backlog = state.table.backlog
+) -> pool_capacity.Ahead:
+    version = state.table.backlog.version
     key = (rank, call_ms)
     cached = pool.ahead.get(key)
-    if cached is not None and cached[0] == backlog.version:
+    if cached is not None and cached[0] == version:
         return cached[1]
-    total = backlog_module.Waiting()
 
-    def counts_pending(queue: str) -> bool:
+    def is_ahead(queue: str, phase: _Phase) -> bool:
         # Work whose advice comes later than that of the job takes no room
         # before the job does.
+        if phase is not _Phase.ADVICE:
+            return True
         terms = state.queue_advice(queue)
         if terms is None:
             return True
         return terms.call_ms(urgency.WORKERS_PER_CALL) <= call_ms
 
-    for workspace, amount in backlog.waiting_by_workspace(
-        name, rank, state.duration_factor, counts_pending
+    def takes_free_room(queue: str, phase: _Phase) -> bool:
+        return phase is not _Phase.STUCK and is_ahead(queue, phase)
+
+    ahead = pool_capacity.Ahead(
+        _sum_within_limits(state, name, rank, is_ahead),
+        _sum_within_limits(state, name, rank, takes_free_room),
+    )
+    pool.ahead[key] = (version, ahead)
+    return ahead
+
+
+def _sum_within_limits(
+    state: state_module.CellState,
+    pool: str,
+    rank: backlog_module.Rank,
+    counts: backlog_module.Counts,
+) -> backlog_module.Waiting:
+    total = backlog_module.Waiting()
+    for workspace, amount in state.table.backlog.waiting_by_workspace(
+        pool, rank, state.duration_factor, counts
     ):
         limit = state.workspace_limit(workspace)
         if limit is not None and limit.cpu_millicores:
@@ -284,7 +314,6 @@
                     amount.tasks, free, amount.millicore_ms * part
                 )
         total.add(amount)
-    pool.ahead[key] = (backlog.version, total)
     return total
 
 
--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -508,6 +508,7 @@
         if run.wait_reason == reason:
             return
         run.wait_reason = reason
+        self._state.table.count_ready_step(run)
         self._state.orders.waits.append(
             orders_module.WaitNote(run, reason, len(candidates))
         )
--- a/basilspindle/cell/decisions/pool_capacity.py
+++ b/basilspindle/cell/decisions/pool_capacity.py
@@ -11,6 +11,20 @@
 _ROUNDING_MILLICORES = 250
 
 
+class Ahead:
+    """Work before a job, and the part of it that takes room that is free."""
+
+    __slots__ = ('waiting', 'takes_free_room')
+
+    def __init__(
+        self,
+        waiting: backlog_module.Waiting,
+        takes_free_room: backlog_module.Waiting,
+    ) -> None:
+        self.waiting = waiting
+        self.takes_free_room = takes_free_room
+
+
 class PoolCapacity:
     """Workers of one pool at one time.
 
@@ -65,7 +79,7 @@
             self.slowness = total / len(workers)
         self.ahead: dict[
             tuple[backlog_module.Rank, float],
-            tuple[int, backlog_module.Waiting],
+            tuple[int, Ahead],
         ] = {}
         self._slots: dict[tuple[str, need_module.Need], int] = {}
         self._empty_slots: dict[tuple[str, need_module.Need], int] = {}
--- a/basilspindle/cell/decisions/retry_promises.py
+++ b/basilspindle/cell/decisions/retry_promises.py
@@ -17,7 +17,8 @@
 # Room is kept for a caller that is late by this much; the times on the wire
 # are whole seconds.
 _GRACE_MS = 1_000
-_BUCKET_MS = 1_000
+# Resolution of the times at which callers return.
+_BUCKET_MS = 250
 
 
 class RetryPromise:
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -1,6 +1,10 @@
 """Accept, look up and cancel jobs."""
 
+import typing
+
 from basilspindle.cell.decisions import admission
+from basilspindle.cell.decisions import expected_start
+from basilspindle.cell.decisions import retry_promises
 from basilspindle.cell.decisions import urgency
 from basilspindle.cell import early_cancels
 from basilspindle.cell import state as state_module
@@ -44,7 +48,7 @@
     ) -> job_module.Job | None:
         """Return the new or existing job; None if only a record of it is left.
 
-        Raises ``Overloaded`` if the job could not end in time,
+        Raises ``CapacityShort`` if the job could not end in time,
         ``AlreadyCancelled`` if its cancellation came first and ``KeyReused``
         if a job of another workspace has the same id.
         """
@@ -73,11 +77,15 @@
         workspace = self._state.workspace_config(definition.workspace)
         limiter = self._state.share_limiter
         is_beyond_share = limiter.is_beyond(workspace, now_ms)
-        self._check_backlog(definition, is_beyond_share)
+        promise = self._state.retry_promises.get(definition.job_id)
+        self._check_backlog(definition, is_beyond_share, now_ms)
+        self._state.retry_promises.drop(definition.job_id)
         if not is_beyond_share:
             limiter.consume(workspace, now_ms)
         job = job_module.Job(definition, now_ms)
         job.is_beyond_share = is_beyond_share
+        if promise is not None:
+            job.first_sent_ms = promise.first_sent_ms
         return self.adopt(job, now_ms)
 
     def adopt(self, job: job_module.Job, now_ms: int) -> job_module.Job:
@@ -86,7 +94,7 @@
         definition = job.definition
         advice = state.advice_terms(definition)
         state.due_times_ms[job.job_id] = (
-            job.accepted_ms + urgency.objective_ms(definition, advice)
+            job.first_sent_ms + urgency.objective_ms(definition, advice)
         )
         state.table.add(job)
         try:
@@ -135,69 +143,91 @@
         self,
         definition: definition_module.JobDefinition,
         is_beyond_share: bool,
+        now_ms: int,
     ) -> None:
         state = self._state
         if definition.max_runs or any(
             step.service for step in definition.steps
         ):
             return
-        advice = state.advice_terms(definition)
-        critical_path_ms = urgency.critical_path_ms(definition, advice)
-        objective_ms = urgency.objective_ms(definition, advice)
-        # A job beyond the share is accepted only if it would be on time, any
-        # other one also if it would be late but still have value.
-        lateness_factor = 1 if is_beyond_share else urgency.MAX_LATENESS_FACTOR
-        retry_ms = admission.refusal_retry_ms(
-            self._backlog_ahead(definition, is_beyond_share),
-            lateness_factor * objective_ms - critical_path_ms,
-            definition.job_id,
+        state.retry_promises.expire(now_ms)
+        expectation = expected_start.expected_start_ms(
+            state, definition, is_beyond_share, now_ms
         )
-        if retry_ms is not None:
-            raise errors.Overloaded(
-                f'queue {definition.queue!r} has too much waiting work to end '
-                f'the job in time; retry in {retry_ms} ms',
-                ran=errors.Ran.NO,
-                retry_after_ms=retry_ms,
-                job_id=definition.job_id,
+        work_ms = _millicore_ms(definition)
+        mean_ms = state.arrivals.mean_millicore_ms(definition.pool)
+        reason = admission.refusal_reason(
+            expectation,
+            work_ms / mean_ms if mean_ms else 1.0,
+            is_beyond_share,
+            now_ms,
+        )
+        if expectation.first_sent_ms == now_ms:
+            state.arrivals.add_submitted(definition.pool, work_ms, now_ms)
+        if reason is not None:
+            self._refuse(
+                definition, is_beyond_share, expectation, reason, now_ms
             )
+        state.arrivals.add_accepted(
+            definition.pool,
+            (is_beyond_share, definition.priority),
+            sum(
+                step.count * step.reserved.cpu_millicores
+                for step in definition.steps
+            ),
+            now_ms,
+        )
 
-    def _backlog_ahead(
+    def _refuse(
         self,
         definition: definition_module.JobDefinition,
         is_beyond_share: bool,
-    ) -> admission.Backlog:
-        state = self._state
-        capacities = [
-            worker.capacity
-            for worker in state.workers.values()
-            if worker.listed
-            and worker.pool == definition.pool
-            and not state.is_closed(worker)
-        ]
-        kinds = set(capacities)
-        waiting_core_ms = 0.0
-        for run in state.table.ready_steps.values():
-            other = run.job.definition
-            if other.pool != definition.pool:
-                continue
-            # Tasks that no worker can hold delay nothing.
-            if not any(run.step.need.fits(capacity) for capacity in kinds):
-                continue
-            # Steps that rank after this job do not delay it.
-            if run.job.is_beyond_share and not is_beyond_share:
-                continue
-            if other.priority > definition.priority:
-                if run.job.is_beyond_share or not is_beyond_share:
-                    continue
-            step = run.step
-            waiting_core_ms += (
-                len(run.waiting)
-                * step.need.cpu_millicores
-                / 1000
-                * step.estimate_ms
-            )
-        cores = sum(capacity.cpu_millicores / 1000 for capacity in capacities)
-        return admission.Backlog(waiting_core_ms, cores)
+        expectation: expected_start.Expectation,
+        reason: admission.RefusalReason,
+        now_ms: int,
+    ) -> typing.NoReturn:
+        retry_ms = admission.refusal_retry_ms(
+            expectation, reason, definition.job_id, now_ms
+        )
+        self._state.retry_promises.note(
+            definition.job_id,
+            retry_promises.RetryPromise(
+                definition.workspace,
+                definition.pool,
+                (is_beyond_share, definition.priority),
+                sum(
+                    step.count * step.reserved.cpu_millicores
+                    for step in definition.steps
+                    if not step.after
+                ),
+                expectation.first_sent_ms,
+                now_ms + retry_ms,
+            ),
+        )
+        raise errors.CapacityShort(
+            f'queue {definition.queue!r} has no room to end the job in time '
+            f'({reason}); retry in {retry_ms} ms',
+            retry_after_ms=retry_ms,
+            job_id=definition.job_id,
+            details={
+                'reason': reason,
+                'workspace': definition.workspace,
+                'queue': definition.queue,
+                'beyond_share': is_beyond_share,
+                'expected_start_in_ms': expectation.start_ms - now_ms,
+                'expected_end_in_ms': expectation.end_ms - now_ms,
+                'due_in_ms': expectation.due_ms - now_ms,
+                'ahead_millicores': expectation.ahead_millicores,
+                'free_millicores': expectation.free_millicores,
+            },
+        )
+
+
+def _millicore_ms(definition: definition_module.JobDefinition) -> int:
+    return sum(
+        step.count * step.reserved.cpu_millicores * step.estimate_ms
+        for step in definition.steps
+    )
 
 
 def _visible_state(job: job_module.Job) -> job_state.JobState | None:
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -302,12 +302,15 @@
         try:
             job = self._intake.submit(definition, self._clock.now_ms())
         except errors.BasilspindleError as error:
-            metrics.REFUSALS.labels(error.kind).inc()
+            details: dict[str, typing.Any] = {'reason': error.kind}
+            if isinstance(error, errors.CapacityShort):
+                details = error.details
+            metrics.REFUSALS.labels(details['reason']).inc()
             events.emit(
                 cell_events.JOB_REFUSED,
                 job=definition.job_id,
-                reason=error.kind,
                 retry_after_ms=error.retry_after_ms,
+                **details,
             )
             return messages.Refused(
                 error.kind, error.message, error.retry_after_ms
--- a/basilspindle/errors.py
+++ b/basilspindle/errors.py
@@ -174,6 +174,29 @@
     status = 503
 
 
+class CapacityShort(Overloaded):
+    """Refuse a job that can't be served in time; tells what it waits for.
+
+    ``details`` are the fields of the log event.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after_ms: int,
+        job_id: str,
+        details: dict[str, typing.Any],
+    ) -> None:
+        super().__init__(
+            message,
+            ran=Ran.NO,
+            retry_after_ms=retry_after_ms,
+            job_id=job_id,
+        )
+        self.details = details
+
+
 class Unschedulable(BasilspindleError):
     """Report that no worker is able to run a task of the job."""
 
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 
 import msgspec
 
@@ -9,6 +10,7 @@
 from basilspindle.cell.decisions import backlog as backlog_module
 from basilspindle.cell.decisions import expected_start
 from basilspindle.cell import report as report_module
+from basilspindle import errors
 from basilspindle import workflow
 from tests import cell_case
 
@@ -220,6 +222,14 @@
             self.state, definition, is_beyond_share, self.now_ms
         )
 
+    def try_submit(self, definition):
+        """Return the refusal, None if the job was accepted."""
+        try:
+            self.submit(definition)
+        except errors.CapacityShort as error:
+            return error
+        return None
+
     def fill(self, cores=64, **changes):
         """Start one-core tasks that occupy so many cores."""
         definition = self.define(cores, **changes)
@@ -350,3 +360,268 @@
             again = self.expect(definition)
             self.assertEqual(first.start_ms, again.start_ms)
         self.assertEqual(0, len(self.state.retry_promises))
+
+
+class AdmissionTest(ShortageCase):
+    """Guard which jobs are refused when capacity is short."""
+
+    def test_room_that_is_free_is_used_by_anyone(self):
+        """Guard against refusals while capacity is idle.
+
+        In runs of the first deployment, work beyond its workspace's share was
+        refused while there was free capacity.
+        """
+        self.configure(share=0.1)
+        for _ in range(10):
+            definition = self.define(4, workspace='busy')
+            self.assertIsNone(self.try_submit(definition))
+            self.start_all(self.plan())
+
+    def test_a_busy_workspace_yields_first(self):
+        """Guard against a calm workspace that is refused instead."""
+        self.configure(share=0.1)
+        self.fill(estimate_ms=8_000, workspace='busy')
+        self.submit(self.define(1, workspace='busy'))
+        self.submit(self.define(1, workspace='busy'))
+        kinds = {'count': 16, 'target_latency_ms': 2_000}
+        refusal = self.try_submit(self.define(workspace='busy', **kinds))
+        self.assertEqual('beyond_share', refusal.details['reason'])
+        self.assertIsNone(self.try_submit(self.define(**kinds)))
+
+    def test_short_urgent_work_is_refused_last(self):
+        """Guard against refusals after which a short job is late.
+
+        Triage of the first deployment: an objective of 1.5 s, and callers
+        come back after 1 s or more.
+        """
+        self.fill(estimate_ms=4_000)
+        for _ in range(200):
+            self.submit(self.define(1, estimate_ms=200, stretch=100.0))
+        wide = self.try_submit(self.define(64, estimate_ms=5_000))
+        self.assertEqual('capacity', wide.details['reason'])
+        # The running tasks free 16 cores a second.
+        for _ in range(6):
+            urgent = self.define(2, urgent=True)
+            self.assertIsNone(self.try_submit(urgent))
+
+    def test_wide_work_yields_before_narrow_work(self):
+        """Guard against many refused jobs in place of one.
+
+        Both kinds have the same slack, which the wait uses up in part.
+        """
+        for _ in range(50):
+            self.state.arrivals.add_submitted(
+                cell_case.POOL, 1_000_000, self.now_ms
+            )
+        self.fill(estimate_ms=4_000)
+        kinds = {'target_latency_ms': 2_500, 'stretch': 1.0}
+        narrow = self.define(1, cpu=16_000, **kinds)
+        wide = self.define(32, **kinds)
+        self.assertEqual('', self.expect(wide).reason)
+        self.assertIsNotNone(self.try_submit(wide))
+        self.assertIsNone(self.try_submit(narrow))
+
+    def test_what_no_worker_or_limit_holds_is_refused(self):
+        """Guard against accepted gangs that never start."""
+        self.configure(workflow.Need(cpu_millicores=20_000))
+        refusal = self.try_submit(self.define(1, cpu=17_000))
+        self.assertEqual('no_worker_fits', refusal.details['reason'])
+        refusal = self.try_submit(self.define(3, cpu=8_000, gang=True))
+        self.assertEqual('above_limit', refusal.details['reason'])
+
+    def test_a_slow_queue_is_served_on_a_free_fleet(self):
+        """Guard against refusals because estimates are too low."""
+        self.state.duration_factors['urgent'] = 4.0
+        self.assertIsNone(self.try_submit(self.define(2, urgent=True)))
+
+    def test_the_refusal_tells_what_was_ahead(self):
+        """Guard against refusals that an operator can't explain."""
+        self.fill(estimate_ms=8_000)
+        refusal = self.try_submit(self.define(64, workspace='busy'))
+        self.assertIs(errors.Ran.NO, refusal.ran)
+        self.assertEqual('overloaded', refusal.kind)
+        self.assertEqual('busy', refusal.details['workspace'])
+        self.assertEqual('batch', refusal.details['queue'])
+        self.assertEqual('capacity', refusal.details['reason'])
+        self.assertEqual(0, refusal.details['free_millicores'])
+        self.assertEqual(0, refusal.details['ahead_millicores'])
+        self.assertGreater(refusal.details['expected_start_in_ms'], 6_000)
+
+
+class RetryAfterTest(ShortageCase):
+    """Guard when refused callers are told to come back."""
+
+    def refuse(self, count=16, **changes):
+        definition = self.define(count, **changes)
+        refusal = self.try_submit(definition)
+        self.assertIsNotNone(refusal)
+        return definition, refusal.retry_after_ms
+
+    def test_callers_come_back_when_there_is_room(self):
+        """Guard against retries into the same overload.
+
+        Each job takes a quarter of what runs, which ends within 16 s, so that
+        there is room for one every 4 s.
+        """
+        self.fill(estimate_ms=16_000)
+        times = []
+        for _ in range(5):
+            refusal = self.try_submit(
+                self.define(16, target_latency_ms=15_000, stretch=0.0)
+            )
+            times.append(refusal.retry_after_ms if refusal else 0)
+        accepted = times.count(0)
+        self.assertGreaterEqual(accepted, 2)
+        self.assertEqual(sorted(times), times)
+        self.assertGreaterEqual(times[-1], 12_000)
+        self.assertTrue(all(ms % 1_000 == 0 for ms in times))
+
+    def test_the_more_urgent_comes_back_first(self):
+        """Guard against urgent work that waits for other callers."""
+        self.fill(estimate_ms=4_000)
+        kinds = {'target_latency_ms': 500}
+        self.refuse(32, **kinds)
+        _, less = self.refuse(32, **kinds)
+        _, more = self.refuse(32, priority=1, **kinds)
+        self.assertLess(more, less)
+
+    def test_no_newcomer_overtakes_a_caller_that_waited(self):
+        """Guard against callers that never get their turn."""
+        running = self.fill(estimate_ms=4_000)
+        kinds = {'stretch': 1.0, 'target_latency_ms': 800}
+        definition, retry_ms = self.refuse(32, **kinds)
+        self.advance(retry_ms - 500)
+        for start in running[:32]:
+            self.report_end(start.worker_id, start.task.name, start.run)
+        self.advance(450)
+        newcomer = self.try_submit(self.define(32, **kinds))
+        self.assertIsNotNone(newcomer)
+        self.advance(60)
+        self.assertIsNone(self.try_submit(definition))
+        self.assertEqual(1, len(self.state.retry_promises))
+
+    def test_the_objective_counts_from_the_first_time(self):
+        """Guard against a late job that is taken for one on time."""
+        running = self.fill(estimate_ms=4_000)
+        definition, retry_ms = self.refuse(32, target_latency_ms=500)
+        first_ms = self.now_ms
+        self.advance(retry_ms)
+        for start in running:
+            self.report_end(start.worker_id, start.task.name, start.run)
+        self.advance(60)
+        self.assertIsNone(self.try_submit(definition))
+        due_ms = self.state.due_times_ms[definition.job_id]
+        self.assertEqual(first_ms + 2_500, due_ms)
+
+    def test_a_new_leader_serves_a_caller_of_its_predecessor(self):
+        """Guard against a caller that a change of leader turns away.
+
+        Failure: the leader changes between a refusal and the retry.
+        """
+        self.fill(estimate_ms=4_000)
+        definition, retry_ms = self.refuse(64)
+        self.make_state(term=1)
+        self.configure()
+        for number in range(4):
+            self.add_worker(f'w{number}', cpu=16_000)
+        self.now_ms += retry_ms
+        self.assertIsNone(self.try_submit(definition))
+
+    def test_promises_are_bounded_and_end(self):
+        """Guard against memory that grows with each refused caller.
+
+        Failure: ten thousand submissions in a second.
+        """
+        self.fill(estimate_ms=60_000)
+        began = time.process_time()
+        for number in range(10_000):
+            if number % 10 == 0:
+                self.now_ms += 1
+            workspace = f'ws{number % 30}'
+            self.assertIsNotNone(
+                self.try_submit(self.define(64, workspace=workspace))
+            )
+        took_s = time.process_time() - began
+        self.assertLessEqual(len(self.state.retry_promises), 4_096)
+        self.assertGreater(len(self.state.retry_promises), 3_000)
+        # 1 ms each is a whole core for a second; 0.1 ms is usual.
+        self.assertLess(took_s, 10)
+        self.now_ms += 40_000
+        self.state.retry_promises.expire(self.now_ms)
+        self.assertEqual(0, len(self.state.retry_promises))
+        self.assertEqual(
+            0,
+            self.state.retry_promises.millicores_until(
+                cell_case.POOL, (True, 9)
+            ),
+        )
+
+
+class FailureTest(ShortageCase):
+    """Guard decisions while a part of the system has failed."""
+
+    def test_missing_reports_leave_room_on_other_workers(self):
+        """Guard against room that nobody knows of.
+
+        Failure: a third of the workers don't report.
+        """
+        self.add_worker('w4', cpu=16_000)
+        self.add_worker('w5', cpu=16_000)
+        self.now_ms += 3_000
+        for name in ('w0', 'w1', 'w2', 'w3'):
+            self.report(name)
+        expectation = self.expect(self.define(1))
+        self.assertEqual(64_000, expectation.free_millicores)
+        self.assertIsNone(self.try_submit(self.define(64)))
+
+    def test_before_any_report_nothing_is_refused(self):
+        """Guard against a new leader that refuses all."""
+        for worker in self.state.workers.values():
+            worker.reported = False
+        self.assertIsNone(self.try_submit(self.define(64)))
+
+    def test_a_limit_below_what_runs_ends_in_refusals(self):
+        """Guard against work accepted for a limit that is used up.
+
+        Failure: a limit is lowered below what runs.
+        """
+        self.fill(32, estimate_ms=8_000)
+        self.configure(workflow.Need(cpu_millicores=8_000))
+        self.advance(100)
+        refusal = self.try_submit(self.define(1, target_latency_ms=1_000))
+        self.assertEqual('workspace_limit', refusal.details['reason'])
+        self.assertIsNone(self.try_submit(self.define(8, workspace='busy')))
+
+    def test_a_removed_workspace_does_not_stop_others(self):
+        """Guard against totals of a workspace that is gone.
+
+        Failure: a workspace is removed while its work waits.
+        """
+        self.fill(640, workspace='gone', estimate_ms=4_000)
+        self.refuse_other()
+        for job in list(self.state.table.jobs.values()):
+            self.state.end_job(job, workflow.JobState.CANCELLED)
+        for worker in self.state.workers.values():
+            self.state.requeue_worker_tasks(worker)
+        self.advance(100)
+        self.assertIsNone(self.try_submit(self.define(64)))
+
+    def refuse_other(self):
+        self.assertIsNotNone(self.try_submit(self.define(64)))
+
+    def test_a_job_withdrawn_in_an_outage_leaves_nothing_behind(self):
+        """Guard against room taken by jobs that no append holds.
+
+        Failure: the store is unavailable while capacity is short.
+        """
+        self.fill(estimate_ms=2_000)
+        before = self.expect(self.define(1)).start_ms
+        job = self.intake.submit(self.define(8), self.now_ms)
+        self.assertGreater(self.expect(self.define(1)).start_ms, before)
+        self.assertTrue(self.intake.withdraw(job))
+        self.assertEqual(
+            0,
+            self.state.table.backlog.waiting_in_pool(
+                cell_case.POOL, None, _factor
+            ).tasks,
+        )
