Run late work after work that can be on time, and bound its wait

Cause: a job kept its place by its due time until its result had no value at all, which is three times its objective. Change: within a share and a priority, steps whose job can't be on time come after those that can, the ones with the least core time first, and those without value last. A job counts as late once less than three quarters of its declared path is left. A step that has waited for 60 s comes before all others. The path of a step is computed once.

--- a/basilspindle/cell/decisions/urgency.py
+++ b/basilspindle/cell/decisions/urgency.py
@@ -1,5 +1,7 @@
 """Order waiting steps by share, priority and the due time of the job."""
 
+import enum
+
 from basilspindle.workflow import advice_terms
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import step_run as step_run_module
@@ -8,6 +10,16 @@
 MAX_LATENESS_FACTOR = 3
 # The objective of a job includes one call for advice about this many workers.
 WORKERS_PER_CALL = 30
+# A job counts as late once less than this fraction of the declared time of its
+# remaining steps is left: declared durations are off by 0.2 to 0.9, so that a
+# job with less than all of it left may still be on time.
+_LIKELY_FRACTION = 0.75
+# No step that a worker can hold waits for longer behind others. The longest
+# objectives are about 16 s, so that the result of such a step has lost its
+# value, and the caller waits for its end only.
+MAX_WAIT_MS = 60_000
+# Before all priorities of queues.
+_FIRST_PRIORITY = -1
 
 
 def critical_path_ms(
@@ -49,13 +61,22 @@
     return int(definition.stretch * path_ms) + definition.target_latency_ms
 
 
+class _Lateness(enum.IntEnum):
+    """Whether a step can still end in time, as far as is known."""
+
+    ON_TIME = 0
+    LATE = 1
+    WORTHLESS = 2
+
+
 class Urgency:
     """Sort key of waiting steps at a given time.
 
     Jobs beyond the share of their workspace come after all others. Within a
-    priority, the step whose job is due first comes first. Steps that can no
-    longer end before the result loses its value come last in their priority,
-    so that they don't delay steps that can.
+    priority, the step whose job is due first comes first. Steps whose jobs
+    are late come after those that can be on time, the ones that take the
+    least room first, and those whose result has lost its value come last. A
+    step that has waited for ``MAX_WAIT_MS`` comes before all others.
     """
 
     __slots__ = ('_now_ms', '_due_ms')
@@ -66,14 +87,21 @@
 
     def __call__(
         self, run: step_run_module.StepRun
-    ) -> tuple[bool, int, bool, int, str]:
+    ) -> tuple[bool, int, int, int, str]:
         """Return the sort key of a step; smaller keys come first."""
         job = run.job
+        if self.has_waited_too_long(run):
+            return (False, _FIRST_PRIORITY, 0, run.ready_ms, run.key)
+        lateness = self._lateness(run)
+        if lateness is _Lateness.LATE:
+            rank = run.work_left_millicore_ms
+        else:
+            rank = self._due_ms.get(job.job_id, job.accepted_ms)
         return (
             job.is_beyond_share,
             job.definition.priority,
-            self.is_too_late(run),
-            self._due_ms.get(job.job_id, job.accepted_ms),
+            lateness,
+            rank,
             run.key,
         )
 
@@ -96,3 +124,21 @@
         )
         cutoff_ms = job.first_sent_ms + MAX_LATENESS_FACTOR * span_ms
         return self._now_ms + run.step.estimate_ms > cutoff_ms
+
+    def has_waited_too_long(self, run: step_run_module.StepRun) -> bool:
+        """Tell whether a step has waited for as long as any may."""
+        since_ms = max(run.ready_ms, run.started_ms)
+        return bool(since_ms) and self._now_ms - since_ms > MAX_WAIT_MS
+
+    def _lateness(self, run: step_run_module.StepRun) -> _Lateness:
+        if self.is_too_late(run):
+            return _Lateness.WORTHLESS
+        if run.path_ms is None:
+            definition = run.job.definition
+            run.path_ms = _path_from_ms(
+                definition, run.index, definition.advice
+            )
+        due_ms = self._due_ms.get(run.job.job_id, run.job.accepted_ms)
+        if self._now_ms + run.path_ms * _LIKELY_FRACTION > due_ms:
+            return _Lateness.LATE
+        return _Lateness.ON_TIME
--- a/basilspindle/workflow/step_run.py
+++ b/basilspindle/workflow/step_run.py
@@ -34,7 +34,8 @@
     ``is_limited_by_workspace`` tells that the limit of its workspace held
     tasks back then. ``gang_failed_runs`` are the numbers of the failed runs
     of a gang. ``timing`` holds the measured durations of its tasks, None
-    before the first.
+    before the first. ``path_ms`` caches the declared time from its start to
+    the end of the job, None before it is needed.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         'is_limited_by_workspace',
         'gang_failed_runs',
         'timing',
+        'path_ms',
     )
 
     def __init__(
@@ -96,12 +98,21 @@
         self.is_limited_by_workspace = False
         self.gang_failed_runs: set[int] = set()
         self.timing: step_timing.StepTiming | None = None
+        self.path_ms: float | None = None
 
     @property
     def is_done(self) -> bool:
         """Tell whether all tasks are done."""
         return self.done == self.step.count
 
+    @property
+    def work_left_millicore_ms(self) -> int:
+        """Return the declared core time of the tasks to start."""
+        step = self.step
+        return (
+            len(self.waiting) * step.reserved.cpu_millicores * step.estimate_ms
+        )
+
     def mark_done(self, task: task_module.Task) -> None:
         """Mark a task as done; a repeated call has no effect."""
         if task.state is not task_state.TaskState.DONE:
--- a/tests/test_cell_urgency.py
+++ b/tests/test_cell_urgency.py
@@ -1,6 +1,8 @@
 """Test the order of waiting jobs when the fleet is full."""
 
+from basilspindle.cell.decisions import urgency
 from basilspindle.cell import start_outcome
+from basilspindle import workflow
 from tests import cell_case
 
 _LATE = '00000000000000aa'
@@ -44,6 +46,86 @@
         self.assertEqual(_TIMELY, self.first_started_job_id())
 
 
+class LateTest(cell_case.CellCase):
+    """Guard the place of work that can no longer be on time.
+
+    Each job takes 1 s on one core and has an objective of 3 s.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.add_worker('w1', cpu=1_000)
+
+    def submit_job(self, number, sent_before_ms=0, **changes):
+        """Add an accepted job that its caller first sent so long ago."""
+        definition = cell_case.make_definition(
+            f'{number:016x}', cell_case.make_step(**changes), priority=1
+        )
+        job = workflow.Job(definition, self.now_ms)
+        job.first_sent_ms -= sent_before_ms
+        self.intake.adopt(job, self.now_ms)
+        self.record()
+        return job
+
+    def order(self):
+        key = urgency.Urgency(self.now_ms, self.state.due_times_ms)
+        runs = sorted(self.state.table.ready_steps.values(), key=key)
+        return [run.job for run in runs]
+
+    def test_late_work_comes_after_work_that_can_be_on_time(self):
+        """Guard against late jobs that make the next ones late as well.
+
+        In a run of the first deployment the accepted backlog was processed
+        late, in order of due time, and new short work waited behind it.
+        """
+        late = self.submit_job(1, sent_before_ms=4_000)
+        worthless = self.submit_job(2, sent_before_ms=20_000)
+        timely = self.submit_job(3)
+        self.assertEqual([timely, late, worthless], self.order())
+
+    def test_an_estimate_may_be_somewhat_too_long(self):
+        """Guard against jobs that are given up while they may be on time.
+
+        With 0.9 s left for a declared second, most jobs whose estimates are
+        off by 0.2 to 0.9 are not late yet.
+        """
+        near = self.submit_job(1, sent_before_ms=2_100)
+        timely = self.submit_job(2)
+        self.assertEqual([near, timely], self.order())
+
+    def test_of_late_work_the_widest_comes_last(self):
+        """Guard against many late jobs that wait for one wide one."""
+        wide = self.submit_job(1, sent_before_ms=4_500, count=40)
+        narrow = [self.submit_job(n, sent_before_ms=4_000) for n in (2, 3)]
+        self.assertEqual([*narrow, wide], self.order())
+
+    def test_late_work_does_not_wait_for_ever(self):
+        """Guard against an accepted job that starves.
+
+        More urgent jobs than the worker can run come all the time.
+        """
+        late = self.submit_job(1, sent_before_ms=60_000)
+        late.is_beyond_share = True
+        began_ms = self.now_ms
+        number = 1
+        while not late.started:
+            for _ in range(2):
+                number += 1
+                definition = cell_case.make_definition(
+                    f'{number:016x}', cell_case.make_step()
+                )
+                self.intake.adopt(
+                    workflow.Job(definition, self.now_ms), self.now_ms
+                )
+            self.record()
+            starts = self.start_all(self.plan())
+            self.now_ms += 1_000
+            for start in starts:
+                self.report_end('w1', start.task.name, start.run)
+            self.report('w1')
+            self.assertLess(self.now_ms - began_ms, 65_000)
+
+
 class UnansweredStartTest(cell_case.CellCase):
     """Guard the use of workers that leave start orders unanswered."""
 
