--- a/basilspindle/cell/decisions/preemption.py
+++ b/basilspindle/cell/decisions/preemption.py
@@ -1,4 +1,4 @@
-"""Choose the running tasks that give way to a gang without room.
+"""Choose the running tasks that give way to an urgent step without room.
 
 For a fleet that is nearly full: a gang needs all its room at once, while
 smaller tasks take each part of it as soon as it is free. Less urgent tasks
--- a/tests/test_cell_preemption.py
+++ b/tests/test_cell_preemption.py
@@ -174,6 +174,110 @@
             self.assertEqual(0, worker.reserved.cpu_millicores)
 
 
+class UrgentStepTest(CrowdedCase):
+    """Guard urgent steps that are no gangs on a fleet full of other work.
+
+    Each of their tasks needs three cores of one worker, and smaller tasks take
+    each core as soon as it is free.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.make_crowd()
+        for number in range(6):
+            self.add_worker(f'w{number}')
+
+    def fill(self, count=60):
+        self.submit_small(count)
+        for _ in range(4):
+            self.advance()
+        # They run on for long, so that no room becomes free by itself.
+        for name, (task, run, worker, _) in self.running.items():
+            self.running[name] = (task, run, worker, self.now_ms + 12_000)
+
+    def submit_urgent(self, estimate_ms, count=2):
+        step = cell_case.make_step(count, cpu=3_000, estimate_ms=estimate_ms)
+        definition = cell_case.make_definition(
+            _GANG, step, priority=1, stretch=1.0, target_latency_ms=2_000
+        )
+        self.intake.adopt(workflow.Job(definition, self.now_ms), self.now_ms)
+        self.record()
+
+    def test_an_urgent_step_gets_room_before_it_is_late(self):
+        """Guard against urgent work that is late behind other work."""
+        self.fill()
+        self.submit_urgent(3_000)
+        for _ in range(15):
+            self.submit_small()
+            self.advance()
+        self.assertEqual(2, len(self.started()))
+        self.assertLessEqual(len(self.stopped), 6)
+
+    def test_a_short_step_is_not_worth_stops(self):
+        """Guard against stops that cost more than the work they help."""
+        self.fill()
+        self.submit_urgent(1_000)
+        for _ in range(15):
+            self.assertEqual([], self.advance().stops)
+
+    def test_a_stop_that_ends_too_late_is_not_ordered(self):
+        """Guard against work that is discarded for a job that is late."""
+        self.fill()
+        self.submit_urgent(3_000)
+        self.state.due_times_ms[_GANG] = self.now_ms + 3_500
+        for _ in range(15):
+            self.assertEqual([], self.advance().stops)
+
+    def test_nothing_is_stopped_where_there_is_room(self):
+        """Guard against discarded work on a fleet with room."""
+        self.fill(12)
+        self.submit_urgent(3_000)
+        self.assertEqual([], self.advance().stops)
+        self.assertEqual(2, len(self.started()))
+
+    def test_stops_within_a_second_are_bounded(self):
+        """Guard against a fleet that stops tasks in place of running them."""
+        for number in range(6, 80):
+            self.add_worker(f'w{number}')
+        self.fill(400)
+        for number in range(40):
+            step = cell_case.make_step(4, cpu=4_000, gang=True)
+            definition = cell_case.make_definition(
+                f'{number + 1_000:016x}', step, priority=1
+            )
+            self.intake.adopt(
+                workflow.Job(definition, self.now_ms), self.now_ms
+            )
+        self.record()
+        stops = sum(len(self.advance().stops) for _ in range(10))
+        self.assertGreater(stops, 90)
+        self.assertLessEqual(stops, 150)
+
+    def test_a_gang_that_has_waited_for_long_gets_room(self):
+        """Guard against an accepted gang that never starts.
+
+        Smaller tasks of the same priority come all the time.
+        """
+        for _ in range(10):
+            self.submit_small(6)
+            self.advance()
+        step = cell_case.make_step(3, cpu=3_000, gang=True)
+        definition = cell_case.make_definition(_GANG, step, priority=2)
+        job = workflow.Job(definition, self.now_ms)
+        self.intake.adopt(job, self.now_ms)
+        self.record()
+        [run] = job.runs.values()
+        run.ready_ms -= 61_000
+        job.accepted_ms = job.first_sent_ms = self.now_ms - 61_000
+        self.state.due_times_ms[_GANG] = job.accepted_ms + 3_000
+        for _ in range(60):
+            self.submit_small()
+            self.advance()
+            if self.started():
+                break
+        self.assertEqual(3, len(self.started()))
+
+
 class NoCheckpointTest(CrowdedCase):
     """Guard work that would be thrown away by a stop."""
 
