Spread callers without room in time over most of the time they have

Cause: the estimate of when there is room is a cautious one, and at the end of that time no second try is left. Change: they are spread evenly between a second and seven eighths of it.

--- a/basilspindle/cell/decisions/admission.py
+++ b/basilspindle/cell/decisions/admission.py
@@ -15,6 +15,9 @@
 # No caller is told to wait for longer: what is known of the load by now says
 # little about it then, and callers repeat a job four times only.
 _MAX_RETRY_MS = 30_000
+# A caller comes back within this fraction of the time in which its result has
+# value: estimates are off, and one that is refused again may try once more.
+_MAX_USEFUL_FRACTION = 0.875
 # A repeat helps only once the configuration or the workers have changed.
 _UNSERVABLE_RETRY_MS = 10_000
 # A job that is several times as large as the mean takes the room of as many
@@ -103,18 +106,21 @@
 ) -> int:
     """Return the retry delay of a refused job, in whole seconds.
 
-    Callers whose room would come after their results have lost their value
-    are spread over the second half of that time by a hash of the job id.
+    Callers whose room would come too late for their results to have value are
+    spread over the time before that by a hash of the job id.
     """
     if reason in _UNSERVABLE.values():
         return _UNSERVABLE_RETRY_MS
     path_ms = expectation.end_ms - expectation.start_ms
     useful_ms = expectation.worthless_ms - path_ms - now_ms
-    longest_ms = min(max(useful_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
+    longest_ms = min(
+        max(int(useful_ms * _MAX_USEFUL_FRACTION), _MIN_RETRY_MS),
+        _MAX_RETRY_MS,
+    )
     delay_ms = expectation.room_ms - now_ms
     if delay_ms > longest_ms:
         spread = zlib.crc32(job_id.encode()) % 1000 / 1000
-        delay_ms = int(longest_ms * (1 + spread) / 2)
+        delay_ms = int(_MIN_RETRY_MS + spread * (longest_ms - _MIN_RETRY_MS))
     seconds = -(-delay_ms // 1000)
     return max(seconds * 1000, _MIN_RETRY_MS)
 
