Name the reasons of refusals in the remedy of job_refused

An operator was told to add workers for each refusal, also where a limit or a share is the cause. The remedy of event 911 points to the table of reasons.

--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -82,7 +82,7 @@
     'job_refused',
     _Level.INFO,
     'a job was rejected and has not run',
-    'add workers if this persists',
+    'see the reason in docs/OPERATIONS.md; add workers if capacity persists',
 )
 JOB_ENDED = _Event(
     912,
