Give work without value a tenth of the room after a minute

Cause: each step that had waited for 60 s came before all others. Change: only a step whose result has lost its value does, after 60 s, and in one second of ten. A gang holds limits and room in its turn only. Result: test_work_without_value_gets_a_small_part_of_the_room (27 of 30 starts are of timely work) and test_long_work_keeps_its_place; 108 tests of shedding, urgency, preemption, plan, intake and share pass.

--- a/basilspindle/cell/decisions/gang_room.py
+++ b/basilspindle/cell/decisions/gang_room.py
@@ -141,7 +141,7 @@
             # Only a stop that ends in time helps.
             shortest_ms = self._state.bounds.stop_ms
         if not shortest_ms <= slack_ms <= _PREEMPTION_SLACK_MS:
-            if not self._urgency.has_waited_too_long(run):
+            if not self._urgency.is_overdue_turn(run):
                 return False
         run.room_sought_ms = now_ms
         return True
@@ -166,7 +166,7 @@
         # one that has waited for as long as any step may.
         if not run.step.gang or len(run.waiting) != run.step.count:
             return False
-        if self._urgency.has_waited_too_long(run):
+        if self._urgency.is_overdue_turn(run):
             return True
         return not run.job.is_beyond_share and not (
             self._urgency.is_too_late(run)
--- a/basilspindle/cell/decisions/urgency.py
+++ b/basilspindle/cell/decisions/urgency.py
@@ -14,10 +14,13 @@
 # remaining steps is left: declared durations are off by 0.2 to 0.9, so that a
 # job with less than all of it left may still be on time.
 _LIKELY_FRACTION = 0.75
-# No step that a worker can hold waits for longer behind others. The longest
-# objectives are about 16 s, so that the result of such a step has lost its
-# value, and the caller waits for its end only.
+# A step whose result has lost its value and that has waited for this long
+# takes turns with all others, so that it does not wait for ever.
 MAX_WAIT_MS = 60_000
+# In one of so many turns, such steps come first: after an outage there may be
+# many of them, and they get a tenth of the room that becomes free.
+_TURNS = 10
+_TURN_MS = 1_000
 # Before all priorities of queues.
 _FIRST_PRIORITY = -1
 
@@ -75,8 +78,9 @@
     Jobs beyond the share of their workspace come after all others. Within a
     priority, the step whose job is due first comes first. Steps whose jobs
     are late come after those that can be on time, the ones that take the
-    least room first, and those whose result has lost its value come last. A
-    step that has waited for ``MAX_WAIT_MS`` comes before all others.
+    least room first, and those whose result has lost its value come last.
+    Once they have waited for ``MAX_WAIT_MS``, they come before all others in
+    one second of ten.
     """
 
     __slots__ = ('_now_ms', '_due_ms')
@@ -90,7 +94,7 @@
     ) -> tuple[bool, int, int, int, str]:
         """Return the sort key of a step; smaller keys come first."""
         job = run.job
-        if self.has_waited_too_long(run):
+        if self.is_overdue_turn(run):
             return (False, _FIRST_PRIORITY, 0, run.ready_ms, run.key)
         lateness = self._lateness(run)
         if lateness is _Lateness.LATE:
@@ -125,10 +129,14 @@
         cutoff_ms = job.first_sent_ms + MAX_LATENESS_FACTOR * span_ms
         return self._now_ms + run.step.estimate_ms > cutoff_ms
 
-    def has_waited_too_long(self, run: step_run_module.StepRun) -> bool:
-        """Tell whether a step has waited for as long as any may."""
+    def is_overdue_turn(self, run: step_run_module.StepRun) -> bool:
+        """Tell whether it is the turn of a step that has waited too long."""
+        if self._now_ms // _TURN_MS % _TURNS:
+            return False
         since_ms = max(run.ready_ms, run.started_ms)
-        return bool(since_ms) and self._now_ms - since_ms > MAX_WAIT_MS
+        if not since_ms or self._now_ms - since_ms <= MAX_WAIT_MS:
+            return False
+        return self.is_too_late(run)
 
     def _lateness(self, run: step_run_module.StepRun) -> _Lateness:
         if self.is_too_late(run):
