Test the line and the counter of a refusal

job_refused (911) tells workspace, queue, reason, expected start and end, what was ahead and what was free, and the counter has the reason as its label; no test read them at the leader. test_the_line_and_the_counter_name_the_reason passes, with the 32 other tests of test_cell_shedding.

--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -1,6 +1,8 @@
 """Test which work is refused when capacity is short, and until when."""
 
+import io
 import itertools
+import json
 import random
 import time
 
@@ -9,12 +11,18 @@
 from basilspindle.cell import configuration_index
 from basilspindle.cell.decisions import backlog as backlog_module
 from basilspindle.cell.decisions import expected_start
+from basilspindle.cell import messages
+from basilspindle.cell import metrics
 from basilspindle.cell import report as report_module
+from basilspindle.cell import worker as worker_module
 from basilspindle import errors
+from basilspindle import events
 from basilspindle import workflow
 from tests import cell_case
+from tests import test_refusal_promises
 
 _Kind = report_module.EndKind
+_SMALL = workflow.Need(4_000, 100_000)
 
 
 def _factor(_):
@@ -625,3 +633,44 @@
                 cell_case.POOL, None, _factor
             ).tasks,
         )
+
+
+class LogTest(test_refusal_promises.LeaderCase):
+    """Guard what an operator can see of a refusal."""
+
+    async def test_the_line_and_the_counter_name_the_reason(self):
+        """Guard against refusals that can't be told apart."""
+        state = self.leader.state
+        worker = worker_module.Worker(
+            'w', 'w:1', cell_case.POOL, 'r', 'a', frozenset(), _SMALL
+        )
+        state.workers['w'] = worker
+        definition = cell_case.make_definition(
+            'aa', cell_case.make_step(cpu=8_000)
+        )
+        counter = metrics.REFUSALS.labels('no_worker_fits')
+        before = counter._value.get()
+        stream = io.StringIO()
+        events.configure_logging(stream)
+        self.addCleanup(events.configure_logging, io.StringIO())
+        reply = await self.leader.handle(messages.Submit(definition, 1_000, 1))
+        self.assertIsInstance(reply, messages.Refused)
+        self.assertEqual('overloaded', reply.kind)
+        self.assertEqual(10_000, reply.retry_after_ms)
+        [line] = [json.loads(line) for line in stream.getvalue().splitlines()]
+        self.assertEqual(911, line['event'])
+        self.assertEqual('no_worker_fits', line['reason'])
+        self.assertEqual(cell_case.WORKSPACE, line['workspace'])
+        self.assertEqual(cell_case.QUEUE, line['queue'])
+        for field in (
+            'job',
+            'retry_after_ms',
+            'beyond_share',
+            'expected_start_in_ms',
+            'expected_end_in_ms',
+            'due_in_ms',
+            'ahead_millicores',
+            'free_millicores',
+        ):
+            self.assertIn(field, line)
+        self.assertEqual(before + 1, counter._value.get())
