--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -437,6 +437,46 @@
         refusal = self.try_submit(self.define(3, cpu=8_000, gang=True))
         self.assertEqual('above_limit', refusal.details['reason'])
 
+    def test_late_callers_leave_the_share_to_new_jobs(self):
+        """Guard against a busy workspace whose jobs are all late.
+
+        Replays a workspace at six times its share beside a full fleet. On the
+        first deployment, callers that came back late used up its share, and
+        new jobs were refused and late in turn.
+        """
+        self.configure(share=5.0)
+        on_time = set()
+        retries = []
+        for _ in range(160):
+            # The calm workspace fills what is free.
+            self.fill(4, estimate_ms=2_000)
+            returning = [job for at_ms, job in retries if at_ms <= self.now_ms]
+            retries = [row for row in retries if row[0] > self.now_ms]
+            new = [
+                self.define(1, workspace='busy', urgent=True) for _ in range(3)
+            ]
+            for definition in returning + new:
+                refusal = self.try_submit(definition)
+                if refusal is None:
+                    continue
+                at_ms = self.now_ms + refusal.retry_after_ms
+                retries.append((at_ms, definition))
+            self.start_all(self.plan())
+            self.advance(100)
+            for worker in self.state.workers.values():
+                for task in list(worker.tasks.values()):
+                    step = task.step_run.step
+                    if self.now_ms - task.started_ms < step.estimate_ms:
+                        continue
+                    job = task.step_run.job
+                    due_ms = self.state.due_times_ms[job.job_id]
+                    if job.definition.priority == 0 and self.now_ms <= due_ms:
+                        on_time.add(job.job_id)
+                    self.report_end(worker.worker_id, task.name, task.run)
+            self.record()
+        # Five jobs a second for 16 s are within the share.
+        self.assertGreaterEqual(len(on_time), 0.8 * 5 * 16)
+
     def test_a_slow_queue_is_served_on_a_free_fleet(self):
         """Guard against refusals because estimates are too low."""
         definition = self.define(2, urgent=True)
