Test daemons with clients that respect no limit

Callers saw: a daemon ran out of memory in a trial with such clients.

Settings that do not exist yet are ignored. The product is unchanged.

--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -93,6 +93,15 @@
                 '[bounds]', f'[bounds]\nevacuate_ms = {evacuate_ms}'
             )
         )
+    def add_settings(self, table: str, lines: str) -> None:
+        """Add lines to a table of the settings, before the process starts."""
+        text = self._path.read_text()
+        head = f'[{table}]\n'
+        if head in text:
+            text = text.replace(head, f'{head}{lines}\n')
+        else:
+            text += f'{head}{lines}\n'
+        self._path.write_text(text)
 
     async def start(self) -> None:
         """Start the process."""
