Send the crowds of the client tests from a process of their own

The tests failed for a reason of their own: with 600 clients that connect again each second, the loop of the test process took above 0.26 s from a connect to the write after it, for the crowd, for the ordinary caller and for the stand-ins, whose store then counted as lost. Change: the same clients, numbers, bytes, pauses and bounds; only the process that sends them is another one.

--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -8,13 +8,14 @@
 import json
 import pathlib
 import resource
-import socket
+import sys
 import time
 
 import httpx
 
 from tests import platform_case
 from tests.standins import platform
+from tests.standins import untrusted_clients
 
 # The smallest VM has this much memory, and the limit in its settings says so.
 _VM_MEMORY_MB = 160
@@ -26,217 +27,25 @@
 # Enough descriptors for the bodies of all clients at once.
 _BODY_MAX_DESCRIPTORS = 2_000
 _HEAD_TIMEOUT_MS = 1_000
-_MAX_BODY_BYTES = 262_144
 # How long a crowd has before the ordinary request is sent. Its clients stay.
 _CROWD_S = 4.0
 _ANSWER_TIMEOUT_S = 20.0
 _SAMPLE_S = 0.05
-_RECONNECT_S = 1.0
-_BYTE_PAUSE_S = 0.2
-
-_FEW = 4
-# A line is copied with each read; more clients take less time than more bytes.
-_LINES = 12
-_READERS = 8
-_MANY = 600
-_LINE_BYTES = 16_000_000
-_FIELDS_BYTES = 4_000_000
-_OVER_LIMIT_BYTES = 2_000_000
-_PIPELINED_BYTES = 2_000_000
-_UNREAD_REQUESTS = 12_000
-_PIECE_BYTES = 65_536
-
 _JOB_ID = '00000000000000{:02x}'
-_START = b'GET /jobs/ HTTP/1.1\r\nHost: h.example\r\n'
-_CHUNKED = (
-    b'POST /jobs/0000000000000001 HTTP/1.1\r\nHost: h.example\r\n'
-    b'Authorization: Bearer key-a\r\nTransfer-Encoding: chunked\r\n\r\n'
-)
-_ORDINARY = _START + b'Authorization: Bearer key-a\r\nAccept: */*\r\n\r\n'
-_POST = (
-    b'POST /jobs/%016x HTTP/1.1\r\nHost: h.example\r\n'
-    b'Authorization: Bearer key-a\r\nContent-Length: %d\r\n\r\n'
-)
-
-
-def _repeat(unit, size_bytes):
-    """Yield a unit repeatedly in pieces, up to about a size."""
-    piece = unit * (_PIECE_BYTES // len(unit))
-    for _ in range(size_bytes // len(piece)):
-        yield piece
-
-
-class _Crowd:
-    """Clients of one address; their sockets stay open until the end."""
-
-    def __init__(self, port):
-        self._address = ('127.0.0.1', port)
-        self._sockets = set()
-        self.tasks = []
-
-    async def _connect(self):
-        sock = socket.socket()
-        sock.setblocking(False)
-        self._sockets.add(sock)
-        await asyncio.get_running_loop().sock_connect(sock, self._address)
-        return sock
-
-    async def _send(self, pieces, pause_s=0.0):
-        """Send all pieces on a connection and never read."""
-        loop = asyncio.get_running_loop()
-        try:
-            sock = await self._connect()
-            for piece in pieces:
-                await loop.sock_sendall(sock, piece)
-                await asyncio.sleep(pause_s)
-        except OSError:
-            # The daemon may close the connection of such a client.
-            pass
-
-    async def _stay(self, pieces, pause_s=0.0):
-        """Send pieces with pauses, wait, and connect again when closed."""
-        loop = asyncio.get_running_loop()
-        while True:
-            sock = None
-            try:
-                sock = await self._connect()
-                for piece in pieces:
-                    await loop.sock_sendall(sock, piece)
-                    await asyncio.sleep(pause_s)
-                while await loop.sock_recv(sock, _PIECE_BYTES):
-                    pass
-            except OSError:
-                # Refused or closed: both are allowed.
-                pass
-            if sock is not None:
-                self._sockets.discard(sock)
-                sock.close()
-            await asyncio.sleep(_RECONNECT_S)
-
-    def _add(self, count, make):
-        self.tasks += [asyncio.ensure_future(make(n)) for n in range(count)]
-
-    def heads_over_limit(self):
-        """Send whole heads far above the limit."""
-        self._add(
-            _FEW,
-            lambda n: self._send(
-                [_START, *_repeat(b'ab:cd\r\n', _OVER_LIMIT_BYTES), b'\r\n']
-            ),
-        )
-
-    def heads_without_end(self):
-        """Send header fields without end."""
-        self._add(
-            _FEW,
-            lambda n: self._send(
-                [_START, *_repeat(b'ab:cd\r\n', _FIELDS_BYTES)]
-            ),
-        )
-
-    def lines_without_end(self):
-        """Send one header line without end."""
-        self._add(
-            _LINES,
-            lambda n: self._send(
-                [_START + b'X: ', *_repeat(b'a', _LINE_BYTES)]
-            ),
-        )
-
-    def targets_without_end(self):
-        """Send a request target without end."""
-        self._add(
-            _LINES,
-            lambda n: self._send([b'GET /', *_repeat(b'a', _LINE_BYTES)]),
-        )
-
-    def empty_lines(self):
-        """Send empty lines without end before a request."""
-        self._add(_LINES, lambda n: self._send(_repeat(b'\r\n', _LINE_BYTES)))
-
-    def trailers_without_end(self):
-        """Send trailers without end after a chunked body."""
-        self._add(
-            _FEW,
-            lambda n: self._send(
-                [
-                    _CHUNKED + b'2\r\n{}\r\n0\r\n',
-                    *_repeat(b'ab:cd\r\n', _FIELDS_BYTES),
-                ]
-            ),
-        )
-
-    def extensions_without_end(self):
-        """Send a chunk extension without end."""
-        self._add(
-            _LINES,
-            lambda n: self._send(
-                [_CHUNKED + b'2;', *_repeat(b'a', _LINE_BYTES)]
-            ),
-        )
-
-    def pipelined(self):
-        """Send many requests without the usual headers and never read."""
-        self._add(
-            _FEW,
-            lambda n: self._send(
-                _repeat(b'GET / HTTP/1.1\r\n\r\n', _PIPELINED_BYTES)
-            ),
-        )
-
-    def unread(self):
-        """Send ordinary requests in small batches and never read."""
-        self._add(
-            _READERS,
-            lambda n: self._send([_ORDINARY * 20] * (_UNREAD_REQUESTS // 20)),
-        )
-
-    def byte_by_byte(self):
-        """Send a byte of a head now and then."""
-        pieces = [bytes([byte]) for byte in _ORDINARY]
-        self._add(_MANY, lambda n: self._stay(pieces, _BYTE_PAUSE_S))
-
-    def never_sending(self):
-        """Connect and send nothing."""
-        self._add(_MANY, lambda n: self._stay([]))
-
-    def connections(self):
-        """Keep connections open after an ordinary request."""
-        self._add(_MANY, lambda n: self._stay([_ORDINARY]))
-
-    def bodies(self):
-        """Send bodies at the limit but for their last byte."""
-        body = b' ' * (_MAX_BODY_BYTES - 1)
-        self._add(
-            _MANY,
-            lambda n: self._send(
-                [_POST % (0xFF00 + n, _MAX_BODY_BYTES), body]
-            ),
-        )
-
-    async def close(self):
-        """End all clients."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for sock in self._sockets:
-            sock.close()
-
-
 _ALL = (
-    _Crowd.heads_over_limit,
-    _Crowd.heads_without_end,
-    _Crowd.lines_without_end,
-    _Crowd.targets_without_end,
-    _Crowd.empty_lines,
-    _Crowd.trailers_without_end,
-    _Crowd.extensions_without_end,
-    _Crowd.pipelined,
-    _Crowd.unread,
-    _Crowd.byte_by_byte,
-    _Crowd.never_sending,
-    _Crowd.connections,
-    _Crowd.bodies,
+    'heads_over_limit',
+    'heads_without_end',
+    'lines_without_end',
+    'targets_without_end',
+    'empty_lines',
+    'trailers_without_end',
+    'extensions_without_end',
+    'pipelined',
+    'unread',
+    'byte_by_byte',
+    'never_sending',
+    'connections',
+    'bodies',
 )
 
 
@@ -272,7 +81,7 @@
                 'clients', f'head_timeout_ms = {_HEAD_TIMEOUT_MS}'
             )
         document = json.loads(platform.make_configuration(2))
-        document['limits']['max_body_bytes'] = _MAX_BODY_BYTES
+        document['limits']['max_body_bytes'] = untrusted_clients.MAX_BODY_BYTES
         self.store.put('keyed.op', 'config', json.dumps(document).encode())
 
     async def asyncSetUp(self):
@@ -290,18 +99,20 @@
 
     async def attack(self, daemons, kinds, port='frontend_port'):
         """Send crowds to daemons and check these daemons."""
-        crowds = []
         most = {daemon: 0 for daemon in daemons}
-        for daemon in daemons:
-            crowd = _Crowd(getattr(daemon, port))
-            crowds.append(crowd)
-            self.addAsyncCleanup(crowd.close)
-            for kind in kinds:
-                kind(crowd)
-        tasks = [task for crowd in crowds for task in crowd.tasks]
+        crowds = [
+            await self.start_crowd(getattr(daemon, port), kinds)
+            for daemon in daemons
+        ]
         sampler = asyncio.ensure_future(self.sample(most))
         try:
-            await asyncio.wait(tasks, timeout=_CROWD_S)
+            await asyncio.wait(
+                [
+                    asyncio.ensure_future(crowd.stdout.readline())
+                    for crowd in crowds
+                ],
+                timeout=_CROWD_S,
+            )
             for number, daemon in enumerate(daemons):
                 await self.check_answer(daemon, _JOB_ID.format(16 + number))
         finally:
@@ -309,6 +120,25 @@
         for daemon in daemons:
             self.check(daemon, most[daemon])
 
+    async def start_crowd(self, port, kinds):
+        """Start the clients of one daemon; they end with the test."""
+        crowd = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'tests.standins.untrusted_clients',
+            str(port),
+            *kinds,
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+        async def end():
+            if crowd.returncode is None:
+                crowd.kill()
+            await crowd.wait()
+
+        self.addAsyncCleanup(end)
+        return crowd
+
     async def sample(self, most):
         """Record the largest number of open descriptors of each daemon."""
         while True:
@@ -359,59 +189,59 @@
 
     async def test_heads_over_the_limit(self):
         """Guard against a large head that is kept as many objects."""
-        await self.attack(self.daemons, [_Crowd.heads_over_limit])
+        await self.attack(self.daemons, ['heads_over_limit'])
 
     async def test_heads_without_end(self):
         """Guard against header fields that are kept without a bound."""
-        await self.attack(self.daemons, [_Crowd.heads_without_end])
+        await self.attack(self.daemons, ['heads_without_end'])
 
     async def test_header_lines_without_end(self):
         """Guard against a header line that is kept without a bound."""
-        await self.attack(self.daemons, [_Crowd.lines_without_end])
+        await self.attack(self.daemons, ['lines_without_end'])
 
     async def test_request_targets_without_end(self):
         """Guard against a request target that is kept without a bound."""
-        await self.attack(self.daemons, [_Crowd.targets_without_end])
+        await self.attack(self.daemons, ['targets_without_end'])
 
     async def test_empty_lines_without_end(self):
         """Guard against a daemon that is busy with empty lines."""
-        await self.attack(self.daemons, [_Crowd.empty_lines])
+        await self.attack(self.daemons, ['empty_lines'])
 
     async def test_trailers_without_end(self):
         """Guard against trailers that are kept without a bound."""
-        await self.attack(self.daemons, [_Crowd.trailers_without_end])
+        await self.attack(self.daemons, ['trailers_without_end'])
 
     async def test_chunk_extensions_without_end(self):
         """Guard against a daemon that is busy with a chunk extension."""
-        await self.attack(self.daemons, [_Crowd.extensions_without_end])
+        await self.attack(self.daemons, ['extensions_without_end'])
 
     async def test_pipelined_requests(self):
         """Guard against a task and objects for each pipelined request."""
-        await self.attack(self.daemons, [_Crowd.pipelined])
+        await self.attack(self.daemons, ['pipelined'])
 
     async def test_pipelined_requests_for_metrics(self):
         """Guard against the same at the listener for metrics."""
-        await self.attack(self.daemons, [_Crowd.pipelined], 'metrics_port')
+        await self.attack(self.daemons, ['pipelined'], 'metrics_port')
 
     async def test_pipelined_readiness_checks(self):
         """Guard against the same at the listener for readiness."""
-        await self.attack(self.daemons, [_Crowd.pipelined], 'readiness_port')
+        await self.attack(self.daemons, ['pipelined'], 'readiness_port')
 
     async def test_responses_that_are_never_read(self):
         """Guard against responses that are kept without a bound."""
-        await self.attack(self.daemons, [_Crowd.unread])
+        await self.attack(self.daemons, ['unread'])
 
     async def test_a_byte_now_and_then(self):
         """Guard against heads that hold their connections for good."""
-        await self.attack(self.daemons, [_Crowd.byte_by_byte])
+        await self.attack(self.daemons, ['byte_by_byte'])
 
     async def test_connections_that_never_send(self):
         """Guard against silent connections that take all descriptors."""
-        await self.attack(self.daemons, [_Crowd.never_sending])
+        await self.attack(self.daemons, ['never_sending'])
 
     async def test_more_connections_than_descriptors(self):
         """Guard against idle connections that take all descriptors."""
-        await self.attack(self.daemons, [_Crowd.connections])
+        await self.attack(self.daemons, ['connections'])
 
 
 class BodyTest(_UntrustedCase):
@@ -421,7 +251,7 @@
 
     async def test_many_bodies_at_the_limit(self):
         """Guard against bodies that need more memory than there is."""
-        await self.attack(self.daemons, [_Crowd.bodies])
+        await self.attack(self.daemons, ['bodies'])
 
 
 class AllTest(_UntrustedCase):
