Bound what a client may cost a daemon

Callers saw: a daemon that ran out of memory, or that took no connection any more, because of clients that send heads, trailers or pipelined requests without end, never read, or hold connections. Cause: uvicorn bounds neither the head, the trailers nor the requests that wait on a connection; httptools has no limits of its own; asyncio accepts connections until there is no descriptor, and then none for a second. ConnectionTable bounds the connections of a listener; HeldBytes the memory of requests of all listeners. Limits are settings in [clients], the derived ones follow max_fds and memory_mb; configured limits of callers that are larger count. test_refusal_promises reads the port of the listener, which has no asyncio server any more; what it checks is unchanged.

--- a/basilspindle/cell/configuration.py
+++ b/basilspindle/cell/configuration.py
@@ -45,9 +45,11 @@
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
-    """Limits on the requests of callers."""
+    """Limits on the requests of callers, 0 for those that are not set."""
 
     max_body_bytes: int = 262_144
+    max_header_bytes: int = 0
+    header_timeout_ms: int = 0
 
 
 class Configuration(msgspec.Struct, frozen=True):
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -316,6 +316,22 @@
     'nothing to do; a service on the same worker is close to its response '
     'time limit, or no longer close to it',
 )
+CLIENT_LIMITED = _Event(
+    965,
+    'client_limited',
+    _Level.WARNING,
+    'a client reached a limit and was refused or lost its connection',
+    'see the limit and the table of limits in docs/OPERATIONS.md; a status of '
+    '0 means a closed connection',
+)
+ACCEPT_FAILED = _Event(
+    966,
+    'accept_failed',
+    _Level.WARNING,
+    'a connection of a client could not be accepted yet',
+    'compare max_fds in the settings with the limit of the process; the '
+    'connection waits and is tried again',
+)
 REGISTRY_ENTRY_FAILED = _Event(
     939,
     'registry_entry_failed',
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -157,6 +157,21 @@
     'basilspindle_late_reply_bytes_total',
     'Bytes of replies of other daemons that came after the timeout.',
 )
+CLIENTS_LIMITED = prometheus.Counter(
+    'basilspindle_clients_limited_total',
+    'Clients that were refused or lost their connection, by listener and '
+    'limit.',
+    ['listener', 'limit'],
+)
+CLIENT_CONNECTIONS = prometheus.Gauge(
+    'basilspindle_client_connections',
+    'Open connections of clients, by listener.',
+    ['listener'],
+)
+CLIENT_HELD_BYTES = prometheus.Gauge(
+    'basilspindle_client_held_bytes',
+    'Estimated memory of requests that are being received or handled.',
+)
 LIVE_JOBS = prometheus.Gauge(
     'basilspindle_live_jobs', 'Jobs that the leader holds.'
 )
--- a/basilspindle/platform/boot_settings.py
+++ b/basilspindle/platform/boot_settings.py
@@ -8,6 +8,7 @@
 
 from basilspindle.cell import bounds as bounds_module
 from basilspindle import errors
+from basilspindle.platform import client_limits
 
 
 # A new leader reads several megabytes from the store, and a leader uses 0.2
@@ -16,6 +17,7 @@
 _MIN_LEADER_LINK_MBPS = 50.0
 # File descriptors that are not available for outgoing calls: files (the
 # platform reserves 200), connections of callers, and links between daemons.
+# client_limits.py divides them.
 _RESERVED_DESCRIPTORS = 1_400
 _MIN_CLIENT_CONNECTIONS = 200
 
@@ -49,6 +51,8 @@
     cores: int = 1
     link_mbps: float = 1_000.0
     max_fds: int = 4_096
+    # Memory of the VM, 0 if the settings do not tell.
+    memory_mb: int = 0
 
 
 class _Platform(msgspec.Struct):
@@ -67,6 +71,9 @@
     advice: str = ''
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    clients: client_limits.ClientSettings = msgspec.field(
+        default_factory=client_limits.ClientSettings
+    )
 
 
 class BootSettings:
@@ -84,6 +91,7 @@
         'advice_address',
         'leads_last',
         'max_connections',
+        'client_limits',
         'bounds',
     )
 
@@ -102,6 +110,12 @@
         self.max_connections = max(
             _MIN_CLIENT_CONNECTIONS, limits.max_fds - _RESERVED_DESCRIPTORS
         )
+        self.client_limits = client_limits.ClientLimits(
+            file.clients,
+            limits.max_fds,
+            self.max_connections,
+            limits.memory_mb,
+        )
         self.leads_last = (
             limits.cpu_share * limits.cores < _MIN_LEADER_CORES
             or limits.link_mbps < _MIN_LEADER_LINK_MBPS
--- a/basilspindle/platform/configuration.py
+++ b/basilspindle/platform/configuration.py
@@ -71,6 +71,8 @@
 
 class _Limits(msgspec.Struct):
     max_body_bytes: decoding.Count = 262_144
+    max_header_bytes: decoding.Count = 0
+    header_timeout_ms: decoding.Count = 0
 
 
 class _Config(msgspec.Struct):
@@ -187,5 +189,9 @@
             )
             for service in config.services
         ),
-        configuration_module.RequestLimits(config.limits.max_body_bytes),
+        configuration_module.RequestLimits(
+            config.limits.max_body_bytes,
+            config.limits.max_header_bytes,
+            config.limits.header_timeout_ms,
+        ),
     )
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -16,6 +16,7 @@
 from basilspindle.platform import boot_settings
 from basilspindle.platform import client as client_module
 from basilspindle.platform import configuration
+from basilspindle.platform import connection_table
 from basilspindle.platform import evacuation
 from basilspindle.platform import frontend as frontend_module
 from basilspindle.platform import listener
@@ -90,11 +91,27 @@
         )
         node = node_module.Node(identity, platform, settings.bounds, clock)
         frontend = frontend_module.Frontend(node, clock)
+        limits = settings.client_limits
+        limits.configured = lambda: (
+            node.index.configuration.limits if node.index else None
+        )
+        held = connection_table.HeldBytes(limits.max_held_bytes)
+        callers = connection_table.ConnectionTable(
+            'callers', limits, held, limits.max_connections, refuses=True
+        )
+        readiness, operators = (
+            connection_table.ConnectionTable(
+                name, limits, held, limits.max_other_connections, refuses=False
+            )
+            for name in ('readiness', 'operators')
+        )
         async with (
             node,
-            listener.Listener(frontend, settings.frontend_address),
-            listener.Listener(frontend, settings.readiness_address),
-            listener.Listener(admin.AdminApp(node), settings.metrics_address),
+            listener.Listener(frontend, settings.frontend_address, callers),
+            listener.Listener(frontend, settings.readiness_address, readiness),
+            listener.Listener(
+                admin.AdminApp(node), settings.metrics_address, operators
+            ),
         ):
             loop.add_signal_handler(
                 signal.SIGUSR1,
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -93,6 +93,7 @@
                 '[bounds]', f'[bounds]\nevacuate_ms = {evacuate_ms}'
             )
         )
+
     def add_settings(self, table: str, lines: str) -> None:
         """Add lines to a table of the settings, before the process starts."""
         text = self._path.read_text()
--- a/tests/test_refusal_promises.py
+++ b/tests/test_refusal_promises.py
@@ -424,8 +424,7 @@
         serving = await self.enterAsyncContext(
             listener.Listener(app, '127.0.0.1:0')
         )
-        host, port = serving._server.sockets[0].getsockname()
-        return host, port
+        return '127.0.0.1', serving.port
 
     async def post(self, address):
         """Post a body and return the status of the response."""
