Start steps with tickets after their queue has lost its advice

Callers would see (by reading): after a configuration that takes the advice from a queue, passes end early, and a gang whose members were to start on a worker without a ticket starts in part. Cause: without advice any worker is used, but a ticket was looked up for each start as long as the step held some. Evidence: KeyError in _start in the new test. Change: a step whose queue has no advice any more drops its tickets. Result: test_steps_with_tickets_start_once_the_queue_has_no_advice failed before; the 26 tests of tests.test_cell_plan pass.

--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -402,6 +402,11 @@
         step = run.step
         definition = run.job.definition
         advice = self._state.advice_terms(definition)
+        if advice is None and run.tickets is not None:
+            # The queue has lost its advice since, so any worker may be used.
+            run.tickets = None
+            run.advised_worker_ids.clear()
+            self._state.table.count_ready_step(run)
         if advice is not None and run.tickets is None:
             self._request_advice(
                 run,
@@ -409,7 +414,7 @@
                 now_ms,
             )
             return
-        tickets = run.tickets if advice is not None else None
+        tickets = run.tickets
         eligible = eligible_workers.EligibleWorkers(
             lambda: self._find_eligible(run, tickets, now_ms)
         )
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -85,6 +85,32 @@
         self.advise(order, 'w1')
         self.assertEqual('t-w1', self.plan().starts[0].ticket)
 
+    def test_steps_with_tickets_start_once_the_queue_has_no_advice(self):
+        """Guard against passes that end early after advice is switched off.
+
+        Tickets of one worker were looked up for starts on others. The pass
+        ended there, after a part of a gang had started.
+        """
+        for name in ('w1', 'w2'):
+            self.add_worker(name)
+        self.submit(
+            cell_case.make_definition(
+                _JOB, cell_case.make_step(5, gang=True), advice=_ADVICE
+            )
+        )
+        [order] = self.plan().advice
+        self.advise(order, 'w1')
+        self.assertEqual([], self.plan().starts)
+        self.state.configuration_index = (
+            configuration_index.ConfigurationIndex(
+                cell_case.make_configuration()
+            )
+        )
+        self.now_ms += 1_000
+        orders = self.plan()
+        self.assertEqual([], orders.advice)
+        self.assertEqual([''] * 5, [start.ticket for start in orders.starts])
+
     def test_few_of_many_workers_are_asked_about_first(self):
         """Guard against slow calls that name workers which are not needed.
 
