Examine the other steps of a pass after one that fails

Callers would see (by reading): while the placement of one step raises an error, steps behind it wait for seconds, and its job never starts even if the cause passes. Cause: the error ended the pass before the steps after it, with the freed workers of that pass, and left the step without a recheck. Change: the error is logged (internal_fault, with the key of the step), and the step waits for its recheck.

--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -330,7 +330,13 @@
             return 0
         run.retry_at_ms = _next_recheck_ms(run, now_ms)
         waiting = len(run.waiting)
-        self._place(run, now_ms)
+        try:
+            self._place(run, now_ms)
+        except Exception as error:
+            # It would end each pass before the steps after it.
+            self._state.orders.faults.append(
+                orders_module.FaultNote(run, error)
+            )
         self._gang_room.hold_limit(run, now_ms)
         if not run.waiting:
             self._state.table.ready_steps.pop(run.key, None)
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -749,6 +749,12 @@
                 step=preempted.step_run.key,
                 tasks=[task.name for task in preempted.tasks],
             )
+        for fault in orders.faults:
+            events.emit(
+                cell_events.INTERNAL_FAULT,
+                part=f'Planner: {fault.step_run.key}',
+                error=repr(fault.error),
+            )
         for note in orders.waits:
             run = note.step_run
             events.emit(
--- a/basilspindle/cell/orders.py
+++ b/basilspindle/cell/orders.py
@@ -96,6 +96,18 @@
         self.tasks = tasks
 
 
+class FaultNote:
+    """Step that a scheduling pass could not place, and the error."""
+
+    __slots__ = ('step_run', 'error')
+
+    def __init__(
+        self, step_run: step_run_module.StepRun, error: Exception
+    ) -> None:
+        self.step_run = step_run
+        self.error = error
+
+
 class Orders:
     """Orders of a scheduling pass, and the reasons why steps wait."""
 
@@ -106,6 +118,7 @@
         'advice',
         'waits',
         'preemptions',
+        'faults',
     )
 
     def __init__(self) -> None:
@@ -115,3 +128,4 @@
         self.advice: list[AdviceRequest] = []
         self.waits: list[WaitNote] = []
         self.preemptions: list[PreemptionNote] = []
+        self.faults: list[FaultNote] = []
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -454,6 +454,52 @@
         self.assertEqual(2, len(starts))
 
 
+class FaultTest(cell_case.CellCase):
+    """Guard the pass against a step that cannot be placed."""
+
+    def test_a_step_that_fails_ends_no_pass(self):
+        """Guard against steps that are never examined.
+
+        The pass ended at the step, and so did the one after each recheck of
+        it. A step with its own recheck was not examined again.
+        """
+        self.add_worker('w1')
+        for number, job_id in enumerate((_JOB, _OTHER)):
+            self.submit(
+                cell_case.make_definition(
+                    job_id,
+                    cell_case.make_step(2, gang=True),
+                    priority=number,
+                )
+            )
+        place = plan_module.Planner._place
+        failed = []
+
+        def fail(planner, run, now_ms):
+            if run.job.job_id == _JOB and len(failed) < 2:
+                failed.append(now_ms)
+                raise KeyError('odd')
+            place(planner, run, now_ms)
+
+        with mock.patch.object(plan_module.Planner, '_place', fail):
+            orders = self.plan()
+            self.assertEqual(
+                [_JOB], [note.step_run.job.job_id for note in orders.faults]
+            )
+            self.assertEqual(
+                [_OTHER] * 2,
+                [start.task.step_run.job.job_id for start in orders.starts],
+            )
+            started = []
+            for _ in range(3):
+                self.now_ms += 1_000
+                started += self.plan().starts
+        self.assertEqual(
+            [_JOB] * 2,
+            [start.task.step_run.job.job_id for start in started],
+        )
+
+
 class LargePassTest(cell_case.CellCase):
     """Guard the leader's event loop against long scheduling passes."""
 
