Accept work for workers that are missing for a moment

Callers would see (by reading): while the only worker that a step fits on restarts, jobs with such a step are refused with no_worker_fits and told to come back after 10 s, although their objectives may be longer. Cause: only the workers that the registry lists at the moment counted. Evidence: the new test removes the entry of the only large worker. Change: workers that were known in the last 30 s count for what can ever be held, at most one entry per worker id. Result: test_a_worker_that_is_missing_for_a_moment_refuses_nothing failed before and passes.

--- a/basilspindle/cell/decisions/pool_capacity.py
+++ b/basilspindle/cell/decisions/pool_capacity.py
@@ -1,5 +1,8 @@
 """Sum up the workers of a pool that take work, for a short time."""
 
+import collections.abc
+import itertools
+
 from basilspindle.cell.decisions import backlog as backlog_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
@@ -9,6 +12,9 @@
 _VALID_MS = 50
 # Needs are rounded up to this much, so that few sizes are looked for.
 _ROUNDING_MILLICORES = 250
+# A worker that was known this long ago may return: a refused caller would be
+# told to wait for about as long as a restart takes.
+_MISSING_KEPT_MS = 30_000
 
 
 class Ahead:
@@ -29,16 +35,17 @@
     """Workers of one pool at one time.
 
     ``workers`` take work now; ``kinds`` are the different capacities of all
-    known workers. ``total_millicores``, ``used_millicores`` and
-    ``free_millicores`` are of the workers that take work, and ``slowness`` is
-    their mean one. ``running_millicores`` ran on all workers back then.
-    ``ahead`` caches what waits ahead of a rank and of a call for advice, with
-    the version of the backlog.
+    known workers; ``missing`` were known lately. ``total_millicores``,
+    ``used_millicores`` and ``free_millicores`` are of the workers that take
+    work, and ``slowness`` is their mean one. ``running_millicores`` ran on all
+    workers back then. ``ahead`` caches what waits ahead of a rank and of a
+    call for advice, with the version of the backlog.
     """
 
     __slots__ = (
         'made_ms',
         'known',
+        'missing',
         'workers',
         'kinds',
         'total_millicores',
@@ -58,9 +65,11 @@
         workers: list[worker_module.Worker],
         running_millicores: int,
         now_ms: int,
+        missing: collections.abc.Sequence[worker_module.Worker] = (),
     ) -> None:
         self.made_ms = now_ms
         self.known = known
+        self.missing = missing
         self.workers = workers
         self.kinds = frozenset(worker.capacity for worker in known)
         self.total_millicores = sum(
@@ -128,9 +137,12 @@
     def can_ever_hold(
         self, label: str, need: need_module.Need, count: int
     ) -> bool:
-        """Tell whether the known workers, when empty, hold so many tasks."""
+        """Tell whether so many tasks fit on empty workers.
+
+        Workers that were known lately count as well.
+        """
         slots = 0
-        for worker in self.known:
+        for worker in itertools.chain(self.known, self.missing):
             if not label or label in worker.labels:
                 slots += count_fitting(worker.capacity, need)
                 if slots >= count:
@@ -141,11 +153,13 @@
 class PoolCapacities:
     """Capacity of each pool, made again when it is too old."""
 
-    __slots__ = ('_by_pool', '_known_workers')
+    __slots__ = ('_by_pool', '_known_workers', '_seen')
 
     def __init__(self) -> None:
         self._by_pool: dict[str, PoolCapacity] = {}
         self._known_workers = 0
+        # Workers by pool and id, and when they were known last.
+        self._seen: dict[str, dict[str, tuple[worker_module.Worker, int]]] = {}
 
     def get(
         self,
@@ -171,10 +185,34 @@
                 and worker.failure_domain not in closed_domains
             ]
             found = self._by_pool[pool] = PoolCapacity(
-                known, taking, running_millicores, now_ms
+                known,
+                taking,
+                running_millicores,
+                now_ms,
+                self._missing(workers, pool, known, now_ms),
             )
         return found
 
+    def _missing(
+        self,
+        workers: dict[str, worker_module.Worker],
+        pool: str,
+        known: list[worker_module.Worker],
+        now_ms: int,
+    ) -> list[worker_module.Worker]:
+        seen = self._seen.setdefault(pool, {})
+        for worker in known:
+            seen[worker.worker_id] = worker, now_ms
+        missing = []
+        for worker_id, (worker, seen_ms) in list(seen.items()):
+            if seen_ms == now_ms and worker_id in workers:
+                continue
+            if worker_id in workers or now_ms - seen_ms > _MISSING_KEPT_MS:
+                del seen[worker_id]
+            else:
+                missing.append(worker)
+        return missing
+
 
 def _round(need: need_module.Need) -> need_module.Need:
     parts = -(-need.cpu_millicores // _ROUNDING_MILLICORES)
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -629,6 +629,27 @@
             worker.reported = False
         self.assertIsNone(self.try_submit(self.define(64)))
 
+    def test_a_worker_that_is_missing_for_a_moment_refuses_nothing(self):
+        """Guard against refusals for 10 s while a worker restarts.
+
+        Failure: the registry entry of the only worker that a step fits on is
+        missing. What never fits is still refused, and so is the step once
+        the worker has been missing for longer.
+        """
+        self.add_worker('w4', cpu=32_000)
+        self.assertIsNone(self.try_submit(self.define(1)))
+        del self.state.workers['w4']
+        for _ in range(6):
+            self.now_ms += 5_000
+            for name in ('w0', 'w1', 'w2', 'w3'):
+                self.report(name)
+            self.assertIsNone(self.try_submit(self.define(1, cpu=30_000)))
+            refusal = self.try_submit(self.define(1, cpu=33_000))
+            self.assertEqual('no_worker_fits', refusal.details['reason'])
+        self.now_ms += 1_000
+        refusal = self.try_submit(self.define(1, cpu=30_000))
+        self.assertEqual('no_worker_fits', refusal.details['reason'])
+
     def test_a_limit_below_what_runs_ends_in_refusals(self):
         """Guard against work accepted for a limit that is used up.
 
