Rank late callers last only where the workspace has a share

Callers saw: test_no_newcomer_overtakes_a_caller_that_waited fails since: a caller that came back in time is refused with no_value_left while a new job of the same kind takes the room. Cause: a job that comes back late counts as beyond the share also in a workspace without a share, so it ranks behind all other work and behind the promises to all other callers. There is no share to keep there. Change: only where the workspace has a share.

--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -80,7 +80,9 @@
         # The share is kept for jobs that can be on time: if callers that come
         # back late used it up, new jobs would be refused and late in turn.
         is_beyond_share = limiter.is_beyond(workspace, now_ms) or (
-            promise is not None
+            workspace is not None
+            and workspace.share_jobs_s > 0
+            and promise is not None
             and self._is_late(definition, promise.first_sent_ms, now_ms)
         )
         self._check_backlog(definition, is_beyond_share, now_ms)
