Refuse nothing by the room of the first workers that report

Cause: the room and the rate of the workers that had reported stood for the whole pool, while the work that seems to wait runs on the others. Change: while the workers that are awaited have more cores than those that take work, the room is unknown, and nothing is refused for it.

--- a/basilspindle/cell/decisions/expected_start.py
+++ b/basilspindle/cell/decisions/expected_start.py
@@ -127,7 +127,8 @@
         return Expectation(
             end_ms, end_ms, first_sent_ms, objective_ms, unservable
         )
-    path_ms = _path_ms(state, definition, pool)
+    is_room_known = _is_room_known(state, definition.pool, pool, now_ms)
+    path_ms = _path_ms(state, definition, pool, is_room_known)
     backlog.set_kinds(
         definition.pool, pool.kinds, state.table.ready_steps.values()
     )
@@ -135,7 +136,7 @@
     due_promises, all_promises = _promised_millicores(
         state, definition, queue.rank, now_ms
     )
-    pool_wait_ms = queue.wait_ms(due_promises)
+    pool_wait_ms = queue.wait_ms(due_promises) if is_room_known else 0.0
     limit_wait_ms = _limit_wait_ms(state, definition, queue.rank, now_ms)
     wait_ms = max(pool_wait_ms, limit_wait_ms)
     advice_ms = _call_ms(state, definition)
@@ -151,7 +152,9 @@
         expectation.reason = (
             Reason.LIMIT if limit_wait_ms > pool_wait_ms else Reason.CAPACITY
         )
-    room_ms = max(queue.wait_ms(all_promises), limit_wait_ms)
+    room_ms = limit_wait_ms
+    if is_room_known:
+        room_ms = max(queue.wait_ms(all_promises), limit_wait_ms)
     expectation.room_ms = now_ms + int(room_ms)
     expectation.ahead_millicores = queue.ahead.millicores + due_promises
     expectation.free_millicores = queue.free_millicores
@@ -221,9 +224,6 @@
 
     def wait_ms(self, promised_millicores: int) -> float:
         """Return the time until there is room for the job."""
-        if not self._total:
-            # No worker has reported, so nothing is known of the room.
-            return 0.0
         left = self.free_millicores - (
             self._next.millicores + promised_millicores
         )
@@ -399,6 +399,29 @@
     return Reason.NONE
 
 
+def _is_room_known(
+    state: state_module.CellState,
+    name: str,
+    pool: pool_capacity.PoolCapacity,
+    now_ms: int,
+) -> bool:
+    # Right after a change of leader, most workers have not reported yet. What
+    # is ahead may be running there, and they will take most of the work.
+    if not pool.total_millicores:
+        return False
+    awaited = state.awaited_workers
+    if not awaited.any(now_ms):
+        return True
+    awaited_millicores = sum(
+        worker.capacity.cpu_millicores
+        for worker_id in awaited
+        if (worker := state.workers.get(worker_id)) is not None
+        and worker.pool == name
+        and awaited.awaits(worker_id, now_ms)
+    )
+    return awaited_millicores <= pool.total_millicores
+
+
 def _is_within(need: need_module.Need, limit: need_module.Need) -> bool:
     # Amounts of 0 in the limit are unlimited.
     return (
@@ -412,6 +435,7 @@
     state: state_module.CellState,
     definition: definition_module.JobDefinition,
     pool: pool_capacity.PoolCapacity,
+    is_room_known: bool,
 ) -> float:
     # Expected time of the longest chain of steps. A step that is wider than
     # what it may use at once takes several times as long as a task of it.
@@ -421,7 +445,9 @@
     ends_ms: list[float] = []
     for step in definition.steps:
         start_ms = max((ends_ms[index] for index in step.after), default=0.0)
-        width = pool.total_millicores * pool.part(step.required_label)
+        width = 0.0
+        if is_room_known:
+            width = pool.total_millicores * pool.part(step.required_label)
         if limit is not None and limit.cpu_millicores:
             width = min(width or limit.cpu_millicores, limit.cpu_millicores)
         rounds = 1
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -650,6 +650,37 @@
         refusal = self.try_submit(self.define(1, cpu=30_000))
         self.assertEqual('no_worker_fits', refusal.details['reason'])
 
+    def test_the_first_reports_to_a_new_leader_refuse_nothing(self):
+        """Guard against refusals by the room of a few of many workers.
+
+        Failure: the leader has changed, and 3 of 32 workers have reported.
+        The work that waits, as far as is known, runs on the others. A gang
+        was told to come back after 8 s.
+        """
+        for number in range(4, 32):
+            self.add_worker(f'w{number}', cpu=16_000)
+        for worker in self.state.workers.values():
+            worker.reported = False
+            self.state.awaited_workers.expect(
+                worker.worker_id, self.now_ms + 10_000
+            )
+        jobs = [self.adopt(self.define(8, urgent=True)) for _ in range(60)]
+        for job in jobs:
+            job.recovered = True
+        gang = {'estimate_ms': 5_000, 'gang': True}
+        for number, job in enumerate(jobs[:32]):
+            if number == 3:
+                self.plan()
+                self.assertIsNone(
+                    self.try_submit(self.define(20, cpu=4_500, **gang))
+                )
+            [run] = job.runs.values()
+            self.report(f'w{number}', [(task.name, 1) for task in run.tasks])
+        self.now_ms += 60
+        self.assertEqual(
+            32 * 8_000, self.expect(self.define()).free_millicores
+        )
+
     def test_a_limit_below_what_runs_ends_in_refusals(self):
         """Guard against work accepted for a limit that is used up.
 
