Stop no task where a step may run no more tasks

Callers would see (by reading): work is discarded on a worker that already runs as many tasks of a step as max_per_worker allows, and the step starts none there; the room stays reserved for 3 s. Cause: since steps that are no gangs get room, tasks of the step may run already; the plan of stops didn't count them. Change: they count, as they do in packing. Result: test_nothing_is_stopped_where_no_more_tasks_may_run failed before (two tasks stopped); the 18 tests of tests.test_cell_preemption pass.

--- a/basilspindle/cell/decisions/preemption.py
+++ b/basilspindle/cell/decisions/preemption.py
@@ -164,7 +164,10 @@
     now_ms: int,
 ) -> list[_Slot]:
     need = run.step.reserved
-    limit = min(count, run.step.max_per_worker or count)
+    limit = count
+    if run.step.max_per_worker:
+        running = sum(task.step_run is run for task in worker.tasks.values())
+        limit = min(count, run.step.max_per_worker - running)
     own = run.reserved_tasks.get(worker.worker_id, 0)
     left = worker.available.plus(need, own)
     leaving = _leaving_tasks(state, run, worker, now_ms)
--- a/tests/test_cell_preemption.py
+++ b/tests/test_cell_preemption.py
@@ -228,6 +228,30 @@
         for _ in range(15):
             self.assertEqual([], self.advance().stops)
 
+    def test_nothing_is_stopped_where_no_more_tasks_may_run(self):
+        """Guard against stops on a worker that has all its tasks of a step.
+
+        The room there is of no use to the step, and tasks of it that run
+        were not counted.
+        """
+        self.submit(
+            cell_case.make_definition(
+                _GANG,
+                cell_case.make_step(
+                    7, cpu=2_000, estimate_ms=9_000, max_per_worker=1
+                ),
+                priority=1,
+                stretch=1.0,
+                target_latency_ms=4_000,
+            )
+        )
+        self.advance()
+        self.assertEqual(len(self.state.workers), len(self.started()))
+        self.fill()
+        for _ in range(30):
+            self.advance()
+        self.assertEqual([], self.stopped)
+
     def test_nothing_is_stopped_where_there_is_room(self):
         """Guard against discarded work on a fleet with room."""
         self.fill(12)
