Stop no small task beside a larger one that has to go

Callers would see (by reading): more work is stopped than a gang or an urgent step needs, each task of it once, out of a budget of 50 stops a second. Cause: on each worker the tasks with the least cores were chosen one after the other until the step fits; the ones before a large task were kept. Change: the tasks that are not needed once the step fits are left out. Result: test_no_task_is_stopped_beside_one_that_is_enough stopped three tasks before and stops one; the 90 tests of test_cell_preemption, test_cell_plan and test_cell_evacuation pass.

--- a/basilspindle/cell/decisions/preemption.py
+++ b/basilspindle/cell/decisions/preemption.py
@@ -179,6 +179,14 @@
             left = left.plus(displaced[-1].task.step_run.step.reserved)
         if not need.fits(left):
             break
+        for other in sorted(displaced, key=lambda row: -row.cost):
+            # Smaller tasks are of no use beside a larger one that has to go.
+            without = left.plus(other.task.step_run.step.reserved, -1)
+            if need.fits(without):
+                left = without
+                displaced.remove(other)
+                leaving.append(other)
+        leaving.sort(key=lambda row: -row.cost)
         left = left.plus(need, -1)
         slots.append(_Slot(worker.worker_id, displaced, len(slots)))
     return _with_rising_cost(slots)
--- a/tests/test_cell_preemption.py
+++ b/tests/test_cell_preemption.py
@@ -228,6 +228,26 @@
         for _ in range(15):
             self.assertEqual([], self.advance().stops)
 
+    def test_no_task_is_stopped_beside_one_that_is_enough(self):
+        """Guard against stops whose room the step does not need.
+
+        The smallest tasks were chosen first, and kept when a larger one had
+        to be stopped as well.
+        """
+        for name in list(self.state.workers):
+            del self.state.workers[name]
+        self.add_worker('w0', cpu=6_000)
+        for cpu in (1_000, 1_000, 4_000):
+            self.submit_small(cpu=cpu)
+        self.fill(0)
+        self.assertEqual(3, len(self.running))
+        self.submit_urgent(9_000, count=1)
+        stops = []
+        for _ in range(15):
+            stops += [order.name for order in self.advance().stops]
+        self.assertEqual(['0000000000000003.0.0.0'], stops)
+        self.assertEqual(1, len(self.started()))
+
     def test_nothing_is_stopped_where_no_more_tasks_may_run(self):
         """Guard against stops on a worker that has all its tasks of a step.
 
