Don't let a late caller wait for its own promise

Callers would see (by reading): a job that comes back late, of a workspace with a share, is refused (no_value_left or beyond_share) while all the room that it needs is free. Cause: it ranks behind others by then, so its own promise, noted with the rank before, counted as work of another caller that is ahead. Change: its own promise is left out whenever it would count.

--- a/basilspindle/cell/decisions/expected_start.py
+++ b/basilspindle/cell/decisions/expected_start.py
@@ -369,7 +369,11 @@
         pool, rank, now_ms + _NEXT_RETRY_MS, is_last_included=not is_due
     )
     total = promises.millicores_until(pool, rank, is_last_included=not is_due)
-    if own is not None and not is_due and own.rank <= rank:
+    # A caller that comes back late has ranked before its present rank.
+    is_own_included = own is not None and (
+        own.rank < rank or (own.rank == rank and not is_due)
+    )
+    if own is not None and is_own_included:
         total -= own.millicores
         if own.return_ms <= now_ms + _NEXT_RETRY_MS:
             soon -= own.millicores
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -549,6 +549,22 @@
         self.assertIsNone(self.try_submit(definition))
         self.assertEqual(1, len(self.state.retry_promises))
 
+    def test_a_late_caller_does_not_wait_for_itself(self):
+        """Guard against refusals while all room that a job needs is free.
+
+        A caller that comes back late ranks behind others where its workspace
+        has a share, and its own promise counted as work of another one.
+        """
+        self.configure(share=10.0)
+        running = self.fill(estimate_ms=4_000)
+        definition, retry_ms = self.refuse(
+            60, workspace='busy', stretch=1.0, target_latency_ms=500
+        )
+        for start in running[:60]:
+            self.report_end(start.worker_id, start.task.name, start.run)
+        self.advance(retry_ms)
+        self.assertIsNone(self.try_submit(definition))
+
     def test_the_objective_counts_from_the_first_time(self):
         """Guard against a late job that is taken for one on time."""
         running = self.fill(estimate_ms=4_000)
