Keep no room for returning callers beyond the share

Cause: room for its refused callers was kept from its new jobs. After the second that a Retry-After takes at least, a job with an objective of 1.1 to 1.5 s is late. Change: promises beyond the share count for the times that callers are told, but hold no room. Within the share they do, as before. Result: test_no_room_is_kept_for_callers_beyond_the_share fails without it; 55 tests of admission pass.

--- a/basilspindle/cell/decisions/expected_start.py
+++ b/basilspindle/cell/decisions/expected_start.py
@@ -32,6 +32,8 @@
 # Callers that return by then compete with a job that is submitted now: later
 # ones find the room that becomes free until then.
 _NEXT_RETRY_MS = 250
+# Priority that comes before those of all queues.
+_BEFORE_ALL = -1
 
 
 class Reason(enum.StrEnum):
@@ -361,25 +363,33 @@
 ) -> tuple[int, int]:
     # Cores of callers that are ahead: those about to return, and all. A
     # caller that returns when it was told to is ahead of others of its kind.
+    # Beyond the share of their workspace, callers that return are late for
+    # the most part, and no room is kept for them.
     promises = state.retry_promises
     own = promises.get(definition.job_id)
     is_due = own is not None and own.is_due(now_ms)
     pool = definition.pool
+    is_beyond_share, _ = rank
+    last_kept = (True, _BEFORE_ALL) if is_beyond_share else rank
     soon = promises.millicores_until(
-        pool, rank, now_ms + _NEXT_RETRY_MS, is_last_included=not is_due
+        pool, last_kept, now_ms + _NEXT_RETRY_MS, is_last_included=not is_due
     )
     total = promises.millicores_until(pool, rank, is_last_included=not is_due)
     # A caller that comes back late has ranked before its present rank.
-    is_own_included = own is not None and (
-        own.rank < rank or (own.rank == rank and not is_due)
-    )
-    if own is not None and is_own_included:
+    if own is not None and _is_included(own.rank, rank, is_due):
         total -= own.millicores
+    if own is not None and _is_included(own.rank, last_kept, is_due):
         if own.return_ms <= now_ms + _NEXT_RETRY_MS:
             soon -= own.millicores
     return max(0, soon), max(0, total)
 
 
+def _is_included(
+    rank: backlog_module.Rank, last: backlog_module.Rank, is_due: bool
+) -> bool:
+    return rank < last or (rank == last and not is_due)
+
+
 def _unservable_reason(
     state: state_module.CellState,
     definition: definition_module.JobDefinition,
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -565,6 +565,24 @@
         self.advance(retry_ms)
         self.assertIsNone(self.try_submit(definition))
 
+    def test_no_room_is_kept_for_callers_beyond_the_share(self):
+        """Guard against new jobs that are refused for callers that are late.
+
+        On the first deployment, room for hundreds of returning callers of one
+        workspace was kept from its new jobs, which were late in turn.
+        """
+        self.configure(share=0.1)
+        for _ in range(2):
+            self.submit(self.define(1, workspace='busy'))
+        running = self.fill(62, estimate_ms=4_000)
+        kinds = {'workspace': 'busy', 'urgent': True}
+        retry_ms = min(self.refuse(48, **kinds)[1] for _ in range(8))
+        self.advance(retry_ms - 200)
+        for start in running[:8]:
+            self.report_end(start.worker_id, start.task.name, start.run)
+        self.advance(100)
+        self.assertIsNone(self.try_submit(self.define(1, **kinds)))
+
     def test_the_objective_counts_from_the_first_time(self):
         """Guard against a late job that is taken for one on time."""
         running = self.fill(estimate_ms=4_000)
