Send responses without waiting for an acknowledgement

Cause: asyncio disables Nagle's algorithm only on sockets with the protocol TCP, which accepted sockets of socket.create_server do not have. Change: the listening socket has TCP_NODELAY; accepted ones inherit it.

--- a/basilspindle/platform/listener.py
+++ b/basilspindle/platform/listener.py
@@ -82,6 +82,10 @@
             self._socket.setsockopt(
                 socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
             )
+        # Accepted sockets inherit it; asyncio sets it only on sockets that it
+        # creates. Without it, each response waits for a delayed
+        # acknowledgement.
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._loop.add_reader(self._socket, self._accept)
         return self
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -1,6 +1,7 @@
 """Test that limits on clients leave ordinary requests as they are."""
 
 import asyncio
+import socket
 import unittest
 
 from basilspindle.cell import configuration as configuration_module
@@ -111,6 +112,18 @@
             self.assertEqual((200, '/1 0'), await self.read_text(reader))
         self.assertEqual(0, server.held.total_bytes)
 
+    async def test_responses_are_sent_at_once(self):
+        """Guard against responses that wait 40 ms for an acknowledgement."""
+        server = await self.serve()
+        reader, writer = await self.connect(server)
+        writer.write(_GET % 1)
+        await self.read_text(reader)
+        (connection,) = server.table.idle
+        sock = connection.transport.get_extra_info('socket')
+        self.assertTrue(
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        )
+
     async def test_a_body_at_the_limit_is_served(self):
         """Guard against bodies that count as trailers or as too much."""
         server = await self.serve()
