Check the settings of the limits on clients

Negative values were taken as limits. Test how descriptors are divided, too: 972 connections of callers at 4,096 descriptors, 50 at 400. tests.test_platform_boot: all pass.

--- a/basilspindle/platform/client_limits.py
+++ b/basilspindle/platform/client_limits.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from basilspindle.cell import configuration as configuration_module
+from basilspindle import decoding
 
 # The smallest VM, for settings that do not tell the memory.
 _DEFAULT_MEMORY_MB = 160
@@ -45,16 +46,16 @@
 class ClientSettings(msgspec.Struct):
     """Limits of the settings file, 0 for those that are derived."""
 
-    max_head_bytes: int = _MAX_HEAD_BYTES
-    max_trailer_bytes: int = _MAX_TRAILER_BYTES
-    max_body_bytes: int = _MAX_BODY_BYTES
-    head_timeout_ms: int = _HEAD_TIMEOUT_MS
-    max_pipelined_requests: int = _MAX_PIPELINED_REQUESTS
-    max_unread_bytes: int = _MAX_UNREAD_BYTES
-    unread_timeout_ms: int = _UNREAD_TIMEOUT_MS
-    max_connections: int = 0
-    max_other_connections: int = 0
-    max_held_bytes: int = 0
+    max_head_bytes: decoding.Count = _MAX_HEAD_BYTES
+    max_trailer_bytes: decoding.Count = _MAX_TRAILER_BYTES
+    max_body_bytes: decoding.Count = _MAX_BODY_BYTES
+    head_timeout_ms: decoding.Count = _HEAD_TIMEOUT_MS
+    max_pipelined_requests: decoding.Count = _MAX_PIPELINED_REQUESTS
+    max_unread_bytes: decoding.Count = _MAX_UNREAD_BYTES
+    unread_timeout_ms: decoding.Count = _UNREAD_TIMEOUT_MS
+    max_connections: decoding.Count = 0
+    max_other_connections: decoding.Count = 0
+    max_held_bytes: decoding.Count = 0
 
 
 class ClientLimits:
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -45,6 +45,30 @@
         text = self.text().replace('link_mbps = 1000.0', 'link_mbps = 10.0')
         self.assertTrue(boot_settings.parse(text).leads_last)
 
+    def test_descriptors_are_divided(self):
+        """Guard against callers that take the descriptors of the store."""
+        for max_fds, expected in ((4_096, 972), (400, 50)):
+            text = self.text().replace(
+                '[limits]', f'[limits]\nmax_fds = {max_fds}'
+            )
+            settings = boot_settings.parse(text)
+            limits = settings.client_limits
+            self.assertEqual(expected, limits.max_connections)
+            taken = (
+                settings.max_connections
+                + limits.max_connections
+                + 2 * limits.max_other_connections
+            )
+            self.assertLess(taken, max_fds - max_fds // 16)
+
+    def test_limits_on_clients_are_read(self):
+        """Guard against settings of limits that have no effect."""
+        text = self.text() + '[clients]\nmax_connections = 7\n'
+        limits = boot_settings.parse(text).client_limits
+        self.assertEqual(7, limits.max_connections)
+        with self.assertRaises(errors.SettingsInvalid):
+            boot_settings.parse(text.replace('= 7\n', '= -7\n'))
+
     def test_a_wrong_field_is_named(self):
         """Guard against errors that do not name the invalid field."""
         cases = [
