Note a start before it is sent, and doubt late reports

Callers saw: by tests only, a task could run twice, or again after it was done. Cause: a start was noted as one that may be carried out only once its attempt had timed out; an answer without a clock counted as one of the known life; and a report that was older than an answer of a later life made the earlier life certain again. Change: the attempt is noted before it is sent and the note is taken back by its answer; an answer without a clock counts as one of the longest lease; a report makes a life certain only if no answer showed another one since its renewal was sent.

--- a/basilspindle/cell/run_expiry.py
+++ b/basilspindle/cell/run_expiry.py
@@ -28,8 +28,11 @@
     unheard_ms = lease_sent_ms + lease_clock.LATE_ORDER_MS + longest_ms
     if task.unanswered_start_ms:
         return max(known_ms, unheard_ms)
-    if task.answered_clock_ms is None or _is_listed(task, worker):
+    if not task.answered_ms or _is_listed(task, worker):
         return known_ms
+    if task.answered_clock_ms is None:
+        # The answer does not tell which life has given it.
+        return max(known_ms, unheard_ms)
     # The clock of the life that answered tells how it reads the deadlines.
     answered_ms = lease.expiry_on_ms(task.answered_clock_ms, task.answered_ms)
     return max(known_ms, min(answered_ms, unheard_ms))
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -152,6 +152,7 @@
         '_is_worker_silent',
         '_max_lease_ms',
         '_is_life_certain',
+        '_life_doubts',
         '_open_starts',
         '_acknowledged_end_number',
         '_observed_born_wall_ms',
@@ -192,6 +193,8 @@
         # False while the incarnation that last reported may have been
         # replaced by another one under the same id.
         self._is_life_certain = False
+        # Answers that showed another clock than the one known.
+        self._life_doubts = 0
         # Number of start orders without an answer.
         self._open_starts = 0
         self._acknowledged_end_number = 0
@@ -366,6 +369,7 @@
         )
         wait_ms = self._renewal_wait_ms(deadline_ms, recorded)
         self._is_life_certain = False
+        life_doubts = self._life_doubts
         if acknowledged_end_number or self._unanswered_end_number:
             # Starts wait for the answer.
             wait_ms = 0
@@ -461,7 +465,8 @@
             worker.suspect_until_ms = now_ms + _FAULT_PAUSE_MS
             return f'a report could not be applied: {error!r}'
         self._is_worker_silent = False
-        self._is_life_certain = True
+        # The report may be older than an answer that showed another life.
+        self._is_life_certain = life_doubts == self._life_doubts
         if lacks_ends:
             await self._owner.wait_for_ends(worker, _UNRECORDED_PAUSE_MS)
         elif not recorded or lacks_acknowledgement:
@@ -578,6 +583,7 @@
             try:
                 await self._acknowledged.wait()
                 sent_ms = self._clock.now_ms()
+                earlier_ms = self._note_open_attempt(order, sent_ms)
                 answer = await self._try_start(order, address, payload)
             finally:
                 self._open_starts -= 1
@@ -587,7 +593,7 @@
                 self._lease_sent_ms = max(self._lease_sent_ms, sent_ms)
             if outcome is start_outcome.StartOutcome.UNKNOWN:
                 self._note_unanswered_order(sent_ms)
-            self._note_attempt(order, answer, sent_ms)
+            self._note_attempt(order, answer, sent_ms, earlier_ms)
             if outcome is not start_outcome.StartOutcome.UNKNOWN:
                 break
             has_unanswered = True
@@ -620,11 +626,24 @@
             self._owner.lose_leadership('a worker has seen a later leader')
         self._owner.handle_start_outcome(order, outcome)
 
+    def _note_open_attempt(
+        self, order: orders_module.StartOrder, sent_ms: int
+    ) -> int:
+        """Note an attempt before it is sent; returns the unanswered one."""
+        task = order.task
+        if not _is_at_worker(order):
+            return 0
+        # The task may be released before the attempt has an answer or fails.
+        earlier_ms = task.unanswered_start_ms
+        task.unanswered_start_ms = sent_ms
+        return earlier_ms
+
     def _note_attempt(
         self,
         order: orders_module.StartOrder,
         answer: start_outcome.StartAnswer,
         sent_ms: int,
+        earlier_ms: int,
     ) -> None:
         task = order.task
         is_unanswered = answer.outcome is start_outcome.StartOutcome.UNKNOWN
@@ -637,7 +656,10 @@
             return
         if is_unanswered:
             task.unanswered_start_ms = sent_ms
-        else:
+            return
+        if task.unanswered_start_ms == sent_ms:
+            task.unanswered_start_ms = earlier_ms
+        if answer.outcome is not start_outcome.StartOutcome.NOT_SENT:
             task.answered_ms = self._clock.now_ms()
             task.answered_clock_ms = answer.clock_ms
 
@@ -686,6 +708,7 @@
                     answer.clock_ms, self._clock.now_ms()
                 ):
                     self._is_life_certain = False
+                    self._life_doubts += 1
             return answer
         except errors.StaleEpoch:
             return start_outcome.StartAnswer(start_outcome.StartOutcome.FENCED)
