Compute the urgency of a step once in a scheduling pass

Callers would see: at a leader with many waiting steps that hold tickets, all requests and reports wait for the passes, each of which takes tens of ms. Change: urgency keeps the keys of a pass, except that of a step just examined; a worker keeps its available amounts until one of them changes; a freed worker is compared with any step of a group.

--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -187,10 +187,11 @@
                 continue
             free_cpu = worker.available.cpu_millicores
             for group in self._steps.groups_that_fit(worker.pool, free_cpu):
-                found = group.first(self._order)
-                if found is None or worker_id in group.freed_ids:
+                if worker_id in group.freed_ids:
                     continue
-                if self._can_use(found[1].run, worker):
+                # A worker is of use to all steps of a shape, or to none.
+                found = group.any_step()
+                if found is not None and self._can_use(found.run, worker):
                     group.freed_ids.add(worker_id)
                     self._steps.woken_groups[group] = None
         for workspace in freed_workspaces:
@@ -337,6 +338,7 @@
             self._state.orders.faults.append(
                 orders_module.FaultNote(run, error)
             )
+        self._order.forget(run)
         self._gang_room.hold_limit(run, now_ms)
         if not run.waiting:
             self._state.table.ready_steps.pop(run.key, None)
--- a/basilspindle/cell/decisions/urgency.py
+++ b/basilspindle/cell/decisions/urgency.py
@@ -23,6 +23,7 @@
 _TURN_MS = 1_000
 # Before all priorities of queues.
 _FIRST_PRIORITY = -1
+Key = tuple[bool, int, int, int, str]
 
 
 def critical_path_ms(
@@ -83,16 +84,29 @@
     one second of ten.
     """
 
-    __slots__ = ('_now_ms', '_due_ms')
+    __slots__ = ('_now_ms', '_due_ms', '_keys', 'overdue_turn')
 
     def __init__(self, now_ms: int, due_ms: dict[str, int]) -> None:
         self._now_ms = now_ms
         self._due_ms = due_ms
+        # A pass asks for the key of a step several times.
+        self._keys: dict[step_run_module.StepRun, Key] = {}
+        # Number of the turn of overdue steps, None between two.
+        number, position = divmod(now_ms // _TURN_MS, _TURNS)
+        self.overdue_turn = None if position else number
 
-    def __call__(
-        self, run: step_run_module.StepRun
-    ) -> tuple[bool, int, int, int, str]:
+    def __call__(self, run: step_run_module.StepRun) -> Key:
         """Return the sort key of a step; smaller keys come first."""
+        key = self._keys.get(run)
+        if key is None:
+            key = self._keys[run] = self._key(run)
+        return key
+
+    def forget(self, run: step_run_module.StepRun) -> None:
+        """Compute the key of a step anew: its waiting tasks may differ."""
+        self._keys.pop(run, None)
+
+    def _key(self, run: step_run_module.StepRun) -> Key:
         job = run.job
         if self.is_overdue_turn(run):
             return (False, _FIRST_PRIORITY, 0, run.ready_ms, run.key)
@@ -129,12 +143,6 @@
         cutoff_ms = job.first_sent_ms + MAX_LATENESS_FACTOR * span_ms
         return self._now_ms + run.step.estimate_ms > cutoff_ms
 
-    @property
-    def overdue_turn(self) -> int | None:
-        """Return the number of the turn of overdue steps, None between two."""
-        number, position = divmod(self._now_ms // _TURN_MS, _TURNS)
-        return None if position else number
-
     def is_overdue_turn(self, run: step_run_module.StepRun) -> bool:
         """Tell whether it is the turn of a step that has waited too long."""
         if self.overdue_turn is None:
--- a/basilspindle/cell/decisions/waiting_steps.py
+++ b/basilspindle/cell/decisions/waiting_steps.py
@@ -95,6 +95,7 @@
         'is_due',
         'due_ms',
         'size',
+        '_latest',
         '_heap',
     )
 
@@ -110,6 +111,8 @@
         self.is_due = False
         self.due_ms: int | None = None
         self.size = 0
+        # The step that was put last.
+        self._latest: WaitingStep | None = None
         self._heap: lazy_heap.LazyHeap[Key, WaitingStep] = lazy_heap.LazyHeap(
             self._is_current, operations
         )
@@ -119,6 +122,7 @@
 
     def put(self, step: WaitingStep, key: Key) -> None:
         """Add a step, or change its key."""
+        self._latest = step
         if step.group is self:
             if step.group_key == key:
                 return
@@ -135,6 +139,14 @@
         self.size -= 1
         self._heap.mark_dead()
 
+    def any_step(self) -> WaitingStep | None:
+        """Return one of the steps, or None."""
+        latest = self._latest
+        if latest is not None and latest.group is self:
+            return latest
+        item = self._heap.first()
+        return item[1] if item is not None else None
+
     def first(self, order: Order) -> tuple[Key, WaitingStep] | None:
         """Return the most urgent step and its present key, or None."""
         while (item := self._heap.first()) is not None:
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -103,6 +103,7 @@
         'slow_samples',
         'slow_seen_ms',
         '_reserved',
+        '_available',
         'drain_end_ms',
         'changed_ids',
     )
@@ -119,6 +120,8 @@
     ) -> None:
         self.worker_id = worker_id
         self.changed_ids: set[str] | None = None
+        # Asked for far more often than it changes; None if it is to be made.
+        self._available: need_module.Need | None = None
         self.address = address
         self.answered_address = ''
         self.is_recorded = False
@@ -157,6 +160,7 @@
         self.drain_end_ms = 0
 
     def _note_change(self) -> None:
+        self._available = None
         if self.changed_ids is not None:
             self.changed_ids.add(self.worker_id)
 
@@ -203,17 +207,11 @@
     @property
     def available(self) -> need_module.Need:
         """Return the capacity neither used nor reserved; may be negative."""
-        return need_module.Need(
-            self.capacity.cpu_millicores
-            - self.used.cpu_millicores
-            - self.reserved.cpu_millicores,
-            self.capacity.memory_mb
-            - self.used.memory_mb
-            - self.reserved.memory_mb,
-            self.capacity.accelerators
-            - self.used.accelerators
-            - self.reserved.accelerators,
-        )
+        if self._available is None:
+            self._available = self._capacity.plus(self._used, -1).plus(
+                self._reserved, -1
+            )
+        return self._available
 
     def accepts(
         self, now_ms: int, max_contact_age_ms: int = MAX_CONTACT_AGE_MS
--- a/tests/test_cell_plan.py
+++ b/tests/test_cell_plan.py
@@ -4,6 +4,7 @@
 
 from basilspindle.cell import configuration_index
 from basilspindle.cell.decisions import plan as plan_module
+from basilspindle.cell.decisions import urgency
 from basilspindle.cell import job_table
 from basilspindle.cell import report as report_module
 from basilspindle import workflow
@@ -454,6 +455,42 @@
         self.assertEqual(2, len(starts))
 
 
+class AdvisedCostTest(AdvisedCase):
+    """Guard the cost of a pass where all steps need advice."""
+
+    def test_a_pass_finds_the_place_of_a_step_once(self):
+        """Guard against passes that hold up the leader's other work.
+
+        Where all steps need advice, a freed worker is compared with each of
+        them, and each comparison computed the urgency of the step again.
+        """
+        for number in range(4):
+            self.add_worker(f'w{number}')
+        for number in range(60):
+            self.adopt(
+                cell_case.make_definition(
+                    f'{number:016x}', cell_case.make_step(4, cpu=1_000)
+                )
+            )
+        starts = []
+        for _ in range(4):
+            orders = self.plan()
+            for order in orders.advice:
+                self.advise(order, *order.worker_ids)
+            starts += self.start_all(orders)
+        for start in starts[:4]:
+            self.report_end(start.worker_id, start.task.name, start.run)
+        with mock.patch.object(
+            urgency.Urgency,
+            'is_too_late',
+            autospec=True,
+            side_effect=urgency.Urgency.is_too_late,
+        ) as is_too_late:
+            self.assertEqual(4, len(self.plan().starts))
+        # Again for each step that was examined.
+        self.assertLessEqual(is_too_late.call_count, 60 + 40 + 4)
+
+
 class FaultTest(cell_case.CellCase):
     """Guard the pass against a step that cannot be placed."""
 
