Tell sooner whether a freed worker is of use to a step

Cause: the number of tasks that fit was computed where one is enough. Change: a comparison of the amounts, unless the step has a limit per worker or a reservation. The tests of tests.test_cell_plan, _plan_changes and _preemption pass.

--- a/basilspindle/cell/decisions/packing.py
+++ b/basilspindle/cell/decisions/packing.py
@@ -47,6 +47,22 @@
     return max(0, fitting)
 
 
+def has_slot(
+    worker: worker_module.Worker, run: step_run_module.StepRun
+) -> bool:
+    """Tell whether one more task of a step fits on a worker."""
+    step = run.step
+    if step.max_per_worker or run.reserved_tasks:
+        return slots(worker, run) > 0
+    need = step.reserved
+    left = worker.available
+    return (
+        (not need.cpu_millicores or need.cpu_millicores <= left.cpu_millicores)
+        and (not need.memory_mb or need.memory_mb <= left.memory_mb)
+        and (not need.accelerators or need.accelerators <= left.accelerators)
+    )
+
+
 def assign(
     run: step_run_module.StepRun,
     workers: collections.abc.Sequence[worker_module.Worker],
--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -214,7 +214,7 @@
                 or worker.worker_id in run.advised_worker_ids
             ):
                 return False
-        return packing.slots(worker, run) > 0
+        return packing.has_slot(worker, run)
 
     def _visit_woken(self, freed_workers: set[str], now_ms: int) -> None:
         """Examine woken steps in order, and hold limits for gangs."""
