Leave half of the leader's time to other work than passes

Callers would see (by reading): while hundreds of steps with tickets wait, requests, reports of workers and renewals of leases wait for passes that follow each other after 20 ms at most, however long each takes. Cause: the delay followed the number of ready steps, at 1 to 2 ms a pass. Change: the next pass begins after as long as the last one took, at most 100 ms. Result: test_long_passes_leave_half_of_the_time failed before; the tests of test_cell_leader, _evacuation, _leadership and _failed_leadership pass.

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -53,6 +53,9 @@
 _PLAN_DELAY_MS = 4
 _PLAN_DELAY_PER_STEP_MS = 0.005
 _MAX_PLAN_DELAY_MS = 20
+# The next pass begins after as long as the last one took, up to this: passes
+# leave half of the time to requests, reports and renewals of leases.
+_MAX_PLAN_PAUSE_MS = 100
 # Time that a lease may take at most, allowing for a slow worker clock.
 _LEASE_DURATION_PERCENT = 103
 # Job states are kept this much longer than the configured retention time.
@@ -138,6 +141,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._plan_handle: asyncio.TimerHandle | None = None
+        self._plan_pause_ms = 0
 
     async def __aenter__(self) -> typing.Self:
         recovered = await self._load()
@@ -705,6 +709,7 @@
                 + _PLAN_DELAY_PER_STEP_MS * len(self.state.table.ready_steps),
                 _MAX_PLAN_DELAY_MS,
             )
+            delay_ms = max(delay_ms, self._plan_pause_ms)
             self._plan_handle = asyncio.get_running_loop().call_later(
                 delay_ms / 1000, self._plan
             )
@@ -716,8 +721,11 @@
         if self._evacuation is not None and self._evacuation.holds_starts():
             # The next tick plans again.
             return
-        self._planner.plan(self._clock.now_ms())
+        begun_ms = self._clock.now_ms()
+        self._planner.plan(begun_ms)
         self._send_orders()
+        took_ms = self._clock.now_ms() - begun_ms
+        self._plan_pause_ms = min(took_ms, _MAX_PLAN_PAUSE_MS)
         if self._planner.has_more:
             self._schedule_plan()
 
--- a/tests/test_cell_leader.py
+++ b/tests/test_cell_leader.py
@@ -109,6 +109,36 @@
         self.assertEqual('', left.worker_id)
 
 
+class PassTest(LeaderCase):
+    """Guard the other work of a leader against long scheduling passes."""
+
+    def delay_after(self, took_ms):
+        """Return the delay of the pass after one that took so long."""
+
+        def plan(now_ms):
+            self.clock.now += took_ms
+
+        loop = mock.Mock()
+        planner = mock.Mock(plan=plan, has_more=False)
+        with (
+            mock.patch.object(self.leader, '_planner', planner),
+            mock.patch.object(
+                leader_module.asyncio, 'get_running_loop', lambda: loop
+            ),
+        ):
+            self.leader._plan()
+            self.leader._schedule_plan()
+        return round(loop.call_later.call_args.args[0] * 1000)
+
+    def test_long_passes_leave_half_of_the_time(self):
+        """Guard against reports and requests that wait behind passes.
+
+        Passes of 60 ms followed each other within 4 to 20 ms.
+        """
+        for took_ms, delay_ms in ((0, 4), (60, 60), (900, 100), (1, 4)):
+            self.assertEqual(delay_ms, self.delay_after(took_ms))
+
+
 class LostLeadershipTest(LeaderCase):
     """Guard what follows the answer that a leader has stepped down.
 
