--- a/basilspindle/platform/guarded_protocol.py
+++ b/basilspindle/platform/guarded_protocol.py
@@ -122,6 +122,9 @@
         super().connection_made(transport)
         self.flow = _Flow(transport, self)
         transport.set_write_buffer_limits(self._limits.max_unread_bytes)
+        if self._is_ending:
+            # It gave way before it was open.
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Free what the connection holds."""
@@ -144,6 +147,7 @@
             self.cycle.disconnected = True
             if self._in_message:
                 self._release(self.cycle)
+        self._is_ending = True
         if self.transport is not None:
             self.transport.abort()
 
