Let admission assess a job without counting it

Operators can't ask what admission would decide about a job without sending it: the decision was made between changes of state (arrivals counted, promises noted) in Intake. Change: admission.assess returns the expectation, the reason and the retry time and changes nothing that it decides by, beside the caches of expected_start. Intake calls it and then counts the arrival or notes the promise.

--- a/basilspindle/cell/decisions/admission.py
+++ b/basilspindle/cell/decisions/admission.py
@@ -5,9 +5,12 @@
 """
 
 import enum
+import typing
 import zlib
 
 from basilspindle.cell.decisions import expected_start
+from basilspindle.cell import state as state_module
+from basilspindle.workflow import definition as definition_module
 
 # A refusal costs the caller at least this much, as times on the wire are
 # whole seconds of at least 1.
@@ -51,6 +54,49 @@
 }
 
 
+class Assessment(typing.NamedTuple):
+    """What a job may expect, and whether it is to be refused.
+
+    ``expectation`` is None for a job that is always accepted, and ``reason``
+    None for one that is accepted now.
+    """
+
+    expectation: expected_start.Expectation | None
+    reason: RefusalReason | None = None
+    retry_ms: int = 0
+
+
+def assess(
+    state: state_module.CellState,
+    definition: definition_module.JobDefinition,
+    is_beyond_share: bool,
+    now_ms: int,
+) -> Assessment:
+    """Decide whether a job is to be refused; counts and promises nothing."""
+    if definition.max_runs or any(step.service for step in definition.steps):
+        return Assessment(None)
+    expectation = expected_start.expected_start_ms(
+        state, definition, is_beyond_share, now_ms
+    )
+    mean_ms = state.arrivals.mean_millicore_ms(definition.pool)
+    relative_work = work_millicore_ms(definition) / mean_ms if mean_ms else 1.0
+    reason = refusal_reason(
+        expectation, relative_work, is_beyond_share, now_ms
+    )
+    if reason is None:
+        return Assessment(expectation)
+    retry_ms = refusal_retry_ms(expectation, reason, definition.job_id, now_ms)
+    return Assessment(expectation, reason, retry_ms)
+
+
+def work_millicore_ms(definition: definition_module.JobDefinition) -> int:
+    """Return the declared core time of a job."""
+    return sum(
+        step.count * step.reserved.cpu_millicores * step.estimate_ms
+        for step in definition.steps
+    )
+
+
 def outage_retry_ms(objective_ms: int) -> int:
     """Return the retry delay while the store is unavailable.
 
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -164,27 +164,27 @@
         now_ms: int,
     ) -> None:
         state = self._state
-        if definition.max_runs or any(
-            step.service for step in definition.steps
-        ):
-            return
         state.retry_promises.expire(now_ms)
-        expectation = expected_start.expected_start_ms(
+        assessment = admission.assess(
             state, definition, is_beyond_share, now_ms
         )
-        work_ms = _millicore_ms(definition)
-        mean_ms = state.arrivals.mean_millicore_ms(definition.pool)
-        reason = admission.refusal_reason(
-            expectation,
-            work_ms / mean_ms if mean_ms else 1.0,
-            is_beyond_share,
-            now_ms,
-        )
+        expectation = assessment.expectation
+        if expectation is None:
+            return
         if expectation.first_sent_ms == now_ms:
-            state.arrivals.add_submitted(definition.pool, work_ms, now_ms)
-        if reason is not None:
+            state.arrivals.add_submitted(
+                definition.pool,
+                admission.work_millicore_ms(definition),
+                now_ms,
+            )
+        if assessment.reason is not None:
             self._refuse(
-                definition, is_beyond_share, expectation, reason, now_ms
+                definition,
+                is_beyond_share,
+                expectation,
+                assessment.reason,
+                assessment.retry_ms,
+                now_ms,
             )
         state.arrivals.add_accepted(
             definition.pool,
@@ -202,11 +202,9 @@
         is_beyond_share: bool,
         expectation: expected_start.Expectation,
         reason: admission.RefusalReason,
+        retry_ms: int,
         now_ms: int,
     ) -> typing.NoReturn:
-        retry_ms = admission.refusal_retry_ms(
-            expectation, reason, definition.job_id, now_ms
-        )
         self._state.retry_promises.note(
             definition.job_id,
             retry_promises.RetryPromise(
@@ -241,13 +239,6 @@
         )
 
 
-def _millicore_ms(definition: definition_module.JobDefinition) -> int:
-    return sum(
-        step.count * step.reserved.cpu_millicores * step.estimate_ms
-        for step in definition.steps
-    )
-
-
 def _visible_state(job: job_module.Job) -> job_state.JobState | None:
     # A job is accepted only once it is recorded.
     durable = job.durable_state
