Read shares and arrival rates without updating them

A dry run of a job has to read both, and must leave them as they are. Cause: reading refilled the token bucket of the workspace and decayed the average of arrivals. Change: reading computes the present value from the last update; only taking a token or adding an arrival stores it. A bucket that gains from a raised share gains from the last token taken, up to its size.

--- a/basilspindle/cell/decisions/arrivals.py
+++ b/basilspindle/cell/decisions/arrivals.py
@@ -27,20 +27,22 @@
 
     def per_ms(self, now_ms: int) -> float:
         """Return the rate at which amounts are added."""
-        self._decay(now_ms)
-        return self._amount / _WINDOW_MS
+        return self._amount * self._kept(now_ms) / _WINDOW_MS
 
     def mean(self) -> float:
         """Return the mean of the latest amounts, 0 if there are none."""
         return self._amount / self._count if self._count else 0.0
 
     def _decay(self, now_ms: int) -> None:
-        elapsed_ms = max(0, now_ms - self._updated_ms)
+        kept = self._kept(now_ms)
         self._updated_ms = now_ms
-        kept = math.exp(-elapsed_ms / _WINDOW_MS)
         self._amount *= kept
         self._count *= kept
 
+    def _kept(self, now_ms: int) -> float:
+        # The part of the sums that is left.
+        return math.exp(-max(0, now_ms - self._updated_ms) / _WINDOW_MS)
+
 
 class Arrivals:
     """Cores of accepted jobs by pool and rank, and work of submitted ones."""
--- a/basilspindle/cell/decisions/share.py
+++ b/basilspindle/cell/decisions/share.py
@@ -38,10 +38,10 @@
         workspace: configuration_module.WorkspaceConfig | None,
         now_ms: int,
     ) -> bool:
-        """Tell whether another job now is beyond the share."""
+        """Tell whether another job now is beyond the share; takes nothing."""
         if workspace is None or workspace.share_jobs_s <= 0:
             return False
-        return self._refill(workspace, now_ms).tokens < 1.0
+        return self._tokens(workspace, now_ms) < 1.0
 
     def consume(
         self,
@@ -50,7 +50,8 @@
     ) -> None:
         """Take a token for an accepted job that is within the share."""
         if workspace is not None and workspace.share_jobs_s > 0:
-            self._refill(workspace, now_ms).tokens -= 1.0
+            tokens = self._tokens(workspace, now_ms) - 1.0
+            self._buckets[workspace.name] = _TokenBucket(tokens, now_ms)
 
     def refund(self, name: str) -> None:
         """Return the token of a job that was withdrawn before acceptance."""
@@ -64,19 +65,15 @@
             if name not in workspaces:
                 del self._buckets[name]
 
-    def _refill(
+    def _tokens(
         self, workspace: configuration_module.WorkspaceConfig, now_ms: int
-    ) -> _TokenBucket:
+    ) -> float:
         capacity = max(
             workspace.share_jobs_s * _BURST_MS / 1000, _MIN_BURST_JOBS
         )
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = self._buckets[workspace.name] = _TokenBucket(
-                capacity, now_ms
-            )
+            return capacity
         elapsed_ms = now_ms - bucket.refilled_ms
-        bucket.refilled_ms = now_ms
         added = elapsed_ms / 1000 * workspace.share_jobs_s
-        bucket.tokens = min(capacity, bucket.tokens + added)
-        return bucket
+        return min(capacity, bucket.tokens + added)
