Decide whether a job is beyond its share in admission

A dry run has to tell whether a job would be beyond the share of its workspace. Cause: the decision was made in Intake.submit, between changes of state. Change: admission.is_beyond_share, which takes no token; Intake calls it.

--- a/basilspindle/cell/decisions/admission.py
+++ b/basilspindle/cell/decisions/admission.py
@@ -9,6 +9,7 @@
 import zlib
 
 from basilspindle.cell.decisions import expected_start
+from basilspindle.cell.decisions import urgency
 from basilspindle.cell import state as state_module
 from basilspindle.workflow import definition as definition_module
 
@@ -66,6 +67,30 @@
     retry_ms: int = 0
 
 
+def is_beyond_share(
+    state: state_module.CellState,
+    definition: definition_module.JobDefinition,
+    now_ms: int,
+) -> bool:
+    """Tell whether a job counts as beyond its share; takes no token.
+
+    The share is kept for jobs that can be on time: if callers that come back
+    late used it up, new jobs would be refused and late in turn.
+    """
+    workspace = state.workspace_config(definition.workspace)
+    if workspace is None or not workspace.share_jobs_s:
+        return False
+    if state.share_limiter.is_beyond(workspace, now_ms):
+        return True
+    promise = state.retry_promises.get(definition.job_id)
+    if promise is None:
+        return False
+    advice = state.advice_terms(definition)
+    path_ms = urgency.critical_path_ms(definition, advice)
+    objective_ms = urgency.objective_ms(definition, advice)
+    return now_ms + path_ms > promise.first_sent_ms + objective_ms
+
+
 def assess(
     state: state_module.CellState,
     definition: definition_module.JobDefinition,
--- a/basilspindle/cell/intake.py
+++ b/basilspindle/cell/intake.py
@@ -75,20 +75,14 @@
                 job_id=definition.job_id,
             )
         workspace = self._state.workspace_config(definition.workspace)
-        limiter = self._state.share_limiter
         promise = self._state.retry_promises.get(definition.job_id)
-        # The share is kept for jobs that can be on time: if callers that come
-        # back late used it up, new jobs would be refused and late in turn.
-        is_beyond_share = limiter.is_beyond(workspace, now_ms) or (
-            workspace is not None
-            and workspace.share_jobs_s > 0
-            and promise is not None
-            and self._is_late(definition, promise.first_sent_ms, now_ms)
+        is_beyond_share = admission.is_beyond_share(
+            self._state, definition, now_ms
         )
         self._check_backlog(definition, is_beyond_share, now_ms)
         self._state.retry_promises.drop(definition.job_id)
         if not is_beyond_share:
-            limiter.consume(workspace, now_ms)
+            self._state.share_limiter.consume(workspace, now_ms)
         job = job_module.Job(definition, now_ms)
         job.is_beyond_share = is_beyond_share
         if promise is not None:
@@ -146,17 +140,6 @@
         """Refuse a job from now on, as its caller was told that it is gone."""
         self.early_cancels.note(job_id, workspace, now_ms)
 
-    def _is_late(
-        self,
-        definition: definition_module.JobDefinition,
-        first_sent_ms: int,
-        now_ms: int,
-    ) -> bool:
-        advice = self._state.advice_terms(definition)
-        path_ms = urgency.critical_path_ms(definition, advice)
-        due_ms = first_sent_ms + urgency.objective_ms(definition, advice)
-        return now_ms + path_ms > due_ms
-
     def _check_backlog(
         self,
         definition: definition_module.JobDefinition,
