Copy what admission updates, and tell the headroom of a workspace

Admission keeps sums of a pool for 50 ms, recounts the totals when the kinds of workers change, and drops promises that have expired. A decision that is only asked about must do none of that in the state of the leader. Change: CellState.copy_for_admission copies totals, capacities and promises, so that the same functions decide on the copy. Planner.headroom tells how many tasks the limit of a workspace lets start; placement uses it too.

--- a/basilspindle/cell/decisions/backlog.py
+++ b/basilspindle/cell/decisions/backlog.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import copy
 import enum
 import typing
 
@@ -19,6 +20,9 @@
 # totals are exact however often tasks are added and removed.
 _RATE_SCALE = 1_000_000
 
+_K = typing.TypeVar('_K')
+_G = typing.TypeVar('_G')
+_T = typing.TypeVar('_T')
 # Beyond share, priority; a lower rank is scheduled first.
 Rank = tuple[bool, int]
 # Ratio of actual to estimated durations of a queue, by its name.
@@ -159,6 +163,23 @@
         # Different capacities of the workers of each pool.
         self._kinds: dict[str, frozenset[need_module.Need]] = {}
 
+    def copy(self) -> 'Backlog':
+        """Return a copy whose changes don't affect this one."""
+        made = Backlog()
+        made.version = self.version
+        # Entries are replaced, never changed; totals are changed.
+        made._steps = dict(self._steps)
+        made._pool_waiting = _copy_totals(self._pool_waiting)
+        made._pool_workspaces = {
+            pool: set(names) for pool, names in self._pool_workspaces.items()
+        }
+        made._workspace_waiting = _copy_totals(self._workspace_waiting)
+        made._tasks = dict(self._tasks)
+        made._pool_running = _copy_totals(self._pool_running)
+        made._workspace_running = _copy_totals(self._workspace_running)
+        made._kinds = dict(self._kinds)
+        return made
+
     def set_kinds(
         self,
         pool: str,
@@ -299,6 +320,13 @@
         return any(need.fits(capacity) for capacity in kinds)
 
 
+def _copy_totals(totals: dict[_K, dict[_G, _T]]) -> dict[_K, dict[_G, _T]]:
+    return {
+        name: {group: copy.copy(total) for group, total in groups.items()}
+        for name, groups in totals.items()
+    }
+
+
 def _phase(run: step_run_module.StepRun) -> Phase:
     if run.tickets is None and run.job.definition.advice is not None:
         return Phase.ADVICE
--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -455,17 +455,21 @@
         if run.waiting:
             self._make_room(run, eligible, now_ms)
 
-    def _headroom(self, run: step_run_module.StepRun) -> int:
-        workspace = run.job.definition.workspace
+    def headroom(self, workspace: str, need: need_module.Need) -> int:
+        """Return how many more tasks a workspace may start; starts none."""
         if self._gang_room.is_held(workspace):
             return 0
         return self._state.usage.headroom(
             workspace,
-            run.step.reserved,
+            need,
             self._state.workspace_limit(workspace),
-            self._unseen_need(run),
+            self._unseen_usage.get(workspace, state_module.NO_NEED),
         )
 
+    def _headroom(self, run: step_run_module.StepRun) -> int:
+        workspace = run.job.definition.workspace
+        return self.headroom(workspace, run.step.reserved)
+
     def _unseen_need(self, run: step_run_module.StepRun) -> need_module.Need:
         return self._unseen_usage.get(
             run.job.definition.workspace, state_module.NO_NEED
--- a/basilspindle/cell/decisions/pool_capacity.py
+++ b/basilspindle/cell/decisions/pool_capacity.py
@@ -1,6 +1,7 @@
 """Sum up the workers of a pool that take work, for a short time."""
 
 import collections.abc
+import copy
 import itertools
 
 from basilspindle.cell.decisions import backlog as backlog_module
@@ -94,6 +95,15 @@
         self._empty_slots: dict[tuple[str, need_module.Need], int] = {}
         self._label_millicores: dict[str, int] = {}
 
+    def copy(self) -> 'PoolCapacity':
+        """Return a copy with caches of its own."""
+        made = copy.copy(self)
+        made.ahead = dict(self.ahead)
+        made._slots = dict(self._slots)
+        made._empty_slots = dict(self._empty_slots)
+        made._label_millicores = dict(self._label_millicores)
+        return made
+
     def part(self, label: str) -> float:
         """Return the fraction of the cores on workers with a label."""
         if not label or not self.total_millicores:
@@ -161,6 +171,16 @@
         # Workers by pool and id, and when they were known last.
         self._seen: dict[str, dict[str, tuple[worker_module.Worker, int]]] = {}
 
+    def copy(self) -> 'PoolCapacities':
+        """Return a copy whose changes don't affect this one."""
+        made = PoolCapacities()
+        made._known_workers = self._known_workers
+        made._by_pool = {
+            pool: capacity.copy() for pool, capacity in self._by_pool.items()
+        }
+        made._seen = {pool: dict(seen) for pool, seen in self._seen.items()}
+        return made
+
     def get(
         self,
         workers: dict[str, worker_module.Worker],
--- a/basilspindle/cell/decisions/retry_promises.py
+++ b/basilspindle/cell/decisions/retry_promises.py
@@ -71,6 +71,19 @@
     def __len__(self) -> int:
         return len(self._promises)
 
+    def copy(self) -> 'RetryPromises':
+        """Return a copy whose changes don't affect this one."""
+        made = RetryPromises()
+        # Promises are replaced, never changed.
+        made._promises = dict(self._promises)
+        made._ends = list(self._ends)
+        made._buckets = {
+            pool: {rank: dict(seconds) for rank, seconds in ranks.items()}
+            for pool, ranks in self._buckets.items()
+        }
+        made._by_workspace = dict(self._by_workspace)
+        return made
+
     def get(self, job_id: str) -> RetryPromise | None:
         """Return the promise to the caller of a job, or None."""
         return self._promises.get(job_id)
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -1,5 +1,7 @@
 """Hold the state of a cell at its leader and keep it consistent."""
 
+import copy
+
 from basilspindle.cell import awaited
 from basilspindle.cell import bounds as bounds_module
 from basilspindle.cell import configuration as configuration_module
@@ -100,6 +102,19 @@
         self.retry_promises = retry_promises.RetryPromises()
         self.arrivals = arrivals.Arrivals()
 
+    def copy_for_admission(self) -> 'CellState':
+        """Return a copy for a decision that must not change this state.
+
+        What admission updates and caches is copied: totals, capacities and
+        promises. All else is shared and must not be changed.
+        """
+        made = copy.copy(self)
+        made.table = copy.copy(self.table)
+        made.table.backlog = self.table.backlog.copy()
+        made.capacities = self.capacities.copy()
+        made.retry_promises = self.retry_promises.copy()
+        return made
+
     def take_orders(self) -> orders_module.Orders:
         """Return the pending orders and clear them."""
         taken, self.orders = self.orders, orders_module.Orders()
