Move authorization and bounded bodies out of the frontend

Dry runs need the same answers to unknown keys and queues (401, 404, 503 while a newer configuration is read) and the same bound on bodies (413). Change: two modules of their own; the frontend calls them. No change for callers.

--- a/basilspindle/platform/frontend.py
+++ b/basilspindle/platform/frontend.py
@@ -16,14 +16,15 @@
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
+from basilspindle.platform import authorization
 from basilspindle.platform import job_body
+from basilspindle.platform import request_body
 
 _READY_PATH = '/basilspindle/ready'
 _JOB_ID = re.compile(r'[0-9a-f]{16}')
 # Time for the response to reach the caller before the caller's deadline.
 _CALLER_MARGIN_MS = 150
 _DEFAULT_DEADLINE_MS = 3_000
-_BEHIND_RETRY_MS = 1_000
 _MAX_DEADLINE_MS = 30_000
 # Statuses which promise that the job was not accepted and will never run.
 _REFUSAL_STATUSES = frozenset({429, 503})
@@ -35,9 +36,7 @@
 }
 
 _Scope = dict[str, typing.Any]
-_Receive = collections.abc.Callable[
-    [], collections.abc.Awaitable[dict[str, typing.Any]]
-]
+_Receive = request_body.Receive
 _Send = collections.abc.Callable[
     [dict[str, typing.Any]], collections.abc.Awaitable[None]
 ]
@@ -95,7 +94,9 @@
         job_id = _find_job_id(scope['path'])
         copies = copies_module.Copies(self._clock)
         try:
-            queue, workspace = self._authorize(scope['path'], headers)
+            queue, workspace = authorization.authorize(
+                self._node, scope['path'], headers
+            )
             path_tail = scope['path'][len(queue.prefix) :]
             timeout_ms = self._timeout_ms(headers)
             if not path_tail and scope['method'] == 'GET':
@@ -105,7 +106,7 @@
             job_id = path_tail
             if scope['method'] == 'POST':
                 max_bytes = self._max_body_bytes()
-                body = await _read_body(receive, max_bytes)
+                body = await request_body.read(receive, max_bytes)
                 definition = job_body.decode(
                     body, job_id, workspace, queue, self._clock.wall_ms()
                 )
@@ -151,43 +152,6 @@
                 )
         return response
 
-    def _authorize(
-        self, path: str, headers: dict[bytes, bytes]
-    ) -> tuple[configuration_module.QueueConfig, str]:
-        index = self._node.index
-        if index is None:
-            raise errors.NotReady(
-                'no configuration has been loaded yet; retry later',
-                retry_after_ms=1_000,
-            )
-        host = headers.get(b'host', b'').decode('latin-1')
-        queue = index.queue_of(host, path)
-        if queue is None:
-            self._check_current()
-            raise errors.NotFound('no such queue; check host and path')
-        if queue.is_open:
-            # An open queue needs no API key, and its jobs belong to no
-            # workspace.
-            return queue, ''
-        scheme, _, key = (
-            headers.get(b'authorization', b'').decode('latin-1').partition(' ')
-        )
-        workspace = index.workspace_of(key.strip())
-        if scheme.lower() != 'bearer' or workspace is None:
-            self._check_current()
-            raise errors.KeyInvalid(
-                'the API key is missing or unknown; use a valid one'
-            )
-        return queue, workspace
-
-    def _check_current(self) -> None:
-        # The newer version may have the queue or the key.
-        if self._node.is_configuration_behind:
-            raise errors.NotReady(
-                'a newer configuration is being read; retry later',
-                retry_after_ms=_BEHIND_RETRY_MS,
-            )
-
     def _timeout_ms(self, headers: dict[bytes, bytes]) -> int:
         timeout_ms = _timeout_from_headers_ms(headers)
         if self.stop_deadline_ms is not None:
@@ -225,26 +189,6 @@
     return max(timeout_ms - _CALLER_MARGIN_MS, timeout_ms // 2)
 
 
-async def _read_body(receive: _Receive, max_bytes: int) -> bytes:
-    chunks = []
-    size = 0
-    while True:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            raise errors.CallerGone(
-                'the caller disconnected before the end of the body'
-            )
-        chunk = message.get('body', b'')
-        size += len(chunk)
-        if size > max_bytes:
-            raise errors.TooLarge(
-                f'the body is longer than {max_bytes} bytes; shorten it'
-            )
-        chunks.append(chunk)
-        if not message.get('more_body'):
-            return b''.join(chunks)
-
-
 def _to_response(reply: messages.Reply) -> Response:
     if isinstance(reply, messages.Accepted):
         return Response(200)
