Pass dry runs to the leader

Only the leader knows what waits and what is free. Change: message DryRun with its answer as JSON, which followers pass on as it is. A daemon of another build closes the connection on a message that it does not know, and callers' requests on it would have an unknown outcome; so DryRun is sent only to a leader whose Pong says that it answers it, and otherwise the answer is 503. It is asked once. The leader answers without a call to anything, from a copy of what admission updates.

--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -523,6 +523,7 @@
                     epoch=claim.epoch,
                 )
             self.store_age_ms = pong.store_age_ms
+            link.answers_dry_runs = pong.answers_dry_runs
             self._observe_leader(link, pong, sent_ms)
             if pong.store_age_ms > _MAX_APPEND_AGE_MS:
                 if await self._is_leader_cut_off():
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -11,6 +11,7 @@
 from basilspindle.cell import configuration_index
 from basilspindle.cell import confirmation as confirmation_module
 from basilspindle.cell.decisions import admission
+from basilspindle.cell.decisions import dry_run
 from basilspindle.cell.decisions import pacing
 from basilspindle.cell.decisions import plan as plan_module
 from basilspindle.cell.decisions import speed
@@ -290,8 +291,21 @@
             return messages.Counted(
                 self.state.table.count_unstarted(request.queue)
             )
+        if isinstance(request, messages.DryRun):
+            answer = dry_run.describe(
+                self.state,
+                request.definition,
+                self._planner.headroom,
+                self._is_store_silent,
+                self._clock.now_ms(),
+            )
+            return messages.DryRunAnswer(msgspec.json.encode(answer))
         return messages.NotLeading()
 
+    @property
+    def _is_store_silent(self) -> bool:
+        return self.store_age_ms > _STORE_UNRESPONSIVE_MS
+
     @property
     def store_age_ms(self) -> int:
         """Return how long the current append has been pending, or 0."""
@@ -300,7 +314,7 @@
 
     async def _submit(self, request: messages.Submit) -> messages.Reply:
         definition = request.definition
-        if self.store_age_ms > _STORE_UNRESPONSIVE_MS:
+        if self._is_store_silent:
             if not self.state.table.knows(definition.job_id):
                 return self._refuse_unrecorded(definition)
         try:
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -43,7 +43,8 @@
     ``node`` is the name of the node at the other end and ``incarnation`` its
     process, empty until they are known; ``number`` orders the links that this
     process has opened. ``epoch`` is that of the leader at the other end, 0
-    unless it is followed. ``received_bytes`` counts what the other end has
+    unless it is followed. ``answers_dry_runs`` tells whether it is known to
+    answer them. ``received_bytes`` counts what the other end has
     sent. ``on_ping`` is called once the other end has named itself.
     ``pending_ms`` is for users of the link: the expected duration of the
     advice calls in flight at the other end.
@@ -71,6 +72,7 @@
         self.incarnation = ''
         self.number = 0
         self.epoch = 0
+        self.answers_dry_runs = False
         self.pending_ms = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -44,6 +44,17 @@
     queue: str
 
 
+class DryRun(_Message):
+    """Ask the leader what it would decide about a job; changes nothing.
+
+    Sent only to a leader whose ``Pong`` tells that it answers dry runs: other
+    builds close the connection on an unknown message, and the requests of
+    callers on it would have an unknown outcome.
+    """
+
+    definition: definition_module.JobDefinition
+
+
 class Ping(_Message):
     """Ask a daemon whether it is alive and leads; ``node`` is the sender.
 
@@ -172,7 +183,8 @@
     that the daemon uses, and ``configuration_age_ms`` the time since it knew
     that version to be the newest. A daemon that does not lead answers 0 for
     these and for ``epoch``. ``configuration_format`` is the format of its
-    configuration payloads, 0 for builds that send none.
+    configuration payloads, 0 for builds that send none. ``answers_dry_runs``
+    tells whether the daemon knows ``DryRun``.
     """
 
     incarnation: str
@@ -182,6 +194,16 @@
     version: int
     configuration_age_ms: int = 0
     configuration_format: int = 0
+    answers_dry_runs: bool = False
+
+
+class DryRunAnswer(_Message):
+    """What the leader would decide about a job, as JSON.
+
+    Daemons pass it on as it is, so that its fields may differ by build.
+    """
+
+    data: bytes
 
 
 class Advised(_Message):
@@ -196,6 +218,7 @@
     | Find
     | Cancel
     | CountWaiting
+    | DryRun
     | Ping
     | Advise
     | Announce
@@ -215,6 +238,7 @@
     | LeaderIs
     | TermsAre
     | ConfigurationPart
+    | DryRunAnswer
 )
 
 
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -25,6 +25,7 @@
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
+from basilspindle.workflow import definition as definition_module
 
 _CHANGE_POLL_MS = 500
 _RECONNECT_PAUSE_MS = 20
@@ -277,6 +278,36 @@
                 leader_changed, remaining_ms, spent_ms
             )
 
+    async def dry_run(
+        self, definition: definition_module.JobDefinition, timeout_ms: int
+    ) -> bytes:
+        """Return what the leader would decide about a job, as JSON.
+
+        Asks once. Raises ``NotReady`` if there is no answer.
+        """
+        request = messages.DryRun(definition)
+        link = self._election.link
+        reply: messages.Reply = messages.NotLeading()
+        if self._leads and self.leader is not None:
+            reply = await self.leader.handle(request)
+        elif link is not None:
+            if not link.answers_dry_runs:
+                raise errors.NotReady(
+                    'the leader has not told that it answers dry runs; ask '
+                    'again, or once a daemon of this build leads',
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
+            try:
+                reply = await link.call(request, timeout_ms)
+            except errors.PeerError:
+                pass
+        if isinstance(reply, messages.DryRunAnswer):
+            return reply.data
+        raise errors.NotReady(
+            'no leader has answered the dry run; ask again',
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+
     @property
     def _store_age_ms(self) -> int:
         if self.leader is not None and self._leads:
@@ -310,6 +341,7 @@
                 self._configuration.version,
                 self._configuration.age_ms,
                 configuration_sync.FORMAT,
+                answers_dry_runs=True,
             )
         if isinstance(request, messages.Announce):
             self._election.observe_claim(request.claim)
