--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -364,6 +364,21 @@
     'nothing to do if it passes; otherwise see the worker; lag is the ratio '
     'of actual to expected durations',
 )
+DRY_RUN_ANSWERED = _Event(
+    952,
+    'dry_run_answered',
+    _Level.INFO,
+    'someone asked what would be decided about a job; nothing was submitted',
+    'nothing to do',
+)
+DRY_RUN_FAILED = _Event(
+    953,
+    'dry_run_failed',
+    _Level.INFO,
+    'a dry run of a job had no answer; nothing was submitted',
+    'see the reason: with not_ready no leader of a build that knows dry runs '
+    'has answered',
+)
 DOMAIN_CLOSED = _Event(
     960,
     'domain_closed',
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -23,6 +23,11 @@
     'Jobs that were turned away, by reason.',
     ['reason'],
 )
+DRY_RUNS = prometheus.Counter(
+    'basilspindle_dry_runs_total',
+    'Dry runs of jobs by outcome: accepted, refused or failed.',
+    ['outcome'],
+)
 ACCEPT_SECONDS = prometheus.Histogram(
     'basilspindle_accept_seconds',
     'Time from the arrival of a job to its confirmed record.',
--- a/basilspindle/platform/main.py
+++ b/basilspindle/platform/main.py
@@ -110,7 +110,9 @@
             listener.Listener(frontend, settings.frontend_address, callers),
             listener.Listener(frontend, settings.readiness_address, readiness),
             listener.Listener(
-                admin.AdminApp(node), settings.metrics_address, operators
+                admin.AdminApp(node, clock),
+                settings.metrics_address,
+                operators,
             ),
         ):
             loop.add_signal_handler(
