Let explain tell what would become of a job

Exit code 0 if the job would be accepted, 3 if it would be refused, 5 if there was no answer: a dry run leaves nothing unknown. The stand-in for the advice service counts its calls.

--- a/basilspindle/cli/root_group.py
+++ b/basilspindle/cli/root_group.py
@@ -11,7 +11,7 @@
 _COMMANDS = {
     'config': 'Validate, show and publish the configuration.',
     'delays': 'Show what jobs spend their time on, from log files.',
-    'explain': 'Show the timeline of a job from log files.',
+    'explain': 'Show the timeline of a job, or what would become of one.',
     'job': 'Submit, list, show, wait for and cancel jobs.',
     'key': 'Generate, add and withdraw API keys.',
     'report': 'Plot queueing, shares and utilization from log files.',
--- a/tests/standins/platform/advice.py
+++ b/tests/standins/platform/advice.py
@@ -6,10 +6,14 @@
 
 
 class StandinAdvice:
-    """Gives tickets for all workers except those in ``refused_workers``."""
+    """Gives tickets for all workers except those in ``refused_workers``.
+
+    ``calls`` counts the requests.
+    """
 
     def __init__(self) -> None:
         self.refused_workers: set[str] = set()
+        self.calls = 0
         self.server = server_module.Server(self._handle)
 
     async def __aenter__(self) -> 'StandinAdvice':
@@ -22,6 +26,7 @@
     async def _handle(
         self, request: server_module.Request
     ) -> server_module.Reply:
+        self.calls += 1
         body = request.json()
         good = [
             [worker, f't-{worker}']
--- a/tests/test_dry_run.py
+++ b/tests/test_dry_run.py
@@ -1,16 +1,28 @@
 """Test what a dry run tells of a job, and that it changes nothing."""
 
+import asyncio
 import json
+import os
+import pathlib
 import random
+import subprocess
+import sys
+import unittest
 
+from click import testing
+import httpx
 import msgspec
 
 from basilspindle.cell import configuration_index
 from basilspindle.cell.decisions import dry_run
 from basilspindle.cell.decisions import retry_promises
+from basilspindle.cell import messages
+from basilspindle.cell import node as node_module
+from basilspindle.cli import main as main_module
 from basilspindle import errors
 from basilspindle import workflow
 from tests import cell_case
+from tests import platform_case
 
 _JOB = '00000000000000d1'
 
@@ -307,3 +319,250 @@
         answer = self.describe(definition)
         self.assertTrue(answer['accepted'])
         self.assertIsNone(answer['expected'])
+
+
+class _Link:
+    """Link to a leader that answers every call with a reply."""
+
+    def __init__(self, answers_dry_runs, reply=None):
+        self.answers_dry_runs = answers_dry_runs
+        self.reply = reply
+        self.sent = []
+
+    async def call(self, request, timeout_ms):
+        self.sent.append(request)
+        if self.reply is None:
+            raise errors.PeerOutcomeUnknown('lost')
+        return self.reply
+
+
+class ForwardingTest(unittest.IsolatedAsyncioTestCase):
+    """Test what a follower sends to the leader."""
+
+    async def ask(self, link):
+        node = object.__new__(node_module.Node)
+        node.leader = None
+        node._election = type('Election', (), {'link': link})()
+        definition = cell_case.make_definition(_JOB, cell_case.make_step())
+        return await node.dry_run(definition, 100)
+
+    async def test_a_leader_of_another_build_is_not_asked(self):
+        """Guard against a message on which that leader closes the link."""
+        link = _Link(False)
+        with self.assertRaises(errors.NotReady):
+            await self.ask(link)
+        self.assertEqual([], link.sent)
+
+    async def test_a_lost_reply_is_no_answer(self):
+        """Guard against a question that is repeated or hangs."""
+        for link in (None, _Link(True), _Link(True, messages.NotLeading())):
+            with self.assertRaises(errors.NotReady):
+                await self.ask(link)
+        link = _Link(True, messages.DryRunAnswer(b'{}'))
+        self.assertEqual(b'{}', await self.ask(link))
+
+    def test_a_pong_of_an_earlier_build_can_be_read(self):
+        """Guard against builds that don't know each other's answers."""
+        fields = ['Pong', 'i', True, 1, 0, 2, 3, 4]
+        for more, expected in (([], False), ([True], True)):
+            raw = msgspec.msgpack.encode([1, fields + more])
+            pong = msgspec.msgpack.decode(raw, type=messages.Frame).message
+            self.assertIs(expected, pong.answers_dry_runs)
+        # What an earlier build reads has a field that it does not know.
+        raw = msgspec.msgpack.encode(['Pong', 'i', True, 1, 0, 2, 3, 4, True])
+        known = msgspec.defstruct(
+            'Pong',
+            [
+                (name, messages.Pong.__annotations__[name])
+                for name in messages.Pong.__struct_fields__[:-1]
+            ],
+            array_like=True,
+            tag=True,
+        )
+        self.assertEqual(
+            4, msgspec.msgpack.decode(raw, type=known).configuration_format
+        )
+
+
+class CommandTest(unittest.TestCase):
+    """Test the command without a daemon."""
+
+    def run_command(self, response, *words, text='{"steps": [{}]}'):
+        def handle(request):
+            self.request = request
+            if isinstance(response, Exception):
+                raise response
+            return response
+
+        self.request = None
+        return testing.CliRunner(env={'BASILSPINDLE_KEY': 'k'}).invoke(
+            main_module.main,
+            ['--url', 'http://127.0.0.1:1', 'explain', *words],
+            input=text,
+            obj=httpx.MockTransport(handle),
+        )
+
+    def test_wrong_usage_sends_nothing(self):
+        """Guard against a question about another job or queue."""
+        dry_run_words = ('--dry-run', '-')
+        rows = (
+            ((), '{}'),
+            (('--queue', 'q'), '{}'),
+            (dry_run_words, '{}'),
+            ((*dry_run_words, '--host', 'h'), '{}'),
+            ((*dry_run_words, '--host', 'h', '--queue', 'q'), '{}'),
+            ((*dry_run_words, '--queue', 'q', 'job'), '{}'),
+            ((*dry_run_words, '--queue', 'q'), '{'),
+            ((*dry_run_words, '--queue', 'q'), '[' * 100_000),
+        )
+        for words, text in rows:
+            with self.subTest(words=words, text=text[:5]):
+                result = self.run_command(None, *words, text=text)
+                self.assertEqual(2, result.exit_code, result.output)
+                self.assertIsNone(self.request)
+
+    def test_a_lost_answer_leaves_nothing_unknown(self):
+        """Guard against an exit code that tells of work that may run."""
+        for response in (
+            httpx.ReadTimeout('lost'),
+            httpx.Response(502, text='gateway'),
+            httpx.Response(200, json={'waiting': 1}),
+        ):
+            result = self.run_command(
+                response, '--dry-run', '-', '--queue', 'q'
+            )
+            self.assertEqual(5, result.exit_code, result.output)
+
+
+class ProcessTest(platform_case.PlatformCase):
+    """Test dry runs at daemon processes."""
+
+    daemon_count = 2
+    worker_count = 2
+
+    async def ask(self, daemon, body, key='key-a', **params):
+        return await self.client.post(
+            f'http://127.0.0.1:{daemon.metrics_port}/dry-run',
+            params=params or {'host': platform_case.HOST, 'path': '/jobs/'},
+            content=body,
+            headers={'Authorization': f'Bearer {key}'},
+        )
+
+    async def run_cli(self, daemon, body, *words):
+        path = self.folder / 'job.json'
+        path.write_bytes(body)
+        return await asyncio.to_thread(
+            subprocess.run,
+            [
+                sys.executable,
+                '-c',
+                'from basilspindle.cli.main import main; main()',
+                '--url',
+                f'http://127.0.0.1:{daemon.metrics_port}',
+                *words,
+                'explain',
+                '--dry-run',
+                str(path),
+                '--queue',
+                'r-jobs',
+            ],
+            cwd=pathlib.Path(__file__).resolve().parent.parent,
+            env={**os.environ, 'BASILSPINDLE_KEY': 'key-a'},
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    async def state(self, daemon):
+        url = f'http://127.0.0.1:{daemon.metrics_port}/state'
+        return (await self.client.get(url)).json()
+
+    async def wait_workers(self):
+        """Wait until the leader's answer counts all workers."""
+        body = json.dumps(platform_case.make_job(100, 1)).encode()
+        for _ in range(200):
+            answer = await self.ask(self.leader(), body)
+            if answer.status_code == 200:
+                if answer.json()['steps'][0]['workers'] == 2:
+                    return
+            await asyncio.sleep(0.05)
+        self.fail(answer.text)
+
+    async def test_every_daemon_answers_and_nothing_runs(self):
+        """Guard against dry runs that are submitted or reach no leader."""
+        await self.wait_workers()
+        body = json.dumps(platform_case.make_job(100, 2, 1)).encode()
+        before = await self.state(self.leader())
+        for daemon in self.daemons:
+            answer = await self.ask(daemon, body)
+            self.assertEqual(200, answer.status_code, answer.text)
+            fields = answer.json()
+            self.assertTrue(fields['accepted'])
+            self.assertEqual('not_asked', fields['advice'])
+            self.assertEqual([2, 2], [s['workers'] for s in fields['steps']])
+            self.assertEqual(
+                fields['steps'],
+                (await self.ask(daemon, body, queue='r-jobs')).json()['steps'],
+            )
+        after = await self.state(self.leader())
+        for fields in (before, after):
+            fields.pop('store_age_ms')
+        self.assertEqual(before, after)
+        self.assertEqual([], after['jobs'])
+        self.assertEqual([], [w.history for w in self.workers if w.history])
+        self.assertEqual(0, self.advice.calls)
+        logs = ''.join(each.log_path.read_text() for each in self.daemons)
+        self.assertIn('dry_run_answered', logs)
+        self.assertNotIn('job_accepted', logs)
+
+    async def test_wrong_requests_get_a_clear_error(self):
+        """Guard against answers without a key, and bodies without a bound."""
+        daemon = self.daemons[0]
+        good = json.dumps(platform_case.make_job(100, 1)).encode()
+        rows = (
+            (401, good, 'other', {}),
+            (401, good, 'other', {'queue': 'r-jobs'}),
+            (404, good, 'key-a', {'queue': 'unknown'}),
+            (404, good, 'key-a', {'host': 'h.example', 'path': '/x/'}),
+            (400, good, 'key-a', {'host': 'h.example'}),
+            (400, good, 'key-a', {'queue': 'r-jobs', 'path': '/jobs/'}),
+            (400, good, 'key-a', {'queue': 'r-jobs', 'job': 'x'}),
+            (400, good, 'key-a', {'queue': ''}),
+            (400, good, 'key-a', {'queue': ['r-jobs', 'r-jobs']}),
+            (400, b'', 'key-a', {}),
+            (400, b'[' * 60_000, 'key-a', {}),
+            (400, b'{"steps": []}', 'key-a', {}),
+            (400, b'{"steps": [{"count": -1}]}', 'key-a', {}),
+            (413, b' ' * 70_000 + good, 'key-a', {}),
+        )
+        for status, body, key, params in rows:
+            with self.subTest(status=status, params=params, body=body[:9]):
+                answer = await self.ask(daemon, body, key, **params)
+                self.assertEqual(status, answer.status_code, answer.text)
+                self.assertTrue(answer.json()['error']['message'])
+        url = f'http://127.0.0.1:{daemon.metrics_port}/dry-run'
+        self.assertEqual(400, (await self.client.get(url)).status_code)
+        # A caller that sends it to a queue submits nothing.
+        url = f'http://127.0.0.1:{daemon.frontend_port}/dry-run'
+        answer = await self.client.post(url, content=good)
+        self.assertEqual(404, answer.status_code)
+
+    async def test_the_command_prints_the_answer(self):
+        """Guard against exit codes that hide a refusal."""
+        await self.wait_workers()
+        daemon = self.daemons[1]
+        good = json.dumps(platform_case.make_job(100, 1)).encode()
+        result = await self.run_cli(daemon, good)
+        self.assertEqual(0, result.returncode, result.stderr)
+        self.assertIn('accepted: ', result.stdout)
+        self.assertIn('advice: not asked', result.stdout)
+        result = await self.run_cli(daemon, good, '--json')
+        self.assertTrue(json.loads(result.stdout)['accepted'])
+        wide = json.dumps(platform_case.make_job(100, 1, cpu=900_000)).encode()
+        result = await self.run_cli(daemon, wide)
+        self.assertEqual(3, result.returncode, result.stderr)
+        self.assertIn('refused: no_worker_fits', result.stdout)
+        self.assertIn('capacity_too_small 2', result.stdout)
+        result = await self.run_cli(daemon, b'{"steps": []}', '--json')
+        self.assertEqual(3, result.returncode, result.stderr)
+        self.assertIn('bad_request', result.stdout)
