--- a/basilspindle/cell/decisions/dry_run.py
+++ b/basilspindle/cell/decisions/dry_run.py
@@ -18,7 +18,7 @@
 
 # Steps that are compared with all workers, the first ones: the
 # leader does nothing else meanwhile.
-MAX_STEPS = 8
+MAX_STEPS = 4
 STORE_SILENT = 'store_silent'
 _ADVICE_NOT_ASKED = 'not_asked'
 _NO_ADVICE = 'none'
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -382,6 +382,35 @@
                 self.assertEqual('completed', answer.json()['state'])
         self.check_runs()
 
+    async def test_dry_runs_close_no_link(self) -> None:
+        """Guard against a question on which a leader closes its links."""
+        await self.ask_dry_runs()
+        await self.take_over(self.own, self.other)
+        for daemon in self.own:
+            await daemon.start()
+            await self.wait_ready(daemon)
+        # The other build leads now, and may not know the question.
+        await self.ask_dry_runs()
+        for daemon in self.daemons:
+            self.assertNotIn('"link_broken"', daemon.log_path.read_text())
+
+    async def ask_dry_runs(self) -> None:
+        """Ask each daemon of this build, while its callers wait."""
+        job_ids = await self.submit_at_each(80)
+        is_own = self.leader() in self.own
+        for daemon in self.own:
+            answer = await self.client.post(
+                f'http://127.0.0.1:{daemon.metrics_port}/dry-run',
+                params={'queue': 'r-jobs'},
+                json=platform_case.make_job(100, 1),
+                headers={'Authorization': 'Bearer key-a'},
+            )
+            allowed = (200,) if is_own else (200, 503)
+            self.assertIn(answer.status_code, allowed, answer.text)
+            self.assertEqual(200, await self.call_any('GET', ''))
+        for job_id in job_ids:
+            await self.wait_state(job_id, 'completed')
+
     async def change_keys(self, version: int) -> None:
         """Replace the key and grow the configuration; all must follow."""
         routes = tuple(f'more-{number}' for number in range(300 * version))
