--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -285,6 +285,10 @@
         case.add_worker('w1')
         try:
             job = case.intake.submit(definition, case.now_ms)
+        except errors.CapacityShort as error:
+            # No worker can hold it. An earlier leader may have accepted it.
+            self.assertIs(errors.Ran.NO, error.ran)
+            job = case.adopt(definition)
         except errors.BasilspindleError as error:
             self.assertLess(error.status, 500)
             return
