Refuse gangs that never fit together on the workers

Callers would see: a gang with more tasks than its max_per_worker allows on all workers, or than one rack holds (same_rack), is accepted and never starts. Cause: only the capacity of the workers counted. Change: max_per_worker, and for gangs of one rack the racks, count.

--- a/basilspindle/cell/decisions/expected_start.py
+++ b/basilspindle/cell/decisions/expected_start.py
@@ -401,9 +401,7 @@
         if (
             pool.known
             and not state.awaited_workers.any(pool.made_ms)
-            and not pool.can_ever_hold(
-                step.required_label, step.reserved, count
-            )
+            and not pool.can_ever_hold(step)
         ):
             return Reason.NO_WORKER
         if step.gang and limit is not None and count > 1:
--- a/basilspindle/cell/decisions/pool_capacity.py
+++ b/basilspindle/cell/decisions/pool_capacity.py
@@ -7,6 +7,7 @@
 from basilspindle.cell.decisions import backlog as backlog_module
 from basilspindle.cell import worker as worker_module
 from basilspindle.workflow import need as need_module
+from basilspindle.workflow import step as step_module
 
 # Room changes with each scheduling pass, and passes are at most this far
 # apart while work waits.
@@ -144,19 +145,25 @@
             return self.workers
         return [worker for worker in self.workers if label in worker.labels]
 
-    def can_ever_hold(
-        self, label: str, need: need_module.Need, count: int
-    ) -> bool:
-        """Tell whether so many tasks fit on empty workers.
+    def can_ever_hold(self, step: step_module.Step) -> bool:
+        """Tell whether a step can start on empty workers.
 
         Workers that were known lately count as well.
         """
-        slots = 0
+        count = step.count if step.gang else 1
+        is_in_one_rack = step.gang and step.same_rack
+        slots: dict[str, int] = {}
         for worker in itertools.chain(self.known, self.missing):
-            if not label or label in worker.labels:
-                slots += count_fitting(worker.capacity, need)
-                if slots >= count:
-                    return True
+            label = step.required_label
+            if label and label not in worker.labels:
+                continue
+            fitting = count_fitting(worker.capacity, step.reserved)
+            if step.max_per_worker:
+                fitting = min(fitting, step.max_per_worker)
+            rack = worker.rack if is_in_one_rack else ''
+            slots[rack] = slots.get(rack, 0) + fitting
+            if slots[rack] >= count:
+                return True
         return False
 
 
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -437,6 +437,23 @@
         refusal = self.try_submit(self.define(3, cpu=8_000, gang=True))
         self.assertEqual('above_limit', refusal.details['reason'])
 
+    def test_gangs_that_never_fit_together_are_refused(self):
+        """Guard against accepted gangs that never start.
+
+        The tasks allowed on a worker and the rack of a gang were not counted:
+        such gangs were left at the end of random plays.
+        """
+        self.add_worker('w4', cpu=16_000, rack='r2')
+        for count, changes in (
+            (5, {'max_per_worker': 1}),
+            (64, {'same_rack': True}),
+        ):
+            job = self.define(count, gang=True, **changes)
+            self.assertIsNone(self.try_submit(job))
+            job = self.define(count + 1, gang=True, **changes)
+            refusal = self.try_submit(job)
+            self.assertEqual('no_worker_fits', refusal.details['reason'])
+
     def test_late_callers_leave_the_share_to_new_jobs(self):
         """Guard against a busy workspace whose jobs are all late.
 
