Take a late job where room is free, whatever it is worth

Cause: after three times its objective a repeat was refused as one without value, also where its room would be idle. Change: a job that can start now is accepted. The test waits for longer than 10 s for admission, as short jobs may be refused behind its long tasks.

--- a/basilspindle/cell/decisions/admission.py
+++ b/basilspindle/cell/decisions/admission.py
@@ -150,8 +150,9 @@
     delay_ms = expectation.delay_ms
     has_value = expectation.end_ms <= expectation.worthless_ms
     is_new = expectation.first_sent_ms == now_ms
-    if delay_ms <= 0 and (has_value or is_new):
-        # The room would be idle otherwise.
+    if delay_ms <= 0:
+        # The room would be idle otherwise. Callers that still repeat a job
+        # want it done, however late.
         return None
     if not has_value and not is_new:
         return RefusalReason.NO_VALUE
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -600,6 +600,21 @@
         self.advance(100)
         self.assertIsNone(self.try_submit(self.define(1, **kinds)))
 
+    def test_a_job_without_value_is_taken_where_room_is_free(self):
+        """Guard against a caller that is refused for ever on a free fleet.
+
+        A daemon process refused each repeat of a job with 16 cores free.
+        """
+        running = self.fill(estimate_ms=4_000)
+        definition, _ = self.refuse(32, target_latency_ms=500)
+        for _ in range(12):
+            self.advance(1_000)
+            self.assertIsNotNone(self.try_submit(definition))
+        for start in running:
+            self.report_end(start.worker_id, start.task.name, start.run)
+        self.advance(1_000)
+        self.assertIsNone(self.try_submit(definition))
+
     def test_the_objective_counts_from_the_first_time(self):
         """Guard against a late job that is taken for one on time."""
         running = self.fill(estimate_ms=4_000)
