Let limits bind although a lost worker is awaited

Callers saw (by reading and a test): after a change of leader, work was accepted for a limit that was used up, as long as any worker was awaited: up to 15 s where one is lost for good. Cause: while a new leader awaited workers, limits refused nothing, since what seems to wait may be running on them. Change: that holds only while the awaited workers have more cores than those that take work, as for the room of the pool.

--- a/basilspindle/cell/decisions/expected_start.py
+++ b/basilspindle/cell/decisions/expected_start.py
@@ -139,7 +139,11 @@
         state, definition, queue.rank, now_ms
     )
     pool_wait_ms = queue.wait_ms(due_promises) if is_room_known else 0.0
-    limit_wait_ms = _limit_wait_ms(state, definition, queue.rank, now_ms)
+    # While most workers have not reported to a new leader, what seems to wait
+    # may be running there.
+    limit_wait_ms = 0.0
+    if is_room_known:
+        limit_wait_ms = _limit_wait_ms(state, definition, queue.rank)
     wait_ms = max(pool_wait_ms, limit_wait_ms)
     advice_ms = _call_ms(state, definition)
     start_ms = now_ms + int(max(wait_ms, advice_ms))
@@ -323,15 +327,11 @@
     state: state_module.CellState,
     definition: definition_module.JobDefinition,
     rank: backlog_module.Rank,
-    now_ms: int,
 ) -> float:
     # Time until the limit of the workspace has room for the first steps.
     limit = state.workspace_limit(definition.workspace)
     if limit is None or not limit.cpu_millicores:
         return 0.0
-    if state.awaited_workers.any(now_ms):
-        # After a change of leader, what seems to wait may be running.
-        return 0.0
     total = limit.cpu_millicores
     workspace = definition.workspace
     backlog = state.table.backlog
--- a/tests/test_cell_shedding.py
+++ b/tests/test_cell_shedding.py
@@ -747,6 +747,18 @@
             32 * 8_000, self.expect(self.define()).free_millicores
         )
 
+    def test_limits_bind_although_a_lost_worker_is_awaited(self):
+        """Guard against work that is accepted for a limit that is used up.
+
+        Failure: the leader has changed, and one of many workers is lost for
+        good, so that it is awaited for 15 s.
+        """
+        self.configure(workflow.Need(cpu_millicores=8_000))
+        self.fill(8, estimate_ms=8_000)
+        self.state.awaited_workers.expect('lost', self.now_ms + 15_000)
+        refusal = self.try_submit(self.define(8, target_latency_ms=1_000))
+        self.assertEqual('workspace_limit', refusal.details['reason'])
+
     def test_a_limit_below_what_runs_ends_in_refusals(self):
         """Guard against work accepted for a limit that is used up.
 
