Send no call after its timeout

Callers saw: by a test, four tasks that were done ran again (tests.test_cut_off_leader, once in four runs beside other load). Cause, by reading: a leader stood still while a start was connecting; when it went on, the start was sent before its timeout was noticed, to a worker that had restarted and knew no fence. Change: a call that has used up its time when it has a connection is not sent.

--- a/basilspindle/platform/client.py
+++ b/basilspindle/platform/client.py
@@ -231,6 +231,15 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000) as timeout:
                 connection = await self._acquire(address)
+                if self._now_s() - started_s >= timeout_ms / 1000:
+                    # The process stood still while it connected, and what
+                    # allowed the call may not hold any more.
+                    connection.close()
+                    raise CallFailed(
+                        f'a call to {address} was not sent within '
+                        f'{timeout_ms} ms; retry later',
+                        sent=False,
+                    )
                 if stall_ms is not None:
                     connection.on_progress = self._extender(
                         timeout, stall_ms, on_progress
