--- a/review/rig2.py
+++ b/review/rig2.py
@@ -342,7 +342,8 @@
     of the answer to a call that is not carried out, and 'late' for a call
     that gets no answer and is carried out ``late_s`` later, at the life that
     the worker then has. ``runs`` has a row for each run: task, run number,
-    start, end (None while it lasts) and how it ended.
+    start, end (None while it lasts), how it ended and when that was taken
+    note of.
     """
 
     def __init__(self, worker_id, store, record, labels=('a', 'r1-1')):
@@ -353,8 +354,6 @@
         self.late_s = 6.0
         self.runs = []
         self.is_up = True
-        # Acknowledged ends, as task and run.
-        self.noted = set()
         self._store = store
         self._record = record
         self._server = Server(self._handle)
@@ -365,6 +364,7 @@
     def _begin_life(self):
         self._running = {}
         self._ends = []
+        self._end_rows = {}
         self._last_end = 0
         self._blocked = {}
         self._token = 0
@@ -474,6 +474,7 @@
             self._blocked.get(row['task'], 0), row['run']
         )
         self._ends.append([self._last_end, row['task'], row['run'], how, ''])
+        self._end_rows[self._last_end] = row
         ended, self._ended = self._ended, asyncio.Event()
         ended.set()
 
@@ -557,6 +558,7 @@
             'start_s': self._record.now_s,
             'end_s': None,
             'how': '',
+            'noted_s': None,
             'due_s': time.monotonic() + _duration_s(body['spec']),
             'began_s': time.monotonic(),
             'stop_s': None,
@@ -579,7 +581,7 @@
         cursor = body.get('ack_cursor', 0)
         for number, task, run, how, _ in self._ends:
             if number <= cursor:
-                self.noted.add((task, run, how))
+                self._end_rows[number]['noted_s'] = self._record.now_s
                 self._record.note(
                     f'{self.worker_id} end taken note of: {task} run {run} '
                     f'{how}'
