--- a/basilspindle/cell/awaited.py
+++ b/basilspindle/cell/awaited.py
@@ -11,16 +11,25 @@
     awaiting itself are continued: it granted them nothing, so that the rest
     of its wait is enough, whatever has become of it.
 
+    Of those in ``accounted_ids`` the log tells what they may run, so that only
+    these tasks wait for them.
+
     A wait ends only once the store has confirmed this leadership after it,
     at ``confirmed_ms``: otherwise a successor may have heard of the worker.
     While that is None, for decisions without a store, the clock decides.
     """
 
-    __slots__ = ('_until_ms', '_continued_ids', 'confirmed_ms')
+    __slots__ = (
+        '_until_ms',
+        '_continued_ids',
+        'accounted_ids',
+        'confirmed_ms',
+    )
 
     def __init__(self) -> None:
         self._until_ms: dict[str, int] = {}
         self._continued_ids: set[str] = set()
+        self.accounted_ids: set[str] = set()
         self.confirmed_ms: int | None = None
 
     def __len__(self) -> int:
@@ -48,6 +57,7 @@
         """Await a worker no longer."""
         self._until_ms.pop(worker_id, None)
         self._continued_ids.discard(worker_id)
+        self.accounted_ids.discard(worker_id)
 
     def awaits(self, worker_id: str, now_ms: int) -> bool:
         """Tell whether a worker is awaited."""
@@ -59,6 +69,15 @@
             self._until_ms.values(), default=0
         )
 
+    def any_unaccounted(self, now_ms: int) -> bool:
+        """Tell whether a worker is awaited that may run any task."""
+        proven_ms = self._proven_ms(now_ms)
+        return any(
+            proven_ms < until_ms
+            for worker_id, until_ms in self._until_ms.items()
+            if worker_id not in self.accounted_ids
+        )
+
     def _proven_ms(self, now_ms: int) -> int:
         return now_ms if self.confirmed_ms is None else self.confirmed_ms
 
--- a/basilspindle/cell/claim.py
+++ b/basilspindle/cell/claim.py
@@ -25,7 +25,9 @@
     ``epoch`` is unique to the claim and higher than that of any earlier
     one. ``incarnation`` identifies the process that made the claim.
     ``resigned`` is set in a claim by which a leader records that it has
-    stopped. ``term`` counts the claims.
+    stopped. ``term`` counts the claims. ``first_recording_term`` is the term
+    from which on all leaders have recorded what may run on each worker before
+    they started it, None for a leader of an older build.
     """
 
     node: str
@@ -34,6 +36,14 @@
     term: decoding.Count
     resigned: bool = False
     epoch: decoding.Count = 0
+    first_recording_term: decoding.Count | None = None
+
+
+def first_recording_term(previous: Claim | None, term: int) -> int:
+    """Return the first recording term of a claim after a previous one."""
+    if previous is None or previous.first_recording_term is None:
+        return term
+    return previous.first_recording_term
 
 
 class ClaimRegister:
--- a/basilspindle/cell/confirmation.py
+++ b/basilspindle/cell/confirmation.py
@@ -2,12 +2,32 @@
 
 import asyncio
 
+from basilspindle.cell import lease_clock
 from basilspindle import clock as clock_module
 
-# The leader steps down after this time without a confirmed append. A later
-# leader waits for this time and one lease before it restarts tasks that may
-# still be running on workers that have not reported to it.
+# The leader steps down after this time without a confirmed append, and grants
+# no lease that lasts longer. A later leader waits for this time before it
+# restarts tasks that may still be running on workers that have not reported.
 TIMEOUT_MS = 15_000
+# A leader sends orders to any life of a worker for at least this long without
+# a confirmed append.
+_MIN_UNKNOWN_LIFE_MS = 2_000
+
+
+def unknown_life_ms(max_lease_ms: int) -> int:
+    """Return how long orders may be sent that any life may take.
+
+    A life that the leader has not heard of may take each as its longest
+    lease. Counts from the begin of the latest confirmed call.
+    """
+    longest_ms = lease_clock.duration_ms(max_lease_ms)
+    return max(_MIN_UNKNOWN_LIFE_MS, TIMEOUT_MS - longest_ms)
+
+
+def lease_limit_ms(max_lease_ms: int) -> int:
+    """Return how long leases may last after the latest confirmed call."""
+    longest_ms = lease_clock.duration_ms(max_lease_ms)
+    return max(TIMEOUT_MS, unknown_life_ms(max_lease_ms) + longest_ms)
 
 
 class Confirmation:
--- a/basilspindle/cell/decisions/plan.py
+++ b/basilspindle/cell/decisions/plan.py
@@ -153,7 +153,7 @@
             if worker.unexpected_runs
         ]
         previous_usage, self._unseen_usage = self._unseen_usage, {}
-        if unexpected or self._may_run_unseen:
+        if unexpected or state.awaited_workers.any(now_ms):
             self._unseen_usage = unseen.estimate_usage(state, now_ms)
         # A lower estimate leaves room for more tasks of the workspace.
         for workspace, need in previous_usage.items():
@@ -391,9 +391,9 @@
 
     def _is_blocked(self, run: step_run_module.StepRun) -> bool:
         """Tell whether a step may not start yet whatever is freed."""
-        if not run.job.is_recorded(run):
-            # The job is not accepted until it is recorded, and the leader
-            # may change before one of its occurrences is.
+        if not run.job.is_placeable(run):
+            # The job may still be withdrawn, and the leader may change before
+            # one of its occurrences is recorded.
             return True
         if run.key in self._stopping_steps:
             # A task of it runs until its worker has carried out the stop.
--- a/basilspindle/cell/election.py
+++ b/basilspindle/cell/election.py
@@ -195,6 +195,7 @@
                     self._identity.incarnation,
                     claim.term,
                     resigned=True,
+                    first_recording_term=claim.first_recording_term,
                 ),
                 end,
             )
@@ -418,7 +419,7 @@
         if self._identity.leads_last:
             delay_ms += _SMALL_VM_DELAY_MS
         await self._clock.sleep_ms(delay_ms)
-        claim = await self._try_claim(end)
+        claim = await self._try_claim(previous, end)
         if claim is None:
             return
         events.emit(
@@ -430,7 +431,10 @@
         await self._lead(claim, previous)
         self.notify()
 
-    async def _try_claim(self, end: int) -> claim_module.Claim | None:
+    async def _try_claim(
+        self, previous: claim_module.Claim | None, end: int
+    ) -> claim_module.Claim | None:
+        term = next_term(end)
         # An announced claim shows that the stream no longer ends at ``end``,
         # while a store that loses answers may tell so only later.
         claiming = asyncio.ensure_future(
@@ -439,7 +443,10 @@
                     self._identity.node,
                     self._identity.address,
                     self._identity.incarnation,
-                    next_term(end),
+                    term,
+                    first_recording_term=claim_module.first_recording_term(
+                        previous, term
+                    ),
                 ),
                 end,
             )
@@ -486,7 +493,10 @@
         self, claim: claim_module.Claim, link: link_module.Link
     ) -> '_FollowResult':
         ping = messages.Ping(
-            self._identity.node, self._identity.incarnation, link.number
+            self._identity.node,
+            self._identity.incarnation,
+            link.number,
+            keeps_starts=True,
         )
         begun_ms = self._clock.now_ms()
         misses = 0
--- a/basilspindle/cell/ends.py
+++ b/basilspindle/cell/ends.py
@@ -31,7 +31,8 @@
     now_ms: int,
 ) -> task_module.Task | None:
     """Apply an end; returns its task, or None if that is unknown."""
-    worker.unexpected_runs.pop(end.name, None)
+    if worker.unexpected_runs.pop(end.name, None) is not None:
+        worker.has_changed_runs = True
     task = state.table.tasks.get(end.name)
     if task is None:
         if task_module.job_id_of(end.name) in state.table.unreadable_job_ids:
--- a/basilspindle/cell/events.py
+++ b/basilspindle/cell/events.py
@@ -419,3 +419,20 @@
     'nothing to do; age_ms is how long ago the closed failure domains were '
     'known, more than some seconds if the store does not answer',
 )
+WORKERS_AWAITED = _Event(
+    967,
+    'workers_awaited',
+    _Level.INFO,
+    'a new leader waits for the reports of the workers that the log names',
+    'tasks that the log places on a silent worker wait for it until its last '
+    'lease has ended; while one of unaccounted is silent, all recovered work '
+    'waits',
+)
+STARTS_COPIED = _Event(
+    968,
+    'starts_copied',
+    _Level.INFO,
+    'the store is slow, and the followers keep starts in its place',
+    'with kept false, the tasks wait for the store: see store_failed, and '
+    'whether all daemons are connected to the leader',
+)
--- a/basilspindle/cell/journal.py
+++ b/basilspindle/cell/journal.py
@@ -10,6 +10,7 @@
 from basilspindle.cell import early_cancels
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import hedged_call as hedged_call_module
+from basilspindle.cell import orders as orders_module
 from basilspindle.cell import ports
 from basilspindle.cell import report as report_module
 from basilspindle import clock as clock_module
@@ -39,6 +40,9 @@
 _SETTLED_LIVES_KEY = 'lives'
 _WAITS_KEY = 'waits'
 _STOPPING_KEY = 'stopping'
+_COPY_KEEPERS_KEY = 'keepers'
+# Before the id of a worker.
+_PLACEMENT_PREFIX = 't'
 _EARLY_CANCEL_PREFIX = 'c'
 # Before the task and the run. One record each, as a job may have more ends
 # than fit into one.
@@ -95,6 +99,28 @@
     usage: dict[str, need_module.Need]
 
 
+class PlacementRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Stored record of the runs that may be on one worker.
+
+    ``runs`` are their numbers by task name. Written by the leader of ``term``
+    before it sends a start that is not in the record before.
+    """
+
+    term: decoding.Count
+    runs: dict[str, decoding.Count]
+
+
+class CopyKeepersRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Stored record of the daemons that keep starts of a leader.
+
+    Each of these processes knows all starts under ``epoch`` that the log
+    does not hold.
+    """
+
+    epoch: decoding.Count
+    incarnations: tuple[str, ...]
+
+
 class RecoveredState:
     """State of the cell as read from the store.
 
@@ -107,9 +133,12 @@
     them tasks. ``waits`` is what the latest leader that recorded
     it was waiting for, and ``early_cancels`` are, by job id, the workspaces
     that have cancelled a job before it arrived. ``stopping`` is what jobs that
-    have ended may still run, as last recorded. ``unreadable_job_ids`` are the
-    jobs whose records cannot be decoded, and ``unattributed_ends`` the run
-    ends noted by leaders that could not read the job.
+    have ended may still run, as last recorded. ``placements`` are the records
+    of what may run on each worker, by worker id, and ``copy_keepers`` names
+    the daemons that may know of more, None if it is not known.
+    ``unreadable_job_ids`` are the jobs whose records cannot be decoded, and
+    ``unattributed_ends`` the run ends noted by leaders that could not read the
+    job.
     """
 
     __slots__ = (
@@ -122,6 +151,8 @@
         'waits',
         'early_cancels',
         'stopping',
+        'placements',
+        'copy_keepers',
         'unreadable_job_ids',
         'unattributed_ends',
     )
@@ -141,6 +172,8 @@
         self.waits: WaitsRecord | None = None
         self.early_cancels: dict[str, list[str]] = {}
         self.stopping: StoppingRecord | None = None
+        self.placements: dict[str, PlacementRecord] = {}
+        self.copy_keepers: CopyKeepersRecord | None = None
         self.unreadable_job_ids: set[str] = set()
         self.unattributed_ends: list[report_module.RunEnd] = []
 
@@ -149,10 +182,13 @@
     """Records of one append, and what is durable once it is confirmed.
 
     ``jobs`` are the jobs with the state and the number of occurrences that
-    are recorded.
+    are recorded, and ``starts`` the orders that may be sent once it is.
     """
 
     __slots__ = (
+        'starts',
+        'copy_keepers',
+        'covered_copies',
         'records',
         'jobs',
         'ends',
@@ -164,6 +200,11 @@
     )
 
     def __init__(self) -> None:
+        self.starts: list[orders_module.StartOrder] = []
+        # The daemons that keep starts, if the batch names them, and the
+        # number of the latest copy that it makes needless.
+        self.copy_keepers: frozenset[str] | None = None
+        self.covered_copies = 0
         self.records: list[tuple[str, bytes | None]] = []
         self.jobs: list[tuple[job_module.Job, job_state.JobState, int]] = []
         # By worker id: start time that identifies the worker's incarnation,
@@ -515,6 +556,21 @@
     )
 
 
+def put_placement(
+    batch: Batch, worker_id: str, record: PlacementRecord | None
+) -> None:
+    """Add a record of what may run on a worker, or remove it."""
+    batch.put(
+        _PLACEMENT_PREFIX + worker_id,
+        None if record is None else msgspec.msgpack.encode(record),
+    )
+
+
+def put_copy_keepers(batch: Batch, record: CopyKeepersRecord) -> None:
+    """Add a record of the daemons that keep starts of the leader."""
+    batch.put(_COPY_KEEPERS_KEY, msgspec.msgpack.encode(record))
+
+
 def is_full(batch: Batch) -> bool:
     """Tell whether a batch has reached the size limit of an append."""
     return batch.size_bytes >= _MAX_BATCH_BYTES
@@ -554,6 +610,10 @@
         recovered.waits = decode(raw, type=WaitsRecord)
     elif key == _STOPPING_KEY:
         recovered.stopping = decode(raw, type=StoppingRecord)
+    elif key == _COPY_KEEPERS_KEY:
+        recovered.copy_keepers = decode(raw, type=CopyKeepersRecord)
+    elif key.startswith(_PLACEMENT_PREFIX):
+        recovered.placements[key[1:]] = decode(raw, type=PlacementRecord)
     elif key.startswith(_EARLY_CANCEL_PREFIX):
         recovered.early_cancels[key[1:]] = decode(raw, type=list[str])
     elif key.startswith(_UNATTRIBUTED_END_PREFIX):
--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -24,6 +24,7 @@
 from basilspindle.cell import intake as intake_module
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import leadership
+from basilspindle.cell import link as link_module
 from basilspindle.cell import loss
 from basilspindle.cell import messages
 from basilspindle.cell import metrics
@@ -34,10 +35,10 @@
 from basilspindle.cell import report as report_module
 from basilspindle.cell import session as session_module
 from basilspindle.cell import stalled_work as stalled_work_module
+from basilspindle.cell import start_copies
 from basilspindle.cell import start_outcome
 from basilspindle.cell import starts as starts_module
 from basilspindle.cell import state as state_module
-from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
 from basilspindle.cell import worker_tracker as worker_tracker_module
 from basilspindle import clock as clock_module
@@ -46,6 +47,7 @@
 from basilspindle.workflow import definition as definition_module
 from basilspindle.workflow import job as job_module
 from basilspindle.workflow import task as task_module
+from basilspindle.workflow import task_state
 
 _TICK_INTERVAL_MS = 100
 # A scheduling pass is delayed by this time so that it covers several events,
@@ -68,6 +70,9 @@
 _UNCONFIRMED_RETRY_MS = 1_000
 # New jobs are refused while an append has been pending for longer than this.
 _STORE_UNRESPONSIVE_MS = 900
+# Starts that have waited for the store for longer are sent once the followers
+# keep them.
+_START_COPY_DELAY_MS = 80
 _STALL_CHECK_INTERVAL_MS = 1_000
 # Jobs that have stalled for longer are logged, as often.
 _STALL_REPORT_MS = 5_000
@@ -93,6 +98,7 @@
         previous: claim_module.Claim | None,
         stalled_work: stalled_work_module.StalledWork | None = None,
         evacuations: ports.EvacuationSource | None = None,
+        copies: start_copies.StartCopies | None = None,
     ) -> None:
         self.claim = claim
         self.lost = asyncio.Event()
@@ -109,12 +115,19 @@
         self._started_ms = clock.now_ms()
         self._intake = intake_module.Intake(self.state)
         self._planner = plan_module.Planner(self.state)
+        self._start_copies = copies or start_copies.StartCopies()
+        self._copy_keepers = start_copies.CopyKeepers(
+            self._start_copies, claim.incarnation, claim.epoch
+        )
+        self._copying: asyncio.Task[None] | None = None
         self._recorder = recorder_module.Recorder(
             self.state,
             clock,
             claim.term,
             self._intake,
             self._schedule_plan,
+            self._send_recorded_start,
+            self._copy_keepers,
         )
         self._confirmation = confirmation_module.Confirmation(clock)
         self._evacuation: evacuation_module.Evacuation | None = None
@@ -131,7 +144,7 @@
             clock,
             claim.epoch,
             self._confirmation,
-            self._recorder.collect,
+            self._collect_append,
             self._apply_append,
         )
         self._worker_tracker = worker_tracker_module.WorkerTracker(
@@ -143,6 +156,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._plan_handle: asyncio.TimerHandle | None = None
         self._plan_pause_ms = 0
+        self._is_collecting = False
 
     async def __aenter__(self) -> typing.Self:
         recovered = await self._load()
@@ -150,7 +164,9 @@
             self._confirmation.confirmed_ms
         )
         try:
-            self._recorder.recover(recovered)
+            self._recorder.recover(
+                recovered, self._previous, self._take_copies(recovered)
+            )
             self._await_workers()
             self._worker_tracker.recover()
             self._check_stalls(self._clock.now_ms())
@@ -158,6 +174,7 @@
             # No session may renew leases for a leader that never was.
             self._worker_tracker.close()
             raise
+        self._log_awaited()
         # Tells the next leader for which workers this one waits.
         self._journal.request_append()
         background = [
@@ -189,6 +206,8 @@
         metrics.CLOSED_DOMAINS_AGE_SECONDS.set(0)
         self._worker_tracker.close()
         self.advice_calls.close()
+        if self._copying is not None:
+            self._copying.cancel()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -208,6 +227,29 @@
             reading.cancel()
         return recovered
 
+    def _take_copies(
+        self, recovered: journal_module.RecoveredState
+    ) -> tuple[start_copies.Start, ...] | None:
+        """Return starts that the log may not hold, None if none can tell."""
+        keepers = recovered.copy_keepers
+        epoch = keepers.epoch if keepers is not None else 0
+        copies = self._start_copies.take(epoch, self.claim.epoch)
+        if keepers is None or not keepers.incarnations:
+            return ()
+        if self.claim.incarnation not in keepers.incarnations:
+            return None
+        return copies
+
+    def add_link(self, link: link_module.Link) -> None:
+        """Use a daemon that has connected to this one."""
+        self.advice_calls.add_link(link)
+        self._copy_keepers.add_link(link)
+
+    def remove_link(self, link: link_module.Link) -> None:
+        """Stop using a daemon whose connection has ended."""
+        self.advice_calls.remove_link(link)
+        self._copy_keepers.remove_link(link)
+
     def _apply_closed_domains(self, closed_domains: frozenset[str]) -> None:
         self.state.set_closed_domains(closed_domains)
         if self.ready:
@@ -215,28 +257,60 @@
 
     def _await_workers(self) -> None:
         # Workers that have not reported yet may still run tasks of an earlier
-        # leader. The previous one steps down within TIMEOUT_MS, and the
-        # last leases that it has granted expire within the longest one.
+        # leader.
         now_ms = self._clock.now_ms()
         awaited = self.state.awaited_workers
         full_ms = confirmation_module.TIMEOUT_MS + self._max_lease_duration_ms
         remaining_ms = self._recorder.recovered_waits_ms(
             self._previous, full_ms
         )
+        first_term = self._first_recording_term
+        previous_term = self._previous.term if self._previous else 0
+        # Leaders of this build grant no lease that outlasts this time after
+        # their last confirmed call, which began before the fence of this one.
+        limit_ms = confirmation_module.lease_limit_ms(
+            self.state.bounds.max_lease_ms
+        )
         for worker_id in self._recorder.worker_addresses:
             if remaining_ms is None:
                 # The log does not tell how long the previous leader waited
                 # itself, so leaders before it count as well.
-                awaited.continue_for(worker_id, now_ms + full_ms)
+                is_limited = first_term is not None and (
+                    first_term < previous_term
+                )
+                awaited.continue_for(
+                    worker_id, now_ms + (limit_ms if is_limited else full_ms)
+                )
             elif worker_id in remaining_ms:
                 awaited.continue_for(
                     worker_id, now_ms + remaining_ms[worker_id]
                 )
             else:
-                awaited.expect(worker_id, now_ms + full_ms)
+                is_limited = first_term is not None
+                awaited.expect(
+                    worker_id, now_ms + (limit_ms if is_limited else full_ms)
+                )
+            if worker_id in self._recorder.placements:
+                awaited.accounted_ids.add(worker_id)
         if self._previous is None or self._previous.resigned:
             self.note_previous_leader_gone()
 
+    def _log_awaited(self) -> None:
+        awaited = self.state.awaited_workers
+        if not len(awaited):
+            return
+        events.emit(
+            cell_events.WORKERS_AWAITED,
+            workers=len(awaited),
+            unaccounted=sorted(set(awaited) - awaited.accounted_ids),
+            tasks=sum(
+                len(worker.tasks) for worker in self.state.workers.values()
+            ),
+            longest_ms=max(
+                awaited.remaining_ms(self._clock.now_ms()).values(), default=0
+            ),
+        )
+
     def note_previous_leader_gone(self) -> None:
         """Record that the previous leader no longer renews leases.
 
@@ -246,6 +320,11 @@
             self._clock.now_ms() + self._max_lease_duration_ms
         )
 
+    @property
+    def _first_recording_term(self) -> int | None:
+        previous = self._previous
+        return previous.first_recording_term if previous else None
+
     @property
     def _max_lease_duration_ms(self) -> int:
         # A worker that has restarted under its id takes a deadline on its
@@ -256,7 +335,7 @@
     @property
     def awaits_workers(self) -> bool:
         """Tell whether tasks wait for workers that have not reported."""
-        return unseen.may_run_unseen(self.state, self._clock.now_ms())
+        return self.state.awaited_workers.any(self._clock.now_ms())
 
     def configure(self, index: configuration_index.ConfigurationIndex) -> None:
         """Apply a new version of the configuration."""
@@ -679,6 +758,11 @@
         )
         return True
 
+    @property
+    def confirmed_ms(self) -> int:
+        """Return when the latest call that the store has confirmed began."""
+        return self._confirmation.confirmed_ms
+
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
         """Wait until it is certain that no later leader had fenced by a time.
 
@@ -688,14 +772,48 @@
             self._journal.request_append()
         return await self._confirmation.wait(at_ms, timeout_ms)
 
+    def _collect_append(self) -> journal_module.Batch:
+        self._is_collecting = True
+        try:
+            return self._recorder.collect(self._plan_for_append)
+        finally:
+            self._is_collecting = False
+
+    def _plan_for_append(self) -> None:
+        # A start waits for the append that records it: the one that is about
+        # to begin should have all that can start now.
+        if self._plan_handle is None:
+            return
+        if self._plan_pause_ms > _MAX_PLAN_DELAY_MS:
+            # Long passes would delay the appends.
+            return
+        self._plan_handle.cancel()
+        self._plan()
+
     def _apply_append(self, batch: journal_module.Batch) -> None:
         awaited = self.state.awaited_workers
         was_awaited = awaited.any(self._clock.now_ms())
         awaited.confirmed_ms = self._confirmation.confirmed_ms
         self._recorder.apply(batch)
+        self._release_unheard()
         if was_awaited and not awaited.any(self._clock.now_ms()):
             self._schedule_plan()
 
+    def _release_unheard(self) -> None:
+        """Requeue the tasks of workers that were awaited in vain."""
+        now_ms = self._clock.now_ms()
+        awaited = self.state.awaited_workers
+        for worker_id in awaited:
+            worker = self.state.workers.get(worker_id)
+            if worker is None or awaited.awaits(worker_id, now_ms):
+                continue
+            if worker.tasks or worker.unexpected_runs:
+                self._log_loss(
+                    worker, list(worker.tasks.values()), loss.Evidence.LEASE
+                )
+                self.state.requeue_worker_tasks(worker)
+                self._schedule_plan()
+
     async def wait_for_ends(
         self, worker: worker_module.Worker, timeout_ms: int
     ) -> None:
@@ -735,6 +853,9 @@
         if self._evacuation is not None and self._evacuation.holds_starts():
             # The next tick plans again.
             return
+        if self._is_store_silent and not self._can_copy_starts:
+            # No start can be sent, and a later pass knows more.
+            return
         begun_ms = self._clock.now_ms()
         self._planner.plan(begun_ms)
         self._send_orders()
@@ -746,7 +867,10 @@
     def _send_orders(self) -> None:
         orders = self.state.take_orders()
         for start in orders.starts:
-            self._send_start(start)
+            self._recorder.placements.hold(start)
+        if orders.starts and not self._is_collecting:
+            self._journal.request_append()
+            self._copy_starts()
         for stop in orders.stops:
             session = self._worker_tracker.sessions.get(stop.worker_id)
             if session is not None:
@@ -788,9 +912,72 @@
                 ready_for_ms=self._clock.now_ms() - run.ready_ms,
             )
 
-    def _send_start(self, start: orders_module.StartOrder) -> None:
+    @property
+    def _can_copy_starts(self) -> bool:
+        # Later orders could outlast the wait of a successor.
+        return (
+            self._copy_keepers.can_keep
+            and self._confirmation.age_ms
+            <= confirmation_module.unknown_life_ms(
+                self.state.bounds.max_lease_ms
+            )
+        )
+
+    def _copy_starts(self) -> None:
+        """Have the followers keep the waiting starts if the store is slow."""
+        if self.store_age_ms <= _START_COPY_DELAY_MS or not self.ready:
+            return
+        if self._copying is not None and not self._copying.done():
+            return
+        if not self._can_copy_starts:
+            return
+        waiting = self._recorder.placements.waiting_starts
+        if waiting:
+            self._copying = asyncio.ensure_future(self._send_copied(waiting))
+
+    async def _send_copied(
+        self, waiting: list[orders_module.StartOrder]
+    ) -> None:
+        starts = [
+            start_copies.Start(order.worker_id, order.task.name, order.run)
+            for order in waiting
+        ]
+        kept = await self._copy_keepers.keep(starts)
+        events.emit(
+            cell_events.STARTS_COPIED,
+            starts=len(starts),
+            kept=kept,
+            store_age_ms=self.store_age_ms,
+        )
+        if not kept:
+            return
+        metrics.STARTS_COPIED.inc(len(waiting))
+        for order in waiting:
+            self._send_recorded_start(order)
+
+    def _send_recorded_start(self, start: orders_module.StartOrder) -> None:
+        task = start.task
+        if start.is_released:
+            return
+        start.is_released = True
+        if (
+            self.lost.is_set()
+            or task.state is not task_state.TaskState.STARTING
+            or task.run != start.run
+            or task.worker_id != start.worker_id
+        ):
+            return
+        now_ms = self._clock.now_ms()
+        if task.step_run.step.gang:
+            # Its members wait for each other from now on.
+            task.step_run.started_ms = now_ms
+        worker = self.state.workers.get(start.worker_id)
         session = self._worker_tracker.sessions.get(start.worker_id)
-        if session is None:
+        if (
+            session is None
+            or worker is None
+            or not self.state.accepts(worker, now_ms)
+        ):
             self.handle_start_outcome(
                 start, start_outcome.StartOutcome.NOT_SENT
             )
@@ -805,6 +992,7 @@
             clock_ms=session.worker_clock_ms,
             cpu_millicores=start.task.step_run.step.reserved.cpu_millicores,
         )
+        task.step_run.job.mark_started()
         session.send_start(start)
 
     async def _tick(self) -> None:
@@ -824,6 +1012,7 @@
 
     def _run_housekeeping(self, now_ms: int) -> None:
         state = self.state
+        self._copy_starts()
         wall_ms = self._clock.wall_ms()
         if self.store_age_ms > _STORE_UNRESPONSIVE_MS:
             self._recorder.withdraw_unsent()
--- a/basilspindle/cell/lease_clock.py
+++ b/basilspindle/cell/lease_clock.py
@@ -16,6 +16,11 @@
     return int(lease_ms / _MIN_CLOCK_RATE) + 1
 
 
+def lease_within_ms(duration_ms: int) -> int:
+    """Return the longest lease that ends within a time on any clock."""
+    return max(0, int((duration_ms - 1) * _MIN_CLOCK_RATE))
+
+
 class LeaseClock:
     """Translate between the leader's clock and that of one worker, in ms.
 
--- a/basilspindle/cell/link.py
+++ b/basilspindle/cell/link.py
@@ -73,6 +73,7 @@
         self.number = 0
         self.epoch = 0
         self.answers_dry_runs = False
+        self.keeps_starts = False
         self.pending_ms = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -202,6 +203,7 @@
             self.node = request.node
             self.incarnation = request.incarnation
             self.number = request.link_number
+            self.keeps_starts = request.keeps_starts
             if is_first and self._on_ping is not None:
                 self._on_ping(self)
         try:
--- a/basilspindle/cell/messages.py
+++ b/basilspindle/cell/messages.py
@@ -61,11 +61,13 @@
     ``link_number`` counts the connections to leaders that the process with
     this ``incarnation`` has made. A daemon closes those with lower numbers
     before it answers. Builds that send neither are not known by them.
+    ``keeps_starts`` tells whether the sender knows ``KeepStarts``.
     """
 
     node: str
     incarnation: str = ''
     link_number: int = 0
+    keeps_starts: bool = False
 
 
 class Advise(_Message):
@@ -76,6 +78,20 @@
     timeout_ms: int
 
 
+class KeepStarts(_Message):
+    """Ask a follower to keep starts of the leader of an epoch.
+
+    ``starts`` are all that the log may not hold yet, each with the id of the
+    worker, the name of the task and the run. A copy with a higher ``number``
+    replaces this one. Sent only to daemons whose ``Ping`` tells that they
+    know it.
+    """
+
+    epoch: int
+    number: int
+    starts: tuple[tuple[str, str, int], ...]
+
+
 class Announce(_Message):
     """Announce the newest leadership claim to a daemon."""
 
@@ -221,6 +237,7 @@
     | DryRun
     | Ping
     | Advise
+    | KeepStarts
     | Announce
     | WhoLeads
     | GetTerms
--- a/basilspindle/cell/metrics.py
+++ b/basilspindle/cell/metrics.py
@@ -46,6 +46,10 @@
     'Orders to start a task by outcome.',
     ['outcome'],
 )
+STARTS_COPIED = prometheus.Counter(
+    'basilspindle_task_starts_copied_total',
+    'Orders sent once the followers kept them, as the store was slow.',
+)
 PREEMPTIONS = prometheus.Counter(
     'basilspindle_preemptions_total',
     'Tasks stopped to make room for more urgent ones.',
--- a/basilspindle/cell/node.py
+++ b/basilspindle/cell/node.py
@@ -22,6 +22,7 @@
 from basilspindle.cell import overview
 from basilspindle.cell import ports
 from basilspindle.cell import stalled_work
+from basilspindle.cell import start_copies
 from basilspindle import clock as clock_module
 from basilspindle import errors
 from basilspindle import events
@@ -113,6 +114,7 @@
             self._configuration.observe_leader,
         )
         self._stalled_work = stalled_work.StalledWork()
+        self._start_copies = start_copies.StartCopies()
         self._links: set[link_module.Link] = set()
         self._server: asyncio.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -357,12 +359,20 @@
             )
         if isinstance(request, messages.FollowConfiguration):
             return await self._configuration.serve(request)
+        if isinstance(request, messages.KeepStarts):
+            return self._keep_starts(request)
         if isinstance(request, messages.Advise):
             return await self._advise(request)
         if self.leader is not None:
             return await self.leader.handle(request)
         return messages.NotLeading()
 
+    def _keep_starts(self, request: messages.KeepStarts) -> messages.Reply:
+        starts = [start_copies.Start(*start) for start in request.starts]
+        if self._start_copies.keep(request.epoch, request.number, starts):
+            return messages.Accepted()
+        return messages.NotLeading()
+
     async def _advise(self, request: messages.Advise) -> messages.Reply:
         try:
             result = await self._platform.advice.ask(
@@ -391,12 +401,13 @@
             previous,
             self._stalled_work,
             self._platform.evacuations,
+            self._start_copies,
         )
         self.leader = leader
         try:
             async with leader:
                 for link in self._links:
-                    leader.advice_calls.add_link(link)
+                    leader.add_link(link)
                 if self.index is not None:
                     leader.configure(self.index)
                 self._election.notify()
@@ -489,12 +500,12 @@
     def _on_link_open(self, link: link_module.Link) -> None:
         self._links.add(link)
         if self.leader is not None:
-            self.leader.advice_calls.add_link(link)
+            self.leader.add_link(link)
 
     def _on_link_close(self, link: link_module.Link) -> None:
         self._links.discard(link)
         if self.leader is not None:
-            self.leader.advice_calls.remove_link(link)
+            self.leader.remove_link(link)
 
     def _close_replaced_links(self, link: link_module.Link) -> None:
         # A refusal over the newest link promises that copies on earlier ones
--- a/basilspindle/cell/orders.py
+++ b/basilspindle/cell/orders.py
@@ -7,9 +7,12 @@
 
 
 class StartOrder:
-    """Order to start a run of a task on a worker."""
+    """Order to start a run of a task on a worker.
 
-    __slots__ = ('worker_id', 'task', 'run', 'ticket')
+    ``is_released`` is set once a successor knows of it, so that it is sent.
+    """
+
+    __slots__ = ('worker_id', 'task', 'run', 'ticket', 'is_released')
 
     def __init__(
         self, worker_id: str, task: task_module.Task, run: int, ticket: str
@@ -18,6 +21,7 @@
         self.task = task
         self.run = run
         self.ticket = ticket
+        self.is_released = False
 
 
 class StopOrder:
--- a/basilspindle/cell/reconcile.py
+++ b/basilspindle/cell/reconcile.py
@@ -105,6 +105,9 @@
             worker.tasks.get(active_run.name) is task
             and task.run == active_run.run
         ):
+            if task.is_restored:
+                task.is_restored = False
+                _track_from_report(task, active_run, now_ms)
             task.listed_born_wall_ms = report.born_wall_ms
             task.percent = active_run.percent
             task.load = active_run.load
@@ -115,25 +118,33 @@
                 task.started_ms = now_ms
             continue
         if _may_adopt(task, active_run):
-            state.occupy(task, worker, active_run.run, _State.RUNNING)
-            task.started_ms = now_ms
-            task.percent = task.base_percent = active_run.percent
-            # With a checkpoint, the run may have begun there.
-            task.is_timed = not active_run.checkpoint
+            state.adopt(task, worker, active_run.run)
+            _track_from_report(task, active_run, now_ms)
             task.listed_born_wall_ms = report.born_wall_ms
-            task.checkpoint = active_run.checkpoint or task.checkpoint
-            task.load = active_run.load
-            task.pace_percent = None
-            state.table.remove_ready_step(task.step_run)
-            if task.step_run.waiting and not task.step_run.step.gang:
-                state.table.add_ready_step(task.step_run)
             continue
         _stop_unexpected(state, worker, active_run, unexpected_runs)
     if worker.unexpected_runs and not unexpected_runs:
         state.freed_workers.add(worker.worker_id)
+    if worker.unexpected_runs != unexpected_runs:
+        worker.has_changed_runs = True
     worker.unexpected_runs = unexpected_runs
 
 
+def _track_from_report(
+    task: task_module.Task,
+    active_run: report_module.ActiveRun,
+    now_ms: int,
+) -> None:
+    # This leader has not seen the run begin.
+    task.started_ms = now_ms
+    task.percent = task.base_percent = active_run.percent
+    # With a checkpoint, the run may have begun there.
+    task.is_timed = not active_run.checkpoint
+    task.checkpoint = active_run.checkpoint or task.checkpoint
+    task.load = active_run.load
+    task.pace_percent = None
+
+
 def _may_adopt(
     task: task_module.Task, active_run: report_module.ActiveRun
 ) -> bool:
--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -11,7 +11,10 @@
 from basilspindle.cell import job_table
 from basilspindle.cell import journal as journal_module
 from basilspindle.cell import metrics
+from basilspindle.cell import orders as orders_module
+from basilspindle.cell import placements as placements_module
 from basilspindle.cell import report as report_module
+from basilspindle.cell import start_copies
 from basilspindle.cell import state as state_module
 from basilspindle.cell import unseen
 from basilspindle.cell import worker as worker_module
@@ -37,7 +40,8 @@
 
     ``collect`` and ``apply`` are the callbacks of the journal.
     ``on_new_work_recorded`` is called after an append that recorded a job, an
-    occurrence of it or a worker for the first time.
+    occurrence of it or a worker for the first time, ``on_start_recorded`` for
+    each order that may be sent now.
     """
 
     __slots__ = (
@@ -65,6 +69,9 @@
         '_settled_lives_changed',
         'capacities',
         '_capacities_changed',
+        'placements',
+        '_on_start_recorded',
+        '_copy_keepers',
     )
 
     def __init__(
@@ -74,12 +81,20 @@
         term: int,
         intake: intake_module.Intake,
         on_new_work_recorded: collections.abc.Callable[[], None],
+        on_start_recorded: collections.abc.Callable[
+            [orders_module.StartOrder], None
+        ]
+        | None = None,
+        copy_keepers: start_copies.CopyKeepers | None = None,
     ) -> None:
         self._state = state
         self._clock = clock
         self._term = term
         self._intake = intake
         self._on_new_work_recorded = on_new_work_recorded
+        self._on_start_recorded = on_start_recorded
+        self._copy_keepers = copy_keepers
+        self.placements = placements_module.Placements(state, term)
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
         self._append_confirmed = asyncio.Event()
         # Those of the next append to be collected.
@@ -117,8 +132,17 @@
         # append in flight, that a leader waits for them.
         self._awaited_in_log: set[str] = set()
 
-    def recover(self, recovered: journal_module.RecoveredState) -> None:
-        """Restore the state that an earlier leader recorded."""
+    def recover(
+        self,
+        recovered: journal_module.RecoveredState,
+        previous: claim_module.Claim | None = None,
+        copies: collections.abc.Iterable[start_copies.Start] | None = (),
+    ) -> None:
+        """Restore the state that an earlier leader recorded.
+
+        ``copies`` are starts that the log may not hold, None if there may be
+        some that nobody tells of.
+        """
         now_ms = self._clock.now_ms()
         wall_ms = self._clock.wall_ms()
         state = self._state
@@ -170,6 +194,14 @@
         self._confirmed_waits = recovered.waits
         if recovered.waits is not None:
             self._awaited_in_log = set(recovered.waits.remaining_ms)
+        self.placements.recover(
+            recovered.placements,
+            self.worker_addresses,
+            previous.first_recording_term
+            if previous and copies is not None
+            else None,
+            copies or (),
+        )
 
     def recovered_waits_ms(
         self,
@@ -200,6 +232,10 @@
             self.worker_addresses_changed
             or self._capacities_changed
             or worker.worker_id in self._awaited_in_log
+            or (
+                not worker.is_recorded
+                and worker.worker_id in self.worker_addresses
+            )
         )
 
     def note_report(self, worker: worker_module.Worker) -> None:
@@ -252,9 +288,16 @@
         if self.capacities.pop(worker.worker_id, None) is not None:
             self._capacities_changed = True
         worker.recorded_capacity = None
+        self.placements.forget(worker)
+
+    def collect(
+        self, place: collections.abc.Callable[[], None] | None = None
+    ) -> journal_module.Batch:
+        """Return the records of the next append.
 
-    def collect(self) -> journal_module.Batch:
-        """Return the records of the next append."""
+        ``place`` is called once the batch has the new jobs, so that it can
+        record where their tasks start as well.
+        """
         batch = journal_module.Batch()
         wall_ms = self._clock.wall_ms()
         for worker in self._state.workers.values():
@@ -303,6 +346,12 @@
                     end,
                 )
             self._attributed_ends = []
+        if place is not None:
+            place()
+        has_all_progress = not (self._failed_jobs or self._state.changed_jobs)
+        self.placements.collect(batch, has_all_progress)
+        if self._copy_keepers is not None:
+            self._copy_keepers.collect(batch, has_all_progress)
         while self.expired_job_ids and not journal_module.is_full(batch):
             job_id = self.expired_job_ids.pop()
             if self._state.table.knows(job_id):
@@ -372,7 +421,9 @@
 
     def _note_ended(self, job: job_module.Job) -> None:
         need = state_module.NO_NEED
-        if job.recovered and self._may_run(job):
+        if job.recovered and unseen.may_run_unseen(
+            self._state, self._clock.now_ms()
+        ):
             need = unseen.job_need(job)
         if job.occupying_tasks or need != state_module.NO_NEED:
             self._ended_jobs[job.job_id] = (job, need)
@@ -408,9 +459,16 @@
         # A successor waits for these workers for the rest of the time only,
         # so none of them gets a lease or a task until the log names it as one
         # that has reported.
-        remaining_ms = self._state.awaited_workers.remaining_ms(
-            self._clock.now_ms()
-        )
+        now_ms = self._clock.now_ms()
+        remaining_ms = self._state.awaited_workers.remaining_ms(now_ms)
+        for worker in self._state.workers.values():
+            if (
+                worker.silent_until_ms
+                and worker.worker_id in self.worker_addresses
+            ):
+                remaining_ms[worker.worker_id] = max(
+                    0, worker.silent_until_ms - now_ms
+                )
         is_recorded = (
             self._confirmed_waits is not None
             and self._confirmed_waits.term == self._term
@@ -442,6 +500,11 @@
                     worker.recorded_end_number, number
                 )
         has_new_work |= self._apply_workers(batch)
+        if self._copy_keepers is not None:
+            self._copy_keepers.apply(batch)
+        if self._on_start_recorded is not None:
+            for order in batch.starts:
+                self._on_start_recorded(order)
         for future in batch.waiters:
             if not future.done():
                 future.set_result(None)
@@ -521,7 +584,7 @@
         # Tasks of a recovered job may run on workers that have not reported.
         return bool(job.occupying_tasks) or (
             job.recovered
-            and self._state.awaited_workers.any(self._clock.now_ms())
+            and unseen.may_run_unseen(self._state, self._clock.now_ms())
         )
 
     def forget(self, job: job_module.Job) -> None:
--- a/basilspindle/cell/run_expiry.py
+++ b/basilspindle/cell/run_expiry.py
@@ -38,5 +38,14 @@
     return max(known_ms, min(answered_ms, unheard_ms))
 
 
+def may_be_at_unknown_life(
+    task: task_module.Task, worker: worker_module.Worker
+) -> bool:
+    """Tell whether a life that has not reported may have taken a start."""
+    return bool(task.unanswered_start_ms) or (
+        bool(task.answered_ms) and not _is_listed(task, worker)
+    )
+
+
 def _is_listed(task: task_module.Task, worker: worker_module.Worker) -> bool:
     return task.listed_born_wall_ms == worker.born_wall_ms
--- a/basilspindle/cell/session.py
+++ b/basilspindle/cell/session.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from basilspindle.cell import confirmation
 from basilspindle.cell import events as cell_events
 from basilspindle.cell import first_calls as first_calls_module
 from basilspindle.cell import guard
@@ -45,6 +46,10 @@
 # So many renewals without an answer in a row carry a deadline: one may be
 # lost, and each may extend the lease of a life that has not reported.
 _MAX_UNANSWERED_GRANTS = 2
+# After so many renewals without an answer in a row the log tells that the
+# worker is silent: one answer may be lost, and a note costs it its next lease
+# until the log names it again.
+_MAX_UNNOTED_FAILURES = 2
 # A worker whose report could not be applied gets no new tasks for this long.
 _FAULT_PAUSE_MS = 2_000
 _STOP_RETRY_MS = 250
@@ -126,6 +131,11 @@
         """Tell whether a start must not be sent, or sent again, now."""
         ...
 
+    @property
+    def confirmed_ms(self) -> int:
+        """Return when the latest call that the store has confirmed began."""
+        ...
+
     async def wait_confirmed(self, at_ms: int, timeout_ms: int) -> bool:
         """Wait until no later leader had fenced the log at a time; tell."""
         ...
@@ -290,6 +300,7 @@
     async def _renew_forever(self) -> None:
         pause_ms = _MIN_RENEW_RETRY_MS
         failures = 0
+        successive_failures = 0
         while True:
             has_answered = bool(self.worker.answered_address)
             try:
@@ -308,8 +319,13 @@
                 fault = f'a renewal failed: {error!r}'
             if fault is None:
                 pause_ms = _MIN_RENEW_RETRY_MS
+                successive_failures = 0
+                self.worker.silent_until_ms = 0
                 continue
             failures += 1
+            successive_failures += 1
+            if successive_failures >= _MAX_UNNOTED_FAILURES:
+                self._note_silence()
             if not self._is_worker_silent:
                 self._is_worker_silent = True
                 events.emit(
@@ -324,6 +340,32 @@
                 _MAX_RENEW_RETRY_MS if has_answered else _MAX_FIRST_RETRY_MS,
             )
 
+    def _note_silence(self) -> None:
+        """Send no more leases and starts, so that a successor waits less."""
+        worker = self.worker
+        if not worker.is_recorded or not worker.reported:
+            return
+        lease_expiry_ms = self._lease.expiry_ms()
+        if lease_expiry_ms is None:
+            return
+        lease_sent_ms = self._lease_sent_ms
+        if self._open_starts:
+            lease_sent_ms = self._clock.now_ms()
+        worker.is_recorded = False
+        worker.silent_until_ms = max(
+            [lease_expiry_ms]
+            + [
+                run_expiry.expiry_ms(
+                    task,
+                    worker,
+                    self._lease,
+                    lease_sent_ms,
+                    self._max_lease_ms,
+                )
+                for task in worker.tasks.values()
+            ]
+        )
+
     async def _release_expired(self) -> None:
         now_ms = self._clock.now_ms()
         lease_expiry_ms = self._lease.expiry_ms()
@@ -545,8 +587,13 @@
         # answered last, but may do so at a later one.
         if self._unanswered_renewals >= _MAX_UNANSWERED_GRANTS:
             return None
+        if not self._may_reach_unknown_life(now_ms) and any(
+            run_expiry.may_be_at_unknown_life(task, self.worker)
+            for task in self.worker.tasks.values()
+        ):
+            return None
         # A deadline that has passed on the worker's clock extends nothing.
-        deadline_ms = self._lease.grant(self._lease_ms)
+        deadline_ms = self._grant(now_ms)
         expiry_ms = self._lease.expiry_ms()
         if expiry_ms is not None and now_ms > expiry_ms:
             return None
@@ -554,6 +601,22 @@
             self._lease_sent_ms = now_ms
         return deadline_ms
 
+    def _grant(self, now_ms: int) -> int | None:
+        """Return a deadline that a successor reckons with.
+
+        None if the clock of the worker is not known.
+        """
+        limit_ms = self._owner.confirmed_ms + confirmation.lease_limit_ms(
+            self._max_lease_ms
+        )
+        lease_ms = lease_clock.lease_within_ms(limit_ms - now_ms)
+        return self._lease.grant(min(self._lease_ms, lease_ms))
+
+    def _may_reach_unknown_life(self, now_ms: int) -> bool:
+        """Tell whether an order may still be taken as the longest lease."""
+        sent_for_ms = now_ms - self._owner.confirmed_ms
+        return sent_for_ms <= confirmation.unknown_life_ms(self._max_lease_ms)
+
     def _renewal_wait_ms(
         self, deadline_ms: int | None, are_ends_recorded: bool
     ) -> int:
@@ -685,7 +748,15 @@
             return start_outcome.StartAnswer(
                 start_outcome.StartOutcome.NOT_SENT
             )
-        deadline_ms = self._lease.grant(self._lease_ms)
+        now_ms = self._clock.now_ms()
+        if not self.worker.is_recorded or not self._may_reach_unknown_life(
+            now_ms
+        ):
+            # A successor would not wait for this start.
+            return start_outcome.StartAnswer(
+                start_outcome.StartOutcome.NOT_SENT
+            )
+        deadline_ms = self._grant(now_ms)
         if deadline_ms is None:
             return start_outcome.StartAnswer(
                 start_outcome.StartOutcome.NOT_SENT
--- a/basilspindle/cell/state.py
+++ b/basilspindle/cell/state.py
@@ -218,19 +218,28 @@
         task.load = 0
         task.pace_percent, task.paced_ms = 100, 0
         task.has_unanswered_pace, task.pace_repeated_until_ms = False, 0
+        task.is_restored = False
         task.percent = task.sampled_ms = task.sampled_percent = 0
         task.lag, task.is_stalled = 0.0, False
         task.is_timed = state is _State.STARTING and not task.checkpoint
         task.base_percent, task.measured_ms = 0, 0.0
         worker.add_task(task)
         job.occupying_tasks.add(task)
-        job.started = True
-        if job.state is job_state.JobState.PENDING:
-            job.state = job_state.JobState.RUNNING
+        if state is not _State.STARTING:
+            job.mark_started()
         self.usage.add(job.definition.workspace, task.step_run.step.reserved)
         self.table.count_ready_step(task.step_run)
         self.table.backlog.add_running(task)
 
+    def adopt(
+        self, task: task_module.Task, worker: worker_module.Worker, run: int
+    ) -> None:
+        """Assign a run that an earlier leader has started to its worker."""
+        self.occupy(task, worker, run, _State.RUNNING)
+        self.table.remove_ready_step(task.step_run)
+        if task.step_run.waiting and not task.step_run.step.gang:
+            self.table.add_ready_step(task.step_run)
+
     def release(self, task: task_module.Task) -> None:
         """Remove a task from its worker; queue it again unless it is done."""
         step_run = task.step_run
@@ -323,6 +332,7 @@
         """Requeue all tasks of a worker that restarted or lost its lease."""
         self.requeue_tasks(list(worker.tasks.values()))
         worker.unexpected_runs.clear()
+        worker.has_changed_runs = True
 
     def requeue_tasks(self, tasks: list[task_module.Task]) -> None:
         """Requeue tasks whose runs have ended without a report."""
--- a/basilspindle/cell/unseen.py
+++ b/basilspindle/cell/unseen.py
@@ -18,8 +18,8 @@
 
 
 def may_run_unseen(state: state_module.CellState, now_ms: int) -> bool:
-    """Tell whether workers that have not reported may still run tasks."""
-    return state.awaited_workers.any(now_ms)
+    """Tell whether workers that have not reported may run unknown tasks."""
+    return state.awaited_workers.any_unaccounted(now_ms)
 
 
 def estimate_usage(
@@ -30,13 +30,14 @@
     for worker in state.workers.values():
         for name in worker.unexpected_runs:
             _add_unexpected(state, usage, name)
-    if not may_run_unseen(state, now_ms):
+    if not state.awaited_workers.any(now_ms):
         return usage
     unseen: dict[str, need_module.Need] = {}
-    for job in state.table.jobs.values():
-        # A job that has ended meanwhile runs on where no stop has arrived.
-        if job.recovered:
-            _add(unseen, job.definition.workspace, job_need(job))
+    if may_run_unseen(state, now_ms):
+        for job in state.table.jobs.values():
+            # A job that has ended meanwhile runs on where no stop has arrived.
+            if job.recovered:
+                _add(unseen, job.definition.workspace, job_need(job))
     for workspace, need in state.stopping_usage.items():
         _add(unseen, workspace, need)
     capacity = _unseen_capacity(state)
--- a/basilspindle/cell/worker.py
+++ b/basilspindle/cell/worker.py
@@ -33,7 +33,8 @@
     whether a report to this leader has listed all runs and ends of the
     present incarnation, and ``last_contact_ms`` when the latest report came.
     ``unexpected_runs`` are reported runs that must be stopped, as run numbers
-    by task name.
+    by task name. ``silent_until_ms`` is when the leases of a worker that does
+    not answer have ended, 0 while it gets leases.
 
     ``used`` are the resources of ``tasks``, and ``reserved`` those kept free
     for waiting steps. ``born_wall_ms``, the start time of the worker,
@@ -59,6 +60,9 @@
     here since the last successful run of any job here, and have not failed on
     another worker.
 
+    ``has_changed_runs`` tells that ``placed_runs`` may differ from what the
+    log tells.
+
     ``changed_ids`` is where the worker notes its id if its pool or its free
     amounts change, None before it is in a table.
 
@@ -84,6 +88,7 @@
         'unlisted_since_ms',
         'reported',
         'last_contact_ms',
+        'silent_until_ms',
         'born_wall_ms',
         'applied_end_number',
         'recorded_end_number',
@@ -93,6 +98,7 @@
         'settled_born_wall_ms',
         'earlier_orders_until_ms',
         'unexpected_runs',
+        'has_changed_runs',
         'suspect_until_ms',
         'failure_score',
         'failed_job_ids',
@@ -138,6 +144,7 @@
         self.unlisted_since_ms = 0
         self.reported = False
         self.last_contact_ms = 0
+        self.silent_until_ms = 0
         self.born_wall_ms = 0
         self.applied_end_number = 0
         self.recorded_end_number = 0
@@ -147,6 +154,7 @@
         self.settled_born_wall_ms = 0
         self.earlier_orders_until_ms: int | None = None
         self.unexpected_runs: dict[str, int] = {}
+        self.has_changed_runs = True
         self.suspect_until_ms = 0
         self.failure_score = 0.0
         self.failed_job_ids: set[str] = set()
@@ -253,6 +261,13 @@
         first_held = min(self.held_ends, default=self.recorded_end_number + 1)
         return min(self.recorded_end_number, first_held - 1)
 
+    def placed_runs(self) -> dict[str, int]:
+        """Return the runs that may be on this worker, by task name."""
+        runs = {task.name: task.run for task in self.tasks.values()}
+        for name, run in self.unexpected_runs.items():
+            runs[name] = max(run, runs.get(name, 0))
+        return runs
+
     def record_unanswered_start(self) -> None:
         """Raise the failure score for a start that was not answered."""
         self.failure_score += 1.0
@@ -268,11 +283,13 @@
     def add_task(self, task: task_module.Task) -> None:
         """Add a task and its resources to this worker."""
         self.tasks[task.name] = task
+        self.has_changed_runs = True
         self.used = self.used.plus(task.step_run.step.reserved)
 
     def remove_task(self, task: task_module.Task) -> bool:
         """Remove a task; returns False if it was not on this worker."""
         if self.tasks.pop(task.name, None) is None:
             return False
+        self.has_changed_runs = True
         self.used = self.used.plus(task.step_run.step.reserved, -1)
         return True
--- a/basilspindle/cell/worker_tracker.py
+++ b/basilspindle/cell/worker_tracker.py
@@ -78,6 +78,7 @@
             worker.is_recorded = not self._recorder.is_awaited_in_log(
                 worker_id
             )
+        self._recorder.placements.restore(self._clock.now_ms())
 
     async def follow(self) -> None:
         """Refresh the workers until cancelled."""
--- a/basilspindle/workflow/job.py
+++ b/basilspindle/workflow/job.py
@@ -132,6 +132,22 @@
             and run.occurrence < self.durable_occurrences
         )
 
+    def mark_started(self) -> None:
+        """Note that a task has been started, or its start was ordered."""
+        self.started = True
+        if self.state is job_state.JobState.PENDING:
+            self.state = job_state.JobState.RUNNING
+
+    def is_placeable(self, run: step_run_module.StepRun) -> bool:
+        """Tell whether an append has included this occurrence of the job.
+
+        A start that is recorded by the same append, or a later one, is sent
+        only once the log holds both.
+        """
+        return self.is_recorded(run) or (
+            self.append_started and not self.definition.max_runs
+        )
+
     def is_ready(self, run: step_run_module.StepRun) -> bool:
         """Tell whether all steps that a step run depends on are done."""
         return all(
--- a/basilspindle/workflow/task.py
+++ b/basilspindle/workflow/task.py
@@ -44,7 +44,8 @@
     ``unanswered_start_ms`` is when the latest attempt at it was sent that got
     no answer and may still be carried out, 0 if there is none.
     ``listed_born_wall_ms`` is the start time of the worker that has listed
-    the latest run, 0 if none has.
+    the latest run, 0 if none has. ``is_restored`` tells that the run is known
+    from the log of an earlier leader only.
     """
 
     __slots__ = (
@@ -78,6 +79,7 @@
         'answered_clock_ms',
         'unanswered_start_ms',
         'listed_born_wall_ms',
+        'is_restored',
     )
 
     def __init__(
@@ -113,6 +115,7 @@
         self.answered_clock_ms: int | None = None
         self.unanswered_start_ms = 0
         self.listed_born_wall_ms = 0
+        self.is_restored = False
 
     @property
     def occupies_worker(self) -> bool:
--- a/tests/cell_case.py
+++ b/tests/cell_case.py
@@ -117,6 +117,8 @@
 class ConfirmedOwner:
     """Owner of sessions whose leadership the store confirms at once."""
 
+    confirmed_ms = 1 << 60
+
     def end_if_expired(self):
         """Tell whether the owner may no longer lead."""
         return False
@@ -185,9 +187,12 @@
         self.state.changed_jobs.clear()
 
     def plan(self):
-        """Run a scheduling pass and return its orders."""
+        """Run a scheduling pass and return its orders, which are sent."""
         self.planner.plan(self.now_ms)
-        return self.state.take_orders()
+        orders = self.state.take_orders()
+        for order in orders.starts:
+            order.task.step_run.job.mark_started()
+        return orders
 
     def apply_outcome(self, order, outcome=start_outcome.StartOutcome.RUNS):
         starts_module.apply_outcome(self.state, order, outcome, self.now_ms)
--- a/tests/test_cell_confirmation.py
+++ b/tests/test_cell_confirmation.py
@@ -57,6 +57,7 @@
     def __init__(self, is_confirmed, is_over=False):
         self.is_confirmed = is_confirmed
         self.is_over = is_over
+        self.confirmed_ms = _CONFIRMED_MS
         self.asked_ms = []
         self.reports = []
         self.losses = []
--- a/tests/test_cell_failed_leadership.py
+++ b/tests/test_cell_failed_leadership.py
@@ -65,11 +65,11 @@
         recover = recorder_module.Recorder.recover
         failures = []
 
-        def fail(recorder, recovered):
+        def fail(recorder, *values):
             if not failures:
                 failures.append(recorder)
                 raise KeyError('odd')
-            recover(recorder, recovered)
+            recover(recorder, *values)
 
         with unittest.mock.patch.object(
             recorder_module.Recorder, 'recover', fail
--- a/tests/test_cell_worker_tracker.py
+++ b/tests/test_cell_worker_tracker.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+from unittest import mock
 
 import loguru
 
@@ -43,6 +44,7 @@
         self.worker_addresses_changed = False
         self.settled_lives = {}
         self.capacities = {}
+        self.placements = mock.Mock()
 
     def is_awaited_in_log(self, worker_id):
         return False
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -19,8 +19,9 @@
             play.submit(_JOB)
             recorder = play.leader._recorder
             recorder.apply(recorder.collect())
-            # The process stands still between the plan and the send.
+            # The process stands still between the record and the send.
             play.leader._plan()
+            recorder.apply(recorder.collect())
             worker.crash()
             self.clock._now_ms += pause_ms
             worker.begin_life(_BEHIND_MS)
