--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -528,7 +528,8 @@
                 born_wall_ms=report.born_wall_ms,
                 clock_ms=report.clock_ms,
             )
-        is_later_life = worker.born_wall_ms != report.born_wall_ms
+        # Runs that a predecessor placed and that are not listed have ended.
+        is_later_life = worker.born_wall_ms not in (0, report.born_wall_ms)
         # A later life numbers its ends anew.
         previous_end_number = 0 if is_later_life else worker.applied_end_number
         earlier_tasks = list(worker.tasks.values()) if is_later_life else []
