Give a silent worker no lease before the log tells of its silence

What could happen (by reading; not seen in a play): a leader notes that a worker is silent, and the append that was in flight gives the worker leases again until the next one is collected. A successor waits for the rest of the lease that was noted, and not for that one. Change: no append makes a silent worker one that may get leases. Test: test_an_append_in_flight_gives_no_lease_back failed before (True is not false).

--- a/basilspindle/cell/recorder.py
+++ b/basilspindle/cell/recorder.py
@@ -534,6 +534,7 @@
             worker_id = worker.worker_id
             if (
                 worker.is_recorded
+                or worker.silent_until_ms
                 or worker_id in self._awaited_in_log
                 or not worker.answered_address
                 or self.worker_addresses.get(worker_id)
--- a/tests/test_cell_recorder.py
+++ b/tests/test_cell_recorder.py
@@ -327,6 +327,45 @@
         self.assertIsNone(self.append())
 
 
+class SilenceRecordTest(cell_case.CellCase):
+    """Guard the note that a worker gets no leases (issue 55)."""
+
+    def setUp(self):
+        super().setUp()
+        self.recorder = recorder_module.Recorder(
+            self.state, Clock(self), 3, self.intake, lambda: None
+        )
+        self.worker = self.add_worker('w1')
+        self.recorder.note_report(self.worker)
+        self.recorder.apply(self.recorder.collect())
+        self.assertTrue(self.worker.is_recorded)
+
+    def note_silence(self):
+        self.worker.is_recorded = False
+        self.worker.silent_until_ms = self.now_ms + 5_000
+
+    def test_a_successor_learns_until_when_leases_last(self):
+        """Guard against the longest wait for a worker known to be silent."""
+        self.note_silence()
+        self.now_ms += 1_000
+        batch = self.recorder.collect()
+        self.assertEqual({'w1': 4_000}, batch.waits.remaining_ms)
+        self.recorder.apply(batch)
+        self.assertFalse(self.worker.is_recorded)
+        # It answers.
+        self.worker.silent_until_ms = 0
+        self.assertTrue(self.recorder.has_worker_changes(self.worker))
+        self.recorder.apply(self.recorder.collect())
+        self.assertTrue(self.worker.is_recorded)
+
+    def test_an_append_in_flight_gives_no_lease_back(self):
+        """Guard against a lease that the note does not reckon with."""
+        in_flight = self.recorder.collect()
+        self.note_silence()
+        self.recorder.apply(in_flight)
+        self.assertFalse(self.worker.is_recorded)
+
+
 class OneRecordTest(cell_case.CellCase):
     """Guard the appends of a cell against the record of one job."""
 
