Send starts once all followers keep them

Change: in a cell with up to eight daemons that keep starts, these keep each start at once, and it is sent when they or the log have it. The tick drops copies that the log makes needless. Test: test_a_start_is_sent_once_all_followers_keep_it failed before (the start waited for an append of 400 ms).

--- a/basilspindle/cell/leader.py
+++ b/basilspindle/cell/leader.py
@@ -70,8 +70,10 @@
 _UNCONFIRMED_RETRY_MS = 1_000
 # New jobs are refused while an append has been pending for longer than this.
 _STORE_UNRESPONSIVE_MS = 900
-# Starts that have waited for the store for longer are sent once the followers
-# keep them.
+# Starts are sent once the followers keep them if the log does not have them
+# first, in a cell with more daemons only if an append has taken this long:
+# each start costs a call to each follower.
+_MAX_PROMPT_KEEPERS = 8
 _START_COPY_DELAY_MS = 80
 _STALL_CHECK_INTERVAL_MS = 1_000
 # Jobs that have stalled for longer are logged, as often.
@@ -869,8 +871,9 @@
         orders = self.state.take_orders()
         for start in orders.starts:
             self._recorder.placements.hold(start)
-        if orders.starts and not self._is_collecting:
-            self._journal.request_append()
+        if orders.starts:
+            if not self._is_collecting:
+                self._journal.request_append()
             self._copy_starts()
         for stop in orders.stops:
             session = self._worker_tracker.sessions.get(stop.worker_id)
@@ -925,36 +928,58 @@
         )
 
     def _copy_starts(self) -> None:
-        """Have the followers keep the waiting starts if the store is slow."""
-        if self.store_age_ms <= _START_COPY_DELAY_MS or not self.ready:
-            return
+        """Have the followers keep the starts that wait for the log."""
         if self._copying is not None and not self._copying.done():
+            # It goes on with those that have come meanwhile.
             return
-        if not self._can_copy_starts:
-            return
-        waiting = self._recorder.placements.waiting_starts
-        if waiting:
-            self._copying = asyncio.ensure_future(self._send_copied(waiting))
+        if self.ready and not self.lost.is_set() and self._has_to_copy:
+            self._copying = asyncio.ensure_future(self._copy_until_sent())
 
-    async def _send_copied(
-        self, waiting: list[orders_module.StartOrder]
-    ) -> None:
+    @property
+    def _has_to_copy(self) -> bool:
+        return (
+            bool(self._recorder.placements.waiting_starts)
+            and self._can_copy_starts
+            and (
+                self._copy_keepers.count <= _MAX_PROMPT_KEEPERS
+                or self.store_age_ms > _START_COPY_DELAY_MS
+            )
+        )
+
+    async def _copy_until_sent(self) -> None:
+        try:
+            # After a failure, the next tick tries again.
+            while self._has_to_copy and await self._send_copied():
+                pass
+        except Exception as error:
+            # The starts go on waiting for the log.
+            events.emit(
+                cell_events.INTERNAL_FAULT,
+                part='CopyKeepers',
+                error=repr(error),
+            )
+
+    async def _send_copied(self) -> bool:
+        waiting = self._recorder.placements.waiting_starts
         starts = [
             start_copies.Start(order.worker_id, order.task.name, order.run)
             for order in waiting
         ]
         kept = await self._copy_keepers.keep(starts)
-        events.emit(
-            cell_events.STARTS_COPIED,
-            starts=len(starts),
-            kept=kept,
-            store_age_ms=self.store_age_ms,
-        )
+        if self.store_age_ms > _START_COPY_DELAY_MS:
+            events.emit(
+                cell_events.STARTS_COPIED,
+                starts=len(starts),
+                kept=kept,
+                store_age_ms=self.store_age_ms,
+            )
         if not kept:
-            return
-        metrics.STARTS_COPIED.inc(len(waiting))
-        for order in waiting:
+            return False
+        unsent = [order for order in waiting if not order.is_released]
+        metrics.STARTS_COPIED.inc(len(unsent))
+        for order in unsent:
             self._send_recorded_start(order)
+        return True
 
     def _send_recorded_start(self, start: orders_module.StartOrder) -> None:
         task = start.task
@@ -1014,6 +1039,7 @@
     def _run_housekeeping(self, now_ms: int) -> None:
         state = self.state
         self._copy_starts()
+        self._copy_keepers.drop_needless()
         wall_ms = self._clock.wall_ms()
         if self.store_age_ms > _STORE_UNRESPONSIVE_MS:
             self._recorder.withdraw_unsent()
--- a/basilspindle/cell/start_copies.py
+++ b/basilspindle/cell/start_copies.py
@@ -1,9 +1,9 @@
-"""Keep copies of starts at the followers while the store does not answer.
+"""Keep copies of starts at the followers until the log has them.
 
-The leader records each start before it sends the order. While an append is
-unanswered, all followers that the log names keep the starts instead. Any of
-them may be the next leader, and then knows of these starts; a daemon that the
-log does not name reckons with anything (docs/decisions/run-evidence.md).
+The leader records each start before it sends the order, or has all followers
+that the log names keep it until then. Any of them may be the next leader, and
+then knows of these starts; a daemon that the log does not name reckons with
+anything (docs/decisions/run-evidence.md).
 """
 
 import asyncio
@@ -79,6 +79,8 @@
         '_pending_ids',
         '_number',
         '_starts',
+        '_has_needless_copies',
+        '_sends',
     )
 
     def __init__(
@@ -93,6 +95,9 @@
         self._number = 0
         # What the log may not hold yet, with the number of the first copy.
         self._starts: dict[Start, int] = {}
+        # The followers keep starts that the log has.
+        self._has_needless_copies = False
+        self._sends: set[asyncio.Task[bool]] = set()
 
     def add_link(self, link: link_module.Link) -> None:
         """Use a daemon that has connected to this one."""
@@ -131,19 +136,29 @@
         """Note that an append is confirmed."""
         if batch.copy_keepers is not None:
             self._confirmed_ids, self._pending_ids = batch.copy_keepers, None
-        covered = {
-            start
-            for start, number in self._starts.items()
-            if number <= batch.covered_copies
-        }
-        if not covered:
+        for start, number in list(self._starts.items()):
+            if number <= batch.covered_copies:
+                del self._starts[start]
+                self._has_needless_copies = True
+
+    def drop_needless(self) -> None:
+        """Let the followers keep only what the log may not hold.
+
+        What they keep beyond it, a successor reckons with for no reason.
+        """
+        if not self._has_needless_copies:
             return
-        for start in covered:
-            del self._starts[start]
-        # Without an answer, a successor reckons with starts that have ended.
         self._copy_locally()
+        message = self._message()
         for link in self._find_links() or ():
-            asyncio.ensure_future(self._send(link, self._message()))
+            task = asyncio.ensure_future(self._send(link, message))
+            self._sends.add(task)
+            task.add_done_callback(self._sends.discard)
+
+    @property
+    def count(self) -> int:
+        """Return how many daemons have to keep a start."""
+        return len(self._required_ids)
 
     @property
     def can_keep(self) -> bool:
@@ -194,6 +209,7 @@
 
     def _copy_locally(self) -> bool:
         self._number += 1
+        self._has_needless_copies = False
         return self._own.keep(self._epoch, self._number, self._starts)
 
     def _message(self) -> messages.KeepStarts:
@@ -209,6 +225,6 @@
         try:
             reply = await link.call(message, _TIMEOUT_MS)
         except errors.PeerError:
-            # The starts go on waiting for the store.
+            # The starts go on waiting for the log.
             return False
         return isinstance(reply, messages.Accepted)
--- a/tests/succession_case.py
+++ b/tests/succession_case.py
@@ -215,7 +215,7 @@
             if now_ms - housekeeping_ms >= _HOUSEKEEPING_MS:
                 housekeeping_ms = now_ms
                 leader._run_housekeeping(now_ms)
-            await clock.sleep_ms(_APPEND_MS)
+            await clock.sleep_ms(self._case.append_ms)
         leader._worker_tracker.close()
 
 
@@ -223,6 +223,7 @@
     """Workers, and daemons that lead one after the other."""
 
     daemon_count = 3
+    append_ms = _APPEND_MS
 
     def setUp(self) -> None:
         super().setUp()
--- a/tests/test_lost_leaders.py
+++ b/tests/test_lost_leaders.py
@@ -45,6 +45,14 @@
         worker.crash()
         worker.is_cut = True
 
+    async def lead_for_a_while(self) -> None:
+        """Let the first daemon start the tasks of a job, and end."""
+        first = self.lead(0)
+        await self.clock.advance_ms(500)
+        self.submit(first, _JOB, 4)
+        await self.clock.advance_ms(300)
+        first.end()
+
     def tasks_on(self, worker: worker_lives.LivingWorker) -> set[str]:
         """Return the tasks that run on a worker."""
         return set(worker.life.runs) if worker.life else set()
@@ -204,11 +212,7 @@
         """Guard against an exact account by a process that is new."""
 
         async def steps():
-            first = self.lead(0)
-            await self.clock.advance_ms(500)
-            self.submit(first, _JOB, 4)
-            await self.clock.advance_ms(300)
-            first.end()
+            await self.lead_for_a_while()
             self.daemons.append(succession_case.Daemon(7))
             successor = self.lead(len(self.daemons) - 1)
             now_ms = self.clock.now_ms()
@@ -236,6 +240,55 @@
         self.assertEqual((start,), copies.take(4, 6))
 
 
+class PromptCopyTest(LossCase):
+    """Guard starts that wait for the log although all followers answer.
+
+    Starts of berceuse-partage trouble-1 came 36 ms after the advice, and 5 ms
+    after it before they were recorded.
+    """
+
+    append_ms = 400
+
+    def play_next_step(self) -> int:
+        """Return how long a step waits once the one before has ended."""
+        waits_ms = []
+
+        async def steps():
+            first = self.lead(0)
+            await self.clock.advance_ms(1_500)
+            first.leader._intake.submit(
+                cell_case.make_definition(
+                    _JOB,
+                    cell_case.make_step(1),
+                    cell_case.make_step(1, after=(0,)),
+                ),
+                self.clock.now_ms(),
+            )
+            while len(self.starts()) < 2:
+                await self.clock.advance_ms(5)
+                if any('done' in row for row in self.rows()):
+                    first.leader._plan()
+                    waits_ms.append(5)
+
+        for worker in self.workers:
+            worker.run_ms = lambda name: 610
+        self.play_steps(steps)
+        return sum(waits_ms)
+
+    def rows(self):
+        """Return the history of all workers."""
+        return [row for worker in self.workers for row in worker.history]
+
+    def test_a_start_is_sent_once_all_followers_keep_it(self):
+        """Guard against starts that wait for an append."""
+        self.assertLess(self.play_next_step(), 100)
+
+    def test_a_start_in_a_large_cell_waits_for_the_log(self):
+        """Guard against a call to each of many followers for each start."""
+        self.daemons += [succession_case.Daemon(n) for n in range(3, 12)]
+        self.assertGreater(self.play_next_step(), 100)
+
+
 class PlacementRecordTest(LossCase):
     """Guard what the log tells of the runs on each worker."""
 
@@ -243,11 +296,7 @@
         """Guard against starts that an older build has not recorded."""
 
         async def steps():
-            first = self.lead(0)
-            await self.clock.advance_ms(500)
-            self.submit(first, _JOB, 4)
-            await self.clock.advance_ms(300)
-            first.end()
+            await self.lead_for_a_while()
             recovered = journal_module._decode(dict(self.log.values))
             self.assertEqual(_WORKERS, len(recovered.placements))
             # An older build writes no such field.
